Add the workspace, the design page and the shared vocabulary crate

The crates' borders are fixed first, so that the parts can be written side by side: messages between processes, the platform's interfaces and the transport are traits and plain types in crates/catkindeck.

Conclusion: the parts can start; nothing is served yet.

--- /dev/null
+++ b/crates/catkindeck-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line, load tool and burn report.
--- /dev/null
+++ b/crates/catkindeck-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control work under leases: training runs, availability zones, usage windows, configuration spread.
--- /dev/null
+++ b/crates/catkindeck-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon on entry hosts: HTTP for callers, trainers and operators.
--- /dev/null
+++ b/crates/catkindeck-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decision logic as state machines without sockets, threads or clocks.
--- /dev/null
+++ b/crates/catkindeck-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Transport between the processes: quinn with mutual TLS behind blocking channels.
--- /dev/null
+++ b/crates/catkindeck/src/log.rs
@@ -0,0 +1,72 @@
+//! Structured logs with numbered events.
+
+use {
+    slog::{Drain, Level, Logger},
+    std::{io, sync::Mutex},
+};
+
+/// An event of the catalogue in `docs/events.md`.
+///
+/// Each crate declares its events as constants in a file `events.rs`, in the range of numbers that
+/// the catalogue gives it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogEvent {
+    /// The unique number.
+    pub number: u16,
+    /// The unique name in snake case.
+    pub name: &'static str,
+    /// The level at which it is logged.
+    pub level: Level,
+    /// The message, a plain sentence without values.
+    pub text: &'static str,
+}
+
+/// The forms of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One JSON object a line.
+    Json,
+    /// Lines for a terminal.
+    Terminal,
+}
+
+/// Makes the process's logger, which writes to standard error from a thread of its own.
+pub fn build_logger(format: LogFormat, level: Level) -> Logger {
+    let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match format {
+        LogFormat::Json => Box::new(Mutex::new(slog_json::Json::default(io::stderr())).fuse()),
+        LogFormat::Terminal => {
+            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
+            Box::new(slog_term::FullFormat::new(decorator).build().fuse())
+        }
+    };
+    let filter = drain.filter_level(level).fuse();
+    // Serving threads never wait for a slow reader of standard error.
+    let queue = slog_async::Async::new(filter)
+        .chan_size(4096)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse();
+    Logger::root(queue, slog::o!())
+}
+
+/// Makes a logger that drops everything, for tests.
+pub fn discard_logger() -> Logger {
+    Logger::root(slog::Discard, slog::o!())
+}
+
+/// Logs an event with its number, name and fields: `log_event!(logger, EVENT; "zone" => zone)`.
+///
+/// Values of keys, bodies and other secrets are never passed as fields.
+#[macro_export]
+macro_rules! log_event {
+    ($logger:expr, $event:expr $(; $($fields:tt)*)?) => {{
+        let event: $crate::log::LogEvent = $event;
+        match event.level {
+            ::slog::Level::Critical => ::slog::crit!($logger, "{}", event.text; "event" => event.number, "name" => event.name $(, $($fields)*)?),
+            ::slog::Level::Error => ::slog::error!($logger, "{}", event.text; "event" => event.number, "name" => event.name $(, $($fields)*)?),
+            ::slog::Level::Warning => ::slog::warn!($logger, "{}", event.text; "event" => event.number, "name" => event.name $(, $($fields)*)?),
+            ::slog::Level::Info => ::slog::info!($logger, "{}", event.text; "event" => event.number, "name" => event.name $(, $($fields)*)?),
+            _ => ::slog::debug!($logger, "{}", event.text; "event" => event.number, "name" => event.name $(, $($fields)*)?),
+        }
+    }};
+}
--- /dev/null
+++ b/crates/catkindeck/src/time.rs
@@ -0,0 +1,75 @@
+//! Time as an argument.
+
+use {
+    crate::key,
+    std::{
+        ops::{Add, Sub},
+        time::Instant,
+    },
+};
+
+/// A point on the monotonic clock of one process, in milliseconds since that process started.
+///
+/// Decision logic takes moments as arguments instead of reading a clock, so that tests and benches
+/// drive it in virtual time (`docs/design.md`, section 4). Moments of different processes cannot be
+/// compared; messages carry remaining durations instead.
+#[key]
+#[derive(Default)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// Returns the milliseconds from `earlier` to this moment, or zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<u64> for Moment {
+    type Output = Self;
+
+    fn add(self, milliseconds: u64) -> Self {
+        Self(self.0.saturating_add(milliseconds))
+    }
+}
+
+impl Sub<u64> for Moment {
+    type Output = Self;
+
+    fn sub(self, milliseconds: u64) -> Self {
+        Self(self.0.saturating_sub(milliseconds))
+    }
+}
+
+/// A source of moments, which tests replace by a clock they move themselves.
+pub trait Clock: Send + Sync {
+    /// Returns the current moment; it never decreases.
+    fn now(&self) -> Moment;
+}
+
+/// The monotonic clock of the operating system.
+#[derive(Debug)]
+pub struct SystemClock {
+    origin: Instant,
+}
+
+impl SystemClock {
+    /// Starts a clock whose moment zero is now.
+    pub fn new() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for SystemClock {
+    fn now(&self) -> Moment {
+        let elapsed = self.origin.elapsed().as_millis();
+        Moment(u64::try_from(elapsed).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/crates/catkindeck/tests/sorted.rs
@@ -0,0 +1,21 @@
+//! Guards the sorted map against losing order or entries under any sequence of changes.
+
+use {catkindeck::SortedMap, proptest::prelude::*, std::collections::BTreeMap};
+
+proptest! {
+    /// Guards against a map that differs from the standard library's ordered map.
+    #[test]
+    fn behaves_like_a_tree_map(operations in prop::collection::vec((0u8..20, any::<bool>(), any::<u16>()), 0..200)) {
+        let mut map = SortedMap::new();
+        let mut model = BTreeMap::new();
+        for (key, insert, value) in operations {
+            if insert {
+                prop_assert_eq!(map.insert(key, value), model.insert(key, value));
+            } else {
+                prop_assert_eq!(map.remove(&key), model.remove(&key));
+            }
+            prop_assert!(map.iter().eq(model.iter()));
+            prop_assert_eq!(map.get(&key), model.get(&key));
+        }
+    }
+}
--- /dev/null
+++ b/tests/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems around catkindeck, with faults ordered through a control address.
--- /dev/null
+++ b/tests/system/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tests that drive separate processes over sockets.
