Add the ledger of a training step with its fuzzer

Cause: samples must be delivered exactly once, with true labels and within the staleness bound, also when the owner of a step is replaced in the middle. Ruled out: acknowledging by a record of its own, because the composition of batch N+1 already implies the acknowledgement of N and saves one store write a batch. Change: StepLedger proposes a composition, offers it only after the store holds it, and restores from the store and from retained samples. A batch whose data is lost or too old is stored as lost before the trainer learns so; its positions run under the next generation. Before: with the staleness check off, or with compositions not stored, the oracle fails (both are tests). Conclusion: not yet sound with two owners.

--- /dev/null
+++ b/crates/catkindeck-policy/src/ledger.rs
@@ -0,0 +1,504 @@
+//! The ledger of a training step: which samples exist, which are acceptable, which were delivered.
+//!
+//! The ledger proposes each batch's composition and offers it only after the owner has written the
+//! composition to the store, so that a successor never delivers a sample twice
+//! (`docs/design.md`, decision 11).
+
+use {
+    crate::batch::{
+        BATCH_BYTE_LIMIT, BATCH_SAMPLE_LIMIT, BatchRecord, BatchSample, BatchState, DiscardReason,
+        FetchAction, STEP_SAMPLE_LIMIT, SampleTask, StepTerms, sample_digest,
+    },
+    catkindeck::{
+        ErrorKind, ServiceError,
+        message::{SampleId, SampleRecord, StepPlan},
+        token::WeightVersion,
+    },
+};
+
+#[derive(Debug, Clone)]
+enum SlotState {
+    Waiting,
+    Running,
+    Accepted(Box<SampleRecord>),
+    Batched {
+        cursor: u32,
+        data: Option<Box<SampleRecord>>,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct SampleSlot {
+    generation: u32,
+    state: SlotState,
+}
+
+/// The ledger of one step under its owner.
+#[derive(Debug, Clone)]
+pub struct StepLedger {
+    terms: StepTerms,
+    plan: StepPlan,
+    current: WeightVersion,
+    slots: Vec<SampleSlot>,
+    batches: Vec<BatchRecord>,
+    /// The composition whose write to the store is in doubt; it stays fixed until it is resolved,
+    /// because the write may have taken effect.
+    proposal: Option<BatchRecord>,
+}
+
+impl StepLedger {
+    /// Opens a step.
+    ///
+    /// # Errors
+    ///
+    /// Returns `bad_request` if the plan is empty and `too_large` if it has too many samples.
+    pub fn open(
+        terms: StepTerms,
+        plan: StepPlan,
+        current: WeightVersion,
+    ) -> Result<Self, ServiceError> {
+        let groups = u32::try_from(plan.prompts.len()).unwrap_or(u32::MAX);
+        let total = groups.saturating_mul(plan.group_size);
+        if total == 0 || plan.max_tokens == 0 {
+            return Err(ServiceError::not_run(
+                ErrorKind::BadRequest,
+                "a step has at least one group, one sample in a group and one token in a sample",
+            ));
+        }
+        if total > STEP_SAMPLE_LIMIT {
+            return Err(ServiceError::not_run(
+                ErrorKind::TooLarge,
+                format!("a step has at most {STEP_SAMPLE_LIMIT} samples, this one has {total}"),
+            ));
+        }
+        let slot = SampleSlot {
+            generation: 0,
+            state: SlotState::Waiting,
+        };
+        let slots = vec![slot; total as usize];
+        Ok(Self {
+            terms,
+            plan,
+            current,
+            slots,
+            batches: Vec::new(),
+            proposal: None,
+        })
+    }
+
+    /// Rebuilds the ledger of a former owner from the store and from samples that agents retained.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`StepLedger::open`], and `internal` if the stored batches are not
+    /// numbered from zero without a gap.
+    pub fn restore(
+        terms: StepTerms,
+        plan: StepPlan,
+        current: WeightVersion,
+        batches: Vec<BatchRecord>,
+        retained: Vec<SampleRecord>,
+    ) -> Result<Self, ServiceError> {
+        let mut ledger = Self::open(terms, plan, current)?;
+        for (index, batch) in batches.into_iter().enumerate() {
+            if batch.cursor as usize != index {
+                let detail = format!("stored batch {index} has cursor {}", batch.cursor);
+                return Err(ServiceError::unknown(ErrorKind::Internal, detail));
+            }
+            ledger.apply_batch(batch);
+        }
+        for record in retained {
+            ledger.adopt(record);
+        }
+        Ok(ledger)
+    }
+
+    /// Returns the plan.
+    pub fn plan(&self) -> &StepPlan {
+        &self.plan
+    }
+
+    /// Returns the current weight version.
+    pub fn current(&self) -> WeightVersion {
+        self.current
+    }
+
+    /// Returns the number of samples that were accepted or delivered, and the number in the step.
+    pub fn progress(&self) -> (u32, u32) {
+        let done = self.slots.iter().filter(|slot| {
+            matches!(
+                slot.state,
+                SlotState::Accepted(_) | SlotState::Batched { .. }
+            )
+        });
+        (count_u32(done.count()), count_u32(self.slots.len()))
+    }
+
+    /// Tells whether every sample was delivered and the trainer has acknowledged the last batch.
+    pub fn is_complete(&self) -> bool {
+        self.batches
+            .last()
+            .is_some_and(|batch| batch.samples.is_empty())
+    }
+
+    /// Takes up to `limit` samples that wait for generation, nearly complete groups first.
+    pub fn take_tasks(&mut self, limit: usize) -> Vec<SampleTask> {
+        let size = self.plan.group_size as usize;
+        let mut groups: Vec<(usize, usize)> = (0..self.plan.prompts.len())
+            .map(|group| (self.missing_in_group(group), group))
+            .filter(|(missing, _)| *missing > 0)
+            .collect();
+        groups.sort_unstable();
+
+        let mut tasks = Vec::new();
+        for (missing, group) in groups {
+            for index in group * size..(group + 1) * size {
+                if tasks.len() == limit {
+                    return tasks;
+                }
+                if !matches!(self.slots[index].state, SlotState::Waiting) {
+                    continue;
+                }
+                self.slots[index].state = SlotState::Running;
+                tasks.push(SampleTask {
+                    id: self.sample_id(index),
+                    prompt: self.plan.prompts[group].clone(),
+                    max_tokens: self.plan.max_tokens,
+                    priority: group_priority(missing, size),
+                });
+            }
+        }
+        tasks
+    }
+
+    /// Returns a sample to waiting after its generation failed.
+    pub fn give_back(&mut self, id: &SampleId) {
+        let Some(index) = self.slot_index(id) else {
+            return;
+        };
+        let slot = &mut self.slots[index];
+        if slot.generation == id.generation && matches!(slot.state, SlotState::Running) {
+            slot.state = SlotState::Waiting;
+        }
+    }
+
+    /// Takes a finished sample; the first acceptable one wins.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the sample was discarded. A stale or unlabelled sample goes back to waiting, so
+    /// that it is generated again.
+    pub fn complete(&mut self, record: SampleRecord) -> Result<(), DiscardReason> {
+        let index = self
+            .slot_index(&record.id)
+            .ok_or(DiscardReason::NotExpected)?;
+        if self.slots[index].generation != record.id.generation {
+            return Err(DiscardReason::NotExpected);
+        }
+        if !matches!(
+            self.slots[index].state,
+            SlotState::Waiting | SlotState::Running
+        ) {
+            return Err(DiscardReason::AlreadyAccepted);
+        }
+        if let Err(reason) = self.check(&record) {
+            self.slots[index].state = SlotState::Waiting;
+            return Err(reason);
+        }
+        self.slots[index].state = SlotState::Accepted(Box::new(record));
+        Ok(())
+    }
+
+    /// Notes that the trainer uses a new weight version, and drops accepted samples that are now
+    /// too old; they are generated again.
+    ///
+    /// # Errors
+    ///
+    /// Returns `conflict` if the version is lower than the current one.
+    pub fn announce(&mut self, version: WeightVersion) -> Result<(), ServiceError> {
+        if version < self.current {
+            return Err(ServiceError::not_run(
+                ErrorKind::Conflict,
+                format!(
+                    "version {} is older than the current {}",
+                    version.0, self.current.0
+                ),
+            ));
+        }
+        self.current = version;
+        for index in 0..self.slots.len() {
+            let stale = match &self.slots[index].state {
+                SlotState::Accepted(record) => self.check(record).is_err(),
+                _ => false,
+            };
+            let proposed = self.proposal.as_ref().is_some_and(|batch| {
+                batch
+                    .samples
+                    .iter()
+                    .any(|sample| self.slot_index(&sample.id) == Some(index))
+            });
+            if stale && !proposed {
+                self.slots[index].state = SlotState::Waiting;
+            }
+        }
+        Ok(())
+    }
+
+    /// Decides what to do for a fetch at `cursor`, which acknowledges the batch before it.
+    pub fn fetch(&mut self, cursor: u32) -> FetchAction {
+        let next = count_u32(self.batches.len());
+        if cursor == next {
+            return self.fetch_next(cursor);
+        }
+        if cursor + 1 == next {
+            return self.fetch_again(cursor);
+        }
+        let error = if cursor < next {
+            let detail = format!("batch {cursor} was acknowledged by the fetch of a later one");
+            ServiceError::not_run(ErrorKind::Conflict, detail)
+        } else {
+            let detail = format!("the next cursor is {next}, not {cursor}");
+            ServiceError::not_run(ErrorKind::BadRequest, detail)
+        };
+        FetchAction::Refuse(error)
+    }
+
+    /// Notes that the store holds `record`, which [`FetchAction`] asked for or which the store
+    /// already held; returns the samples that agents need no longer retain.
+    pub fn confirm(&mut self, record: BatchRecord) -> Vec<SampleId> {
+        let next = count_u32(self.batches.len());
+        let released = match record.cursor {
+            cursor if cursor == next && cursor > 0 => self.batches[cursor as usize - 1]
+                .samples
+                .iter()
+                .map(|s| s.id.clone())
+                .collect(),
+            _ => Vec::new(),
+        };
+        if self
+            .proposal
+            .as_ref()
+            .is_some_and(|proposal| proposal.cursor == record.cursor)
+        {
+            self.proposal = None;
+        }
+        self.apply_batch(record);
+        for id in &released {
+            self.drop_data(id);
+        }
+        released
+    }
+
+    fn fetch_next(&mut self, cursor: u32) -> FetchAction {
+        if self.is_complete() {
+            let detail = "the step is complete and its last batch was acknowledged";
+            return FetchAction::Refuse(ServiceError::not_run(ErrorKind::Conflict, detail));
+        }
+        if let Some(proposal) = &self.proposal {
+            return FetchAction::Persist(proposal.clone());
+        }
+        let samples = self.compose();
+        let all_batched = self
+            .slots
+            .iter()
+            .all(|slot| matches!(slot.state, SlotState::Batched { .. }));
+        if samples.is_empty() && !all_batched {
+            return FetchAction::Pending;
+        }
+        let proposal = BatchRecord {
+            cursor,
+            samples,
+            state: BatchState::Offered,
+        };
+        self.proposal = Some(proposal.clone());
+        FetchAction::Persist(proposal)
+    }
+
+    fn fetch_again(&self, cursor: u32) -> FetchAction {
+        let batch = &self.batches[cursor as usize];
+        if batch.state == BatchState::Lost {
+            return FetchAction::Lost(batch.samples.iter().map(|s| s.id.clone()).collect());
+        }
+        // A sample whose data is gone or that became too old while the offer was repeated makes the
+        // batch lost; the trainer asks again only if it did not take the first offer.
+        let samples: Option<Vec<SampleRecord>> = batch
+            .samples
+            .iter()
+            .map(|sample| self.offered_data(sample))
+            .map(|data| data.filter(|record| self.check(record).is_ok()))
+            .collect();
+        match samples {
+            Some(samples) => {
+                let remaining = self
+                    .slots
+                    .iter()
+                    .any(|slot| !matches!(slot.state, SlotState::Batched { .. }));
+                FetchAction::Offer {
+                    samples,
+                    last: !remaining,
+                }
+            }
+            None => FetchAction::PersistLost(BatchRecord {
+                state: BatchState::Lost,
+                ..batch.clone()
+            }),
+        }
+    }
+
+    /// Chooses whole groups of accepted samples, up to the limits of a batch.
+    fn compose(&self) -> Vec<BatchSample> {
+        let size = self.plan.group_size as usize;
+        let mut samples = Vec::new();
+        let mut bytes = 0;
+        for group in self.slots.chunks(size) {
+            let records: Option<Vec<&SampleRecord>> = group
+                .iter()
+                .filter(|slot| !matches!(slot.state, SlotState::Batched { .. }))
+                .map(|slot| match &slot.state {
+                    SlotState::Accepted(record) => Some(record.as_ref()),
+                    _ => None,
+                })
+                .collect();
+            let Some(records) = records else { continue };
+            let group_bytes: usize = records.iter().map(|record| record.text.len()).sum();
+            let full = samples.len() + records.len() > BATCH_SAMPLE_LIMIT
+                || bytes + group_bytes > BATCH_BYTE_LIMIT;
+            if full && !samples.is_empty() {
+                break;
+            }
+            bytes += group_bytes;
+            samples.extend(records.into_iter().map(|record| BatchSample {
+                id: record.id.clone(),
+                digest: sample_digest(record),
+            }));
+        }
+        samples
+    }
+
+    fn apply_batch(&mut self, record: BatchRecord) {
+        for sample in &record.samples {
+            let Some(index) = self.slot_index(&sample.id) else {
+                continue;
+            };
+            let slot = &mut self.slots[index];
+            match record.state {
+                BatchState::Offered => {
+                    let data = match std::mem::replace(&mut slot.state, SlotState::Waiting) {
+                        SlotState::Accepted(data) => Some(data),
+                        _ => None,
+                    };
+                    slot.generation = sample.id.generation;
+                    slot.state = SlotState::Batched {
+                        cursor: record.cursor,
+                        data,
+                    };
+                }
+                BatchState::Lost if slot.generation <= sample.id.generation => {
+                    slot.generation = sample.id.generation + 1;
+                    slot.state = SlotState::Waiting;
+                }
+                BatchState::Lost => {}
+            }
+        }
+        let position = record.cursor as usize;
+        if position < self.batches.len() {
+            self.batches[position] = record;
+        } else {
+            self.batches.push(record);
+        }
+    }
+
+    /// Takes a sample that an agent retained for the former owner.
+    fn adopt(&mut self, record: SampleRecord) {
+        let Some(index) = self.slot_index(&record.id) else {
+            return;
+        };
+        if let SlotState::Batched { cursor, data } = &mut self.slots[index].state {
+            let batch = &self.batches[*cursor as usize];
+            let digest = sample_digest(&record);
+            if batch
+                .samples
+                .iter()
+                .any(|sample| sample.id == record.id && sample.digest == digest)
+            {
+                *data = Some(Box::new(record));
+            }
+            return;
+        }
+        // A discarded sample is generated again, so its reason is of no use here.
+        let _ = self.complete(record);
+    }
+
+    fn check(&self, record: &SampleRecord) -> Result<(), DiscardReason> {
+        if !self.terms.checked {
+            return Ok(());
+        }
+        let oldest = record
+            .labels
+            .oldest()
+            .ok_or(DiscardReason::UnknownVersion)?;
+        if self.current.0.saturating_sub(oldest.0) > self.terms.staleness_bound {
+            return Err(DiscardReason::Stale);
+        }
+        Ok(())
+    }
+
+    fn offered_data(&self, sample: &BatchSample) -> Option<SampleRecord> {
+        match &self.slots[self.slot_index(&sample.id)?].state {
+            SlotState::Batched {
+                data: Some(data), ..
+            } => Some(data.as_ref().clone()),
+            _ => None,
+        }
+    }
+
+    fn drop_data(&mut self, id: &SampleId) {
+        let Some(index) = self.slot_index(id) else {
+            return;
+        };
+        let slot = &mut self.slots[index];
+        if let SlotState::Batched { data, .. } = &mut slot.state
+            && slot.generation == id.generation
+        {
+            *data = None;
+        }
+    }
+
+    fn missing_in_group(&self, group: usize) -> usize {
+        let size = self.plan.group_size as usize;
+        let members = &self.slots[group * size..(group + 1) * size];
+        let missing = members
+            .iter()
+            .filter(|slot| matches!(slot.state, SlotState::Waiting | SlotState::Running));
+        missing.count()
+    }
+
+    fn sample_id(&self, index: usize) -> SampleId {
+        let size = self.plan.group_size as usize;
+        SampleId {
+            run: self.terms.run.clone(),
+            step: self.plan.step,
+            group: count_u32(index / size),
+            index: count_u32(index % size),
+            generation: self.slots[index].generation,
+        }
+    }
+
+    fn slot_index(&self, id: &SampleId) -> Option<usize> {
+        let size = self.plan.group_size;
+        let known = id.run == self.terms.run
+            && id.step == self.plan.step
+            && (id.group as usize) < self.plan.prompts.len()
+            && id.index < size;
+        known.then(|| id.group as usize * size as usize + id.index as usize)
+    }
+}
+
+/// Raises the priority as fewer members of a group are missing.
+fn group_priority(missing: usize, size: usize) -> u8 {
+    u8::try_from(size.saturating_sub(missing) * 3 / size.max(1)).unwrap_or(u8::MAX)
+}
+
+fn count_u32(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/catkindeck-policy/tests/ledger.rs
@@ -0,0 +1,403 @@
+//! Fuzzes the step ledger with a trainer, failing owners and a store that loses answers.
+//!
+//! Guards G1 to G3 of `docs/design.md`: labels are complete, no sample is older than the bound, and
+//! each position of a step is delivered exactly once under an identity that is never repeated.
+
+use {
+    catkindeck::{
+        id::ObjectName,
+        message::{SampleId, SampleRecord, StepPlan},
+        token::{VersionLabels, WeightVersion},
+    },
+    catkindeck_policy::{
+        batch::{BatchRecord, BatchState, FetchAction, SampleTask, StepTerms},
+        ledger::StepLedger,
+    },
+    proptest::{prelude::*, test_runner::RngSeed},
+    std::{collections::BTreeSet, env},
+};
+
+const GROUPS: usize = 5;
+const GROUP_SIZE: u32 = 3;
+const BOUND: u64 = 2;
+
+/// What keeps the guarantees; a test turns one part off to show that the check notices.
+#[derive(Clone, Copy)]
+struct Mechanisms {
+    checked: bool,
+    persisted: bool,
+}
+
+const ALL_ON: Mechanisms = Mechanisms {
+    checked: true,
+    persisted: true,
+};
+
+#[derive(Debug, Clone)]
+enum Operation {
+    /// Finishes a running sample whose oldest token lags by this many versions, or is unlabelled.
+    Finish {
+        choice: usize,
+        lag: Option<u64>,
+    },
+    /// Runs a sample a second time, as a straggler's duplicate does.
+    FinishAgain {
+        choice: usize,
+    },
+    Fail {
+        choice: usize,
+    },
+    Announce {
+        by: u64,
+    },
+    Fetch {
+        write: WriteFault,
+        answer_lost: bool,
+    },
+    /// Kills the owner; a successor restores from the store and what the agents still retain.
+    FailOver {
+        retained_mask: u64,
+    },
+    /// Lets the former owner, which believes it is still in charge, handle a fetch.
+    FetchFromFormer,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum WriteFault {
+    None,
+    LostBeforeEffect,
+    LostAfterEffect,
+}
+
+struct Scene {
+    mechanisms: Mechanisms,
+    ledger: StepLedger,
+    former: Option<StepLedger>,
+    store: Vec<BatchRecord>,
+    running: Vec<SampleTask>,
+    retained: Vec<SampleRecord>,
+    current: u64,
+    cursor: u32,
+    finished: bool,
+    identities: BTreeSet<SampleId>,
+    positions: BTreeSet<(u32, u32)>,
+    serial: u32,
+}
+
+impl Scene {
+    fn new(mechanisms: Mechanisms) -> Self {
+        let ledger = StepLedger::open(terms(mechanisms), plan(), WeightVersion(10)).unwrap();
+        Self {
+            mechanisms,
+            ledger,
+            former: None,
+            store: Vec::new(),
+            running: Vec::new(),
+            retained: Vec::new(),
+            current: 10,
+            cursor: 0,
+            finished: false,
+            identities: BTreeSet::new(),
+            positions: BTreeSet::new(),
+            serial: 0,
+        }
+    }
+
+    fn apply(&mut self, operation: &Operation) {
+        if self.running.is_empty() {
+            self.running = self.ledger.take_tasks(6);
+        }
+        match operation {
+            Operation::Finish { choice, lag } => {
+                if let Some(task) = self.take_running(*choice) {
+                    let oldest = lag.map(|lag| self.current.saturating_sub(lag));
+                    self.finish(&task.id, oldest);
+                }
+            }
+            Operation::FinishAgain { choice } => {
+                if !self.retained.is_empty() {
+                    let id = self.retained[choice % self.retained.len()].id.clone();
+                    self.finish(&id, Some(self.current));
+                }
+            }
+            Operation::Fail { choice } => {
+                if let Some(task) = self.take_running(*choice) {
+                    self.ledger.give_back(&task.id);
+                }
+            }
+            Operation::Announce { by } => {
+                self.current += by;
+                self.ledger.announce(WeightVersion(self.current)).unwrap();
+            }
+            Operation::Fetch { write, answer_lost } => self.fetch(*write, *answer_lost),
+            Operation::FailOver { retained_mask } => self.fail_over(*retained_mask),
+            Operation::FetchFromFormer => self.fetch_from_former(),
+        }
+    }
+
+    fn take_running(&mut self, choice: usize) -> Option<SampleTask> {
+        if self.running.is_empty() {
+            return None;
+        }
+        Some(self.running.swap_remove(choice % self.running.len()))
+    }
+
+    fn finish(&mut self, id: &SampleId, oldest: Option<u64>) {
+        self.serial += 1;
+        let mut labels = VersionLabels::default();
+        labels.push(2, oldest.map(WeightVersion));
+        labels.push(1, Some(WeightVersion(self.current)));
+        let text = format!("text {}", self.serial);
+        let record = SampleRecord {
+            id: id.clone(),
+            text,
+            labels,
+        };
+        self.retained.push(record.clone());
+        let _ = self.ledger.complete(record);
+    }
+
+    fn fetch(&mut self, write: WriteFault, answer_lost: bool) {
+        for _ in 0..3 {
+            match self.ledger.fetch(self.cursor) {
+                FetchAction::Persist(record) | FetchAction::PersistLost(record) => {
+                    if !self.write(&record, write) {
+                        return;
+                    }
+                    let released = self.ledger.confirm(record);
+                    self.retained
+                        .retain(|record| !released.contains(&record.id));
+                }
+                FetchAction::Offer { samples, last } => {
+                    if !answer_lost {
+                        self.deliver(&samples, last);
+                    }
+                    return;
+                }
+                FetchAction::Lost(_) => {
+                    self.cursor += 1;
+                    return;
+                }
+                FetchAction::Pending | FetchAction::Refuse(_) => return,
+            }
+        }
+    }
+
+    /// Writes by compare-and-swap; returns whether the owner learnt that the store holds `record`.
+    fn write(&mut self, record: &BatchRecord, fault: WriteFault) -> bool {
+        if !self.mechanisms.persisted {
+            return true;
+        }
+        if fault == WriteFault::LostBeforeEffect {
+            return false;
+        }
+        let position = record.cursor as usize;
+        match self.store.get(position) {
+            None if position == self.store.len() => self.store.push(record.clone()),
+            Some(stored) if stored == record => {}
+            Some(stored) => {
+                assert_eq!(
+                    record.state,
+                    BatchState::Lost,
+                    "a composition may not change"
+                );
+                assert_eq!(stored.samples, record.samples);
+                self.store[position] = record.clone();
+            }
+            None => panic!("batches are written in order"),
+        }
+        fault == WriteFault::None
+    }
+
+    fn deliver(&mut self, samples: &[SampleRecord], last: bool) {
+        for sample in samples {
+            let oldest = sample
+                .labels
+                .oldest()
+                .expect("G1: a token's version is unknown");
+            assert!(
+                self.current - oldest.0.min(self.current) <= BOUND,
+                "G2: a sample is too old"
+            );
+            assert!(
+                self.identities.insert(sample.id.clone()),
+                "G3: an identity came twice"
+            );
+            let position = (sample.id.group, sample.id.index);
+            assert!(self.positions.insert(position), "G3: a position came twice");
+        }
+        self.cursor += 1;
+        self.finished = last && self.positions.len() == GROUPS * GROUP_SIZE as usize;
+    }
+
+    fn fail_over(&mut self, retained_mask: u64) {
+        let mut index = 0;
+        self.retained.retain(|_| {
+            index += 1;
+            retained_mask >> (index % 64) & 1 == 1
+        });
+        let successor = StepLedger::restore(
+            terms(self.mechanisms),
+            plan(),
+            WeightVersion(self.current),
+            self.store.clone(),
+            self.retained.clone(),
+        );
+        self.former = Some(std::mem::replace(&mut self.ledger, successor.unwrap()));
+        self.running.clear();
+    }
+
+    /// The former owner may compute, but its writes meet the store's versions, and it may not offer
+    /// without its lease.
+    fn fetch_from_former(&mut self) {
+        let Some(mut former) = self.former.take() else {
+            return;
+        };
+        if let FetchAction::Persist(record) = former.fetch(self.cursor)
+            && self.store.len() == record.cursor as usize
+        {
+            // The write takes effect; the present owner meets it as a conflict and adopts it.
+            self.store.push(record.clone());
+            let retained = self.retained.clone();
+            self.ledger = StepLedger::restore(
+                terms(self.mechanisms),
+                plan(),
+                WeightVersion(self.current),
+                self.store.clone(),
+                retained,
+            )
+            .unwrap();
+            self.running.clear();
+        }
+    }
+
+    /// Ends all faults and checks that the step becomes whole.
+    fn run_to_end(&mut self) {
+        for _ in 0..200 {
+            if self.finished {
+                break;
+            }
+            self.running.extend(self.ledger.take_tasks(1000));
+            while let Some(task) = self.take_running(0) {
+                self.finish(&task.id, Some(self.current));
+            }
+            self.fetch(WriteFault::None, false);
+        }
+        assert_eq!(
+            self.positions.len(),
+            GROUPS * GROUP_SIZE as usize,
+            "G3: a position is missing"
+        );
+    }
+}
+
+fn terms(mechanisms: Mechanisms) -> StepTerms {
+    let run = ObjectName::try_from("tagging").unwrap();
+    StepTerms {
+        run,
+        staleness_bound: BOUND,
+        checked: mechanisms.checked,
+    }
+}
+
+fn plan() -> StepPlan {
+    let prompts = (0..GROUPS).map(|group| format!("prompt {group}")).collect();
+    StepPlan {
+        step: 7,
+        prompts,
+        group_size: GROUP_SIZE,
+        max_tokens: 16,
+    }
+}
+
+fn operation() -> impl Strategy<Value = Operation> {
+    let lag = prop_oneof![6 => (0u64..=3).prop_map(Some), 1 => Just(None)];
+    let write = prop_oneof![
+        4 => Just(WriteFault::None),
+        1 => Just(WriteFault::LostBeforeEffect),
+        1 => Just(WriteFault::LostAfterEffect),
+    ];
+    prop_oneof![
+        12 => (any::<usize>(), lag).prop_map(|(choice, lag)| Operation::Finish { choice, lag }),
+        2 => any::<usize>().prop_map(|choice| Operation::FinishAgain { choice }),
+        2 => any::<usize>().prop_map(|choice| Operation::Fail { choice }),
+        2 => (1u64..=2).prop_map(|by| Operation::Announce { by }),
+        6 => (write, prop::bool::weighted(0.3))
+            .prop_map(|(write, answer_lost)| Operation::Fetch { write, answer_lost }),
+        1 => any::<u64>().prop_map(|retained_mask| Operation::FailOver { retained_mask }),
+        1 => Just(Operation::FetchFromFormer),
+    ]
+}
+
+/// Runs with a fixed seed, or with a random one and many cases if `CATKINDECK_FUZZ_CASES` is set.
+fn config() -> ProptestConfig {
+    let cases = env::var("CATKINDECK_FUZZ_CASES")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    let rng_seed = if cases.is_some() {
+        RngSeed::Random
+    } else {
+        RngSeed::Fixed(20_261_204)
+    };
+    ProptestConfig {
+        cases: cases.unwrap_or(400),
+        rng_seed,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn run(mechanisms: Mechanisms, operations: &[Operation]) {
+    let mut scene = Scene::new(mechanisms);
+    for operation in operations {
+        scene.apply(operation);
+    }
+    scene.run_to_end();
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against repeated, missing, stale and unlabelled samples under all faults together.
+    #[test]
+    fn delivers_each_position_once(operations in prop::collection::vec(operation(), 0..120)) {
+        run(ALL_ON, &operations);
+    }
+}
+
+/// Shows that the oracle notices stale or unlabelled samples when the ledger does not check them.
+#[test]
+fn oracle_fails_without_staleness_check() {
+    let off = Mechanisms {
+        checked: false,
+        ..ALL_ON
+    };
+    assert!(some_case_fails(off), "the oracle missed unchecked samples");
+}
+
+/// Shows that the oracle notices repeated positions when compositions are not stored.
+#[test]
+fn oracle_fails_without_stored_compositions() {
+    let off = Mechanisms {
+        persisted: false,
+        ..ALL_ON
+    };
+    assert!(
+        some_case_fails(off),
+        "the oracle missed a repeated delivery"
+    );
+}
+
+fn some_case_fails(mechanisms: Mechanisms) -> bool {
+    let mut runner = proptest::test_runner::TestRunner::new(ProptestConfig {
+        max_shrink_iters: 0,
+        ..config()
+    });
+    let strategy = prop::collection::vec(operation(), 0..120);
+    runner
+        .run(&strategy, |operations| {
+            run(mechanisms, &operations);
+            Ok(())
+        })
+        .is_err()
+}
