Add the decision logic of agents and entries

The agent and entry daemons need types to build on: admission queue, execution table, order fence, router, retry budget, quarantine and home selection. All are state machines over moments given by the caller.

Conclusion: the daemons can be written against these types.

--- /dev/null
+++ b/crates/catkindeck-policy/src/candidate.rs
@@ -0,0 +1,160 @@
+//! What an entry knows about one upstream.
+
+use {
+    crate::{hash, router::RouterSettings},
+    catkindeck::{
+        Moment,
+        config::UpstreamRecord,
+        id::{IncarnationId, ObjectName},
+        message::LoadReport,
+    },
+};
+
+/// An upstream of an entry's subset.
+#[derive(Debug, Clone)]
+pub(crate) struct RouteCandidate {
+    pub(crate) name: ObjectName,
+    pub(crate) service: ObjectName,
+    pub(crate) hash: u64,
+    pub(crate) leaving: bool,
+    zone_out: bool,
+    report: Option<ReportedLoad>,
+    sent_since: u64,
+    unanswered: u64,
+    prefixes: Vec<u64>,
+    failures: u32,
+    avoided_until: Moment,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct ReportedLoad {
+    at: Moment,
+    incarnation: IncarnationId,
+    limit: u64,
+    busy: u64,
+    credits: u64,
+}
+
+/// The estimated load of an upstream.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct UpstreamLoad {
+    pub(crate) used: u64,
+    pub(crate) limit: u64,
+    pub(crate) credits: u64,
+}
+
+impl UpstreamLoad {
+    /// Compares by whether a credit is left, then by the used part of the limit.
+    pub(crate) fn is_lighter(&self, other: &Self) -> bool {
+        let (own, theirs) = (self.credits > 0, other.credits > 0);
+        if own != theirs {
+            return own;
+        }
+        let own = u128::from(self.used + 1) * u128::from(other.limit);
+        own < u128::from(other.used + 1) * u128::from(self.limit)
+    }
+}
+
+impl RouteCandidate {
+    pub(crate) fn new(upstream: &UpstreamRecord) -> Self {
+        Self {
+            name: upstream.name.clone(),
+            service: upstream.service.clone(),
+            hash: hash::rank(&[upstream.name.as_str().as_bytes()]),
+            leaving: false,
+            zone_out: false,
+            report: None,
+            sent_since: 0,
+            unanswered: 0,
+            prefixes: Vec::new(),
+            failures: 0,
+            avoided_until: Moment(0),
+        }
+    }
+
+    /// Applies the configuration; a zone that returns ends the time of being avoided.
+    pub(crate) fn set_zone(&mut self, upstream: &UpstreamRecord, out: bool) {
+        self.service.clone_from(&upstream.service);
+        if self.zone_out && !out {
+            self.avoided_until = Moment(0);
+            self.report = None;
+            self.sent_since = 0;
+        }
+        self.zone_out = out;
+    }
+
+    pub(crate) fn takes_work(&self, now: Moment) -> bool {
+        !self.leaving && !self.zone_out && self.avoided_until <= now
+    }
+
+    /// Estimates the load from the last report, its age and what was sent since.
+    pub(crate) fn load(&self, now: Moment, settings: &RouterSettings) -> UpstreamLoad {
+        let Some(report) = &self.report else {
+            // An upstream that was never heard of may be cold, so it gets one request at a time.
+            return UpstreamLoad {
+                used: self.unanswered,
+                limit: 1,
+                credits: u64::from(self.unanswered == 0),
+            };
+        };
+        let age = now.since(report.at);
+        let mut used = report.busy + self.sent_since;
+        let mut credits = report.credits.saturating_sub(self.sent_since);
+        if age > settings.report_lifetime_ms {
+            // Old requests of others have probably ended; one's own unanswered ones have not.
+            used = (used * settings.report_lifetime_ms / age).max(self.unanswered);
+            credits = credits.max(u64::from(used < report.limit));
+        }
+        UpstreamLoad {
+            used,
+            limit: report.limit,
+            credits,
+        }
+    }
+
+    pub(crate) fn holds(&self, prefix: u64) -> bool {
+        self.prefixes.contains(&prefix)
+    }
+
+    pub(crate) fn incarnation(&self) -> Option<IncarnationId> {
+        self.report.map(|report| report.incarnation)
+    }
+
+    pub(crate) fn sent(&mut self) {
+        self.sent_since += 1;
+        self.unanswered += 1;
+    }
+
+    pub(crate) fn answered(&mut self) {
+        self.unanswered = self.unanswered.saturating_sub(1);
+    }
+
+    pub(crate) fn observe(&mut self, now: Moment, report: &LoadReport, closed_until: Moment) {
+        self.report = Some(ReportedLoad {
+            at: now,
+            incarnation: report.incarnation,
+            limit: u64::from(report.limit.max(1)),
+            busy: u64::from(report.in_flight) + u64::from(report.queued),
+            credits: u64::from(report.credits),
+        });
+        self.sent_since = 0;
+        self.prefixes.clone_from(&report.prefixes);
+        self.failures = 0;
+        self.avoided_until = match report.closed {
+            true => closed_until,
+            false => Moment(0),
+        };
+    }
+
+    pub(crate) fn failed(&mut self, now: Moment, settings: &RouterSettings) {
+        let doubled = settings
+            .failure_pause_ms
+            .saturating_mul(1 << self.failures.min(16));
+        self.avoided_until = now + doubled.min(settings.longest_pause_ms);
+        self.failures += 1;
+        // The agent may have restarted, so its last report says nothing any more.
+        self.report = None;
+        self.sent_since = 0;
+        self.prefixes.clear();
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-policy/src/credit.rs
@@ -0,0 +1,67 @@
+//! Credits that an agent grants to entries.
+
+use catkindeck::{Moment, SortedMap, id::ObjectName};
+
+/// How long a credit stays valid, in milliseconds.
+///
+/// An entry that stopped must not hold back capacity for longer than a few report intervals.
+pub const CREDIT_LIFETIME_MS: u64 = 2_000;
+
+/// The credits outstanding at each entry (`docs/design.md`, decision 1).
+///
+/// Credits only direct entries; the agent's limit is enforced on arrival. Their sum never exceeds
+/// the free part of the limit at the time of the grant.
+#[derive(Debug, Clone, Default)]
+pub struct CreditLedger {
+    grants: SortedMap<ObjectName, CreditGrant>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct CreditGrant {
+    credits: u32,
+    granted: Moment,
+}
+
+impl CreditLedger {
+    /// Makes a ledger without grants.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces an entry's credits by a fair part of the `free` capacity and returns them.
+    pub fn grant(&mut self, now: Moment, entry: &ObjectName, free: u32) -> u32 {
+        self.expire(now);
+        self.grants.remove(entry);
+        let others = u32::try_from(self.grants.len()).unwrap_or(u32::MAX);
+        let left = free.saturating_sub(self.outstanding());
+        let credits = free.div_ceil(others.saturating_add(1)).min(left);
+        let grant = CreditGrant {
+            credits,
+            granted: now,
+        };
+        self.grants.insert(entry.clone(), grant);
+        credits
+    }
+
+    /// Uses one credit of an entry, if it has any.
+    pub fn spend(&mut self, entry: &ObjectName) {
+        if let Some(grant) = self.grants.get_mut(entry) {
+            grant.credits = grant.credits.saturating_sub(1);
+        }
+    }
+
+    /// Takes all credits back, for example when the limit falls to cold.
+    pub fn clear(&mut self) {
+        self.grants.clear();
+    }
+
+    /// Returns the sum of the credits outstanding.
+    pub fn outstanding(&self) -> u32 {
+        self.grants.values().map(|grant| grant.credits).sum()
+    }
+
+    fn expire(&mut self, now: Moment) {
+        self.grants
+            .retain(|_, grant| now.since(grant.granted) < CREDIT_LIFETIME_MS);
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-policy/src/execution.rs
@@ -0,0 +1,327 @@
+//! The execution records of an agent, by which a request runs at most once.
+
+use {
+    crate::{
+        record::{
+            BeginDecision, ExecutionResult, ExecutionSettings, RevokeOutcome, TableOrigin,
+            key_hash, queued_record, revoked,
+        },
+        slots::{RecordSlots, SlotKey},
+    },
+    catkindeck::{
+        ErrorKind, ExecutionOutcome, Moment, ServiceError,
+        id::{BootId, IncarnationId, RequestId},
+        message::{ExecuteRequest, ExecutionRecord, ExecutionState},
+    },
+    std::collections::{BTreeSet, VecDeque},
+};
+
+/// The records of requests that are queued, running, ended or forbidden.
+///
+/// A fresh idempotency key cannot be told from a retry by looking at it. A missing record proves
+/// that the key never ran only if no record can have been lost, which is so when the table is the
+/// first of its host or old enough that every lost record would have expired. In between, a keyed
+/// request that may not run twice is answered `unknown` (`docs/design.md`, decision 4).
+#[derive(Debug, Clone)]
+pub struct ExecutionTable {
+    pub(crate) settings: ExecutionSettings,
+    incarnation: IncarnationId,
+    complete_from: Moment,
+    pub(crate) handed_over: bool,
+    pub(crate) slots: RecordSlots,
+    revoked: BTreeSet<RequestId>,
+    revocations: VecDeque<(Moment, RequestId)>,
+}
+
+impl ExecutionTable {
+    /// Makes an empty table for an agent that started at `started`.
+    pub fn new(
+        settings: ExecutionSettings,
+        incarnation: IncarnationId,
+        started: Moment,
+        origin: TableOrigin,
+    ) -> Self {
+        // A request that ran when the earlier incarnation died may have gone on at the upstream.
+        let blind_ms = settings.retention_ms + settings.longest_request_ms;
+        let complete_from = match origin {
+            TableOrigin::First => started,
+            TableOrigin::Restarted => started + blind_ms,
+        };
+        Self {
+            settings,
+            incarnation,
+            complete_from,
+            handed_over: false,
+            slots: RecordSlots::new(settings.retention_ms, settings.answer_limit),
+            revoked: BTreeSet::new(),
+            revocations: VecDeque::new(),
+        }
+    }
+
+    /// Records a request as queued, unless its record decides otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Returns `wrong_incarnation`, `revoked` or `overloaded` with `not_run`; `conflict` with
+    /// `not_run` if the key belongs to another body, and with `unknown` if the same request or key
+    /// is in progress; `outcome_unknown` if the request may have run before.
+    pub fn begin(
+        &mut self,
+        now: Moment,
+        request: &ExecuteRequest,
+    ) -> Result<BeginDecision, ServiceError> {
+        self.expire(now);
+        let addressed = request.incarnation.unwrap_or(self.incarnation);
+        if addressed != self.incarnation {
+            return Err(ServiceError::not_run(
+                ErrorKind::WrongIncarnation,
+                "the request is addressed to an earlier incarnation of this agent",
+            ));
+        }
+        if self.revoked.contains(&request.request) {
+            return Err(revoked());
+        }
+        if let Some(slot) = self.slots.of_request(&request.request)
+            && let Some(decision) = self.judge(slot, request)?
+        {
+            return Ok(decision);
+        }
+        let key = request
+            .idempotency_key
+            .as_deref()
+            .map(|key| key_hash(request.customer.as_ref(), &request.route, key));
+        if let Some(key) = key {
+            if self.handed_over {
+                return Err(ServiceError::not_run(
+                    ErrorKind::ShuttingDown,
+                    "the agent handed its execution records over",
+                ));
+            }
+            if let Some(slot) = self.slots.of_key(&key)
+                && let Some(decision) = self.judge(slot, request)?
+            {
+                return Ok(decision);
+            }
+            self.check_complete(now, request.idempotent)?;
+        }
+        if self.slots.len() >= self.settings.record_limit {
+            return Err(ServiceError::not_run(
+                ErrorKind::Overloaded,
+                "the agent's execution records are full",
+            ));
+        }
+        self.slots.insert(queued_record(request), key, true);
+        Ok(BeginDecision::Run)
+    }
+
+    /// Marks a queued request as handed to the upstream; called just before it is.
+    ///
+    /// # Errors
+    ///
+    /// Returns `revoked` with `not_run` if the request is not queued any more.
+    pub fn start(&mut self, request: &RequestId, boot: &BootId) -> Result<(), ServiceError> {
+        let slot = self.slots.of_request(request);
+        match slot.and_then(|slot| self.slots.get_mut(slot)) {
+            Some(entry) if entry.record.state == ExecutionState::Queued => {
+                entry.record.state = ExecutionState::Running;
+                entry.record.boot = boot.clone();
+                Ok(())
+            }
+            _ => Err(revoked()),
+        }
+    }
+
+    /// Forgets a request that was refused before it started, so that its caller may send it again.
+    pub fn release(&mut self, request: &RequestId) {
+        let Some(slot) = self.slots.of_request(request) else {
+            return;
+        };
+        if self.slots.state(slot) == Some(ExecutionState::Queued) {
+            self.slots.remove(slot);
+        }
+    }
+
+    /// Stores the result of a running request and returns its record.
+    pub fn finish(
+        &mut self,
+        now: Moment,
+        request: &RequestId,
+        result: ExecutionResult,
+    ) -> Option<ExecutionRecord> {
+        let slot = self.slots.of_request(request)?;
+        let entry = self.slots.get_mut(slot)?;
+        if entry.record.state != ExecutionState::Running {
+            return None;
+        }
+        entry.record.state = match result.complete {
+            true => ExecutionState::Finished,
+            false => ExecutionState::Failed,
+        };
+        entry.record.boot = result.boot;
+        entry.record.labels = result.labels;
+        entry.record.status = result.status;
+        if entry.key.is_some() {
+            entry.record.answer = result.answer;
+        }
+        let record = entry.record.clone();
+        self.slots.end(now, slot);
+        Some(record)
+    }
+
+    /// Records that a request never starts here, unless it has started.
+    ///
+    /// # Errors
+    ///
+    /// Returns `wrong_incarnation` with `unknown` if the request was sent to an earlier
+    /// incarnation, and `overloaded` with `unknown` if the revocation cannot be recorded.
+    pub fn revoke(
+        &mut self,
+        now: Moment,
+        request: &RequestId,
+        incarnation: &IncarnationId,
+    ) -> Result<RevokeOutcome, ServiceError> {
+        self.expire(now);
+        if *incarnation != self.incarnation {
+            return Err(ServiceError::unknown(
+                ErrorKind::WrongIncarnation,
+                "the agent restarted after the request was sent",
+            ));
+        }
+        let Some(slot) = self.slots.of_request(request) else {
+            return self.revoke_unseen(now, request);
+        };
+        let Some(entry) = self.slots.get_mut(slot) else {
+            return self.revoke_unseen(now, request);
+        };
+        match entry.record.state {
+            ExecutionState::Forbidden => Ok(RevokeOutcome::Revoked),
+            ExecutionState::Queued => {
+                // The key itself stays usable, because only this request is revoked.
+                self.slots.remove(slot);
+                self.revoke_unseen(now, request)?;
+                Ok(RevokeOutcome::Revoked)
+            }
+            ExecutionState::Running | ExecutionState::Finished | ExecutionState::Failed => {
+                Ok(RevokeOutcome::Known(Box::new(entry.record.clone())))
+            }
+        }
+    }
+
+    /// Returns the record of a request.
+    pub fn record(&self, request: &RequestId) -> Option<&ExecutionRecord> {
+        let slot = self.slots.of_request(request)?;
+        Some(&self.slots.get(slot)?.record)
+    }
+
+    /// Returns the number of records.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Tells whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Removes the records whose retention has passed.
+    pub fn expire(&mut self, now: Moment) {
+        self.slots.expire(now);
+        while let Some((expiry, request)) = self.revocations.front().copied()
+            && expiry <= now
+        {
+            self.revocations.pop_front();
+            self.revoked.remove(&request);
+        }
+    }
+
+    fn revoke_unseen(
+        &mut self,
+        now: Moment,
+        request: &RequestId,
+    ) -> Result<RevokeOutcome, ServiceError> {
+        if self.revoked.contains(request) {
+            return Ok(RevokeOutcome::Revoked);
+        }
+        if self.revoked.len() >= self.settings.record_limit {
+            return Err(full());
+        }
+        self.revoked.insert(*request);
+        self.revocations
+            .push_back((now + self.settings.retention_ms, *request));
+        Ok(RevokeOutcome::Revoked)
+    }
+
+    /// Decides by an existing record; `None` means that the request may run again.
+    fn judge(
+        &mut self,
+        slot: SlotKey,
+        request: &ExecuteRequest,
+    ) -> Result<Option<BeginDecision>, ServiceError> {
+        let Some(entry) = self.slots.get(slot) else {
+            return Ok(None);
+        };
+        let record = &entry.record;
+        if record.state == ExecutionState::Forbidden {
+            return Err(revoked());
+        }
+        if record.digest != request.digest {
+            return Err(ServiceError::not_run(
+                ErrorKind::Conflict,
+                "the idempotency key or request id belongs to another body",
+            ));
+        }
+        match record.state {
+            ExecutionState::Finished
+                if request.idempotent && (entry.answer_dropped || entry.key.is_none()) =>
+            {
+                self.slots.remove(slot);
+                Ok(None)
+            }
+            ExecutionState::Finished if entry.answer_dropped || entry.key.is_none() => {
+                Err(ServiceError {
+                    kind: ErrorKind::OutcomeUnknown,
+                    execution: ExecutionOutcome::Finished,
+                    detail: "the request ran before and its answer is not stored".to_owned(),
+                })
+            }
+            ExecutionState::Finished => Ok(Some(BeginDecision::Replay(Box::new(record.clone())))),
+            ExecutionState::Failed if request.idempotent => {
+                self.slots.remove(slot);
+                Ok(None)
+            }
+            ExecutionState::Failed => Err(ServiceError::unknown(
+                ErrorKind::OutcomeUnknown,
+                "the upstream failed while it handled this request",
+            )),
+            ExecutionState::Queued | ExecutionState::Running | ExecutionState::Forbidden => Err(
+                ServiceError::unknown(ErrorKind::Conflict, "the same request is in progress"),
+            ),
+        }
+    }
+
+    pub(crate) fn check_complete(&self, now: Moment, idempotent: bool) -> Result<(), ServiceError> {
+        if idempotent || now >= self.complete_from {
+            return Ok(());
+        }
+        Err(ServiceError::unknown(
+            ErrorKind::OutcomeUnknown,
+            "the agent restarted and may have lost the record of this idempotency key",
+        ))
+    }
+
+    /// Keys that are forbidden or adopted may exceed the limit by half, so that a table filled by
+    /// requests can still give proofs.
+    pub(crate) fn check_space(&self) -> Result<(), ServiceError> {
+        if self.slots.len() < self.settings.record_limit + self.settings.record_limit / 2 {
+            return Ok(());
+        }
+        Err(full())
+    }
+}
+
+fn full() -> ServiceError {
+    ServiceError::unknown(
+        ErrorKind::Overloaded,
+        "the agent's execution records are full",
+    )
+}
--- /dev/null
+++ b/crates/catkindeck-policy/src/fair.rs
@@ -0,0 +1,201 @@
+//! A queue that is fair by service received.
+
+use {
+    catkindeck::{SortedMap, id::ObjectName, key},
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet},
+    },
+};
+
+/// The counter units for one unit of service at weight 1; large enough for weights up to a million.
+const COUNTER_SCALE: u64 = 1 << 20;
+
+/// A customer's account in one queue.
+#[key]
+pub struct AccountKey(u32);
+
+/// The position of a request within its customer's queue: priority first, then arrival.
+pub type OrderKey = (Reverse<u8>, u64);
+
+/// Virtual counters of service for each customer (`docs/design.md`, decision 13).
+///
+/// The request to start is the first one of the backlogged customer whose counter is lowest. A
+/// counter grows by the service received divided by the customer's weight. A customer that comes
+/// back after idling is lifted to the others' level less a bounded credit, so that idling cannot be
+/// turned into a later monopoly.
+#[derive(Debug, Clone)]
+pub struct FairQueue<T> {
+    names: SortedMap<Option<ObjectName>, AccountKey>,
+    accounts: BTreeMap<AccountKey, FairAccount<T>>,
+    ready: BTreeSet<(u64, AccountKey)>,
+    next_account: u32,
+    level: u64,
+    idle_credit: u64,
+    length: usize,
+}
+
+#[derive(Debug, Clone)]
+struct FairAccount<T> {
+    weight: u64,
+    counter: u64,
+    queue: BTreeMap<OrderKey, T>,
+}
+
+impl<T: Copy> FairQueue<T> {
+    /// Makes an empty queue; `idle_credit` is in units of service at weight 1.
+    pub fn new(idle_credit: u64) -> Self {
+        Self {
+            names: SortedMap::new(),
+            accounts: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            next_account: 0,
+            level: 0,
+            idle_credit,
+            length: 0,
+        }
+    }
+
+    /// Sets the credit that an idle customer keeps.
+    pub fn set_idle_credit(&mut self, idle_credit: u64) {
+        self.idle_credit = idle_credit;
+    }
+
+    /// Returns the account of a customer, opening it with `weight` if it is new.
+    pub fn account(&mut self, customer: &Option<ObjectName>, weight: u32) -> AccountKey {
+        if let Some(account) = self.names.get(customer) {
+            return *account;
+        }
+        let account = AccountKey(self.next_account);
+        self.next_account += 1;
+        self.names.insert(customer.clone(), account);
+        let opened = FairAccount {
+            weight: u64::from(weight.max(1)),
+            counter: self.level,
+            queue: BTreeMap::new(),
+        };
+        self.accounts.insert(account, opened);
+        account
+    }
+
+    /// Applies new weights and closes idle accounts that `weight_of` does not know.
+    pub fn configure(&mut self, weight_of: impl Fn(&Option<ObjectName>) -> Option<u32>) {
+        let accounts = &mut self.accounts;
+        self.names.retain(|name, key| {
+            let Some(account) = accounts.get_mut(key) else {
+                return false;
+            };
+            if let Some(weight) = weight_of(name) {
+                account.weight = u64::from(weight.max(1));
+                return true;
+            }
+            let keep = !account.queue.is_empty();
+            if !keep {
+                accounts.remove(key);
+            }
+            keep
+        });
+    }
+
+    /// Queues a request.
+    pub fn push(&mut self, account: AccountKey, order: OrderKey, item: T) {
+        let floor = self.lowest();
+        let Some(entry) = self.accounts.get_mut(&account) else {
+            return;
+        };
+        if entry.queue.is_empty() {
+            let credit = self.idle_credit.saturating_mul(COUNTER_SCALE) / entry.weight;
+            entry.counter = entry.counter.max(floor.saturating_sub(credit));
+            self.ready.insert((entry.counter, account));
+        }
+        entry.queue.insert(order, item);
+        self.length += 1;
+    }
+
+    /// Returns the request that shall start next; the caller removes it.
+    pub fn first(&mut self) -> Option<T> {
+        let (counter, account) = self.ready.first().copied()?;
+        self.level = self.level.max(counter);
+        let (_, item) = self.accounts.get(&account)?.queue.first_key_value()?;
+        Some(*item)
+    }
+
+    /// Takes a certain request out.
+    pub fn remove(&mut self, account: AccountKey, order: OrderKey) -> Option<T> {
+        let entry = self.accounts.get_mut(&account)?;
+        let item = entry.queue.remove(&order)?;
+        if entry.queue.is_empty() {
+            self.ready.remove(&(entry.counter, account));
+        }
+        self.length -= 1;
+        Some(item)
+    }
+
+    /// Adds service received by a customer.
+    pub fn charge(&mut self, account: AccountKey, service: u64) {
+        self.adjust(account, |counter, weight| {
+            counter.saturating_add(service.saturating_mul(COUNTER_SCALE) / weight)
+        });
+    }
+
+    /// Gives back service that was charged in advance and not received.
+    pub fn refund(&mut self, account: AccountKey, service: u64) {
+        self.adjust(account, |counter, weight| {
+            counter.saturating_sub(service.saturating_mul(COUNTER_SCALE) / weight)
+        });
+    }
+
+    /// Returns the account with the longest queue by weight and its last request.
+    pub fn longest(&self) -> Option<(AccountKey, T)> {
+        let ready = self.ready.iter();
+        let (key, account) = ready
+            .filter_map(|(_, key)| Some((*key, self.accounts.get(key)?)))
+            .max_by_key(|(key, account)| (account.queue.len() as u64 / account.weight, *key))?;
+        let (_, last) = account.queue.last_key_value()?;
+        Some((key, *last))
+    }
+
+    /// Returns the number of requests queued by a customer.
+    pub fn backlog(&self, account: AccountKey) -> usize {
+        self.accounts
+            .get(&account)
+            .map_or(0, |entry| entry.queue.len())
+    }
+
+    /// Returns a customer's weight and the sum of the weights of all backlogged customers and it.
+    pub fn weights(&self, account: AccountKey) -> (u64, u64) {
+        let own = self.accounts.get(&account).map_or(1, |entry| entry.weight);
+        let ready = self.ready.iter().filter(|(_, key)| *key != account);
+        let others = ready.filter_map(|(_, key)| self.accounts.get(key));
+        (own, own + others.map(|entry| entry.weight).sum::<u64>())
+    }
+
+    /// Returns the number of requests queued.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Tells whether no request is queued.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    fn adjust(&mut self, account: AccountKey, change: impl Fn(u64, u64) -> u64) {
+        let Some(entry) = self.accounts.get_mut(&account) else {
+            return;
+        };
+        let counter = change(entry.counter, entry.weight);
+        if !entry.queue.is_empty() {
+            self.ready.remove(&(entry.counter, account));
+            self.ready.insert((counter, account));
+        }
+        entry.counter = counter;
+    }
+
+    /// The lowest counter of a backlogged customer, or the last one served if there is none.
+    fn lowest(&self) -> u64 {
+        self.ready
+            .first()
+            .map_or(self.level, |(counter, _)| *counter)
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-policy/src/hash.rs
@@ -0,0 +1,48 @@
+//! Hashing and a small deterministic number generator.
+
+/// Hashes parts to 256 bits; each part is length-prefixed, so that parts cannot run together.
+pub(crate) fn digest(parts: &[&[u8]]) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    *hasher.finalize().as_bytes()
+}
+
+/// Hashes parts to 64 bits, for rendezvous hashing.
+pub(crate) fn rank(parts: &[&[u8]]) -> u64 {
+    let digest = digest(parts);
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&digest[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+/// A SplitMix64 generator, whose whole state is the seed given at construction.
+#[derive(Debug, Clone)]
+pub(crate) struct SplitMix(u64);
+
+impl SplitMix {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self(seed)
+    }
+
+    pub(crate) fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        mix(self.0)
+    }
+
+    /// Draws an index below `bound`, or zero if `bound` is zero.
+    pub(crate) fn below(&mut self, bound: usize) -> usize {
+        let wide = u128::from(self.next()) * bound as u128;
+        (wide >> 64) as usize
+    }
+}
+
+/// Scrambles a number, so that near inputs give unrelated outputs.
+pub(crate) fn mix(value: u64) -> u64 {
+    let mut value = value;
+    value = (value ^ (value >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/catkindeck-policy/src/home.rs
@@ -0,0 +1,132 @@
+//! The home agent of an idempotency key.
+
+use {
+    crate::{hash, record::EXECUTION_RETENTION_MS},
+    catkindeck::{config::UpstreamRecord, id::ObjectName},
+};
+
+/// How long after a member's removal requests may still start there or run, in milliseconds.
+///
+/// An entry may use an outdated configuration for the propagation time of 17 s plus the freshness
+/// bound of 10 s, and a request that started then may run for ten minutes before its record's
+/// retention begins.
+pub const HOME_SLACK_MS: u64 = 627_000;
+
+/// The agents responsible for one idempotency key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HomeChoice {
+    /// The agent that runs the request.
+    pub home: ObjectName,
+    /// The agents that were home earlier and may hold a record; each is asked first, and must
+    /// record that it never starts the key.
+    pub earlier: Vec<ObjectName>,
+    /// The agent to which `home` hands its records when it drains.
+    pub next: Option<ObjectName>,
+}
+
+/// Chooses homes by rendezvous hashing (`docs/design.md`, decision 4).
+///
+/// Every entry computes the same homes from the same configuration, and a change of one member
+/// moves only the keys of that member.
+#[derive(Debug, Clone, Copy)]
+pub struct HomeSelector {
+    retention_ms: u64,
+}
+
+impl HomeSelector {
+    /// Makes a selector that looks back over the execution retention and the slack before it.
+    pub fn new() -> Self {
+        Self {
+            retention_ms: EXECUTION_RETENTION_MS + HOME_SLACK_MS,
+        }
+    }
+
+    /// Makes a selector with another look-back, for tests.
+    pub fn with_look_back(retention_ms: u64) -> Self {
+        Self { retention_ms }
+    }
+
+    /// Chooses the homes of a key among the upstreams of `service`, or `None` if it has none.
+    ///
+    /// `unix_ms` is the present on the clock that stamped `added_ms` and `removed_ms`.
+    pub fn choose(
+        &self,
+        unix_ms: u64,
+        customer: Option<&ObjectName>,
+        idempotency_key: &str,
+        service: &ObjectName,
+        upstreams: &[UpstreamRecord],
+    ) -> Option<HomeChoice> {
+        let mut ranked: Vec<(u64, &UpstreamRecord)> = upstreams
+            .iter()
+            .filter(|upstream| upstream.service == *service)
+            .map(|upstream| (rank(customer, idempotency_key, &upstream.name), upstream))
+            .collect();
+        ranked.sort_by(|left, right| {
+            let names = || left.1.name.cmp(&right.1.name);
+            right.0.cmp(&left.0).then_with(names)
+        });
+        let ranked: Vec<&UpstreamRecord> =
+            ranked.into_iter().map(|(_, upstream)| upstream).collect();
+
+        // Members without a removal time are current even if the entry's clock is behind.
+        let mut current = ranked
+            .iter()
+            .filter(|upstream| upstream.removed_ms.is_none());
+        let home = current.next()?.name.clone();
+        let next = current.next().map(|upstream| upstream.name.clone());
+        let earlier = self.earlier_homes(unix_ms, &home, &ranked);
+        Some(HomeChoice {
+            home,
+            earlier,
+            next,
+        })
+    }
+
+    /// Collects the first-ranked member at every change of members within the look-back.
+    fn earlier_homes(
+        &self,
+        unix_ms: u64,
+        home: &ObjectName,
+        ranked: &[&UpstreamRecord],
+    ) -> Vec<ObjectName> {
+        let start = unix_ms.saturating_sub(self.retention_ms);
+        let mut instants = vec![start];
+        for upstream in ranked {
+            instants.push(upstream.added_ms);
+            instants.extend(upstream.removed_ms);
+        }
+        instants.retain(|instant| *instant >= start);
+        instants.sort_unstable();
+        instants.dedup();
+        let mut earlier: Vec<ObjectName> = Vec::new();
+        for instant in instants {
+            let was_member = |upstream: &&&UpstreamRecord| {
+                upstream.added_ms <= instant
+                    && upstream.removed_ms.is_none_or(|removed| instant < removed)
+            };
+            let Some(first) = ranked.iter().find(was_member) else {
+                continue;
+            };
+            if first.name != *home && !earlier.contains(&first.name) {
+                earlier.push(first.name.clone());
+            }
+        }
+        earlier
+    }
+}
+
+impl Default for HomeSelector {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn rank(customer: Option<&ObjectName>, idempotency_key: &str, upstream: &ObjectName) -> u64 {
+    let customer = customer.map_or("", ObjectName::as_str);
+    hash::rank(&[
+        customer.as_bytes(),
+        idempotency_key.as_bytes(),
+        upstream.as_str().as_bytes(),
+    ])
+}
--- a/crates/catkindeck-policy/src/lib.rs
+++ b/crates/catkindeck-policy/src/lib.rs
@@ -1,1 +1,43 @@
 //! Pure decision logic as state machines without sockets, threads or clocks.
+//!
+//! Each type takes the present as a [`Moment`](catkindeck::Moment) and returns what shall be done;
+//! the daemons carry it out. The decisions are weighed in `docs/policy.md`.
+
+pub mod admission;
+pub mod credit;
+pub mod execution;
+pub mod fair;
+pub mod fence;
+pub mod home;
+pub mod limit;
+pub mod quarantine;
+pub mod record;
+pub mod request;
+pub mod retry;
+pub mod router;
+
+mod candidate;
+mod classes;
+mod hash;
+mod keyed;
+mod slots;
+mod subset;
+
+pub use {
+    admission::AdmissionQueue,
+    execution::ExecutionTable,
+    fence::{FenceDecision, OrderFence},
+    home::{HomeChoice, HomeSelector},
+    limit::{ConcurrencyLimit, LimitSettings},
+    quarantine::CrashQuarantine,
+    record::{
+        BeginDecision, EXECUTION_RETENTION_MS, ExecutionResult, ExecutionSettings, RevokeOutcome,
+        TableOrigin,
+    },
+    request::{
+        AdmissionAction, AdmissionCounts, AdmissionRequest, AdmissionSettings, FinishCause,
+        WithdrawOutcome,
+    },
+    retry::RetryBudget,
+    router::{RouteChoice, RouteQuery, RouterSettings, UpstreamRouter},
+};
--- /dev/null
+++ b/crates/catkindeck-policy/src/quarantine.rs
@@ -0,0 +1,144 @@
+//! Quarantine of request bodies that crash upstreams.
+
+use {
+    catkindeck::{
+        ErrorKind, Moment, ServiceError,
+        id::{BodyDigest, ObjectName},
+        message::CrashReport,
+    },
+    std::collections::BTreeMap,
+};
+
+/// How long a body is quarantined, and how long one crash is remembered, in milliseconds.
+pub const QUARANTINE_MS: u64 = 600_000;
+
+/// The number of distinct crashed upstreams after which a body is quarantined.
+pub const CRASH_LIMIT: usize = 2;
+
+/// The number of bodies remembered; beyond it the body with the oldest crash is forgotten.
+const BODY_LIMIT: usize = 10_000;
+
+/// The bodies that were at crashed upstreams (`docs/design.md`, decision 6).
+///
+/// Bodies are counted by digest and distinct upstream. A body that ends normally elsewhere is
+/// cleared unless it is already quarantined, because requests that merely shared an upstream with
+/// the crashing one would be counted too.
+#[derive(Debug, Clone, Default)]
+pub struct CrashQuarantine {
+    suspects: BTreeMap<BodyDigest, SuspectBody>,
+}
+
+#[derive(Debug, Clone)]
+struct SuspectBody {
+    crashes: Vec<(ObjectName, Moment)>,
+    until: Option<Moment>,
+}
+
+impl CrashQuarantine {
+    /// Makes an empty quarantine.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a crash and tells whether it put the body into quarantine.
+    pub fn report(&mut self, now: Moment, crash: &CrashReport) -> bool {
+        self.forget_oldest(&crash.digest);
+        let body = self
+            .suspects
+            .entry(crash.digest)
+            .or_insert_with(|| SuspectBody {
+                crashes: Vec::new(),
+                until: None,
+            });
+        body.expire(now);
+        body.crashes.retain(|(name, _)| *name != crash.upstream);
+        body.crashes.push((crash.upstream.clone(), now));
+        if body.crashes.len() < CRASH_LIMIT {
+            return false;
+        }
+        let newly = body.until.is_none();
+        body.until = Some(now + QUARANTINE_MS);
+        // One report beyond the limit is enough to keep the count of distinct upstreams.
+        if body.crashes.len() > CRASH_LIMIT {
+            body.crashes.remove(0);
+        }
+        newly
+    }
+
+    /// Clears a body that ended normally, unless it is quarantined.
+    pub fn clear(&mut self, now: Moment, digest: &BodyDigest) {
+        if !self.contains(now, digest) {
+            self.suspects.remove(digest);
+        }
+    }
+
+    /// Checks that a body may run.
+    ///
+    /// # Errors
+    ///
+    /// Returns `quarantined` if the body crashed two distinct upstreams within ten minutes.
+    pub fn check(&self, now: Moment, digest: &BodyDigest) -> Result<(), ServiceError> {
+        if !self.contains(now, digest) {
+            return Ok(());
+        }
+        Err(ServiceError::not_run(
+            ErrorKind::Quarantined,
+            "this request crashed several upstreams and is refused for ten minutes",
+        ))
+    }
+
+    /// Tells whether a body is quarantined.
+    pub fn contains(&self, now: Moment, digest: &BodyDigest) -> bool {
+        let until = self.suspects.get(digest).and_then(|body| body.until);
+        until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the crashes that are still remembered, for a peer that has just started.
+    pub fn reports(&self, now: Moment) -> Vec<CrashReport> {
+        let mut reports = Vec::new();
+        for (digest, body) in &self.suspects {
+            for (upstream, at) in &body.crashes {
+                if now.since(*at) < QUARANTINE_MS {
+                    reports.push(CrashReport {
+                        digest: *digest,
+                        upstream: upstream.clone(),
+                    });
+                }
+            }
+        }
+        reports
+    }
+
+    /// Removes what has expired; called every few seconds.
+    pub fn sweep(&mut self, now: Moment) {
+        self.suspects.retain(|_, body| {
+            body.expire(now);
+            !body.crashes.is_empty() || body.until.is_some()
+        });
+    }
+
+    fn forget_oldest(&mut self, digest: &BodyDigest) {
+        if self.suspects.len() < BODY_LIMIT || self.suspects.contains_key(digest) {
+            return;
+        }
+        // Bodies in quarantine are kept as long as a mere suspect can be forgotten instead.
+        let oldest = self
+            .suspects
+            .iter()
+            .min_by_key(|(_, body)| (body.until, body.crashes.last().map(|(_, at)| *at)))
+            .map(|(digest, _)| *digest);
+        if let Some(oldest) = oldest {
+            self.suspects.remove(&oldest);
+        }
+    }
+}
+
+impl SuspectBody {
+    fn expire(&mut self, now: Moment) {
+        self.crashes
+            .retain(|(_, at)| now.since(*at) < QUARANTINE_MS);
+        if self.until.is_some_and(|until| until <= now) {
+            self.until = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-policy/src/router.rs
@@ -0,0 +1,274 @@
+//! Selection of an upstream by an entry.
+
+use {
+    crate::{
+        candidate::{RouteCandidate, UpstreamLoad},
+        hash::{SplitMix, mix},
+        subset,
+    },
+    catkindeck::{
+        ErrorKind, Moment, ServiceError, SortedMap,
+        config::{UpstreamRecord, ZoneRecord, ZoneState},
+        id::{IncarnationId, ObjectName},
+        message::LoadReport,
+    },
+};
+
+/// The rules of a router.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouterSettings {
+    /// The mean number of upstreams of a service that one entry uses.
+    pub subset_size: usize,
+    /// The load that a hinted upstream may have, in percent of the mean load of the subset.
+    pub load_bound_percent: u64,
+    /// How long a load report is taken at face value, in milliseconds.
+    pub report_lifetime_ms: u64,
+    /// How long an upstream that refused as closed is avoided without a newer report, in
+    /// milliseconds.
+    pub closed_pause_ms: u64,
+    /// How long an upstream is avoided after a first failure, in milliseconds; doubled for each
+    /// further one.
+    pub failure_pause_ms: u64,
+    /// The longest time that an upstream is avoided after failures, in milliseconds.
+    pub longest_pause_ms: u64,
+}
+
+impl Default for RouterSettings {
+    fn default() -> Self {
+        Self {
+            subset_size: 24,
+            load_bound_percent: 125,
+            report_lifetime_ms: 1_000,
+            closed_pause_ms: 5_000,
+            failure_pause_ms: 500,
+            longest_pause_ms: 10_000,
+        }
+    }
+}
+
+/// What an upstream is looked for.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteQuery<'a> {
+    /// The service.
+    pub service: &'a ObjectName,
+    /// The digest of the prompt's prefix, as in [`LoadReport::prefixes`].
+    pub prefix: Option<u64>,
+    /// Upstreams that this request must not use again.
+    pub excluded: &'a [ObjectName],
+}
+
+/// The upstream that was selected.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteChoice {
+    /// The upstream.
+    pub upstream: ObjectName,
+    /// The agent's incarnation, if a report told it.
+    pub incarnation: Option<IncarnationId>,
+    /// Whether the prefix decided.
+    pub hinted: bool,
+}
+
+/// Selects upstreams by power of two choices over a bounded subset (`docs/design.md`, decisions 1
+/// and 15).
+///
+/// What the router knows is late, so it only spreads the load; the agent's limit protects the
+/// upstream.
+#[derive(Debug, Clone)]
+pub struct UpstreamRouter {
+    settings: RouterSettings,
+    entry: ObjectName,
+    random: SplitMix,
+    candidates: Vec<RouteCandidate>,
+    pools: SortedMap<ObjectName, Vec<usize>>,
+}
+
+impl UpstreamRouter {
+    /// Makes a router without members; `seed` decides its random choices.
+    pub fn new(settings: RouterSettings, entry: ObjectName, seed: u64) -> Self {
+        Self {
+            settings,
+            entry,
+            random: SplitMix::new(seed),
+            candidates: Vec::new(),
+            pools: SortedMap::new(),
+        }
+    }
+
+    /// Replaces members and zones, keeping what is known about members that stay.
+    ///
+    /// `entries` are all live entries; they decide which upstreams this entry uses.
+    pub fn set_members(
+        &mut self,
+        upstreams: &[UpstreamRecord],
+        zones: &[ZoneRecord],
+        entries: &[ObjectName],
+    ) {
+        let size = self.settings.subset_size;
+        let chosen = subset::choose(&self.entry, entries, upstreams, size);
+        let mut candidates: Vec<RouteCandidate> = Vec::with_capacity(chosen.len());
+        for upstream in chosen {
+            let out =
+                |zone: &ZoneRecord| zone.name == upstream.zone && zone.state == ZoneState::Out;
+            let out = zones.iter().any(out);
+            let mut candidate = match self.position(&upstream.name) {
+                Some(position) => self.candidates[position].clone(),
+                None => RouteCandidate::new(upstream),
+            };
+            candidate.set_zone(upstream, out);
+            candidates.push(candidate);
+        }
+        candidates.sort_by(|left, right| left.name.cmp(&right.name));
+        self.pools.clear();
+        for (position, candidate) in candidates.iter().enumerate() {
+            self.pools
+                .get_or_insert_with(candidate.service.clone(), Vec::new)
+                .push(position);
+        }
+        self.candidates = candidates;
+    }
+
+    /// Marks an upstream as leaving or staying, by the platform's host list.
+    pub fn set_leaving(&mut self, upstream: &ObjectName, leaving: bool) {
+        if let Some(position) = self.position(upstream) {
+            self.candidates[position].leaving = leaving;
+        }
+    }
+
+    /// Selects an upstream for a request; the caller then reports `sent`.
+    ///
+    /// # Errors
+    ///
+    /// Returns `no_upstream` with `not_run` if no upstream of the service takes work.
+    pub fn route(
+        &mut self,
+        now: Moment,
+        query: &RouteQuery<'_>,
+    ) -> Result<RouteChoice, ServiceError> {
+        let pool = self.pools.get(query.service);
+        let open: Vec<(usize, UpstreamLoad)> = pool
+            .into_iter()
+            .flatten()
+            .filter(|position| {
+                let candidate = &self.candidates[**position];
+                candidate.takes_work(now) && !query.excluded.contains(&candidate.name)
+            })
+            .map(|position| {
+                let candidate = &self.candidates[*position];
+                (*position, candidate.load(now, &self.settings))
+            })
+            .collect();
+        let Some(first) = open.first() else {
+            return Err(ServiceError::not_run(
+                ErrorKind::NoUpstream,
+                "no upstream of the service takes work",
+            ));
+        };
+        let first = first.0;
+        let hinted = query.prefix.and_then(|prefix| self.hinted(prefix, &open));
+        let position = match hinted {
+            Some(position) => position,
+            None => self.two_choices(&open).unwrap_or(first),
+        };
+        let candidate = &self.candidates[position];
+        Ok(RouteChoice {
+            upstream: candidate.name.clone(),
+            incarnation: candidate.incarnation(),
+            hinted: hinted.is_some(),
+        })
+    }
+
+    /// Counts a request that was sent to an upstream.
+    pub fn sent(&mut self, upstream: &ObjectName) {
+        if let Some(position) = self.position(upstream) {
+            self.candidates[position].sent();
+        }
+    }
+
+    /// Counts the end of a request that was sent to an upstream.
+    pub fn answered(&mut self, upstream: &ObjectName) {
+        if let Some(position) = self.position(upstream) {
+            self.candidates[position].answered();
+        }
+    }
+
+    /// Learns an upstream's load.
+    pub fn observe(&mut self, now: Moment, upstream: &ObjectName, report: &LoadReport) {
+        let closed_until = now + self.settings.closed_pause_ms;
+        if let Some(position) = self.position(upstream) {
+            self.candidates[position].observe(now, report, closed_until);
+        }
+    }
+
+    /// Avoids an upstream for a while, after its agent could not be reached or it crashed.
+    pub fn failed(&mut self, now: Moment, upstream: &ObjectName) {
+        let settings = self.settings;
+        if let Some(position) = self.position(upstream) {
+            self.candidates[position].failed(now, &settings);
+        }
+    }
+
+    /// Returns the names of the upstreams of a service that this entry uses.
+    pub fn members(&self, service: &ObjectName) -> Vec<ObjectName> {
+        let pool = self.pools.get(service).into_iter().flatten();
+        pool.map(|position| self.candidates[*position].name.clone())
+            .collect()
+    }
+
+    /// Selects by prefix among the upstreams within the load bound.
+    ///
+    /// Upstreams that report the prefix come first. Where none does, the prefix chooses one by
+    /// rendezvous hashing, so that later requests find it there even if cache events are lost.
+    fn hinted(&self, prefix: u64, open: &[(usize, UpstreamLoad)]) -> Option<usize> {
+        let (used, limits) = open.iter().fold((0, 0), |(used, limits), (_, load)| {
+            (used + load.used, limits + load.limit)
+        });
+        let within = |load: &UpstreamLoad| {
+            // One request is added, because on an idle fleet every share of the mean is zero.
+            let share = u128::from(used + 1) * u128::from(load.limit);
+            let bound = share * u128::from(self.settings.load_bound_percent);
+            let own = u128::from(load.used) * u128::from(limits) * 100;
+            load.used < load.limit && load.credits > 0 && own <= bound
+        };
+        open.iter()
+            .filter(|(_, load)| within(load))
+            .max_by_key(|(position, _)| {
+                let candidate = &self.candidates[*position];
+                let holds = candidate.holds(prefix);
+                (holds, mix(prefix ^ candidate.hash))
+            })
+            .map(|(position, _)| *position)
+    }
+
+    /// Draws two upstreams and takes the less loaded one.
+    fn two_choices(&mut self, open: &[(usize, UpstreamLoad)]) -> Option<usize> {
+        let first = self.random.below(open.len());
+        // The second index is drawn from the others.
+        let mut second = self.random.below(open.len().saturating_sub(1));
+        second += usize::from(second >= first);
+        let (first_position, first_load) = open.get(first)?;
+        let Some((second_position, second_load)) = open.get(second) else {
+            return Some(*first_position);
+        };
+        let better = match second_load.is_lighter(first_load) {
+            true => (second_position, second_load),
+            false => (first_position, first_load),
+        };
+        if better.1.used < better.1.limit {
+            return Some(*better.0);
+        }
+        // Both are full by what is known, so the least loaded of all takes the request.
+        let lightest = open
+            .iter()
+            .reduce(|best, other| match other.1.is_lighter(&best.1) {
+                true => other,
+                false => best,
+            })?;
+        Some(lightest.0)
+    }
+
+    fn position(&self, upstream: &ObjectName) -> Option<usize> {
+        self.candidates
+            .binary_search_by(|candidate| candidate.name.cmp(upstream))
+            .ok()
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-policy/src/slots.rs
@@ -0,0 +1,162 @@
+//! Storage of execution records with their indexes and retention.
+
+use {
+    crate::record::KeyHash,
+    catkindeck::{
+        Moment,
+        id::RequestId,
+        message::{ExecutionRecord, ExecutionState},
+    },
+    std::collections::{BTreeMap, VecDeque},
+};
+
+/// A number that is never used twice, so that an expiry cannot hit a later record.
+pub(crate) type SlotKey = u64;
+
+/// A record with its place in the indexes.
+#[derive(Debug, Clone)]
+pub(crate) struct RecordSlot {
+    pub(crate) record: ExecutionRecord,
+    pub(crate) key: Option<KeyHash>,
+    pub(crate) answer_dropped: bool,
+    by_request: bool,
+}
+
+/// Records found by request or key, in the order in which their retention ends.
+#[derive(Debug, Clone)]
+pub(crate) struct RecordSlots {
+    retention_ms: u64,
+    answer_limit: usize,
+    next_slot: SlotKey,
+    slots: BTreeMap<SlotKey, RecordSlot>,
+    by_request: BTreeMap<RequestId, SlotKey>,
+    by_key: BTreeMap<KeyHash, SlotKey>,
+    expiries: VecDeque<(Moment, SlotKey)>,
+    answers: VecDeque<SlotKey>,
+    answer_bytes: usize,
+}
+
+impl RecordSlots {
+    pub(crate) fn new(retention_ms: u64, answer_limit: usize) -> Self {
+        Self {
+            retention_ms,
+            answer_limit,
+            next_slot: 0,
+            slots: BTreeMap::new(),
+            by_request: BTreeMap::new(),
+            by_key: BTreeMap::new(),
+            expiries: VecDeque::new(),
+            answers: VecDeque::new(),
+            answer_bytes: 0,
+        }
+    }
+
+    /// Stores a record under its request if `by_request`, and under its key if it has one.
+    pub(crate) fn insert(
+        &mut self,
+        record: ExecutionRecord,
+        key: Option<KeyHash>,
+        by_request: bool,
+    ) -> SlotKey {
+        let slot = self.next_slot;
+        self.next_slot += 1;
+        if by_request {
+            self.by_request.insert(record.request, slot);
+        }
+        if let Some(key) = key {
+            self.by_key.insert(key, slot);
+        }
+        let stored = RecordSlot {
+            record,
+            key,
+            answer_dropped: false,
+            by_request,
+        };
+        self.slots.insert(slot, stored);
+        slot
+    }
+
+    /// Starts the retention of a record and drops the oldest answers beyond the limit.
+    pub(crate) fn end(&mut self, now: Moment, slot: SlotKey) {
+        self.expiries.push_back((now + self.retention_ms, slot));
+        let size = self
+            .get(slot)
+            .map_or(0, |stored| stored.record.answer.len());
+        if size == 0 {
+            return;
+        }
+        self.answer_bytes += size;
+        self.answers.push_back(slot);
+        while self.answer_bytes > self.answer_limit {
+            let Some(oldest) = self.answers.pop_front() else {
+                return;
+            };
+            if let Some(stored) = self.slots.get_mut(&oldest) {
+                self.answer_bytes -= stored.record.answer.len();
+                stored.record.answer = Vec::new();
+                stored.answer_dropped = true;
+            }
+        }
+    }
+
+    /// Removes a record from the storage and its indexes.
+    pub(crate) fn remove(&mut self, slot: SlotKey) {
+        let Some(stored) = self.slots.remove(&slot) else {
+            return;
+        };
+        self.answer_bytes -= stored.record.answer.len();
+        if stored.by_request {
+            self.by_request.remove(&stored.record.request);
+        }
+        if let Some(key) = stored.key {
+            self.by_key.remove(&key);
+        }
+    }
+
+    /// Removes the records whose retention has passed.
+    pub(crate) fn expire(&mut self, now: Moment) {
+        while let Some((expiry, slot)) = self.expiries.front().copied()
+            && expiry <= now
+        {
+            self.expiries.pop_front();
+            self.remove(slot);
+        }
+        while let Some(slot) = self.answers.front()
+            && !self.slots.contains_key(slot)
+        {
+            self.answers.pop_front();
+        }
+    }
+
+    pub(crate) fn of_request(&self, request: &RequestId) -> Option<SlotKey> {
+        self.by_request.get(request).copied()
+    }
+
+    pub(crate) fn of_key(&self, key: &KeyHash) -> Option<SlotKey> {
+        self.by_key.get(key).copied()
+    }
+
+    pub(crate) fn get(&self, slot: SlotKey) -> Option<&RecordSlot> {
+        self.slots.get(&slot)
+    }
+
+    pub(crate) fn get_mut(&mut self, slot: SlotKey) -> Option<&mut RecordSlot> {
+        self.slots.get_mut(&slot)
+    }
+
+    pub(crate) fn state(&self, slot: SlotKey) -> Option<ExecutionState> {
+        Some(self.slots.get(&slot)?.record.state)
+    }
+
+    pub(crate) fn records(&self) -> impl Iterator<Item = &ExecutionRecord> {
+        self.slots.values().map(|stored| &stored.record)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-policy/src/subset.rs
@@ -0,0 +1,47 @@
+//! The bounded subset of upstreams that one entry uses.
+
+use {
+    crate::hash::{mix, rank},
+    catkindeck::{SortedMap, config::UpstreamRecord, id::ObjectName},
+};
+
+/// The smallest number of entries that use one upstream, so that the loss of an entry leaves no
+/// upstream without work.
+const LEAST_ENTRIES: usize = 2;
+
+/// Returns the members of the subset of `entry`.
+///
+/// Each upstream chooses its entries by rendezvous hashing, rather than each entry its upstreams:
+/// if 600 entries drew 24 of 5,700 upstreams each, 8 % of the upstreams would be drawn by none.
+/// Entry and upstream changes move only the pairs that they are part of.
+pub(crate) fn choose<'a>(
+    entry: &ObjectName,
+    entries: &[ObjectName],
+    upstreams: &'a [UpstreamRecord],
+    size: usize,
+) -> Vec<&'a UpstreamRecord> {
+    let own = rank(&[entry.as_str().as_bytes()]);
+    let others = entries.iter().filter(|other| *other != entry);
+    let others: Vec<u64> = others
+        .map(|other| rank(&[other.as_str().as_bytes()]))
+        .collect();
+    let members = upstreams
+        .iter()
+        .filter(|upstream| upstream.removed_ms.is_none());
+    let mut counts: SortedMap<&ObjectName, usize> = SortedMap::new();
+    for upstream in members.clone() {
+        *counts.get_or_insert_with(&upstream.service, || 0) += 1;
+    }
+    let uses = |upstream: &&UpstreamRecord| {
+        let count = counts.get(&&upstream.service).copied().unwrap_or(0);
+        if count <= size {
+            return true;
+        }
+        let share = ((others.len() + 1) * size).div_ceil(count);
+        let seed = rank(&[upstream.name.as_str().as_bytes()]);
+        let score = mix(seed ^ own);
+        let better = others.iter().filter(|other| mix(seed ^ **other) > score);
+        better.count() < share.max(LEAST_ENTRIES)
+    };
+    members.filter(uses).collect()
+}
