Add zone scaling, straggler treatment and the staleness forecast

Control work needs start and stop orders for zones, the outlook before a zone goes out, and decisions about the last samples of a step.

--- /dev/null
+++ b/crates/catkindeck-policy/src/demand.rs
@@ -0,0 +1,79 @@
+//! The demand on one service over time.
+
+use {catkindeck::Moment, std::collections::VecDeque};
+
+/// The shortest time between two kept samples, in milliseconds.
+const SAMPLE_MS: u64 = 1_000;
+
+/// The number of samples kept, which bounds the look-back.
+const SAMPLE_LIMIT: usize = 1_200;
+
+/// The weight of one sample in the smoothed level.
+const LEVEL_WEIGHT: f64 = 0.2;
+
+/// Smoothed demand with its trend and its recent maximum.
+#[derive(Debug, Clone)]
+pub(crate) struct DemandHistory {
+    samples: VecDeque<(Moment, f64)>,
+    level: f64,
+    horizon_ms: u64,
+}
+
+impl DemandHistory {
+    pub(crate) fn new() -> Self {
+        Self {
+            samples: VecDeque::new(),
+            level: 0.0,
+            horizon_ms: 0,
+        }
+    }
+
+    /// Adds a sample, keeping those of the last `hold_ms`; the forecast looks `horizon_ms` ahead.
+    pub(crate) fn observe(&mut self, now: Moment, busy: u32, hold_ms: u64, horizon_ms: u64) {
+        self.horizon_ms = horizon_ms;
+        if let Some((last, _)) = self.samples.back() {
+            if now.since(*last) < SAMPLE_MS {
+                return;
+            }
+            self.level += (f64::from(busy) - self.level) * LEVEL_WEIGHT;
+        } else {
+            self.level = f64::from(busy);
+        }
+        self.samples.push_back((now, self.level));
+        let keep_ms = hold_ms.max(horizon_ms);
+        while self.samples.len() > SAMPLE_LIMIT
+            || self
+                .samples
+                .front()
+                .is_some_and(|(at, _)| now.since(*at) > keep_ms)
+        {
+            self.samples.pop_front();
+        }
+    }
+
+    /// Returns the demand expected after the horizon; a falling trend is not followed.
+    pub(crate) fn forecast(&self) -> u32 {
+        let (Some((from, first)), Some((to, last))) = (self.samples.front(), self.samples.back())
+        else {
+            return 0;
+        };
+        let passed = to.since(*from);
+        // The trend of a short time is mostly noise.
+        if passed < self.horizon_ms / 2 || passed == 0 {
+            return round_up(*last);
+        }
+        let rise = (last - first) / passed as f64 * self.horizon_ms as f64;
+        round_up(last + rise.max(0.0))
+    }
+
+    /// Returns the highest smoothed demand of the time kept.
+    pub(crate) fn highest(&self) -> u32 {
+        let highest = self.samples.iter().map(|(_, level)| *level);
+        round_up(highest.fold(0.0, f64::max))
+    }
+}
+
+fn round_up(demand: f64) -> u32 {
+    // The conversion saturates, and a demand is far below 2^32.
+    (demand - 0.01).ceil().max(0.0) as u32
+}
--- a/crates/catkindeck-policy/src/lib.rs
+++ b/crates/catkindeck-policy/src/lib.rs
@@ -15,9 +15,13 @@
 pub mod request;
 pub mod retry;
 pub mod router;
+pub mod scaler;
+pub mod staleness;
+pub mod straggler;
 
 mod candidate;
 mod classes;
+mod demand;
 mod hash;
 mod keyed;
 mod slots;
@@ -40,4 +44,7 @@
     },
     retry::RetryBudget,
     router::{RouteChoice, RouteQuery, RouterSettings, UpstreamRouter},
+    scaler::{ScaleOrder, ScalerSettings, ZoneOutlook, ZoneScaler, ZoneSupply},
+    staleness::StalenessForecast,
+    straggler::{MemberKey, StragglerAction, StragglerPolicy, StragglerSettings},
 };
--- /dev/null
+++ b/crates/catkindeck-policy/src/scaler.rs
@@ -0,0 +1,236 @@
+//! Start and stop orders for upstreams, by availability zone.
+
+use {
+    crate::demand::DemandHistory,
+    catkindeck::{
+        Moment, SortedMap,
+        config::{ServiceRecord, ZoneState},
+        id::ObjectName,
+    },
+};
+
+/// The rules of a scaler.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ScalerSettings {
+    /// The part of the warm limits that the demand may use, in percent.
+    pub target_percent: u32,
+    /// The fewest upstreams of a service in all zones together.
+    pub least: u32,
+    /// How long the demand must have been lower before upstreams are stopped, in percent of the
+    /// cold-start time.
+    ///
+    /// A start wastes one cold-start time, so stopping earlier costs more than it saves when the
+    /// demand comes back.
+    pub hold_percent: u64,
+}
+
+impl Default for ScalerSettings {
+    fn default() -> Self {
+        Self {
+            target_percent: 90,
+            least: 1,
+            hold_percent: 100,
+        }
+    }
+}
+
+/// The upstreams of a service in one zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneSupply {
+    /// The zone.
+    pub zone: ObjectName,
+    /// Whether the zone takes work.
+    pub state: ZoneState,
+    /// The number of upstreams that run, warm or cold.
+    pub running: u32,
+    /// The number ordered last.
+    pub ordered: u32,
+    /// The most upstreams that the zone can have.
+    pub room: u32,
+}
+
+/// An order for the number of upstreams of a service in a zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScaleOrder {
+    /// The zone.
+    pub zone: ObjectName,
+    /// The service.
+    pub service: ObjectName,
+    /// The number that shall run.
+    pub count: u32,
+}
+
+/// Whether the other zones bear the load when a zone goes out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneOutlook {
+    /// Whether the upstreams that run in the other zones bear the present demand.
+    pub bears: bool,
+    /// Whether they do so after `starts`, given the room in the zones.
+    pub bears_after_starts: bool,
+    /// The orders to give before the zone goes out.
+    pub starts: Vec<ScaleOrder>,
+    /// How long those starts take until they bear load, in milliseconds.
+    pub ready_ms: u64,
+}
+
+/// Follows the demand with hysteresis and counts cold start in (`docs/design.md`, decision 18).
+///
+/// Upstreams are started for the demand expected when they will be warm, and stopped only when the
+/// demand stayed lower for as long as a start would cost. Orders change the zone that differs most
+/// from an even spread, so that no upstream is stopped in one zone only to be started in another.
+#[derive(Debug, Clone)]
+pub struct ZoneScaler {
+    settings: ScalerSettings,
+    services: SortedMap<ObjectName, DemandHistory>,
+    out_since: SortedMap<ObjectName, Moment>,
+}
+
+impl ZoneScaler {
+    /// Makes a scaler that has seen no demand.
+    pub fn new(settings: ScalerSettings) -> Self {
+        Self {
+            settings,
+            services: SortedMap::new(),
+            out_since: SortedMap::new(),
+        }
+    }
+
+    /// Learns the demand on a service: requests running and queued in all zones together.
+    pub fn observe(&mut self, now: Moment, service: &ServiceRecord, busy: u32) {
+        let hold_ms = self.hold_ms(service);
+        self.services
+            .get_or_insert_with(service.name.clone(), DemandHistory::new)
+            .observe(now, busy, hold_ms, service.cold_start_ms);
+    }
+
+    /// Returns the orders that change something, for a service observed before.
+    pub fn plan(
+        &mut self,
+        now: Moment,
+        service: &ServiceRecord,
+        zones: &[ZoneSupply],
+    ) -> Vec<ScaleOrder> {
+        self.remember_out(now, zones);
+        let Some(history) = self.services.get(&service.name) else {
+            return Vec::new();
+        };
+        let least = self.settings.least;
+        let start_to = self.needed(service, history.forecast()).max(least);
+        let stop_to = self.needed(service, history.highest()).max(start_to);
+        let usable = |supply: &&ZoneSupply| supply.state == ZoneState::In;
+        let total: u32 = zones
+            .iter()
+            .filter(usable)
+            .map(|supply| supply.ordered)
+            .sum();
+        let target = total.clamp(start_to, stop_to);
+
+        // A zone that stays out longer than a start would cost is emptied.
+        let hold_ms = self.hold_ms(service);
+        let emptied = |supply: &&ZoneSupply| {
+            let since = self.out_since.get(&supply.zone);
+            supply.ordered > 0 && since.is_some_and(|since| now.since(*since) >= hold_ms)
+        };
+        let mut orders: Vec<ScaleOrder> = zones
+            .iter()
+            .filter(emptied)
+            .map(|supply| order(service, supply, 0))
+            .collect();
+        orders.extend(spread(service, zones, target));
+        orders
+    }
+
+    /// Tells whether the other zones bear the present demand without `zone`, and what to start.
+    pub fn outlook(
+        &self,
+        service: &ServiceRecord,
+        zones: &[ZoneSupply],
+        zone: &ObjectName,
+    ) -> ZoneOutlook {
+        let history = self.services.get(&service.name);
+        let demand = history.map_or(0, |history| history.forecast().max(history.highest()));
+        let needed = self.needed(service, demand).max(self.settings.least);
+        let rest: Vec<ZoneSupply> = zones
+            .iter()
+            .filter(|supply| supply.zone != *zone && supply.state == ZoneState::In)
+            .cloned()
+            .collect();
+        let running: u32 = rest.iter().map(|supply| supply.running).sum();
+        let ordered: u32 = rest.iter().map(|supply| supply.ordered).sum();
+        let room: u32 = rest.iter().map(|supply| supply.room).sum();
+        let starts = match ordered < needed {
+            true => spread(service, &rest, needed),
+            false => Vec::new(),
+        };
+        let bears = running >= needed;
+        ZoneOutlook {
+            bears,
+            bears_after_starts: room >= needed,
+            ready_ms: match bears {
+                true => 0,
+                false => service.cold_start_ms,
+            },
+            starts,
+        }
+    }
+
+    fn remember_out(&mut self, now: Moment, zones: &[ZoneSupply]) {
+        for supply in zones {
+            match supply.state {
+                ZoneState::Out => {
+                    self.out_since
+                        .get_or_insert_with(supply.zone.clone(), || now);
+                }
+                ZoneState::In => {
+                    self.out_since.remove(&supply.zone);
+                }
+            }
+        }
+    }
+
+    fn needed(&self, service: &ServiceRecord, demand: u32) -> u32 {
+        let each = u64::from(service.warm_limit.max(1)) * u64::from(self.settings.target_percent);
+        let needed = (u64::from(demand) * 100).div_ceil(each.max(1));
+        u32::try_from(needed).unwrap_or(u32::MAX)
+    }
+
+    fn hold_ms(&self, service: &ServiceRecord) -> u64 {
+        service.cold_start_ms * self.settings.hold_percent / 100
+    }
+}
+
+/// Moves the zones' counts to `target` in total, one upstream at a time where it evens them most.
+fn spread(service: &ServiceRecord, zones: &[ZoneSupply], target: u32) -> Vec<ScaleOrder> {
+    let usable = zones.iter().filter(|supply| supply.state == ZoneState::In);
+    let mut counts: Vec<(u32, &ZoneSupply)> =
+        usable.map(|supply| (supply.ordered, supply)).collect();
+    let mut total: u32 = counts.iter().map(|(count, _)| count).sum();
+    while total < target {
+        let open = counts.iter_mut().filter(|(count, zone)| *count < zone.room);
+        let Some(lowest) = open.min_by_key(|(count, _)| *count) else {
+            break;
+        };
+        lowest.0 += 1;
+        total += 1;
+    }
+    while total > target {
+        let Some(highest) = counts.iter_mut().max_by_key(|(count, _)| *count) else {
+            break;
+        };
+        highest.0 -= 1;
+        total -= 1;
+    }
+    counts
+        .into_iter()
+        .filter(|(count, supply)| *count != supply.ordered)
+        .map(|(count, supply)| order(service, supply, count))
+        .collect()
+}
+
+fn order(service: &ServiceRecord, supply: &ZoneSupply, count: u32) -> ScaleOrder {
+    ScaleOrder {
+        zone: supply.zone.clone(),
+        service: service.name.clone(),
+        count,
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-policy/src/staleness.rs
@@ -0,0 +1,52 @@
+//! The prediction of a sample's staleness at admission.
+
+use catkindeck::Moment;
+
+/// The weight of one swap in the moving average of the interval between swaps.
+const SAMPLE_WEIGHT: f64 = 0.3;
+
+/// The rhythm of weight swaps, by which the staleness of a sample at its end is predicted.
+///
+/// A sample that would be too old when it is offered wastes its tokens, so it waits for the next
+/// swap instead (`docs/design.md`, G2 and decision 16).
+#[derive(Debug, Clone, Default)]
+pub struct StalenessForecast {
+    last: Option<Moment>,
+    interval_ms: Option<f64>,
+}
+
+impl StalenessForecast {
+    /// Makes a forecast that has seen no swap.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Learns that new weights were announced.
+    pub fn announced(&mut self, now: Moment) {
+        if let Some(last) = self.last {
+            let interval = now.since(last) as f64;
+            self.interval_ms = Some(match self.interval_ms {
+                Some(usual) => usual + (interval - usual) * SAMPLE_WEIGHT,
+                None => interval,
+            });
+        }
+        self.last = Some(now);
+    }
+
+    /// Predicts how many swaps happen before a sample that starts now ends.
+    pub fn swaps_within(&self, now: Moment, duration_ms: u64) -> u64 {
+        let (Some(last), Some(interval)) = (self.last, self.interval_ms) else {
+            return 0;
+        };
+        let interval = (interval as u64).max(1);
+        let passed = now.since(last);
+        let after = (passed + duration_ms) / interval;
+        // Swaps that are overdue are expected at any moment.
+        after.saturating_sub((passed / interval).saturating_sub(u64::from(passed >= interval)))
+    }
+
+    /// Tells whether a sample that starts now, `lag` versions behind, ends within the bound.
+    pub fn admits(&self, now: Moment, duration_ms: u64, lag: u64, bound: u64) -> bool {
+        lag + self.swaps_within(now, duration_ms) <= bound
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-policy/src/straggler.rs
@@ -0,0 +1,188 @@
+//! The treatment of the last samples of a training step.
+
+use {
+    catkindeck::{Moment, id::RequestId},
+    std::collections::BTreeMap,
+};
+
+/// The rules for stragglers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StragglerSettings {
+    /// The part of a step's samples that must still be open for duplicates to begin, in percent.
+    pub tail_percent: u32,
+    /// The age from which an attempt is duplicated, in percent of the usual duration.
+    pub age_percent: u64,
+    /// The most duplicates in one step, in percent of its samples.
+    pub duplicate_percent: u32,
+}
+
+impl Default for StragglerSettings {
+    fn default() -> Self {
+        Self {
+            tail_percent: 5,
+            age_percent: 300,
+            duplicate_percent: 5,
+        }
+    }
+}
+
+/// A sample of the step by group and index.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MemberKey {
+    /// The group.
+    pub group: u32,
+    /// The index within the group.
+    pub index: u32,
+}
+
+/// What the step's owner shall do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StragglerAction {
+    /// Sends a second request for a sample, to another upstream.
+    Duplicate(MemberKey),
+    /// Raises the priority of a request.
+    Raise(RequestId, u8),
+}
+
+#[derive(Debug, Clone)]
+struct AttemptState {
+    request: RequestId,
+    started: Moment,
+    priority: u8,
+}
+
+/// The open samples of one step and the attempts to produce them (`docs/design.md`, decision 12).
+///
+/// A group can be used only when its last member is there, so members of nearly whole groups go
+/// first. Near the end of the step an attempt that takes far longer than usual is duplicated on
+/// another upstream; the first result wins and the loser is cancelled at once.
+#[derive(Debug, Clone)]
+pub struct StragglerPolicy {
+    settings: StragglerSettings,
+    group_size: u32,
+    total: u32,
+    accepted: u32,
+    duplicates: u32,
+    open: BTreeMap<MemberKey, Vec<AttemptState>>,
+    group_open: Vec<u32>,
+    usual_ms: f64,
+}
+
+impl StragglerPolicy {
+    /// Makes the policy of a step whose samples are all open.
+    pub fn new(settings: StragglerSettings, groups: u32, group_size: u32) -> Self {
+        let members = (0..groups).flat_map(|group| {
+            (0..group_size).map(move |index| (MemberKey { group, index }, Vec::new()))
+        });
+        Self {
+            settings,
+            group_size,
+            total: groups.saturating_mul(group_size),
+            accepted: 0,
+            duplicates: 0,
+            open: members.collect(),
+            group_open: vec![group_size; groups as usize],
+            usual_ms: 0.0,
+        }
+    }
+
+    /// Returns the priority for a request for a member of `group`: 0 for a group without results,
+    /// up to 200 for the last member of a group.
+    pub fn priority(&self, group: u32) -> u8 {
+        let open = self.group_open.get(group as usize).copied().unwrap_or(0);
+        let done = u64::from(self.group_size.saturating_sub(open));
+        let last = u64::from(self.group_size.saturating_sub(1).max(1));
+        u8::try_from((done * 200 / last).min(200)).unwrap_or(200)
+    }
+
+    /// Learns that a request for a sample was sent.
+    pub fn sent(&mut self, now: Moment, member: MemberKey, request: RequestId) {
+        let priority = self.priority(member.group);
+        if let Some(attempts) = self.open.get_mut(&member) {
+            attempts.push(AttemptState {
+                request,
+                started: now,
+                priority,
+            });
+        }
+    }
+
+    /// Learns that a request ended without an acceptable result, and tells whether the sample has
+    /// no attempt left.
+    pub fn failed(&mut self, member: MemberKey, request: &RequestId) -> bool {
+        let Some(attempts) = self.open.get_mut(&member) else {
+            return false;
+        };
+        attempts.retain(|attempt| attempt.request != *request);
+        attempts.is_empty()
+    }
+
+    /// Learns that the ledger accepted a sample, and returns the requests to cancel.
+    pub fn accepted(
+        &mut self,
+        now: Moment,
+        member: MemberKey,
+        request: &RequestId,
+    ) -> Vec<RequestId> {
+        let Some(attempts) = self.open.remove(&member) else {
+            return Vec::new();
+        };
+        self.accepted += 1;
+        if let Some(open) = self.group_open.get_mut(member.group as usize) {
+            *open = open.saturating_sub(1);
+        }
+        let won = |attempt: &&AttemptState| attempt.request == *request;
+        if let Some(winner) = attempts.iter().find(won) {
+            let duration = now.since(winner.started) as f64;
+            // The plain mean over the step is robust enough, since 1 % of samples are long.
+            self.usual_ms += (duration - self.usual_ms) / f64::from(self.accepted);
+        }
+        let losers = attempts.iter().map(|attempt| attempt.request);
+        losers.filter(|loser| loser != request).collect()
+    }
+
+    /// Returns what shall be done now; called about once a second.
+    pub fn plan(&mut self, now: Moment) -> Vec<StragglerAction> {
+        let mut actions = Vec::new();
+        let priorities: Vec<u8> = (0..self.group_open.len())
+            .map(|group| self.priority(u32::try_from(group).unwrap_or(u32::MAX)))
+            .collect();
+        for (member, attempts) in &mut self.open {
+            let priority = priorities.get(member.group as usize).copied().unwrap_or(0);
+            for attempt in attempts {
+                // Small changes are not worth a message.
+                if priority >= attempt.priority.saturating_add(50) {
+                    attempt.priority = priority;
+                    actions.push(StragglerAction::Raise(attempt.request, priority));
+                }
+            }
+        }
+        self.plan_duplicates(now, &mut actions);
+        actions
+    }
+
+    /// Returns the number of samples that are not accepted.
+    pub fn open_count(&self) -> u32 {
+        self.total - self.accepted
+    }
+
+    fn plan_duplicates(&mut self, now: Moment, actions: &mut Vec<StragglerAction>) {
+        let percent = |part: u32| u64::from(self.total) * u64::from(part) / 100;
+        if u64::from(self.open_count()) > percent(self.settings.tail_percent).max(1) {
+            return;
+        }
+        let mut allowed = percent(self.settings.duplicate_percent).max(1);
+        allowed = allowed.saturating_sub(u64::from(self.duplicates));
+        let old_ms = self.usual_ms * self.settings.age_percent as f64 / 100.0;
+        let late = self.open.iter().filter(|(_, attempts)| {
+            let [only] = attempts.as_slice() else {
+                return false;
+            };
+            now.since(only.started) as f64 > old_ms
+        });
+        for (member, _) in late.take(usize::try_from(allowed).unwrap_or(usize::MAX)) {
+            actions.push(StragglerAction::Duplicate(*member));
+            self.duplicates += 1;
+        }
+    }
+}
