--- /dev/null
+++ b/crates/catkindeck-health/tests/events.rs
@@ -0,0 +1,27 @@
+//! Compares the events of this crate with the catalogue in `docs/events.md`.
+
+use {catkindeck_health::events::ALL, slog::Level};
+
+/// Guards against log lines that operators cannot look up, and against numbers used twice.
+#[test]
+fn catalogue_lists_every_event() {
+    let page = include_str!("../../../docs/events.md");
+    let listed: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| 6"))
+        .collect();
+    assert_eq!(listed.len(), ALL.len());
+    for event in ALL {
+        let level = event
+            .level
+            .as_str()
+            .to_lowercase()
+            .replace("warn", "warning");
+        let start = format!("| {} | `{}` | {} |", event.number, event.name, level);
+        let count = listed
+            .iter()
+            .filter(|line| line.starts_with(&start))
+            .count();
+        assert_eq!(count, 1, "{start}");
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-health/tests/health.rs
@@ -0,0 +1,124 @@
+//! Tests of readiness, drain and the health address.
+
+use {
+    catkindeck::{ErrorKind, ExecutionOutcome, log::discard_logger},
+    catkindeck_health::{DrainGate, HealthServer, ReadinessFlag, ShutdownCause, ShutdownWatch},
+    prometheus::Registry,
+    std::{sync::Arc, thread, time::Duration},
+};
+
+fn fetch(server: &HealthServer, path: &str) -> (u16, String) {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let mut response = agent
+        .get(format!("http://{}{path}", server.address()))
+        .call()
+        .expect("the health address answers");
+    let body = response.body_mut().read_to_string().expect("a text body");
+    (response.status().as_u16(), body)
+}
+
+fn start(readiness: &Arc<ReadinessFlag>, gate: &Arc<DrainGate>) -> HealthServer {
+    HealthServer::start(
+        "127.0.0.1:0".parse().expect("an address"),
+        Arc::clone(readiness),
+        Arc::clone(gate),
+        Registry::new(),
+        discard_logger(),
+    )
+    .expect("the server starts")
+}
+
+/// Guards against a process that reports ready while one of several reasons is still held.
+#[test]
+fn readiness_needs_every_reason_withdrawn() {
+    let readiness = Arc::new(ReadinessFlag::new(discard_logger()));
+    let server = start(&readiness, &DrainGate::new());
+    readiness.hold("configuration", "no configuration yet");
+    readiness.hold("peers", "no peer yet");
+    readiness.clear("peers");
+    assert_eq!(
+        fetch(&server, "/readyz"),
+        (503, "configuration: no configuration yet\n".to_owned())
+    );
+    assert_eq!(fetch(&server, "/healthz").0, 200);
+    readiness.clear("configuration");
+    assert_eq!(fetch(&server, "/readyz"), (200, "ready\n".to_owned()));
+}
+
+/// Guards against metrics that do not show the work in flight, which operators watch in a drain.
+#[test]
+fn metrics_show_work_in_flight() {
+    let readiness = Arc::new(ReadinessFlag::new(discard_logger()));
+    let gate = DrainGate::new();
+    let server = start(&readiness, &gate);
+    let _guard = gate.enter().expect("the gate is open");
+    let (status, metrics) = fetch(&server, "/metrics");
+    assert_eq!(status, 200);
+    assert!(metrics.contains("catkindeck_in_flight 1\n"), "{metrics}");
+    assert!(metrics.contains("catkindeck_ready 1\n"), "{metrics}");
+    assert_eq!(fetch(&server, "/other").0, 404);
+}
+
+/// Guards against a panic at start when another process has the address.
+#[test]
+fn taken_address_is_an_error() {
+    let readiness = Arc::new(ReadinessFlag::new(discard_logger()));
+    let server = start(&readiness, &DrainGate::new());
+    let error = HealthServer::start(
+        server.address(),
+        readiness,
+        DrainGate::new(),
+        Registry::new(),
+        discard_logger(),
+    )
+    .expect_err("the address is taken");
+    assert!(error.detail.contains("cannot be opened"), "{error}");
+}
+
+/// Guards against work admitted after the drain began, which the exit would cut off (G15).
+#[test]
+fn closed_gate_refuses_and_waits_for_the_rest() {
+    let gate = DrainGate::new();
+    let guard = gate.enter().expect("the gate is open");
+    gate.close();
+    let refusal = gate.enter().expect_err("the gate is closed");
+    assert_eq!(refusal.kind, ErrorKind::ShuttingDown);
+    assert_eq!(refusal.execution, ExecutionOutcome::NotRun);
+    assert!(!gate.wait_idle(Duration::from_millis(1)));
+    drop(guard);
+    assert!(gate.wait_idle(Duration::ZERO));
+}
+
+/// Guards against a count that stays up after a panic, which would keep the process from exiting.
+#[test]
+fn panicking_work_leaves_the_gate() {
+    let gate = DrainGate::new();
+    let guard = gate.enter().expect("the gate is open");
+    let worker = thread::spawn(move || {
+        let _guard = guard;
+        panic!("the work fails");
+    });
+    assert!(worker.join().is_err());
+    assert_eq!(gate.in_flight(), 0);
+}
+
+/// Guards against an exit on SIGTERM that cuts off work in flight (G15).
+#[test]
+fn shutdown_waits_for_work_in_flight() {
+    let readiness = Arc::new(ReadinessFlag::new(discard_logger()));
+    let gate = DrainGate::new();
+    let guard = gate.enter().expect("the gate is open");
+    let watch = ShutdownWatch::install(Arc::clone(&readiness), Arc::clone(&gate), discard_logger())
+        .expect("signals are caught");
+    signal_hook::low_level::raise(signal_hook::consts::SIGTERM).expect("the signal is raised");
+    let (entered, drained) = (Arc::clone(&gate), Arc::clone(&readiness));
+    let cause = watch.wait(move || {
+        assert!(!drained.is_ready());
+        assert_eq!(entered.in_flight(), 1);
+        drop(guard);
+    });
+    assert_eq!(cause, ShutdownCause::Drained);
+}
