--- a/crates/catkindeck-health/tests/events.rs
+++ b/crates/catkindeck-health/tests/events.rs
@@ -12,12 +12,13 @@
         .collect();
     assert_eq!(listed.len(), ALL.len());
     for event in ALL {
-        let level = event
-            .level
-            .as_str()
-            .to_lowercase()
-            .replace("warn", "warning");
-        let start = format!("| {} | `{}` | {} |", event.number, event.name, level);
+        let level = match event.level {
+            Level::Error => "error",
+            Level::Warning => "warning",
+            Level::Info => "info",
+            _ => "debug",
+        };
+        let start = format!("| {} | `{}` | {level} |", event.number, event.name);
         let count = listed
             .iter()
             .filter(|line| line.starts_with(&start))
