Add the transport between processes

Cause: entries, agents and the command need authenticated calls whose failures say whether the request can have run. Ruled out: channels between caller and transport threads, because blocking on the stream's future from the calling thread is simpler and bounds memory by the flow-control window; quinn's default reset key and identifier generator, because a restarted peer would be noticed only by the idle timeout; x509-parser for the certificate's DNS name, because rustls-webpki is already linked by rustls. Change: the crate catkindeck-wire with endpoint, call link, handler threads, TLS roles and the development authority. rustls-webpki becomes a direct dependency to read the DNS name. Before: no transport. Conclusion: the traits of catkindeck::link are implemented; the agent and the entry can use them.

--- /dev/null
+++ b/crates/catkindeck-wire/src/certificate.rs
@@ -0,0 +1,184 @@
+//! Certificate names, and a development authority that issues certificates.
+
+use {
+    crate::error::WireError,
+    catkindeck::{
+        id::ObjectName,
+        link::{PeerIdentity, PeerRole},
+    },
+    rcgen::{
+        BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer,
+        KeyPair, KeyUsagePurpose, date_time_ymd,
+    },
+    rustls::pki_types::CertificateDer,
+    std::time::{SystemTime, UNIX_EPOCH},
+    webpki::EndEntityCert,
+};
+
+/// The last labels of every certificate's DNS name.
+pub const NAME_SUFFIX: &str = "catkindeck.internal";
+
+/// The years for which a development certificate is valid.
+const VALID_YEARS: i32 = 3;
+
+/// The length of a mean year, in seconds.
+const YEAR_SECONDS: u64 = 31_556_952;
+
+/// A certificate authority for development and tests.
+///
+/// Its key is written to disk unencrypted, so it is not for production.
+pub struct DevelopmentAuthority {
+    issuer: Issuer<'static, KeyPair>,
+    certificate_pem: String,
+    key_pem: String,
+}
+
+/// A certificate with its private key, both in PEM form.
+pub struct IssuedCertificate {
+    /// The certificate.
+    pub certificate_pem: String,
+    /// The private key.
+    pub key_pem: String,
+}
+
+impl DevelopmentAuthority {
+    /// Creates an authority with a new key.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the certificate library.
+    pub fn create() -> Result<Self, WireError> {
+        let key = KeyPair::generate()?;
+        let mut params = base_params(Vec::new())?;
+        params
+            .distinguished_name
+            .push(DnType::CommonName, "catkindeck development authority");
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+        let certificate_pem = params.self_signed(&key)?.pem();
+        let key_pem = key.serialize_pem();
+        Ok(Self {
+            issuer: Issuer::new(params, key),
+            certificate_pem,
+            key_pem,
+        })
+    }
+
+    /// Opens an authority that was created before.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if either text is not in the expected PEM form.
+    pub fn open(certificate_pem: &str, key_pem: &str) -> Result<Self, WireError> {
+        let key = KeyPair::from_pem(key_pem)?;
+        Ok(Self {
+            issuer: Issuer::from_ca_cert_pem(certificate_pem, key)?,
+            certificate_pem: certificate_pem.to_owned(),
+            key_pem: key_pem.to_owned(),
+        })
+    }
+
+    /// Issues a certificate for a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the certificate library.
+    pub fn issue(&self, role: PeerRole, host: &ObjectName) -> Result<IssuedCertificate, WireError> {
+        let key = KeyPair::generate()?;
+        let mut params = base_params(vec![dns_name(role, host.as_str())])?;
+        params
+            .distinguished_name
+            .push(DnType::CommonName, host.as_str());
+        params.extended_key_usages = match role {
+            // An operator's command only calls; it cannot pose as a serving process.
+            PeerRole::Operator => vec![ExtendedKeyUsagePurpose::ClientAuth],
+            PeerRole::Entry | PeerRole::Agent => vec![
+                ExtendedKeyUsagePurpose::ClientAuth,
+                ExtendedKeyUsagePurpose::ServerAuth,
+            ],
+        };
+        let certificate = params.signed_by(&key, &self.issuer)?;
+        Ok(IssuedCertificate {
+            certificate_pem: certificate.pem(),
+            key_pem: key.serialize_pem(),
+        })
+    }
+
+    /// Returns the authority's certificate in PEM form.
+    pub fn certificate_pem(&self) -> &str {
+        &self.certificate_pem
+    }
+
+    /// Returns the authority's private key in PEM form.
+    pub fn key_pem(&self) -> &str {
+        &self.key_pem
+    }
+}
+
+/// Returns the word for a role in a certificate's name.
+pub fn role_name(role: PeerRole) -> &'static str {
+    match role {
+        PeerRole::Entry => "entry",
+        PeerRole::Agent => "agent",
+        PeerRole::Operator => "operator",
+    }
+}
+
+/// Returns the DNS name of a certificate.
+pub fn dns_name(role: PeerRole, host: &str) -> String {
+    format!("{}.{host}.{NAME_SUFFIX}", role_name(role))
+}
+
+/// Reads role and host from a certificate whose signature was checked.
+///
+/// # Errors
+///
+/// Returns an error unless the certificate has exactly one DNS name in the expected form.
+pub fn read_identity(certificate: &CertificateDer<'_>) -> Result<PeerIdentity, WireError> {
+    let parsed =
+        EndEntityCert::try_from(certificate).map_err(|error| WireError::Name(error.to_string()))?;
+    let mut names = parsed.valid_dns_names();
+    let (Some(name), None) = (names.next(), names.next()) else {
+        return Err(WireError::Name(
+            "there is no DNS name or several".to_owned(),
+        ));
+    };
+    parse_dns_name(name)
+}
+
+/// Reads role and host from a DNS name.
+///
+/// # Errors
+///
+/// Returns an error unless the name is in the expected form.
+pub fn parse_dns_name(name: &str) -> Result<PeerIdentity, WireError> {
+    let invalid = || WireError::Name(format!("got `{name}`"));
+    let rest = name
+        .strip_suffix(NAME_SUFFIX)
+        .and_then(|rest| rest.strip_suffix('.'))
+        .ok_or_else(invalid)?;
+    let (role, host) = rest.split_once('.').ok_or_else(invalid)?;
+    let role = match role {
+        "entry" => PeerRole::Entry,
+        "agent" => PeerRole::Agent,
+        "operator" => PeerRole::Operator,
+        _ => return Err(invalid()),
+    };
+    let host = ObjectName::try_from(host).map_err(|_| invalid())?;
+    Ok(PeerIdentity {
+        role,
+        host: host.into(),
+    })
+}
+
+fn base_params(names: Vec<String>) -> Result<CertificateParams, WireError> {
+    let mut params = CertificateParams::new(names)?;
+    params.distinguished_name = rcgen::DistinguishedName::new();
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let year = 1970 + i32::try_from(elapsed.as_secs() / YEAR_SECONDS).unwrap_or_default();
+    params.not_before = date_time_ymd(year - 1, 1, 1);
+    params.not_after = date_time_ymd(year + VALID_YEARS, 1, 1);
+    Ok(params)
+}
--- /dev/null
+++ b/crates/catkindeck-wire/src/endpoint.rs
@@ -0,0 +1,302 @@
+//! The endpoint: one UDP socket and the threads that drive it.
+
+use {
+    crate::{client::ConnectionCache, error::WireError, events, server, tls},
+    catkindeck::{
+        config::ConfigRevision,
+        link::{PeerHandler, PeerIdentity, PeerLink},
+        log_event,
+        process::RawTls,
+    },
+    quinn::{
+        ClientConfig, ConnectionId, ConnectionIdGenerator, Endpoint, EndpointConfig, IdleTimeout,
+        ServerConfig, TokioRuntime, TransportConfig, VarInt,
+        crypto::{CryptoError, HmacKey},
+    },
+    slog::Logger,
+    std::{
+        net::{SocketAddr, UdpSocket},
+        sync::{Arc, OnceLock},
+        time::Duration,
+    },
+    tokio::runtime::{Builder, Handle, Runtime},
+};
+
+/// The length of connection identifiers, in bytes.
+const CONNECTION_ID_BYTES: usize = 8;
+
+/// Where an endpoint listens and how it proves who it is.
+#[derive(Debug, Clone)]
+pub struct WireSettings {
+    /// The address, UDP; a command that only calls uses port zero.
+    pub listen: SocketAddr,
+    /// The certificate files.
+    pub tls: RawTls,
+    /// The limits.
+    pub limits: WireLimits,
+}
+
+/// Limits of one endpoint.
+#[derive(Debug, Clone)]
+pub struct WireLimits {
+    /// The number of calls of peers that are handled at once; each occupies a thread.
+    pub concurrent_calls: u32,
+    /// The time within which a peer must have sent its request whole.
+    pub request_timeout: Duration,
+    /// The interval of probes on a connection that this process opened.
+    pub keep_alive: Duration,
+    /// The time without any packet after which a connection counts as lost.
+    ///
+    /// It must exceed twice `keep_alive`, so that one lost probe does not end a connection.
+    pub idle_timeout: Duration,
+    /// The time after its last call after which a cached connection is closed.
+    pub cache_timeout: Duration,
+}
+
+impl Default for WireLimits {
+    fn default() -> Self {
+        Self {
+            concurrent_calls: 1024,
+            request_timeout: Duration::from_secs(10),
+            keep_alive: Duration::from_millis(1250),
+            idle_timeout: Duration::from_secs(4),
+            cache_timeout: Duration::from_secs(60),
+        }
+    }
+}
+
+/// What the transport needs to know about this process's configuration.
+pub trait RevisionHook: Send + Sync {
+    /// Returns the highest revision that this process ever used, which every call carries.
+    fn current(&self) -> ConfigRevision;
+
+    /// Tells that a peer uses a higher revision, before its request is handled.
+    ///
+    /// Runs on the call's thread, so it may fetch that revision from `address`, the peer's own
+    /// endpoint. It is not called for requests that themselves carry or ask for a configuration.
+    fn higher_seen(&self, revision: ConfigRevision, peer: &PeerIdentity, address: SocketAddr);
+}
+
+/// One UDP socket with the threads that drive it; dropping it closes all connections.
+pub struct PeerEndpoint {
+    endpoint: Endpoint,
+    cache: Arc<ConnectionCache>,
+    runtime: Arc<RuntimeGuard>,
+    hook: Arc<dyn RevisionHook>,
+    identity: PeerIdentity,
+    limits: WireLimits,
+    served: OnceLock<()>,
+    logger: Logger,
+}
+
+impl PeerEndpoint {
+    /// Opens the socket and starts the threads; calls of peers are refused until
+    /// [`PeerEndpoint::serve`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the PEM files or the address cannot be used.
+    pub fn start(
+        settings: &WireSettings,
+        hook: Arc<dyn RevisionHook>,
+        logger: Logger,
+    ) -> Result<Self, WireError> {
+        let parts = tls::load(&settings.tls)?;
+        let runtime = Arc::new(RuntimeGuard::start(&settings.limits)?);
+        let socket_error = |reason| WireError::Socket {
+            address: settings.listen,
+            reason,
+        };
+        let socket = UdpSocket::bind(settings.listen).map_err(socket_error)?;
+
+        // The driver tasks are spawned on the runtime that is entered here.
+        let _context = runtime.handle.enter();
+        let mut config = EndpointConfig::new(Arc::new(ResetKey(parts.reset_secret)));
+        config.cid_generator(|| Box::new(RandomIds));
+        let mut endpoint =
+            Endpoint::new(config, None, socket, Arc::new(TokioRuntime)).map_err(socket_error)?;
+        let mut client = ClientConfig::new(parts.client);
+        client.transport_config(Arc::new(transport(&settings.limits, true)?));
+        endpoint.set_default_client_config(client);
+        let mut server = ServerConfig::with_crypto(parts.server);
+        server.transport_config(Arc::new(transport(&settings.limits, false)?));
+        // A peer's address is what it is called back on, so it may not change under a connection.
+        server.migration(false);
+        endpoint.set_server_config(Some(server));
+
+        let cache = Arc::new(ConnectionCache::new(
+            endpoint.clone(),
+            settings.limits.cache_timeout,
+            logger.clone(),
+        ));
+        runtime.handle.spawn(cache.clone().sweep());
+        Ok(Self {
+            endpoint,
+            cache,
+            runtime,
+            hook,
+            identity: parts.identity,
+            limits: settings.limits.clone(),
+            served: OnceLock::new(),
+            logger,
+        })
+    }
+
+    /// Starts to hand calls of peers to `handler`; only the first call of this method has effect.
+    pub fn serve(&self, handler: Arc<dyn PeerHandler>) {
+        if self.served.set(()).is_err() {
+            return;
+        }
+        let parts = server::ServeParts::new(
+            handler,
+            self.hook.clone(),
+            Arc::downgrade(&self.runtime),
+            &self.limits,
+            self.logger.clone(),
+        );
+        self.runtime
+            .handle
+            .spawn(server::accept(self.endpoint.clone(), Arc::new(parts)));
+        if let Ok(address) = self.endpoint.local_addr() {
+            log_event!(self.logger, events::ENDPOINT_LISTENING; "address" => address.to_string());
+        }
+    }
+
+    /// Returns the way to call other processes through this endpoint.
+    pub fn link(&self) -> Arc<dyn PeerLink> {
+        Arc::new(crate::client::CallLink::new(
+            self.cache.clone(),
+            self.runtime.clone(),
+            self.hook.clone(),
+        ))
+    }
+
+    /// Returns who this process is by its own certificate.
+    pub fn identity(&self) -> &PeerIdentity {
+        &self.identity
+    }
+
+    /// Returns the address that the socket is bound to.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub fn local_address(&self) -> std::io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
+    /// Closes all connections and waits until the peers were told, at most `timeout`.
+    pub fn close(&self, timeout: Duration) {
+        self.endpoint.close(VarInt::from_u32(0), b"closed");
+        self.runtime.handle.block_on(async {
+            // A peer that is not told notices the loss by its idle timeout.
+            let _ = tokio::time::timeout(timeout, self.endpoint.wait_idle()).await;
+        });
+    }
+}
+
+impl Drop for PeerEndpoint {
+    fn drop(&mut self) {
+        self.endpoint.close(VarInt::from_u32(0), b"closed");
+    }
+}
+
+/// Owns the tokio threads; the last user stops them without waiting for their work.
+pub struct RuntimeGuard {
+    /// Runs futures on the calling thread, with the drivers on the runtime's threads.
+    pub handle: Handle,
+    runtime: Option<Runtime>,
+}
+
+impl RuntimeGuard {
+    fn start(limits: &WireLimits) -> Result<Self, WireError> {
+        let calls = usize::try_from(limits.concurrent_calls).unwrap_or(usize::MAX);
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(2)
+            .max_blocking_threads(calls.max(1))
+            .thread_name("wire")
+            .enable_all()
+            .build()
+            .map_err(WireError::Threads)?;
+        Ok(Self {
+            handle: runtime.handle().clone(),
+            runtime: Some(runtime),
+        })
+    }
+}
+
+impl Drop for RuntimeGuard {
+    fn drop(&mut self) {
+        // The last user may be a call's thread, on which a waiting shutdown would never end.
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// The key of stateless resets, the same after a restart of the process.
+///
+/// With it a restarted process tells its peers at once that their connections are gone; with a new
+/// random key they would notice only by the idle timeout.
+struct ResetKey([u8; 32]);
+
+impl HmacKey for ResetKey {
+    fn sign(&self, data: &[u8], signature_out: &mut [u8]) {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        hasher.update(data);
+        hasher.finalize_xof().fill(signature_out);
+    }
+
+    fn signature_len(&self) -> usize {
+        32
+    }
+
+    fn verify(&self, data: &[u8], signature: &[u8]) -> Result<(), CryptoError> {
+        let expected = blake3::keyed_hash(&self.0, data);
+        // This comparison of blake3 hashes takes constant time.
+        let given = <[u8; 32]>::try_from(signature).map_err(|_| CryptoError)?;
+        if expected == given {
+            Ok(())
+        } else {
+            Err(CryptoError)
+        }
+    }
+}
+
+/// Draws connection identifiers of which every value counts as possible.
+///
+/// Quinn's default generator sends no stateless reset for identifiers of an earlier process.
+struct RandomIds;
+
+impl ConnectionIdGenerator for RandomIds {
+    fn generate_cid(&mut self) -> ConnectionId {
+        let mut bytes = [0; CONNECTION_ID_BYTES];
+        getrandom::fill(&mut bytes).expect("the operating system provides randomness");
+        ConnectionId::new(&bytes)
+    }
+
+    fn cid_len(&self) -> usize {
+        CONNECTION_ID_BYTES
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
+
+fn transport(limits: &WireLimits, opened: bool) -> Result<TransportConfig, WireError> {
+    let idle = IdleTimeout::try_from(limits.idle_timeout)
+        .map_err(|_| WireError::Tls("the idle timeout is too long".to_owned()))?;
+    let mut config = TransportConfig::default();
+    config
+        .max_idle_timeout(Some(idle))
+        .max_concurrent_bidi_streams(VarInt::from_u32(limits.concurrent_calls))
+        .max_concurrent_uni_streams(VarInt::from_u32(0))
+        .datagram_receive_buffer_size(None);
+    if opened {
+        // The answer to a probe also tells the accepting side that the connection lives, so only
+        // one side probes; this halves the cost on processes with many idle connections.
+        config.keep_alive_interval(Some(limits.keep_alive));
+    }
+    Ok(config)
+}
--- /dev/null
+++ b/crates/catkindeck-wire/tests/frames.rs
@@ -0,0 +1,105 @@
+//! Fuzzing of the frame decoder and of certificate names.
+
+use {
+    catkindeck::{
+        id::{IncarnationId, RequestId},
+        link::PeerRole,
+        message::{MESSAGE_LIMIT, PeerFrame},
+    },
+    catkindeck_wire::{
+        certificate::{dns_name, parse_dns_name},
+        frame::{FrameBuffer, encode},
+    },
+    proptest::{collection::vec, prelude::*},
+};
+
+proptest! {
+    /// Guards against panics and endless loops on bytes that no encoder made.
+    #[test]
+    fn arbitrary_bytes_are_refused_or_wait(pieces in vec(vec(any::<u8>(), 0..64), 0..16)) {
+        let mut buffer = FrameBuffer::default();
+        for piece in pieces {
+            buffer.extend(&piece);
+            for _ in 0..64 {
+                match buffer.take::<PeerFrame>() {
+                    Ok(Some(_)) => {}
+                    Ok(None) | Err(_) => break,
+                }
+            }
+        }
+    }
+
+    /// Guards against messages that depend on how the network cuts the stream.
+    #[test]
+    fn cuts_do_not_change_messages(
+        payloads in vec(vec(any::<u8>(), 0..200), 1..8),
+        cut in 1_usize..50,
+    ) {
+        let frames: Vec<PeerFrame> = payloads
+            .into_iter()
+            .zip(0..)
+            .map(|(bytes, sequence)| PeerFrame::Chunk {
+                request: RequestId([3; 16]),
+                sequence,
+                bytes,
+                tokens: 1,
+                version: None,
+            })
+            .collect();
+        let stream: Vec<u8> = frames.iter().flat_map(|frame| encode(frame).unwrap()).collect();
+        let mut buffer = FrameBuffer::default();
+        let mut received = Vec::new();
+        for piece in stream.chunks(cut) {
+            buffer.extend(piece);
+            while let Some(frame) = buffer.take::<PeerFrame>().unwrap() {
+                received.push(frame);
+            }
+        }
+        prop_assert_eq!(received, frames);
+        prop_assert!(!buffer.is_partial());
+    }
+}
+
+/// Guards against a buffer that grows to whatever length a peer announces.
+#[test]
+fn an_oversized_prefix_is_refused_at_once() {
+    let mut buffer = FrameBuffer::default();
+    let length = u32::try_from(MESSAGE_LIMIT + 1).unwrap();
+    buffer.extend(&length.to_be_bytes());
+    assert!(buffer.take::<PeerFrame>().is_err());
+}
+
+/// Guards against bytes smuggled behind a message inside one frame.
+#[test]
+fn bytes_after_a_message_are_refused() {
+    let mut bytes = encode(&PeerFrame::Started {
+        request: RequestId::default(),
+        incarnation: IncarnationId::default(),
+    })
+    .unwrap();
+    bytes.push(0);
+    let length = u32::try_from(bytes.len() - 4).unwrap();
+    bytes[..4].copy_from_slice(&length.to_be_bytes());
+    let mut buffer = FrameBuffer::default();
+    buffer.extend(&bytes);
+    assert!(buffer.take::<PeerFrame>().is_err());
+}
+
+/// Guards against names that would give a process another role or host.
+#[test]
+fn certificate_names_are_checked() {
+    let identity = parse_dns_name(&dns_name(PeerRole::Agent, "vault-a-1")).unwrap();
+    assert_eq!(identity.role, PeerRole::Agent);
+    assert_eq!(identity.host, "vault-a-1");
+    for name in [
+        "catkindeck.internal",
+        "agent.catkindeck.internal",
+        "trainer.host.catkindeck.internal",
+        "agent..catkindeck.internal",
+        "agent.hostcatkindeck.internal",
+        "agent.host.example.org",
+        "Agent.host.catkindeck.internal",
+    ] {
+        assert!(parse_dns_name(name).is_err(), "{name}");
+    }
+}
