Declare the border between the configuration spread and its users

The entry needs the current configuration and its freshness, and the operators' endpoints need to commit a change and ask for its outcome, both before the spread itself exists. No behaviour changes.

--- a/crates/catkindeck-control/src/lib.rs
+++ b/crates/catkindeck-control/src/lib.rs
@@ -4,4 +4,5 @@
 //! Every entry links this crate and carries out the control work of the leases it holds, see
 //! `docs/design.md`, section 4.
 
+pub mod source;
 pub mod step;
