--- /dev/null
+++ b/crates/catkindeck-control/src/intent/admin.rs
@@ -0,0 +1,251 @@
+//! The operators' HTTP calls as a function over plain requests and answers.
+
+use {
+    super::{
+        amendment::IntentStatement,
+        apply::{ApplyOutcome, IntentApplier},
+        capacity::LoadView,
+        ledger::{ConfigLedger, LoadSource, SpreadState},
+        plan::PlanId,
+    },
+    catkindeck::{
+        ErrorKind, ServiceError,
+        config::{ConfigRevision, RouteRecord, RunRecord, ServiceRecord, ZoneRecord},
+        id::{KeyDigest, ObjectName},
+        message,
+    },
+    serde::{Serialize, de::DeserializeOwned},
+    serde_json::json,
+    std::sync::Arc,
+};
+
+/// The largest body of an operators' request, in bytes.
+///
+/// The declarations of the target size, 5,700 upstreams of about 120 bytes each, take 700 KB.
+const BODY_LIMIT: usize = 4 << 20;
+
+/// An operator's request as the entry received it.
+#[derive(Debug, Clone, Copy)]
+pub struct AdminRequest<'a> {
+    /// The HTTP method.
+    pub method: &'a str,
+    /// The path without the query.
+    pub path: &'a str,
+    /// The operator key from the `Authorization` header, without `Bearer`.
+    pub key: Option<&'a str>,
+    /// The body.
+    pub body: &'a [u8],
+    /// The time since the Unix epoch, in milliseconds.
+    pub now_ms: u64,
+}
+
+/// The answer to an operator's request; the body is JSON.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdminAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The JSON body.
+    pub body: Vec<u8>,
+}
+
+/// The body of `/v1/intent/apply`.
+#[message]
+#[serde(deny_unknown_fields)]
+pub struct ApplyRequest {
+    /// The statement that was planned.
+    pub statement: IntentStatement,
+    /// The id of the confirmed plan.
+    pub plan: PlanId,
+    /// Whether the operator accepts that a service lacks upstreams.
+    #[serde(default)]
+    pub accept_shortfall: bool,
+}
+
+/// A key as operators see it.
+#[message]
+pub struct KeyStatus {
+    /// The label.
+    pub label: ObjectName,
+    /// The customer.
+    pub customer: ObjectName,
+    /// The first 12 hexadecimal digits of the digest.
+    pub digest_start: String,
+}
+
+/// The answer of `/v1/intent/status`.
+#[message]
+pub struct IntentStatus {
+    /// The revision at the head.
+    pub revision: ConfigRevision,
+    /// How far it has spread, or `None` if that is not known.
+    pub spread: Option<SpreadState>,
+    /// The customers with their weights.
+    pub customers: Vec<(ObjectName, u32)>,
+    /// The keys that work.
+    pub keys: Vec<KeyStatus>,
+    /// The services.
+    pub services: Vec<ServiceRecord>,
+    /// The routes.
+    pub routes: Vec<RouteRecord>,
+    /// The availability zones.
+    pub zones: Vec<ZoneRecord>,
+    /// The number of upstreams that are members.
+    pub upstreams: usize,
+    /// The training runs.
+    pub runs: Vec<RunRecord>,
+    /// The observed load.
+    pub load: LoadView,
+}
+
+/// Answers the operators' requests of one entry.
+pub struct IntentAdmin {
+    ledger: Arc<dyn ConfigLedger>,
+    source: Arc<dyn LoadSource>,
+    operators: Vec<KeyDigest>,
+}
+
+impl IntentAdmin {
+    /// Makes the service for operators whose keys have these digests.
+    pub fn new(
+        ledger: Arc<dyn ConfigLedger>,
+        source: Arc<dyn LoadSource>,
+        operators: Vec<KeyDigest>,
+    ) -> Self {
+        Self {
+            ledger,
+            source,
+            operators,
+        }
+    }
+
+    /// Answers a request; errors become answers by the table in `docs/errors.md`.
+    pub fn handle(&self, request: AdminRequest<'_>) -> AdminAnswer {
+        match self.dispatch(request) {
+            Ok(answer) => answer,
+            Err(error) => error_answer(&error),
+        }
+    }
+
+    fn dispatch(&self, request: AdminRequest<'_>) -> Result<AdminAnswer, ServiceError> {
+        self.authenticate(request.key)?;
+        if request.body.len() > BODY_LIMIT {
+            let detail = format!("the body exceeds {BODY_LIMIT} bytes");
+            return Err(ServiceError::not_run(ErrorKind::TooLarge, detail));
+        }
+        let applier = IntentApplier {
+            ledger: &*self.ledger,
+            view: self.source.load(),
+            now_ms: request.now_ms,
+        };
+        match (request.method, request.path) {
+            ("POST", "/v1/intent/plan") => {
+                let statement: IntentStatement = parse_body(request.body)?;
+                to_answer(200, &applier.plan(&statement)?)
+            }
+            ("POST", "/v1/intent/apply") => {
+                let apply: ApplyRequest = parse_body(request.body)?;
+                let ApplyRequest {
+                    statement,
+                    plan,
+                    accept_shortfall,
+                } = apply;
+                outcome_answer(&applier.apply(&statement, &plan, accept_shortfall)?)
+            }
+            ("GET", "/v1/intent/status") => to_answer(200, &self.status(applier.view)?),
+            ("GET", path) => match path.strip_prefix("/v1/intent/outcome/") {
+                Some(id) => outcome_answer(&applier.outcome(&id.parse()?)?),
+                None => Err(no_such_call(request)),
+            },
+            _ => Err(no_such_call(request)),
+        }
+    }
+
+    fn authenticate(&self, key: Option<&str>) -> Result<(), ServiceError> {
+        let key = key.ok_or_else(|| {
+            ServiceError::not_run(ErrorKind::Unauthenticated, "an operator key is required")
+        })?;
+        // The comparison of blake3 hashes takes the same time for all values.
+        let presented = blake3::Hash::from_bytes(KeyDigest::of(key).0);
+        let known = self.operators.iter().fold(false, |known, operator| {
+            known | (blake3::Hash::from_bytes(operator.0) == presented)
+        });
+        if known {
+            return Ok(());
+        }
+        Err(ServiceError::not_run(
+            ErrorKind::Unauthenticated,
+            "the key belongs to no operator",
+        ))
+    }
+
+    fn status(&self, load: LoadView) -> Result<IntentStatus, ServiceError> {
+        let head = self.ledger.head()?;
+        let customers = head.customers.iter();
+        let members = head
+            .upstreams
+            .iter()
+            .filter(|upstream| upstream.removed_ms.is_none());
+        let keys = head.keys.iter().map(|key| KeyStatus {
+            label: key.label.clone(),
+            customer: key.customer.clone(),
+            digest_start: key.digest.to_string().chars().take(12).collect(),
+        });
+        Ok(IntentStatus {
+            revision: head.revision,
+            spread: self.ledger.spread(head.revision).ok(),
+            customers: customers
+                .map(|customer| (customer.name.clone(), customer.weight))
+                .collect(),
+            keys: keys.collect(),
+            upstreams: members.count(),
+            services: head.services,
+            routes: head.routes,
+            zones: head.zones,
+            runs: head.runs,
+            load,
+        })
+    }
+}
+
+fn no_such_call(request: AdminRequest<'_>) -> ServiceError {
+    let detail = format!("there is no call {} {}", request.method, request.path);
+    ServiceError::not_run(ErrorKind::NotFound, detail)
+}
+
+fn parse_body<T: DeserializeOwned>(body: &[u8]) -> Result<T, ServiceError> {
+    serde_json::from_slice(body).map_err(|error| {
+        let detail = format!("the body is not as expected: {error}");
+        ServiceError::not_run(ErrorKind::BadRequest, detail)
+    })
+}
+
+fn outcome_answer(outcome: &ApplyOutcome) -> Result<AdminAnswer, ServiceError> {
+    let status = match outcome {
+        ApplyOutcome::Accepted { .. } | ApplyOutcome::NotApplied { .. } => 200,
+        ApplyOutcome::Refused { .. } => ErrorKind::Conflict.answer().status,
+        ApplyOutcome::Unknown { .. } => 202,
+    };
+    to_answer(status, outcome)
+}
+
+fn to_answer<T: Serialize>(status: u16, content: &T) -> Result<AdminAnswer, ServiceError> {
+    let body = serde_json::to_vec(content).map_err(|error| {
+        ServiceError::unknown(
+            ErrorKind::Internal,
+            format!("cannot encode the answer: {error}"),
+        )
+    })?;
+    Ok(AdminAnswer { status, body })
+}
+
+fn error_answer(error: &ServiceError) -> AdminAnswer {
+    let body = json!({"error": {
+        "kind": error.kind,
+        "execution": error.execution,
+        "message": error.detail,
+    }});
+    AdminAnswer {
+        status: error.kind.answer().status,
+        body: body.to_string().into_bytes(),
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/intent/amendment.rs
@@ -0,0 +1,115 @@
+//! What an operator states: whole declarations or one amendment of the current configuration.
+
+use {
+    super::declared::{DeclarationFile, DeclaredIntent},
+    catkindeck::{
+        ErrorKind, ServiceError,
+        config::{ConfigRevision, ConfigSnapshot, ZoneState},
+        id::ObjectName,
+        message,
+        settings::{SettingsText, nearest_word},
+    },
+};
+
+/// A declaration file as sent to an entry.
+#[message]
+#[serde(deny_unknown_fields)]
+pub struct DeclarationText {
+    /// The file's name, for messages.
+    pub file: String,
+    /// The file's content.
+    pub text: String,
+}
+
+/// A change to one object of the current configuration.
+#[message]
+#[serde(tag = "action", rename_all = "snake_case", deny_unknown_fields)]
+pub enum IntentAmendment {
+    /// Takes an availability zone out or brings it back.
+    SetZone {
+        /// The availability zone.
+        zone: ObjectName,
+        /// The new state.
+        state: ZoneState,
+    },
+    /// Makes a key stop working.
+    RevokeKey {
+        /// The key's label.
+        label: ObjectName,
+    },
+}
+
+/// A statement of intent.
+#[message]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum IntentStatement {
+    /// The whole intent; what it does not name is removed.
+    Declarations(Vec<DeclarationText>),
+    /// A single change.
+    Amendment(IntentAmendment),
+}
+
+impl IntentStatement {
+    /// Returns the configuration that the statement makes of `current`.
+    ///
+    /// # Errors
+    ///
+    /// Returns `bad_request` with file, line, field and expectation for a faulty declaration, and
+    /// `not_found` if an amendment names no existing object.
+    pub fn target(
+        &self,
+        current: &ConfigSnapshot,
+        now_ms: u64,
+    ) -> Result<ConfigSnapshot, ServiceError> {
+        match self {
+            Self::Declarations(texts) => Ok(check_texts(texts)?.to_snapshot(current, now_ms)),
+            Self::Amendment(amendment) => amend(amendment, current),
+        }
+    }
+}
+
+fn check_texts(texts: &[DeclarationText]) -> Result<DeclaredIntent, ServiceError> {
+    let parse =
+        |text: &DeclarationText| DeclarationFile::parse(SettingsText::new(&text.file, &text.text));
+    let files: Result<Vec<_>, _> = texts.iter().map(parse).collect();
+    files
+        .and_then(|files| DeclaredIntent::try_from(files.as_slice()))
+        .map_err(|fault| ServiceError::not_run(ErrorKind::BadRequest, fault.to_string()))
+}
+
+fn amend(
+    amendment: &IntentAmendment,
+    current: &ConfigSnapshot,
+) -> Result<ConfigSnapshot, ServiceError> {
+    let mut next = current.clone();
+    next.revision = ConfigRevision(current.revision.0 + 1);
+    match amendment {
+        IntentAmendment::SetZone { zone, state } => {
+            match next.zones.iter_mut().find(|record| record.name == *zone) {
+                Some(record) => record.state = *state,
+                None => {
+                    let known = current.zones.iter().map(|record| record.name.as_str());
+                    return Err(absent("zone", zone, known.collect()));
+                }
+            }
+        }
+        IntentAmendment::RevokeKey { label } => {
+            next.keys.retain(|key| key.label != *label);
+            if next.keys.len() == current.keys.len() {
+                let known = current.keys.iter().map(|key| key.label.as_str());
+                return Err(absent("key", label, known.collect()));
+            }
+        }
+    }
+    Ok(next)
+}
+
+fn absent(kind: &str, name: &ObjectName, known: Vec<&str>) -> ServiceError {
+    let hint = nearest_word(name.as_str(), &known).map_or_else(String::new, |nearest| {
+        format!(", did you mean `{nearest}`?")
+    });
+    ServiceError::not_run(
+        ErrorKind::NotFound,
+        format!("there is no {kind} `{name}`{hint}"),
+    )
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/intent/apply.rs
@@ -0,0 +1,197 @@
+//! Application of a confirmed plan.
+
+use {
+    super::{
+        amendment::IntentStatement,
+        capacity::LoadView,
+        diff::{IntentChange, compare},
+        ledger::{CommitOutcome, ConfigLedger},
+        plan::{IntentPlan, PlanId, plan},
+    },
+    catkindeck::{
+        ErrorKind, ServiceError,
+        config::{ConfigRevision, ConfigSnapshot},
+        message,
+    },
+};
+
+/// What became of a plan.
+#[message]
+#[serde(tag = "outcome", rename_all = "snake_case")]
+pub enum ApplyOutcome {
+    /// The plan's content is in force everywhere.
+    Accepted {
+        /// The revision.
+        revision: ConfigRevision,
+    },
+    /// The plan was not applied and cannot be any more.
+    Refused {
+        /// Why.
+        reason: String,
+        /// What changed since the plan was made.
+        changed: Vec<IntentChange>,
+    },
+    /// The plan may be applied; its outcome can be asked for by id.
+    Unknown {
+        /// The id.
+        id: PlanId,
+        /// What is known.
+        reason: String,
+    },
+    /// The plan was not applied, and can still be.
+    NotApplied {
+        /// The id.
+        id: PlanId,
+    },
+}
+
+/// Plans and applies statements of intent on a ledger.
+pub struct IntentApplier<'a> {
+    /// The configuration in the store.
+    pub ledger: &'a dyn ConfigLedger,
+    /// The observed load.
+    pub view: LoadView,
+    /// The time since the Unix epoch, in milliseconds.
+    pub now_ms: u64,
+}
+
+impl IntentApplier<'_> {
+    /// Plans a statement against the head.
+    ///
+    /// # Errors
+    ///
+    /// Returns the statement's fault or `store_unavailable`.
+    pub fn plan(&self, statement: &IntentStatement) -> Result<IntentPlan, ServiceError> {
+        let current = self.ledger.head()?;
+        let target = statement.target(&current, self.now_ms)?;
+        Ok(plan(&current, &target, &self.view))
+    }
+
+    /// Applies the plan with this id, which the statement must still give.
+    ///
+    /// Repeating the call after any outcome is safe: a plan starts from one revision and the head
+    /// leaves that revision only once.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if nothing was written: the statement's fault, `conflict` if the statement
+    /// gives another plan or leaves a service short, or `store_unavailable`.
+    pub fn apply(
+        &self,
+        statement: &IntentStatement,
+        id: &PlanId,
+        accept_shortfall: bool,
+    ) -> Result<ApplyOutcome, ServiceError> {
+        let current = self.ledger.head()?;
+        if current.revision != id.base {
+            return self.judge_moved(id, &current);
+        }
+        // The head is still where the plan starts, so the statement must give the same plan.
+        let target = statement.target(&current, self.now_ms)?;
+        let planned = plan(&current, &target, &self.view);
+        if planned.id != *id {
+            let detail = "the statement differs from the one that was planned; plan it again";
+            return Err(ServiceError::not_run(ErrorKind::Conflict, detail));
+        }
+        if planned.changes.is_empty() {
+            return Ok(ApplyOutcome::Accepted {
+                revision: current.revision,
+            });
+        }
+        if let (Some(short), false) = (planned.short_services().first(), accept_shortfall) {
+            let detail = format!(
+                "service {} would lack upstreams; add some, or accept the shortfall explicitly",
+                short.service
+            );
+            return Err(ServiceError::not_run(ErrorKind::Conflict, detail));
+        }
+        match self.ledger.commit(id.base, &target) {
+            Ok(CommitOutcome::Committed(revision)) => Ok(self.confirm_spread(id, revision)),
+            Ok(CommitOutcome::Moved) => self.judge_moved(id, &self.ledger.head()?),
+            Ok(CommitOutcome::Unknown) => Ok(unknown(id, "the store did not answer")),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Tells what became of a plan.
+    ///
+    /// # Errors
+    ///
+    /// Returns `store_unavailable` if the store cannot be reached in time.
+    pub fn outcome(&self, id: &PlanId) -> Result<ApplyOutcome, ServiceError> {
+        let current = self.ledger.head()?;
+        if current.revision == id.base {
+            return Ok(if PlanId::of(id.base, &current) == *id {
+                ApplyOutcome::Accepted { revision: id.base }
+            } else {
+                ApplyOutcome::NotApplied { id: id.clone() }
+            });
+        }
+        self.judge_moved(id, &current)
+    }
+
+    /// Decides by the revision after the plan's base whether this plan or another was applied.
+    fn judge_moved(
+        &self,
+        id: &PlanId,
+        current: &ConfigSnapshot,
+    ) -> Result<ApplyOutcome, ServiceError> {
+        if current.revision < id.base {
+            let detail = format!(
+                "the plan starts from revision {}, but the store is at {}",
+                id.base.0, current.revision.0
+            );
+            return Err(ServiceError::not_run(ErrorKind::Conflict, detail));
+        }
+        let successor = ConfigRevision(id.base.0 + 1);
+        let Some(written) = self.ledger.at(successor)? else {
+            let reason = "the revision after the plan's base is no longer kept";
+            return Ok(unknown(id, reason));
+        };
+        if PlanId::of(id.base, &written) == *id {
+            return Ok(self.confirm_spread(id, successor));
+        }
+        let base = self.ledger.at(id.base)?;
+        if base
+            .as_ref()
+            .is_some_and(|base| PlanId::of(id.base, base) == *id)
+        {
+            // The plan asked for what was already so; there was nothing to write.
+            return Ok(ApplyOutcome::Accepted { revision: id.base });
+        }
+        Ok(ApplyOutcome::Refused {
+            reason: format!(
+                "the configuration moved from revision {} to {} since the plan",
+                id.base.0, current.revision.0
+            ),
+            changed: base.map_or_else(Vec::new, |base| compare(&base, current)),
+        })
+    }
+
+    fn confirm_spread(&self, id: &PlanId, revision: ConfigRevision) -> ApplyOutcome {
+        match self.ledger.spread(revision) {
+            Ok(state) if state.is_complete() => ApplyOutcome::Accepted { revision },
+            Ok(state) => unknown(
+                id,
+                &format!(
+                    "revision {} is written, but {} live nodes have not confirmed it",
+                    revision.0, state.waiting
+                ),
+            ),
+            Err(error) => unknown(
+                id,
+                &format!(
+                    "revision {} is written; its spread is not known: {error}",
+                    revision.0
+                ),
+            ),
+        }
+    }
+}
+
+fn unknown(id: &PlanId, reason: &str) -> ApplyOutcome {
+    ApplyOutcome::Unknown {
+        id: id.clone(),
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/intent/capacity.rs
@@ -0,0 +1,210 @@
+//! Whether the zones that remain after a change can bear the load, and what it costs.
+
+use catkindeck::{
+    config::{ConfigSnapshot, ServiceRecord, ZoneState},
+    id::ObjectName,
+    message,
+};
+
+/// The part of the warm limits that a plan counts on, in percent.
+///
+/// The rest absorbs uneven routing and load that grows between plan and application.
+const PLANNED_USE_PERCENT: u64 = 80;
+
+/// The observed load of a service in an availability zone.
+#[message]
+pub struct LoadRecord {
+    /// The service.
+    pub service: ObjectName,
+    /// The availability zone.
+    pub zone: ObjectName,
+    /// The number of running upstreams, warm or not.
+    pub running: u32,
+    /// The number of running upstreams that have finished their cold start.
+    pub warm: u32,
+    /// Requests running and queued.
+    pub demand: u32,
+}
+
+/// The observed load of all services; a service without a record has unknown load.
+#[message]
+#[derive(Default)]
+pub struct LoadView {
+    /// The records, at most one for each service and zone.
+    pub records: Vec<LoadRecord>,
+}
+
+/// Whether a service's remaining upstreams bear its load.
+#[message]
+#[serde(tag = "state", rename_all = "snake_case")]
+pub enum CapacityVerdict {
+    /// The warm upstreams in the remaining zones bear the load.
+    Bears,
+    /// The remaining zones bear the load once cold starts are over.
+    BearsAfter {
+        /// The time until then, in milliseconds.
+        wait_ms: u64,
+        /// The part of the load that the remaining zones bear until then, in percent.
+        meanwhile_percent: u32,
+    },
+    /// The remaining zones do not bear the load even if all their upstreams run.
+    Short {
+        /// How many more upstreams the service needs.
+        lacking: u32,
+    },
+    /// No load was reported for the service.
+    Unknown,
+}
+
+/// Upstreams to start in a zone before the change is applied.
+#[message]
+pub struct StartOrder {
+    /// The availability zone.
+    pub zone: ObjectName,
+    /// The number of upstreams to start.
+    pub count: u32,
+}
+
+/// The effect of a change on one service.
+#[message]
+pub struct ServiceCapacity {
+    /// The service.
+    pub service: ObjectName,
+    /// Requests running and queued in all zones.
+    pub demand: u32,
+    /// Upstreams running now, in all zones.
+    pub running_before: u32,
+    /// Upstreams running while those to start first run beside those of leaving zones.
+    pub running_peak: u32,
+    /// Upstreams that run after the change, in the remaining zones.
+    pub running_after: u32,
+    /// What must be started first.
+    pub start_first: Vec<StartOrder>,
+    /// Whether the load is borne.
+    pub verdict: CapacityVerdict,
+}
+
+/// The state of a service in one zone that remains in after the change.
+struct ZoneRoom {
+    zone: ObjectName,
+    running: u32,
+    warm: u32,
+    startable: u32,
+}
+
+/// Judges the effect on one service of moving to configuration `target`.
+pub fn judge(service: &ServiceRecord, target: &ConfigSnapshot, view: &LoadView) -> ServiceCapacity {
+    let records: Vec<&LoadRecord> = view
+        .records
+        .iter()
+        .filter(|record| record.service == service.name)
+        .collect();
+    let demand = records
+        .iter()
+        .fold(0, |sum: u32, record| sum.saturating_add(record.demand));
+    let running_before = records
+        .iter()
+        .fold(0, |sum: u32, record| sum.saturating_add(record.running));
+    let mut rooms = remaining_rooms(service, target, &records);
+    let mut capacity = ServiceCapacity {
+        service: service.name.clone(),
+        demand,
+        running_before,
+        running_peak: running_before,
+        running_after: rooms.iter().map(|room| room.running).sum(),
+        start_first: Vec::new(),
+        verdict: CapacityVerdict::Unknown,
+    };
+    if records.is_empty() {
+        return capacity;
+    }
+    // Warm upstreams alone may bear the load.
+    let needed = upstreams_needed(demand, service.warm_limit);
+    let warm: u32 = rooms.iter().map(|room| room.warm).sum();
+    if warm >= needed {
+        capacity.verdict = CapacityVerdict::Bears;
+        return capacity;
+    }
+    // Otherwise the missing ones are started, spread evenly over the zones that have room.
+    let cold = capacity.running_after - warm;
+    let missing = needed.saturating_sub(capacity.running_after);
+    let (start_first, lacking) = spread_starts(&mut rooms, missing);
+    capacity.running_after += missing - lacking;
+    capacity.running_peak = running_before.saturating_add(missing - lacking);
+    capacity.start_first = start_first;
+    capacity.verdict = if lacking > 0 {
+        CapacityVerdict::Short { lacking }
+    } else {
+        CapacityVerdict::BearsAfter {
+            wait_ms: service.cold_start_ms,
+            meanwhile_percent: meanwhile_percent(service, demand, warm, cold),
+        }
+    };
+    capacity
+}
+
+fn remaining_rooms(
+    service: &ServiceRecord,
+    target: &ConfigSnapshot,
+    records: &[&LoadRecord],
+) -> Vec<ZoneRoom> {
+    let zones = target
+        .zones
+        .iter()
+        .filter(|zone| zone.state == ZoneState::In);
+    let rooms = zones.map(|zone| {
+        let members = target.upstreams.iter().filter(|upstream| {
+            upstream.removed_ms.is_none()
+                && upstream.zone == zone.name
+                && upstream.service == service.name
+        });
+        let members = u32::try_from(members.count()).unwrap_or(u32::MAX);
+        let load = records.iter().find(|record| record.zone == zone.name);
+        let running = load.map_or(0, |record| record.running).min(members);
+        ZoneRoom {
+            zone: zone.name.clone(),
+            running,
+            warm: load.map_or(0, |record| record.warm).min(running),
+            startable: members - running,
+        }
+    });
+    rooms.collect()
+}
+
+fn upstreams_needed(demand: u32, warm_limit: u32) -> u32 {
+    let usable = u64::from(warm_limit.max(1)) * PLANNED_USE_PERCENT;
+    let needed = (u64::from(demand) * 100).div_ceil(usable);
+    u32::try_from(needed).unwrap_or(u32::MAX)
+}
+
+/// Spreads `missing` starts and returns them with the number that found no room.
+fn spread_starts(rooms: &mut [ZoneRoom], missing: u32) -> (Vec<StartOrder>, u32) {
+    let mut counts = vec![0_u32; rooms.len()];
+    let mut lacking = missing;
+    while lacking > 0 {
+        let candidates = rooms
+            .iter()
+            .enumerate()
+            .filter(|(_, room)| room.startable > 0);
+        let Some((index, _)) = candidates.min_by_key(|(_, room)| room.running) else {
+            break;
+        };
+        rooms[index].running += 1;
+        rooms[index].startable -= 1;
+        counts[index] += 1;
+        lacking -= 1;
+    }
+    let orders = rooms.iter().zip(counts).filter(|(_, count)| *count > 0);
+    let orders = orders.map(|(room, count)| StartOrder {
+        zone: room.zone.clone(),
+        count,
+    });
+    (orders.collect(), lacking)
+}
+
+fn meanwhile_percent(service: &ServiceRecord, demand: u32, warm: u32, cold: u32) -> u32 {
+    let slots = u64::from(warm) * u64::from(service.warm_limit)
+        + u64::from(cold) * u64::from(service.cold_limit);
+    let percent = (slots * 100).checked_div(u64::from(demand)).unwrap_or(100);
+    u32::try_from(percent.min(100)).unwrap_or(100)
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/intent/check.rs
@@ -0,0 +1,192 @@
+//! Checks of single values and of references between declared objects.
+
+use {
+    catkindeck::{
+        id::{KeyDigest, ObjectName},
+        process::parse_address,
+        settings::{SettingsError, SettingsText, nearest_word},
+    },
+    std::net::SocketAddr,
+    toml::Spanned,
+};
+
+/// The inclusive bounds of a number with its unit for messages.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct NumberBounds {
+    /// The least allowed value.
+    pub low: i64,
+    /// The greatest allowed value.
+    pub high: i64,
+    /// The value when the field is absent.
+    pub default: i64,
+    /// The unit, in the plural.
+    pub unit: &'static str,
+}
+
+/// A raw value with the text that it was read from, for `TryFrom` conversions.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Located<'a, R> {
+    /// The text of the file.
+    pub text: &'a SettingsText,
+    /// The raw value.
+    pub raw: &'a R,
+}
+
+impl<R> Located<'_, R> {
+    /// Checks a name.
+    pub fn name(&self, field: &str, value: &Spanned<String>) -> Result<ObjectName, SettingsError> {
+        ObjectName::try_from(value.get_ref().as_str()).map_err(|error| {
+            let expected = format!("{}, got `{}`", error.detail, value.get_ref());
+            self.text.fault_at(value.span().start, field, expected)
+        })
+    }
+
+    /// Checks an optional number against its bounds.
+    pub fn number(
+        &self,
+        field: &str,
+        value: Option<&Spanned<i64>>,
+        bounds: NumberBounds,
+    ) -> Result<u64, SettingsError> {
+        let (number, offset) = value.map_or((bounds.default, 0), |value| {
+            (*value.get_ref(), value.span().start)
+        });
+        match u64::try_from(number) {
+            Ok(checked) if (bounds.low..=bounds.high).contains(&number) => Ok(checked),
+            _ => {
+                let NumberBounds {
+                    low, high, unit, ..
+                } = bounds;
+                let expected = format!("expected {low} to {high} {unit}, got {number}");
+                Err(self.text.fault_at(offset, field, expected))
+            }
+        }
+    }
+
+    /// Checks a number that fits in 32 bits by its bounds.
+    pub fn small_number(
+        &self,
+        field: &str,
+        value: Option<&Spanned<i64>>,
+        bounds: NumberBounds,
+    ) -> Result<u32, SettingsError> {
+        let number = self.number(field, value, bounds)?;
+        Ok(u32::try_from(number).unwrap_or(u32::MAX))
+    }
+
+    /// Checks a word against a list and returns its position.
+    pub fn word(
+        &self,
+        field: &str,
+        value: &Spanned<String>,
+        known: &[&str],
+    ) -> Result<usize, SettingsError> {
+        let word = value.get_ref().as_str();
+        known
+            .iter()
+            .position(|other| *other == word)
+            .ok_or_else(|| {
+                let expected = format!("expected one of {}, got `{word}`", known.join(", "));
+                self.text.fault_at(value.span().start, field, expected)
+            })
+    }
+
+    /// Checks an IP address with port.
+    pub fn address(
+        &self,
+        field: &str,
+        value: &Spanned<String>,
+    ) -> Result<SocketAddr, SettingsError> {
+        parse_address(self.text, field, value.get_ref()).map_err(|error| {
+            self.text
+                .fault_at(value.span().start, field, error.expected)
+        })
+    }
+
+    /// Checks the digest of a key.
+    pub fn digest(&self, field: &str, value: &Spanned<String>) -> Result<KeyDigest, SettingsError> {
+        parse_digest(value.get_ref()).ok_or_else(|| {
+            // The value is not repeated, because a key may have been written here by mistake.
+            let expected = "expected 64 hexadecimal digits, as `catkindeck keys create` prints";
+            self.text.fault_at(value.span().start, field, expected)
+        })
+    }
+}
+
+/// Parses the digest of a key, 64 hexadecimal digits.
+pub(super) fn parse_digest(text: &str) -> Option<KeyDigest> {
+    let hash = blake3::Hash::from_hex(text.as_bytes()).ok()?;
+    Some(KeyDigest(*hash.as_bytes()))
+}
+
+/// The place of a declared object, for faults found after all files are read.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ObjectPlace<'a> {
+    /// The text of the file.
+    pub text: &'a SettingsText,
+    /// The byte offset of the object's name.
+    pub offset: usize,
+}
+
+/// The names of one kind of object, with their places.
+#[derive(Debug)]
+pub(super) struct NameTable<'a> {
+    kind: &'static str,
+    names: Vec<(&'a str, ObjectPlace<'a>)>,
+}
+
+impl<'a> NameTable<'a> {
+    /// Makes an empty table for a kind.
+    pub fn new(kind: &'static str) -> Self {
+        Self {
+            kind,
+            names: Vec::new(),
+        }
+    }
+
+    /// Adds a name, which must be new.
+    pub fn add(
+        &mut self,
+        field: &str,
+        name: &'a str,
+        place: ObjectPlace<'a>,
+    ) -> Result<(), SettingsError> {
+        match self.names.binary_search_by(|(other, _)| (*other).cmp(name)) {
+            Ok(index) => {
+                let first = self.names[index].1;
+                let earlier = first.text.fault_at(first.offset, field, "");
+                let expected = format!(
+                    "expected a new name, but {} `{name}` is declared at {}:{}",
+                    self.kind, earlier.file, earlier.line
+                );
+                Err(place.text.fault_at(place.offset, field, expected))
+            }
+            Err(index) => {
+                self.names.insert(index, (name, place));
+                Ok(())
+            }
+        }
+    }
+
+    /// Checks that a name is declared.
+    pub fn require(
+        &self,
+        field: &str,
+        name: &str,
+        place: ObjectPlace<'_>,
+    ) -> Result<(), SettingsError> {
+        if self
+            .names
+            .binary_search_by(|(other, _)| (*other).cmp(name))
+            .is_ok()
+        {
+            return Ok(());
+        }
+        let known: Vec<&str> = self.names.iter().map(|(name, _)| *name).collect();
+        let hint = nearest_word(name, &known).map_or_else(String::new, |nearest| {
+            format!(", did you mean `{nearest}`?")
+        });
+        let expected = format!("no {} `{name}` is declared{hint}", self.kind);
+        Err(place.text.fault_at(place.offset, field, expected))
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/intent/convert.rs
@@ -0,0 +1,175 @@
+//! Conversion of single raw declarations to checked ones.
+
+use {
+    super::{
+        check::{Located, NumberBounds},
+        declared::{DeclaredKey, DeclaredUpstream, DeclaredZone},
+        raw::{RawCustomer, RawKey, RawRoute, RawRun, RawService, RawUpstream, RawZone},
+    },
+    catkindeck::{
+        config::{
+            CustomerRecord, KeyRecord, RouteRecord, RunRecord, ServiceKind, ServiceRecord,
+            ZoneState,
+        },
+        id::KeyDigest,
+        settings::SettingsError,
+    },
+};
+
+const WEIGHT: NumberBounds = bounds(1, 1000, 1, "shares");
+/// A complete zone failure may raise the number of attempts by at most a tenth (decision 5).
+const RETRY_PERCENT: NumberBounds = bounds(0, 10, 10, "percent");
+const CONCURRENCY: NumberBounds = bounds(1, 4096, 1, "requests");
+const COLD_START_MS: NumberBounds = bounds(0, 3_600_000, 0, "milliseconds");
+const ROUTE_TIMEOUT_MS: NumberBounds = bounds(10, 3_600_000, 30_000, "milliseconds");
+const STALENESS: NumberBounds = bounds(0, 64, 1, "versions");
+const STEP_DEADLINE_MS: NumberBounds = bounds(1000, 86_400_000, 600_000, "milliseconds");
+
+const fn bounds(low: i64, high: i64, default: i64, unit: &'static str) -> NumberBounds {
+    NumberBounds {
+        low,
+        high,
+        default,
+        unit,
+    }
+}
+
+impl TryFrom<Located<'_, RawCustomer>> for CustomerRecord {
+    type Error = SettingsError;
+
+    fn try_from(located: Located<'_, RawCustomer>) -> Result<Self, SettingsError> {
+        let raw = located.raw;
+        Ok(Self {
+            name: located.name("customers.name", &raw.name)?,
+            weight: located.small_number("customers.weight", raw.weight.as_ref(), WEIGHT)?,
+            retry_percent: located.small_number(
+                "customers.retry_percent",
+                raw.retry_percent.as_ref(),
+                RETRY_PERCENT,
+            )?,
+        })
+    }
+}
+
+impl TryFrom<Located<'_, RawKey>> for DeclaredKey {
+    type Error = SettingsError;
+
+    fn try_from(located: Located<'_, RawKey>) -> Result<Self, SettingsError> {
+        let raw = located.raw;
+        let digest: KeyDigest = located.digest("keys.digest", &raw.digest)?;
+        Ok(Self {
+            record: KeyRecord {
+                digest,
+                customer: located.name("keys.customer", &raw.customer)?,
+                label: located.name("keys.label", &raw.label)?,
+            },
+            revoked: raw.revoked,
+        })
+    }
+}
+
+impl TryFrom<Located<'_, RawService>> for ServiceRecord {
+    type Error = SettingsError;
+
+    fn try_from(located: Located<'_, RawService>) -> Result<Self, SettingsError> {
+        let raw = located.raw;
+        let kinds = [ServiceKind::Engine, ServiceKind::Plain];
+        let kind = kinds[located.word("services.kind", &raw.kind, &["engine", "plain"])?];
+        let warm_limit =
+            located.small_number("services.warm_limit", Some(&raw.warm_limit), CONCURRENCY)?;
+        let cold_bounds = NumberBounds {
+            high: i64::from(warm_limit),
+            ..CONCURRENCY
+        };
+        Ok(Self {
+            name: located.name("services.name", &raw.name)?,
+            kind,
+            warm_limit,
+            cold_limit: located.small_number(
+                "services.cold_limit",
+                raw.cold_limit.as_ref(),
+                cold_bounds,
+            )?,
+            cold_start_ms: located.number(
+                "services.cold_start_ms",
+                Some(&raw.cold_start_ms),
+                COLD_START_MS,
+            )?,
+            checks_fence: raw.checks_fence,
+        })
+    }
+}
+
+impl TryFrom<Located<'_, RawRoute>> for RouteRecord {
+    type Error = SettingsError;
+
+    fn try_from(located: Located<'_, RawRoute>) -> Result<Self, SettingsError> {
+        let raw = located.raw;
+        Ok(Self {
+            name: located.name("routes.name", &raw.name)?,
+            service: located.name("routes.service", &raw.service)?,
+            open: raw.open,
+            idempotent: raw.idempotent,
+            timeout_ms: located.number(
+                "routes.timeout_ms",
+                raw.timeout_ms.as_ref(),
+                ROUTE_TIMEOUT_MS,
+            )?,
+        })
+    }
+}
+
+impl TryFrom<Located<'_, RawZone>> for DeclaredZone {
+    type Error = SettingsError;
+
+    fn try_from(located: Located<'_, RawZone>) -> Result<Self, SettingsError> {
+        let raw = located.raw;
+        let states = [ZoneState::In, ZoneState::Out];
+        let state = match &raw.state {
+            Some(state) => Some(states[located.word("zones.state", state, &["in", "out"])?]),
+            None => None,
+        };
+        Ok(Self {
+            name: located.name("zones.name", &raw.name)?,
+            region: located.name("zones.region", &raw.region)?,
+            state,
+        })
+    }
+}
+
+impl TryFrom<Located<'_, RawUpstream>> for DeclaredUpstream {
+    type Error = SettingsError;
+
+    fn try_from(located: Located<'_, RawUpstream>) -> Result<Self, SettingsError> {
+        let raw = located.raw;
+        Ok(Self {
+            name: located.name("upstreams.name", &raw.name)?,
+            service: located.name("upstreams.service", &raw.service)?,
+            zone: located.name("upstreams.zone", &raw.zone)?,
+            agent: located.address("upstreams.agent", &raw.agent)?,
+        })
+    }
+}
+
+impl TryFrom<Located<'_, RawRun>> for RunRecord {
+    type Error = SettingsError;
+
+    fn try_from(located: Located<'_, RawRun>) -> Result<Self, SettingsError> {
+        let raw = located.raw;
+        Ok(Self {
+            name: located.name("runs.name", &raw.name)?,
+            customer: located.name("runs.customer", &raw.customer)?,
+            service: located.name("runs.service", &raw.service)?,
+            staleness_bound: located.number(
+                "runs.staleness_bound",
+                raw.staleness_bound.as_ref(),
+                STALENESS,
+            )?,
+            step_deadline_ms: located.number(
+                "runs.step_deadline_ms",
+                raw.step_deadline_ms.as_ref(),
+                STEP_DEADLINE_MS,
+            )?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/intent/diff.rs
@@ -0,0 +1,246 @@
+//! The differences between two configurations, for people and for the plan.
+
+use {
+    catkindeck::{
+        config::{ConfigSnapshot, KeyRecord, UpstreamRecord},
+        message,
+    },
+    serde::Serialize,
+    serde_json::Value,
+    std::fmt,
+};
+
+/// The kinds of configured object.
+#[message]
+#[derive(Copy)]
+#[serde(rename_all = "snake_case")]
+pub enum ObjectKind {
+    /// A customer.
+    Customer,
+    /// A customer's key.
+    Key,
+    /// A service.
+    Service,
+    /// A route.
+    Route,
+    /// An availability zone.
+    Zone,
+    /// An upstream.
+    Upstream,
+    /// A training run.
+    Run,
+}
+
+/// What happens to an object.
+#[message]
+#[derive(Copy)]
+#[serde(rename_all = "snake_case")]
+pub enum ChangeAction {
+    /// The object is new.
+    Add,
+    /// Fields of the object change.
+    Change,
+    /// The object goes away.
+    Remove,
+}
+
+/// A field's values before and after, in JSON form.
+#[message]
+pub struct FieldChange {
+    /// The field.
+    pub field: String,
+    /// The value before; empty for a new object.
+    pub from: String,
+    /// The value after; empty for a removed object.
+    pub to: String,
+}
+
+/// One changed object.
+#[message]
+pub struct IntentChange {
+    /// What happens.
+    pub action: ChangeAction,
+    /// The kind of object.
+    pub kind: ObjectKind,
+    /// The object's name; for keys, the label.
+    pub name: String,
+    /// The changed fields.
+    pub fields: Vec<FieldChange>,
+}
+
+impl fmt::Display for IntentChange {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sign = match self.action {
+            ChangeAction::Add => '+',
+            ChangeAction::Change => '~',
+            ChangeAction::Remove => '-',
+        };
+        let kind = format!("{:?}", self.kind).to_lowercase();
+        write!(formatter, "{sign} {kind} {}", self.name)?;
+        for change in &self.fields {
+            match self.action {
+                ChangeAction::Add => write!(formatter, "  {}={}", change.field, change.to)?,
+                ChangeAction::Change => write!(
+                    formatter,
+                    "  {}: {} -> {}",
+                    change.field, change.from, change.to
+                )?,
+                ChangeAction::Remove => {}
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Returns the changes from one configuration to another, by kind and name.
+pub fn compare(before: &ConfigSnapshot, after: &ConfigSnapshot) -> Vec<IntentChange> {
+    let mut changes = Vec::new();
+    let list = &mut changes;
+    compare_lists(
+        ObjectKind::Customer,
+        &named(&before.customers, |record| record.name.to_string()),
+        &named(&after.customers, |record| record.name.to_string()),
+        list,
+    );
+    compare_lists(ObjectKind::Key, &keys(before), &keys(after), list);
+    compare_lists(
+        ObjectKind::Service,
+        &named(&before.services, |record| record.name.to_string()),
+        &named(&after.services, |record| record.name.to_string()),
+        list,
+    );
+    compare_lists(
+        ObjectKind::Route,
+        &named(&before.routes, |record| record.name.to_string()),
+        &named(&after.routes, |record| record.name.to_string()),
+        list,
+    );
+    compare_lists(
+        ObjectKind::Zone,
+        &named(&before.zones, |record| record.name.to_string()),
+        &named(&after.zones, |record| record.name.to_string()),
+        list,
+    );
+    compare_lists(
+        ObjectKind::Upstream,
+        &members(before),
+        &members(after),
+        list,
+    );
+    compare_lists(
+        ObjectKind::Run,
+        &named(&before.runs, |record| record.name.to_string()),
+        &named(&after.runs, |record| record.name.to_string()),
+        list,
+    );
+    changes
+}
+
+type NamedFields = Vec<(String, Vec<(String, String)>)>;
+
+fn named<R: Serialize>(records: &[R], name_of: fn(&R) -> String) -> NamedFields {
+    let mut list: NamedFields = records
+        .iter()
+        .map(|record| (name_of(record), fields_of(record)))
+        .collect();
+    list.sort();
+    list
+}
+
+/// Lists keys by label, with the start of the digest in place of its 32 numbers.
+fn keys(snapshot: &ConfigSnapshot) -> NamedFields {
+    let fields = |key: &KeyRecord| {
+        let digest: String = key.digest.to_string().chars().take(12).collect();
+        vec![
+            ("customer".to_owned(), key.customer.to_string()),
+            ("digest".to_owned(), digest),
+        ]
+    };
+    let mut list: NamedFields = snapshot
+        .keys
+        .iter()
+        .map(|key| (key.label.to_string(), fields(key)))
+        .collect();
+    list.sort();
+    list
+}
+
+/// Lists the upstreams that are members, without the times, which no declaration states.
+fn members(snapshot: &ConfigSnapshot) -> NamedFields {
+    let fields = |record: &UpstreamRecord| {
+        vec![
+            ("service".to_owned(), record.service.to_string()),
+            ("zone".to_owned(), record.zone.to_string()),
+            ("agent".to_owned(), record.agent.to_string()),
+        ]
+    };
+    let present = snapshot
+        .upstreams
+        .iter()
+        .filter(|record| record.removed_ms.is_none());
+    present
+        .map(|record| (record.name.to_string(), fields(record)))
+        .collect()
+}
+
+fn fields_of<R: Serialize>(record: &R) -> Vec<(String, String)> {
+    let Ok(Value::Object(fields)) = serde_json::to_value(record) else {
+        return Vec::new();
+    };
+    let text = |value: Value| match value {
+        Value::String(text) => text,
+        other => other.to_string(),
+    };
+    fields
+        .into_iter()
+        .filter(|(field, _)| field != "name")
+        .map(|(field, value)| (field, text(value)))
+        .collect()
+}
+
+fn compare_lists(
+    kind: ObjectKind,
+    before: &NamedFields,
+    after: &NamedFields,
+    changes: &mut Vec<IntentChange>,
+) {
+    for (name, old) in before {
+        let Some((_, new)) = after.iter().find(|(other, _)| other == name) else {
+            changes.push(change(ChangeAction::Remove, kind, name, old, &[]));
+            continue;
+        };
+        if old != new {
+            changes.push(change(ChangeAction::Change, kind, name, old, new));
+        }
+    }
+    for (name, new) in after {
+        if !before.iter().any(|(other, _)| other == name) {
+            changes.push(change(ChangeAction::Add, kind, name, &[], new));
+        }
+    }
+}
+
+fn change(
+    action: ChangeAction,
+    kind: ObjectKind,
+    name: &str,
+    old: &[(String, String)],
+    new: &[(String, String)],
+) -> IntentChange {
+    let value_in = |fields: &[(String, String)], field: &str| {
+        let found = fields.iter().find(|(name, _)| name == field);
+        found.map_or_else(String::new, |(_, value)| value.clone())
+    };
+    let listed = if new.is_empty() { old } else { new };
+    let fields = listed.iter().map(|(field, _)| FieldChange {
+        field: field.clone(),
+        from: value_in(old, field),
+        to: value_in(new, field),
+    });
+    IntentChange {
+        action,
+        kind,
+        name: name.to_owned(),
+        fields: fields.filter(|field| field.from != field.to).collect(),
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/intent/mod.rs
@@ -0,0 +1,29 @@
+//! The operators' intent: declarations, plans and their application.
+//!
+//! A statement of intent is a set of TOML declarations or a single amendment. A plan shows what the
+//! statement changes, and its id binds the result to the revision it starts from; only that very
+//! plan can be applied (`docs/design.md`, section 8).
+
+mod admin;
+mod amendment;
+mod apply;
+mod capacity;
+mod check;
+mod convert;
+mod declared;
+mod diff;
+mod ledger;
+mod plan;
+mod raw;
+
+pub use {
+    admin::{AdminAnswer, AdminRequest, ApplyRequest, IntentAdmin, IntentStatus, KeyStatus},
+    amendment::{DeclarationText, IntentAmendment, IntentStatement},
+    apply::{ApplyOutcome, IntentApplier},
+    capacity::{CapacityVerdict, LoadRecord, LoadView, ServiceCapacity, StartOrder, judge},
+    declared::{DeclarationFile, DeclaredIntent, DeclaredKey, DeclaredUpstream, DeclaredZone},
+    diff::{ChangeAction, FieldChange, IntentChange, ObjectKind, compare},
+    ledger::{CommitOutcome, ConfigLedger, LoadSource, SpreadState},
+    plan::{IntentPlan, PlanId, plan},
+    raw::RawIntent,
+};
--- /dev/null
+++ b/crates/catkindeck-control/src/intent/plan.rs
@@ -0,0 +1,191 @@
+//! The plan that an operator confirms.
+
+use {
+    super::{
+        capacity::{CapacityVerdict, LoadView, ServiceCapacity, judge},
+        diff::{ChangeAction, IntentChange, ObjectKind, compare},
+    },
+    catkindeck::{
+        ErrorKind, ServiceError,
+        config::{ConfigRevision, ConfigSnapshot, ZoneState},
+        message,
+    },
+    std::{fmt, str::FromStr},
+};
+
+/// Identifies a plan by its base revision and the content that it results in.
+///
+/// The same statement at the same base always gives the same id, so that a repeated application is
+/// recognised and any entry can tell its outcome from the configuration alone.
+#[message]
+#[serde(try_from = "String", into = "String")]
+pub struct PlanId {
+    /// The revision from which the plan starts.
+    pub base: ConfigRevision,
+    digest: [u8; 32],
+}
+
+impl PlanId {
+    /// Returns the id of the plan that turns revision `base` into the content of `target`.
+    ///
+    /// Times and the record of removed upstreams do not count, because no statement gives them.
+    pub fn of(base: ConfigRevision, target: &ConfigSnapshot) -> Self {
+        let mut content = target.clone();
+        content.revision = ConfigRevision(0);
+        content
+            .upstreams
+            .retain(|record| record.removed_ms.is_none());
+        for upstream in &mut content.upstreams {
+            upstream.added_ms = 0;
+        }
+        content.sort();
+        let mut hasher = blake3::Hasher::new_derive_key("catkindeck intent plan v1");
+        hasher.update(&base.0.to_le_bytes());
+        serde_json::to_writer(&mut hasher, &content)
+            .expect("a snapshot has no map keys or values that JSON cannot hold");
+        Self {
+            base,
+            digest: *hasher.finalize().as_bytes(),
+        }
+    }
+}
+
+impl fmt::Display for PlanId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let hash = blake3::Hash::from_bytes(self.digest);
+        write!(formatter, "{}-{}", self.base.0, hash.to_hex())
+    }
+}
+
+impl FromStr for PlanId {
+    type Err = ServiceError;
+
+    fn from_str(text: &str) -> Result<Self, ServiceError> {
+        let invalid = || {
+            let expected = "a plan id is a revision, `-` and 64 hexadecimal digits";
+            ServiceError::not_run(ErrorKind::BadRequest, expected)
+        };
+        let (base, digest) = text.split_once('-').ok_or_else(invalid)?;
+        let hash = blake3::Hash::from_hex(digest).map_err(|_| invalid())?;
+        Ok(Self {
+            base: ConfigRevision(base.parse().map_err(|_| invalid())?),
+            digest: *hash.as_bytes(),
+        })
+    }
+}
+
+impl TryFrom<String> for PlanId {
+    type Error = ServiceError;
+
+    fn try_from(text: String) -> Result<Self, ServiceError> {
+        text.parse()
+    }
+}
+
+impl From<PlanId> for String {
+    fn from(id: PlanId) -> Self {
+        id.to_string()
+    }
+}
+
+/// What a statement of intent would do.
+#[message]
+pub struct IntentPlan {
+    /// The id to confirm.
+    pub id: PlanId,
+    /// The changes; empty if the configuration already is as stated.
+    pub changes: Vec<IntentChange>,
+    /// The effect on each service.
+    pub capacity: Vec<ServiceCapacity>,
+    /// Upstreams running now.
+    pub running_before: u32,
+    /// Upstreams running at the most while the change is made.
+    pub running_peak: u32,
+    /// Upstreams running after the change.
+    pub running_after: u32,
+    /// What the operator must know before confirming.
+    pub warnings: Vec<String>,
+}
+
+impl IntentPlan {
+    /// Returns the services that the plan leaves without enough upstreams.
+    pub fn short_services(&self) -> Vec<&ServiceCapacity> {
+        let short =
+            |capacity: &&ServiceCapacity| matches!(capacity.verdict, CapacityVerdict::Short { .. });
+        self.capacity.iter().filter(short).collect()
+    }
+}
+
+/// Plans the step from the current configuration to the declared one under the observed load.
+pub fn plan(current: &ConfigSnapshot, declared: &ConfigSnapshot, view: &LoadView) -> IntentPlan {
+    let capacity: Vec<ServiceCapacity> = declared
+        .services
+        .iter()
+        .map(|service| judge(service, declared, view))
+        .collect();
+    let sum = |part: fn(&ServiceCapacity) -> u32| {
+        capacity
+            .iter()
+            .fold(0, |sum: u32, capacity| sum.saturating_add(part(capacity)))
+    };
+    let changes = compare(current, declared);
+    IntentPlan {
+        id: PlanId::of(current.revision, declared),
+        warnings: warnings(declared, &changes, &capacity),
+        changes,
+        running_before: sum(|capacity| capacity.running_before),
+        running_peak: sum(|capacity| capacity.running_peak),
+        running_after: sum(|capacity| capacity.running_after),
+        capacity,
+    }
+}
+
+fn warnings(
+    declared: &ConfigSnapshot,
+    changes: &[IntentChange],
+    capacity: &[ServiceCapacity],
+) -> Vec<String> {
+    let mut warnings = Vec::new();
+    if changes.is_empty() {
+        return warnings;
+    }
+    for capacity in capacity {
+        let service = &capacity.service;
+        let has_member = declared.upstreams.iter().any(|upstream| {
+            let zone = declared.zone(&upstream.zone);
+            upstream.removed_ms.is_none()
+                && upstream.service == *service
+                && zone.is_some_and(|zone| zone.state == ZoneState::In)
+        });
+        if !has_member {
+            warnings.push(format!(
+                "service {service} has no upstream in a zone that is in"
+            ));
+            continue;
+        }
+        match &capacity.verdict {
+            CapacityVerdict::Short { lacking } => warnings.push(format!(
+                "service {service} lacks {lacking} upstreams for its load of {} requests",
+                capacity.demand
+            )),
+            CapacityVerdict::Unknown => warnings.push(format!(
+                "the load of service {service} is unknown, so its capacity is not checked"
+            )),
+            CapacityVerdict::Bears | CapacityVerdict::BearsAfter { .. } => {}
+        }
+    }
+    for change in changes {
+        let name = &change.name;
+        match (change.kind, change.action) {
+            (ObjectKind::Key, ChangeAction::Remove) => warnings.push(format!(
+                "key {name} stops working within seconds and its open streams end"
+            )),
+            (ObjectKind::Key, ChangeAction::Add) => warnings.push(format!(
+                "key {name} starts working; if it was revoked by command, set `revoked = true` in \
+                 its declaration instead"
+            )),
+            _ => {}
+        }
+    }
+    warnings
+}
--- /dev/null
+++ b/crates/catkindeck-control/tests/intent.rs
@@ -0,0 +1,411 @@
+//! Tests of declarations, plans and their application.
+
+use {
+    catkindeck::{
+        ErrorKind, ServiceError,
+        config::{ConfigRevision, ConfigSnapshot, ZoneState},
+        id::{KeyDigest, ObjectName},
+        settings::SettingsText,
+    },
+    catkindeck_control::intent::{
+        AdminRequest, ApplyOutcome, CapacityVerdict, CommitOutcome, ConfigLedger, DeclarationFile,
+        DeclarationText, DeclaredIntent, IntentAdmin, IntentAmendment, IntentApplier,
+        IntentStatement, LoadRecord, LoadSource, LoadView, PlanId, SpreadState, plan,
+    },
+    std::sync::{Arc, Mutex},
+};
+
+const BASE: &str = r#"
+[[customers]]
+name = "courts"
+weight = 4
+
+[[keys]]
+label = "courts-1"
+customer = "courts"
+digest = "0000000000000000000000000000000000000000000000000000000000000001"
+
+[[services]]
+name = "drafting"
+kind = "engine"
+warm_limit = 10
+cold_start_ms = 60000
+
+[[routes]]
+name = "draft"
+service = "drafting"
+
+[[zones]]
+name = "vault-a"
+region = "tvm"
+
+[[zones]]
+name = "vault-b"
+region = "tvm"
+
+[[upstreams]]
+name = "draft-1"
+service = "drafting"
+zone = "vault-a"
+agent = "127.0.0.1:7001"
+
+[[upstreams]]
+name = "draft-2"
+service = "drafting"
+zone = "vault-b"
+agent = "127.0.0.1:7002"
+"#;
+
+fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).unwrap()
+}
+
+fn declare(text: &str) -> Result<DeclaredIntent, String> {
+    let file = DeclarationFile::parse(SettingsText::new("base.toml", text));
+    file.and_then(|file| DeclaredIntent::try_from([file].as_slice()))
+        .map_err(|fault| fault.to_string())
+}
+
+fn statement(text: &str) -> IntentStatement {
+    IntentStatement::Declarations(vec![DeclarationText {
+        file: "base.toml".to_owned(),
+        text: text.to_owned(),
+    }])
+}
+
+fn zone_out() -> IntentStatement {
+    IntentStatement::Amendment(IntentAmendment::SetZone {
+        zone: name("vault-a"),
+        state: ZoneState::Out,
+    })
+}
+
+fn load(running: [u32; 2], demand: u32) -> LoadView {
+    let record = |zone, running| LoadRecord {
+        service: name("drafting"),
+        zone: name(zone),
+        running,
+        warm: running,
+        demand: demand / 2,
+    };
+    LoadView {
+        records: vec![record("vault-a", running[0]), record("vault-b", running[1])],
+    }
+}
+
+/// A ledger in memory that can lose the answer of a commit.
+#[derive(Default)]
+struct MemoryLedger {
+    revisions: Mutex<Vec<ConfigSnapshot>>,
+    lose_answers: bool,
+    waiting: u32,
+}
+
+impl MemoryLedger {
+    fn with_base() -> Self {
+        let ledger = Self::default();
+        let empty = ConfigSnapshot::default();
+        let first = declare(BASE).unwrap().to_snapshot(&empty, 1000);
+        *ledger.revisions.lock().unwrap() = vec![empty, first];
+        ledger
+    }
+
+    fn applier(&self) -> IntentApplier<'_> {
+        IntentApplier {
+            ledger: self,
+            view: load([1, 1], 8),
+            now_ms: 5000,
+        }
+    }
+}
+
+impl ConfigLedger for MemoryLedger {
+    fn head(&self) -> Result<ConfigSnapshot, ServiceError> {
+        Ok(self.revisions.lock().unwrap().last().unwrap().clone())
+    }
+
+    fn at(&self, revision: ConfigRevision) -> Result<Option<ConfigSnapshot>, ServiceError> {
+        let index = usize::try_from(revision.0).unwrap();
+        Ok(self.revisions.lock().unwrap().get(index).cloned())
+    }
+
+    fn commit(
+        &self,
+        base: ConfigRevision,
+        next: &ConfigSnapshot,
+    ) -> Result<CommitOutcome, ServiceError> {
+        let mut revisions = self.revisions.lock().unwrap();
+        if revisions.last().unwrap().revision != base {
+            return Ok(CommitOutcome::Moved);
+        }
+        revisions.push(next.clone());
+        Ok(if self.lose_answers {
+            CommitOutcome::Unknown
+        } else {
+            CommitOutcome::Committed(next.revision)
+        })
+    }
+
+    fn spread(&self, _revision: ConfigRevision) -> Result<SpreadState, ServiceError> {
+        Ok(SpreadState {
+            waiting: self.waiting,
+            ..SpreadState::default()
+        })
+    }
+}
+
+impl LoadSource for MemoryLedger {
+    fn load(&self) -> LoadView {
+        load([1, 1], 8)
+    }
+}
+
+/// Guards against messages that send the operator to the wrong line, field or name.
+#[test]
+fn faults_name_file_line_field_and_expectation() {
+    let cases = [
+        (
+            "weight = 4",
+            "weigth = 4",
+            "base.toml:4: weigth: unknown field, did you mean `weight`?",
+        ),
+        (
+            "weight = 4",
+            "weight = 0",
+            "base.toml:4: customers.weight: expected 1 to 1000 shares",
+        ),
+        (
+            "kind = \"engine\"",
+            "kind = \"gpu\"",
+            "base.toml:13: services.kind: expected one of engine, plain",
+        ),
+        (
+            "service = \"drafting\"\nzone = \"vault-b\"",
+            "service = \"drafing\"\nzone = \"vault-b\"",
+            "base.toml:37: upstreams.service: no service `drafing` is declared, did you mean `drafting`?",
+        ),
+        (
+            "name = \"vault-b\"",
+            "name = \"vault-a\"",
+            "base.toml:26: zone: expected a new name, but zone `vault-a` is declared at base.toml:22",
+        ),
+        (
+            "127.0.0.1:7002",
+            "127.0.0.1",
+            "base.toml:39: upstreams.agent: expected an IP address with port",
+        ),
+        (
+            "0001\"",
+            "secret\"",
+            "base.toml:9: keys.digest: expected 64 hexadecimal digits",
+        ),
+    ];
+    for (from, to, expected) in cases {
+        let message = declare(&BASE.replacen(from, to, 1)).unwrap_err();
+        assert!(
+            message.contains(expected),
+            "{message}\nshould contain\n{expected}"
+        );
+        assert!(
+            !message.contains("secret"),
+            "a key written by mistake is repeated"
+        );
+    }
+}
+
+/// Guards against a removed upstream vanishing while its agent may hold idempotency records.
+#[test]
+fn removed_upstreams_stay_listed_for_the_retention() {
+    let first = declare(BASE)
+        .unwrap()
+        .to_snapshot(&ConfigSnapshot::default(), 1000);
+    let (kept, _) = BASE.rsplit_once("[[upstreams]]").unwrap();
+    let fewer = declare(kept).unwrap();
+    let second = fewer.to_snapshot(&first, 2000);
+    let removed = second.upstream(&name("draft-2")).unwrap();
+    assert_eq!((removed.added_ms, removed.removed_ms), (1000, Some(2000)));
+    assert!(
+        fewer
+            .to_snapshot(&second, 601_999)
+            .upstream(&name("draft-2"))
+            .is_some()
+    );
+    assert!(
+        fewer
+            .to_snapshot(&second, 602_000)
+            .upstream(&name("draft-2"))
+            .is_none()
+    );
+    // One that returns is a new member, because requests in between had another home agent.
+    let third = declare(BASE).unwrap().to_snapshot(&second, 3000);
+    let returned = third.upstream(&name("draft-2")).unwrap();
+    assert_eq!((returned.added_ms, returned.removed_ms), (3000, None));
+}
+
+/// Guards against a zone leaving for which the others cannot take over, or only after a cold start.
+#[test]
+fn plans_count_cold_starts_and_missing_upstreams() {
+    let current = MemoryLedger::with_base().head().unwrap();
+    let target = zone_out().target(&current, 0).unwrap();
+    let verdict = |view: &LoadView| plan(&current, &target, view).capacity.remove(0);
+    assert_eq!(verdict(&load([1, 1], 8)).verdict, CapacityVerdict::Bears);
+    let started = verdict(&load([1, 0], 8));
+    assert_eq!(started.start_first.len(), 1);
+    assert_eq!(
+        (
+            started.start_first[0].zone.as_str(),
+            started.start_first[0].count
+        ),
+        ("vault-b", 1)
+    );
+    assert_eq!(
+        (
+            started.running_before,
+            started.running_peak,
+            started.running_after
+        ),
+        (1, 2, 1)
+    );
+    let expected = CapacityVerdict::BearsAfter {
+        wait_ms: 60_000,
+        meanwhile_percent: 0,
+    };
+    assert_eq!(started.verdict, expected);
+    assert_eq!(
+        verdict(&load([1, 1], 10)).verdict,
+        CapacityVerdict::Short { lacking: 1 }
+    );
+    assert_eq!(
+        verdict(&LoadView::default()).verdict,
+        CapacityVerdict::Unknown
+    );
+}
+
+/// Guards against applying something other than what the operator saw, and against applying twice.
+#[test]
+fn apply_accepts_exactly_the_plan_and_is_safe_to_repeat() {
+    let ledger = MemoryLedger::with_base();
+    let applier = ledger.applier();
+    let planned = applier.plan(&zone_out()).unwrap();
+    assert_eq!(planned.changes.len(), 1);
+    assert_eq!(
+        planned.changes[0].to_string(),
+        "~ zone vault-a  state: in -> out"
+    );
+    let other = applier
+        .apply(&statement(BASE), &planned.id, false)
+        .unwrap_err();
+    assert_eq!(other.kind, ErrorKind::Conflict);
+    let accepted = ApplyOutcome::Accepted {
+        revision: ConfigRevision(2),
+    };
+    for _ in 0..3 {
+        assert_eq!(
+            applier.apply(&zone_out(), &planned.id, false).unwrap(),
+            accepted
+        );
+        assert_eq!(applier.outcome(&planned.id).unwrap(), accepted);
+    }
+    assert_eq!(ledger.head().unwrap().revision, ConfigRevision(2));
+    // Declarations without a zone state leave the zone as it is.
+    assert!(applier.plan(&statement(BASE)).unwrap().changes.is_empty());
+}
+
+/// Guards against one operator undoing another's change unseen.
+#[test]
+fn apply_is_refused_with_what_changed_when_the_state_moved() {
+    let ledger = MemoryLedger::with_base();
+    let applier = ledger.applier();
+    let late = applier
+        .plan(&statement(&BASE.replace("weight = 4", "weight = 5")))
+        .unwrap();
+    let first = applier.plan(&zone_out()).unwrap();
+    applier.apply(&zone_out(), &first.id, false).unwrap();
+    for outcome in [
+        applier.apply(
+            &statement(&BASE.replace("weight = 4", "weight = 5")),
+            &late.id,
+            false,
+        ),
+        applier.outcome(&late.id),
+    ] {
+        let ApplyOutcome::Refused { changed, .. } = outcome.unwrap() else {
+            panic!("a plan on a moved base is applied");
+        };
+        assert_eq!(changed.len(), 1);
+        assert_eq!(changed[0].name, "vault-a");
+    }
+}
+
+/// Guards against a lost answer being taken for a refusal, or the change being made again.
+#[test]
+fn a_lost_answer_is_resolved_by_the_plan_id() {
+    let mut ledger = MemoryLedger::with_base();
+    ledger.lose_answers = true;
+    let planned = ledger.applier().plan(&zone_out()).unwrap();
+    let before = ledger.applier().outcome(&planned.id).unwrap();
+    assert!(matches!(before, ApplyOutcome::NotApplied { .. }));
+    let lost = ledger
+        .applier()
+        .apply(&zone_out(), &planned.id, false)
+        .unwrap();
+    assert!(matches!(lost, ApplyOutcome::Unknown { .. }));
+    let resolved = ledger
+        .applier()
+        .apply(&zone_out(), &planned.id, false)
+        .unwrap();
+    assert!(matches!(resolved, ApplyOutcome::Accepted { .. }));
+    // A revision that live nodes have not confirmed is not called accepted.
+    ledger.waiting = 1;
+    let outcome = ledger.applier().outcome(&planned.id).unwrap();
+    assert!(matches!(outcome, ApplyOutcome::Unknown { .. }));
+}
+
+/// Guards against an unconfirmed shortfall at the moment of application.
+#[test]
+fn a_shortfall_needs_explicit_consent() {
+    let ledger = MemoryLedger::with_base();
+    let mut applier = ledger.applier();
+    let planned = applier.plan(&zone_out()).unwrap();
+    applier.view = load([1, 1], 40);
+    let refused = applier.apply(&zone_out(), &planned.id, false).unwrap_err();
+    assert_eq!(refused.kind, ErrorKind::Conflict);
+    assert_eq!(ledger.head().unwrap().revision, ConfigRevision(1));
+    let outcome = applier.apply(&zone_out(), &planned.id, true).unwrap();
+    assert!(matches!(outcome, ApplyOutcome::Accepted { .. }));
+}
+
+/// Guards against unauthenticated operator calls and against answers outside the error table.
+#[test]
+fn admin_calls_need_an_operator_key_and_a_known_path() {
+    let ledger = Arc::new(MemoryLedger::with_base());
+    let operators = vec![KeyDigest::of("operator-key")];
+    let admin = IntentAdmin::new(ledger.clone(), ledger.clone(), operators);
+    let call = |method, path, key, body: &str| {
+        let request = AdminRequest {
+            method,
+            path,
+            key,
+            body: body.as_bytes(),
+            now_ms: 0,
+        };
+        admin.handle(request).status
+    };
+    let key = Some("operator-key");
+    assert_eq!(call("GET", "/v1/intent/status", None, ""), 401);
+    assert_eq!(call("GET", "/v1/intent/status", Some("other"), ""), 401);
+    assert_eq!(call("GET", "/v1/intent/status", key, ""), 200);
+    assert_eq!(call("DELETE", "/v1/intent/status", key, ""), 404);
+    assert_eq!(call("POST", "/v1/intent/plan", key, "{}"), 400);
+    assert_eq!(call("GET", "/v1/intent/outcome/7", key, ""), 400);
+    let body = serde_json::to_string(&zone_out()).unwrap();
+    assert_eq!(call("POST", "/v1/intent/plan", key, &body), 200);
+    let current = ledger.head().unwrap();
+    let id = PlanId::of(current.revision, &zone_out().target(&current, 0).unwrap());
+    let apply = format!(r#"{{"statement": {body}, "plan": "{id}"}}"#);
+    assert_eq!(call("POST", "/v1/intent/apply", key, &apply), 200);
+    assert_eq!(
+        call("GET", &format!("/v1/intent/outcome/{id}"), key, ""),
+        200
+    );
+}
--- a/crates/catkindeck/src/settings.rs
+++ b/crates/catkindeck/src/settings.rs
@@ -73,6 +73,23 @@
         }
     }
 
+    /// Makes an error for the value at a byte offset, as `toml::Spanned` gives it.
+    ///
+    /// Files with lists of tables repeat field names, so the name alone does not give the line.
+    pub fn fault_at(
+        &self,
+        offset: usize,
+        field: &str,
+        expected: impl Into<String>,
+    ) -> SettingsError {
+        SettingsError {
+            file: self.file.clone(),
+            line: self.line_at(offset),
+            field: field.to_owned(),
+            expected: expected.into(),
+        }
+    }
+
     fn describe(&self, error: &toml::de::Error) -> SettingsError {
         let offset = error.span().map_or(0, |span| span.start);
         let line = self.line_at(offset);
@@ -124,10 +141,7 @@
 }
 
 fn describe_unknown(field: &str, known: &[&str]) -> String {
-    let nearest = known
-        .iter()
-        .min_by_key(|candidate| edit_distance(field, candidate));
-    match nearest {
+    match nearest_word(field, known) {
         Some(nearest) => {
             format!(
                 "unknown field, did you mean `{nearest}`? known: {}",
@@ -138,6 +152,14 @@
     }
 }
 
+/// Returns the known word with the fewest edits from `word`.
+pub fn nearest_word<'a>(word: &str, known: &[&'a str]) -> Option<&'a str> {
+    known
+        .iter()
+        .copied()
+        .min_by_key(|candidate| edit_distance(word, candidate))
+}
+
 /// Returns the number of single-character edits between two words (Levenshtein distance).
 fn edit_distance(left: &str, right: &str) -> usize {
     let right: Vec<char> = right.chars().collect();
