--- a/crates/catkindeck-control/src/lib.rs
+++ b/crates/catkindeck-control/src/lib.rs
@@ -1,3 +1,8 @@
-//! Control work under leases: training runs, availability zones, usage windows, configuration spread.
+//! Control work under leases: training runs, availability zones, usage windows, configuration
+//! propagation.
+//!
+//! Every entry links this crate and carries out the control work of the leases it holds, see
+//! `docs/design.md`, section 4.
 
 pub mod intent;
+pub mod step;
