Add the owner of a training run

Cause: the step ledger is pure; something must keep its log in the store, generate the samples, and restore after a change of owner. Change: RunOwner checks its lease before it reads, writes and offers, reads the state anew for each fencing token, and runs worker threads that generate samples with duplicates for stragglers. Before: no owner. After: eight tests pass, among them a step of 1,024 samples in groups of 8, a successor that offers the same batch, a batch whose data is lost, a lost store answer and stale samples.

--- a/crates/catkindeck-control/src/lib.rs
+++ b/crates/catkindeck-control/src/lib.rs
@@ -5,5 +5,6 @@
 //! `docs/design.md`, section 4.
 
 pub mod intent;
+pub mod run;
 pub mod source;
 pub mod step;
--- /dev/null
+++ b/crates/catkindeck-control/src/run.rs
@@ -0,0 +1,10 @@
+//! Training runs: the owner of a run's open step and the way to it from any entry.
+//!
+//! One entry owns a run under a lease. It generates the samples of the open step, and delivers them
+//! in batches whose composition is stored first (`docs/design.md`, decision 11).
+
+pub mod owner;
+pub mod ports;
+pub mod storage;
+
+mod work;
--- /dev/null
+++ b/crates/catkindeck-control/src/run/owner.rs
@@ -0,0 +1,373 @@
+//! The owner of a training run.
+
+use {
+    crate::run::{
+        ports::{OwnerLease, SampleRunner, WeightPublisher},
+        storage::{AppendOutcome, RunHead, RunStorage, plan_digest},
+        work::{StepWork, WorkerPool},
+    },
+    catkindeck::{
+        Clock, ErrorKind, ServiceError,
+        config::RunRecord,
+        message::{StepAction, StepAnswer, StepPlan},
+        platform::StoreClient,
+        token::WeightVersion,
+    },
+    catkindeck_policy::{FetchAction, StepEntry, StepLedger, StepTerms},
+    slog::Logger,
+    std::{
+        io,
+        sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+        thread,
+    },
+};
+
+/// The number of store writes that one fetch may need: a loss and, if it meets an entry of its own
+/// that was in doubt, that entry again.
+const FETCH_ROUNDS: usize = 4;
+
+/// The parts that an owner works with.
+#[derive(Clone)]
+pub struct OwnerParts {
+    /// The platform's key-value service.
+    pub store: Arc<dyn StoreClient>,
+    /// The lease of the run.
+    pub lease: Arc<dyn OwnerLease>,
+    /// Generates samples.
+    pub runner: Arc<dyn SampleRunner>,
+    /// Brings new weights to upstreams.
+    pub publisher: Arc<dyn WeightPublisher>,
+    /// The process's clock.
+    pub clock: Arc<dyn Clock>,
+    /// The process's logger.
+    pub logger: Logger,
+}
+
+/// Owns a training run while it holds the run's lease.
+///
+/// It may exist on several entries at once; all but the one with the lease refuse every request.
+pub struct RunOwner {
+    core: Arc<OwnerCore>,
+    pool: WorkerPool,
+}
+
+/// What requests and workers of an owner share.
+pub(crate) struct OwnerCore {
+    pub(crate) run: RunRecord,
+    pub(crate) parts: OwnerParts,
+    storage: RunStorage,
+    state: Mutex<OwnerState>,
+    pub(crate) changed: Condvar,
+}
+
+/// The state of a run as the owner knows it under one fencing token.
+#[derive(Default)]
+pub(crate) struct OwnerState {
+    /// The token under which the state was read from the store, or `None` if it must be read again.
+    fence: Option<u64>,
+    head: RunHead,
+    head_version: u64,
+    pub(crate) step: Option<StepWork>,
+    pub(crate) stopping: bool,
+}
+
+impl RunOwner {
+    /// Starts an owner with `workers` threads that generate samples.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a thread cannot be started.
+    pub fn start(run: RunRecord, parts: OwnerParts, workers: usize) -> io::Result<Self> {
+        let storage = RunStorage::new(run.name.clone(), Arc::clone(&parts.store));
+        let core = Arc::new(OwnerCore {
+            run,
+            parts,
+            storage,
+            state: Mutex::new(OwnerState::default()),
+            changed: Condvar::new(),
+        });
+        let pool = WorkerPool::start(&core, workers)?;
+        Ok(Self { core, pool })
+    }
+
+    /// Handles a trainer's request.
+    pub fn handle(&self, action: &StepAction) -> StepAnswer {
+        let answer = match action {
+            StepAction::Open(plan) => self.core.open(plan),
+            StepAction::Fetch { step, cursor } => self.core.fetch(*step, *cursor),
+            StepAction::Announce(version) => self.core.announce(*version),
+        };
+        answer.unwrap_or_else(StepAnswer::Refused)
+    }
+
+    /// Stops generating samples and waits for the threads.
+    pub fn stop(&self) {
+        self.core.lock().stopping = true;
+        self.core.changed.notify_all();
+        self.pool.join();
+    }
+}
+
+impl Drop for RunOwner {
+    fn drop(&mut self) {
+        self.core.lock().stopping = true;
+        self.core.changed.notify_all();
+    }
+}
+
+impl OwnerCore {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, OwnerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Checks the lease and reads the state from the store if it is of another token.
+    pub(crate) fn refresh(&self, state: &mut OwnerState) -> Result<(), ServiceError> {
+        let fence = match self.parts.lease.fence() {
+            Ok(fence) => fence,
+            Err(error) => {
+                state.forget();
+                return Err(error);
+            }
+        };
+        if state.fence == Some(fence) {
+            return Ok(());
+        }
+        state.forget();
+        let (head, head_version) = self.storage.read_head()?;
+        if let Some(step) = head.step {
+            state.step = self.restore(&head, step)?;
+        }
+        state.head = head;
+        state.head_version = head_version;
+        state.fence = Some(fence);
+        Ok(())
+    }
+
+    fn restore(&self, head: &RunHead, step: u64) -> Result<Option<StepWork>, ServiceError> {
+        let plan = match self.storage.read_plan(head.slot, step) {
+            Ok(plan) if plan_digest(&plan)? == head.plan_digest => plan,
+            Err(error) if error.kind == ErrorKind::StoreUnavailable => return Err(error),
+            // The trainer opens the step again and so brings the plan.
+            Ok(_) | Err(_) => return Ok(None),
+        };
+        self.restore_with(head, plan).map(Some)
+    }
+
+    fn restore_with(&self, head: &RunHead, plan: StepPlan) -> Result<StepWork, ServiceError> {
+        let log = self.storage.read_log(head.slot, plan.step)?;
+        let retained = self.parts.runner.collect(&self.run, plan.step);
+        let ledger = StepLedger::restore(self.terms(), plan, head.version, log, retained)?;
+        Ok(StepWork::new(
+            ledger,
+            self.run.step_deadline_ms,
+            self.parts.clock.now(),
+        ))
+    }
+
+    fn open(&self, plan: &StepPlan) -> Result<StepAnswer, ServiceError> {
+        let mut state = self.lock();
+        self.refresh(&mut state)?;
+        let digest = plan_digest(plan)?;
+        if state.head.step == Some(plan.step) {
+            return self.open_again(&mut state, plan, digest);
+        }
+        if let Some(open) = state.head.step {
+            check_successor(&state, open, plan.step)?;
+        }
+
+        // The plan is stored before the head names it, so that a successor finds it.
+        let ledger = StepLedger::open(self.terms(), plan.clone(), state.head.version)?;
+        let head = RunHead {
+            step: Some(plan.step),
+            slot: 1 - state.head.slot.min(1),
+            plan_digest: digest,
+            version: state.head.version,
+        };
+        self.storage.write_plan(head.slot, plan)?;
+        self.write_head(&mut state, head)?;
+        let now = self.parts.clock.now();
+        state.step = Some(StepWork::new(ledger, self.run.step_deadline_ms, now));
+        self.changed.notify_all();
+        Ok(StepAnswer::Accepted)
+    }
+
+    fn open_again(
+        &self,
+        state: &mut OwnerState,
+        plan: &StepPlan,
+        digest: [u8; 32],
+    ) -> Result<StepAnswer, ServiceError> {
+        if state.head.plan_digest != digest {
+            return Err(ServiceError::not_run(
+                ErrorKind::Conflict,
+                format!("step {} is open with other content", plan.step),
+            ));
+        }
+        if state.step.is_none() {
+            self.storage.write_plan(state.head.slot, plan)?;
+            state.step = Some(self.restore_with(&state.head, plan.clone())?);
+            self.changed.notify_all();
+        }
+        Ok(StepAnswer::Accepted)
+    }
+
+    fn announce(&self, version: WeightVersion) -> Result<StepAnswer, ServiceError> {
+        let mut state = self.lock();
+        self.refresh(&mut state)?;
+        if version < state.head.version {
+            return Err(ServiceError::not_run(
+                ErrorKind::Conflict,
+                format!(
+                    "version {} is older than {}",
+                    version.0, state.head.version.0
+                ),
+            ));
+        }
+        let head = RunHead {
+            version,
+            ..state.head.clone()
+        };
+        self.write_head(&mut state, head)?;
+        if let Some(work) = &mut state.step {
+            work.announce(version, self.parts.clock.now())?;
+        }
+        self.changed.notify_all();
+        let fence = self.parts.lease.fence()?;
+        drop(state);
+        self.parts.publisher.publish(&self.run, version, fence);
+        Ok(StepAnswer::Accepted)
+    }
+
+    fn fetch(&self, step: u64, cursor: u32) -> Result<StepAnswer, ServiceError> {
+        let mut state = self.lock();
+        self.refresh(&mut state)?;
+        for _ in 0..FETCH_ROUNDS {
+            let slot = state.head.slot;
+            let work = state.open_step(step)?;
+            match work.ledger.fetch(cursor) {
+                FetchAction::Persist(entry) => self.persist(&mut state, slot, step, entry)?,
+                FetchAction::Pending => {
+                    let (accepted, total) = work.ledger.progress();
+                    return Ok(StepAnswer::Pending { accepted, total });
+                }
+                FetchAction::Offer { samples, last } => {
+                    // The lease is checked after the store writes, directly before the offer.
+                    self.parts.lease.fence()?;
+                    return Ok(StepAnswer::Batch { samples, last });
+                }
+                FetchAction::Lost(samples) => return Ok(StepAnswer::Lost { samples }),
+                FetchAction::Refuse(error) => return Err(error),
+            }
+        }
+        let detail = "the batch could not be stored; fetch the same cursor again";
+        Err(ServiceError::not_run(ErrorKind::StoreUnavailable, detail))
+    }
+
+    fn persist(
+        &self,
+        state: &mut OwnerState,
+        slot: u8,
+        step: u64,
+        entry: StepEntry,
+    ) -> Result<(), ServiceError> {
+        let work = state.open_step(step)?;
+        let position = work.ledger.log_position();
+        match self.storage.append(slot, step, position, &entry)? {
+            AppendOutcome::Stored => {
+                let released = work.ledger.confirm(entry)?;
+                work.reopen(self.parts.clock.now());
+                self.changed.notify_all();
+                if !released.is_empty() {
+                    self.release_later(released);
+                }
+                Ok(())
+            }
+            AppendOutcome::Conflict => {
+                state.forget();
+                self.refresh(state)
+            }
+        }
+    }
+
+    /// Tells the agents on a thread of its own, because the trainer waits for the batch.
+    fn release_later(&self, samples: Vec<catkindeck::message::SampleId>) {
+        let runner = Arc::clone(&self.parts.runner);
+        let run = self.run.clone();
+        let spawned = thread::Builder::new()
+            .name("sample-release".to_owned())
+            .spawn(move || runner.release(&run, &samples));
+        // Samples that are not released expire with the agent's retention.
+        drop(spawned);
+    }
+
+    fn write_head(&self, state: &mut OwnerState, head: RunHead) -> Result<(), ServiceError> {
+        match self.storage.write_head(&head, state.head_version) {
+            Ok(version) => {
+                state.head = head;
+                state.head_version = version;
+                Ok(())
+            }
+            Err(error) => {
+                // The head may have changed; the next request reads it again.
+                state.forget();
+                Err(error)
+            }
+        }
+    }
+
+    fn terms(&self) -> StepTerms {
+        StepTerms {
+            run: self.run.name.clone(),
+            staleness_bound: self.run.staleness_bound,
+            checked: true,
+        }
+    }
+}
+
+impl OwnerState {
+    /// Drops what was read from the store, because another owner may have changed it.
+    fn forget(&mut self) {
+        let stopping = self.stopping;
+        *self = Self {
+            stopping,
+            ..Self::default()
+        };
+    }
+
+    fn open_step(&mut self, step: u64) -> Result<&mut StepWork, ServiceError> {
+        let open = self.head.step;
+        let work = self.step.as_mut().filter(|_| open == Some(step));
+        work.ok_or_else(|| {
+            let (kind, detail) = match open {
+                Some(open) if open == step => (
+                    ErrorKind::Conflict,
+                    format!("step {step} must be opened again"),
+                ),
+                Some(open) => (
+                    ErrorKind::NotFound,
+                    format!("step {step} is not open, {open} is"),
+                ),
+                None => (ErrorKind::NotFound, "no step is open".to_owned()),
+            };
+            ServiceError::not_run(kind, detail)
+        })
+    }
+}
+
+/// Checks that a new step may follow the open one.
+fn check_successor(state: &OwnerState, open: u64, next: u64) -> Result<(), ServiceError> {
+    if next < open {
+        let detail = format!("step {open} is already open");
+        return Err(ServiceError::not_run(ErrorKind::Conflict, detail));
+    }
+    // A trainer may open the next step in place of acknowledging the last batch.
+    let whole = state
+        .step
+        .as_ref()
+        .is_some_and(|work| work.ledger.is_offered_whole());
+    if !whole {
+        let detail = format!("step {open} is not whole yet");
+        return Err(ServiceError::not_run(ErrorKind::Conflict, detail));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/run/storage.rs
@@ -0,0 +1,292 @@
+//! A run's state in the platform's key-value service.
+//!
+//! The service has no removal, so a run uses two slots of keys in turn: a new step overwrites the
+//! keys of the step before the last one, and each value names its step.
+
+use {
+    catkindeck::{
+        ErrorKind, ServiceError, SortedMap,
+        id::ObjectName,
+        message,
+        message::StepPlan,
+        platform::{StoreClient, StoreValue, SwapOutcome},
+        token::WeightVersion,
+    },
+    catkindeck_policy::batch::StepEntry,
+    serde::{Serialize, de::DeserializeOwned},
+    std::sync::Arc,
+};
+
+/// The largest part of a plan in bytes, below the store's limit of 1 MB for a value after encoding
+/// as a JSON string, which at most doubles ordinary text.
+const PLAN_PART_BYTES: usize = 400_000;
+
+/// The largest number of parts, so that a plan fits a message between processes.
+const PLAN_PART_LIMIT: usize = 10;
+
+/// The open step and the current weights of a run.
+#[message]
+pub struct RunHead {
+    /// The step, or `None` before the first one.
+    pub step: Option<u64>,
+    /// The slot that holds the step, zero or one.
+    pub slot: u8,
+    /// The digest of the step's plan; two owners that race may overwrite each other's plan, and the
+    /// trainer then opens the step again.
+    pub plan_digest: [u8; 32],
+    /// The current weight version.
+    pub version: WeightVersion,
+}
+
+#[message]
+struct PlanPart {
+    step: u64,
+    parts: usize,
+    text: String,
+}
+
+#[message]
+struct LogRecord {
+    step: u64,
+    entry: StepEntry,
+}
+
+/// What became of an entry that was appended to a step's log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AppendOutcome {
+    /// The store holds the entry.
+    Stored,
+    /// The store holds another entry at this position; the owner's view is old.
+    Conflict,
+}
+
+/// The keys of one run.
+pub struct RunStorage {
+    run: ObjectName,
+    store: Arc<dyn StoreClient>,
+}
+
+impl Default for RunHead {
+    fn default() -> Self {
+        Self {
+            step: None,
+            slot: 0,
+            plan_digest: [0; 32],
+            version: WeightVersion(0),
+        }
+    }
+}
+
+impl RunStorage {
+    /// Makes the storage of a run.
+    pub fn new(run: ObjectName, store: Arc<dyn StoreClient>) -> Self {
+        Self { run, store }
+    }
+
+    /// Reads the head with its version in the store; an absent head has version zero.
+    ///
+    /// # Errors
+    ///
+    /// Returns `store_unavailable` if the store cannot be read.
+    pub fn read_head(&self) -> Result<(RunHead, u64), ServiceError> {
+        match self.store.read(&self.head_key())? {
+            Some(value) => Ok((decode(&value)?, value.version)),
+            None => Ok((RunHead::default(), 0)),
+        }
+    }
+
+    /// Writes the head over `expected` and returns its new version.
+    ///
+    /// # Errors
+    ///
+    /// Returns `conflict` if another owner wrote it, and `store_unavailable` if the store cannot be
+    /// written.
+    pub fn write_head(&self, head: &RunHead, expected: u64) -> Result<u64, ServiceError> {
+        match self
+            .store
+            .swap(&self.head_key(), expected, &encode(head)?)?
+        {
+            SwapOutcome::Written(version) => Ok(version),
+            SwapOutcome::Conflict(_) => Err(ServiceError::not_run(
+                ErrorKind::Conflict,
+                format!("another owner changed run {}", self.run),
+            )),
+        }
+    }
+
+    /// Writes the plan of a step into a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns `too_large` if the plan is too large, and `store_unavailable` if the store cannot be
+    /// written.
+    pub fn write_plan(&self, slot: u8, plan: &StepPlan) -> Result<(), ServiceError> {
+        let text = serde_json::to_string(plan).map_err(internal)?;
+        let parts = split_text(&text, PLAN_PART_BYTES);
+        if parts.len() > PLAN_PART_LIMIT {
+            let limit = PLAN_PART_LIMIT * PLAN_PART_BYTES;
+            return Err(ServiceError::not_run(
+                ErrorKind::TooLarge,
+                format!("the prompts of a step take at most {limit} bytes"),
+            ));
+        }
+        for (index, part) in parts.iter().enumerate() {
+            let part = PlanPart {
+                step: plan.step,
+                parts: parts.len(),
+                text: (*part).to_owned(),
+            };
+            self.overwrite(&self.plan_key(slot, index), &encode(&part)?)?;
+        }
+        Ok(())
+    }
+
+    /// Reads the plan of a step from a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns `store_unavailable` if the store cannot be read, and `internal` if the plan is not
+    /// whole.
+    pub fn read_plan(&self, slot: u8, step: u64) -> Result<StepPlan, ServiceError> {
+        let mut text = String::new();
+        let mut index = 0;
+        loop {
+            let value = self.store.read(&self.plan_key(slot, index))?;
+            let part: Option<PlanPart> = value.as_ref().map(decode).transpose()?;
+            let part = part.filter(|part| part.step == step).ok_or_else(|| {
+                let detail = format!("part {index} of the plan of step {step} is missing");
+                ServiceError::unknown(ErrorKind::Internal, detail)
+            })?;
+            text.push_str(&part.text);
+            index += 1;
+            if index >= part.parts {
+                return serde_json::from_str(&text).map_err(internal);
+            }
+        }
+    }
+
+    /// Reads the log of a step from a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns `store_unavailable` if the store cannot be read.
+    pub fn read_log(&self, slot: u8, step: u64) -> Result<Vec<StepEntry>, ServiceError> {
+        let mut records = SortedMap::new();
+        for (key, value) in self.store.list(&self.log_prefix(slot))? {
+            let record: LogRecord = decode(&value)?;
+            if record.step == step {
+                records.insert(key, record.entry);
+            }
+        }
+        Ok(records.values().cloned().collect())
+    }
+
+    /// Appends an entry to the log of a step.
+    ///
+    /// # Errors
+    ///
+    /// Returns `store_unavailable` if the outcome stayed unknown; the same entry is then appended
+    /// again.
+    pub fn append(
+        &self,
+        slot: u8,
+        step: u64,
+        position: u32,
+        entry: &StepEntry,
+    ) -> Result<AppendOutcome, ServiceError> {
+        let key = self.log_key(slot, position);
+        let record = LogRecord {
+            step,
+            entry: entry.clone(),
+        };
+        let bytes = encode(&record)?;
+        let mut expected = 0;
+        loop {
+            let stored = match self.store.swap(&key, expected, &bytes)? {
+                SwapOutcome::Written(_) => return Ok(AppendOutcome::Stored),
+                SwapOutcome::Conflict(None) => {
+                    expected = 0;
+                    continue;
+                }
+                SwapOutcome::Conflict(Some(stored)) => stored,
+            };
+            let present: LogRecord = decode(&stored)?;
+            if present == record {
+                return Ok(AppendOutcome::Stored);
+            }
+            if present.step >= step {
+                return Ok(AppendOutcome::Conflict);
+            }
+            // The key belongs to the step before the last one.
+            expected = stored.version;
+        }
+    }
+
+    fn overwrite(&self, key: &str, bytes: &[u8]) -> Result<(), ServiceError> {
+        let mut expected = 0;
+        loop {
+            match self.store.swap(key, expected, bytes)? {
+                SwapOutcome::Written(_) => return Ok(()),
+                SwapOutcome::Conflict(None) => expected = 0,
+                SwapOutcome::Conflict(Some(stored)) if stored.value == bytes => return Ok(()),
+                SwapOutcome::Conflict(Some(stored)) => expected = stored.version,
+            }
+        }
+    }
+
+    fn head_key(&self) -> String {
+        format!("run/{}/head", self.run)
+    }
+
+    fn plan_key(&self, slot: u8, part: usize) -> String {
+        format!("run/{}/slot/{slot}/plan/{part:04}", self.run)
+    }
+
+    fn log_prefix(&self, slot: u8) -> String {
+        format!("run/{}/slot/{slot}/log/", self.run)
+    }
+
+    fn log_key(&self, slot: u8, position: u32) -> String {
+        format!("{}{position:08}", self.log_prefix(slot))
+    }
+}
+
+/// Returns the digest of a plan.
+///
+/// # Errors
+///
+/// Returns `internal` if the plan cannot be encoded.
+pub fn plan_digest(plan: &StepPlan) -> Result<[u8; 32], ServiceError> {
+    Ok(*blake3::hash(&encode(plan)?).as_bytes())
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, ServiceError> {
+    serde_json::to_vec(value).map_err(internal)
+}
+
+fn decode<T: DeserializeOwned>(stored: &StoreValue) -> Result<T, ServiceError> {
+    serde_json::from_slice(&stored.value).map_err(internal)
+}
+
+fn internal(error: serde_json::Error) -> ServiceError {
+    ServiceError::unknown(
+        ErrorKind::Internal,
+        format!("a stored value has the wrong form: {error}"),
+    )
+}
+
+/// Splits a text at character boundaries into parts of at most `limit` bytes.
+fn split_text(text: &str, limit: usize) -> Vec<&str> {
+    let mut parts = Vec::new();
+    let mut rest = text;
+    while !rest.is_empty() {
+        let mut end = limit.min(rest.len());
+        while !rest.is_char_boundary(end) {
+            end -= 1;
+        }
+        let (part, remainder) = rest.split_at(end);
+        parts.push(part);
+        rest = remainder;
+    }
+    parts
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/run/work.rs
@@ -0,0 +1,273 @@
+//! The threads that generate the samples of an open step.
+
+use {
+    crate::run::{
+        owner::{OwnerCore, OwnerState},
+        ports::SampleOrder,
+    },
+    catkindeck::{
+        Moment, ServiceError, SortedMap,
+        id::RequestId,
+        message::{SampleId, SampleRecord},
+        token::WeightVersion,
+    },
+    catkindeck_policy::{
+        MemberKey, SampleTask, StalenessForecast, StepLedger, StragglerAction, StragglerPolicy,
+        StragglerSettings,
+    },
+    std::{
+        io,
+        sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+        thread::{self, JoinHandle},
+        time::Duration,
+    },
+};
+
+/// How often the first worker looks for work without being told, which it must when the lease was
+/// obtained. The others wait for its notice, so that idle owners cost two wake-ups a second.
+const FIRST_IDLE_WAIT: Duration = Duration::from_millis(500);
+
+/// How long the other workers wait without being told.
+const OTHER_IDLE_WAIT: Duration = Duration::from_secs(30);
+
+/// The first pause after a failed attempt, doubled with each further failure in a row.
+const FAILURE_PAUSE_MS: u64 = 50;
+
+/// The longest pause after failed attempts; an outage of all upstreams then costs each worker one
+/// attempt a second.
+const FAILURE_PAUSE_LIMIT_MS: u64 = 1000;
+
+/// The stack of a worker thread in bytes; it holds one request and its answer on the heap.
+const WORKER_STACK_BYTES: usize = 256 * 1024;
+
+/// An open step with what is known about its attempts.
+pub(crate) struct StepWork {
+    pub(crate) ledger: StepLedger,
+    stragglers: StragglerPolicy,
+    forecast: StalenessForecast,
+    deadline: Moment,
+    running: SortedMap<RequestId, SampleTask>,
+    duplicates: Vec<SampleTask>,
+    mean_ms: u64,
+}
+
+impl StepWork {
+    pub(crate) fn new(ledger: StepLedger, deadline_ms: u64, now: Moment) -> Self {
+        let groups = u32::try_from(ledger.plan().prompts.len()).unwrap_or(u32::MAX);
+        let size = ledger.plan().group_size;
+        Self {
+            ledger,
+            stragglers: StragglerPolicy::new(StragglerSettings::default(), groups, size),
+            forecast: StalenessForecast::new(),
+            deadline: now + deadline_ms,
+            running: SortedMap::new(),
+            duplicates: Vec::new(),
+            mean_ms: 0,
+        }
+    }
+
+    /// Notes new weights; attempts that run on go on, their labels decide at the end.
+    pub(crate) fn announce(
+        &mut self,
+        version: WeightVersion,
+        now: Moment,
+    ) -> Result<(), ServiceError> {
+        self.forecast.announced(now);
+        self.ledger.announce(version)
+    }
+
+    /// Notes that a stored entry may have put samples back to waiting.
+    pub(crate) fn reopen(&mut self, now: Moment) {
+        self.plan_duplicates(now);
+    }
+
+    /// Takes the next attempt, or `None` if there is none now.
+    fn take(&mut self, now: Moment) -> Option<(RequestId, SampleTask)> {
+        // Samples that would be too old at their end wait for the new weights, unless nothing else
+        // keeps the step going: a trainer may wait for this step before it announces any.
+        let bound = self.ledger.staleness_bound();
+        let fresh = self.forecast.admits(now, self.mean_ms, 0, bound);
+        if !fresh && !self.running.is_empty() {
+            return None;
+        }
+        let task = self
+            .duplicates
+            .pop()
+            .or_else(|| self.ledger.take_tasks(1).pop())?;
+        let request = RequestId::random();
+        self.stragglers.sent(now, member_key(&task.id), request);
+        self.running.insert(request, task.clone());
+        Some((request, task))
+    }
+
+    /// Takes the result of an attempt and returns the attempts that lost against it.
+    fn finish(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        result: Result<SampleRecord, ServiceError>,
+    ) -> Result<Vec<RequestId>, ()> {
+        let Some(task) = self.running.remove(&request) else {
+            return Ok(Vec::new());
+        };
+        let member = member_key(&task.id);
+        let accepted = match result {
+            Ok(record) => self.ledger.complete(record).is_ok(),
+            Err(_) => false,
+        };
+        if accepted {
+            return Ok(self.stragglers.accepted(now, member, &request));
+        }
+        self.stragglers.failed(member, &request);
+        let another = self.running.values().any(|other| other.id == task.id);
+        if !another {
+            self.ledger.give_back(&task.id);
+        }
+        Err(())
+    }
+
+    fn plan_duplicates(&mut self, now: Moment) {
+        for action in self.stragglers.plan(now) {
+            let StragglerAction::Duplicate(member) = action else {
+                continue;
+            };
+            let original = self
+                .running
+                .values()
+                .find(|task| member_key(&task.id) == member);
+            if let Some(task) = original {
+                self.duplicates.push(task.clone());
+            }
+        }
+    }
+
+    fn remaining_ms(&self, now: Moment) -> u64 {
+        // A step past its deadline is still completed; the trainer waits for it.
+        self.deadline.since(now).max(30_000)
+    }
+}
+
+/// The worker threads of one owner.
+pub(crate) struct WorkerPool {
+    threads: Mutex<Vec<JoinHandle<()>>>,
+}
+
+impl WorkerPool {
+    pub(crate) fn start(core: &Arc<OwnerCore>, workers: usize) -> io::Result<Self> {
+        let mut threads = Vec::with_capacity(workers);
+        for index in 0..workers {
+            let core = Arc::downgrade(core);
+            let builder = thread::Builder::new()
+                .name(format!("sample-{index}"))
+                .stack_size(WORKER_STACK_BYTES);
+            threads.push(builder.spawn(move || work(&core, index))?);
+        }
+        Ok(Self {
+            threads: Mutex::new(threads),
+        })
+    }
+
+    pub(crate) fn join(&self) {
+        let threads = {
+            let mut threads = self.threads.lock().unwrap_or_else(PoisonError::into_inner);
+            std::mem::take(&mut *threads)
+        };
+        for thread in threads {
+            // A panic in a worker was already reported on standard error.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Generates samples until the owner stops or is dropped.
+fn work(core: &Weak<OwnerCore>, index: usize) {
+    let idle_wait = if index == 0 {
+        FIRST_IDLE_WAIT
+    } else {
+        OTHER_IDLE_WAIT
+    };
+    let mut idle = false;
+    let mut failures = 0;
+    while let Some(core) = core.upgrade() {
+        let state = core.lock();
+        if state.stopping {
+            return;
+        }
+        match next_attempt(&core, state) {
+            Some(order) => {
+                if std::mem::take(&mut idle) {
+                    core.changed.notify_all();
+                }
+                attempt(&core, &order, &mut failures);
+            }
+            None => {
+                let state = core.lock();
+                if state.stopping {
+                    return;
+                }
+                idle = true;
+                // The wait ends early when a step opens or samples go back to waiting.
+                drop(core.changed.wait_timeout(state, idle_wait));
+            }
+        }
+    }
+}
+
+fn next_attempt(core: &OwnerCore, mut state: MutexGuard<'_, OwnerState>) -> Option<SampleOrder> {
+    core.refresh(&mut state).ok()?;
+    let now = core.parts.clock.now();
+    let work = state.step.as_mut()?;
+    work.plan_duplicates(now);
+    let (request, task) = work.take(now)?;
+    Some(SampleOrder {
+        request,
+        run: core.run.clone(),
+        id: task.id,
+        prompt: task.prompt,
+        max_tokens: task.max_tokens,
+        priority: task.priority,
+        deadline_ms: work.remaining_ms(now),
+    })
+}
+
+fn attempt(core: &OwnerCore, order: &SampleOrder, failures: &mut u32) {
+    let started = core.parts.clock.now();
+    let result = core.parts.runner.generate(order);
+    let now = core.parts.clock.now();
+    let losers = {
+        let mut state = core.lock();
+        let Some(work) = state.step.as_mut() else {
+            return;
+        };
+        let losers = work.finish(now, order.request, result);
+        if losers.is_ok() {
+            let duration = now.since(started);
+            work.mean_ms = if work.mean_ms == 0 {
+                duration
+            } else {
+                (work.mean_ms * 7 + duration) / 8
+            };
+        }
+        losers
+    };
+    match losers {
+        Ok(losers) => {
+            *failures = 0;
+            losers
+                .into_iter()
+                .for_each(|request| core.parts.runner.cancel(request));
+        }
+        Err(()) => {
+            let pause = (FAILURE_PAUSE_MS << (*failures).min(5)).min(FAILURE_PAUSE_LIMIT_MS);
+            *failures += 1;
+            thread::sleep(Duration::from_millis(pause));
+        }
+    }
+}
+
+fn member_key(id: &SampleId) -> MemberKey {
+    MemberKey {
+        group: id.group,
+        index: id.index,
+    }
+}
--- a/crates/catkindeck-control/src/step.rs
+++ b/crates/catkindeck-control/src/step.rs
@@ -11,7 +11,7 @@
     /// run.
     fn handle(&self, request: StepRequest) -> StepAnswer;
 
-    /// Handles a request that another entry forwarded; refuses it with `conflict` if this entry
+    /// Handles a request that another entry forwarded; refuses it with `fenced` if this entry
     /// does not own the run, so that requests are never forwarded twice.
     fn handle_forwarded(&self, request: StepRequest) -> StepAnswer;
 }
--- /dev/null
+++ b/crates/catkindeck-control/tests/run_owner.rs
@@ -0,0 +1,423 @@
+//! Drives owners of one run through failovers, store faults and lost samples.
+
+mod support;
+
+use {
+    catkindeck::{
+        ErrorKind, ServiceError,
+        config::RunRecord,
+        id::{ObjectName, RequestId},
+        log::discard_logger,
+        message::{SampleId, SampleRecord, StepAction, StepAnswer, StepPlan},
+        time::SystemClock,
+        token::{VersionLabels, WeightVersion},
+    },
+    catkindeck_control::run::{
+        owner::{OwnerParts, RunOwner},
+        ports::{OwnerLease, SampleOrder, SampleRunner, WeightPublisher},
+    },
+    std::{
+        collections::BTreeSet,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+    support::{MemoryStore, StoreFault},
+};
+
+/// A lease that tests give to one owner or another.
+struct TestLease {
+    /// Zero while the lease is not held.
+    fence: AtomicU64,
+}
+
+impl OwnerLease for TestLease {
+    fn fence(&self) -> Result<u64, ServiceError> {
+        match self.fence.load(Ordering::SeqCst) {
+            0 => Err(ServiceError::not_run(ErrorKind::Fenced, "not held")),
+            fence => Ok(fence),
+        }
+    }
+}
+
+/// Agents that generate a text for each order and retain it until it is released.
+#[derive(Default)]
+struct TestAgents {
+    retained: Mutex<Vec<SampleRecord>>,
+    version: AtomicU64,
+    generated: AtomicU64,
+    cancelled: AtomicU64,
+    /// Every n-th order fails, or none if zero.
+    fail_every: AtomicU64,
+}
+
+impl SampleRunner for TestAgents {
+    fn generate(&self, order: &SampleOrder) -> Result<SampleRecord, ServiceError> {
+        let serial = self.generated.fetch_add(1, Ordering::SeqCst) + 1;
+        let fail_every = self.fail_every.load(Ordering::SeqCst);
+        if fail_every > 0 && serial.is_multiple_of(fail_every) {
+            return Err(ServiceError::unknown(
+                ErrorKind::UpstreamFailed,
+                "ordered by the test",
+            ));
+        }
+        let mut labels = VersionLabels::default();
+        labels.push(3, Some(WeightVersion(self.version.load(Ordering::SeqCst))));
+        let text = format!("{} {serial}", order.prompt);
+        let record = SampleRecord {
+            id: order.id.clone(),
+            text,
+            labels,
+        };
+        self.retained.lock().unwrap().push(record.clone());
+        Ok(record)
+    }
+
+    fn cancel(&self, _request: RequestId) {
+        self.cancelled.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn collect(&self, _run: &RunRecord, step: u64) -> Vec<SampleRecord> {
+        let retained = self.retained.lock().unwrap();
+        retained
+            .iter()
+            .filter(|record| record.id.step == step)
+            .cloned()
+            .collect()
+    }
+
+    fn release(&self, _run: &RunRecord, samples: &[SampleId]) {
+        self.retained
+            .lock()
+            .unwrap()
+            .retain(|record| !samples.contains(&record.id));
+    }
+}
+
+#[derive(Default)]
+struct TestPublisher {
+    published: Mutex<Vec<(WeightVersion, u64)>>,
+}
+
+impl WeightPublisher for TestPublisher {
+    fn publish(&self, _run: &RunRecord, version: WeightVersion, fence: u64) {
+        self.published.lock().unwrap().push((version, fence));
+    }
+}
+
+struct Scene {
+    store: Arc<MemoryStore>,
+    agents: Arc<TestAgents>,
+    publisher: Arc<TestPublisher>,
+}
+
+impl Scene {
+    fn new() -> Self {
+        Self {
+            store: Arc::new(MemoryStore::default()),
+            agents: Arc::new(TestAgents::default()),
+            publisher: Arc::new(TestPublisher::default()),
+        }
+    }
+
+    fn owner(&self, fence: u64) -> (RunOwner, Arc<TestLease>) {
+        let lease = Arc::new(TestLease {
+            fence: AtomicU64::new(fence),
+        });
+        let parts = OwnerParts {
+            store: self.store.clone(),
+            lease: lease.clone(),
+            runner: self.agents.clone(),
+            publisher: self.publisher.clone(),
+            clock: Arc::new(SystemClock::new()),
+            logger: discard_logger(),
+        };
+        (RunOwner::start(run(), parts, 4).unwrap(), lease)
+    }
+}
+
+fn run() -> RunRecord {
+    RunRecord {
+        name: name("tagging"),
+        customer: name("listkovnica"),
+        service: name("serving"),
+        staleness_bound: 1,
+        step_deadline_ms: 600_000,
+    }
+}
+
+fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).unwrap()
+}
+
+fn plan(step: u64, groups: usize) -> StepPlan {
+    let prompts = (0..groups).map(|group| format!("prompt {group}")).collect();
+    StepPlan {
+        step,
+        prompts,
+        group_size: 8,
+        max_tokens: 16,
+    }
+}
+
+/// Fetches until an answer other than `Pending` comes; the number of tries is a safety net against
+/// a test that never ends, far above what a busy machine needs.
+fn fetch(owner: &RunOwner, step: u64, cursor: u32) -> StepAnswer {
+    for _ in 0..20_000 {
+        match owner.handle(&StepAction::Fetch { step, cursor }) {
+            StepAnswer::Pending { .. } => thread::sleep(Duration::from_millis(2)),
+            answer => return answer,
+        }
+    }
+    panic!("batch {cursor} of step {step} never came");
+}
+
+/// Fetches from `cursor` to the end of a step, and checks that no sample comes twice.
+fn fetch_all(owner: &RunOwner, step: u64, mut cursor: u32, seen: &mut BTreeSet<(u32, u32)>) -> u32 {
+    loop {
+        match fetch(owner, step, cursor) {
+            StepAnswer::Batch { samples, last } => {
+                for sample in samples {
+                    assert!(
+                        seen.insert((sample.id.group, sample.id.index)),
+                        "{:?}",
+                        sample.id
+                    );
+                }
+                cursor += 1;
+                if last {
+                    return cursor;
+                }
+            }
+            StepAnswer::Lost { .. } => cursor += 1,
+            other => panic!("unexpected answer {other:?}"),
+        }
+    }
+}
+
+/// Guards against missing and repeated samples in an undisturbed step of the target size, and
+/// against one that cannot be followed by the next step.
+#[test]
+fn delivers_a_step_of_1024_samples_in_groups_of_8() {
+    let scene = Scene::new();
+    let (owner, _lease) = scene.owner(1);
+    for step in [4, 5, 6] {
+        assert_eq!(
+            owner.handle(&StepAction::Open(plan(step, 128))),
+            StepAnswer::Accepted
+        );
+        assert_eq!(
+            owner.handle(&StepAction::Open(plan(step, 128))),
+            StepAnswer::Accepted
+        );
+        let mut seen = BTreeSet::new();
+        fetch_all(&owner, step, 0, &mut seen);
+        assert_eq!(seen.len(), 1024);
+    }
+    owner.stop();
+}
+
+/// Guards against a failed attempt that leaves a hole in the step.
+#[test]
+fn failed_attempts_are_made_again() {
+    let scene = Scene::new();
+    scene.agents.fail_every.store(5, Ordering::SeqCst);
+    let (owner, _lease) = scene.owner(1);
+    assert_eq!(
+        owner.handle(&StepAction::Open(plan(1, 4))),
+        StepAnswer::Accepted
+    );
+    let mut seen = BTreeSet::new();
+    fetch_all(&owner, 1, 0, &mut seen);
+    assert_eq!(seen.len(), 32);
+    owner.stop();
+}
+
+/// Guards against a successor that repeats or drops what the former owner offered: the trainer did
+/// not get the answer to its first fetch, and asks the successor for the same cursor.
+#[test]
+fn successor_offers_the_same_batch_again() {
+    let scene = Scene::new();
+    let (former, lease) = scene.owner(1);
+    former.handle(&StepAction::Open(plan(1, 4)));
+    let StepAnswer::Batch { samples: first, .. } = fetch(&former, 1, 0) else {
+        panic!()
+    };
+    lease.fence.store(0, Ordering::SeqCst);
+
+    let (successor, _lease) = scene.owner(2);
+    let StepAnswer::Batch {
+        samples: again,
+        last,
+    } = fetch(&successor, 1, 0)
+    else {
+        panic!()
+    };
+    assert_eq!(first, again);
+    let mut seen: BTreeSet<_> = again.iter().map(|s| (s.id.group, s.id.index)).collect();
+    if !last {
+        fetch_all(&successor, 1, 1, &mut seen);
+    }
+    assert_eq!(seen.len(), 32);
+    let StepAnswer::Refused(error) = former.handle(&StepAction::Fetch { step: 1, cursor: 0 })
+    else {
+        panic!("the former owner answered without its lease");
+    };
+    assert_eq!(error.kind, ErrorKind::Fenced);
+    former.stop();
+    successor.stop();
+}
+
+/// Guards against silent loss: the data of an offered batch is gone with the former owner and its
+/// agents, so the batch is named as lost and its positions come under the next generation.
+#[test]
+fn lost_batch_is_named_and_replaced() {
+    let scene = Scene::new();
+    let (former, lease) = scene.owner(1);
+    former.handle(&StepAction::Open(plan(1, 2)));
+    let StepAnswer::Batch { samples: first, .. } = fetch(&former, 1, 0) else {
+        panic!()
+    };
+    lease.fence.store(0, Ordering::SeqCst);
+    former.stop();
+    scene.agents.retained.lock().unwrap().clear();
+
+    let (successor, _lease) = scene.owner(2);
+    let StepAnswer::Lost { samples } = fetch(&successor, 1, 0) else {
+        panic!("not named as lost")
+    };
+    let offered: BTreeSet<_> = first.iter().map(|sample| sample.id.clone()).collect();
+    assert_eq!(samples.into_iter().collect::<BTreeSet<_>>(), offered);
+    let mut seen = BTreeSet::new();
+    fetch_all(&successor, 1, 1, &mut seen);
+    assert_eq!(seen.len(), 16);
+    successor.stop();
+}
+
+/// Guards against a batch that is composed anew after the answer to its store write was lost.
+#[test]
+fn batch_survives_a_lost_store_answer() {
+    let scene = Scene::new();
+    let (owner, _lease) = scene.owner(1);
+    owner.handle(&StepAction::Open(plan(1, 2)));
+    scene.store.set_fault(StoreFault::AnswerLost);
+    let StepAnswer::Refused(error) = fetch(&owner, 1, 0) else {
+        panic!("offered without a write")
+    };
+    assert_eq!(error.kind, ErrorKind::StoreUnavailable);
+    scene.store.set_fault(StoreFault::None);
+    let mut seen = BTreeSet::new();
+    fetch_all(&owner, 1, 0, &mut seen);
+    assert_eq!(seen.len(), 16);
+    owner.stop();
+}
+
+/// Guards against an offer during a store outage, when a successor could not know of it.
+#[test]
+fn nothing_is_offered_during_a_store_outage() {
+    let scene = Scene::new();
+    let (owner, _lease) = scene.owner(1);
+    owner.handle(&StepAction::Open(plan(1, 1)));
+    scene.store.set_fault(StoreFault::Outage);
+    let StepAnswer::Refused(error) = fetch(&owner, 1, 0) else {
+        panic!("offered without a write")
+    };
+    assert_eq!(error.kind, ErrorKind::StoreUnavailable);
+    owner.stop();
+}
+
+/// Guards against samples past the staleness bound: they were generated by version 1, and the
+/// trainer has announced version 3 with a bound of 1 before it fetches.
+#[test]
+fn stale_samples_are_generated_again() {
+    let scene = Scene::new();
+    scene.agents.version.store(1, Ordering::SeqCst);
+    let (owner, _lease) = scene.owner(7);
+    owner.handle(&StepAction::Announce(WeightVersion(1)));
+    owner.handle(&StepAction::Open(plan(1, 1)));
+    let StepAnswer::Batch { .. } = fetch(&owner, 1, 0) else {
+        panic!()
+    };
+    scene.agents.version.store(3, Ordering::SeqCst);
+    assert_eq!(
+        owner.handle(&StepAction::Announce(WeightVersion(3))),
+        StepAnswer::Accepted
+    );
+    let StepAnswer::Lost { samples } = fetch(&owner, 1, 0) else {
+        panic!("a stale offer")
+    };
+    assert_eq!(samples.len(), 8);
+    let StepAnswer::Batch { samples, last } = fetch(&owner, 1, 1) else {
+        panic!()
+    };
+    assert!(last);
+    assert!(
+        samples
+            .iter()
+            .all(|s| s.labels.oldest() == Some(WeightVersion(3)))
+    );
+    assert_eq!(
+        *scene.publisher.published.lock().unwrap(),
+        [(WeightVersion(1), 7), (WeightVersion(3), 7)]
+    );
+    let StepAnswer::Refused(error) = owner.handle(&StepAction::Announce(WeightVersion(2))) else {
+        panic!("the version went back");
+    };
+    assert_eq!(error.kind, ErrorKind::Conflict);
+    owner.stop();
+}
+
+/// Guards against plans that no store value or message could hold.
+#[test]
+fn unusable_plans_are_refused_and_lose_nothing() {
+    let scene = Scene::new();
+    let (owner, _lease) = scene.owner(1);
+    owner.handle(&StepAction::Open(plan(1, 1)));
+    let huge = StepPlan {
+        prompts: vec!["x".repeat(5 << 20)],
+        ..plan(2, 1)
+    };
+    for (bad, kind) in [
+        (
+            StepPlan {
+                group_size: 0,
+                ..plan(2, 1)
+            },
+            ErrorKind::Conflict,
+        ),
+        (
+            StepPlan {
+                max_tokens: 9,
+                ..plan(1, 1)
+            },
+            ErrorKind::Conflict,
+        ),
+    ] {
+        let StepAnswer::Refused(error) = owner.handle(&StepAction::Open(bad)) else {
+            panic!()
+        };
+        assert_eq!(error.kind, kind);
+    }
+    let mut seen = BTreeSet::new();
+    fetch_all(&owner, 1, 0, &mut seen);
+    assert_eq!(seen.len(), 8);
+    for (bad, kind) in [
+        (
+            StepPlan {
+                group_size: 0,
+                ..plan(2, 1)
+            },
+            ErrorKind::BadRequest,
+        ),
+        (huge, ErrorKind::TooLarge),
+    ] {
+        let StepAnswer::Refused(error) = owner.handle(&StepAction::Open(bad)) else {
+            panic!()
+        };
+        assert_eq!(error.kind, kind);
+    }
+    owner.stop();
+}
--- /dev/null
+++ b/crates/catkindeck-control/tests/support/mod.rs
@@ -0,0 +1,122 @@
+//! An in-memory store with faults that tests order.
+
+use {
+    catkindeck::{
+        ErrorKind, ServiceError,
+        id::WriterId,
+        platform::{LeaseGrant, LeaseOutcome, StoreClient, StoreValue, SwapOutcome},
+    },
+    std::{
+        collections::BTreeMap,
+        sync::{Mutex, MutexGuard},
+        time::Duration,
+    },
+};
+
+/// What happens to calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StoreFault {
+    /// Calls are served.
+    #[default]
+    None,
+    /// Calls fail without an effect.
+    Outage,
+    /// Writes take effect, but their answers are lost.
+    AnswerLost,
+}
+
+/// A key-value service in memory.
+#[derive(Default)]
+pub struct MemoryStore {
+    state: Mutex<MemoryState>,
+}
+
+#[derive(Default)]
+struct MemoryState {
+    values: BTreeMap<String, StoreValue>,
+    fault: StoreFault,
+    writes: u64,
+}
+
+impl MemoryStore {
+    /// Sets the fault of all later calls.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.lock().fault = fault;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, MemoryState> {
+        self.state.lock().unwrap()
+    }
+}
+
+impl StoreClient for MemoryStore {
+    fn read(&self, key: &str) -> Result<Option<StoreValue>, ServiceError> {
+        let state = self.lock();
+        match state.fault {
+            StoreFault::Outage => Err(unavailable()),
+            _ => Ok(state.values.get(key).cloned()),
+        }
+    }
+
+    fn swap(&self, key: &str, expected: u64, value: &[u8]) -> Result<SwapOutcome, ServiceError> {
+        let mut state = self.lock();
+        if state.fault == StoreFault::Outage {
+            return Err(unavailable());
+        }
+        let present = state.values.get(key).cloned();
+        if present.as_ref().map_or(0, |stored| stored.version) != expected {
+            return Ok(SwapOutcome::Conflict(present));
+        }
+        state.writes += 1;
+        let stored = StoreValue {
+            value: value.to_vec(),
+            version: expected + 1,
+            writer: WriterId::default(),
+            sequence: state.writes,
+        };
+        state.values.insert(key.to_owned(), stored);
+        match state.fault {
+            StoreFault::AnswerLost => Err(unavailable()),
+            _ => Ok(SwapOutcome::Written(expected + 1)),
+        }
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<(String, StoreValue)>, ServiceError> {
+        let state = self.lock();
+        if state.fault == StoreFault::Outage {
+            return Err(unavailable());
+        }
+        let below = state
+            .values
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix));
+        Ok(below
+            .map(|(key, value)| (key.clone(), value.clone()))
+            .collect())
+    }
+
+    fn watch(&self, _prefix: &str, after: u64, _wait: Duration) -> Result<u64, ServiceError> {
+        Ok(after)
+    }
+
+    fn acquire(
+        &self,
+        _lease: &str,
+        _holder: &str,
+        _ttl_ms: u64,
+    ) -> Result<LeaseOutcome, ServiceError> {
+        Err(unavailable())
+    }
+
+    fn renew(&self, _lease: &str, _number: u64, _ttl_ms: u64) -> Result<LeaseGrant, ServiceError> {
+        Err(unavailable())
+    }
+
+    fn release(&self, _lease: &str, _number: u64) -> Result<(), ServiceError> {
+        Err(unavailable())
+    }
+}
+
+fn unavailable() -> ServiceError {
+    ServiceError::unknown(ErrorKind::StoreUnavailable, "ordered by the test")
+}
--- a/crates/catkindeck-policy/src/ledger.rs
+++ b/crates/catkindeck-policy/src/ledger.rs
@@ -128,6 +128,18 @@
         self.current
     }
 
+    /// Returns the largest lag of a delivered sample behind the current version.
+    pub fn staleness_bound(&self) -> u64 {
+        self.terms.staleness_bound
+    }
+
+    /// Tells whether every sample is in a batch that was offered.
+    pub fn is_offered_whole(&self) -> bool {
+        self.slots
+            .iter()
+            .all(|slot| matches!(slot.state, SlotState::Batched { .. }))
+    }
+
     /// Returns the number of samples that were accepted or delivered, and the number in the step.
     pub fn progress(&self) -> (u32, u32) {
         let done = self.slots.iter().filter(|slot| {
@@ -309,11 +321,7 @@
             return FetchAction::Persist(proposal.clone());
         }
         let samples = self.compose();
-        let all_batched = self
-            .slots
-            .iter()
-            .all(|slot| matches!(slot.state, SlotState::Batched { .. }));
-        if samples.is_empty() && !all_batched {
+        if samples.is_empty() && !self.is_offered_whole() {
             return FetchAction::Pending;
         }
         let proposal = StepEntry::Offer(BatchRecord { cursor, samples });
@@ -336,14 +344,8 @@
             .collect();
         match samples {
             Some(samples) => {
-                let remaining = self
-                    .slots
-                    .iter()
-                    .any(|slot| !matches!(slot.state, SlotState::Batched { .. }));
-                FetchAction::Offer {
-                    samples,
-                    last: !remaining,
-                }
+                let last = self.is_offered_whole();
+                FetchAction::Offer { samples, last }
             }
             None => FetchAction::Persist(StepEntry::Lost(cursor)),
         }
--- a/crates/catkindeck-policy/src/lib.rs
+++ b/crates/catkindeck-policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod home;
 pub mod ledger;
 pub mod limit;
+pub mod placement;
 pub mod quarantine;
 pub mod record;
 pub mod request;
@@ -39,6 +40,7 @@
     home::{HomeChoice, HomeSelector},
     ledger::StepLedger,
     limit::{ConcurrencyLimit, LimitSettings},
+    placement::{CANDIDATE_COUNT, choose_candidates},
     quarantine::CrashQuarantine,
     record::{
         BeginDecision, EXECUTION_RETENTION_MS, ExecutionResult, ExecutionSettings, RevokeOutcome,
