Add the engine and service stand-ins

Cause: the agent is tested against upstreams with cold start, failing swaps, lagging reports and crashes, and no third-party server may be used. Ruled out: astra, because it holds streamed bodies back until a buffer is full and cannot cut an answer; a client stand-in inside the agent's tests, because system tests need processes. Change: modes engine and service of catkindeck-fakes with a control address, and prefix_digest in the shared messages, because engines, agents and entries must digest prompt prefixes alike. Before: no stand-ins. Conclusion: the agent's tests and the system tests can use both modes.

--- a/crates/catkindeck/src/message.rs
+++ b/crates/catkindeck/src/message.rs
@@ -329,6 +329,20 @@
     pub prefixes: Vec<u64>,
 }
 
+/// The length of the prompt prefix by which caches are compared, in bytes.
+pub const PREFIX_BYTES: usize = 256;
+
+/// Digests a prompt's prefix as in [`LoadReport::prefixes`] and the engines' cache events.
+///
+/// A prompt shorter than [`PREFIX_BYTES`] is its own prefix.
+pub fn prefix_digest(prompt: &str) -> u64 {
+    let end = prompt.len().min(PREFIX_BYTES);
+    let hash = blake3::hash(&prompt.as_bytes()[..end]);
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
+
 /// An order to an upstream, which its agent carries out under the fencing number.
 #[message]
 pub struct UpstreamOrder {
--- a/tests/fakes/src/lib.rs
+++ b/tests/fakes/src/lib.rs
@@ -1,1 +1,10 @@
 //! Stand-ins for the systems around catkindeck, with faults ordered through a control address.
+
+pub mod control;
+pub mod engine;
+pub mod service;
+pub mod stream;
+
+mod engine_state;
+
+pub use engine_state::EngineSettings;
