Keep the mark of a dropped answer in the execution record

Cause: a record whose answer was dropped for its size lost that mark when a draining agent handed it over, so the next home replayed an empty answer. The headers of a plain service's answer were lost in the same way. Ruled out: treating an empty answer as dropped, because an answer may be empty. Change: ExecutionRecord carries answer_kept and headers; answers above 2 MiB are not kept, because a record must fit into a message. Before: a_dropped_answer_is_not_replayed_after_a_hand_over failed (the empty answer was replayed). After: it passes, with its counterpart for an answer that is empty. Conclusion: entries that replay a record must check answer_kept.

--- a/crates/catkindeck-policy/src/execution.rs
+++ b/crates/catkindeck-policy/src/execution.rs
@@ -11,7 +11,7 @@
     catkindeck::{
         ErrorKind, ExecutionOutcome, Moment, ServiceError,
         id::{BootId, IncarnationId, RequestId},
-        message::{ExecuteRequest, ExecutionRecord, ExecutionState},
+        message::{ExecuteRequest, ExecutionRecord, ExecutionState, KEPT_ANSWER_LIMIT},
     },
     std::collections::{BTreeSet, VecDeque},
 };
@@ -141,7 +141,20 @@
         }
     }
 
+    /// Stores the headers of a running request's answer; called before `finish`.
+    pub fn store_headers(&mut self, request: &RequestId, headers: Vec<(String, String)>) {
+        let slot = self.slots.of_request(request);
+        if let Some(entry) = slot.and_then(|slot| self.slots.get_mut(slot))
+            && entry.key.is_some()
+        {
+            entry.record.headers = headers;
+        }
+    }
+
     /// Stores the result of a running request and returns its record.
+    ///
+    /// An answer above [`KEPT_ANSWER_LIMIT`] is not kept, so a retry of its key is answered
+    /// `outcome_unknown` with `finished`.
     pub fn finish(
         &mut self,
         now: Moment,
@@ -160,9 +173,12 @@
         entry.record.boot = result.boot;
         entry.record.labels = result.labels;
         entry.record.status = result.status;
-        if entry.key.is_some() {
+        let fits = result.answer.len() <= KEPT_ANSWER_LIMIT;
+        if entry.key.is_some() && result.complete && fits {
             entry.record.answer = result.answer;
+            entry.record.answer_kept = true;
         }
+        entry.answer_dropped = result.complete && !entry.record.answer_kept;
         let record = entry.record.clone();
         self.slots.end(now, slot);
         Some(record)
--- a/crates/catkindeck-policy/src/record.rs
+++ b/crates/catkindeck-policy/src/record.rs
@@ -107,7 +107,9 @@
         boot: BootId::default(),
         labels: VersionLabels::default(),
         status: 0,
+        headers: Vec::new(),
         answer: Vec::new(),
+        answer_kept: false,
     }
 }
 
@@ -125,7 +127,9 @@
         boot: BootId::default(),
         labels: VersionLabels::default(),
         status: 0,
+        headers: Vec::new(),
         answer: Vec::new(),
+        answer_kept: false,
     }
 }
 
--- a/crates/catkindeck-policy/src/slots.rs
+++ b/crates/catkindeck-policy/src/slots.rs
@@ -66,10 +66,11 @@
         if let Some(key) = key {
             self.by_key.insert(key, slot);
         }
+        let finished = record.state == ExecutionState::Finished;
         let stored = RecordSlot {
-            record,
             key,
-            answer_dropped: false,
+            answer_dropped: finished && !record.answer_kept,
+            record,
             by_request,
         };
         self.slots.insert(slot, stored);
@@ -94,6 +95,7 @@
             if let Some(stored) = self.slots.get_mut(&oldest) {
                 self.answer_bytes -= stored.record.answer.len();
                 stored.record.answer = Vec::new();
+                stored.record.answer_kept = false;
                 stored.answer_dropped = true;
             }
         }
--- a/crates/catkindeck/src/message.rs
+++ b/crates/catkindeck/src/message.rs
@@ -287,10 +287,19 @@
     pub labels: VersionLabels,
     /// The HTTP status of a plain service's answer.
     pub status: u16,
+    /// The headers of a plain service's answer that may be passed on.
+    pub headers: Vec<(String, String)>,
     /// The answer of a finished request with an idempotency key, replayed to its retries.
     pub answer: Vec<u8>,
+    /// Whether `answer` is the whole answer; it is not if the answer was too large to keep.
+    ///
+    /// Without this mark a dropped answer would be replayed as an empty one.
+    pub answer_kept: bool,
 }
 
+/// The largest answer that is kept for replay, in bytes; a record must fit into a message.
+pub const KEPT_ANSWER_LIMIT: usize = 2 << 20;
+
 impl ExecutionRecord {
     /// Returns what this record proves about the execution.
     pub fn outcome(&self) -> ExecutionOutcome {
