--- a/crates/catkindeck/src/message.rs
+++ b/crates/catkindeck/src/message.rs
@@ -287,10 +287,19 @@
     pub labels: VersionLabels,
     /// The HTTP status of a plain service's answer.
     pub status: u16,
+    /// The headers of a plain service's answer that may be passed on.
+    pub headers: Vec<(String, String)>,
     /// The answer of a finished request with an idempotency key, replayed to its retries.
     pub answer: Vec<u8>,
+    /// Whether `answer` is the whole answer; it is not if the answer was too large to keep.
+    ///
+    /// Without this mark a dropped answer would be replayed as an empty one.
+    pub answer_kept: bool,
 }
 
+/// The largest answer that is kept for replay, in bytes; a record must fit into a message.
+pub const KEPT_ANSWER_LIMIT: usize = 2 << 20;
+
 impl ExecutionRecord {
     /// Returns what this record proves about the execution.
     pub fn outcome(&self) -> ExecutionOutcome {
@@ -329,6 +338,20 @@
     pub prefixes: Vec<u64>,
 }
 
+/// The length of the prompt prefix by which caches are compared, in bytes.
+pub const PREFIX_BYTES: usize = 256;
+
+/// Digests a prompt's prefix as in [`LoadReport::prefixes`] and the engines' cache events.
+///
+/// A prompt shorter than [`PREFIX_BYTES`] is its own prefix.
+pub fn prefix_digest(prompt: &str) -> u64 {
+    let end = prompt.len().min(PREFIX_BYTES);
+    let hash = blake3::hash(&prompt.as_bytes()[..end]);
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
+
 /// An order to an upstream, which its agent carries out under the fencing number.
 #[message]
 pub struct UpstreamOrder {
