--- a/crates/catkindeck-control/src/lib.rs
+++ b/crates/catkindeck-control/src/lib.rs
@@ -4,5 +4,6 @@
 //! Every entry links this crate and carries out the control work of the leases it holds, see
 //! `docs/design.md`, section 4.
 
+pub mod intent;
 pub mod source;
 pub mod step;
