Add the operators' command and the load generator

Cause: operators need a command line for plan, confirmation, zones and keys, and the project needs load measured at its own entries.

Ruled out: argh options repeated in every subcommand, because global options can be moved to the front before parsing; wall-clock durations as the end of the load tests, because a busy machine changes the counts, so a profile can also end after a number of requests.

Change: binary `catkindeck` with plan, apply, status, zone, keys, check-config and load. Plans are committed by their id, so that a repeated commit is recognised. An open loop measures from when a request was due. `--compare` alternates between entry and upstream and reports the ratio.

Before: no command.

--- /dev/null
+++ b/crates/catkindeck-cli/src/arguments.rs
@@ -0,0 +1,291 @@
+//! The command line's arguments.
+
+use {argh::FromArgs, std::path::PathBuf};
+
+/// Operates catkindeck: plan and apply declarations, manage keys and zones, check, load and report.
+#[derive(FromArgs, Debug)]
+#[argh(
+    example = "Show what the declarations in a directory would change, then confirm:\n  \
+        {command_name} plan deployments/directorate/declarations\n  \
+        {command_name} apply --plan 7-3f... deployments/directorate/declarations",
+    example = "Take a zone out after looking at the plan:\n  {command_name} zone out vault-a",
+    note = "The options --json, --admin and --operator-key-file may stand anywhere. The environment \
+        variables CATKINDECK_ADMIN and CATKINDECK_OPERATOR_KEY_FILE give their defaults.",
+    note = "docs/errors.md lists every error kind with its exit code.",
+    error_code(1, "internal: a defect of this system"),
+    error_code(
+        2,
+        "bad_request, too_large, slow_request: the input is not as expected"
+    ),
+    error_code(3, "unauthenticated, key_revoked, forbidden"),
+    error_code(4, "not_found"),
+    error_code(5, "conflict, fenced: the state changed, or a plan was not confirmed"),
+    error_code(
+        6,
+        "overloaded, no_upstream and others: no capacity now, or an objective burns"
+    ),
+    error_code(7, "batch_lost"),
+    error_code(8, "store_unavailable, peer_unavailable"),
+    error_code(9, "outcome_unknown: ask again with `status --outcome ID`")
+)]
+pub struct CommandArguments {
+    /// print one JSON object instead of text
+    #[argh(switch)]
+    pub json: bool,
+
+    /// admin addresses of entries, separated by commas and tried in order
+    #[argh(option)]
+    pub admin: Option<String>,
+
+    /// file with the operator key
+    #[argh(option)]
+    pub operator_key_file: Option<PathBuf>,
+
+    /// what to do
+    #[argh(subcommand)]
+    pub subcommand: Subcommand,
+}
+
+/// What to do.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Subcommand {
+    /// Shows what declarations would change.
+    Plan(PlanArguments),
+    /// Confirms a plan.
+    Apply(ApplyArguments),
+    /// Shows the configuration or a plan's outcome.
+    Status(StatusArguments),
+    /// Takes a zone out or brings it back.
+    Zone(ZoneArguments),
+    /// Manages keys.
+    Keys(KeyArguments),
+    /// Checks files.
+    CheckConfig(CheckArguments),
+    /// Generates load.
+    Load(LoadArguments),
+}
+
+/// Show what declarations would change, cost and need, without changing anything.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "plan",
+    example = "{command_name} deployments/directorate/declarations"
+)]
+pub struct PlanArguments {
+    /// declaration files, or directories whose *.toml files are all taken
+    #[argh(positional)]
+    pub paths: Vec<PathBuf>,
+}
+
+/// Confirm a plan; it is refused if the configuration changed since. Repeating it is safe.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "apply",
+    example = "Confirm a plan that was shown before:\n  \
+        {command_name} --plan 7-3f... deployments/directorate/declarations",
+    example = "Plan, show and ask:\n  {command_name} deployments/directorate/declarations"
+)]
+pub struct ApplyArguments {
+    /// id of the plan to confirm; without it, the plan is shown and confirmed first
+    #[argh(option)]
+    pub plan: Option<String>,
+
+    /// confirm the plan without asking
+    #[argh(switch)]
+    pub yes: bool,
+
+    /// apply even if a service would lack upstreams for its load
+    #[argh(switch)]
+    pub accept_shortfall: bool,
+
+    /// longest time to wait until the change is in force everywhere, in milliseconds (30000)
+    #[argh(option, default = "30_000")]
+    pub wait_ms: u64,
+
+    /// declaration files, or directories whose *.toml files are all taken
+    #[argh(positional)]
+    pub paths: Vec<PathBuf>,
+}
+
+/// Show the configuration in force, the zones' load, or the outcome of a plan.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "status",
+    example = "{command_name}",
+    example = "{command_name} --outcome 7-3f..."
+)]
+pub struct StatusArguments {
+    /// id of a plan whose outcome is shown
+    #[argh(option)]
+    pub outcome: Option<String>,
+}
+
+/// Take an availability zone out or bring it back, after its plan is shown and confirmed.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "zone",
+    example = "{command_name} out vault-a",
+    example = "{command_name} in vault-a --yes"
+)]
+pub struct ZoneArguments {
+    /// the new state, `out` or `in`
+    #[argh(positional)]
+    pub state: String,
+
+    /// name of the zone
+    #[argh(positional)]
+    pub zone: String,
+
+    /// confirm the plan without asking
+    #[argh(switch)]
+    pub yes: bool,
+
+    /// apply even if a service would lack upstreams for its load
+    #[argh(switch)]
+    pub accept_shortfall: bool,
+
+    /// longest time to wait until the change is in force everywhere, in milliseconds (30000)
+    #[argh(option, default = "30_000")]
+    pub wait_ms: u64,
+}
+
+/// Create, list and revoke keys.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "keys",
+    example = "{command_name} create --customer courts --label courts-2",
+    example = "{command_name} revoke courts-1"
+)]
+pub struct KeyArguments {
+    /// what to do
+    #[argh(subcommand)]
+    pub action: KeyAction,
+}
+
+/// What to do with keys.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum KeyAction {
+    /// Creates a key.
+    Create(KeyCreateArguments),
+    /// Lists keys.
+    List(KeyListArguments),
+    /// Revokes a key.
+    Revoke(KeyRevokeArguments),
+}
+
+/// Draw a key and show it once, with the lines to add to the declarations.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "create")]
+pub struct KeyCreateArguments {
+    /// customer for whom requests with the key run
+    #[argh(option)]
+    pub customer: String,
+
+    /// unique name for the key
+    #[argh(option)]
+    pub label: String,
+
+    /// file for the key, readable by its owner only, instead of showing it
+    #[argh(option)]
+    pub out: Option<PathBuf>,
+}
+
+/// List the keys that work, without the keys themselves.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "list")]
+pub struct KeyListArguments {}
+
+/// Make a key stop working within seconds, after its plan is shown and confirmed.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "revoke")]
+pub struct KeyRevokeArguments {
+    /// label of the key
+    #[argh(positional)]
+    pub label: String,
+
+    /// confirm the plan without asking
+    #[argh(switch)]
+    pub yes: bool,
+
+    /// longest time to wait until the change is in force everywhere, in milliseconds (30000)
+    #[argh(option, default = "30_000")]
+    pub wait_ms: u64,
+}
+
+/// Check settings and declarations without contacting anything.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "check-config",
+    example = "{command_name} declarations/"
+)]
+pub struct CheckArguments {
+    /// profile of the load generator; may be repeated
+    #[argh(option)]
+    pub load: Vec<PathBuf>,
+
+    /// declaration files, or directories whose *.toml files are all taken; checked together
+    #[argh(positional)]
+    pub paths: Vec<PathBuf>,
+}
+
+/// Generate load against entries and report latencies; with --compare, also against an upstream.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "load",
+    example = "{command_name} deployments/directorate/load.toml",
+    example = "{command_name} deployments/directorate/load.toml --rate-per-s 200 --duration-ms 60000",
+    note = "--compare alternates between the entry and a direct call to the upstream in the same \
+        run and reports the ratio of the latencies."
+)]
+pub struct LoadArguments {
+    /// profile with targets, customers and the kind of loop
+    #[argh(positional)]
+    pub profile: PathBuf,
+
+    /// replaces the profile's duration, in milliseconds
+    #[argh(option)]
+    pub duration_ms: Option<u64>,
+
+    /// replaces the profile's number of threads
+    #[argh(option)]
+    pub threads: Option<u32>,
+
+    /// replaces the profile's rate and makes the loop open, in requests a second
+    #[argh(option)]
+    pub rate_per_s: Option<u32>,
+
+    /// alternate with direct calls to the profile's `direct` address
+    #[argh(switch)]
+    pub compare: bool,
+}
+
+/// Moves the global options to the front, where the parser expects them.
+///
+/// Operators write `catkindeck status --json`; the parser accepts options of the whole command only
+/// before the subcommand.
+pub fn hoist_global(arguments: &[String]) -> Vec<String> {
+    let mut words = arguments.iter();
+    let mut front: Vec<String> = words.next().cloned().into_iter().collect();
+    let mut rest = Vec::new();
+    while let Some(word) = words.next() {
+        match word.as_str() {
+            "--json" => front.push(word.clone()),
+            "--admin" | "--operator-key-file" => {
+                front.push(word.clone());
+                front.extend(words.next().cloned());
+            }
+            _ => rest.push(word.clone()),
+        }
+    }
+    front.extend(rest);
+    front
+}
--- /dev/null
+++ b/crates/catkindeck-cli/src/files.rs
@@ -0,0 +1,75 @@
+//! Reading and writing of the operators' files.
+
+use {
+    catkindeck::{ErrorKind, ServiceError},
+    catkindeck_control::intent::DeclarationText,
+    std::{
+        fs,
+        io::{self, Write},
+        path::{Path, PathBuf},
+    },
+};
+
+/// Reads declaration files; of a directory, all `*.toml` files in the order of their names.
+pub fn read_declarations(paths: &[PathBuf]) -> Result<Vec<DeclarationText>, ServiceError> {
+    let mut files = Vec::new();
+    for path in paths {
+        if !path.is_dir() {
+            files.push(path.clone());
+            continue;
+        }
+        let entries = fs::read_dir(path).map_err(|error| unreadable(path, &error))?;
+        let mut found: Vec<PathBuf> = entries
+            .filter_map(|entry| Some(entry.ok()?.path()))
+            .filter(|file| {
+                file.extension()
+                    .is_some_and(|extension| extension == "toml")
+            })
+            .collect();
+        found.sort();
+        files.extend(found);
+    }
+    if files.is_empty() {
+        let detail = "expected declaration files, or directories with *.toml files";
+        return Err(ServiceError::not_run(ErrorKind::BadRequest, detail));
+    }
+    let read = |path: &PathBuf| {
+        let text = fs::read_to_string(path).map_err(|error| unreadable(path, &error))?;
+        Ok(DeclarationText {
+            file: path.display().to_string(),
+            text,
+        })
+    };
+    files.iter().map(read).collect()
+}
+
+/// Makes the error for a file that cannot be read.
+pub fn unreadable(path: &Path, error: &io::Error) -> ServiceError {
+    let kind = match error.kind() {
+        io::ErrorKind::NotFound => ErrorKind::NotFound,
+        io::ErrorKind::PermissionDenied => ErrorKind::Forbidden,
+        _ => ErrorKind::BadRequest,
+    };
+    ServiceError::not_run(kind, format!("cannot read {}: {error}", path.display()))
+}
+
+/// Writes a new file that only its owner may read; an existing file is left alone.
+pub fn write_secret(path: &Path, content: &str) -> Result<(), ServiceError> {
+    let mut options = fs::OpenOptions::new();
+    options.write(true).create_new(true);
+    #[cfg(unix)]
+    std::os::unix::fs::OpenOptionsExt::mode(&mut options, 0o600);
+    options
+        .open(path)
+        .and_then(|mut file| file.write_all(content.as_bytes()))
+        .map_err(|error| unwritable(path, &error))
+}
+
+fn unwritable(path: &Path, error: &io::Error) -> ServiceError {
+    let kind = match error.kind() {
+        io::ErrorKind::AlreadyExists => ErrorKind::Conflict,
+        io::ErrorKind::PermissionDenied => ErrorKind::Forbidden,
+        _ => ErrorKind::BadRequest,
+    };
+    ServiceError::not_run(kind, format!("cannot write {}: {error}", path.display()))
+}
--- /dev/null
+++ b/crates/catkindeck-cli/src/key_command.rs
@@ -0,0 +1,98 @@
+//! The subcommand `keys`.
+
+use {
+    crate::{
+        admin_client::AdminClient,
+        arguments::{KeyAction, KeyArguments, KeyCreateArguments, KeyRevokeArguments},
+        confirm::{ConfirmOptions, plan_and_apply},
+        files::write_secret,
+        output::{CommandContext, CommandReport, columns},
+    },
+    catkindeck::{
+        ErrorKind, ServiceError,
+        id::{KeyDigest, ObjectName},
+    },
+    catkindeck_control::intent::{IntentAmendment, IntentStatement, IntentStatus},
+    serde_json::json,
+};
+
+/// The random bytes of a key; 256 bits cannot be guessed or collide.
+const KEY_BYTES: usize = 32;
+
+/// Runs the subcommand.
+pub fn run(
+    context: &CommandContext,
+    arguments: KeyArguments,
+) -> Result<CommandReport, ServiceError> {
+    match arguments.action {
+        KeyAction::Create(arguments) => create(&arguments),
+        KeyAction::List(_) => list(context),
+        KeyAction::Revoke(arguments) => revoke(context, &arguments),
+    }
+}
+
+/// Draws a key; only its digest ever leaves this process other than by the operator's hands.
+fn create(arguments: &KeyCreateArguments) -> Result<CommandReport, ServiceError> {
+    let customer = ObjectName::try_from(arguments.customer.as_str())?;
+    let label = ObjectName::try_from(arguments.label.as_str())?;
+    let mut bytes = [0; KEY_BYTES];
+    getrandom::fill(&mut bytes).map_err(|error| {
+        let detail = format!("the operating system gives no randomness: {error}");
+        ServiceError::not_run(ErrorKind::Internal, detail)
+    })?;
+    let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    let key = format!("ck_{hex}");
+    let digest = KeyDigest::of(&key);
+    let declaration = format!(
+        "[[keys]]\nlabel = \"{label}\"\ncustomer = \"{customer}\"\ndigest = \"{digest}\"\n"
+    );
+    let mut content = json!({
+        "label": label, "customer": customer, "digest": digest.to_string(),
+        "declaration": declaration,
+    });
+    let shown = match &arguments.out {
+        Some(path) => {
+            write_secret(path, &format!("{key}\n"))?;
+            content["file"] = json!(path.display().to_string());
+            format!("The key is in {}.", path.display())
+        }
+        None => {
+            content["key"] = json!(key);
+            format!("Key, shown only this once:\n\n  {key}")
+        }
+    };
+    let text =
+        format!("{shown}\n\nAdd these lines to the declarations and apply them:\n\n{declaration}");
+    CommandReport::success(text, &content)
+}
+
+fn list(context: &CommandContext) -> Result<CommandReport, ServiceError> {
+    let status: IntentStatus = AdminClient::open(context)?.get("/v1/intent/status")?;
+    let mut rows = vec![["label", "customer", "digest"].map(str::to_owned).to_vec()];
+    rows.extend(status.keys.iter().map(|key| {
+        vec![
+            key.label.to_string(),
+            key.customer.to_string(),
+            format!("{}...", key.digest_start),
+        ]
+    }));
+    CommandReport::success(columns(&rows), &status.keys)
+}
+
+fn revoke(
+    context: &CommandContext,
+    arguments: &KeyRevokeArguments,
+) -> Result<CommandReport, ServiceError> {
+    let label = ObjectName::try_from(arguments.label.as_str())?;
+    let reminder = format!(
+        "Set `revoked = true` in the declaration of key {label}, or the next plan adds it again."
+    );
+    let statement = IntentStatement::Amendment(IntentAmendment::RevokeKey { label });
+    let options = ConfirmOptions {
+        yes: arguments.yes,
+        // Capacity does not depend on keys, and a leaked key must go at any load.
+        accept_shortfall: true,
+        wait_ms: arguments.wait_ms,
+    };
+    plan_and_apply(context, statement, options, &reminder)
+}
--- /dev/null
+++ b/crates/catkindeck-cli/src/load/profile.rs
@@ -0,0 +1,299 @@
+//! Profiles of the load generator.
+
+use {
+    catkindeck::{
+        id::ObjectName,
+        process::parse_name,
+        settings::{SettingsError, SettingsText},
+    },
+    serde::Deserialize,
+    std::path::PathBuf,
+};
+
+/// The bounds of a profile's numbers.
+const THREADS: (u64, u64) = (1, 512);
+const DURATION_MS: (u64, u64) = (1, 86_400_000);
+const RATE_PER_S: (u64, u64) = (1, 1_000_000);
+const SHARE: (u64, u64) = (1, 1000);
+const PROMPT_WORDS: (u64, u64) = (1, 100_000);
+const MAX_TOKENS: (u64, u64) = (1, 1_000_000);
+
+/// A profile as written.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawLoad {
+    /// The addresses of entries, used in turn.
+    pub targets: Vec<String>,
+    /// The address of an upstream for `--compare`.
+    pub direct: Option<String>,
+    /// `open` or `closed`.
+    #[serde(rename = "loop")]
+    pub loop_kind: String,
+    /// The number of threads, each with one request at a time.
+    #[serde(default = "default_threads")]
+    pub threads: u64,
+    /// The rate of an open loop, in requests a second.
+    pub rate_per_s: Option<u64>,
+    /// The time that is measured, in milliseconds.
+    pub duration_ms: u64,
+    /// The number of requests after which the run ends early; none by default.
+    pub request_limit: Option<u64>,
+    /// The time before the measured time, in milliseconds.
+    #[serde(default)]
+    pub warmup_ms: u64,
+    /// The longest time for a request, in milliseconds.
+    #[serde(default = "default_timeout_ms")]
+    pub timeout_ms: u64,
+    /// The customers.
+    pub customers: Vec<RawCustomerLoad>,
+}
+
+/// A customer of a profile as written.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawCustomerLoad {
+    /// The customer's name, for the report.
+    pub name: String,
+    /// The file with the customer's key; absent for open routes.
+    pub key_file: Option<PathBuf>,
+    /// The part of the requests, in relation to the other customers' shares.
+    #[serde(default = "one")]
+    pub share: u64,
+    /// The path at the entry.
+    #[serde(default = "default_path")]
+    pub path: String,
+    /// The path at the upstream for `--compare`; the same by default.
+    pub direct_path: Option<String>,
+    /// The model, which makes the request a completion.
+    pub model: Option<String>,
+    /// Whether a completion is streamed.
+    #[serde(default)]
+    pub stream: bool,
+    /// The words of a completion's prompt.
+    #[serde(default = "default_prompt_words")]
+    pub prompt_words: u64,
+    /// The tokens of a completion.
+    #[serde(default = "default_max_tokens")]
+    pub max_tokens: u64,
+    /// The body of a request that is not a completion; without it, the request is a GET.
+    pub body: Option<String>,
+}
+
+fn default_threads() -> u64 {
+    8
+}
+
+fn default_timeout_ms() -> u64 {
+    30_000
+}
+
+fn default_path() -> String {
+    "/v1/completions".to_owned()
+}
+
+fn default_prompt_words() -> u64 {
+    64
+}
+
+fn default_max_tokens() -> u64 {
+    32
+}
+
+fn one() -> u64 {
+    1
+}
+
+/// When requests start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoopKind {
+    /// At fixed times, this many a second.
+    Open(u64),
+    /// When the request before ended.
+    Closed,
+}
+
+/// A customer's checked load.
+#[derive(Debug, Clone)]
+pub struct CustomerLoad {
+    /// The customer's name.
+    pub name: ObjectName,
+    /// The file with the key.
+    pub key_file: Option<PathBuf>,
+    /// The part of the requests.
+    pub share: u64,
+    /// The path at the entry.
+    pub path: String,
+    /// The path at the upstream.
+    pub direct_path: String,
+    /// The model of a completion.
+    pub model: Option<ObjectName>,
+    /// Whether a completion is streamed.
+    pub stream: bool,
+    /// The words of a completion's prompt.
+    pub prompt_words: u64,
+    /// The tokens of a completion.
+    pub max_tokens: u64,
+    /// The body of a request that is not a completion.
+    pub body: Option<String>,
+}
+
+/// A checked profile.
+#[derive(Debug, Clone)]
+pub struct LoadProfile {
+    /// The addresses of entries.
+    pub targets: Vec<String>,
+    /// The address of an upstream.
+    pub direct: Option<String>,
+    /// When requests start.
+    pub loop_kind: LoopKind,
+    /// The number of threads.
+    pub threads: u64,
+    /// The time that is measured, in milliseconds.
+    pub duration_ms: u64,
+    /// The number of requests after which the run ends early.
+    pub request_limit: Option<u64>,
+    /// The time before the measured time, in milliseconds.
+    pub warmup_ms: u64,
+    /// The longest time for a request, in milliseconds.
+    pub timeout_ms: u64,
+    /// The customers.
+    pub customers: Vec<CustomerLoad>,
+}
+
+impl LoadProfile {
+    /// Replaces values by those of the command line.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is expected of the first value out of bounds.
+    pub fn override_with(
+        &mut self,
+        duration_ms: Option<u64>,
+        threads: Option<u32>,
+        rate_per_s: Option<u32>,
+    ) -> Result<(), String> {
+        if let Some(duration_ms) = duration_ms {
+            self.duration_ms = within("--duration-ms", duration_ms, DURATION_MS)?;
+        }
+        if let Some(threads) = threads {
+            self.threads = within("--threads", u64::from(threads), THREADS)?;
+        }
+        if let Some(rate) = rate_per_s {
+            self.loop_kind = LoopKind::Open(within("--rate-per-s", u64::from(rate), RATE_PER_S)?);
+        }
+        Ok(())
+    }
+}
+
+impl TryFrom<(&SettingsText, RawLoad)> for LoadProfile {
+    type Error = SettingsError;
+
+    fn try_from((text, raw): (&SettingsText, RawLoad)) -> Result<Self, SettingsError> {
+        let check = |field: &str, value: u64, bounds: (u64, u64)| {
+            within(field, value, bounds).map_err(|expected| text.fault(field, expected))
+        };
+        let loop_kind = match (raw.loop_kind.as_str(), raw.rate_per_s) {
+            ("open", Some(rate)) => LoopKind::Open(check("rate_per_s", rate, RATE_PER_S)?),
+            ("open", None) => {
+                return Err(text.fault("loop", "an open loop needs the field `rate_per_s`"));
+            }
+            ("closed", None) => LoopKind::Closed,
+            ("closed", Some(_)) => {
+                let expected = "expected no rate, because a closed loop has none";
+                return Err(text.fault("rate_per_s", expected));
+            }
+            (other, _) => {
+                let expected = format!("expected `open` or `closed`, got `{other}`");
+                return Err(text.fault("loop", expected));
+            }
+        };
+        if raw.targets.is_empty() {
+            return Err(text.fault("targets", "expected at least one address"));
+        }
+        if raw.customers.is_empty() {
+            return Err(text.fault("customers", "expected at least one customer"));
+        }
+        let targets = raw
+            .targets
+            .iter()
+            .map(|target| address(text, "targets", target));
+        let customers = raw
+            .customers
+            .into_iter()
+            .map(|raw| customer_load(text, raw));
+        Ok(Self {
+            targets: targets.collect::<Result<_, _>>()?,
+            direct: match &raw.direct {
+                Some(direct) => Some(address(text, "direct", direct)?),
+                None => None,
+            },
+            loop_kind,
+            threads: check("threads", raw.threads, THREADS)?,
+            duration_ms: check("duration_ms", raw.duration_ms, DURATION_MS)?,
+            request_limit: raw.request_limit,
+            warmup_ms: check("warmup_ms", raw.warmup_ms, (0, DURATION_MS.1))?,
+            timeout_ms: check("timeout_ms", raw.timeout_ms, DURATION_MS)?,
+            customers: customers.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+fn customer_load(text: &SettingsText, raw: RawCustomerLoad) -> Result<CustomerLoad, SettingsError> {
+    let check = |field: &str, value: u64, bounds: (u64, u64)| {
+        within(field, value, bounds).map_err(|expected| text.fault(field, expected))
+    };
+    for (field, path) in [
+        ("path", Some(&raw.path)),
+        ("direct_path", raw.direct_path.as_ref()),
+    ] {
+        if path.is_some_and(|path| !path.starts_with('/')) {
+            return Err(text.fault(field, "expected a path that starts with `/`"));
+        }
+    }
+    let model = match &raw.model {
+        Some(model) => Some(parse_name(text, "model", model)?),
+        None => None,
+    };
+    if model.is_some() && raw.body.is_some() {
+        return Err(text.fault(
+            "body",
+            "expected no body, because `model` makes a completion",
+        ));
+    }
+    // Key files are named relative to the profile.
+    let directory = std::path::Path::new(text.file()).parent();
+    let key_file = raw.key_file.map(|file| match directory {
+        Some(directory) => directory.join(file),
+        None => file,
+    });
+    Ok(CustomerLoad {
+        name: parse_name(text, "name", &raw.name)?,
+        key_file,
+        share: check("share", raw.share, SHARE)?,
+        direct_path: raw.direct_path.unwrap_or_else(|| raw.path.clone()),
+        path: raw.path,
+        model,
+        stream: raw.stream,
+        prompt_words: check("prompt_words", raw.prompt_words, PROMPT_WORDS)?,
+        max_tokens: check("max_tokens", raw.max_tokens, MAX_TOKENS)?,
+        body: raw.body,
+    })
+}
+
+fn address(text: &SettingsText, field: &str, value: &str) -> Result<String, SettingsError> {
+    let rest = value.strip_prefix("http://").unwrap_or("");
+    if rest.is_empty() {
+        let expected = format!("expected an address as http://127.0.0.1:7100, got `{value}`");
+        return Err(text.fault(field, expected));
+    }
+    Ok(value.trim_end_matches('/').to_owned())
+}
+
+fn within(field: &str, value: u64, (low, high): (u64, u64)) -> Result<u64, String> {
+    if (low..=high).contains(&value) {
+        return Ok(value);
+    }
+    Err(format!(
+        "expected {field} from {low} to {high}, got {value}"
+    ))
+}
--- /dev/null
+++ b/crates/catkindeck-cli/tests/command.rs
@@ -0,0 +1,147 @@
+//! Tests of the command as a process against a stand-in for an entry.
+
+mod support;
+
+use {
+    serde_json::Value,
+    std::fs,
+    support::{outcome, run, start_entry},
+    tempfile::tempdir,
+};
+
+const DECLARATIONS: &str = r#"
+[[customers]]
+name = "courts"
+
+[[zones]]
+name = "vault-a"
+region = "tvm"
+
+[[keys]]
+label = "courts-1"
+customer = "courts"
+digest = "0000000000000000000000000000000000000000000000000000000000000001"
+"#;
+
+/// Guards against plan, confirmation and status that do not belong together, and wrong exit codes.
+#[test]
+fn operators_plan_confirm_and_take_a_zone_out() {
+    let directory = tempdir().unwrap();
+    let entry = start_entry();
+    let command = |words: &[&str]| outcome(&run(directory.path(), entry, words));
+    fs::write(directory.path().join("a.toml"), DECLARATIONS).unwrap();
+    let (code, text) = command(&["plan", "--json", "."]);
+    assert_eq!(code, 0, "{text}");
+    let plan: Value = serde_json::from_str(&text).unwrap();
+    let id = plan["id"].as_str().unwrap();
+    // Without a confirmation nothing happens.
+    let (code, text) = command(&["apply", "."]);
+    assert_eq!(code, 5, "{text}");
+    assert!(text.contains("+ customer courts"), "{text}");
+    // Repeating a confirmed plan gives the same answer.
+    for _ in 0..2 {
+        let (code, text) = command(&["apply", "--plan", id, "."]);
+        assert_eq!((code, text.trim()), (0, "accepted: in force as revision 1"));
+    }
+    let (code, text) = command(&["zone", "out", "vault-b", "--yes"]);
+    assert_eq!(code, 4, "{text}");
+    assert!(text.contains("did you mean `vault-a`?"), "{text}");
+    let (code, text) = command(&["zone", "out", "vault-a", "--yes"]);
+    assert_eq!(code, 0, "{text}");
+    assert!(text.contains("~ zone vault-a  state: in -> out"), "{text}");
+    let (code, text) = command(&["keys", "revoke", "courts-1", "--yes"]);
+    assert_eq!(code, 0, "{text}");
+    let (code, text) = command(&["status", "--outcome", id]);
+    assert_eq!((code, text.trim()), (0, "accepted: in force as revision 1"));
+    let (code, text) = command(&["status"]);
+    assert_eq!(code, 0, "{text}");
+    assert!(
+        text.contains("Revision 3 (in force everywhere): 1 customers, 0 keys"),
+        "{text}"
+    );
+    assert!(text.contains("vault-a  tvm     out"), "{text}");
+    // Declarations without a zone state do not bring the zone back.
+    let (code, text) = command(&["plan", "."]);
+    assert_eq!(code, 0, "{text}");
+    assert!(!text.contains("zone vault-a"), "{text}");
+}
+
+/// Guards against keys that leak into declarations, and digests that do not match the key.
+#[test]
+fn a_created_key_is_shown_once_and_declared_by_digest() {
+    let directory = tempdir().unwrap();
+    let entry = start_entry();
+    let create = [
+        "--json",
+        "keys",
+        "create",
+        "--customer",
+        "courts",
+        "--label",
+        "courts-2",
+    ];
+    let (code, text) = outcome(&run(directory.path(), entry, &create));
+    assert_eq!(code, 0, "{text}");
+    let created: Value = serde_json::from_str(&text).unwrap();
+    let key = created["key"].as_str().unwrap();
+    let digest = catkindeck::id::KeyDigest::of(key).to_string();
+    let declaration = created["declaration"].as_str().unwrap();
+    assert!(declaration.contains(&digest) && !declaration.contains(key));
+    // With a file, the key is not shown, and an existing file is not overwritten.
+    let create = [
+        "keys",
+        "create",
+        "--customer",
+        "c",
+        "--label",
+        "l",
+        "--out",
+        "c.key",
+    ];
+    let (code, text) = outcome(&run(directory.path(), entry, &create));
+    let stored = fs::read_to_string(directory.path().join("c.key")).unwrap();
+    assert_eq!(code, 0, "{text}");
+    assert!(!text.contains(stored.trim()));
+    let (code, _) = outcome(&run(directory.path(), entry, &create));
+    assert_eq!(code, 5);
+    assert_eq!(
+        fs::read_to_string(directory.path().join("c.key")).unwrap(),
+        stored
+    );
+}
+
+/// Guards against exit codes that differ from the table in `docs/errors.md`.
+#[test]
+fn failures_give_the_exit_codes_of_the_table() {
+    let directory = tempdir().unwrap();
+    let entry = start_entry();
+    let command = |words: &[&str]| outcome(&run(directory.path(), entry, words));
+    fs::write(
+        directory.path().join("bad.toml"),
+        "[[customers]]\nnam = \"x\"\n",
+    )
+    .unwrap();
+    let (code, text) = command(&["check-config", "bad.toml"]);
+    assert_eq!(code, 2);
+    assert!(
+        text.contains("bad.toml:2: nam: unknown field, did you mean `name`?"),
+        "{text}"
+    );
+    assert_eq!(command(&["plan", "absent.toml"]).0, 4);
+    assert_eq!(command(&["no-such-command"]).0, 2);
+    assert_eq!(command(&["--help"]).0, 0);
+    let (code, text) = command(&["--admin", "http://127.0.0.1:1", "status", "--json"]);
+    let error: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(
+        (code, error["error"]["kind"].as_str()),
+        (8, Some("peer_unavailable"))
+    );
+    // An entry that cannot be reached is skipped in favour of the next.
+    let both = format!("http://127.0.0.1:1,http://{entry}");
+    assert_eq!(command(&["--admin", &both, "status"]).0, 0);
+    fs::write(directory.path().join("other.key"), "other").unwrap();
+    assert_eq!(
+        command(&["--operator-key-file", "other.key", "status"]).0,
+        3
+    );
+}
--- /dev/null
+++ b/crates/catkindeck-cli/tests/support/mod.rs
@@ -0,0 +1,141 @@
+//! A stand-in for an entry: the operators' calls over a ledger in memory, and completions.
+
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
+use {
+    astra::{Body, ConnectionInfo, Request, Response, ResponseBuilder, Server},
+    catkindeck::{
+        ServiceError,
+        config::{ConfigRevision, ConfigSnapshot},
+        id::KeyDigest,
+    },
+    catkindeck_control::intent::{
+        AdminRequest, CommitOutcome, ConfigLedger, IntentAdmin, LoadSource, LoadView, PlanId,
+        SpreadState,
+    },
+    std::{
+        io::Read,
+        net::SocketAddr,
+        path::Path,
+        process::{Command, Output},
+        sync::{Arc, Mutex},
+        thread,
+    },
+};
+
+/// The key of the stand-in's operator.
+pub const OPERATOR_KEY: &str = "operator-key";
+
+/// A configuration in memory.
+#[derive(Default)]
+pub struct MemoryLedger {
+    revisions: Mutex<Vec<ConfigSnapshot>>,
+}
+
+impl ConfigLedger for MemoryLedger {
+    fn head(&self) -> Result<ConfigSnapshot, ServiceError> {
+        Ok(self
+            .revisions
+            .lock()
+            .unwrap()
+            .last()
+            .cloned()
+            .unwrap_or_default())
+    }
+
+    fn at(&self, revision: ConfigRevision) -> Result<Option<ConfigSnapshot>, ServiceError> {
+        if revision.0 == 0 {
+            return Ok(Some(ConfigSnapshot::default()));
+        }
+        let revisions = self.revisions.lock().unwrap();
+        Ok(revisions
+            .iter()
+            .find(|snapshot| snapshot.revision == revision)
+            .cloned())
+    }
+
+    fn commit(&self, _id: &PlanId, next: &ConfigSnapshot) -> Result<CommitOutcome, ServiceError> {
+        self.revisions.lock().unwrap().push(next.clone());
+        Ok(CommitOutcome::Committed(next.revision))
+    }
+
+    fn spread(&self, _revision: ConfigRevision) -> Result<SpreadState, ServiceError> {
+        Ok(SpreadState::default())
+    }
+}
+
+impl LoadSource for MemoryLedger {
+    fn load(&self) -> LoadView {
+        LoadView::default()
+    }
+}
+
+/// Starts the stand-in on a free port; it lives as long as the test process.
+pub fn start_entry() -> SocketAddr {
+    let ledger = Arc::new(MemoryLedger::default());
+    let operators = vec![KeyDigest::of(OPERATOR_KEY)];
+    let admin = Arc::new(IntentAdmin::new(ledger.clone(), ledger, operators));
+    let server = Server::bind("127.0.0.1:0");
+    let address = server.local_addr().unwrap();
+    thread::spawn(move || {
+        let _ = server.serve(move |request: Request, _: ConnectionInfo| answer(&admin, request));
+    });
+    address
+}
+
+fn answer(admin: &IntentAdmin, mut request: Request) -> Response {
+    let mut body = Vec::new();
+    request.body_mut().reader().read_to_end(&mut body).unwrap();
+    let whole = r#"{"choices": [{"text": "a b"}], "usage": {"completion_tokens": 2}}"#;
+    let events = "data: {\"choices\": [{\"text\": \"a\"}]}\n\ndata: {\"choices\": [{\"text\": \
+                  \"b\"}]}\n\n";
+    match request.uri().path() {
+        "/v1/completions" if wants_stream(&body) => {
+            Response::new(Body::new(format!("{events}data: [DONE]\n\n")))
+        }
+        "/v1/completions" => Response::new(Body::new(whole)),
+        "/cut" => Response::new(Body::new(events)),
+        "/engine" => Response::new(Body::new("{\"token\": 1}\n{\"token\": 2}\n")),
+        path => {
+            let header = request.headers().get("authorization");
+            let key = header.and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
+            let answer = admin.handle(AdminRequest {
+                method: request.method().as_str(),
+                path,
+                key,
+                body: &body,
+                now_ms: 1000,
+            });
+            let response = ResponseBuilder::new().status(answer.status);
+            response.body(Body::new(answer.body)).unwrap()
+        }
+    }
+}
+
+fn wants_stream(body: &[u8]) -> bool {
+    let request: serde_json::Value = serde_json::from_slice(body).unwrap();
+    request["stream"] == true
+}
+
+/// Runs the command against the stand-in with the operator's key.
+pub fn run(directory: &Path, admin: SocketAddr, words: &[&str]) -> Output {
+    let key_file = directory.join("operator.key");
+    std::fs::write(&key_file, OPERATOR_KEY).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_catkindeck"))
+        .args(words)
+        .current_dir(directory)
+        .env("CATKINDECK_ADMIN", format!("http://{admin}"))
+        .env("CATKINDECK_OPERATOR_KEY_FILE", key_file)
+        .output()
+        .unwrap()
+}
+
+/// Returns the exit code and the text of a run.
+pub fn outcome(output: &Output) -> (i32, String) {
+    let text = [output.stdout.as_slice(), output.stderr.as_slice()].concat();
+    (
+        output.status.code().unwrap(),
+        String::from_utf8(text).unwrap(),
+    )
+}
--- a/crates/catkindeck-control/src/intent/apply.rs
+++ b/crates/catkindeck-control/src/intent/apply.rs
@@ -105,7 +105,7 @@
             );
             return Err(ServiceError::not_run(ErrorKind::Conflict, detail));
         }
-        match self.ledger.commit(id.base, &target) {
+        match self.ledger.commit(id, &target) {
             Ok(CommitOutcome::Committed(revision)) => Ok(self.confirm_spread(id, revision)),
             Ok(CommitOutcome::Moved) => self.judge_moved(id, &self.ledger.head()?),
             Ok(CommitOutcome::Unknown) => Ok(unknown(id, "the store did not answer")),
--- a/crates/catkindeck-control/src/intent/ledger.rs
+++ b/crates/catkindeck-control/src/intent/ledger.rs
@@ -1,7 +1,7 @@
 //! What planning and application need from the configuration's store and from the fleet.
 
 use {
-    super::capacity::LoadView,
+    super::{capacity::LoadView, plan::PlanId},
     catkindeck::{
         ServiceError,
         config::{ConfigRevision, ConfigSnapshot},
@@ -55,16 +55,14 @@
     /// Returns `store_unavailable` if the store cannot be reached in time.
     fn at(&self, revision: ConfigRevision) -> Result<Option<ConfigSnapshot>, ServiceError>;
 
-    /// Writes `next` and moves the head to it if the head is still at `base`.
+    /// Writes `next` and moves the head to it if the head is still at the plan's base.
+    ///
+    /// A commit that is repeated under the same id takes effect at most once.
     ///
     /// # Errors
     ///
     /// Returns an error only if nothing was written; a lost answer is [`CommitOutcome::Unknown`].
-    fn commit(
-        &self,
-        base: ConfigRevision,
-        next: &ConfigSnapshot,
-    ) -> Result<CommitOutcome, ServiceError>;
+    fn commit(&self, id: &PlanId, next: &ConfigSnapshot) -> Result<CommitOutcome, ServiceError>;
 
     /// Tells how far a committed revision has spread, waiting a bounded time for completion.
     ///
--- a/crates/catkindeck-control/tests/intent.rs
+++ b/crates/catkindeck-control/tests/intent.rs
@@ -129,13 +129,9 @@
         Ok(self.revisions.lock().unwrap().get(index).cloned())
     }
 
-    fn commit(
-        &self,
-        base: ConfigRevision,
-        next: &ConfigSnapshot,
-    ) -> Result<CommitOutcome, ServiceError> {
+    fn commit(&self, id: &PlanId, next: &ConfigSnapshot) -> Result<CommitOutcome, ServiceError> {
         let mut revisions = self.revisions.lock().unwrap();
-        if revisions.last().unwrap().revision != base {
+        if revisions.last().unwrap().revision != id.base {
             return Ok(CommitOutcome::Moved);
         }
         revisions.push(next.clone());
--- a/crates/catkindeck/src/settings.rs
+++ b/crates/catkindeck/src/settings.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Returns the file's name, to which relative paths inside it refer.
+    pub fn file(&self) -> &str {
+        &self.file
+    }
+
     /// Parses the text into a raw type, which declares `#[serde(deny_unknown_fields)]`.
     ///
     /// # Errors
