--- a/crates/catkindeck-control/src/lib.rs
+++ b/crates/catkindeck-control/src/lib.rs
@@ -5,4 +5,5 @@
 //! `docs/design.md`, section 4.
 
 pub mod intent;
+pub mod source;
 pub mod step;
