Issue development certificates from the command

Cause: the quick start needs an authority and certificates for mutual TLS.

Ruled out: replacing certificates on every run, because a repeated quick start would cut running processes off; `--renew` replaces them explicitly.

Change: subcommand `certs` over the transport's development authority. An authority found in the directory is used again.

Before: no way to make certificates.

Conclusion: the certificates are for development; production brings its own authority.

--- a/crates/catkindeck-cli/src/arguments.rs
+++ b/crates/catkindeck-cli/src/arguments.rs
@@ -62,6 +62,8 @@
     Keys(KeyArguments),
     /// Checks files.
     CheckConfig(CheckArguments),
+    /// Issues development certificates.
+    Certs(CertificateArguments),
     /// Generates load.
     Load(LoadArguments),
 }
@@ -236,6 +238,35 @@
     pub paths: Vec<PathBuf>,
 }
 
+/// Issue certificates from a development authority; not for production.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "certs",
+    example = "{command_name} --dir certs --entry entry-a1 --agent draft-1 --agent draft-2"
+)]
+pub struct CertificateArguments {
+    /// directory for the authority and the certificates; an authority found there is used again
+    #[argh(option)]
+    pub dir: PathBuf,
+
+    /// host that runs an entry; may be repeated
+    #[argh(option)]
+    pub entry: Vec<String>,
+
+    /// host that runs an agent; may be repeated
+    #[argh(option)]
+    pub agent: Vec<String>,
+
+    /// name of an operator; may be repeated
+    #[argh(option)]
+    pub operator: Vec<String>,
+
+    /// replace certificates that exist, as before they expire
+    #[argh(switch)]
+    pub renew: bool,
+}
+
 /// Generate load against entries and report latencies; with --compare, also against an upstream.
 #[derive(FromArgs, Debug)]
 #[argh(
--- /dev/null
+++ b/crates/catkindeck-cli/src/certificate_command.rs
@@ -0,0 +1,101 @@
+//! The subcommand `certs`.
+
+use {
+    crate::{
+        arguments::CertificateArguments,
+        files::{unreadable, write_secret},
+        output::CommandReport,
+    },
+    catkindeck::{ErrorKind, ServiceError, id::ObjectName, link::PeerRole},
+    catkindeck_wire::certificate::{DevelopmentAuthority, role_name},
+    serde_json::json,
+    std::{
+        fs, io,
+        path::{Path, PathBuf},
+    },
+};
+
+/// Issues certificates; those that exist are kept, so that the command can be repeated.
+pub fn run(arguments: &CertificateArguments) -> Result<CommandReport, ServiceError> {
+    let directory = &arguments.dir;
+    fs::create_dir_all(directory).map_err(|error| {
+        let detail = format!("cannot create {}: {error}", directory.display());
+        ServiceError::not_run(ErrorKind::BadRequest, detail)
+    })?;
+    let authority = open_authority(directory)?;
+    let mut issued = Vec::new();
+    let mut kept = Vec::new();
+    let roles = [
+        (PeerRole::Entry, &arguments.entry),
+        (PeerRole::Agent, &arguments.agent),
+        (PeerRole::Operator, &arguments.operator),
+    ];
+    for (role, hosts) in roles {
+        for host in hosts {
+            let host = ObjectName::try_from(host.as_str())?;
+            let path = directory.join(format!("{}-{host}.pem", role_name(role)));
+            if path.exists() && !arguments.renew {
+                kept.push(path);
+                continue;
+            }
+            issue(&authority, role, &host, &path)?;
+            issued.push(path);
+        }
+    }
+    let list = |paths: &[PathBuf]| -> Vec<String> {
+        paths
+            .iter()
+            .map(|path| path.display().to_string())
+            .collect()
+    };
+    let (issued, kept) = (list(&issued), list(&kept));
+    let mut lines = vec![format!(
+        "Development authority: {}",
+        directory.join("authority.pem").display()
+    )];
+    lines.extend(issued.iter().map(|path| format!("issued {path}")));
+    lines.extend(kept.iter().map(|path| format!("kept   {path}")));
+    CommandReport::success(lines.join("\n"), &json!({"issued": issued, "kept": kept}))
+}
+
+fn open_authority(directory: &Path) -> Result<DevelopmentAuthority, ServiceError> {
+    let certificate = directory.join("authority.pem");
+    let key = directory.join("authority.key");
+    if certificate.exists() && key.exists() {
+        let read =
+            |path: &PathBuf| fs::read_to_string(path).map_err(|error| unreadable(path, &error));
+        return DevelopmentAuthority::open(&read(&certificate)?, &read(&key)?)
+            .map_err(|error| failed("open the authority", &error));
+    }
+    let authority =
+        DevelopmentAuthority::create().map_err(|error| failed("create an authority", &error))?;
+    write_secret(&key, authority.key_pem())?;
+    write_secret(&certificate, authority.certificate_pem())?;
+    Ok(authority)
+}
+
+fn issue(
+    authority: &DevelopmentAuthority,
+    role: PeerRole,
+    host: &ObjectName,
+    path: &Path,
+) -> Result<(), ServiceError> {
+    let issued = authority
+        .issue(role, host)
+        .map_err(|error| failed("issue a certificate", &error))?;
+    let key = path.with_extension("key");
+    for file in [&key, path] {
+        match fs::remove_file(file) {
+            Ok(()) => {}
+            Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+            Err(error) => return Err(failed(&format!("replace {}", file.display()), &error)),
+        }
+    }
+    // The certificate is written last: a run that broke off is completed by the next one.
+    write_secret(&key, &issued.key_pem)?;
+    write_secret(path, &issued.certificate_pem)
+}
+
+fn failed(what: &str, error: &dyn std::fmt::Display) -> ServiceError {
+    ServiceError::not_run(ErrorKind::Internal, format!("cannot {what}: {error}"))
+}
--- a/crates/catkindeck-cli/src/files.rs
+++ b/crates/catkindeck-cli/src/files.rs
@@ -53,7 +53,7 @@
     ServiceError::not_run(kind, format!("cannot read {}: {error}", path.display()))
 }
 
-/// Writes a new file that only its owner may read; an existing file is left alone.
+/// Writes a new file that only its owner may read; an existing file is an error.
 pub fn write_secret(path: &Path, content: &str) -> Result<(), ServiceError> {
     let mut options = fs::OpenOptions::new();
     options.write(true).create_new(true);
--- a/crates/catkindeck-cli/tests/command.rs
+++ b/crates/catkindeck-cli/tests/command.rs
@@ -145,3 +145,39 @@
         3
     );
 }
+
+/// Guards against a repeated command that replaces certificates in use, or mixes up authorities.
+#[test]
+fn certificates_are_kept_unless_renewed() {
+    let directory = tempdir().unwrap();
+    let entry = start_entry();
+    let command = |words: &[&str]| outcome(&run(directory.path(), entry, words));
+    let read = |file: &str| fs::read(directory.path().join("certs").join(file)).unwrap();
+    let issue = [
+        "certs", "--dir", "certs", "--entry", "entry-a", "--agent", "draft.1",
+    ];
+    assert_eq!(command(&issue).0, 0);
+    let first = [
+        read("authority.pem"),
+        read("entry-entry-a.pem"),
+        read("agent-draft.1.key"),
+    ];
+    let (code, text) = command(&issue);
+    assert_eq!(code, 0, "{text}");
+    let second = [
+        read("authority.pem"),
+        read("entry-entry-a.pem"),
+        read("agent-draft.1.key"),
+    ];
+    assert_eq!(first, second);
+    assert_eq!(
+        command(&["certs", "--dir", "certs", "--entry", "entry-a", "--renew"]).0,
+        0
+    );
+    assert_ne!(read("entry-entry-a.pem"), first[1]);
+    assert_eq!(read("authority.pem"), first[0]);
+    assert_eq!(
+        command(&["certs", "--dir", "certs", "--entry", "Entry A"]).0,
+        2
+    );
+}
