--- a/crates/catkindeck-cli/src/arguments.rs
+++ b/crates/catkindeck-cli/src/arguments.rs
@@ -197,6 +197,10 @@
     /// file for the key, readable by its owner only, instead of showing it
     #[argh(option)]
     pub out: Option<PathBuf>,
+
+    /// declaration file to which the lines with the key's digest are added
+    #[argh(option)]
+    pub declare: Option<PathBuf>,
 }
 
 /// List the keys that work, without the keys themselves.
