--- a/crates/catkindeck-policy/src/lib.rs
+++ b/crates/catkindeck-policy/src/lib.rs
@@ -4,11 +4,13 @@
 //! the daemons carry it out. The decisions are weighed in `docs/policy.md`.
 
 pub mod admission;
+pub mod batch;
 pub mod credit;
 pub mod execution;
 pub mod fair;
 pub mod fence;
 pub mod home;
+pub mod ledger;
 pub mod limit;
 pub mod quarantine;
 pub mod record;
--- /dev/null
+++ b/crates/catkindeck-policy/tests/execution.rs
@@ -0,0 +1,383 @@
+//! Fuzzes two agents' execution tables with retries, revocations, moves and restarts.
+//!
+//! Guards against a second execution of a non-idempotent request (G13) and against a refusal that
+//! says `not_run` about a request that ran (G12).
+
+mod common;
+
+use {
+    catkindeck::{
+        ErrorKind, ExecutionOutcome, Moment, ServiceError,
+        id::{BootId, IncarnationId},
+        message::{CallBody, ExecuteRequest, ExecutionState, WorkBody, WorkClass},
+        token::VersionLabels,
+    },
+    catkindeck_policy::{
+        BeginDecision, ExecutionResult, ExecutionSettings, ExecutionTable, RevokeOutcome,
+        TableOrigin,
+    },
+    common::{assert_fails, assert_holds, digest, name, request},
+    proptest::prelude::*,
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
+    std::collections::BTreeMap,
+};
+
+const RETENTION: u64 = 100;
+const LONGEST: u64 = 40;
+
+/// Which mechanism a machine leaves out.
+const NONE: u8 = 0;
+const NO_RESTART_BLINDNESS: u8 = 1;
+const NO_REVOCATION: u8 = 2;
+const NO_EARLIER_HOMES: u8 = 3;
+const NO_RECORD_OF_KEYS: u8 = 4;
+const NO_INCARNATION: u8 = 5;
+
+#[derive(Debug, Clone)]
+enum Event {
+    Execute { id: u32, key: Option<u8>, body: u8 },
+    Start(u32),
+    Finish(u32, bool),
+    Release(u32),
+    Revoke(u32),
+    Restart,
+    Move,
+    Drain,
+    Advance(u64),
+}
+
+struct Events<const OFF: u8>;
+
+impl<const OFF: u8> ReferenceStateMachine for Events<OFF> {
+    type State = ();
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<Event> {
+        prop_oneof![
+            6 => (0u32..10, proptest::option::of(0u8..3), 0u8..6)
+                .prop_map(|(id, key, body)| Event::Execute { id, key, body: u8::from(body == 0) }),
+            6 => (0u32..10).prop_map(Event::Start),
+            4 => (0u32..10, any::<bool>()).prop_map(|(id, whole)| Event::Finish(id, whole)),
+            1 => (0u32..10).prop_map(Event::Release),
+            2 => (0u32..10).prop_map(Event::Revoke),
+            1 => Just(Event::Restart),
+            1 => Just(Event::Move),
+            1 => Just(Event::Drain),
+            4 => (1u64..30).prop_map(Event::Advance),
+        ]
+        .boxed()
+    }
+
+    fn apply(_state: (), _event: &Event) {}
+}
+
+/// A request as its entry knows it.
+#[derive(Debug, Clone)]
+struct Sent {
+    agent: usize,
+    incarnation: IncarnationId,
+    key: Option<u8>,
+    running: Option<Moment>,
+    started: bool,
+    proved_not_run: bool,
+}
+
+struct World<const OFF: u8> {
+    now: Moment,
+    tables: [ExecutionTable; 2],
+    incarnations: [IncarnationId; 2],
+    next_incarnation: u8,
+    home: usize,
+    moved: bool,
+    sent: BTreeMap<u32, Sent>,
+    /// When the last execution of each key ended at the latest.
+    key_ends: BTreeMap<u8, Moment>,
+}
+
+fn table(incarnation: IncarnationId, now: Moment, origin: TableOrigin) -> ExecutionTable {
+    let settings = ExecutionSettings {
+        retention_ms: RETENTION,
+        longest_request_ms: LONGEST,
+        record_limit: 1_000,
+        answer_limit: 8,
+    };
+    ExecutionTable::new(settings, incarnation, now, origin)
+}
+
+fn execute(id: u32, key: Option<u8>, body: u8, incarnation: Option<IncarnationId>) -> ExecuteRequest {
+    ExecuteRequest {
+        request: request(id),
+        incarnation,
+        customer: Some(name("court")),
+        route: name("desk"),
+        service: name("desk"),
+        class: WorkClass::Interactive,
+        priority: 0,
+        attempt: 1,
+        deadline_ms: LONGEST,
+        idempotent: false,
+        idempotency_key: key.map(|key| format!("key-{key}")),
+        digest: digest(body),
+        sample: None,
+        body: WorkBody::Call(CallBody {
+            method: "POST".to_owned(),
+            path: "/".to_owned(),
+            headers: Vec::new(),
+            bytes: Vec::new(),
+        }),
+    }
+}
+
+impl<const OFF: u8> World<OFF> {
+    fn new() -> Self {
+        let incarnations = [IncarnationId([1; 16]), IncarnationId([2; 16])];
+        let first = |incarnation| table(incarnation, Moment(0), TableOrigin::First);
+        Self {
+            now: Moment(0),
+            tables: incarnations.map(first),
+            incarnations,
+            next_incarnation: 3,
+            home: 0,
+            moved: false,
+            sent: BTreeMap::new(),
+            key_ends: BTreeMap::new(),
+        }
+    }
+
+    /// Sends a request as an entry does: earlier homes first, each request id to one agent only.
+    fn execute(&mut self, id: u32, key: Option<u8>, body: u8) {
+        let other = 1 - self.home;
+        if let (Some(key), true) = (key, self.moved && OFF != NO_EARLIER_HOMES) {
+            let text = format!("key-{key}");
+            let customer = name("court");
+            let found = self.tables[other].forbid(self.now, Some(&customer), &name("desk"), &text);
+            match found {
+                Ok(record) if record.state == ExecutionState::Forbidden => {}
+                _ => return,
+            }
+        }
+        let known = self.sent.get(&id).cloned();
+        if known.as_ref().is_some_and(|sent| sent.proved_not_run) {
+            return;
+        }
+        // A late duplicate is addressed to the agent and incarnation of the first delivery.
+        let (agent, incarnation, key) = match &known {
+            Some(sent) => (sent.agent, sent.incarnation, sent.key),
+            None => (self.home, self.incarnations[self.home], key),
+        };
+        let addressed = (OFF != NO_INCARNATION).then_some(incarnation);
+        let decision = self.tables[agent].begin(self.now, &execute(id, key, body, addressed));
+        match &decision {
+            Ok(BeginDecision::Run) => {}
+            Ok(BeginDecision::Replay(record)) => {
+                assert_eq!(record.state, ExecutionState::Finished);
+                assert_eq!(record.digest, digest(body), "replayed another body's answer");
+            }
+            Err(error) => self.check_refusal(id, error),
+        }
+        self.sent.entry(id).or_insert(Sent {
+            agent,
+            incarnation,
+            key,
+            running: None,
+            started: false,
+            proved_not_run: false,
+        });
+    }
+
+    fn check_refusal(&self, id: u32, error: &ServiceError) {
+        let started = self.sent.get(&id).is_some_and(|sent| sent.started);
+        let duplicate_delivery = matches!(
+            error.kind,
+            ErrorKind::WrongIncarnation | ErrorKind::Conflict
+        );
+        if error.execution == ExecutionOutcome::NotRun && !duplicate_delivery {
+            assert!(!started, "not_run is false for request {id}");
+        }
+    }
+
+    fn start(&mut self, id: u32) {
+        let Some(sent) = self.sent.get_mut(&id) else {
+            return;
+        };
+        let boot = BootId("boot".to_owned());
+        if self.tables[sent.agent].start(&request(id), &boot).is_err() {
+            return;
+        }
+        assert!(!sent.proved_not_run, "not_run is false for request {id}");
+        assert!(!sent.started, "second execution of request {id}");
+        sent.started = true;
+        sent.running = Some(self.now);
+        if let Some(key) = sent.key {
+            let ended = self.key_ends.get(&key);
+            let fresh = ended.is_none_or(|ended| self.now >= *ended + RETENTION);
+            assert!(fresh, "second execution of key {key}");
+            self.key_ends.insert(key, self.now + LONGEST);
+        }
+    }
+
+    fn finish(&mut self, id: u32, complete: bool) {
+        let Some(sent) = self.sent.get_mut(&id) else {
+            return;
+        };
+        if sent.running.take().is_none() {
+            return;
+        }
+        let result = ExecutionResult {
+            complete,
+            boot: BootId("boot".to_owned()),
+            labels: VersionLabels::default(),
+            status: 200,
+            answer: vec![0; 3],
+        };
+        let record = self.tables[sent.agent].finish(self.now, &request(id), result);
+        assert!(record.is_some(), "the record of a running request is lost");
+        if let Some(key) = sent.key {
+            self.key_ends.insert(key, self.now);
+        }
+        if OFF == NO_RECORD_OF_KEYS {
+            self.tables[sent.agent] =
+                table(sent.incarnation, self.now, TableOrigin::First);
+        }
+    }
+
+    fn revoke(&mut self, id: u32) {
+        let Some(sent) = self.sent.get_mut(&id) else {
+            return;
+        };
+        if OFF == NO_REVOCATION {
+            sent.proved_not_run = !sent.started;
+            return;
+        }
+        let table = &mut self.tables[sent.agent];
+        match table.revoke(self.now, &request(id), &sent.incarnation) {
+            Ok(RevokeOutcome::Revoked) => {
+                assert!(!sent.started, "not_run is false for request {id}");
+                sent.proved_not_run = true;
+            }
+            Ok(RevokeOutcome::Known(_)) => assert!(sent.started, "a queued request is not revoked"),
+            Err(error) => assert_eq!(error.execution, ExecutionOutcome::Unknown),
+        }
+    }
+
+    fn restart(&mut self) {
+        let agent = self.home;
+        let incarnation = IncarnationId([self.next_incarnation; 16]);
+        self.next_incarnation += 1;
+        self.incarnations[agent] = incarnation;
+        let origin = match OFF {
+            NO_RESTART_BLINDNESS => TableOrigin::First,
+            _ => TableOrigin::Restarted,
+        };
+        self.tables[agent] = table(incarnation, self.now, origin);
+        for sent in self.sent.values_mut().filter(|sent| sent.agent == agent) {
+            sent.running = None;
+        }
+    }
+
+    /// Moves the home after the drain of the present one, which hands its records over.
+    fn drain(&mut self) {
+        let agent = self.home;
+        let busy = |sent: &Sent| sent.agent == agent && sent.running.is_some();
+        if self.sent.values().any(busy) {
+            return;
+        }
+        let records = self.tables[agent].hand_over(self.now);
+        let adopted = self.tables[1 - agent].adopt(self.now, records);
+        assert!(adopted.is_ok());
+        self.move_home();
+    }
+
+    fn move_home(&mut self) {
+        self.home = 1 - self.home;
+        self.moved = true;
+    }
+
+    fn advance(&mut self, milliseconds: u64) {
+        let late: Vec<u32> = self
+            .sent
+            .iter()
+            .filter(|(_, sent)| {
+                sent.running
+                    .is_some_and(|from| self.now.since(from) + milliseconds > LONGEST)
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        late.into_iter().for_each(|id| self.finish(id, false));
+        self.now = self.now + milliseconds;
+        // Request ids are forgotten by entries long before the records of agents expire.
+        let now = self.now;
+        self.tables.iter_mut().for_each(|table| table.expire(now));
+        if self.sent.len() == 10 {
+            let done = |sent: &Sent| sent.running.is_none();
+            if self.sent.values().all(done) && milliseconds > 25 {
+                self.now = self.now + 2 * (RETENTION + LONGEST);
+                self.sent.clear();
+            }
+        }
+    }
+}
+
+struct Machine<const OFF: u8>;
+
+impl<const OFF: u8> StateMachineTest for Machine<OFF> {
+    type SystemUnderTest = World<OFF>;
+    type Reference = Events<OFF>;
+
+    fn init_test(_state: &()) -> World<OFF> {
+        World::new()
+    }
+
+    fn apply(mut world: World<OFF>, _state: &(), event: Event) -> World<OFF> {
+        match event {
+            Event::Execute { id, key, body } => world.execute(id, key, body),
+            Event::Start(id) => world.start(id),
+            Event::Finish(id, whole) => world.finish(id, whole),
+            Event::Release(id) => {
+                if let Some(sent) = world.sent.get(&id) {
+                    world.tables[sent.agent].release(&request(id));
+                }
+            }
+            Event::Revoke(id) => world.revoke(id),
+            Event::Restart => world.restart(),
+            Event::Move => world.move_home(),
+            Event::Drain => world.drain(),
+            Event::Advance(milliseconds) => world.advance(milliseconds),
+        }
+        world
+    }
+}
+
+#[test]
+fn nothing_runs_twice_and_not_run_is_true() {
+    assert_holds::<Machine<NONE>>(11, 120);
+}
+
+#[test]
+fn a_table_that_trusts_itself_after_a_restart_is_found() {
+    assert_fails::<Machine<NO_RESTART_BLINDNESS>>(12, 120, "second execution of key");
+}
+
+#[test]
+fn a_revocation_that_is_not_recorded_is_found() {
+    assert_fails::<Machine<NO_REVOCATION>>(13, 120, "not_run is false");
+}
+
+#[test]
+fn an_entry_that_skips_earlier_homes_is_found() {
+    assert_fails::<Machine<NO_EARLIER_HOMES>>(14, 120, "second execution of key");
+}
+
+#[test]
+fn a_table_that_forgets_ended_requests_is_found() {
+    assert_fails::<Machine<NO_RECORD_OF_KEYS>>(15, 120, "execution of");
+}
+
+#[test]
+fn an_agent_that_accepts_work_for_its_former_incarnation_is_found() {
+    assert_fails::<Machine<NO_INCARNATION>>(16, 120, "second execution of request");
+}
