Add the agent

Cause: entries cannot protect an upstream by what they know; the process beside it enforces limits, fences, zone state and at-most-once execution. Ruled out: a notice of the start before the upstream is reached, because a refused connection must stay a proof that nothing ran; reuse of upstream connections, because a failure on a reused one does not tell whether the request was read; a lock around orders that also covers zone announcements, because a zone must go out while a swap is in progress. Change: the library and daemon catkindeck-agent: settings, upstream clients, admission, execution records, orders, configuration, usage, samples, hand-over, metrics, drain. ExecutionTable gains undo_start, for requests that are proved not to have reached the upstream. Before: no agent. Conclusion: entries can be developed against it.

--- /dev/null
+++ b/crates/catkindeck-agent/src/core.rs
@@ -0,0 +1,198 @@
+//! What the parts of an agent share.
+
+use {
+    crate::{
+        configuration::ConfigKeeper,
+        events,
+        metrics::{AgentMetrics, gauge_value},
+        settings::AgentSettings,
+        state::AgentState,
+        upstream::UpstreamClient,
+    },
+    catkindeck::{
+        Clock, ErrorKind, Moment, ServiceError,
+        config::ConfigSnapshot,
+        id::{IncarnationId, ObjectName},
+        link::{PeerIdentity, PeerLink},
+        log_event,
+        message::LoadReport,
+    },
+    catkindeck_health::{DrainGate, ReadinessFlag},
+    prometheus::Registry,
+    slog::Logger,
+    std::{
+        sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+        time::{SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// The reason that keeps an agent unready until it knows a configuration.
+pub(crate) const NO_CONFIGURATION: &str = "no_configuration";
+
+/// What an agent is made of.
+pub struct AgentParts {
+    /// The checked settings.
+    pub settings: AgentSettings,
+    /// The upstream.
+    pub upstream: Arc<dyn UpstreamClient>,
+    /// The clock of all decisions.
+    pub clock: Arc<dyn Clock>,
+    /// Whether the process takes work.
+    pub readiness: Arc<ReadinessFlag>,
+    /// The work in flight.
+    pub gate: Arc<DrainGate>,
+    /// The metrics.
+    pub registry: Registry,
+    /// The logger.
+    pub logger: Logger,
+}
+
+/// An agent without its sockets.
+pub struct AgentCore {
+    pub(crate) settings: AgentSettings,
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) upstream: Arc<dyn UpstreamClient>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) readiness: Arc<ReadinessFlag>,
+    pub(crate) gate: Arc<DrainGate>,
+    pub(crate) metrics: AgentMetrics,
+    pub(crate) keeper: Arc<ConfigKeeper>,
+    pub(crate) link: OnceLock<Arc<dyn PeerLink>>,
+    /// Held while an order is at the upstream, so that orders arrive there in the order of their
+    /// fencing numbers.
+    pub(crate) order_turn: Mutex<()>,
+    pub(crate) logger: Logger,
+    state: Mutex<AgentState>,
+}
+
+impl AgentCore {
+    /// Makes an agent that knows no configuration yet and is therefore unready.
+    ///
+    /// # Errors
+    ///
+    /// Returns `internal` if the metrics are registered already.
+    pub fn new(parts: AgentParts) -> Result<Arc<Self>, ServiceError> {
+        let metrics = AgentMetrics::register(&parts.registry)?;
+        parts
+            .readiness
+            .hold(NO_CONFIGURATION, "no peer has given a configuration yet");
+        let incarnation = IncarnationId::random();
+        let state = AgentState::new(&parts.settings, incarnation, parts.clock.now());
+        let keeper = ConfigKeeper::new(
+            parts.settings.peers.clone(),
+            parts.settings.timeouts.peer,
+            parts.logger.clone(),
+        );
+        let core = Arc::new(Self {
+            settings: parts.settings,
+            incarnation,
+            upstream: parts.upstream,
+            clock: parts.clock,
+            readiness: parts.readiness,
+            gate: parts.gate,
+            metrics,
+            keeper: Arc::new(keeper),
+            link: OnceLock::new(),
+            order_turn: Mutex::new(()),
+            logger: parts.logger,
+            state: Mutex::new(state),
+        });
+        let listener = Arc::downgrade(&core);
+        core.keeper.set_listener(Box::new(move |config| {
+            if let Some(core) = listener.upgrade() {
+                core.apply_configuration(config);
+            }
+        }));
+        Ok(core)
+    }
+
+    /// Gives the agent the way to call other processes; only the first call has effect.
+    pub fn connect(&self, link: Arc<dyn PeerLink>) {
+        self.keeper.connect(link.clone());
+        // A second link would be of the same endpoint.
+        let _ = self.link.set(link);
+    }
+
+    /// Returns the identity of this run of the agent.
+    pub fn incarnation(&self) -> IncarnationId {
+        self.incarnation
+    }
+
+    /// Returns the holder of the configuration, which is also the transport's hook.
+    pub fn keeper(&self) -> &Arc<ConfigKeeper> {
+        &self.keeper
+    }
+
+    /// Makes the load report for a peer; only entries are granted credits.
+    pub fn report(&self, entry: Option<&ObjectName>) -> LoadReport {
+        let revision = self.keeper.current().revision;
+        let now = self.now();
+        self.lock().report(now, entry, revision)
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, AgentState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// Closes or opens the queue as the zone and the upstream's state say.
+    pub(crate) fn refresh_closed(&self) {
+        let now = self.now();
+        let mut state = self.lock();
+        let changed = state.refresh_closed(now);
+        state.pump(now);
+        drop(state);
+        match changed {
+            Some(true) => log_event!(self.logger, events::UPSTREAM_CLOSED),
+            Some(false) => log_event!(self.logger, events::UPSTREAM_OPENED),
+            None => {}
+        }
+    }
+
+    pub(crate) fn update_gauges(&self) {
+        let state = self.lock();
+        let counts = state.queue.counts();
+        let metrics = &self.metrics;
+        metrics.limit.set(i64::from(counts.limit));
+        metrics.running.set(i64::from(counts.in_flight));
+        metrics.queued.set(i64::from(counts.queued));
+        metrics.closed.set(i64::from(counts.closed));
+        metrics.records.set(gauge_value(state.table.len()));
+        metrics.samples.set(gauge_value(state.samples.len()));
+        metrics.usage_lines.set(gauge_value(state.usage.len()));
+        let revision = self.keeper.current().revision.0;
+        metrics
+            .revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
+    fn apply_configuration(&self, config: &ConfigSnapshot) {
+        let now = self.now();
+        let mismatch = self.lock().apply(now, config);
+        self.refresh_closed();
+        log_event!(self.logger, events::CONFIGURATION_APPLIED; "revision" => config.revision.0);
+        if mismatch {
+            let service = self.settings.upstream.service.as_str();
+            log_event!(self.logger, events::SERVICE_MISMATCH; "service" => service);
+        }
+        self.readiness.clear(NO_CONFIGURATION);
+    }
+}
+
+/// Returns the wall-clock time in milliseconds since the Unix epoch, by which usage is dated.
+pub(crate) fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the host's name of a peer.
+pub(crate) fn peer_name(peer: &PeerIdentity) -> Result<ObjectName, ServiceError> {
+    ObjectName::try_from(peer.host.as_str()).map_err(|error| {
+        ServiceError::not_run(ErrorKind::Forbidden, format!("the peer's name: {error}"))
+    })
+}
--- /dev/null
+++ b/crates/catkindeck-agent/src/execute.rs
@@ -0,0 +1,245 @@
+//! Admission of a caller's request: checks, execution record, queue.
+
+use {
+    crate::{
+        core::{AgentCore, peer_name},
+        metrics::error_label,
+        state::{QueueGrant, caller_gone},
+    },
+    catkindeck::{
+        ErrorKind, ExecutionOutcome, Moment, ServiceError,
+        id::ObjectName,
+        link::{FrameSink, PeerIdentity},
+        message::{ExecuteRequest, ExecutionRecord, PeerFrame, WorkBody},
+    },
+    catkindeck_policy::{AdmissionRequest, BeginDecision, WithdrawOutcome},
+    std::{sync::Arc, thread, time::Duration},
+};
+
+/// How often a waiting request looks whether its caller is gone.
+const CALLER_CHECK: Duration = Duration::from_millis(100);
+
+impl AgentCore {
+    /// Runs a caller's request from admission to its last frame.
+    pub(crate) fn execute(
+        &self,
+        peer: &PeerIdentity,
+        request: ExecuteRequest,
+        reply: &Arc<dyn FrameSink>,
+    ) {
+        let entry = match peer_name(peer) {
+            Ok(entry) => entry,
+            Err(error) => return self.refuse(&request, None, error, reply),
+        };
+        // The work is in flight until its last frame is sent, which a drain waits for.
+        let longest = self.settings.timeouts.longest_request.as_millis();
+        let longest = u64::try_from(longest).unwrap_or(u64::MAX);
+        let deadline = self.now() + request.deadline_ms.min(longest);
+        let admitted = self.gate.enter().and_then(|in_flight| {
+            let decision = self.begin(&request)?;
+            Ok((in_flight, decision))
+        });
+        let (_in_flight, decision) = match admitted {
+            Ok(admitted) => admitted,
+            Err(error) => return self.refuse(&request, Some(&entry), error, reply),
+        };
+        match decision {
+            BeginDecision::Replay(record) => self.replay(&request, &entry, *record, reply),
+            BeginDecision::Run => match self.wait_for_start(&request, &entry, deadline, reply) {
+                Ok(()) => self.run(&request, &entry, deadline, reply),
+                Err(error) => self.refuse(&request, Some(&entry), error, reply),
+            },
+        }
+    }
+
+    /// Refuses a request; the load report makes the refusal useful to the entry.
+    pub(crate) fn refuse(
+        &self,
+        request: &ExecuteRequest,
+        entry: Option<&ObjectName>,
+        error: ServiceError,
+        reply: &Arc<dyn FrameSink>,
+    ) {
+        self.metrics
+            .requests
+            .with_label_values(&[error_label(error.kind)])
+            .inc();
+        let frame = PeerFrame::Refused {
+            request: request.request,
+            error,
+            load: Box::new(self.report(entry)),
+        };
+        // A caller that is gone needs no refusal.
+        drop(reply.send(frame));
+    }
+
+    fn begin(&self, request: &ExecuteRequest) -> Result<BeginDecision, ServiceError> {
+        self.keeper.check_current()?;
+        if request.service != self.settings.upstream.service {
+            let service = &self.settings.upstream.service;
+            return Err(ServiceError::not_run(
+                ErrorKind::NotFound,
+                format!("this upstream runs {service}, not {}", request.service),
+            ));
+        }
+        let now = self.now();
+        let mut state = self.lock();
+        state.quarantine.check(now, &request.digest)?;
+        state.table.begin(now, request)
+    }
+
+    /// Waits in the queue until the request may go to the upstream.
+    fn wait_for_start(
+        &self,
+        request: &ExecuteRequest,
+        entry: &ObjectName,
+        deadline: Moment,
+        reply: &Arc<dyn FrameSink>,
+    ) -> Result<(), ServiceError> {
+        let id = request.request;
+        let now = self.now();
+        {
+            let mut state = self.lock();
+            state.waiting.insert(id, thread::current());
+            if let Err(error) = state.queue.offer(now, admission(request, entry, deadline)) {
+                state.waiting.remove(&id);
+                state.table.release(&id);
+                return Err(error);
+            }
+            state.pump(now);
+        }
+        loop {
+            {
+                let mut state = self.lock();
+                match state.take_grant(&id) {
+                    Some(QueueGrant::Start) => return Ok(()),
+                    Some(QueueGrant::Refuse(error)) => return Err(error),
+                    None => {}
+                }
+                let gone = reply.is_closed();
+                if gone && state.queue.withdraw(&id) == WithdrawOutcome::Removed {
+                    state.waiting.remove(&id);
+                    state.table.release(&id);
+                    return Err(caller_gone());
+                }
+            }
+            thread::park_timeout(CALLER_CHECK);
+        }
+    }
+
+    /// Sends the stored answer of an execution that ended before.
+    fn replay(
+        &self,
+        request: &ExecuteRequest,
+        entry: &ObjectName,
+        mut record: ExecutionRecord,
+        reply: &Arc<dyn FrameSink>,
+    ) {
+        let rest = match rest_of_answer(request, &record) {
+            Ok(rest) => rest,
+            Err(error) => return self.refuse(request, Some(entry), error, reply),
+        };
+        let mut frames = Vec::new();
+        if matches!(request.body, WorkBody::Call(_)) {
+            frames.push(PeerFrame::Head {
+                request: request.request,
+                status: record.status,
+                headers: record.headers.clone(),
+            });
+        }
+        // Without a beginning at the entry the record itself carries the answer.
+        let mut chunks = 0;
+        if let Some(rest) = rest {
+            record.answer = Vec::new();
+            record.answer_kept = false;
+            frames.extend(rest);
+            chunks = u32::try_from(frames.len()).unwrap_or(u32::MAX);
+        }
+        let tokens = u64::from(record.labels.token_count());
+        let executed = record.request;
+        frames.push(PeerFrame::Finished {
+            request: request.request,
+            chunks,
+            record: Box::new(record),
+            load: Box::new(self.report(Some(entry))),
+        });
+        for frame in frames {
+            if reply.send(frame).is_err() {
+                return;
+            }
+        }
+        let now = self.now();
+        let mut state = self.lock();
+        if state.bill(now, &executed) {
+            let unix_ms = crate::core::unix_ms();
+            let customer = request.customer.as_ref();
+            state
+                .usage
+                .count(unix_ms, customer, &request.service, 1, tokens);
+        }
+        drop(state);
+        self.metrics.requests.with_label_values(&["replayed"]).inc();
+    }
+}
+
+fn admission(request: &ExecuteRequest, entry: &ObjectName, deadline: Moment) -> AdmissionRequest {
+    let service_limit = match &request.body {
+        WorkBody::Completion(body) => {
+            u64::from(body.max_tokens.saturating_sub(body.resume_tokens)).max(1)
+        }
+        WorkBody::Call(_) => 1,
+    };
+    AdmissionRequest {
+        request: request.request,
+        customer: request.customer.clone(),
+        class: request.class,
+        priority: request.priority,
+        deadline,
+        service_limit,
+        entry: Some(entry.clone()),
+    }
+}
+
+/// Returns the chunks that follow what the entry received in an earlier attempt, or `None` if it
+/// received nothing.
+///
+/// # Errors
+///
+/// Returns `outcome_unknown` with `finished` if the stored answer does not go on from there, or its
+/// rest has several versions, whose borders in the text are not stored.
+fn rest_of_answer(
+    request: &ExecuteRequest,
+    record: &ExecutionRecord,
+) -> Result<Option<Vec<PeerFrame>>, ServiceError> {
+    let WorkBody::Completion(body) = &request.body else {
+        return Ok(None);
+    };
+    if body.resume_tokens == 0 {
+        return Ok(None);
+    }
+    let unusable = || ServiceError {
+        kind: ErrorKind::OutcomeUnknown,
+        execution: ExecutionOutcome::Finished,
+        detail: "the request ran, but its stored answer does not go on from the cut".to_owned(),
+    };
+    let rest = record
+        .answer
+        .strip_prefix(body.resume_text.as_bytes())
+        .ok_or_else(unusable)?;
+    let total = record.labels.token_count();
+    let tokens = total.checked_sub(body.resume_tokens).ok_or_else(unusable)?;
+    if tokens == 0 {
+        return Ok(Some(Vec::new()));
+    }
+    let range = record.labels.ranges.last().ok_or_else(unusable)?;
+    if range.start > body.resume_tokens {
+        return Err(unusable());
+    }
+    Ok(Some(vec![PeerFrame::Chunk {
+        request: request.request,
+        sequence: 0,
+        bytes: rest.to_vec(),
+        tokens,
+        version: range.version,
+    }]))
+}
--- /dev/null
+++ b/crates/catkindeck-agent/src/handler.rs
@@ -0,0 +1,239 @@
+//! Calls of other processes.
+
+use {
+    crate::{
+        core::{AgentCore, peer_name, unix_ms},
+        events,
+    },
+    catkindeck::{
+        ErrorKind, ServiceError,
+        id::{IncarnationId, ObjectName, RequestId},
+        link::{FrameSink, PeerHandler, PeerIdentity, PeerRole},
+        log_event,
+        message::{ExecutionRecord, ExecutionState, PeerFrame, PeerRequest, SampleRecord},
+    },
+    catkindeck_policy::RevokeOutcome,
+    std::sync::Arc,
+};
+
+/// The text of samples from which on another frame is begun, in bytes.
+const SAMPLES_PER_FRAME: usize = 1 << 20;
+
+/// Serves the calls of other processes.
+pub struct AgentHandler {
+    core: Arc<AgentCore>,
+}
+
+impl AgentHandler {
+    /// Makes the handler.
+    pub fn new(core: Arc<AgentCore>) -> Self {
+        Self { core }
+    }
+
+    fn answer(
+        &self,
+        peer: &PeerIdentity,
+        request: PeerRequest,
+    ) -> Result<Vec<PeerFrame>, ServiceError> {
+        let core = &self.core;
+        let frame = match request {
+            PeerRequest::Revoke {
+                request,
+                incarnation,
+            } => core.revoke(&request, &incarnation)?,
+            PeerRequest::FindExecution {
+                customer,
+                route,
+                idempotency_key,
+                forbid_start,
+            } => {
+                let customer = customer.as_ref();
+                let record =
+                    core.find_execution(customer, &route, &idempotency_key, forbid_start)?;
+                PeerFrame::Execution(record.map(Box::new))
+            }
+            PeerRequest::Cancel { request } => {
+                core.cancel(&request);
+                PeerFrame::Done
+            }
+            PeerRequest::ReadLoad => {
+                let entry = match peer.role {
+                    PeerRole::Entry => Some(peer_name(peer)?),
+                    PeerRole::Agent | PeerRole::Operator => None,
+                };
+                PeerFrame::Load(Box::new(core.report(entry.as_ref())))
+            }
+            PeerRequest::Order(order) => {
+                core.order(&order)?;
+                PeerFrame::Done
+            }
+            PeerRequest::PushConfiguration(config) => {
+                PeerFrame::Revision(core.keeper().accept(*config))
+            }
+            PeerRequest::FetchConfiguration => {
+                let config = core.keeper().current();
+                PeerFrame::Configuration(Box::new((*config).clone()))
+            }
+            PeerRequest::ReadRevision => PeerFrame::Revision(core.keeper().current().revision),
+            PeerRequest::CollectUsage { sealed_through } => {
+                let mut state = core.lock();
+                let ending = state.ending;
+                let lines = state.usage.collect(unix_ms(), sealed_through, ending);
+                PeerFrame::Usage(lines)
+            }
+            PeerRequest::CollectSamples { run, step } => {
+                let samples = core.lock().samples.collect(&run, step);
+                return Ok(sample_frames(samples));
+            }
+            PeerRequest::ReleaseSamples { samples } => {
+                core.lock().samples.release(&samples);
+                PeerFrame::Done
+            }
+            PeerRequest::ReportCrashes { crashes } => {
+                let now = core.now();
+                let mut state = core.lock();
+                for crash in &crashes {
+                    state.quarantine.report(now, crash);
+                }
+                PeerFrame::Done
+            }
+            PeerRequest::AdoptExecutions { records } => {
+                let now = core.now();
+                core.lock().table.adopt(now, records)?;
+                PeerFrame::Done
+            }
+            PeerRequest::Execute(_) | PeerRequest::ForwardStep(_) => {
+                return Err(ServiceError::not_run(
+                    ErrorKind::BadRequest,
+                    "an agent does not take this request",
+                ));
+            }
+        };
+        Ok(vec![frame])
+    }
+}
+
+impl PeerHandler for AgentHandler {
+    fn handle(&self, peer: &PeerIdentity, request: PeerRequest, reply: Arc<dyn FrameSink>) {
+        if let Err(error) = check_role(peer, &request) {
+            log_event!(
+                self.core.logger, events::PEER_REFUSED;
+                "host" => &peer.host, "reason" => error.to_string(),
+            );
+            // A caller that is gone needs no refusal.
+            drop(reply.send(PeerFrame::Failed(error)));
+            return;
+        }
+        if let PeerRequest::Execute(request) = request {
+            return self.core.execute(peer, *request, &reply);
+        }
+        let frames = self
+            .answer(peer, request)
+            .unwrap_or_else(|error| vec![PeerFrame::Failed(error)]);
+        for frame in frames {
+            if let Err(error) = reply.send(frame) {
+                // Only a frame that is too large leaves a caller who can be told.
+                drop(reply.send(PeerFrame::Failed(error)));
+                return;
+            }
+        }
+    }
+}
+
+impl AgentCore {
+    /// Forbids a request to start, or returns what is known of its execution.
+    fn revoke(
+        &self,
+        request: &RequestId,
+        incarnation: &IncarnationId,
+    ) -> Result<PeerFrame, ServiceError> {
+        let now = self.now();
+        let mut state = self.lock();
+        match state.table.revoke(now, request, incarnation)? {
+            RevokeOutcome::Revoked => {
+                state.refuse_queued(request, revoked());
+                Ok(PeerFrame::Revoked { request: *request })
+            }
+            RevokeOutcome::Known(record) => Ok(PeerFrame::Execution(Some(record))),
+        }
+    }
+
+    fn find_execution(
+        &self,
+        customer: Option<&ObjectName>,
+        route: &ObjectName,
+        idempotency_key: &str,
+        forbid_start: bool,
+    ) -> Result<Option<ExecutionRecord>, ServiceError> {
+        let now = self.now();
+        let mut state = self.lock();
+        if !forbid_start {
+            return state.table.find(now, customer, route, idempotency_key);
+        }
+        let record = state.table.forbid(now, customer, route, idempotency_key)?;
+        if record.state == ExecutionState::Forbidden {
+            state.refuse_queued(&record.request, revoked());
+        }
+        Ok(Some(record))
+    }
+
+    /// Ends a request whose result is no longer wanted; work that may not be repeated runs on.
+    fn cancel(&self, request: &RequestId) {
+        let mut state = self.lock();
+        if state.refuse_queued(request, revoked()) {
+            state.table.release(request);
+            return;
+        }
+        if let Some(work) = state.running.get_mut(request)
+            && work.idempotent
+        {
+            work.unwanted = true;
+        }
+    }
+}
+
+/// Checks that a peer's role allows its request.
+///
+/// # Errors
+///
+/// Returns `forbidden` with `not_run`.
+pub fn check_role(peer: &PeerIdentity, request: &PeerRequest) -> Result<(), ServiceError> {
+    let allowed = match request {
+        PeerRequest::ReadLoad | PeerRequest::ReadRevision | PeerRequest::FetchConfiguration => true,
+        PeerRequest::AdoptExecutions { .. } => peer.role == PeerRole::Agent,
+        _ => peer.role == PeerRole::Entry,
+    };
+    if allowed {
+        return Ok(());
+    }
+    Err(ServiceError::not_run(
+        ErrorKind::Forbidden,
+        "the role in the peer's certificate does not allow this request",
+    ))
+}
+
+/// Cuts samples into frames below the limit of a message.
+fn sample_frames(samples: Vec<SampleRecord>) -> Vec<PeerFrame> {
+    let mut frames = Vec::new();
+    let mut part = Vec::new();
+    let mut size = 0;
+    for sample in samples {
+        size += sample.text.len();
+        part.push(sample);
+        if size >= SAMPLES_PER_FRAME {
+            frames.push(PeerFrame::Samples(std::mem::take(&mut part)));
+            size = 0;
+        }
+    }
+    if !part.is_empty() || frames.is_empty() {
+        frames.push(PeerFrame::Samples(part));
+    }
+    frames
+}
+
+fn revoked() -> ServiceError {
+    ServiceError::not_run(
+        ErrorKind::Revoked,
+        "the request was revoked before it started",
+    )
+}
--- /dev/null
+++ b/crates/catkindeck-agent/src/orders.rs
@@ -0,0 +1,103 @@
+//! Orders to the upstream, carried out under the fence.
+
+use {
+    crate::{core::AgentCore, events, metrics::error_label},
+    catkindeck::{
+        ServiceError, log_event,
+        message::{OrderKind, UpstreamOrder},
+    },
+    catkindeck_policy::FenceDecision,
+    std::sync::PoisonError,
+};
+
+impl AgentCore {
+    /// Carries out an order unless it is outdated or was carried out before.
+    ///
+    /// # Errors
+    ///
+    /// Returns `fenced` if a higher fencing number is known, or the upstream's error; the order can
+    /// then be repeated under the same identity.
+    pub fn order(&self, order: &UpstreamOrder) -> Result<(), ServiceError> {
+        let carried_out = match &order.kind {
+            OrderKind::Leave | OrderKind::SetZone(_) => self.order_agent(order),
+            OrderKind::Stage(_) | OrderKind::Activate(_) | OrderKind::ChangeRole(_) => {
+                self.order_upstream(order)
+            }
+        };
+        let label = match &carried_out {
+            Ok(FenceDecision::Apply) => "applied",
+            Ok(FenceDecision::Repeat) => "repeated",
+            Err(error) => error_label(error.kind),
+        };
+        self.metrics.orders.with_label_values(&[label]).inc();
+        match carried_out {
+            Ok(FenceDecision::Repeat) => Ok(()),
+            Ok(FenceDecision::Apply) => {
+                log_event!(
+                    self.logger, events::ORDER_APPLIED;
+                    "order" => order.order.to_string(), "lease" => order.lease.as_str(),
+                    "fence" => order.fence, "kind" => kind_name(&order.kind),
+                );
+                Ok(())
+            }
+            Err(error) => {
+                log_event!(
+                    self.logger, events::ORDER_FAILED;
+                    "order" => order.order.to_string(), "lease" => order.lease.as_str(),
+                    "fence" => order.fence, "kind" => kind_name(&order.kind),
+                    "reason" => error.to_string(),
+                );
+                Err(error)
+            }
+        }
+    }
+
+    /// Carries out an order that concerns only the agent; it never waits for the upstream, so that
+    /// a zone goes out at once even while a swap is in progress.
+    fn order_agent(&self, order: &UpstreamOrder) -> Result<FenceDecision, ServiceError> {
+        let now = self.now();
+        let decision = {
+            let mut state = self.lock();
+            let decision = state.fence.admit(order)?;
+            match (&order.kind, decision) {
+                (OrderKind::Leave, FenceDecision::Apply) => state.leaving = true,
+                (OrderKind::SetZone(zone), FenceDecision::Apply) => {
+                    state.announce_zone(now, *zone);
+                }
+                _ => {}
+            }
+            decision
+        };
+        self.refresh_closed();
+        Ok(decision)
+    }
+
+    fn order_upstream(&self, order: &UpstreamOrder) -> Result<FenceDecision, ServiceError> {
+        // The fence is asked after the wait, because a higher number may have come meanwhile.
+        let _turn = self
+            .order_turn
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let decision = self.lock().fence.admit(order)?;
+        if decision == FenceDecision::Repeat {
+            return Ok(decision);
+        }
+        match self.upstream.order(&order.kind, order.fence) {
+            Ok(()) => Ok(decision),
+            Err(error) => {
+                self.lock().fence.forget(order);
+                Err(error)
+            }
+        }
+    }
+}
+
+fn kind_name(kind: &OrderKind) -> &'static str {
+    match kind {
+        OrderKind::Stage(_) => "stage",
+        OrderKind::Activate(_) => "activate",
+        OrderKind::ChangeRole(_) => "change_role",
+        OrderKind::Leave => "leave",
+        OrderKind::SetZone(_) => "set_zone",
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-agent/src/watch.rs
@@ -0,0 +1,145 @@
+//! The agent's periodic work, on threads of its own.
+
+use {
+    crate::{core::AgentCore, events},
+    catkindeck::{id::RequestId, log_event},
+    std::{
+        io,
+        sync::{Arc, Weak},
+        thread,
+        time::Duration,
+    },
+};
+
+/// The interval of looking at deadlines and gone callers.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The number of ticks between two updates of what nobody waits for.
+const TICKS_PER_UPKEEP: u32 = 20;
+
+/// The interval of asking peers for a missing configuration.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long a request must have run until its caller is told even though the upstream has not
+/// answered, in milliseconds.
+///
+/// A failure to connect is known earlier in all usual cases, and it must stay a proof that nothing
+/// ran; a caller who waits long for a slow answer needs the incarnation to revoke the request.
+const NOTICE_AFTER_MS: u64 = 1500;
+
+/// Starts the threads, which end when the agent is dropped.
+///
+/// # Errors
+///
+/// Returns the system's error if a thread cannot be started.
+pub(crate) fn start(core: &Arc<AgentCore>) -> io::Result<()> {
+    let mut ticks = 0;
+    repeat("tick", core, TICK, move |core| {
+        tick(core);
+        ticks += 1;
+        if ticks % TICKS_PER_UPKEEP == 0 {
+            let now = core.now();
+            core.lock().quarantine.sweep(now);
+            core.lock().table.expire(now);
+            core.update_gauges();
+        }
+    })?;
+    let mut reachable = true;
+    let interval = core.settings.timeouts.probe_interval;
+    repeat("probe", core, interval, move |core| {
+        probe(core, &mut reachable);
+    })?;
+    repeat("catch-up", core, CATCH_UP_INTERVAL, |core| {
+        core.keeper().catch_up();
+    })
+}
+
+fn repeat(
+    name: &str,
+    core: &Arc<AgentCore>,
+    interval: Duration,
+    mut work: impl FnMut(&Arc<AgentCore>) + Send + 'static,
+) -> io::Result<()> {
+    let core: Weak<AgentCore> = Arc::downgrade(core);
+    let thread = thread::Builder::new().name(name.to_owned());
+    thread.spawn(move || {
+        while let Some(core) = core.upgrade() {
+            work(&core);
+            drop(core);
+            thread::sleep(interval);
+        }
+    })?;
+    Ok(())
+}
+
+/// Sheds what is late, and stops running work that nobody wants any more.
+fn tick(core: &Arc<AgentCore>) {
+    core.refresh_closed();
+    let now = core.now();
+    let mut notices = Vec::new();
+    let mut unwanted: Vec<RequestId> = Vec::new();
+    {
+        let mut state = core.lock();
+        for (request, work) in &mut state.running {
+            if now.since(work.since) >= NOTICE_AFTER_MS {
+                notices.push(work.notice.clone());
+            }
+            if work.idempotent && work.notice.sink.is_closed() {
+                work.unwanted = true;
+            }
+            if work.unwanted && !work.stopped {
+                work.stopped = true;
+                unwanted.push(*request);
+            }
+        }
+    }
+    for notice in notices {
+        if !notice.was_sent() {
+            notice.send();
+        }
+    }
+    for request in unwanted {
+        core.upstream.cancel(&request);
+    }
+}
+
+/// Reads the upstream's report, by which a restart is noticed even without traffic.
+fn probe(core: &Arc<AgentCore>, reachable: &mut bool) {
+    let after = core.lock().last_cache_event;
+    let report = match core.upstream.probe(after) {
+        Ok(Some(report)) => report,
+        Ok(None) => return,
+        Err(error) => {
+            if std::mem::replace(reachable, false) {
+                let reason = error.to_string();
+                log_event!(core.logger, events::UPSTREAM_UNREACHABLE; "reason" => reason);
+            }
+            return;
+        }
+    };
+    if !std::mem::replace(reachable, true) {
+        log_event!(core.logger, events::UPSTREAM_REACHABLE);
+    }
+    let now = core.now();
+    let new = {
+        let mut state = core.lock();
+        let restarted = state.boot != report.boot;
+        let new = state.observe_boot(now, &report.boot);
+        if let Some(version) = report.version {
+            state.observe_version(&report.boot, version);
+        }
+        // The events after a restart were asked for by a number of the earlier boot.
+        if !restarted || after == 0 {
+            for change in report.cache {
+                state.observe_cache(change.prefix, change.stored);
+                state.last_cache_event = state.last_cache_event.max(change.sequence);
+            }
+        }
+        state.pump(now);
+        new
+    };
+    if new {
+        core.metrics.boots.inc();
+        log_event!(core.logger, events::UPSTREAM_BOOTED; "boot" => &report.boot.0);
+    }
+}
--- a/crates/catkindeck-policy/src/execution.rs
+++ b/crates/catkindeck-policy/src/execution.rs
@@ -141,6 +141,16 @@
         }
     }
 
+    /// Forgets a started request of which it is proved that nothing reached the upstream.
+    pub fn undo_start(&mut self, request: &RequestId) {
+        let Some(slot) = self.slots.of_request(request) else {
+            return;
+        };
+        if self.slots.state(slot) == Some(ExecutionState::Running) {
+            self.slots.remove(slot);
+        }
+    }
+
     /// Stores the headers of a running request's answer; called before `finish`.
     pub fn store_headers(&mut self, request: &RequestId, headers: Vec<(String, String)>) {
         let slot = self.slots.of_request(request);
--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -292,14 +292,18 @@
         };
         let duration_ms = {
             let mut state = self.lock();
-            if state.settings.checks_fence && order.fence < state.highest_fence {
+            // Weights and roles are ordered under different leases with numbers of their own.
+            let class = if order.kind == "role" {
+                "role"
+            } else {
+                "weights"
+            };
+            let highest = state.highest_fences.get(class).copied().unwrap_or(0);
+            if state.settings.checks_fence && order.fence < highest {
                 state.refused_orders += 1;
-                return (
-                    409,
-                    json!({"error": "fenced", "highest": state.highest_fence}),
-                );
+                return (409, json!({"error": "fenced", "highest": highest}));
             }
-            state.highest_fence = state.highest_fence.max(order.fence);
+            state.highest_fences.insert(class, order.fence.max(highest));
             state.settings.order_ms
         };
         std::thread::sleep(Duration::from_millis(duration_ms));
