Add platform clients and the lease holder

The platform's five interfaces need clients that bound every wait, keep to a rate and tell truthfully whether a write took effect.

Each client has a timeout, retries with jittered backoff and a token bucket. A swap whose answer is lost is resolved by reading back: the own write is recognised by writer and sequence, an unchanged version means sending the same write again, and only an unreachable store leaves it unknown. The lease is measured from before the call that obtained it was sent; its decisions are a pure state machine with the moment as argument.

--- /dev/null
+++ b/crates/catkindeck-store/tests/clients.rs
@@ -0,0 +1,374 @@
+//! The HTTP clients against the stand-ins, with faults.
+
+use {
+    catkindeck::{
+        Clock, ErrorKind, ExecutionOutcome, Moment,
+        id::ObjectName,
+        log::discard_logger,
+        platform::{
+            HostList, LeaseOutcome, StoreClient, SwapOutcome, UsageSink, WeightStore, ZoneOrder,
+            ZoneOrders,
+        },
+        time::SystemClock,
+        token::WeightVersion,
+    },
+    catkindeck_fakes::{
+        fault::{FakeCall, FakeMode, FakeServer, FaultPlan, free_address},
+        hosts::HostsMode,
+        store::StoreMode,
+        usage::UsageMode,
+        weights::WeightsMode,
+        zones::ZonesMode,
+    },
+    catkindeck_store::{
+        ClientSettings, HttpHosts, HttpStore, HttpUsage, HttpWeights, HttpZones, LeaseHolder,
+        LeaseSettings,
+        backoff::RetryPolicy,
+        budget::{CallKind, RateBudget},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+fn clock() -> Arc<dyn Clock> {
+    Arc::new(SystemClock::new())
+}
+
+fn server(mode: impl FakeMode + 'static) -> (FakeServer, ClientSettings) {
+    let server = FakeServer::new(Box::new(mode));
+    let any = "127.0.0.1:0".parse().expect("a valid address");
+    let address = server.spawn(any, None).expect("a loopback port is free");
+    (server, ClientSettings::new(address))
+}
+
+fn store() -> (FakeServer, HttpStore) {
+    let (server, settings) = server(StoreMode::default());
+    (server, HttpStore::new(settings, clock(), discard_logger()))
+}
+
+fn control(server: &FakeServer, method: &str, path: &str, body: &str) -> String {
+    let call = FakeCall {
+        method: method.to_owned(),
+        path: format!("control/{path}")
+            .split('/')
+            .map(str::to_owned)
+            .collect(),
+        query: String::new(),
+        body: body.as_bytes().to_vec(),
+    };
+    let reply = server.control(&call);
+    assert_eq!(reply.status, 200);
+    String::from_utf8(reply.body).expect("the answer is text")
+}
+
+fn lose(server: &FakeServer, lose_answers: u32) {
+    server.set_faults(FaultPlan {
+        lose_answers,
+        ..FaultPlan::default()
+    });
+}
+
+fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).expect("a valid name")
+}
+
+/// Guards against a swap over another version, and against a conflict without the current value.
+#[test]
+fn swap_needs_the_expected_version() {
+    let (_server, store) = store();
+    assert_eq!(store.read("a/b").expect("reads"), None);
+    assert_eq!(
+        store.swap("a/b", 0, b"one").expect("writes"),
+        SwapOutcome::Written(1)
+    );
+    assert_eq!(
+        store.swap("a/b", 1, b"two").expect("writes"),
+        SwapOutcome::Written(2)
+    );
+    let SwapOutcome::Conflict(Some(current)) = store.swap("a/b", 1, b"three").expect("answers")
+    else {
+        panic!("a swap over an old version was accepted");
+    };
+    assert_eq!(
+        (current.value.as_slice(), current.version),
+        (b"two".as_slice(), 2)
+    );
+    let listed = store.list("a/").expect("lists");
+    assert_eq!(listed.len(), 1);
+    assert_eq!(listed[0].0, "a/b");
+}
+
+/// Guards against a write that took effect and is told as a conflict with itself.
+#[test]
+fn lost_answer_is_recognised() {
+    let (server, store) = store();
+    lose(&server, 1);
+    assert_eq!(
+        store.swap("key", 0, b"mine").expect("resolves"),
+        SwapOutcome::Written(1)
+    );
+    lose(&server, 1);
+    assert_eq!(
+        store.swap("key", 1, b"mine").expect("resolves"),
+        SwapOutcome::Written(2)
+    );
+    assert_eq!(
+        store.counters().get(CallKind::Swap),
+        2,
+        "no write was sent twice"
+    );
+}
+
+/// Guards against a store that cannot be reached and a write that is told as not run.
+#[test]
+fn outage_leaves_a_write_unknown() {
+    let (server, store) = store();
+    server.set_faults(FaultPlan {
+        outage: true,
+        ..FaultPlan::default()
+    });
+    let error = store
+        .swap("key", 0, b"value")
+        .expect_err("the store is down");
+    assert_eq!(error.kind, ErrorKind::StoreUnavailable);
+    assert_eq!(error.execution, ExecutionOutcome::Unknown);
+    let error = store.read("key").expect_err("the store is down");
+    assert_eq!(error.execution, ExecutionOutcome::NotRun);
+}
+
+/// Guards against a refused connection that is told as unknown, which operators would have to
+/// resolve by hand.
+#[test]
+fn unreachable_store_was_not_written() {
+    let settings = ClientSettings::new(free_address().expect("a loopback port is free"));
+    let store = HttpStore::new(settings, clock(), discard_logger());
+    let error = store.swap("key", 0, b"value").expect_err("nobody listens");
+    assert_eq!(error.kind, ErrorKind::StoreUnavailable);
+    assert_eq!(error.execution, ExecutionOutcome::NotRun);
+}
+
+/// Guards against a watch that misses a change, reports one below another prefix, or counts as
+/// more than one call while it waits.
+#[test]
+fn watch_sees_changes_below_its_prefix() {
+    let (_server, store) = store();
+    store.swap("other", 0, b"x").expect("writes");
+    let idle = store
+        .watch("config/", 0, Duration::from_millis(30))
+        .expect("waits");
+    assert_eq!(idle, 0);
+    store.swap("config/head", 0, b"x").expect("writes");
+    let changed = store
+        .watch("config/", 0, Duration::from_secs(5))
+        .expect("answers");
+    assert!(changed > 0);
+    let idle = store
+        .watch("config/", changed, Duration::from_millis(30))
+        .expect("waits");
+    assert_eq!(idle, changed);
+    assert_eq!(store.counters().get(CallKind::Watch), 3);
+}
+
+/// Guards against a lease number that is used twice and against two holders at once.
+#[test]
+fn lease_numbers_grow() {
+    let (server, store) = store();
+    let LeaseOutcome::Granted(first) = store.acquire("l", "a", 60_000).expect("answers") else {
+        panic!("a free lease was refused");
+    };
+    let LeaseOutcome::Held { remaining_ms } = store.acquire("l", "b", 60_000).expect("answers")
+    else {
+        panic!("a held lease was granted");
+    };
+    assert!(remaining_ms <= 60_000);
+    // A holder whose answer was lost asks again and gets a new number.
+    lose(&server, 1);
+    let LeaseOutcome::Granted(second) = store.acquire("l", "a", 60_000).expect("answers") else {
+        panic!("the holder was refused its own lease");
+    };
+    assert!(second.number > first.number);
+    let error = store
+        .renew("l", first.number, 60_000)
+        .expect_err("the number is old");
+    assert_eq!(error.kind, ErrorKind::Fenced);
+    store.renew("l", second.number, 60_000).expect("renews");
+    store.release("l", second.number).expect("releases");
+    assert!(matches!(
+        store.acquire("l", "b", 60_000).expect("answers"),
+        LeaseOutcome::Granted(_)
+    ));
+}
+
+/// Guards against a drained holder that keeps its lease from the next one.
+#[test]
+fn drained_holder_gives_the_lease_back() {
+    let (_server, store) = store();
+    let store: Arc<dyn StoreClient> = Arc::new(store);
+    let settings = LeaseSettings {
+        name: "zone/a".to_owned(),
+        holder: "one".to_owned(),
+        ttl_ms: 60_000,
+        margin_ms: 1000,
+        order_ms: 20,
+    };
+    let holder = LeaseHolder::start(settings, Arc::clone(&store), clock(), discard_logger())
+        .expect("the thread starts");
+    let mut attempts = 0;
+    while holder.check().is_err() {
+        attempts += 1;
+        assert!(attempts < 2000, "the lease was never granted");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    holder.drain();
+    assert_eq!(holder.check().expect_err("drained").kind, ErrorKind::Fenced);
+    let outcome = store.acquire("zone/a", "two", 1000).expect("answers");
+    assert!(matches!(outcome, LeaseOutcome::Granted(_)));
+}
+
+/// A clock that stands still, so that no budget refills.
+struct StillClock;
+
+impl Clock for StillClock {
+    fn now(&self) -> Moment {
+        Moment(1)
+    }
+}
+
+/// Guards against one node that uses up the store's rate.
+#[test]
+fn budget_refuses_before_sending() {
+    let (server, mut settings) = server(StoreMode::default());
+    settings.calls_per_s = 1;
+    settings.timeout_ms = 500;
+    let store = HttpStore::new(settings, Arc::new(StillClock), discard_logger());
+    let failed = (0..10).filter(|_| store.read("key").is_err()).count();
+    assert_eq!(failed, 8, "the bucket holds two calls");
+    assert_eq!(server.counters().values().sum::<u64>(), 2);
+    assert_eq!(store.counters().get(CallKind::Read), 2);
+}
+
+/// Guards against a bucket that refills wrongly or beyond its burst.
+#[test]
+fn budget_refills_with_time() {
+    let mut budget = RateBudget::new(4, 2, Moment(0));
+    assert_eq!(
+        [budget.take(Moment(0)), budget.take(Moment(0))],
+        [Ok(()), Ok(())]
+    );
+    assert_eq!(budget.take(Moment(0)), Err(250));
+    assert_eq!(budget.take(Moment(249)), Err(1));
+    assert_eq!(budget.take(Moment(250)), Ok(()));
+    let taken = (0..10).filter(|_| budget.take(Moment(99_000)).is_ok());
+    assert_eq!(taken.count(), 2);
+}
+
+/// Guards against delays that leave their range.
+#[test]
+fn backoff_stays_in_range() {
+    let retry = RetryPolicy::default();
+    for attempt in 1..70 {
+        for random in [0, 1, 12_345, u64::MAX] {
+            let delay = retry.delay_ms(attempt, random);
+            assert!((retry.base_ms / 2..=retry.cap_ms).contains(&delay));
+        }
+    }
+}
+
+/// Guards against an order of a former lease holder, and shows the interface that takes it.
+#[test]
+fn zone_orders_carry_the_fence() {
+    let (server, settings) = server(ZonesMode::default());
+    let zones = HttpZones::new(settings, clock(), discard_logger());
+    let zone = name("vault-a");
+    let order = |id: &str, fence: u64, count: u32| ZoneOrder {
+        order_id: id.to_owned(),
+        service: name("drafting"),
+        count,
+        fence,
+    };
+    let timeout = Duration::from_secs(1);
+    zones
+        .order(&zone, &order("one", 2, 3), timeout)
+        .expect("accepted");
+    let error = zones
+        .order(&zone, &order("two", 1, 5), timeout)
+        .expect_err("fenced");
+    assert_eq!(
+        (error.kind, error.execution),
+        (ErrorKind::Fenced, ExecutionOutcome::NotRun)
+    );
+    assert_eq!(zones.counts(&zone).expect("reads")[0].ordered, 3);
+    server.set_faults(FaultPlan {
+        ignore_fence: true,
+        lose_answers: 1,
+        ..FaultPlan::default()
+    });
+    let error = zones
+        .order(&zone, &order("three", 1, 5), timeout)
+        .expect_err("lost");
+    assert_eq!(error.execution, ExecutionOutcome::Unknown);
+    assert_eq!(zones.counts(&zone).expect("reads")[0].ordered, 5);
+    assert!(control(&server, "GET", "orders", "").contains("three"));
+}
+
+/// Guards against a usage window that is reported with two sets of figures.
+#[test]
+fn usage_takes_the_same_bytes_again() {
+    let (server, settings) = server(UsageMode::default());
+    let usage = HttpUsage::new(settings, clock(), discard_logger());
+    let zone = name("vault-a");
+    lose(&server, 1);
+    usage
+        .report(&zone, 7, b"figures")
+        .expect("repeated after the lost answer");
+    usage.report(&zone, 7, b"figures").expect("the same bytes");
+    let error = usage.report(&zone, 7, b"others").expect_err("other bytes");
+    assert_eq!(error.kind, ErrorKind::Conflict);
+    assert!(control(&server, "GET", "reports", "").contains("figures"));
+}
+
+/// Guards against weights under a wrong version and against a rate limit told as a failure.
+#[test]
+fn weights_are_limited_and_versioned() {
+    let (server, settings) = server(WeightsMode::default());
+    let weights = HttpWeights::new(settings, clock(), discard_logger());
+    let model = name("drafting");
+    control(
+        &server,
+        "POST",
+        "latest",
+        r#"{"model": "drafting", "version": 4}"#,
+    );
+    let fourth = weights.fetch(&model, WeightVersion(4)).expect("present");
+    assert_ne!(
+        fourth,
+        weights.fetch(&model, WeightVersion(3)).expect("present")
+    );
+    let error = weights.fetch(&model, WeightVersion(5)).expect_err("absent");
+    assert_eq!(error.kind, ErrorKind::NotFound);
+    server.set_faults(FaultPlan {
+        rate_per_s: 1,
+        ..FaultPlan::default()
+    });
+    let kinds: Vec<_> = (0..3)
+        .filter_map(|_| weights.fetch(&model, WeightVersion(4)).err())
+        .map(|error| error.kind)
+        .collect();
+    assert!(kinds.contains(&ErrorKind::Overloaded));
+}
+
+/// Guards against a host list whose form differs between the two sides.
+#[test]
+fn hosts_are_read() {
+    let (server, settings) = server(HostsMode::default());
+    let hosts = HttpHosts::new(settings, clock(), discard_logger());
+    assert!(hosts.hosts().expect("reads").is_empty());
+    control(
+        &server,
+        "POST",
+        "hosts",
+        r#"{"hosts": [{"host": "n1", "zone": "vault-a", "address": "127.0.0.1:1",
+            "role": "entry", "state": "leaving"}]}"#,
+    );
+    let hosts = hosts.hosts().expect("reads");
+    assert_eq!(hosts[0].host, name("n1"));
+}
