--- /dev/null
+++ b/crates/catkindeck-control/src/run/directory.rs
@@ -0,0 +1,285 @@
+//! Finds the owner of each training run and keeps this entry's own runs.
+
+use {
+    crate::{
+        run::{
+            owner::{OwnerParts, RunOwner},
+            ports::{OwnerLease, SampleRunner, WeightPublisher, lease_name},
+        },
+        source::ConfigSource,
+        step::StepService,
+    },
+    catkindeck::{
+        Clock, ErrorKind, ServiceError, SortedMap,
+        config::RunRecord,
+        id::ObjectName,
+        link::PeerLink,
+        message::{PeerFrame, PeerRequest, StepAnswer, StepRequest},
+        platform::StoreClient,
+    },
+    catkindeck_policy::choose_candidates,
+    catkindeck_store::{LeaseHolder, LeaseSettings},
+    slog::Logger,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+};
+
+/// How long a forwarded request may take: a few store writes and the transfer of a batch.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The entries that are in use now, this one included.
+pub trait EntryDirectory: Send + Sync {
+    /// Returns the names and peer addresses, sorted by name.
+    fn entries(&self) -> Vec<(ObjectName, SocketAddr)>;
+}
+
+/// How runs are owned.
+#[derive(Debug, Clone)]
+pub struct DirectorySettings {
+    /// This entry's host name.
+    pub host: ObjectName,
+    /// The name of this process as a lease holder, which differs between runs of the process.
+    pub holder: String,
+    /// The time to live of a run's lease, in milliseconds.
+    pub lease_ttl_ms: u64,
+    /// The time before expiry from which the lease is not used any more, in milliseconds.
+    pub lease_margin_ms: u64,
+    /// The longest time of a store write under the lease, in milliseconds.
+    pub order_ms: u64,
+    /// The number of samples of one run that are generated at the same time.
+    pub workers: usize,
+}
+
+/// The parts that a directory works with.
+#[derive(Clone)]
+pub struct DirectoryParts {
+    /// The configuration.
+    pub source: Arc<dyn ConfigSource>,
+    /// The entries.
+    pub entries: Arc<dyn EntryDirectory>,
+    /// Calls other entries.
+    pub link: Arc<dyn PeerLink>,
+    /// The platform's key-value service.
+    pub store: Arc<dyn StoreClient>,
+    /// Generates samples.
+    pub runner: Arc<dyn SampleRunner>,
+    /// Brings new weights to upstreams.
+    pub publisher: Arc<dyn WeightPublisher>,
+    /// The process's clock.
+    pub clock: Arc<dyn Clock>,
+    /// The process's logger.
+    pub logger: Logger,
+}
+
+/// The runs for which this entry is a candidate, and the way to the owners of the others.
+pub struct RunDirectory {
+    settings: DirectorySettings,
+    parts: DirectoryParts,
+    owned: Mutex<SortedMap<ObjectName, OwnedRun>>,
+}
+
+struct OwnedRun {
+    run: RunRecord,
+    lease: Arc<LeaseHolder>,
+    owner: Arc<RunOwner>,
+}
+
+impl RunDirectory {
+    /// Makes a directory; [`Self::maintain`] is then called about once a second.
+    pub fn new(settings: DirectorySettings, parts: DirectoryParts) -> Self {
+        Self {
+            settings,
+            parts,
+            owned: Mutex::new(SortedMap::new()),
+        }
+    }
+
+    /// Starts owners for runs for which this entry is now a candidate, and stops the others.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a thread cannot be started; the next call tries again.
+    pub fn maintain(&self) -> io::Result<()> {
+        let snapshot = self.parts.source.current();
+        let hosts = self.hosts();
+        let mut wanted = SortedMap::new();
+        for run in &snapshot.runs {
+            let candidates = choose_candidates(&lease_name(&run.name), &hosts);
+            let rank = candidates
+                .iter()
+                .position(|host| host == &self.settings.host);
+            if let Some(rank) = rank {
+                wanted.insert(run.name.clone(), (run.clone(), rank));
+            }
+        }
+
+        let mut ended = Vec::new();
+        {
+            let mut owned = self.lock();
+            owned.retain(|name, present| {
+                let kept = wanted.get(name).is_some_and(|(run, _)| *run == present.run);
+                if !kept {
+                    ended.push((Arc::clone(&present.owner), Arc::clone(&present.lease)));
+                }
+                kept
+            });
+            for (name, (run, rank)) in wanted.iter() {
+                let rank = u32::try_from(*rank).unwrap_or(u32::MAX);
+                match owned.get(name) {
+                    Some(present) => present.lease.set_rank(rank),
+                    None => {
+                        owned.insert(name.clone(), self.start_run(run, rank)?);
+                    }
+                }
+            }
+        }
+        end_runs(ended);
+        Ok(())
+    }
+
+    /// Stops all owners and gives their leases back.
+    pub fn drain(&self) {
+        let mut ended = Vec::new();
+        self.lock().retain(|_, present| {
+            ended.push((Arc::clone(&present.owner), Arc::clone(&present.lease)));
+            false
+        });
+        end_runs(ended);
+    }
+
+    fn start_run(&self, run: &RunRecord, rank: u32) -> io::Result<OwnedRun> {
+        let settings = LeaseSettings {
+            name: lease_name(&run.name),
+            holder: self.settings.holder.clone(),
+            ttl_ms: self.settings.lease_ttl_ms,
+            margin_ms: self.settings.lease_margin_ms,
+            order_ms: self.settings.order_ms,
+        };
+        let parts = &self.parts;
+        let lease = Arc::new(LeaseHolder::start(
+            settings,
+            Arc::clone(&parts.store),
+            Arc::clone(&parts.clock),
+            parts.logger.clone(),
+        )?);
+        lease.set_rank(rank);
+        let parts = OwnerParts {
+            store: Arc::clone(&parts.store),
+            lease: Arc::clone(&lease) as Arc<dyn OwnerLease>,
+            runner: Arc::clone(&parts.runner),
+            publisher: Arc::clone(&parts.publisher),
+            clock: Arc::clone(&parts.clock),
+            logger: parts.logger.clone(),
+        };
+        let owner = Arc::new(RunOwner::start(run.clone(), parts, self.settings.workers)?);
+        Ok(OwnedRun {
+            run: run.clone(),
+            lease,
+            owner,
+        })
+    }
+
+    fn local_owner(&self, run: &ObjectName) -> Option<Arc<RunOwner>> {
+        self.lock()
+            .get(run)
+            .map(|present| Arc::clone(&present.owner))
+    }
+
+    /// Asks the candidates in order until one that holds the lease answers.
+    fn forward(&self, request: &StepRequest) -> StepAnswer {
+        let candidates = choose_candidates(&lease_name(&request.run), &self.hosts());
+        let entries = self.parts.entries.entries();
+        let mut unreachable = None;
+        for host in candidates
+            .iter()
+            .filter(|host| **host != self.settings.host)
+        {
+            let address = entries
+                .iter()
+                .find(|(name, _)| name == host)
+                .map(|(_, address)| address);
+            let Some(address) = address else { continue };
+            match self.ask(*address, request) {
+                Ok(answer) if !is_fenced(&answer) => return answer,
+                Ok(_) => {}
+                Err(error) => unreachable = Some(error),
+            }
+        }
+        StepAnswer::Refused(unreachable.unwrap_or_else(|| {
+            let detail = format!("no entry owns run {} now; try again", request.run);
+            ServiceError::not_run(ErrorKind::NoUpstream, detail)
+        }))
+    }
+
+    fn ask(&self, address: SocketAddr, request: &StepRequest) -> Result<StepAnswer, ServiceError> {
+        let message = PeerRequest::ForwardStep(request.clone());
+        let mut stream = self.parts.link.call(address, message, FORWARD_TIMEOUT)?;
+        match stream.receive(FORWARD_TIMEOUT)? {
+            Some(PeerFrame::StepAnswer(answer)) => Ok(answer),
+            Some(PeerFrame::Failed(error)) => Err(error),
+            Some(_) | None => Err(ServiceError::unknown(
+                ErrorKind::PeerUnavailable,
+                "the owner's answer has the wrong form",
+            )),
+        }
+    }
+
+    fn hosts(&self) -> Vec<ObjectName> {
+        self.parts
+            .entries
+            .entries()
+            .into_iter()
+            .map(|(host, _)| host)
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SortedMap<ObjectName, OwnedRun>> {
+        self.owned.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl StepService for RunDirectory {
+    fn handle(&self, request: StepRequest) -> StepAnswer {
+        let snapshot = self.parts.source.current();
+        let Some(run) = snapshot.run(&request.run) else {
+            let detail = format!("there is no run {}", request.run);
+            return StepAnswer::Refused(ServiceError::not_run(ErrorKind::NotFound, detail));
+        };
+        if run.customer != request.customer {
+            let detail = format!("run {} belongs to another customer", request.run);
+            return StepAnswer::Refused(ServiceError::not_run(ErrorKind::Forbidden, detail));
+        }
+        let answer = self.handle_forwarded(request.clone());
+        if is_fenced(&answer) {
+            self.forward(&request)
+        } else {
+            answer
+        }
+    }
+
+    fn handle_forwarded(&self, request: StepRequest) -> StepAnswer {
+        match self.local_owner(&request.run) {
+            Some(owner) => owner.handle(&request.action),
+            None => StepAnswer::Refused(ServiceError::not_run(
+                ErrorKind::Fenced,
+                format!("this entry does not own run {}", request.run),
+            )),
+        }
+    }
+}
+
+fn is_fenced(answer: &StepAnswer) -> bool {
+    matches!(answer, StepAnswer::Refused(error) if error.kind == ErrorKind::Fenced)
+}
+
+/// Stops owners before their leases are given back, so that nothing is written after it.
+fn end_runs(ended: Vec<(Arc<RunOwner>, Arc<LeaseHolder>)>) {
+    for (owner, lease) in ended {
+        owner.stop();
+        lease.drain();
+    }
+}
--- a/crates/catkindeck-policy/tests/execution.rs
+++ b/crates/catkindeck-policy/tests/execution.rs
@@ -108,7 +108,12 @@
     ExecutionTable::new(settings, incarnation, now, origin)
 }
 
-fn execute(id: u32, key: Option<u8>, body: u8, incarnation: Option<IncarnationId>) -> ExecuteRequest {
+fn execute(
+    id: u32,
+    key: Option<u8>,
+    body: u8,
+    incarnation: Option<IncarnationId>,
+) -> ExecuteRequest {
     ExecuteRequest {
         request: request(id),
         incarnation,
@@ -175,7 +180,11 @@
             Ok(BeginDecision::Run) => {}
             Ok(BeginDecision::Replay(record)) => {
                 assert_eq!(record.state, ExecutionState::Finished);
-                assert_eq!(record.digest, digest(body), "replayed another body's answer");
+                assert_eq!(
+                    record.digest,
+                    digest(body),
+                    "replayed another body's answer"
+                );
             }
             Err(error) => self.check_refusal(id, error),
         }
@@ -240,8 +249,7 @@
             self.key_ends.insert(key, self.now);
         }
         if OFF == NO_RECORD_OF_KEYS {
-            self.tables[sent.agent] =
-                table(sent.incarnation, self.now, TableOrigin::First);
+            self.tables[sent.agent] = table(sent.incarnation, self.now, TableOrigin::First);
         }
     }
 
--- a/tests/fakes/src/lib.rs
+++ b/tests/fakes/src/lib.rs
@@ -8,3 +8,10 @@
 mod engine_state;
 
 pub use engine_state::EngineSettings;
+pub mod fault;
+pub mod hosts;
+pub mod http;
+pub mod store;
+pub mod usage;
+pub mod weights;
+pub mod zones;
--- a/tests/fakes/src/main.rs
+++ b/tests/fakes/src/main.rs
@@ -2,14 +2,24 @@
 
 use {
     argh::FromArgs,
-    catkindeck_fakes::{control, engine::FakeEngine, service::FakeService},
+    catkindeck_fakes::{
+        control,
+        engine::FakeEngine,
+        fault::{FakeMode, FakeServer},
+        hosts::HostsMode,
+        service::FakeService,
+        store::StoreMode,
+        usage::UsageMode,
+        weights::WeightsMode,
+        zones::ZonesMode,
+    },
     std::{io, net::SocketAddr, process::ExitCode, sync::Arc, thread},
 };
 
 /// Stand-in for one of the systems around catkindeck.
 #[derive(FromArgs)]
 struct FakeCommand {
-    /// the mode: engine or service
+    /// the mode: engine, service, store, hosts, zones, usage or weights
     #[argh(positional)]
     mode: String,
     /// the address that is served
@@ -25,8 +35,15 @@
     let started = match command.mode.as_str() {
         "engine" => start_engine(&command),
         "service" => start_service(&command),
+        "store" => start_platform(&command, Box::new(StoreMode::default())),
+        "hosts" => start_platform(&command, Box::new(HostsMode::default())),
+        "zones" => start_platform(&command, Box::new(ZonesMode::default())),
+        "usage" => start_platform(&command, Box::new(UsageMode::default())),
+        "weights" => start_platform(&command, Box::new(WeightsMode::default())),
         other => {
-            eprintln!("unknown mode {other}; known: engine, service");
+            eprintln!(
+                "unknown mode {other}; known: engine, service, store, hosts, zones, usage, weights"
+            );
             return ExitCode::from(2);
         }
     };
@@ -58,3 +75,9 @@
     }
     Ok(())
 }
+
+fn start_platform(command: &FakeCommand, mode: Box<dyn FakeMode>) -> io::Result<()> {
+    FakeServer::new(mode)
+        .spawn(command.listen, command.control)
+        .map(drop)
+}
