--- a/crates/catkindeck-cli/src/files.rs
+++ b/crates/catkindeck-cli/src/files.rs
@@ -65,6 +65,17 @@
         .map_err(|error| unwritable(path, &error))
 }
 
+/// Adds text to the end of a file, which is made if it is absent.
+pub fn append_file(path: &Path, content: &str) -> Result<(), ServiceError> {
+    let mut options = fs::OpenOptions::new();
+    options
+        .append(true)
+        .create(true)
+        .open(path)
+        .and_then(|mut file| file.write_all(content.as_bytes()))
+        .map_err(|error| unwritable(path, &error))
+}
+
 fn unwritable(path: &Path, error: &io::Error) -> ServiceError {
     let kind = match error.kind() {
         io::ErrorKind::AlreadyExists => ErrorKind::Conflict,
--- a/crates/catkindeck-cli/src/key_command.rs
+++ b/crates/catkindeck-cli/src/key_command.rs
@@ -5,7 +5,7 @@
         admin_client::AdminClient,
         arguments::{KeyAction, KeyArguments, KeyCreateArguments, KeyRevokeArguments},
         confirm::{ConfirmOptions, plan_and_apply},
-        files::write_secret,
+        files::{append_file, write_secret},
         output::{CommandContext, CommandReport, columns},
     },
     catkindeck::{
@@ -44,7 +44,7 @@
     let key = format!("ck_{hex}");
     let digest = KeyDigest::of(&key);
     let declaration = format!(
-        "[[keys]]\nlabel = \"{label}\"\ncustomer = \"{customer}\"\ndigest = \"{digest}\"\n"
+        "\n[[keys]]\nlabel = \"{label}\"\ncustomer = \"{customer}\"\ndigest = \"{digest}\"\n"
     );
     let mut content = json!({
         "label": label, "customer": customer, "digest": digest.to_string(),
@@ -61,8 +61,17 @@
             format!("Key, shown only this once:\n\n  {key}")
         }
     };
-    let text =
-        format!("{shown}\n\nAdd these lines to the declarations and apply them:\n\n{declaration}");
+    let next = match &arguments.declare {
+        Some(path) => {
+            append_file(path, &declaration)?;
+            format!(
+                "Its digest is added to {}; apply the declarations.",
+                path.display()
+            )
+        }
+        None => format!("Add these lines to the declarations and apply them:\n{declaration}"),
+    };
+    let text = format!("{shown}\n\n{next}");
     CommandReport::success(text, &content)
 }
 
--- a/crates/catkindeck-cli/tests/command.rs
+++ b/crates/catkindeck-cli/tests/command.rs
@@ -108,6 +108,32 @@
         fs::read_to_string(directory.path().join("c.key")).unwrap(),
         stored
     );
+    // Declared keys can be applied as they are.
+    fs::write(
+        directory.path().join("keys.toml"),
+        "[[customers]]\nname = \"c\"\n",
+    )
+    .unwrap();
+    for label in ["c-1", "c-2"] {
+        let words = [
+            "keys",
+            "create",
+            "--customer",
+            "c",
+            "--label",
+            label,
+            "--declare",
+        ];
+        let create = [words.as_slice(), &["keys.toml"]].concat();
+        assert_eq!(outcome(&run(directory.path(), entry, &create)).0, 0);
+    }
+    let (code, text) = outcome(&run(
+        directory.path(),
+        entry,
+        &["check-config", "keys.toml"],
+    ));
+    assert_eq!(code, 0, "{text}");
+    assert!(text.contains("1 customers, 2 keys"), "{text}");
 }
 
 /// Guards against exit codes that differ from the table in `docs/errors.md`.
