Test the way to a run's owner from any entry

Cause: trainers reach any entry, but one entry owns a run. Change: two directories over one store and an in-process link: both answer through the owner, the owner drains, and the other entry offers the same batch again; another customer's request is refused. Before: no test of RunDirectory.

--- a/crates/catkindeck-control/tests/run_owner.rs
+++ b/crates/catkindeck-control/tests/run_owner.rs
@@ -5,27 +5,28 @@
 use {
     catkindeck::{
         ErrorKind, ServiceError,
-        config::RunRecord,
-        id::{ObjectName, RequestId},
         log::discard_logger,
-        message::{SampleId, SampleRecord, StepAction, StepAnswer, StepPlan},
+        message::{StepAction, StepAnswer, StepPlan},
         time::SystemClock,
-        token::{VersionLabels, WeightVersion},
+        token::WeightVersion,
     },
     catkindeck_control::run::{
         owner::{OwnerParts, RunOwner},
-        ports::{OwnerLease, SampleOrder, SampleRunner, WeightPublisher},
+        ports::{OwnerLease, SampleRunner},
     },
     std::{
         collections::BTreeSet,
         sync::{
-            Arc, Mutex,
+            Arc,
             atomic::{AtomicU64, Ordering},
         },
         thread,
         time::Duration,
     },
-    support::{MemoryStore, StoreFault},
+    support::{
+        MemoryStore, StoreFault,
+        agents::{TestAgents, TestPublisher, plan, run},
+    },
 };
 
 /// A lease that tests give to one owner or another.
@@ -43,71 +44,6 @@
     }
 }
 
-/// Agents that generate a text for each order and retain it until it is released.
-#[derive(Default)]
-struct TestAgents {
-    retained: Mutex<Vec<SampleRecord>>,
-    version: AtomicU64,
-    generated: AtomicU64,
-    cancelled: AtomicU64,
-    /// Every n-th order fails, or none if zero.
-    fail_every: AtomicU64,
-}
-
-impl SampleRunner for TestAgents {
-    fn generate(&self, order: &SampleOrder) -> Result<SampleRecord, ServiceError> {
-        let serial = self.generated.fetch_add(1, Ordering::SeqCst) + 1;
-        let fail_every = self.fail_every.load(Ordering::SeqCst);
-        if fail_every > 0 && serial.is_multiple_of(fail_every) {
-            return Err(ServiceError::unknown(
-                ErrorKind::UpstreamFailed,
-                "ordered by the test",
-            ));
-        }
-        let mut labels = VersionLabels::default();
-        labels.push(3, Some(WeightVersion(self.version.load(Ordering::SeqCst))));
-        let text = format!("{} {serial}", order.prompt);
-        let record = SampleRecord {
-            id: order.id.clone(),
-            text,
-            labels,
-        };
-        self.retained.lock().unwrap().push(record.clone());
-        Ok(record)
-    }
-
-    fn cancel(&self, _request: RequestId) {
-        self.cancelled.fetch_add(1, Ordering::SeqCst);
-    }
-
-    fn collect(&self, _run: &RunRecord, step: u64) -> Vec<SampleRecord> {
-        let retained = self.retained.lock().unwrap();
-        retained
-            .iter()
-            .filter(|record| record.id.step == step)
-            .cloned()
-            .collect()
-    }
-
-    fn release(&self, _run: &RunRecord, samples: &[SampleId]) {
-        self.retained
-            .lock()
-            .unwrap()
-            .retain(|record| !samples.contains(&record.id));
-    }
-}
-
-#[derive(Default)]
-struct TestPublisher {
-    published: Mutex<Vec<(WeightVersion, u64)>>,
-}
-
-impl WeightPublisher for TestPublisher {
-    fn publish(&self, _run: &RunRecord, version: WeightVersion, fence: u64) {
-        self.published.lock().unwrap().push((version, fence));
-    }
-}
-
 struct Scene {
     store: Arc<MemoryStore>,
     agents: Arc<TestAgents>,
@@ -139,30 +75,6 @@
     }
 }
 
-fn run() -> RunRecord {
-    RunRecord {
-        name: name("tagging"),
-        customer: name("listkovnica"),
-        service: name("serving"),
-        staleness_bound: 1,
-        step_deadline_ms: 600_000,
-    }
-}
-
-fn name(text: &str) -> ObjectName {
-    ObjectName::try_from(text).unwrap()
-}
-
-fn plan(step: u64, groups: usize) -> StepPlan {
-    let prompts = (0..groups).map(|group| format!("prompt {group}")).collect();
-    StepPlan {
-        step,
-        prompts,
-        group_size: 8,
-        max_tokens: 16,
-    }
-}
-
 /// Fetches until an answer other than `Pending` comes; the number of tries is a safety net against
 /// a test that never ends, far above what a busy machine needs.
 fn fetch(owner: &RunOwner, step: u64, cursor: u32) -> StepAnswer {
--- a/crates/catkindeck-control/tests/support/mod.rs
+++ b/crates/catkindeck-control/tests/support/mod.rs
@@ -1,5 +1,10 @@
 //! An in-memory store with faults that tests order.
 
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
+pub mod agents;
+
 use {
     catkindeck::{
         ErrorKind, ServiceError,
@@ -36,6 +41,7 @@
     values: BTreeMap<String, StoreValue>,
     fault: StoreFault,
     writes: u64,
+    leases: BTreeMap<String, (String, u64)>,
 }
 
 impl MemoryStore {
@@ -99,21 +105,52 @@
         Ok(after)
     }
 
+    /// Grants a free lease; it does not lapse, so a test ends it by releasing it.
     fn acquire(
         &self,
-        _lease: &str,
-        _holder: &str,
-        _ttl_ms: u64,
+        lease: &str,
+        holder: &str,
+        ttl_ms: u64,
     ) -> Result<LeaseOutcome, ServiceError> {
-        Err(unavailable())
+        let mut state = self.lock();
+        if state.fault == StoreFault::Outage {
+            return Err(unavailable());
+        }
+        let (present, number) = state.leases.entry(lease.to_owned()).or_default();
+        if !present.is_empty() && present != holder {
+            return Ok(LeaseOutcome::Held { remaining_ms: 50 });
+        }
+        *number += 1;
+        holder.clone_into(present);
+        Ok(LeaseOutcome::Granted(LeaseGrant {
+            number: *number,
+            ttl_ms,
+        }))
     }
 
-    fn renew(&self, _lease: &str, _number: u64, _ttl_ms: u64) -> Result<LeaseGrant, ServiceError> {
-        Err(unavailable())
+    fn renew(&self, lease: &str, number: u64, ttl_ms: u64) -> Result<LeaseGrant, ServiceError> {
+        let state = self.lock();
+        match state.leases.get(lease) {
+            Some((_, present)) if *present == number => Ok(LeaseGrant { number, ttl_ms }),
+            _ => Err(ServiceError::not_run(
+                ErrorKind::Fenced,
+                "held under another number",
+            )),
+        }
     }
 
-    fn release(&self, _lease: &str, _number: u64) -> Result<(), ServiceError> {
-        Err(unavailable())
+    fn release(&self, lease: &str, number: u64) -> Result<(), ServiceError> {
+        let mut state = self.lock();
+        match state.leases.get_mut(lease) {
+            Some((holder, present)) if *present == number => {
+                holder.clear();
+                Ok(())
+            }
+            _ => Err(ServiceError::not_run(
+                ErrorKind::Fenced,
+                "held under another number",
+            )),
+        }
     }
 }
 
