Fuzz the execution table and fix a forbidden key taken as proof

Cause: forbidding a key on a restarted agent left a record, and the next question about the key returned that record as if it proved that the key had never run. An entry then ran the key a second time.

Ruled out: a fault in the choice of homes; the trace has one earlier home and the entry asks it each time.

Change: while records may be lost, a forbidden key is answered unknown; a key refused because it is forbidden is unknown too, since it may have run at its other home; handed-over records leave forbidden keys out.

Before: 20,000 random cases found a second execution of a key, and forbidding_a_key_twice_after_a_restart_proves_nothing failed.

--- a/crates/catkindeck-policy/src/execution.rs
+++ b/crates/catkindeck-policy/src/execution.rs
@@ -62,9 +62,10 @@
     ///
     /// # Errors
     ///
-    /// Returns `wrong_incarnation`, `revoked` or `overloaded` with `not_run`; `conflict` with
-    /// `not_run` if the key belongs to another body, and with `unknown` if the same request or key
-    /// is in progress; `outcome_unknown` if the request may have run before.
+    /// Returns `wrong_incarnation`, `revoked`, `shutting_down` or `overloaded` with `not_run`;
+    /// `conflict` with `not_run` if the key belongs to another body, and with `unknown` if the same
+    /// request or key is in progress; `outcome_unknown` if the request may have run before;
+    /// `revoked` with `unknown` if the key was forbidden here.
     pub fn begin(
         &mut self,
         now: Moment,
@@ -91,18 +92,18 @@
             .as_deref()
             .map(|key| key_hash(request.customer.as_ref(), &request.route, key));
         if let Some(key) = key {
-            if self.handed_over {
-                return Err(ServiceError::not_run(
-                    ErrorKind::ShuttingDown,
-                    "the agent handed its execution records over",
-                ));
-            }
             if let Some(slot) = self.slots.of_key(&key)
                 && let Some(decision) = self.judge(slot, request)?
             {
                 return Ok(decision);
             }
             self.check_complete(now, request.idempotent)?;
+            if self.handed_over {
+                return Err(ServiceError::not_run(
+                    ErrorKind::ShuttingDown,
+                    "the agent handed its execution records over",
+                ));
+            }
         }
         if self.slots.len() >= self.settings.record_limit {
             return Err(ServiceError::not_run(
@@ -261,8 +262,12 @@
             return Ok(None);
         };
         let record = &entry.record;
+        // The key may have run at the agent for whose sake it was forbidden here.
         if record.state == ExecutionState::Forbidden {
-            return Err(revoked());
+            return Err(ServiceError::unknown(
+                ErrorKind::Revoked,
+                "the idempotency key belongs to another home agent",
+            ));
         }
         if record.digest != request.digest {
             return Err(ServiceError::not_run(
--- a/crates/catkindeck-policy/src/keyed.rs
+++ b/crates/catkindeck-policy/src/keyed.rs
@@ -28,11 +28,16 @@
         self.expire(now);
         let key = key_hash(customer, route, idempotency_key);
         let slot = self.slots.of_key(&key);
-        if let Some(entry) = slot.and_then(|slot| self.slots.get(slot)) {
-            return Ok(Some(entry.record.clone()));
+        let record = slot.and_then(|slot| self.slots.get(slot));
+        let record = record.map(|entry| entry.record.clone());
+        // That a key is forbidden says nothing about a record lost before.
+        if record
+            .as_ref()
+            .is_none_or(|record| record.state == ExecutionState::Forbidden)
+        {
+            self.check_complete(now, false)?;
         }
-        self.check_complete(now, false)?;
-        Ok(None)
+        Ok(record)
     }
 
     /// Records that a key never starts here, unless it has started, and returns its record.
@@ -64,6 +69,9 @@
             if queued {
                 self.slots.end(now, slot);
             }
+            if record.state == ExecutionState::Forbidden {
+                self.check_complete(now, false)?;
+            }
             return Ok(record);
         }
         self.check_space()?;
@@ -119,7 +127,10 @@
         self.expire(now);
         self.handed_over = true;
         let records = self.slots.records();
-        let keyed = records.filter(|record| record.idempotency_key.is_some());
+        // A key forbidden here may be run by its next home.
+        let keyed = records.filter(|record| {
+            record.idempotency_key.is_some() && record.state != ExecutionState::Forbidden
+        });
         keyed.cloned().collect()
     }
 }
--- a/crates/catkindeck-policy/tests/execution.rs
+++ b/crates/catkindeck-policy/tests/execution.rs
@@ -78,6 +78,8 @@
 /// A request as its entry knows it.
 #[derive(Debug, Clone)]
 struct Sent {
+    number: u32,
+    first: Moment,
     agent: usize,
     incarnation: IncarnationId,
     key: Option<u8>,
@@ -93,6 +95,9 @@
     next_incarnation: u8,
     home: usize,
     moved: bool,
+    next_number: u32,
+    /// The requests whose deadline has not passed or that run; entries send and revoke a request
+    /// only before its deadline, and agents refuse queued ones at the deadline.
     sent: BTreeMap<u32, Sent>,
     /// When the last execution of each key ended at the latest.
     key_ends: BTreeMap<u8, Moment>,
@@ -108,7 +113,12 @@
     ExecutionTable::new(settings, incarnation, now, origin)
 }
 
-fn execute(id: u32, key: Option<u8>, body: u8, incarnation: Option<IncarnationId>) -> ExecuteRequest {
+fn execute(
+    id: u32,
+    key: Option<u8>,
+    body: u8,
+    incarnation: Option<IncarnationId>,
+) -> ExecuteRequest {
     ExecuteRequest {
         request: request(id),
         incarnation,
@@ -143,6 +153,7 @@
             next_incarnation: 3,
             home: 0,
             moved: false,
+            next_number: 0,
             sent: BTreeMap::new(),
             key_ends: BTreeMap::new(),
         }
@@ -169,17 +180,25 @@
             Some(sent) => (sent.agent, sent.incarnation, sent.key),
             None => (self.home, self.incarnations[self.home], key),
         };
+        let number = known.map_or(self.next_number, |sent| sent.number);
+        self.next_number = self.next_number.max(number + 1);
         let addressed = (OFF != NO_INCARNATION).then_some(incarnation);
-        let decision = self.tables[agent].begin(self.now, &execute(id, key, body, addressed));
+        let decision = self.tables[agent].begin(self.now, &execute(number, key, body, addressed));
         match &decision {
             Ok(BeginDecision::Run) => {}
             Ok(BeginDecision::Replay(record)) => {
                 assert_eq!(record.state, ExecutionState::Finished);
-                assert_eq!(record.digest, digest(body), "replayed another body's answer");
+                assert_eq!(
+                    record.digest,
+                    digest(body),
+                    "replayed another body's answer"
+                );
             }
             Err(error) => self.check_refusal(id, error),
         }
         self.sent.entry(id).or_insert(Sent {
+            number,
+            first: self.now,
             agent,
             incarnation,
             key,
@@ -205,7 +224,10 @@
             return;
         };
         let boot = BootId("boot".to_owned());
-        if self.tables[sent.agent].start(&request(id), &boot).is_err() {
+        if self.tables[sent.agent]
+            .start(&request(sent.number), &boot)
+            .is_err()
+        {
             return;
         }
         assert!(!sent.proved_not_run, "not_run is false for request {id}");
@@ -234,14 +256,14 @@
             status: 200,
             answer: vec![0; 3],
         };
-        let record = self.tables[sent.agent].finish(self.now, &request(id), result);
-        assert!(record.is_some(), "the record of a running request is lost");
+        let record = self.tables[sent.agent].finish(self.now, &request(sent.number), result);
+        let kept = record.is_some() || OFF == NO_RECORD_OF_KEYS;
+        assert!(kept, "the record of a running request is lost");
         if let Some(key) = sent.key {
             self.key_ends.insert(key, self.now);
         }
         if OFF == NO_RECORD_OF_KEYS {
-            self.tables[sent.agent] =
-                table(sent.incarnation, self.now, TableOrigin::First);
+            self.tables[sent.agent] = table(sent.incarnation, self.now, TableOrigin::First);
         }
     }
 
@@ -254,7 +276,7 @@
             return;
         }
         let table = &mut self.tables[sent.agent];
-        match table.revoke(self.now, &request(id), &sent.incarnation) {
+        match table.revoke(self.now, &request(sent.number), &sent.incarnation) {
             Ok(RevokeOutcome::Revoked) => {
                 assert!(!sent.started, "not_run is false for request {id}");
                 sent.proved_not_run = true;
@@ -309,16 +331,17 @@
             .collect();
         late.into_iter().for_each(|id| self.finish(id, false));
         self.now = self.now + milliseconds;
-        // Request ids are forgotten by entries long before the records of agents expire.
         let now = self.now;
-        self.tables.iter_mut().for_each(|table| table.expire(now));
-        if self.sent.len() == 10 {
-            let done = |sent: &Sent| sent.running.is_none();
-            if self.sent.values().all(done) && milliseconds > 25 {
-                self.now = self.now + 2 * (RETENTION + LONGEST);
-                self.sent.clear();
-            }
+        for sent in self.sent.values().filter(|sent| sent.is_over(now)) {
+            self.tables[sent.agent].release(&request(sent.number));
         }
+        self.sent.retain(|_, sent| !sent.is_over(now));
+    }
+}
+
+impl Sent {
+    fn is_over(&self, now: Moment) -> bool {
+        self.running.is_none() && now.since(self.first) > LONGEST
     }
 }
 
@@ -339,7 +362,7 @@
             Event::Finish(id, whole) => world.finish(id, whole),
             Event::Release(id) => {
                 if let Some(sent) = world.sent.get(&id) {
-                    world.tables[sent.agent].release(&request(id));
+                    world.tables[sent.agent].release(&request(sent.number));
                 }
             }
             Event::Revoke(id) => world.revoke(id),
@@ -381,3 +404,23 @@
 fn an_agent_that_accepts_work_for_its_former_incarnation_is_found() {
     assert_fails::<Machine<NO_INCARNATION>>(16, 120, "second execution of request");
 }
+
+/// Guards against a forbidden key that is taken as proof although the agent had lost its records
+/// before it forbade the key; the fuzzer found it with a random seed.
+#[test]
+fn forbidding_a_key_twice_after_a_restart_proves_nothing() {
+    let mut table = table(IncarnationId([1; 16]), Moment(0), TableOrigin::Restarted);
+    let (customer, route) = (name("court"), name("desk"));
+    for now in [Moment(1), Moment(2)] {
+        let answer = table.forbid(now, Some(&customer), &route, "key-2");
+        let error = answer.expect_err("the records of the former incarnation are lost");
+        assert_eq!(error.execution, ExecutionOutcome::Unknown);
+        assert!(table.find(now, Some(&customer), &route, "key-2").is_err());
+    }
+    let later = Moment(RETENTION + LONGEST);
+    let record = table.forbid(later, Some(&customer), &route, "key-2");
+    assert_eq!(
+        record.map(|record| record.state),
+        Ok(ExecutionState::Forbidden)
+    );
+}
