Fuzz the admission queue against a model of the upstream

Cause: the limit of a cold upstream, the refusal while closed and the sum of credits were stated but not checked.

Change: one machine with every mechanism on and four with one off each. Before: no check.

--- /dev/null
+++ b/crates/catkindeck-policy/tests/admission.rs
@@ -0,0 +1,368 @@
+//! Fuzzes the admission queue against a model of the upstream and of every request's fate.
+//!
+//! Guards the limit of a cold upstream (G9), the refusal of new work while the upstream is leaving
+//! or its zone is out (G10, G14), and requests that are lost, started twice or started late.
+
+mod common;
+
+use {
+    catkindeck::{Moment, id::BootId, message::WorkClass},
+    catkindeck_policy::{
+        AdmissionAction, AdmissionQueue, AdmissionRequest, AdmissionSettings, FinishCause,
+        LimitSettings, WithdrawOutcome,
+    },
+    common::{assert_fails, assert_holds, name, request},
+    proptest::prelude::*,
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
+    std::collections::BTreeMap,
+};
+
+const COLD: u32 = 2;
+const WARM: u32 = 12;
+const COLD_START_MS: u64 = 10_000;
+const QUEUE_LIMIT: usize = 20;
+
+const NONE: u8 = 0;
+const NO_BOOT_IDENTITY: u8 = 1;
+const NO_CLOSING: u8 = 2;
+const GROWTH_BY_TIME_ALONE: u8 = 3;
+const NO_CREDIT_SUM: u8 = 4;
+
+#[derive(Debug, Clone)]
+enum Event {
+    Offer {
+        customer: u8,
+        class: u8,
+        priority: u8,
+        patience: u64,
+        entry: u8,
+    },
+    Poll,
+    Finish(usize, u8),
+    Withdraw(usize),
+    Boot,
+    Close(bool),
+    Grant(u8),
+    Advance(u64),
+}
+
+struct Events;
+
+impl ReferenceStateMachine for Events {
+    type State = ();
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<Event> {
+        prop_oneof![
+            8 => (0u8..4, 0u8..3, 0u8..3, 50u64..20_000, 0u8..3).prop_map(
+                |(customer, class, priority, patience, entry)| Event::Offer {
+                    customer, class, priority, patience, entry,
+                }
+            ),
+            6 => Just(Event::Poll),
+            8 => (any::<usize>(), 0u8..8).prop_map(|(choice, cause)| Event::Finish(choice, cause)),
+            1 => any::<usize>().prop_map(Event::Withdraw),
+            1 => Just(Event::Boot),
+            1 => any::<bool>().prop_map(Event::Close),
+            2 => (0u8..3).prop_map(Event::Grant),
+            4 => (1u64..2_000).prop_map(Event::Advance),
+        ]
+        .boxed()
+    }
+
+    fn apply(_state: (), _event: &Event) {}
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Queued,
+    Running,
+    Over,
+}
+
+struct World<const OFF: u8> {
+    now: Moment,
+    queue: AdmissionQueue,
+    requests: Vec<(Fate, Moment)>,
+    boots: u32,
+    booted: Moment,
+    completions: u32,
+    closed: bool,
+    /// Credits granted and not used, by entry, with the moment of the grant.
+    credits: BTreeMap<u8, (u32, Moment)>,
+}
+
+impl<const OFF: u8> World<OFF> {
+    fn new() -> Self {
+        let settings = AdmissionSettings {
+            limit: LimitSettings {
+                cold: COLD,
+                warm: WARM,
+                cold_start_ms: COLD_START_MS,
+                adaptive: true,
+            },
+            queue_limit: QUEUE_LIMIT,
+            ..AdmissionSettings::default()
+        };
+        Self {
+            now: Moment(0),
+            queue: AdmissionQueue::new(settings, Moment(0)),
+            requests: Vec::new(),
+            boots: 0,
+            booted: Moment(0),
+            completions: 0,
+            closed: false,
+            credits: BTreeMap::new(),
+        }
+    }
+
+    fn count(&self, fate: Fate) -> usize {
+        let of_fate = |(other, _): &&(Fate, Moment)| *other == fate;
+        self.requests.iter().filter(of_fate).count()
+    }
+
+    /// The load that the upstream bears: it grows while work warms it up, not by time alone.
+    fn capacity(&self) -> u32 {
+        let passed = self.now.since(self.booted).min(COLD_START_MS);
+        let by_time = u64::from(WARM - COLD) * passed / COLD_START_MS;
+        COLD + u32::try_from(by_time).expect("small").min(self.completions)
+    }
+
+    fn offer(&mut self, admission: AdmissionRequest, entry: u8) {
+        let deadline = admission.deadline;
+        if let Some((credits, _)) = self.credits.get_mut(&entry) {
+            *credits = credits.saturating_sub(1);
+        }
+        let fate = match self.queue.offer(self.now, admission) {
+            Ok(()) => Fate::Queued,
+            Err(_) => Fate::Over,
+        };
+        assert!(!self.closed || fate == Fate::Over || OFF == NO_CLOSING);
+        self.requests.push((fate, deadline));
+    }
+
+    fn poll(&mut self) {
+        for action in self.queue.poll(self.now) {
+            let (id, started) = match &action {
+                AdmissionAction::Start(id) => (*id, true),
+                AdmissionAction::Shed(id, _) => (*id, false),
+            };
+            let number = u32::from_be_bytes(id.0[..4].try_into().expect("four bytes"));
+            let (fate, deadline) = &mut self.requests[number as usize];
+            assert_eq!(*fate, Fate::Queued, "a request has two fates");
+            *fate = if started { Fate::Running } else { Fate::Over };
+            let in_time = !started || self.now < *deadline;
+            assert!(in_time, "started after its deadline");
+            assert!(!(started && self.closed), "started while closed");
+        }
+        let running = self.count(Fate::Running);
+        let bears = running <= self.capacity() as usize;
+        assert!(bears, "{running} requests overload the cold upstream");
+    }
+
+    fn finish(&mut self, choice: usize, cause: u8) {
+        let Some(number) = self.pick(choice, Fate::Running) else {
+            return;
+        };
+        let cause = match cause {
+            0 => FinishCause::UpstreamFailed,
+            1 => FinishCause::Cancelled,
+            _ => FinishCause::Completed,
+        };
+        let id = request(u32::try_from(number).expect("small"));
+        self.queue.served(self.now, &id, 10);
+        self.queue.finish(self.now, &id, cause);
+        self.requests[number].0 = Fate::Over;
+        self.completions += u32::from(cause == FinishCause::Completed);
+    }
+
+    fn boot(&mut self) {
+        // The requests at the upstream end with it.
+        while let Some(number) = self.pick(0, Fate::Running) {
+            let id = request(u32::try_from(number).expect("small"));
+            self.queue
+                .finish(self.now, &id, FinishCause::UpstreamFailed);
+            self.requests[number].0 = Fate::Over;
+        }
+        self.boots += 1;
+        self.booted = self.now;
+        self.completions = 0;
+        self.credits.clear();
+        if OFF != NO_BOOT_IDENTITY {
+            let boot = BootId(self.boots.to_string());
+            self.queue.observe_boot(self.now, &boot);
+        }
+    }
+
+    fn close(&mut self, closed: bool) {
+        if self.closed && !closed {
+            // Nothing warmed the upstream while its zone was out.
+            self.booted = self.now;
+            self.completions = 0;
+            while let Some(number) = self.pick(0, Fate::Running) {
+                let id = request(u32::try_from(number).expect("small"));
+                self.queue.finish(self.now, &id, FinishCause::Cancelled);
+                self.requests[number].0 = Fate::Over;
+            }
+        }
+        self.closed = closed;
+        if closed {
+            self.credits.clear();
+        }
+        if OFF != NO_CLOSING {
+            self.queue.set_closed(self.now, closed);
+        }
+    }
+
+    fn grant(&mut self, entry: u8) {
+        let entry_name = name(&format!("entry-{entry}"));
+        let now = self.now;
+        self.credits.retain(|_, (_, at)| now.since(*at) < 2_000);
+        if OFF == NO_CREDIT_SUM {
+            // The mutation grants the whole free limit to everyone who asks.
+            let counts = self.queue.counts();
+            let free = counts.limit.saturating_sub(counts.in_flight);
+            self.credits.insert(entry, (free, now));
+        } else {
+            let credits = self.queue.grant_credits(now, &entry_name);
+            self.credits.insert(entry, (credits, now));
+        }
+        let counts = self.queue.counts();
+        let sum: u32 = self.credits.values().map(|(credits, _)| credits).sum();
+        let known = sum <= counts.limit && (!self.closed || sum == 0);
+        assert!(known, "{sum} credits exceed the limit");
+    }
+
+    fn pick(&self, choice: usize, fate: Fate) -> Option<usize> {
+        let numbered = self.requests.iter().enumerate();
+        let fitting: Vec<usize> = numbered
+            .filter(|(_, (other, _))| *other == fate)
+            .map(|(number, _)| number)
+            .collect();
+        (!fitting.is_empty()).then(|| fitting[choice % fitting.len()])
+    }
+}
+
+struct Machine<const OFF: u8>;
+
+impl<const OFF: u8> StateMachineTest for Machine<OFF> {
+    type SystemUnderTest = World<OFF>;
+    type Reference = Events;
+
+    fn init_test(_state: &()) -> World<OFF> {
+        World::new()
+    }
+
+    fn apply(mut world: World<OFF>, _state: &(), event: Event) -> World<OFF> {
+        match event {
+            Event::Offer {
+                customer,
+                class,
+                priority,
+                patience,
+                entry,
+            } => {
+                let classes = [WorkClass::Interactive, WorkClass::Rollout, WorkClass::Batch];
+                let number = u32::try_from(world.requests.len()).expect("small");
+                let admission = AdmissionRequest {
+                    request: request(number),
+                    customer: (customer > 0).then(|| name(&format!("customer-{customer}"))),
+                    class: classes[usize::from(class)],
+                    priority,
+                    deadline: world.now + patience,
+                    service_limit: 100,
+                    entry: Some(name(&format!("entry-{entry}"))),
+                };
+                world.offer(admission, entry);
+            }
+            Event::Poll => world.poll(),
+            Event::Finish(choice, cause) => world.finish(choice, cause),
+            Event::Withdraw(choice) => {
+                if let Some(number) = world.pick(choice, Fate::Queued) {
+                    let id = request(u32::try_from(number).expect("small"));
+                    assert_eq!(world.queue.withdraw(&id), WithdrawOutcome::Removed);
+                    world.requests[number].0 = Fate::Over;
+                }
+            }
+            Event::Boot => world.boot(),
+            Event::Close(closed) => world.close(closed),
+            Event::Grant(entry) => world.grant(entry),
+            Event::Advance(milliseconds) => {
+                // A warm-up by time alone is modelled as completions that did not happen.
+                if OFF == GROWTH_BY_TIME_ALONE {
+                    let id = request(u32::MAX);
+                    world.queue.finish(world.now, &id, FinishCause::Completed);
+                    for _ in 0..WARM {
+                        world.warm_without_work();
+                    }
+                }
+                world.now = world.now + milliseconds;
+            }
+        }
+        world
+    }
+
+    fn check_invariants(world: &World<OFF>, _state: &()) {
+        let counts = world.queue.counts();
+        assert_eq!(counts.in_flight as usize, world.count(Fate::Running));
+        // Requests that gave way to others are refused by the next poll.
+        assert!(counts.queued as usize <= world.count(Fate::Queued));
+        assert!(
+            counts.queued as usize <= QUEUE_LIMIT,
+            "the queue is not bounded"
+        );
+        assert!((1..=WARM).contains(&counts.limit));
+    }
+}
+
+impl<const OFF: u8> World<OFF> {
+    /// Runs a request through the queue that the oracle does not count as work.
+    fn warm_without_work(&mut self) {
+        let id = request(u32::MAX);
+        let admission = AdmissionRequest {
+            request: id,
+            customer: None,
+            class: WorkClass::Interactive,
+            priority: u8::MAX,
+            deadline: self.now + 1_000_000,
+            service_limit: 1,
+            entry: None,
+        };
+        if self.count(Fate::Queued) > 0 || self.queue.offer(self.now, admission).is_err() {
+            return;
+        }
+        match self.queue.poll(self.now).as_slice() {
+            [] => assert_eq!(self.queue.withdraw(&id), WithdrawOutcome::Removed),
+            _ => self.queue.finish(self.now, &id, FinishCause::Completed),
+        }
+    }
+}
+
+#[test]
+fn the_queue_protects_the_upstream_and_keeps_every_request() {
+    assert_holds::<Machine<NONE>>(21, 200);
+}
+
+#[test]
+fn a_queue_that_ignores_the_boot_identity_is_found() {
+    assert_fails::<Machine<NO_BOOT_IDENTITY>>(22, 200, "overload the cold upstream");
+}
+
+#[test]
+fn a_queue_that_is_not_told_to_close_is_found() {
+    assert_fails::<Machine<NO_CLOSING>>(23, 200, "started while closed");
+}
+
+#[test]
+fn a_limit_that_grows_without_work_is_found() {
+    assert_fails::<Machine<GROWTH_BY_TIME_ALONE>>(24, 200, "overload the cold upstream");
+}
+
+#[test]
+fn credits_that_are_not_summed_are_found() {
+    assert_fails::<Machine<NO_CREDIT_SUM>>(25, 200, "credits exceed the limit");
+}
