--- /dev/null
+++ b/crates/catkindeck-policy/tests/common/mod.rs
@@ -0,0 +1,82 @@
+//! Running of state machines with fixed seeds, or with random ones on request.
+//!
+//! `CATKINDECK_FUZZ_CASES=100000 cargo test -p catkindeck-policy` runs that many cases with a
+//! random seed, which is printed; `CATKINDECK_FUZZ_SEED` repeats a run with a certain seed.
+
+#![allow(dead_code)]
+
+use {
+    catkindeck::id::{BodyDigest, ObjectName, RequestId},
+    proptest::test_runner::{Config, RngSeed, TestError, TestRunner},
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
+    std::{
+        collections::hash_map::RandomState,
+        env,
+        hash::{BuildHasher, Hasher},
+    },
+};
+
+/// Returns the configuration of a run; the seed is fixed unless the environment asks otherwise.
+pub fn fuzz_config(fixed_seed: u64) -> Config {
+    let number = |name: &str| env::var(name).ok().and_then(|text| text.parse().ok());
+    let cases = number("CATKINDECK_FUZZ_CASES");
+    let seed = match (number("CATKINDECK_FUZZ_SEED"), cases) {
+        (Some(seed), _) => seed,
+        (None, Some(_)) => RandomState::new().build_hasher().finish(),
+        (None, None) => fixed_seed,
+    };
+    println!("seed {seed}, cases {}", cases.unwrap_or(256));
+    Config {
+        cases: u32::try_from(cases.unwrap_or(256)).expect("the number of cases fits"),
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..Config::default()
+    }
+}
+
+/// Runs a machine and returns the first failure.
+pub fn run_machine<M>(fixed_seed: u64, steps: usize) -> Result<(), String>
+where
+    M: StateMachineTest,
+{
+    let config = fuzz_config(fixed_seed);
+    let mut runner = TestRunner::new(config.clone());
+    let strategy = M::Reference::sequential_strategy(1..steps);
+    let result = runner.run(&strategy, |(state, transitions, seen)| {
+        M::test_sequential(config.clone(), state, transitions, seen);
+        Ok(())
+    });
+    result.map_err(|error| match error {
+        TestError::Fail(reason, (_, transitions, _)) => format!("{reason}\n{transitions:#?}"),
+        TestError::Abort(reason) => format!("aborted: {reason}"),
+    })
+}
+
+/// Asserts that a machine holds.
+pub fn assert_holds<M: StateMachineTest>(fixed_seed: u64, steps: usize) {
+    if let Err(failure) = run_machine::<M>(fixed_seed, steps) {
+        panic!("{failure}");
+    }
+}
+
+/// Asserts that a machine whose mechanism is off fails with `message`.
+pub fn assert_fails<M: StateMachineTest>(fixed_seed: u64, steps: usize, message: &str) {
+    let failure = run_machine::<M>(fixed_seed, steps).expect_err("the check finds nothing");
+    assert!(failure.contains(message), "failed otherwise: {failure}");
+}
+
+pub fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).expect("the name is valid")
+}
+
+pub fn request(number: u32) -> RequestId {
+    let mut bytes = [0; 16];
+    bytes[..4].copy_from_slice(&number.to_be_bytes());
+    bytes[15] = 1;
+    RequestId(bytes)
+}
+
+pub fn digest(number: u8) -> BodyDigest {
+    BodyDigest([number; 32])
+}
