--- a/tests/fakes/src/lib.rs
+++ b/tests/fakes/src/lib.rs
@@ -2,8 +2,15 @@
 
 pub mod control;
 pub mod engine;
+pub mod fault;
+pub mod hosts;
+pub mod http;
 pub mod service;
+pub mod store;
 pub mod stream;
+pub mod usage;
+pub mod weights;
+pub mod zones;
 
 mod engine_state;
 
