--- a/crates/catkindeck-control/tests/run_owner.rs
+++ b/crates/catkindeck-control/tests/run_owner.rs
@@ -12,7 +12,7 @@
     },
     catkindeck_control::run::{
         owner::{OwnerParts, RunOwner},
-        ports::{OwnerLease, SampleRunner},
+        ports::OwnerLease,
     },
     std::{
         collections::BTreeSet,
--- a/tests/fakes/src/lib.rs
+++ b/tests/fakes/src/lib.rs
@@ -15,10 +15,3 @@
 mod engine_state;
 
 pub use engine_state::EngineSettings;
-pub mod fault;
-pub mod hosts;
-pub mod http;
-pub mod store;
-pub mod usage;
-pub mod weights;
-pub mod zones;
