Serve callers on the entry and forward their requests to agents

Callers need HTTP on the entry with keys, routes, streams and one form of errors; requests must run at most once unless they are idempotent, and an answer that is not whole must not look whole.

Ruled out: astra for the caller address. It runs the handler inside the future that drives the connection.

Change: the server, settings, keys, forwarding with checked frames, retries, revocation, homes of idempotency keys, quarantine, crash reports to peers, the peer handler, metrics and the daemon.

--- /dev/null
+++ b/crates/catkindeck-entry/src/admin.rs
@@ -0,0 +1,47 @@
+//! The operators' address.
+
+use {
+    crate::http::{CallerHandler, CallerRequest, ReplySink},
+    catkindeck_control::intent::{AdminRequest, IntentAdmin},
+    std::{
+        sync::Arc,
+        time::{SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// The name under which the [`IntentAdmin`] is registered in the kernel.
+pub const INTENT_ADMIN: &str = "intent-admin";
+
+/// Answers operators' requests over HTTP.
+pub struct AdminService {
+    admin: Arc<IntentAdmin>,
+}
+
+impl AdminService {
+    /// Makes the service.
+    pub fn new(admin: Arc<IntentAdmin>) -> Self {
+        Self { admin }
+    }
+}
+
+impl CallerHandler for AdminService {
+    fn handle(&self, request: CallerRequest, reply: &mut dyn ReplySink) {
+        let authorization = request.headers.get(http::header::AUTHORIZATION);
+        let key = authorization.and_then(|value| {
+            let (scheme, key) = value.to_str().ok()?.trim().split_once(' ')?;
+            scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+        });
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+        let now_ms = elapsed.map_or(0, |elapsed| elapsed.as_millis());
+        let answer = self.admin.handle(AdminRequest {
+            method: request.method.as_str(),
+            path: request.uri.path(),
+            key,
+            body: &request.body,
+            now_ms: u64::try_from(now_ms).unwrap_or(u64::MAX),
+        });
+        let headers = [("content-type".to_owned(), "application/json".to_owned())];
+        // The error means that the operator is gone; the outcome can be asked for by its id.
+        let _ = reply.whole(answer.status, &headers, answer.body);
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-entry/src/api/mod.rs
@@ -0,0 +1,9 @@
+//! The HTTP interface for callers and trainers (`docs/design.md`, section 5).
+
+mod call;
+mod completion;
+mod service;
+mod sinks;
+mod trainer;
+
+pub use service::{ApiLimits, EntryService};
--- /dev/null
+++ b/crates/catkindeck-entry/src/daemon.rs
@@ -0,0 +1,266 @@
+//! Puts the parts of an entry together and holds them until the exit.
+
+use {
+    crate::{
+        admin::{AdminService, INTENT_ADMIN},
+        api::EntryService,
+        events::{CONFIG_IN_USE, ENTRY_STARTED},
+        forward::{ForwardParts, RequestForwarder, StaticPeers},
+        http::{CallerServer, ServerLimits},
+        metrics::EntryMetrics,
+        peer::{CONFIG_RECEIVER, ConfigReceiver, EntryPeer},
+        settings::EntrySettings,
+    },
+    catkindeck::{
+        ErrorKind, ServiceError, ServiceKernel,
+        config::{ConfigRevision, ConfigSnapshot},
+        link::PeerIdentity,
+        log_event,
+        time::SystemClock,
+    },
+    catkindeck_control::{
+        intent::IntentAdmin,
+        source::{CONFIG_SOURCE, ConfigSource},
+        step::{STEP_SERVICE, StepService},
+    },
+    catkindeck_health::{DrainGate, HealthServer, ReadinessFlag, ShutdownCause, ShutdownWatch},
+    catkindeck_wire::{PeerEndpoint, RevisionHook, WireLimits, WireSettings},
+    prometheus::Registry,
+    slog::Logger,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// How often the configuration in use is compared with the one seen last.
+const WATCH_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How many intervals pass between two sweeps of what has expired.
+const INTERVALS_PER_SWEEP: u32 = 50;
+
+/// How long the exit waits for the last answers to leave, after nothing is in flight.
+const LAST_ANSWERS: Duration = Duration::from_secs(5);
+
+/// The largest body of an operator's request, in bytes; declarations of the target size take
+/// 700 KB.
+const ADMIN_BODY_BYTES: usize = 4 << 20;
+
+/// A running entry.
+pub struct EntryDaemon {
+    callers: CallerServer,
+    operators: Option<CallerServer>,
+    health: HealthServer,
+    endpoint: PeerEndpoint,
+    watch: ShutdownWatch,
+}
+
+/// Opens the socket for other processes, which the services in the kernel need before the daemon
+/// starts.
+///
+/// # Errors
+///
+/// Returns `internal` if the certificates or the address cannot be used.
+pub fn open_peers(
+    settings: &EntrySettings,
+    source: Arc<dyn ConfigSource>,
+    logger: Logger,
+) -> Result<PeerEndpoint, ServiceError> {
+    let wire = WireSettings {
+        listen: settings.process.peer_listen,
+        tls: settings.process.tls.clone(),
+        limits: WireLimits::default(),
+    };
+    let hook = Arc::new(SourceHook(source));
+    PeerEndpoint::start(&wire, hook, logger)
+        .map_err(|error| ServiceError::not_run(ErrorKind::Internal, error.to_string()))
+}
+
+impl EntryDaemon {
+    /// Starts to serve with the services that are registered in `kernel`.
+    ///
+    /// A [`ConfigSource`] is required; [`StepService`], [`ConfigReceiver`] and [`IntentAdmin`] are
+    /// used where they are registered.
+    ///
+    /// # Errors
+    ///
+    /// Returns `internal` if an address cannot be opened or a needed service is missing.
+    pub fn start(
+        settings: &EntrySettings,
+        kernel: &ServiceKernel,
+        endpoint: PeerEndpoint,
+        logger: &Logger,
+    ) -> Result<Self, ServiceError> {
+        let source = kernel.find::<dyn ConfigSource>(CONFIG_SOURCE)?;
+        let steps = kernel.find::<dyn StepService>(STEP_SERVICE).ok();
+        let receiver = kernel.find::<dyn ConfigReceiver>(CONFIG_RECEIVER).ok();
+
+        // Health comes first, so that the process can be watched while it becomes ready.
+        let registry = Registry::new();
+        let metrics = Arc::new(EntryMetrics::register(&registry)?);
+        let readiness = Arc::new(ReadinessFlag::new(logger.clone()));
+        readiness.hold("configuration", "no configuration is known yet");
+        let gate = DrainGate::new();
+        let watch =
+            ShutdownWatch::install(Arc::clone(&readiness), Arc::clone(&gate), logger.clone())?;
+        let health = HealthServer::start(
+            settings.process.health_listen,
+            Arc::clone(&readiness),
+            Arc::clone(&gate),
+            registry,
+            logger.clone(),
+        )?;
+
+        let mut seed = [0; 8];
+        getrandom::fill(&mut seed)
+            .map_err(|error| ServiceError::not_run(ErrorKind::Internal, error.to_string()))?;
+        let forwarder = RequestForwarder::new(ForwardParts {
+            entry: settings.process.host.clone(),
+            link: endpoint.link(),
+            source: Arc::clone(&source),
+            peers: Arc::new(StaticPeers(settings.peers.clone())),
+            clock: Arc::new(SystemClock::new()),
+            metrics,
+            limits: settings.forward,
+            seed: u64::from_le_bytes(seed),
+            logger: logger.clone(),
+        });
+        let peer = EntryPeer::new(
+            Arc::clone(&forwarder),
+            receiver,
+            steps.clone(),
+            Arc::clone(&gate),
+        );
+        endpoint.serve(Arc::new(peer));
+
+        let service = EntryService::new(Arc::clone(&forwarder), steps, settings.api);
+        let callers = CallerServer::start(
+            settings.caller_listen,
+            settings.server,
+            Arc::new(service),
+            Arc::clone(&gate),
+            logger.clone(),
+        )?;
+        let operators = start_operators(settings, kernel, &gate, logger)?;
+        watch_configuration(forwarder, readiness, logger.clone())?;
+        log_event!(logger, ENTRY_STARTED; "host" => %settings.process.host,
+            "zone" => %settings.process.zone);
+        Ok(Self {
+            callers,
+            operators,
+            health,
+            endpoint,
+            watch,
+        })
+    }
+
+    /// Serves until a signal arrives and nothing is in flight.
+    pub fn run(self) -> ShutdownCause {
+        let cause = self.watch.wait(|| {
+            self.callers.drain();
+            if let Some(operators) = &self.operators {
+                operators.drain();
+            }
+        });
+        // The last answers may still be on their way to the system's buffers.
+        let deadline = Instant::now() + LAST_ANSWERS;
+        let open = || {
+            let operators = self.operators.as_ref().map_or(0, CallerServer::connections);
+            self.callers.connections() + operators
+        };
+        while cause == ShutdownCause::Drained && open() > 0 && Instant::now() < deadline {
+            thread::sleep(Duration::from_millis(10));
+        }
+        self.endpoint.close(Duration::from_secs(1));
+        cause
+    }
+
+    /// Returns the address for callers.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Returns the address for health, readiness and metrics.
+    pub fn health_address(&self) -> SocketAddr {
+        self.health.address()
+    }
+
+    /// Asks for a shutdown without a signal.
+    pub fn request_shutdown(&self) {
+        self.watch.request();
+    }
+}
+
+fn start_operators(
+    settings: &EntrySettings,
+    kernel: &ServiceKernel,
+    gate: &Arc<DrainGate>,
+    logger: &Logger,
+) -> Result<Option<CallerServer>, ServiceError> {
+    let Some(address) = settings.admin_listen else {
+        return Ok(None);
+    };
+    let admin = kernel.find::<IntentAdmin>(INTENT_ADMIN).map_err(|_| {
+        let detail = "admin_listen needs store_url, because operators change what is in the store";
+        ServiceError::not_run(ErrorKind::Internal, detail)
+    })?;
+    let limits = ServerLimits {
+        connections: 64,
+        requests: 16,
+        body_bytes: ADMIN_BODY_BYTES,
+        ..settings.server
+    };
+    let service = Arc::new(AdminService::new(admin));
+    let gate = Arc::clone(gate);
+    CallerServer::start(address, limits, service, gate, logger.clone()).map(Some)
+}
+
+/// Follows the configuration on a thread that lives as long as the process.
+fn watch_configuration(
+    forwarder: Arc<RequestForwarder>,
+    readiness: Arc<ReadinessFlag>,
+    logger: Logger,
+) -> Result<(), ServiceError> {
+    let watcher = thread::Builder::new().name("config-watch".to_owned());
+    let spawned = watcher.spawn(move || {
+        let mut seen = Arc::new(ConfigSnapshot::default());
+        let mut round: u32 = 0;
+        loop {
+            let current = forwarder.source().current();
+            if !Arc::ptr_eq(&current, &seen) {
+                if current.revision != seen.revision {
+                    log_event!(logger, CONFIG_IN_USE; "revision" => current.revision.0);
+                }
+                forwarder.metrics().forget_absent(&seen, &current);
+                seen = current;
+            }
+            let known = seen.revision != ConfigRevision::default();
+            if known && forwarder.source().is_fresh() {
+                readiness.clear("configuration");
+            }
+            round = round.wrapping_add(1);
+            if round.is_multiple_of(INTERVALS_PER_SWEEP) {
+                forwarder.sweep();
+            }
+            thread::sleep(WATCH_INTERVAL);
+        }
+    });
+    spawned
+        .map(drop)
+        .map_err(|error| ServiceError::not_run(ErrorKind::Internal, format!("no thread: {error}")))
+}
+
+/// Tells the transport the revision in use and the source the revisions of peers.
+struct SourceHook(Arc<dyn ConfigSource>);
+
+impl RevisionHook for SourceHook {
+    fn current(&self) -> ConfigRevision {
+        self.0.current().revision
+    }
+
+    fn higher_seen(&self, revision: ConfigRevision, _peer: &PeerIdentity, _address: SocketAddr) {
+        self.0.note_revision(revision);
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-entry/src/forward/homes.rs
@@ -0,0 +1,256 @@
+//! Choosing the agent of an attempt: by the router, or by the home of an idempotency key.
+
+use {
+    super::{ForwardWork, RequestForwarder, attempt::AttemptTarget},
+    catkindeck::{
+        ErrorKind, ExecutionOutcome, ServiceError,
+        id::ObjectName,
+        message::{ExecutionRecord, ExecutionState, PeerFrame, PeerRequest},
+    },
+    catkindeck_policy::{HomeSelector, RouteQuery},
+    std::time::{SystemTime, UNIX_EPOCH},
+};
+
+/// Where the attempts of a request with an idempotency key go.
+#[derive(Debug, Clone)]
+pub(super) struct KeyPlan {
+    home: ObjectName,
+    earlier: Vec<ObjectName>,
+    next: Option<ObjectName>,
+    left_home: bool,
+}
+
+impl KeyPlan {
+    /// Moves on after a failed attempt.
+    ///
+    /// Only an agent that is shutting down has handed its records over, so only then the next home
+    /// may run the key; any other move could run it twice.
+    pub(super) fn advance(&mut self, kind: ErrorKind) {
+        if kind == ErrorKind::ShuttingDown
+            && let Some(next) = self.next.take()
+        {
+            self.home = next;
+            return;
+        }
+        self.left_home = kind != ErrorKind::WrongIncarnation;
+    }
+}
+
+impl RequestForwarder {
+    /// Finds the homes of the request's idempotency key (`docs/design.md`, decision 4).
+    pub(super) fn plan_key(&self, work: &ForwardWork, key: &str) -> Result<KeyPlan, ServiceError> {
+        let snapshot = self.source().current();
+        let choice = HomeSelector::new().choose(
+            unix_ms(),
+            work.customer(),
+            key,
+            &work.route.service,
+            &snapshot.upstreams,
+        );
+        let choice = choice.ok_or_else(|| {
+            ServiceError::not_run(ErrorKind::NoUpstream, "the service has no upstream")
+        })?;
+        Ok(KeyPlan {
+            home: choice.home,
+            earlier: choice.earlier,
+            next: choice.next,
+            left_home: false,
+        })
+    }
+
+    /// Asks the earlier homes of the key, each of which then never starts it.
+    ///
+    /// Returns the record of a finished execution, whose answer is replayed.
+    ///
+    /// # Errors
+    ///
+    /// Returns `outcome_unknown` with `unknown` if an earlier home cannot tell, unless the work is
+    /// idempotent and may run again; `conflict` if the key belongs to another body.
+    pub(super) fn ask_earlier_homes(
+        &self,
+        work: &ForwardWork,
+        plan: &KeyPlan,
+    ) -> Result<Option<Box<ExecutionRecord>>, ServiceError> {
+        for home in &plan.earlier {
+            let record = match self.forbid_key(work, home) {
+                Ok(record) => record,
+                Err(_) if work.route.idempotent => continue,
+                Err(error) => {
+                    let detail = format!("an earlier home of the key cannot tell: {error}");
+                    return Err(ServiceError::unknown(ErrorKind::OutcomeUnknown, detail));
+                }
+            };
+            let Some(record) = record else {
+                continue;
+            };
+            if record.state == ExecutionState::Forbidden {
+                continue;
+            }
+            if record.digest != work.digest {
+                return Err(ServiceError::not_run(
+                    ErrorKind::Conflict,
+                    "the idempotency key belongs to another body",
+                ));
+            }
+            match record.state {
+                ExecutionState::Finished if !record.answer.is_empty() => return Ok(Some(record)),
+                _ if work.route.idempotent => {}
+                ExecutionState::Finished => {
+                    return Err(ServiceError {
+                        kind: ErrorKind::OutcomeUnknown,
+                        execution: ExecutionOutcome::Finished,
+                        detail: "the request ran before and its answer is not stored".to_owned(),
+                    });
+                }
+                ExecutionState::Queued | ExecutionState::Running => {
+                    return Err(ServiceError::unknown(
+                        ErrorKind::Conflict,
+                        "the same request is in progress",
+                    ));
+                }
+                ExecutionState::Failed | ExecutionState::Forbidden => {
+                    return Err(ServiceError::unknown(
+                        ErrorKind::OutcomeUnknown,
+                        "the upstream failed while it handled this request before",
+                    ));
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    /// Chooses the agent of the next attempt.
+    pub(super) fn choose_target(
+        &self,
+        work: &ForwardWork,
+        plan: Option<&KeyPlan>,
+        excluded: &[ObjectName],
+    ) -> Result<AttemptTarget, ServiceError> {
+        if let Some(plan) = plan
+            && !(plan.left_home && work.route.idempotent)
+        {
+            return self.target_of(&plan.home);
+        }
+        let now = self.now();
+        let choice = self.with_router(|router| {
+            let query = RouteQuery {
+                service: &work.route.service,
+                prefix: work.prefix,
+                excluded,
+            };
+            router.route(now, &query)
+        })?;
+        let mut target = self.target_of(&choice.upstream)?;
+        target.incarnation = choice.incarnation;
+        Ok(target)
+    }
+
+    /// Learns the agent's incarnation where it is needed and not known.
+    ///
+    /// Work that may not run twice is addressed to an incarnation, because only then a restarted
+    /// agent refuses it and a revocation proves something.
+    ///
+    /// # Errors
+    ///
+    /// Returns the target with `peer_unavailable` and `not_run`, as nothing was sent.
+    pub(super) fn address_incarnation(
+        &self,
+        work: &ForwardWork,
+        mut target: AttemptTarget,
+    ) -> Result<AttemptTarget, (AttemptTarget, ServiceError)> {
+        if target.incarnation.is_some() || work.route.idempotent {
+            return Ok(target);
+        }
+        match self.ask(target.address, PeerRequest::ReadLoad) {
+            Ok(PeerFrame::Load(load)) => {
+                target.incarnation = Some(load.incarnation);
+                self.observe(&target.upstream, &load);
+                Ok(target)
+            }
+            Ok(_) => {
+                let detail = "the agent did not answer with its load";
+                let error = ServiceError::not_run(ErrorKind::PeerUnavailable, detail);
+                Err((target, error))
+            }
+            Err(error) => {
+                self.note_unreachable(&target.upstream);
+                let error = ServiceError::not_run(ErrorKind::PeerUnavailable, error.detail);
+                Err((target, error))
+            }
+        }
+    }
+
+    /// Takes back a `not_run` that says nothing about the key.
+    ///
+    /// A home that cannot be reached may hold a record of an earlier request with this key, so the
+    /// caller must not conclude that the key never ran (`docs/design.md`, G12 and G13).
+    pub(super) fn judge_keyed_failure(
+        &self,
+        work: &ForwardWork,
+        error: ServiceError,
+    ) -> ServiceError {
+        let hidden = error.kind == ErrorKind::PeerUnavailable
+            && error.execution == ExecutionOutcome::NotRun
+            && work.idempotency_key.is_some()
+            && !work.route.idempotent;
+        if !hidden {
+            return error;
+        }
+        ServiceError::unknown(
+            ErrorKind::OutcomeUnknown,
+            format!(
+                "the home of the idempotency key cannot be reached: {}",
+                error.detail
+            ),
+        )
+    }
+
+    fn target_of(&self, upstream: &ObjectName) -> Result<AttemptTarget, ServiceError> {
+        let snapshot = self.source().current();
+        let record = snapshot.upstream(upstream).ok_or_else(|| {
+            ServiceError::not_run(ErrorKind::NoUpstream, "the upstream left the configuration")
+        })?;
+        Ok(AttemptTarget {
+            upstream: record.name.clone(),
+            address: record.agent,
+            incarnation: None,
+        })
+    }
+
+    fn forbid_key(
+        &self,
+        work: &ForwardWork,
+        home: &ObjectName,
+    ) -> Result<Option<Box<ExecutionRecord>>, ServiceError> {
+        let target = self.target_of(home)?;
+        let request = PeerRequest::FindExecution {
+            customer: work.customer().cloned(),
+            route: work.route.name.clone(),
+            idempotency_key: work.idempotency_key.clone().unwrap_or_default(),
+            forbid_start: true,
+        };
+        match self.ask(target.address, request)? {
+            PeerFrame::Execution(record) => {
+                let foreign = record.as_ref().is_some_and(|record| {
+                    record.customer.as_ref() != work.customer() || record.route != work.route.name
+                });
+                if foreign {
+                    let detail = "the agent answered with another request's record";
+                    return Err(ServiceError::unknown(ErrorKind::PeerUnavailable, detail));
+                }
+                Ok(record)
+            }
+            _ => Err(ServiceError::unknown(
+                ErrorKind::PeerUnavailable,
+                "the agent did not answer with a record",
+            )),
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| {
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/crates/catkindeck-entry/src/forward/resolve.rs
@@ -0,0 +1,152 @@
+//! Turning an unknown outcome into a proof, and withdrawing what is no longer wanted.
+
+use {
+    super::{ForwardWork, RequestForwarder, attempt::AttemptTarget},
+    crate::events::{OUTCOME_RESOLVED, OUTCOME_UNKNOWN},
+    catkindeck::{
+        ErrorKind, ExecutionOutcome, ServiceError,
+        id::IncarnationId,
+        log_event,
+        message::{ExecutionRecord, ExecutionState, PeerFrame, PeerRequest},
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// What is known about a failed attempt after its agent was asked.
+#[derive(Debug)]
+pub(super) enum Resolution {
+    /// The request ran to its end and its answer is stored.
+    Answered(Box<ExecutionRecord>),
+    /// The error with what is proved now.
+    Known(ServiceError),
+}
+
+impl RequestForwarder {
+    /// Resolves an unknown outcome by revoking the request (`docs/design.md`, decision 3).
+    ///
+    /// Idempotent work without a key is not resolved, because it may run again in any case.
+    pub(super) fn resolve(
+        &self,
+        work: &ForwardWork,
+        target: &AttemptTarget,
+        incarnation: Option<IncarnationId>,
+        error: ServiceError,
+    ) -> Resolution {
+        let settled = error.execution != ExecutionOutcome::Unknown;
+        if settled || work.route.idempotent {
+            return Resolution::Known(error);
+        }
+        let Some(incarnation) = incarnation else {
+            return Resolution::Known(error);
+        };
+        let resolution = match self.revoke(work, target.address, incarnation) {
+            Ok(PeerFrame::Revoked { request }) if request == work.request => {
+                Resolution::Known(ServiceError::not_run(error.kind, error.detail))
+            }
+            Ok(PeerFrame::Execution(Some(record))) if record.request == work.request => {
+                judge_record(record, error)
+            }
+            _ => Resolution::Known(error),
+        };
+        match &resolution {
+            Resolution::Known(error) if error.execution == ExecutionOutcome::Unknown => {
+                log_event!(self.logger(), OUTCOME_UNKNOWN; "request" => %work.request,
+                    "upstream" => %target.upstream);
+            }
+            _ => {
+                log_event!(self.logger(), OUTCOME_RESOLVED; "request" => %work.request,
+                    "upstream" => %target.upstream);
+            }
+        }
+        resolution
+    }
+
+    /// Withdraws a request that this entry gave up, and returns what is proved about it.
+    ///
+    /// Idempotent work is cancelled. Other work is revoked if it has not started; if it has, the
+    /// agent ends it and keeps the record (`docs/design.md`, section 7).
+    pub(super) fn withdraw(
+        &self,
+        work: &ForwardWork,
+        target: &AttemptTarget,
+        incarnation: Option<IncarnationId>,
+    ) -> ExecutionOutcome {
+        if work.route.idempotent {
+            let cancel = PeerRequest::Cancel {
+                request: work.request,
+            };
+            // The reset of the stream has the same meaning; a lost call only costs some tokens.
+            let _ = self.ask(target.address, cancel);
+            return ExecutionOutcome::Unknown;
+        }
+        // Queued work must not start for a caller that no longer waits.
+        let Some(incarnation) = incarnation else {
+            return ExecutionOutcome::Unknown;
+        };
+        match self.revoke(work, target.address, incarnation) {
+            Ok(PeerFrame::Revoked { request }) if request == work.request => {
+                ExecutionOutcome::NotRun
+            }
+            Ok(PeerFrame::Execution(Some(record))) if record.request == work.request => {
+                record.outcome()
+            }
+            _ => ExecutionOutcome::Unknown,
+        }
+    }
+
+    /// Calls an agent and returns the first frame of its answer.
+    pub(super) fn ask(
+        &self,
+        address: SocketAddr,
+        request: PeerRequest,
+    ) -> Result<PeerFrame, ServiceError> {
+        let deadline = Instant::now() + self.limits().resolve_timeout;
+        let timeout = self.limits().resolve_timeout;
+        let mut stream = self.link().call(address, request, timeout)?;
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        // A call that used up its time still takes an answer that is already here.
+        let frame = stream.receive(remaining.max(Duration::from_millis(1)))?;
+        match frame {
+            Some(PeerFrame::Failed(error)) => Err(error),
+            Some(frame) => Ok(frame),
+            None => Err(ServiceError::unknown(
+                ErrorKind::PeerUnavailable,
+                "the agent ended its answer without a frame",
+            )),
+        }
+    }
+
+    fn revoke(
+        &self,
+        work: &ForwardWork,
+        address: SocketAddr,
+        incarnation: IncarnationId,
+    ) -> Result<PeerFrame, ServiceError> {
+        let request = PeerRequest::Revoke {
+            request: work.request,
+            incarnation,
+        };
+        self.ask(address, request)
+    }
+}
+
+/// Judges what an agent recorded about the request whose answer was lost.
+fn judge_record(record: Box<ExecutionRecord>, error: ServiceError) -> Resolution {
+    match record.state {
+        ExecutionState::Forbidden => {
+            Resolution::Known(ServiceError::not_run(error.kind, error.detail))
+        }
+        ExecutionState::Finished if !record.answer.is_empty() => Resolution::Answered(record),
+        ExecutionState::Finished => Resolution::Known(ServiceError {
+            kind: ErrorKind::OutcomeUnknown,
+            execution: ExecutionOutcome::Finished,
+            detail: format!("the request ran and its answer was lost: {}", error.detail),
+        }),
+        ExecutionState::Queued | ExecutionState::Running | ExecutionState::Failed => {
+            Resolution::Known(error)
+        }
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-entry/src/main.rs
@@ -0,0 +1,102 @@
+//! The daemon on entry hosts.
+
+use {
+    argh::FromArgs,
+    catkindeck::{
+        ErrorKind, ServiceError, ServiceKernel,
+        log::build_logger,
+        log_event,
+        settings::{SettingsError, SettingsText},
+    },
+    catkindeck_control::source::{CONFIG_SOURCE, ConfigSource},
+    catkindeck_entry::{
+        daemon::{EntryDaemon, open_peers},
+        events::{CONFIG_FILE_REJECTED, ENTRY_FAILED},
+        settings::{ConfigOrigin, EntrySettings},
+        source::FileSource,
+    },
+    catkindeck_health::ShutdownCause,
+    slog::Logger,
+    std::{path::PathBuf, process::ExitCode, sync::Arc},
+};
+
+/// Serves callers, trainers and operators and forwards their requests to agents.
+///
+/// Exit codes: 0 after a graceful shutdown, 1 if it cannot start, 2 for faulty settings, 6 if a
+/// second signal cut off work in flight.
+#[derive(FromArgs)]
+struct EntryArguments {
+    /// the settings file, TOML
+    #[argh(option)]
+    settings: PathBuf,
+
+    /// check the settings and the configuration file, and exit
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: EntryArguments = argh::from_env();
+    let settings =
+        SettingsText::read(&arguments.settings).and_then(|text| EntrySettings::load(&text));
+    let settings = match settings {
+        Ok(settings) => settings,
+        Err(error) => return report_settings(&error),
+    };
+    if arguments.check {
+        return check(&settings);
+    }
+    let logger = build_logger(settings.process.log_format, settings.process.log_level);
+    match serve(&settings, &logger) {
+        Ok(ShutdownCause::Drained) => ExitCode::SUCCESS,
+        Ok(ShutdownCause::Forced) => ExitCode::from(ErrorKind::ShuttingDown.answer().exit_code),
+        Err(error) => {
+            log_event!(logger, ENTRY_FAILED; "error" => &error.detail);
+            ExitCode::from(ErrorKind::Internal.answer().exit_code)
+        }
+    }
+}
+
+fn serve(settings: &EntrySettings, logger: &Logger) -> Result<ShutdownCause, ServiceError> {
+    let kernel = ServiceKernel::new();
+    let source = open_source(settings, logger)?;
+    kernel.register(CONFIG_SOURCE, Arc::clone(&source))?;
+    let endpoint = open_peers(settings, source, logger.clone())?;
+    Ok(EntryDaemon::start(settings, &kernel, endpoint, logger)?.run())
+}
+
+fn open_source(
+    settings: &EntrySettings,
+    logger: &Logger,
+) -> Result<Arc<dyn ConfigSource>, ServiceError> {
+    match &settings.origin {
+        ConfigOrigin::File(path) => {
+            let source = FileSource::open(path, logger.clone()).map_err(|error| {
+                log_event!(logger, CONFIG_FILE_REJECTED; "error" => %error);
+                ServiceError::not_run(ErrorKind::BadRequest, error.to_string())
+            })?;
+            source.watch(path);
+            Ok(source)
+        }
+        ConfigOrigin::Store(_) => Err(ServiceError::not_run(
+            ErrorKind::Internal,
+            "store_url is not supported by this build yet; use config_file",
+        )),
+    }
+}
+
+fn check(settings: &EntrySettings) -> ExitCode {
+    if let ConfigOrigin::File(path) = &settings.origin {
+        let logger = catkindeck::log::discard_logger();
+        if let Err(error) = FileSource::open(path, logger) {
+            return report_settings(&error);
+        }
+    }
+    println!("the settings are valid");
+    ExitCode::SUCCESS
+}
+
+fn report_settings(error: &SettingsError) -> ExitCode {
+    eprintln!("catkindeck-entry: {error}");
+    ExitCode::from(ErrorKind::BadRequest.answer().exit_code)
+}
--- /dev/null
+++ b/crates/catkindeck-entry/src/metrics.rs
@@ -0,0 +1,180 @@
+//! Metrics of the entry; every label value comes from the configuration or a closed list.
+
+use {
+    catkindeck::{ErrorKind, ServiceError, config::ConfigSnapshot, id::ObjectName},
+    prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry},
+    std::time::Duration,
+};
+
+/// The label value where no route or customer is known, as names from callers are not bounded.
+const NONE: &str = "-";
+
+/// Bucket bounds for the time to the first token, in seconds.
+const FIRST_BUCKETS: [f64; 11] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// Bucket bounds for the total time, in seconds, up to the ten minutes of a step.
+const TOTAL_BUCKETS: [f64; 12] = [
+    0.01, 0.05, 0.1, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0, 600.0,
+];
+
+/// Counters and histograms.
+#[derive(Debug)]
+pub struct EntryMetrics {
+    requests: IntCounterVec,
+    customers: IntCounterVec,
+    tokens: IntCounterVec,
+    retries: IntCounterVec,
+    first: HistogramVec,
+    total: HistogramVec,
+}
+
+impl EntryMetrics {
+    /// Makes the metrics and registers them.
+    ///
+    /// # Errors
+    ///
+    /// Returns `internal` if they are registered already.
+    pub fn register(registry: &Registry) -> Result<Self, ServiceError> {
+        Self::build(registry).map_err(|error| {
+            ServiceError::not_run(ErrorKind::Internal, format!("metrics: {error}"))
+        })
+    }
+
+    fn build(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let histogram = |name: &str, help: &str, buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            let histogram = HistogramVec::new(options, &["route"])?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        Ok(Self {
+            requests: counter(
+                "catkindeck_entry_requests_total",
+                "Requests by route and kind of answer; `ok` for a whole answer.",
+                &["route", "answer"],
+            )?,
+            customers: counter(
+                "catkindeck_entry_customer_requests_total",
+                "Requests by customer and whether the answer was whole.",
+                &["customer", "whole"],
+            )?,
+            tokens: counter(
+                "catkindeck_entry_customer_tokens_total",
+                "Tokens delivered by customer.",
+                &["customer"],
+            )?,
+            retries: counter(
+                "catkindeck_entry_retries_total",
+                "Attempts after the first, by route and kind of the failure before.",
+                &["route", "cause"],
+            )?,
+            first: histogram(
+                "catkindeck_entry_first_part_seconds",
+                "Time from the request to the first token or byte, by route.",
+                &FIRST_BUCKETS,
+            )?,
+            total: histogram(
+                "catkindeck_entry_request_seconds",
+                "Time from the request to the whole answer, by route.",
+                &TOTAL_BUCKETS,
+            )?,
+        })
+    }
+
+    /// Counts an answer; `kind` is `None` for a whole one.
+    pub fn count_answer(
+        &self,
+        route: Option<&ObjectName>,
+        customer: Option<&ObjectName>,
+        kind: Option<ErrorKind>,
+    ) {
+        let answer = kind.map_or("ok", |kind| kind.answer().name);
+        let whole = if kind.is_none() { "true" } else { "false" };
+        self.requests
+            .with_label_values(&[name_of(route), answer])
+            .inc();
+        self.customers
+            .with_label_values(&[name_of(customer), whole])
+            .inc();
+    }
+
+    /// Counts an answer whose caller left before it was whole.
+    pub fn count_departed(&self, route: &ObjectName, customer: Option<&ObjectName>) {
+        self.requests
+            .with_label_values(&[route.as_str(), "caller_gone"])
+            .inc();
+        self.customers
+            .with_label_values(&[name_of(customer), "false"])
+            .inc();
+    }
+
+    /// Counts delivered tokens.
+    pub fn count_tokens(&self, customer: Option<&ObjectName>, tokens: u32) {
+        self.tokens
+            .with_label_values(&[name_of(customer)])
+            .inc_by(u64::from(tokens));
+    }
+
+    /// Counts an attempt after the first.
+    pub fn count_retry(&self, route: &ObjectName, cause: ErrorKind) {
+        self.retries
+            .with_label_values(&[route.as_str(), cause.answer().name])
+            .inc();
+    }
+
+    /// Records the time to the first part of an answer.
+    pub fn observe_first(&self, route: &ObjectName, elapsed: Duration) {
+        self.first
+            .with_label_values(&[route.as_str()])
+            .observe(elapsed.as_secs_f64());
+    }
+
+    /// Records the time to a whole answer.
+    pub fn observe_total(&self, route: &ObjectName, elapsed: Duration) {
+        self.total
+            .with_label_values(&[route.as_str()])
+            .observe(elapsed.as_secs_f64());
+    }
+
+    /// Removes the series of customers and routes that left the configuration.
+    ///
+    /// Without this the number of series grows with every name that ever existed.
+    pub fn forget_absent(&self, before: &ConfigSnapshot, now: &ConfigSnapshot) {
+        for customer in &before.customers {
+            if now.customer(&customer.name).is_none() {
+                let name = customer.name.as_str();
+                for whole in ["true", "false"] {
+                    // The error means that there is no such series.
+                    let _ = self.customers.remove_label_values(&[name, whole]);
+                }
+                let _ = self.tokens.remove_label_values(&[name]);
+            }
+        }
+        for route in &before.routes {
+            if now.route(&route.name).is_none() {
+                self.forget_route(route.name.as_str());
+            }
+        }
+    }
+
+    fn forget_route(&self, route: &str) {
+        let kinds = ErrorKind::ALL.map(|kind| kind.answer().name);
+        for answer in kinds.iter().chain(&["ok", "caller_gone"]) {
+            let _ = self.requests.remove_label_values(&[route, answer]);
+            let _ = self.retries.remove_label_values(&[route, answer]);
+        }
+        let _ = self.first.remove_label_values(&[route]);
+        let _ = self.total.remove_label_values(&[route]);
+    }
+}
+
+fn name_of(name: Option<&ObjectName>) -> &str {
+    name.map_or(NONE, ObjectName::as_str)
+}
--- /dev/null
+++ b/crates/catkindeck-entry/src/settings.rs
@@ -0,0 +1,294 @@
+//! The settings of an entry.
+
+use {
+    crate::{api::ApiLimits, forward::ForwardLimits, http::ServerLimits},
+    catkindeck::{
+        id::{KeyDigest, ObjectName},
+        message::MESSAGE_LIMIT,
+        process::{ProcessSettings, RawProcess, parse_address, parse_name},
+        settings::{SettingsError, SettingsText},
+    },
+    serde::Deserialize,
+    std::{net::SocketAddr, path::PathBuf, time::Duration},
+};
+
+/// The room in a message for everything but the caller's body, in bytes.
+const MESSAGE_ROOM: usize = 256 << 10;
+
+/// The settings file as written.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawEntry {
+    /// The address for callers and trainers, TCP.
+    pub caller_listen: String,
+    /// The address for operators, TCP; without it operators use another entry.
+    pub admin_listen: Option<String>,
+    /// The blake3 digests of the operators' keys, in hexadecimal.
+    #[serde(default)]
+    pub operator_digests: Vec<String>,
+    /// The URL of the platform's key-value service.
+    pub store_url: Option<String>,
+    /// A configuration in TOML or JSON for a stand-alone start, instead of `store_url`.
+    pub config_file: Option<PathBuf>,
+    /// The part that every daemon has.
+    pub process: RawProcess,
+    /// Other entries that are known from the start.
+    #[serde(default)]
+    pub peers: Vec<RawPeer>,
+    /// Sizes and counts.
+    #[serde(default)]
+    pub limits: RawLimits,
+    /// Times.
+    #[serde(default)]
+    pub timeouts: RawTimeouts,
+}
+
+/// Another entry as written.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPeer {
+    /// The host's name.
+    pub peer_host: String,
+    /// The address for other processes, UDP.
+    pub peer_address: String,
+}
+
+/// Sizes and counts as written.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawLimits {
+    /// The number of callers' connections.
+    pub connections: usize,
+    /// The number of requests in progress.
+    pub requests: usize,
+    /// The largest body, in bytes.
+    pub body_bytes: usize,
+    /// The largest request line and headers, in bytes.
+    pub header_bytes: usize,
+    /// The most tokens that one completion may ask for.
+    pub max_tokens: u32,
+    /// The most samples in a training step.
+    pub step_samples: u32,
+    /// The number of attempts of one request.
+    pub attempts: u8,
+    /// Retries for each 100 first attempts on open routes.
+    pub open_retry_percent: u32,
+}
+
+impl Default for RawLimits {
+    fn default() -> Self {
+        let (api, forward) = (ApiLimits::default(), ForwardLimits::default());
+        Self {
+            connections: 4096,
+            requests: 2048,
+            body_bytes: 2 << 20,
+            header_bytes: 64 << 10,
+            max_tokens: api.max_tokens,
+            step_samples: api.step_samples,
+            attempts: forward.attempts,
+            open_retry_percent: forward.open_retry_percent,
+        }
+    }
+}
+
+/// Times as written, in milliseconds.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawTimeouts {
+    /// The time for the headers of a request, and for which a connection may be idle.
+    pub header_ms: u64,
+    /// The time for the body of a request.
+    pub body_ms: u64,
+    /// The time to reach an agent.
+    pub call_ms: u64,
+    /// The time in which an unknown outcome is resolved.
+    pub resolve_ms: u64,
+}
+
+impl Default for RawTimeouts {
+    fn default() -> Self {
+        Self {
+            header_ms: 10_000,
+            body_ms: 30_000,
+            call_ms: 2_000,
+            resolve_ms: 1_000,
+        }
+    }
+}
+
+/// Where the configuration comes from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ConfigOrigin {
+    /// The platform's key-value service at this URL.
+    Store(String),
+    /// A file on this host.
+    File(PathBuf),
+}
+
+/// The checked settings.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// The part that every daemon has.
+    pub process: ProcessSettings,
+    /// The address for callers and trainers, TCP.
+    pub caller_listen: SocketAddr,
+    /// The address for operators, TCP.
+    pub admin_listen: Option<SocketAddr>,
+    /// The digests of the operators' keys.
+    pub operators: Vec<KeyDigest>,
+    /// Where the configuration comes from.
+    pub origin: ConfigOrigin,
+    /// Other entries that are known from the start.
+    pub peers: Vec<(ObjectName, SocketAddr)>,
+    /// The limits of the HTTP server.
+    pub server: ServerLimits,
+    /// The limits on the content of requests.
+    pub api: ApiLimits,
+    /// The limits of forwarding.
+    pub forward: ForwardLimits,
+}
+
+impl EntrySettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault with file, line and field.
+    pub fn load(text: &SettingsText) -> Result<Self, SettingsError> {
+        let raw: RawEntry = text.parse()?;
+        Self::try_from((text, raw))
+    }
+}
+
+impl TryFrom<(&SettingsText, RawEntry)> for EntrySettings {
+    type Error = SettingsError;
+
+    fn try_from((text, raw): (&SettingsText, RawEntry)) -> Result<Self, SettingsError> {
+        let origin = parse_origin(text, &raw)?;
+        let admin_listen = raw.admin_listen.as_deref();
+        let admin_listen = admin_listen
+            .map(|address| parse_address(text, "admin_listen", address))
+            .transpose()?;
+        if admin_listen.is_some() && raw.operator_digests.is_empty() {
+            let expected = "expected at least one digest, because admin_listen is set";
+            return Err(text.fault("operator_digests", expected));
+        }
+        let digests = raw.operator_digests.iter();
+        let operators = digests.map(|digest| parse_digest(text, digest));
+        let peers = raw.peers.iter().map(|peer| {
+            Ok((
+                parse_name(text, "peer_host", &peer.peer_host)?,
+                parse_address(text, "peer_address", &peer.peer_address)?,
+            ))
+        });
+        check_limits(text, &raw.limits)?;
+        check_timeouts(text, &raw.timeouts)?;
+        let (limits, timeouts) = (&raw.limits, &raw.timeouts);
+        Ok(Self {
+            caller_listen: parse_address(text, "caller_listen", &raw.caller_listen)?,
+            admin_listen,
+            operators: operators.collect::<Result<_, _>>()?,
+            origin,
+            peers: peers.collect::<Result<_, SettingsError>>()?,
+            server: ServerLimits {
+                connections: limits.connections,
+                requests: limits.requests,
+                body_bytes: limits.body_bytes,
+                header_bytes: limits.header_bytes,
+                header_timeout: Duration::from_millis(timeouts.header_ms),
+                body_timeout: Duration::from_millis(timeouts.body_ms),
+            },
+            api: ApiLimits {
+                max_tokens: limits.max_tokens,
+                step_samples: limits.step_samples,
+            },
+            forward: ForwardLimits {
+                attempts: limits.attempts,
+                call_timeout: Duration::from_millis(timeouts.call_ms),
+                resolve_timeout: Duration::from_millis(timeouts.resolve_ms),
+                open_retry_percent: limits.open_retry_percent,
+            },
+            process: ProcessSettings::try_from((text, raw.process))?,
+        })
+    }
+}
+
+fn parse_origin(text: &SettingsText, raw: &RawEntry) -> Result<ConfigOrigin, SettingsError> {
+    match (&raw.store_url, &raw.config_file) {
+        (Some(url), None) if url.starts_with("http://") => Ok(ConfigOrigin::Store(url.clone())),
+        (Some(url), None) => {
+            let expected = format!("expected a URL that starts with http://, got `{url}`");
+            Err(text.fault("store_url", expected))
+        }
+        (None, Some(file)) => Ok(ConfigOrigin::File(file.clone())),
+        (Some(_), Some(_)) => Err(text.fault(
+            "config_file",
+            "expected either store_url or config_file, not both",
+        )),
+        (None, None) => Err(text.fault(
+            "store_url",
+            "expected store_url, or config_file to start alone",
+        )),
+    }
+}
+
+fn parse_digest(text: &SettingsText, digest: &str) -> Result<KeyDigest, SettingsError> {
+    let hash = blake3::Hash::from_hex(digest).map_err(|_| {
+        let expected = "expected blake3 digests of 64 hexadecimal digits";
+        text.fault("operator_digests", expected)
+    })?;
+    Ok(KeyDigest(*hash.as_bytes()))
+}
+
+fn check_limits(text: &SettingsText, limits: &RawLimits) -> Result<(), SettingsError> {
+    let body_limit = MESSAGE_LIMIT - MESSAGE_ROOM;
+    for (field, value, least, most) in [
+        ("connections", limits.connections, 1, 1 << 20),
+        ("requests", limits.requests, 1, 32_768),
+        ("body_bytes", limits.body_bytes, 1024, body_limit),
+        ("header_bytes", limits.header_bytes, 8192, 1 << 20),
+        ("max_tokens", limits.max_tokens as usize, 1, 1 << 24),
+        ("step_samples", limits.step_samples as usize, 1, 1 << 20),
+        ("attempts", usize::from(limits.attempts), 1, 10),
+        (
+            "open_retry_percent",
+            limits.open_retry_percent as usize,
+            0,
+            100,
+        ),
+    ] {
+        check_range(
+            text,
+            &format!("limits.{field}"),
+            value as u64,
+            least,
+            most as u64,
+        )?;
+    }
+    Ok(())
+}
+
+fn check_timeouts(text: &SettingsText, timeouts: &RawTimeouts) -> Result<(), SettingsError> {
+    for (field, value, most) in [
+        ("header_ms", timeouts.header_ms, 600_000),
+        ("body_ms", timeouts.body_ms, 600_000),
+        ("call_ms", timeouts.call_ms, 60_000),
+        ("resolve_ms", timeouts.resolve_ms, 60_000),
+    ] {
+        check_range(text, &format!("timeouts.{field}"), value, 10, most)?;
+    }
+    Ok(())
+}
+
+fn check_range(
+    text: &SettingsText,
+    field: &str,
+    value: u64,
+    least: u64,
+    most: u64,
+) -> Result<(), SettingsError> {
+    if (least..=most).contains(&value) {
+        return Ok(());
+    }
+    Err(text.fault(field, format!("expected {least} to {most}, got {value}")))
+}
