--- a/crates/catkindeck-policy/src/fair.rs
+++ b/crates/catkindeck-policy/src/fair.rs
@@ -33,6 +33,7 @@
     level: u64,
     idle_credit: u64,
     length: usize,
+    ready_weight: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -53,6 +54,7 @@
             level: 0,
             idle_credit,
             length: 0,
+            ready_weight: 0,
         }
     }
 
@@ -86,7 +88,11 @@
                 return false;
             };
             if let Some(weight) = weight_of(name) {
-                account.weight = u64::from(weight.max(1));
+                let weight = u64::from(weight.max(1));
+                if !account.queue.is_empty() {
+                    self.ready_weight = self.ready_weight - account.weight + weight;
+                }
+                account.weight = weight;
                 return true;
             }
             let keep = !account.queue.is_empty();
@@ -107,6 +113,7 @@
             let credit = self.idle_credit.saturating_mul(COUNTER_SCALE) / entry.weight;
             entry.counter = entry.counter.max(floor.saturating_sub(credit));
             self.ready.insert((entry.counter, account));
+            self.ready_weight += entry.weight;
         }
         entry.queue.insert(order, item);
         self.length += 1;
@@ -126,6 +133,7 @@
         let item = entry.queue.remove(&order)?;
         if entry.queue.is_empty() {
             self.ready.remove(&(entry.counter, account));
+            self.ready_weight -= entry.weight;
         }
         self.length -= 1;
         Some(item)
@@ -164,10 +172,12 @@
 
     /// Returns a customer's weight and the sum of the weights of all backlogged customers and it.
     pub fn weights(&self, account: AccountKey) -> (u64, u64) {
-        let own = self.accounts.get(&account).map_or(1, |entry| entry.weight);
-        let ready = self.ready.iter().filter(|(_, key)| *key != account);
-        let others = ready.filter_map(|(_, key)| self.accounts.get(key));
-        (own, own + others.map(|entry| entry.weight).sum::<u64>())
+        let Some(entry) = self.accounts.get(&account) else {
+            return (1, self.ready_weight + 1);
+        };
+        let counted = !entry.queue.is_empty();
+        let added = if counted { 0 } else { entry.weight };
+        (entry.weight, self.ready_weight + added)
     }
 
     /// Returns the number of requests queued.
--- a/crates/catkindeck-policy/tests/common/mod.rs
+++ b/crates/catkindeck-policy/tests/common/mod.rs
@@ -6,7 +6,10 @@
 #![allow(dead_code)]
 
 use {
-    catkindeck::id::{BodyDigest, ObjectName, RequestId},
+    catkindeck::{
+        id::{BodyDigest, IncarnationId, ObjectName, RequestId},
+        message::{CallBody, ExecuteRequest, WorkBody, WorkClass},
+    },
     proptest::test_runner::{Config, RngSeed, TestError, TestRunner},
     proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
     std::{
@@ -80,3 +83,33 @@
 pub fn digest(number: u8) -> BodyDigest {
     BodyDigest([number; 32])
 }
+
+/// A call that must not run twice.
+pub fn execute(
+    id: u32,
+    key: Option<u8>,
+    body: u8,
+    incarnation: Option<IncarnationId>,
+) -> ExecuteRequest {
+    ExecuteRequest {
+        request: request(id),
+        incarnation,
+        customer: Some(name("court")),
+        route: name("desk"),
+        service: name("desk"),
+        class: WorkClass::Interactive,
+        priority: 0,
+        attempt: 1,
+        deadline_ms: 40,
+        idempotent: false,
+        idempotency_key: key.map(|key| format!("key-{key}")),
+        digest: digest(body),
+        sample: None,
+        body: WorkBody::Call(CallBody {
+            method: "POST".to_owned(),
+            path: "/".to_owned(),
+            headers: Vec::new(),
+            bytes: Vec::new(),
+        }),
+    }
+}
--- a/crates/catkindeck-policy/tests/execution.rs
+++ b/crates/catkindeck-policy/tests/execution.rs
@@ -9,14 +9,14 @@
     catkindeck::{
         ErrorKind, ExecutionOutcome, Moment, ServiceError,
         id::{BootId, IncarnationId},
-        message::{CallBody, ExecuteRequest, ExecutionState, WorkBody, WorkClass},
+        message::ExecutionState,
         token::VersionLabels,
     },
     catkindeck_policy::{
         BeginDecision, ExecutionResult, ExecutionSettings, ExecutionTable, RevokeOutcome,
         TableOrigin,
     },
-    common::{assert_fails, assert_holds, digest, name, request},
+    common::{assert_fails, assert_holds, digest, execute, name, request},
     proptest::prelude::*,
     proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
     std::collections::BTreeMap,
@@ -113,35 +113,6 @@
     ExecutionTable::new(settings, incarnation, now, origin)
 }
 
-fn execute(
-    id: u32,
-    key: Option<u8>,
-    body: u8,
-    incarnation: Option<IncarnationId>,
-) -> ExecuteRequest {
-    ExecuteRequest {
-        request: request(id),
-        incarnation,
-        customer: Some(name("court")),
-        route: name("desk"),
-        service: name("desk"),
-        class: WorkClass::Interactive,
-        priority: 0,
-        attempt: 1,
-        deadline_ms: LONGEST,
-        idempotent: false,
-        idempotency_key: key.map(|key| format!("key-{key}")),
-        digest: digest(body),
-        sample: None,
-        body: WorkBody::Call(CallBody {
-            method: "POST".to_owned(),
-            path: "/".to_owned(),
-            headers: Vec::new(),
-            bytes: Vec::new(),
-        }),
-    }
-}
-
 impl<const OFF: u8> World<OFF> {
     fn new() -> Self {
         let incarnations = [IncarnationId([1; 16]), IncarnationId([2; 16])];
--- /dev/null
+++ b/crates/catkindeck-policy/tests/guards.rs
@@ -0,0 +1,254 @@
+//! Fuzzes the order fence, the crash quarantine and the retry budget against simple oracles.
+//!
+//! Guards against orders of a former lease holder (G7), against a request that crashes one upstream
+//! after another, and against retries that multiply.
+
+mod common;
+
+use {
+    catkindeck::{
+        Moment,
+        config::ZoneState,
+        message::{CrashReport, OrderKind, UpstreamOrder},
+    },
+    catkindeck_policy::{CrashQuarantine, FenceDecision, OrderFence, RetryBudget},
+    common::{assert_fails, assert_holds, digest, name, request},
+    proptest::prelude::*,
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
+    std::collections::BTreeMap,
+};
+
+const TEN_MINUTES: u64 = 600_000;
+
+#[derive(Debug, Clone)]
+enum Event {
+    Order { lease: u8, fence: u64, id: u32 },
+    Crash { body: u8, upstream: u8 },
+    Advance(u64),
+    Request { customer: u8, failures: u8 },
+}
+
+struct Events;
+
+impl ReferenceStateMachine for Events {
+    type State = ();
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<Event> {
+        prop_oneof![
+            (0u8..2, 0u64..6, 0u32..12).prop_map(|(lease, fence, id)| Event::Order {
+                lease,
+                fence,
+                id
+            }),
+            (0u8..4, 0u8..3).prop_map(|(body, upstream)| Event::Crash { body, upstream }),
+            (1u64..200_000).prop_map(Event::Advance),
+            (0u8..3, 0u8..4).prop_map(|(customer, failures)| Event::Request { customer, failures }),
+        ]
+        .boxed()
+    }
+
+    fn apply(_state: (), _event: &Event) {}
+}
+
+/// Which mechanism a machine leaves out.
+const NONE: u8 = 0;
+const NO_FENCE: u8 = 1;
+const NO_DISTINCT_UPSTREAMS: u8 = 2;
+const NO_QUARANTINE: u8 = 3;
+const NO_BUDGET: u8 = 4;
+const NO_REPEATED_ORDERS: u8 = 5;
+
+struct World<const OFF: u8> {
+    now: Moment,
+    fence: OrderFence,
+    applied: Vec<(u8, u64, u32)>,
+    quarantine: CrashQuarantine,
+    crashes: Vec<(u8, u8, Moment)>,
+    quarantined_until: BTreeMap<u8, Moment>,
+    budget: RetryBudget,
+    attempts: BTreeMap<u8, (u64, u64)>,
+    unique: u32,
+    unique_orders: u32,
+}
+
+impl<const OFF: u8> World<OFF> {
+    fn order(&mut self, lease: u8, fence: u64, id: u32) {
+        if OFF == NO_REPEATED_ORDERS {
+            self.unique_orders += 100;
+        }
+        let order = UpstreamOrder {
+            order: request(id + self.unique_orders),
+            lease: name(&format!("lease-{lease}")),
+            fence,
+            kind: OrderKind::SetZone(ZoneState::Out),
+        };
+        let decision = match OFF {
+            NO_FENCE => Ok(FenceDecision::Apply),
+            _ => self.fence.admit(&order),
+        };
+        if decision != Ok(FenceDecision::Apply) {
+            return;
+        }
+        for (other, number, known) in &self.applied {
+            let stale = *other == lease && *number > fence;
+            assert!(!stale, "an order of a former lease holder is carried out");
+            let repeated = *other == lease && *known == id;
+            assert!(!repeated, "an order is carried out twice");
+        }
+        self.applied.push((lease, fence, id));
+    }
+
+    fn crash(&mut self, body: u8, upstream: u8) {
+        self.unique += 1;
+        let upstream_name = match OFF {
+            NO_DISTINCT_UPSTREAMS => name(&format!("upstream-{upstream}-{}", self.unique)),
+            _ => name(&format!("upstream-{upstream}")),
+        };
+        let report = CrashReport {
+            digest: digest(body),
+            upstream: upstream_name,
+        };
+        if OFF != NO_QUARANTINE {
+            self.quarantine.report(self.now, &report);
+        }
+        self.crashes.push((body, upstream, self.now));
+        // Two upstreams within ten minutes make a quarantine, which lasts ten minutes from then.
+        let now = self.now;
+        let elsewhere = self.crashes.iter().any(|(other, place, at)| {
+            *other == body && *place != upstream && now.since(*at) < TEN_MINUTES
+        });
+        if elsewhere {
+            self.quarantined_until.insert(body, now + TEN_MINUTES);
+        }
+    }
+
+    /// Sends a request whose first `failures` attempts are refused.
+    fn request(&mut self, customer: u8, failures: u8) {
+        let (customer_name, route) = (name(&format!("customer-{customer}")), name("desk"));
+        let (requests, attempts) = self.attempts.entry(customer).or_default();
+        *requests += 1;
+        *attempts += 1;
+        self.budget.pay(self.now, Some(&customer_name), &route, 10);
+        for _ in 0..failures {
+            let spent = self.budget.spend(self.now, Some(&customer_name), &route);
+            if spent.is_err() && OFF != NO_BUDGET {
+                break;
+            }
+            *attempts += 1;
+        }
+        let bounded = *attempts * 10 <= *requests * 11;
+        assert!(bounded, "more than 1.1 attempts for each request");
+    }
+}
+
+struct Machine<const OFF: u8>;
+
+impl<const OFF: u8> StateMachineTest for Machine<OFF> {
+    type SystemUnderTest = World<OFF>;
+    type Reference = Events;
+
+    fn init_test(_state: &()) -> World<OFF> {
+        World {
+            now: Moment(0),
+            fence: OrderFence::new(),
+            applied: Vec::new(),
+            quarantine: CrashQuarantine::new(),
+            crashes: Vec::new(),
+            quarantined_until: BTreeMap::new(),
+            budget: RetryBudget::new(),
+            attempts: BTreeMap::new(),
+            unique: 0,
+            unique_orders: 0,
+        }
+    }
+
+    fn apply(mut world: World<OFF>, _state: &(), event: Event) -> World<OFF> {
+        match event {
+            Event::Order { lease, fence, id } => world.order(lease, fence, id),
+            Event::Crash { body, upstream } => world.crash(body, upstream),
+            Event::Advance(milliseconds) => {
+                world.now = world.now + milliseconds;
+                world.quarantine.sweep(world.now);
+                world.budget.sweep(world.now);
+            }
+            Event::Request { customer, failures } => world.request(customer, failures),
+        }
+        world
+    }
+
+    fn check_invariants(world: &World<OFF>, _state: &()) {
+        for body in 0..4 {
+            let until = world.quarantined_until.get(&body);
+            let expected = until.is_some_and(|until| world.now < *until);
+            let refused = world.quarantine.check(world.now, &digest(body)).is_err();
+            assert_eq!(refused, expected, "quarantine of body {body}");
+        }
+    }
+}
+
+#[test]
+fn fence_quarantine_and_budget_hold() {
+    assert_holds::<Machine<NONE>>(31, 150);
+}
+
+#[test]
+fn a_missing_fence_is_found() {
+    assert_fails::<Machine<NO_FENCE>>(32, 150, "former lease holder");
+}
+
+#[test]
+fn repeated_orders_with_new_identities_are_found() {
+    assert_fails::<Machine<NO_REPEATED_ORDERS>>(33, 150, "carried out twice");
+}
+
+#[test]
+fn counting_crashes_of_one_upstream_twice_is_found() {
+    assert_fails::<Machine<NO_DISTINCT_UPSTREAMS>>(34, 150, "quarantine of body");
+}
+
+#[test]
+fn a_missing_quarantine_is_found() {
+    assert_fails::<Machine<NO_QUARANTINE>>(35, 150, "quarantine of body");
+}
+
+#[test]
+fn retries_without_a_budget_are_found() {
+    assert_fails::<Machine<NO_BUDGET>>(36, 150, "1.1 attempts");
+}
+
+/// Guards against refusing a body that merely shared an upstream with the crashing one.
+#[test]
+fn a_body_that_ends_normally_is_cleared() {
+    let mut quarantine = CrashQuarantine::new();
+    let crash = |upstream: &str| CrashReport {
+        digest: digest(1),
+        upstream: name(upstream),
+    };
+    quarantine.report(Moment(0), &crash("a"));
+    quarantine.clear(Moment(1), &digest(1));
+    assert!(!quarantine.report(Moment(2), &crash("b")));
+    assert!(quarantine.report(Moment(3), &crash("c")));
+    quarantine.clear(Moment(4), &digest(1));
+    assert!(quarantine.check(Moment(5), &digest(1)).is_err());
+}
+
+/// Guards against an order that the upstream refused and that is never tried again.
+#[test]
+fn a_forgotten_order_is_carried_out_when_it_is_repeated() {
+    let mut fence = OrderFence::new();
+    let order = UpstreamOrder {
+        order: request(1),
+        lease: name("run"),
+        fence: 3,
+        kind: OrderKind::Leave,
+    };
+    assert_eq!(fence.admit(&order), Ok(FenceDecision::Apply));
+    assert_eq!(fence.admit(&order), Ok(FenceDecision::Repeat));
+    fence.forget(&order);
+    assert_eq!(fence.admit(&order), Ok(FenceDecision::Apply));
+}
