--- a/crates/catkindeck-control/src/run/ports.rs
+++ b/crates/catkindeck-control/src/run/ports.rs
@@ -63,6 +63,12 @@
     fn fence(&self) -> Result<u64, ServiceError>;
 }
 
+impl OwnerLease for catkindeck_store::LeaseHolder {
+    fn fence(&self) -> Result<u64, ServiceError> {
+        self.check().map(|proof| proof.number)
+    }
+}
+
 /// Returns the name of the lease of a run.
 pub fn lease_name(run: &ObjectName) -> String {
     format!("run/{run}")
