Drive the whole path through separate processes

Cause: the parts were tested one by one; the path from caller through entry and agent to an upstream had never run as processes. Before: nothing ran end to end.

--- /dev/null
+++ b/tests/system/src/deployment.rs
@@ -0,0 +1,394 @@
+//! A whole deployment on loopback.
+
+use {
+    crate::{
+        http::{self, HttpAnswer, wait_for},
+        process::ChildProcess,
+        shape::{DeploymentShape, OPERATOR_KEY, service_name},
+    },
+    catkindeck::{
+        config::{ConfigSnapshot, ServiceKind},
+        id::KeyDigest,
+        link::PeerRole,
+    },
+    catkindeck_wire::certificate::DevelopmentAuthority,
+    serde_json::Value,
+    std::{
+        fs,
+        net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+        path::{Path, PathBuf},
+    },
+    tempfile::TempDir,
+};
+
+/// The addresses of one upstream.
+#[derive(Debug, Clone, Copy)]
+struct UpstreamPorts {
+    upstream: SocketAddr,
+    control: SocketAddr,
+    agent: SocketAddr,
+    health: SocketAddr,
+}
+
+/// The addresses of one entry.
+#[derive(Debug, Clone, Copy)]
+struct EntryPorts {
+    callers: SocketAddr,
+    admin: SocketAddr,
+    peer: SocketAddr,
+    health: SocketAddr,
+}
+
+/// The processes of a deployment; all end with it.
+pub struct TestDeployment {
+    /// The shape.
+    pub shape: DeploymentShape,
+    /// The entries, in the shape's order.
+    pub entries: Vec<ChildProcess>,
+    /// The agents, in the shape's order.
+    pub agents: Vec<ChildProcess>,
+    /// The stand-ins for upstreams, in the shape's order.
+    pub upstreams: Vec<ChildProcess>,
+    snapshot: ConfigSnapshot,
+    entry_ports: Vec<EntryPorts>,
+    upstream_ports: Vec<UpstreamPorts>,
+    directory: TempDir,
+}
+
+impl TestDeployment {
+    /// Starts all processes and waits until the entries are ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a process cannot be started or an entry does not become ready.
+    pub fn start(shape: DeploymentShape) -> Self {
+        let directory = tempfile::tempdir().expect("a temporary directory is made");
+        let upstream_ports: Vec<UpstreamPorts> =
+            shape.upstreams.iter().map(|_| upstream_ports()).collect();
+        let entry_ports: Vec<EntryPorts> = shape.entries.iter().map(|_| entry_ports()).collect();
+        let agents: Vec<SocketAddr> = upstream_ports.iter().map(|ports| ports.agent).collect();
+        let snapshot = shape.snapshot(&agents);
+        issue_certificates(directory.path(), &shape);
+        let mut deployment = Self {
+            shape,
+            entries: Vec::new(),
+            agents: Vec::new(),
+            upstreams: Vec::new(),
+            snapshot,
+            entry_ports,
+            upstream_ports,
+            directory,
+        };
+        deployment.write_snapshot();
+        for index in 0..deployment.shape.upstreams.len() {
+            let upstream = deployment.start_upstream(index);
+            deployment.upstreams.push(upstream);
+            deployment.write_agent_settings(index, true);
+            let agent = deployment.start_agent(index);
+            deployment.agents.push(agent);
+        }
+        for index in 0..deployment.shape.entries.len() {
+            deployment.write_entry_settings(index);
+            let entry = deployment.start_entry(index);
+            deployment.entries.push(entry);
+        }
+        deployment.wait_ready();
+        deployment
+    }
+
+    /// Waits until every entry and every agent is ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics if one does not become ready.
+    pub fn wait_ready(&self) {
+        let entries = self.entry_ports.iter().map(|ports| ports.health);
+        let agents = self.upstream_ports.iter().map(|ports| ports.health);
+        for address in entries.chain(agents) {
+            wait_ready_at(address);
+        }
+    }
+
+    /// Returns the URL of an entry for callers.
+    pub fn caller_url(&self, entry: usize) -> String {
+        format!("http://{}", self.entry_ports[entry].callers)
+    }
+
+    /// Returns the URL of an entry for operators.
+    pub fn admin_url(&self, entry: usize) -> String {
+        format!("http://{}", self.entry_ports[entry].admin)
+    }
+
+    /// Returns the health address of an entry.
+    pub fn entry_health(&self, entry: usize) -> SocketAddr {
+        self.entry_ports[entry].health
+    }
+
+    /// Returns the health address of an agent.
+    pub fn agent_health(&self, upstream: usize) -> SocketAddr {
+        self.upstream_ports[upstream].health
+    }
+
+    /// Returns the URL of an upstream itself, for comparison.
+    pub fn upstream_url(&self, upstream: usize) -> String {
+        format!("http://{}", self.upstream_ports[upstream].upstream)
+    }
+
+    /// Returns the position of an upstream by name.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is none.
+    pub fn upstream_index(&self, name: &str) -> usize {
+        let position = self
+            .shape
+            .upstreams
+            .iter()
+            .position(|upstream| upstream.name == name);
+        position.expect("the test names an upstream of its shape")
+    }
+
+    /// Reads a stand-in's state.
+    pub fn upstream_state(&self, upstream: usize) -> Value {
+        let url = format!(
+            "http://{}/control/state",
+            self.upstream_ports[upstream].control
+        );
+        http::call("GET", &url, &[], b"").json()
+    }
+
+    /// Orders a fault of a stand-in: `what` is the path below `/control/`.
+    pub fn upstream_control(&self, upstream: usize, what: &str, body: &Value) -> HttpAnswer {
+        let url = format!(
+            "http://{}/control/{what}",
+            self.upstream_ports[upstream].control
+        );
+        http::call("POST", &url, &[], body.to_string().as_bytes())
+    }
+
+    /// Changes the configuration, which the entries take up.
+    pub fn change(&mut self, change: impl FnOnce(&mut ConfigSnapshot)) {
+        change(&mut self.snapshot);
+        self.snapshot.revision.0 += 1;
+        self.snapshot.sort();
+        self.write_snapshot();
+    }
+
+    /// Starts the agent of an upstream again after it was killed.
+    pub fn restart_agent(&mut self, index: usize) {
+        self.write_agent_settings(index, false);
+        self.agents[index] = self.start_agent(index);
+    }
+
+    /// Starts an entry again after it was killed.
+    pub fn restart_entry(&mut self, index: usize) {
+        self.entries[index] = self.start_entry(index);
+    }
+
+    /// Starts a stand-in again after it was killed.
+    pub fn restart_upstream(&mut self, index: usize) {
+        self.upstreams[index] = self.start_upstream(index);
+    }
+
+    /// Returns the logs of all daemons.
+    pub fn all_logs(&self) -> String {
+        self.entries
+            .iter()
+            .chain(&self.agents)
+            .map(ChildProcess::log_text)
+            .collect()
+    }
+
+    /// Returns the directory with settings and logs.
+    pub fn directory(&self) -> &Path {
+        self.directory.path()
+    }
+
+    fn start_upstream(&self, index: usize) -> ChildProcess {
+        let shape = &self.shape.upstreams[index];
+        let ports = self.upstream_ports[index];
+        let mode = match shape.kind {
+            ServiceKind::Engine => "engine",
+            ServiceKind::Plain => "service",
+        };
+        let (listen, control) = (ports.upstream.to_string(), ports.control.to_string());
+        let arguments = [mode, "--listen", &listen, "--control", &control];
+        let name = format!("upstream-{}", shape.name);
+        let process =
+            ChildProcess::start(&name, "catkindeck-fakes", &arguments, self.directory.path());
+        wait_for("the stand-in", || {
+            let url = format!("http://{control}/control/state");
+            http::try_call("GET", &url, &[], b"").ok()
+        });
+        process
+    }
+
+    fn start_agent(&self, index: usize) -> ChildProcess {
+        let name = &self.shape.upstreams[index].name;
+        self.start_daemon(&format!("agent-{name}"), "catkindeck-agent")
+    }
+
+    fn start_entry(&self, index: usize) -> ChildProcess {
+        let name = &self.shape.entries[index].0;
+        self.start_daemon(name, "catkindeck-entry")
+    }
+
+    fn start_daemon(&self, name: &str, binary: &str) -> ChildProcess {
+        let settings = self.path(&format!("{name}.toml"));
+        let arguments = ["--settings".as_ref(), settings.as_os_str()];
+        ChildProcess::start(name, binary, &arguments, self.directory.path())
+    }
+
+    fn write_snapshot(&self) {
+        let text = serde_json::to_string_pretty(&self.snapshot).expect("a snapshot is encoded");
+        // Entries read the file at any moment, so it is replaced in one step.
+        let temporary = self.path("configuration.tmp");
+        fs::write(&temporary, text).expect("the configuration is written");
+        fs::rename(temporary, self.path("configuration.json")).expect("it is put in place");
+    }
+
+    fn write_agent_settings(&self, index: usize, first_start: bool) {
+        let shape = &self.shape.upstreams[index];
+        let ports = self.upstream_ports[index];
+        let kind = match shape.kind {
+            ServiceKind::Engine => "engine",
+            ServiceKind::Plain => "plain",
+        };
+        let peers: Vec<String> = self
+            .entry_ports
+            .iter()
+            .map(|ports| format!("\"{}\"", ports.peer))
+            .collect();
+        let process =
+            self.process_settings("agent", &shape.name, &shape.zone, ports.agent, ports.health);
+        let text = format!(
+            "[upstream]\nname = \"{}\"\nservice = \"{}\"\nkind = \"{kind}\"\n\
+             base_url = \"http://{}\"\nfirst_start = {first_start}\n\n\
+             [peers]\naddresses = [{}]\n\n\
+             [timeouts]\ndrain_collect_ms = 500\n\n{process}",
+            shape.name,
+            service_name(shape.kind),
+            ports.upstream,
+            peers.join(", "),
+        );
+        fs::write(self.path(&format!("agent-{}.toml", shape.name)), text)
+            .expect("the settings are written");
+    }
+
+    fn write_entry_settings(&self, index: usize) {
+        let (name, zone) = &self.shape.entries[index];
+        let ports = self.entry_ports[index];
+        let peers: String = self
+            .shape
+            .entries
+            .iter()
+            .zip(&self.entry_ports)
+            .filter(|((other, _), _)| other != name)
+            .map(|((other, _), ports)| {
+                format!(
+                    "[[peers]]\npeer_host = \"{other}\"\npeer_address = \"{}\"\n\n",
+                    ports.peer
+                )
+            })
+            .collect();
+        let process = self.process_settings("entry", name, zone, ports.peer, ports.health);
+        let text = format!(
+            "caller_listen = \"{}\"\nconfig_file = \"{}\"\noperator_digests = [\"{}\"]\n\n{peers}{process}",
+            ports.callers,
+            self.path("configuration.json").display(),
+            KeyDigest::of(OPERATOR_KEY),
+        );
+        fs::write(self.path(&format!("{name}.toml")), text).expect("the settings are written");
+    }
+
+    fn process_settings(
+        &self,
+        role: &str,
+        host: &str,
+        zone: &str,
+        peer: SocketAddr,
+        health: SocketAddr,
+    ) -> String {
+        let file = |name: &str| self.path(name).display().to_string();
+        format!(
+            "[process]\nhost = \"{host}\"\nzone = \"{zone}\"\npeer_listen = \"{peer}\"\n\
+             health_listen = \"{health}\"\n\n[process.log]\nformat = \"json\"\nlevel = \"debug\"\n\n\
+             [process.tls]\nauthority = \"{}\"\ncertificate = \"{}\"\nkey = \"{}\"\n",
+            file("authority.pem"),
+            file(&format!("{role}-{host}.pem")),
+            file(&format!("{role}-{host}.key")),
+        )
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.directory.path().join(name)
+    }
+}
+
+/// Waits until a daemon says that it is ready.
+///
+/// # Panics
+///
+/// Panics if it does not become ready.
+pub fn wait_ready_at(health: SocketAddr) {
+    let url = format!("http://{health}/readyz");
+    wait_for(&url, || {
+        http::try_call("GET", &url, &[], b"")
+            .ok()
+            .filter(|answer| answer.status == 200)
+    });
+}
+
+fn issue_certificates(directory: &Path, shape: &DeploymentShape) {
+    let authority = DevelopmentAuthority::create().expect("an authority is made");
+    fs::write(directory.join("authority.pem"), authority.certificate_pem())
+        .expect("the authority is written");
+    let entries = shape
+        .entries
+        .iter()
+        .map(|(name, _)| (PeerRole::Entry, "entry", name));
+    let agents = shape
+        .upstreams
+        .iter()
+        .map(|u| (PeerRole::Agent, "agent", &u.name));
+    for (role, prefix, host) in entries.chain(agents) {
+        let issued = authority
+            .issue(role, &crate::shape::name(host))
+            .expect("it is issued");
+        let path = |end: &str| directory.join(format!("{prefix}-{host}.{end}"));
+        fs::write(path("pem"), &issued.certificate_pem).expect("the certificate is written");
+        fs::write(path("key"), &issued.key_pem).expect("the key is written");
+    }
+}
+
+fn upstream_ports() -> UpstreamPorts {
+    UpstreamPorts {
+        upstream: free_tcp(),
+        control: free_tcp(),
+        agent: free_udp(),
+        health: free_tcp(),
+    }
+}
+
+fn entry_ports() -> EntryPorts {
+    EntryPorts {
+        callers: free_tcp(),
+        admin: free_tcp(),
+        peer: free_udp(),
+        health: free_tcp(),
+    }
+}
+
+/// Asks the system for a free port; another process may take it before it is used, which shows as a
+/// process that does not start.
+fn free_tcp() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
+    listener
+        .local_addr()
+        .expect("a bound socket has an address")
+}
+
+fn free_udp() -> SocketAddr {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
+    socket.local_addr().expect("a bound socket has an address")
+}
