--- a/crates/catkindeck-entry/src/forward/forwarder.rs
+++ b/crates/catkindeck-entry/src/forward/forwarder.rs
@@ -291,7 +291,7 @@
     ) -> Result<DeliveredAnswer, ForwardEnd> {
         lock(&self.quarantine).clear(self.now(), &work.digest);
         // A replay may come as the record alone, without chunks.
-        if !course.progress.is_started() && !record.answer.is_empty() {
+        if !course.progress.is_started() && record.answer_kept {
             return self.replay(work, record, course, sink);
         }
         Ok(DeliveredAnswer {
@@ -317,9 +317,11 @@
                 .to_owned(),
         })?;
         if matches!(work.body, WorkBody::Call(_)) && !progress.is_started() {
-            sink.head(record.status, Vec::new());
+            sink.head(record.status, record.headers.clone());
+        }
+        if !rest.is_empty() {
+            sink.bytes(rest).map_err(|_| ForwardEnd::CallerGone)?;
         }
-        sink.bytes(rest).map_err(|_| ForwardEnd::CallerGone)?;
         Ok(DeliveredAnswer {
             labels: record.labels.clone(),
             boot: record.boot.clone(),
--- a/crates/catkindeck-entry/src/forward/homes.rs
+++ b/crates/catkindeck-entry/src/forward/homes.rs
@@ -93,7 +93,7 @@
                 ));
             }
             match record.state {
-                ExecutionState::Finished if !record.answer.is_empty() => return Ok(Some(record)),
+                ExecutionState::Finished if record.answer_kept => return Ok(Some(record)),
                 _ if work.route.idempotent => {}
                 ExecutionState::Finished => {
                     return Err(ServiceError {
--- a/crates/catkindeck-entry/src/forward/resolve.rs
+++ b/crates/catkindeck-entry/src/forward/resolve.rs
@@ -139,7 +139,7 @@
         ExecutionState::Forbidden => {
             Resolution::Known(ServiceError::not_run(error.kind, error.detail))
         }
-        ExecutionState::Finished if !record.answer.is_empty() => Resolution::Answered(record),
+        ExecutionState::Finished if record.answer_kept => Resolution::Answered(record),
         ExecutionState::Finished => Resolution::Known(ServiceError {
             kind: ErrorKind::OutcomeUnknown,
             execution: ExecutionOutcome::Finished,
--- /dev/null
+++ b/crates/catkindeck-entry/tests/common/mod.rs
@@ -0,0 +1,555 @@
+//! An entry in memory: a configuration, a clock, and agents that can delay, drop, cross and cut.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use {
+    arc_swap::ArcSwap,
+    catkindeck::{
+        Clock, ErrorKind, Moment, ServiceError, SortedMap,
+        config::{
+            ConfigRevision, ConfigSnapshot, CustomerRecord, KeyRecord, RouteRecord, RunRecord,
+            ServiceKind, ServiceRecord, UpstreamRecord, ZoneRecord, ZoneState,
+        },
+        id::{BodyDigest, BootId, IncarnationId, KeyDigest, ObjectName, RequestId},
+        link::{FrameStream, PeerLink},
+        log::discard_logger,
+        message::{
+            CallBody, CompletionBody, ExecuteRequest, ExecutionRecord, ExecutionState, LoadReport,
+            PeerFrame, PeerRequest, WorkBody, WorkClass,
+        },
+        token::{VersionLabels, WeightVersion},
+    },
+    catkindeck_control::source::ConfigSource,
+    catkindeck_entry::{
+        credentials::CallerIdentity,
+        forward::{
+            AnswerSink, DeliveredAnswer, ForwardEnd, ForwardLimits, ForwardParts, ForwardWork,
+            RequestForwarder, StaticPeers,
+        },
+        http::CallerGone,
+        metrics::EntryMetrics,
+    },
+    crossbeam::channel::Receiver,
+    prometheus::Registry,
+    std::{
+        collections::VecDeque,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+};
+
+pub const ARCHIVE_KEY: &str = "ck-archive-1";
+pub const COURT_KEY: &str = "ck-court-1";
+
+pub fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).expect("a valid name")
+}
+
+/// The address of agent or entry `number`.
+pub fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 20_000 + number))
+}
+
+pub fn upstream(service: &str, number: u16) -> UpstreamRecord {
+    UpstreamRecord {
+        name: name(&format!("{service}-{number}")),
+        service: name(service),
+        zone: name("vault-a"),
+        agent: address(number),
+        added_ms: 0,
+        removed_ms: None,
+    }
+}
+
+/// Two engines `draft-1` and `draft-2`, two desks `desk-3` and `desk-4`, and routes to them.
+pub fn snapshot() -> ConfigSnapshot {
+    let customer = |text: &str| CustomerRecord {
+        name: name(text),
+        weight: 1,
+        retry_percent: 100,
+    };
+    let key = |text: &str, owner: &str| KeyRecord {
+        digest: KeyDigest::of(text),
+        customer: name(owner),
+        label: name("label"),
+    };
+    let service = |text: &str, kind| ServiceRecord {
+        name: name(text),
+        kind,
+        warm_limit: 8,
+        cold_limit: 1,
+        cold_start_ms: 1000,
+        checks_fence: false,
+    };
+    let route = |text: &str, service: &str, open, idempotent| RouteRecord {
+        name: name(text),
+        service: name(service),
+        open,
+        idempotent,
+        timeout_ms: 20_000,
+    };
+    let mut snapshot = ConfigSnapshot {
+        revision: ConfigRevision(1),
+        customers: vec![customer("archive"), customer("court")],
+        keys: vec![key(ARCHIVE_KEY, "archive"), key(COURT_KEY, "court")],
+        services: vec![
+            service("draft", ServiceKind::Engine),
+            service("desk", ServiceKind::Plain),
+        ],
+        routes: vec![
+            route("draft", "draft", false, true),
+            route("desk", "desk", false, false),
+            route("shelf", "desk", false, true),
+            route("hours", "desk", true, true),
+        ],
+        zones: vec![ZoneRecord {
+            name: name("vault-a"),
+            region: name("tvm"),
+            state: ZoneState::In,
+        }],
+        upstreams: vec![
+            upstream("draft", 1),
+            upstream("draft", 2),
+            upstream("desk", 3),
+            upstream("desk", 4),
+        ],
+        runs: vec![RunRecord {
+            name: name("slips"),
+            customer: name("archive"),
+            service: name("draft"),
+            staleness_bound: 1,
+            step_deadline_ms: 600_000,
+        }],
+    };
+    snapshot.sort();
+    snapshot
+}
+
+/// A configuration that tests replace.
+pub struct TestSource {
+    current: ArcSwap<ConfigSnapshot>,
+    fresh: AtomicBool,
+    pub noted: AtomicU64,
+}
+
+impl TestSource {
+    pub fn new(snapshot: ConfigSnapshot) -> Arc<Self> {
+        Arc::new(Self {
+            current: ArcSwap::from_pointee(snapshot),
+            fresh: AtomicBool::new(true),
+            noted: AtomicU64::new(0),
+        })
+    }
+
+    pub fn replace(&self, change: impl FnOnce(&mut ConfigSnapshot)) {
+        let mut snapshot = (*self.current()).clone();
+        snapshot.revision.0 += 1;
+        change(&mut snapshot);
+        snapshot.sort();
+        self.current.store(Arc::new(snapshot));
+    }
+
+    pub fn set_fresh(&self, fresh: bool) {
+        self.fresh.store(fresh, Ordering::SeqCst);
+    }
+}
+
+impl ConfigSource for TestSource {
+    fn current(&self) -> Arc<ConfigSnapshot> {
+        self.current.load_full()
+    }
+
+    fn is_fresh(&self) -> bool {
+        self.fresh.load(Ordering::SeqCst)
+    }
+
+    fn note_revision(&self, revision: ConfigRevision) {
+        self.noted.fetch_max(revision.0, Ordering::SeqCst);
+    }
+}
+
+/// A clock that only tests move.
+#[derive(Default)]
+pub struct TestClock(pub AtomicU64);
+
+impl Clock for TestClock {
+    fn now(&self) -> Moment {
+        Moment(self.0.load(Ordering::SeqCst))
+    }
+}
+
+/// What an agent does with a call.
+pub enum Reaction {
+    /// The call fails with this error.
+    Unreachable(ServiceError),
+    /// The agent answers step by step.
+    Answer(Vec<Step>),
+}
+
+/// One step of an answer.
+pub enum Step {
+    /// Sends a frame.
+    Frame(PeerFrame),
+    /// Waits until the test sends, or for ever if it drops the sender.
+    Hold(Receiver<()>),
+    /// Runs a function of the test.
+    Run(Box<dyn FnOnce() + Send>),
+    /// Breaks the connection.
+    Cut,
+}
+
+pub type Behaviour = Box<dyn Fn(&PeerRequest, usize) -> Reaction + Send + Sync>;
+
+/// Agents and entries in memory; each call is recorded.
+#[derive(Default)]
+pub struct MemoryLink {
+    peers: Mutex<SortedMap<SocketAddr, Arc<Behaviour>>>,
+    calls: Mutex<Vec<(SocketAddr, PeerRequest)>>,
+}
+
+impl MemoryLink {
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self::default())
+    }
+
+    /// Sets the behaviour at an address; the number counts the earlier `Execute` calls there.
+    pub fn set(
+        &self,
+        number: u16,
+        behaviour: impl Fn(&PeerRequest, usize) -> Reaction + Send + Sync + 'static,
+    ) {
+        let mut peers = self.peers.lock().expect("no panic");
+        peers.insert(address(number), Arc::new(Box::new(behaviour)));
+    }
+
+    pub fn calls(&self) -> Vec<(SocketAddr, PeerRequest)> {
+        self.calls.lock().expect("no panic").clone()
+    }
+
+    /// Returns the requests that were executed, with the agents' addresses.
+    pub fn executed(&self) -> Vec<(SocketAddr, ExecuteRequest)> {
+        let calls = self.calls().into_iter();
+        calls
+            .filter_map(|(address, request)| match request {
+                PeerRequest::Execute(request) => Some((address, *request)),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// Waits until a recorded call satisfies `wanted`; fails after ten seconds.
+    pub fn wait_for(&self, wanted: impl Fn(&SocketAddr, &PeerRequest) -> bool) {
+        for _ in 0..2000 {
+            if self
+                .calls()
+                .iter()
+                .any(|(address, request)| wanted(address, request))
+            {
+                return;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        panic!("the call never came");
+    }
+}
+
+impl PeerLink for MemoryLink {
+    fn call(
+        &self,
+        address: SocketAddr,
+        request: PeerRequest,
+        _timeout: Duration,
+    ) -> Result<Box<dyn FrameStream>, ServiceError> {
+        let behaviour = self.peers.lock().expect("no panic").get(&address).cloned();
+        let mut calls = self.calls.lock().expect("no panic");
+        let earlier = calls
+            .iter()
+            .filter(|(other, call)| *other == address && matches!(call, PeerRequest::Execute(_)))
+            .count();
+        calls.push((address, request.clone()));
+        drop(calls);
+        let behaviour = behaviour.ok_or_else(unreachable)?;
+        match behaviour(&request, earlier) {
+            Reaction::Unreachable(error) => Err(error),
+            Reaction::Answer(steps) => Ok(Box::new(MemoryStream {
+                steps: steps.into(),
+            })),
+        }
+    }
+}
+
+struct MemoryStream {
+    steps: VecDeque<Step>,
+}
+
+impl FrameStream for MemoryStream {
+    fn receive(&mut self, timeout: Duration) -> Result<Option<PeerFrame>, ServiceError> {
+        loop {
+            match self.steps.pop_front() {
+                None => return Ok(None),
+                Some(Step::Frame(frame)) => return Ok(Some(frame)),
+                Some(Step::Run(action)) => action(),
+                Some(Step::Cut) => {
+                    let detail = "the connection was cut";
+                    return Err(ServiceError::unknown(ErrorKind::PeerUnavailable, detail));
+                }
+                Some(Step::Hold(release)) => {
+                    if release
+                        .recv_timeout(timeout.min(Duration::from_millis(5)))
+                        .is_err()
+                    {
+                        self.steps.push_front(Step::Hold(release));
+                        let detail = "nothing came in time";
+                        return Err(ServiceError::unknown(ErrorKind::DeadlineExceeded, detail));
+                    }
+                }
+            }
+        }
+    }
+}
+
+pub fn unreachable() -> ServiceError {
+    ServiceError::not_run(ErrorKind::PeerUnavailable, "nothing listens there")
+}
+
+pub fn incarnation(number: u8) -> IncarnationId {
+    IncarnationId([number; 16])
+}
+
+pub fn load(number: u8) -> LoadReport {
+    LoadReport {
+        incarnation: incarnation(number),
+        boot: BootId(format!("boot-{number}")),
+        limit: 8,
+        in_flight: 0,
+        queued: 0,
+        credits: 8,
+        closed: false,
+        version: Some(WeightVersion(1)),
+        revision: ConfigRevision(1),
+        prefixes: Vec::new(),
+    }
+}
+
+pub fn started(request: &ExecuteRequest, number: u8) -> Step {
+    Step::Frame(PeerFrame::Started {
+        request: request.request,
+        incarnation: incarnation(number),
+    })
+}
+
+pub fn head(request: &ExecuteRequest, status: u16) -> Step {
+    Step::Frame(PeerFrame::Head {
+        request: request.request,
+        status,
+        headers: vec![
+            ("content-type".to_owned(), "text/plain".to_owned()),
+            ("set-cookie".to_owned(), "upstream=1".to_owned()),
+        ],
+    })
+}
+
+/// One chunk of one token.
+pub fn chunk(request: &ExecuteRequest, sequence: u32, text: &str, version: u64) -> Step {
+    Step::Frame(PeerFrame::Chunk {
+        request: request.request,
+        sequence,
+        bytes: text.as_bytes().to_vec(),
+        tokens: 1,
+        version: Some(WeightVersion(version)),
+    })
+}
+
+pub fn record(request: &ExecuteRequest, state: ExecutionState, answer: &str) -> ExecutionRecord {
+    ExecutionRecord {
+        request: request.request,
+        customer: request.customer.clone(),
+        route: request.route.clone(),
+        idempotency_key: request.idempotency_key.clone(),
+        digest: request.digest,
+        state,
+        boot: BootId("boot".to_owned()),
+        labels: VersionLabels::default(),
+        status: 200,
+        headers: Vec::new(),
+        answer: answer.as_bytes().to_vec(),
+        answer_kept: !answer.is_empty(),
+    }
+}
+
+pub fn finished(request: &ExecuteRequest, chunks: u32, number: u8) -> Step {
+    Step::Frame(PeerFrame::Finished {
+        request: request.request,
+        chunks,
+        record: Box::new(record(request, ExecutionState::Finished, "")),
+        load: Box::new(load(number)),
+    })
+}
+
+pub fn refused(request: &ExecuteRequest, error: ServiceError, number: u8) -> Step {
+    Step::Frame(PeerFrame::Refused {
+        request: request.request,
+        error,
+        load: Box::new(load(number)),
+    })
+}
+
+/// Answers everything that is not `Execute` in the ordinary way.
+pub fn ordinary(request: &PeerRequest, number: u8) -> Reaction {
+    let frame = match request {
+        PeerRequest::ReadLoad => PeerFrame::Load(Box::new(load(number))),
+        PeerRequest::Revoke { request, .. } => PeerFrame::Revoked { request: *request },
+        PeerRequest::FindExecution { .. } => PeerFrame::Execution(None),
+        _ => PeerFrame::Done,
+    };
+    Reaction::Answer(vec![Step::Frame(frame)])
+}
+
+/// Makes an agent that runs `execute` for each `Execute` and is ordinary otherwise.
+pub fn agent(
+    number: u8,
+    execute: impl Fn(&ExecuteRequest, usize) -> Vec<Step> + Send + Sync + 'static,
+) -> impl Fn(&PeerRequest, usize) -> Reaction + Send + Sync + 'static {
+    move |request, earlier| match request {
+        PeerRequest::Execute(request) => Reaction::Answer(execute(request, earlier)),
+        other => ordinary(other, number),
+    }
+}
+
+/// Makes an agent that answers each request whole with `text`.
+pub fn healthy(
+    number: u8,
+    text: &'static str,
+) -> impl Fn(&PeerRequest, usize) -> Reaction + Send + Sync + 'static {
+    agent(number, move |request, _| {
+        vec![
+            started(request, number),
+            chunk(request, 0, text, 1),
+            finished(request, 1, number),
+        ]
+    })
+}
+
+/// What reached the caller.
+#[derive(Default)]
+pub struct RecordedSink {
+    pub status: Option<u16>,
+    pub text: String,
+    pub gone: Arc<AtomicBool>,
+}
+
+impl AnswerSink for RecordedSink {
+    fn head(&mut self, status: u16, _headers: Vec<(String, String)>) {
+        self.status = Some(status);
+    }
+
+    fn bytes(&mut self, bytes: &[u8]) -> Result<(), CallerGone> {
+        self.text.push_str(&String::from_utf8_lossy(bytes));
+        Ok(())
+    }
+
+    fn is_gone(&self) -> bool {
+        self.gone.load(Ordering::SeqCst)
+    }
+}
+
+/// A forwarder with everything that tests observe.
+pub struct Bench {
+    pub link: Arc<MemoryLink>,
+    pub source: Arc<TestSource>,
+    pub clock: Arc<TestClock>,
+    pub forwarder: Arc<RequestForwarder>,
+}
+
+impl Bench {
+    pub fn new() -> Self {
+        Self::with(snapshot())
+    }
+
+    pub fn with(snapshot: ConfigSnapshot) -> Self {
+        let link = MemoryLink::new();
+        let source = TestSource::new(snapshot);
+        let clock = Arc::new(TestClock::default());
+        let metrics = EntryMetrics::register(&Registry::new()).expect("fresh metrics");
+        let forwarder = RequestForwarder::new(ForwardParts {
+            entry: name("entry-1"),
+            link: link.clone(),
+            source: source.clone(),
+            peers: Arc::new(StaticPeers(vec![(name("entry-2"), address(100))])),
+            clock: clock.clone(),
+            metrics: Arc::new(metrics),
+            limits: ForwardLimits::default(),
+            seed: 7,
+            logger: discard_logger(),
+        });
+        Self {
+            link,
+            source,
+            clock,
+            forwarder,
+        }
+    }
+
+    /// Forwards `work` and returns what the caller got and how it ended.
+    pub fn forward(&self, work: &ForwardWork) -> (String, Result<DeliveredAnswer, ForwardEnd>) {
+        let mut sink = RecordedSink::default();
+        let end = self.forwarder.forward(work, &mut sink);
+        (sink.text, end)
+    }
+
+    /// Forwards `work`, which must fail.
+    pub fn fail(&self, work: &ForwardWork) -> ServiceError {
+        match self.forward(work).1 {
+            Err(ForwardEnd::Failed(error)) => error,
+            other => panic!("expected an error, got {other:?}"),
+        }
+    }
+}
+
+fn work(route: &str, digest: u8, body: WorkBody) -> ForwardWork {
+    let snapshot = snapshot();
+    let route = snapshot.route(&name(route)).expect("a known route").clone();
+    let identity = (!route.open).then(|| CallerIdentity {
+        customer: name("archive"),
+        digest: KeyDigest::of(ARCHIVE_KEY),
+    });
+    ForwardWork {
+        request: RequestId::random(),
+        identity,
+        route,
+        class: WorkClass::Interactive,
+        priority: 0,
+        deadline: Moment(20_000),
+        idempotency_key: None,
+        digest: BodyDigest([digest; 32]),
+        prefix: None,
+        body,
+    }
+}
+
+/// A completion on the idempotent route `draft`.
+pub fn completion(digest: u8) -> ForwardWork {
+    let body = CompletionBody {
+        prompt: "Describe carton 12".to_owned(),
+        max_tokens: 8,
+        resume_text: String::new(),
+        resume_tokens: 0,
+    };
+    work("draft", digest, WorkBody::Completion(body))
+}
+
+/// A call on `route`: `desk` is not idempotent, `shelf` is.
+pub fn call(route: &str, digest: u8) -> ForwardWork {
+    let body = CallBody {
+        method: "POST".to_owned(),
+        path: "/dispatch".to_owned(),
+        headers: Vec::new(),
+        bytes: b"carton 12".to_vec(),
+    };
+    work(route, digest, WorkBody::Call(body))
+}
