--- /dev/null
+++ b/crates/catkindeck-entry/tests/outcomes.rs
@@ -0,0 +1,598 @@
+//! Three outcomes, retries and idempotency keys (G12, G13).
+
+mod common;
+
+use {
+    catkindeck::{
+        ErrorKind, ExecutionOutcome, Moment, ServiceError,
+        config::ConfigSnapshot,
+        id::BodyDigest,
+        message::{CrashReport, ExecuteRequest, ExecutionState, PeerFrame, PeerRequest},
+    },
+    catkindeck_entry::forward::ForwardWork,
+    catkindeck_policy::HomeSelector,
+    common::*,
+    std::{
+        net::SocketAddr,
+        sync::atomic::Ordering,
+        time::{SystemTime, UNIX_EPOCH},
+    },
+};
+
+const NOT_RUN: ExecutionOutcome = ExecutionOutcome::NotRun;
+const UNKNOWN: ExecutionOutcome = ExecutionOutcome::Unknown;
+
+/// An agent that starts each request and loses the connection; it answers `Revoke` by `revoked`.
+fn cutting(
+    starts: bool,
+    revoked: impl Fn(&ExecuteRequest) -> Reaction + Send + Sync + 'static,
+) -> impl Fn(&PeerRequest, usize) -> Reaction + Send + Sync + 'static {
+    let last = std::sync::Mutex::new(None);
+    move |request, _| match request {
+        PeerRequest::Execute(request) => {
+            *last.lock().expect("no panic") = Some((**request).clone());
+            let mut steps = Vec::new();
+            if starts {
+                steps.push(started(request, 3));
+            }
+            steps.push(Step::Cut);
+            Reaction::Answer(steps)
+        }
+        PeerRequest::Revoke { .. } => {
+            let last = last.lock().expect("no panic");
+            revoked(last.as_ref().expect("an execution came before"))
+        }
+        other => ordinary(other, 3),
+    }
+}
+
+fn frame(frame: PeerFrame) -> Reaction {
+    Reaction::Answer(vec![Step::Frame(frame)])
+}
+
+fn revocations(bench: &Bench) -> usize {
+    let calls = bench.link.calls();
+    let revokes = calls
+        .iter()
+        .filter(|(_, request)| matches!(request, PeerRequest::Revoke { .. }));
+    revokes.count()
+}
+
+/// Guards against running work twice that had started when its connection was lost (G13).
+#[test]
+fn started_work_is_not_run_again() {
+    let bench = Bench::new();
+    for number in [3, 4] {
+        bench.link.set(
+            number,
+            cutting(true, |request| {
+                let record = record(request, ExecutionState::Running, "");
+                frame(PeerFrame::Execution(Some(Box::new(record))))
+            }),
+        );
+    }
+    let error = bench.fail(&call("desk", 1));
+    assert_eq!(error.execution, UNKNOWN);
+    assert_eq!(bench.link.executed().len(), 1);
+    assert_eq!(revocations(&bench), 1);
+}
+
+/// Guards against giving up work although it is proved that it did not run.
+#[test]
+fn revoked_work_is_run_elsewhere() {
+    let bench = Bench::new();
+    for number in [3, 4] {
+        bench.link.set(number, move |request, _| match request {
+            PeerRequest::Execute(request) if request.attempt == 1 => {
+                Reaction::Answer(vec![Step::Cut])
+            }
+            PeerRequest::Execute(request) => Reaction::Answer(vec![
+                started(request, 3),
+                chunk(request, 0, "sent", 1),
+                finished(request, 1, 3),
+            ]),
+            other => ordinary(other, 3),
+        });
+    }
+    let (text, end) = bench.forward(&call("desk", 1));
+    assert_eq!(text, "sent");
+    assert_eq!(end.expect("a whole answer").attempts, 2);
+    let executed = bench.link.executed();
+    assert_ne!(
+        executed[0].0, executed[1].0,
+        "the same agent was used again"
+    );
+    assert_eq!(executed[0].1.request, executed[1].1.request);
+}
+
+/// Guards against a second execution when the agent cannot be asked about the first (G13), and
+/// against a `not_run` without proof (G12).
+#[test]
+fn unresolved_work_stays_unknown() {
+    let bench = Bench::new();
+    for number in [3, 4] {
+        bench.link.set(
+            number,
+            cutting(false, |_| Reaction::Unreachable(unreachable())),
+        );
+    }
+    let error = bench.fail(&call("desk", 1));
+    assert_eq!(error.execution, UNKNOWN);
+    assert_eq!(bench.link.executed().len(), 1);
+}
+
+/// Guards against believing a revocation that is for another request (G12).
+#[test]
+fn revocation_of_another_request_proves_nothing() {
+    let bench = Bench::new();
+    for number in [3, 4] {
+        bench.link.set(
+            number,
+            cutting(false, |_| {
+                let request = catkindeck::id::RequestId::random();
+                frame(PeerFrame::Revoked { request })
+            }),
+        );
+    }
+    assert_eq!(bench.fail(&call("desk", 1)).execution, UNKNOWN);
+    assert_eq!(bench.link.executed().len(), 1);
+}
+
+/// Guards against an answer that says `not_run` because of the last attempt, although an earlier
+/// attempt may have run (G12).
+#[test]
+fn later_refusal_does_not_hide_an_earlier_attempt() {
+    let bench = Bench::new();
+    for number in [3, 4] {
+        bench.link.set(
+            number,
+            agent(3, |request, _| match request.attempt {
+                1 => vec![started(request, 3), Step::Cut],
+                _ => {
+                    let error = ServiceError::not_run(ErrorKind::Overloaded, "full");
+                    vec![refused(request, error, 3)]
+                }
+            }),
+        );
+    }
+    assert_eq!(bench.fail(&call("shelf", 1)).execution, UNKNOWN);
+    assert_eq!(bench.link.executed().len(), 2);
+}
+
+/// Guards against `unknown` for a request that no agent could take, which callers cannot repeat.
+#[test]
+fn refusals_alone_stay_not_run() {
+    let bench = Bench::new();
+    for number in [3, 4] {
+        bench.link.set(
+            number,
+            agent(3, |request, _| {
+                let error = ServiceError::not_run(ErrorKind::Overloaded, "full");
+                vec![refused(request, error, 3)]
+            }),
+        );
+    }
+    assert_eq!(bench.fail(&call("desk", 1)).execution, NOT_RUN);
+}
+
+/// Guards against work that reaches a restarted agent under its former identity, where no record
+/// protects it, and against a lost request after every restart.
+#[test]
+fn restarted_agent_gets_work_under_its_new_incarnation() {
+    let mut snapshot = snapshot();
+    snapshot
+        .upstreams
+        .retain(|upstream| upstream.name != name("desk-4"));
+    for customer in &mut snapshot.customers {
+        customer.retry_percent = 0;
+    }
+    let bench = Bench::with(snapshot);
+    bench.link.set(3, healthy(3, "first"));
+    bench.forward(&call("desk", 1)).1.expect("a whole answer");
+    bench.link.set(
+        3,
+        agent(9, |request, _| {
+            if request.incarnation != Some(incarnation(9)) {
+                let detail = "addressed to an earlier incarnation";
+                let error = ServiceError::not_run(ErrorKind::WrongIncarnation, detail);
+                return vec![refused(request, error, 9)];
+            }
+            vec![
+                started(request, 9),
+                chunk(request, 0, "second", 1),
+                finished(request, 1, 9),
+            ]
+        }),
+    );
+    let (text, end) = bench.forward(&call("desk", 2));
+    end.expect("a whole answer");
+    assert_eq!(text, "second");
+    let executed = bench.link.executed();
+    let addressed: Vec<_> = executed
+        .iter()
+        .map(|(_, request)| request.incarnation)
+        .collect();
+    let (old, new) = (Some(incarnation(3)), Some(incarnation(9)));
+    assert_eq!(addressed, [old, old, new]);
+}
+
+/// Guards against retries that multiply the load when everything fails (decision 5).
+#[test]
+fn attempts_stay_within_the_budget() {
+    let mut snapshot = snapshot();
+    for customer in &mut snapshot.customers {
+        customer.retry_percent = 10;
+    }
+    let bench = Bench::with(snapshot);
+    for number in [3, 4] {
+        bench.link.set(
+            number,
+            agent(3, |request, _| {
+                let error = ServiceError::not_run(ErrorKind::Overloaded, "full");
+                vec![refused(request, error, 3)]
+            }),
+        );
+    }
+    for _ in 0..200 {
+        assert_eq!(bench.fail(&call("shelf", 1)).execution, NOT_RUN);
+    }
+    assert!(
+        bench.link.executed().len() <= 220,
+        "amplification exceeds 1.1"
+    );
+}
+
+/// Guards against attempts after the caller's deadline.
+#[test]
+fn passed_deadline_ends_the_attempts() {
+    let bench = Bench::new();
+    let clock = bench.clock.clone();
+    for number in [3, 4] {
+        let clock = clock.clone();
+        bench.link.set(
+            number,
+            agent(3, move |request, _| {
+                clock.0.store(20_000, Ordering::SeqCst);
+                let error = ServiceError::not_run(ErrorKind::Overloaded, "full");
+                vec![refused(request, error, 3)]
+            }),
+        );
+    }
+    let error = bench.fail(&call("shelf", 1));
+    assert_eq!(error.kind, ErrorKind::DeadlineExceeded);
+    assert_eq!(bench.link.executed().len(), 1);
+}
+
+/// Guards against one body that takes down upstream after upstream (decision 6).
+#[test]
+fn crashing_body_is_quarantined_and_reported() {
+    let bench = Bench::new();
+    for number in [1, 2] {
+        bench.link.set(
+            number,
+            agent(1, |request, _| {
+                if request.digest == BodyDigest([66; 32]) {
+                    let error = ServiceError::unknown(ErrorKind::UpstreamFailed, "crashed");
+                    return vec![started(request, 1), refused(request, error, 1)];
+                }
+                vec![
+                    started(request, 1),
+                    chunk(request, 0, "fine", 1),
+                    finished(request, 1, 1),
+                ]
+            }),
+        );
+    }
+    bench.link.set(100, |request, _| ordinary(request, 100));
+    let error = bench.fail(&completion(66));
+    assert_eq!(
+        (error.kind, error.execution),
+        (ErrorKind::Quarantined, UNKNOWN)
+    );
+    assert_eq!(bench.link.executed().len(), 2);
+
+    // The caller sends it again, which reaches no upstream.
+    let error = bench.fail(&completion(66));
+    assert_eq!(
+        (error.kind, error.execution),
+        (ErrorKind::Quarantined, NOT_RUN)
+    );
+    assert_eq!(bench.link.executed().len(), 2);
+    bench.link.wait_for(|to, request| {
+        *to == address(100) && matches!(request, PeerRequest::ReportCrashes { .. })
+    });
+
+    // The customer's other requests run; the crashed upstreams are avoided for a short while.
+    bench.clock.0.store(15_000, Ordering::SeqCst);
+    let other = bench.forward(&completion(5));
+    assert_eq!(other.0, "fine");
+}
+
+/// Guards against a body that crashes two more upstreams on each entry.
+#[test]
+fn crashes_reported_by_peers_count() {
+    let bench = Bench::new();
+    for number in [1, 2] {
+        bench.link.set(number, healthy(1, "fine"));
+    }
+    let crash = |upstream: &str| CrashReport {
+        digest: BodyDigest([66; 32]),
+        upstream: name(upstream),
+    };
+    bench
+        .forwarder
+        .learn_crashes(&[crash("draft-1"), crash("draft-1")]);
+    bench
+        .forward(&completion(66))
+        .1
+        .expect("one upstream is no proof");
+    bench
+        .forwarder
+        .learn_crashes(&[crash("draft-1"), crash("draft-2")]);
+    assert_eq!(bench.fail(&completion(66)).kind, ErrorKind::Quarantined);
+}
+
+fn keyed(route: &str, key: &str) -> ForwardWork {
+    ForwardWork {
+        idempotency_key: Some(key.to_owned()),
+        ..call(route, 1)
+    }
+}
+
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    let elapsed = elapsed.expect("the clock is past 1970").as_millis();
+    u64::try_from(elapsed).expect("a plausible clock")
+}
+
+/// A configuration in which the home of the key left a minute ago, with old and new home.
+fn moved_home(key: &str) -> (ConfigSnapshot, SocketAddr, SocketAddr) {
+    let mut snapshot = snapshot();
+    let customer = name("archive");
+    let choose = |snapshot: &ConfigSnapshot| {
+        HomeSelector::new()
+            .choose(
+                unix_ms(),
+                Some(&customer),
+                key,
+                &name("desk"),
+                &snapshot.upstreams,
+            )
+            .expect("a home")
+    };
+    let old = choose(&snapshot).home;
+    for upstream in &mut snapshot.upstreams {
+        if upstream.name == old {
+            upstream.removed_ms = Some(unix_ms() - 60_000);
+        }
+    }
+    let choice = choose(&snapshot);
+    assert_eq!(choice.earlier, std::slice::from_ref(&old));
+    let agent = |name| snapshot.upstream(name).expect("listed").agent;
+    let (old, new) = (agent(&old), agent(&choice.home));
+    (snapshot, old, new)
+}
+
+fn number_of(address: SocketAddr) -> u16 {
+    address.port() - 20_000
+}
+
+/// Guards against two entries that send the same key to two agents (G13).
+#[test]
+fn key_has_one_home_on_every_entry() {
+    for key in ["slip-1", "slip-2", "slip-3", "slip-4", "slip-5", "slip-6"] {
+        let homes: Vec<SocketAddr> = (0..2)
+            .map(|_| {
+                let bench = Bench::new();
+                for number in [3, 4] {
+                    bench.link.set(number, healthy(3, "sent"));
+                }
+                bench
+                    .forward(&keyed("desk", key))
+                    .1
+                    .expect("a whole answer");
+                bench.link.executed()[0].0
+            })
+            .collect();
+        assert_eq!(homes[0], homes[1]);
+    }
+}
+
+/// Guards against a second execution at the new home after the members changed (G13).
+#[test]
+fn earlier_home_must_forbid_the_key_first() {
+    let (snapshot, old, new) = moved_home("slip-1");
+    let bench = Bench::with(snapshot);
+    for number in [3, 4] {
+        bench.link.set(number, healthy(3, "sent"));
+    }
+    bench
+        .forward(&keyed("desk", "slip-1"))
+        .1
+        .expect("a whole answer");
+    let calls = bench.link.calls();
+    let asked = calls.iter().position(|(to, request)| {
+        *to == old
+            && matches!(request, PeerRequest::FindExecution { forbid_start: true, idempotency_key, .. }
+                if idempotency_key == "slip-1")
+    });
+    let run = calls
+        .iter()
+        .position(|(to, request)| *to == new && matches!(request, PeerRequest::Execute(_)));
+    assert!(asked.expect("the earlier home is asked") < run.expect("the key runs"));
+}
+
+/// Guards against a second execution when the earlier home cannot be asked (G13).
+#[test]
+fn unreachable_earlier_home_leaves_the_key_unknown() {
+    let (snapshot, old, new) = moved_home("slip-1");
+    let bench = Bench::with(snapshot);
+    bench.link.set(number_of(new), healthy(3, "sent"));
+    bench
+        .link
+        .set(number_of(old), |_, _| Reaction::Unreachable(unreachable()));
+    let error = bench.fail(&keyed("desk", "slip-1"));
+    assert_eq!(
+        (error.kind, error.execution),
+        (ErrorKind::OutcomeUnknown, UNKNOWN)
+    );
+    assert!(bench.link.executed().is_empty());
+}
+
+/// Guards against running a key again whose answer the earlier home holds (G13).
+#[test]
+fn earlier_home_replays_its_answer() {
+    let (snapshot, old, new) = moved_home("slip-1");
+    let bench = Bench::with(snapshot);
+    let work = keyed("desk", "slip-1");
+    let request = ExecuteRequest {
+        request: catkindeck::id::RequestId::random(),
+        incarnation: None,
+        customer: work.customer().cloned(),
+        route: work.route.name.clone(),
+        service: work.route.service.clone(),
+        class: work.class,
+        priority: 0,
+        attempt: 1,
+        deadline_ms: 1000,
+        idempotent: false,
+        idempotency_key: work.idempotency_key.clone(),
+        digest: work.digest,
+        sample: None,
+        body: work.body.clone(),
+    };
+    let stored = record(&request, ExecutionState::Finished, "sent before");
+    bench.link.set(number_of(new), healthy(3, "sent again"));
+    bench
+        .link
+        .set(number_of(old), move |request, _| match request {
+            PeerRequest::FindExecution { .. } => {
+                frame(PeerFrame::Execution(Some(Box::new(stored.clone()))))
+            }
+            other => ordinary(other, 3),
+        });
+    let (text, end) = bench.forward(&work);
+    end.expect("a whole answer");
+    assert_eq!(text, "sent before");
+
+    // Another body under the same key is a mistake of the caller and gets no stored answer.
+    let error = bench.fail(&ForwardWork {
+        digest: BodyDigest([2; 32]),
+        ..work
+    });
+    assert_eq!(error.kind, ErrorKind::Conflict);
+    assert!(bench.link.executed().is_empty());
+}
+
+/// Guards against a `not_run` for a key whose home cannot be reached, because an earlier request
+/// with the key may have run there (G12).
+#[test]
+fn unreachable_home_leaves_the_key_unknown() {
+    let bench = Bench::new();
+    let error = bench.fail(&keyed("desk", "slip-1"));
+    assert_eq!(
+        (error.kind, error.execution),
+        (ErrorKind::OutcomeUnknown, UNKNOWN)
+    );
+    assert!(bench.link.executed().is_empty());
+}
+
+/// Guards against a key that runs away from its home when the home is only busy (G13), and against
+/// a key that cannot move when its home handed the records over.
+#[test]
+fn key_moves_only_after_a_handover() {
+    for (kind, homes) in [(ErrorKind::Overloaded, 1), (ErrorKind::ShuttingDown, 2)] {
+        let bench = Bench::new();
+        for number in [3, 4] {
+            bench.link.set(
+                number,
+                agent(3, move |request, _| {
+                    if request.attempt == 1 {
+                        return vec![refused(request, ServiceError::not_run(kind, "no"), 3)];
+                    }
+                    vec![
+                        started(request, 3),
+                        chunk(request, 0, "sent", 1),
+                        finished(request, 1, 3),
+                    ]
+                }),
+            );
+        }
+        bench.forward(&keyed("desk", "slip-1")).1.ok();
+        let mut used: Vec<SocketAddr> = bench.link.executed().iter().map(|(to, _)| *to).collect();
+        used.dedup();
+        assert_eq!(used.len(), homes, "{kind}");
+    }
+}
+
+/// Guards against a lost answer of a keyed request whose execution the agent finished and kept.
+#[test]
+fn kept_answer_completes_a_cut_one() {
+    let bench = Bench::new();
+    for number in [3, 4] {
+        bench.link.set(number, |request, _| match request {
+            PeerRequest::Execute(request) => Reaction::Answer(vec![
+                started(request, 3),
+                chunk(request, 0, "sent to ", 1),
+                Step::Cut,
+            ]),
+            PeerRequest::Revoke { request, .. } => {
+                let mut kept = record_of(*request);
+                kept.answer = b"sent to rack 7".to_vec();
+                kept.answer_kept = true;
+                frame(PeerFrame::Execution(Some(Box::new(kept))))
+            }
+            other => ordinary(other, 3),
+        });
+    }
+    let (text, end) = bench.forward(&keyed("desk", "slip-1"));
+    end.expect("a whole answer");
+    assert_eq!(text, "sent to rack 7");
+    assert_eq!(bench.link.executed().len(), 1);
+}
+
+fn record_of(request: catkindeck::id::RequestId) -> catkindeck::message::ExecutionRecord {
+    let work = keyed("desk", "slip-1");
+    catkindeck::message::ExecutionRecord {
+        request,
+        customer: work.customer().cloned(),
+        route: work.route.name.clone(),
+        idempotency_key: work.idempotency_key.clone(),
+        digest: work.digest,
+        state: ExecutionState::Finished,
+        boot: catkindeck::id::BootId("boot".to_owned()),
+        labels: catkindeck::token::VersionLabels::default(),
+        status: 200,
+        headers: Vec::new(),
+        answer: Vec::new(),
+        answer_kept: false,
+    }
+}
+
+/// Guards against a deadline that lets queued work start for nobody.
+#[test]
+fn deadline_revokes_queued_work() {
+    let bench = Bench::new();
+    let clock = bench.clock.clone();
+    for number in [3, 4] {
+        let clock = clock.clone();
+        bench.link.set(
+            number,
+            agent(3, move |_, _| {
+                let clock = clock.clone();
+                let (_, never) = crossbeam::channel::bounded(0);
+                vec![
+                    Step::Run(Box::new(move || clock.0.store(20_000, Ordering::SeqCst))),
+                    Step::Hold(never),
+                ]
+            }),
+        );
+    }
+    let error = bench.fail(&call("desk", 1));
+    assert_eq!(
+        (error.kind, error.execution),
+        (ErrorKind::DeadlineExceeded, NOT_RUN)
+    );
+    assert_eq!(revocations(&bench), 1);
+    assert_eq!(bench.forwarder.now(), Moment(20_000));
+}
