Measure fairness in virtual time

Cause: decision 13 has targets and nothing measured them.

Change: catkindeck-bench models engines, gates and entries of both deployments and runs one customer at 20-fold overload beside five backlogged ones and two without a backlog, under first come first served with round robin and under the policies.

--- a/crates/catkindeck-bench/src/lib.rs
+++ b/crates/catkindeck-bench/src/lib.rs
@@ -1,1 +1,56 @@
 //! Measurements of the decision logic in virtual time, with baselines beside each policy.
+//!
+//! The models of load stand at the interfaces: there are no hosts and no network. Targets come from
+//! `docs/design.md`, section 6; a target that is not reached is listed as such in `docs/policy.md`.
+
+pub mod deployment;
+pub mod engine;
+pub mod fairness;
+pub mod fleet;
+pub mod gate;
+pub mod random;
+pub mod report;
+
+use {
+    deployment::{DEPLOYMENTS, Deployment},
+    gate::PolicyKind,
+    report::{BenchReport, ReportRow, Target},
+};
+
+/// Runs every measurement.
+pub fn run(seed: u64) -> BenchReport {
+    let mut rows = Vec::new();
+    for deployment in DEPLOYMENTS {
+        rows.extend(fairness_rows(deployment, seed));
+    }
+    rows.sort_by_key(|row| row.measure);
+    BenchReport { seed, rows }
+}
+
+fn fairness_rows(deployment: Deployment, seed: u64) -> Vec<ReportRow> {
+    let [baseline, policy] = [PolicyKind::Baseline, PolicyKind::Catkindeck]
+        .map(|kind| fairness::measure(deployment, kind, seed));
+    let row = |figure, baseline, catkindeck, target| ReportRow {
+        measure: 2,
+        deployment: deployment.name,
+        figure,
+        baseline,
+        catkindeck,
+        target: Some(target),
+        listed: true,
+    };
+    vec![
+        row(
+            "worst share in 10 s beside 20-fold overload, %",
+            baseline.worst_share,
+            policy.worst_share,
+            Target::AtLeast(95.0),
+        ),
+        row(
+            "longest extra wait without backlog, slots' times",
+            baseline.extra_wait_slots,
+            policy.extra_wait_slots,
+            Target::AtMost(1.0),
+        ),
+    ]
+}
