Add the burn report

Cause: operators must see how fast services use up what their objectives allow to fail.

Ruled out: a hand-made parser of the metrics text, because the library prometheus-parse reads it; increases between the first and last sample of a window, because a process that restarts counts from zero again, so steps are added up by source.

Change: subcommand `burn` with objectives for availability, time to the first part, steps on time, staleness and usage on time, counters read at `/metrics` and kept as JSON lines, and a report as text, JSON and one HTML page with SVG plots. Objectives of both deployments are declared.

Conclusion: the metrics `catkindeck_run_steps_total`, `catkindeck_run_samples_total` and `catkindeck_usage_windows_total` are not exported by any crate yet.

--- a/crates/catkindeck-cli/src/arguments.rs
+++ b/crates/catkindeck-cli/src/arguments.rs
@@ -60,6 +60,8 @@
     Zone(ZoneArguments),
     /// Manages keys.
     Keys(KeyArguments),
+    /// Reports burn rates.
+    Burn(BurnArguments),
     /// Checks files.
     CheckConfig(CheckArguments),
     /// Issues development certificates.
@@ -225,6 +227,33 @@
     pub wait_ms: u64,
 }
 
+/// Read counters at /metrics, keep them as samples, and report how fast objectives burn.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "burn",
+    example = "{command_name} --objectives deployments/directorate/objectives.toml --samples \
+        burn.jsonl --page burn.html",
+    note = "Run it regularly, every minute or so; the rates need samples at both ends of a window."
+)]
+pub struct BurnArguments {
+    /// file with objectives, windows and sources
+    #[argh(option)]
+    pub objectives: PathBuf,
+
+    /// file in which samples are kept
+    #[argh(option)]
+    pub samples: PathBuf,
+
+    /// file for a self-contained HTML page with plots
+    #[argh(option)]
+    pub page: Option<PathBuf>,
+
+    /// only report on the samples kept, without reading the sources
+    #[argh(switch)]
+    pub offline: bool,
+}
+
 /// Check settings and declarations without contacting anything.
 #[derive(FromArgs, Debug)]
 #[argh(
@@ -233,6 +262,10 @@
     example = "{command_name} declarations/"
 )]
 pub struct CheckArguments {
+    /// objectives file of the burn report; may be repeated
+    #[argh(option)]
+    pub objectives: Vec<PathBuf>,
+
     /// profile of the load generator; may be repeated
     #[argh(option)]
     pub load: Vec<PathBuf>,
--- a/crates/catkindeck-cli/src/check_command.rs
+++ b/crates/catkindeck-cli/src/check_command.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        arguments::CheckArguments, files::read_declarations, intent_command::check_declarations,
-        load::read_profile, output::CommandReport,
+        arguments::CheckArguments, burn::read_objectives, files::read_declarations,
+        intent_command::check_declarations, load::read_profile, output::CommandReport,
     },
     catkindeck::{ErrorKind, ServiceError},
     serde_json::json,
@@ -18,6 +18,9 @@
         Ok(line) => lines.push(line),
         Err(error) => faults.push(error.detail),
     };
+    for path in &arguments.objectives {
+        take(read_objectives(path).map(|_| accepted(path, "objectives file")));
+    }
     for path in &arguments.load {
         take(read_profile(path).map(|_| accepted(path, "load profile")));
     }
--- a/crates/catkindeck-cli/src/files.rs
+++ b/crates/catkindeck-cli/src/files.rs
@@ -65,6 +65,16 @@
         .map_err(|error| unwritable(path, &error))
 }
 
+/// Writes a file so that readers see either the old or the new content.
+pub fn replace_file(path: &Path, content: &str) -> Result<(), ServiceError> {
+    let mut name = path.file_name().unwrap_or_default().to_owned();
+    name.push(".new");
+    let scratch = path.with_file_name(name);
+    fs::write(&scratch, content)
+        .and_then(|()| fs::rename(&scratch, path))
+        .map_err(|error| unwritable(path, &error))
+}
+
 /// Adds text to the end of a file, which is made if it is absent.
 pub fn append_file(path: &Path, content: &str) -> Result<(), ServiceError> {
     let mut options = fs::OpenOptions::new();
--- a/crates/catkindeck-cli/src/lib.rs
+++ b/crates/catkindeck-cli/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admin_client;
 mod arguments;
+pub mod burn;
 mod certificate_command;
 mod check_command;
 mod confirm;
@@ -47,6 +48,7 @@
         Subcommand::Zone(arguments) => intent_command::zone(&context, &arguments),
         Subcommand::Keys(arguments) => key_command::run(&context, arguments),
         Subcommand::CheckConfig(arguments) => check_command::run(&arguments),
+        Subcommand::Burn(arguments) => burn::run(&arguments),
         Subcommand::Certs(arguments) => certificate_command::run(&arguments),
         Subcommand::Load(arguments) => load::run(&arguments),
     };
--- a/crates/catkindeck-cli/tests/deployments.rs
+++ b/crates/catkindeck-cli/tests/deployments.rs
@@ -95,8 +95,11 @@
     for name in ["directorate", "listkovnica"] {
         let load = directory(name).join("load.toml");
         let declarations = directory(name).join("declarations");
+        let objectives = directory(name).join("objectives.toml");
         let words = [
             "check-config",
+            "--objectives",
+            objectives.to_str().unwrap(),
             "--load",
             load.to_str().unwrap(),
             declarations.to_str().unwrap(),
