Generate a run's samples on the ordinary request path

Cause: the owner of a run needs samples from upstreams, with the same routing, retries and resumption as callers' requests. Ruled out: a second request path for samples, which would repeat retry and label handling. Change: EntrySamples carries orders through RequestForwarder; a request may name the sample that its answer becomes, so agents retain it, and may have a customer without a key. Before: the owner had only the tests' runner. After: the entry's tests pass unchanged but for the two new fields; the path itself is not run yet, because the daemon does not start runs.

--- a/crates/catkindeck-entry/src/api/mod.rs
+++ b/crates/catkindeck-entry/src/api/mod.rs
@@ -6,4 +6,6 @@
 mod sinks;
 mod trainer;
 
+pub(crate) use service::digest_work;
+
 pub use service::{ApiLimits, EntryService};
--- a/crates/catkindeck-entry/src/api/service.rs
+++ b/crates/catkindeck-entry/src/api/service.rs
@@ -145,6 +145,7 @@
             idempotency_key: read_idempotency_key(&request.headers)?,
             digest: content.digest,
             prefix: content.prefix,
+            sample: None,
             body: content.body,
         })
     }
@@ -234,7 +235,7 @@
 }
 
 /// Digests a request's customer, route and content; every part is length-prefixed.
-pub(super) fn digest_work(
+pub(crate) fn digest_work(
     admitted: (&RouteRecord, Option<&CallerIdentity>),
     parts: &[&[u8]],
 ) -> BodyDigest {
--- a/crates/catkindeck-entry/src/credentials.rs
+++ b/crates/catkindeck-entry/src/credentials.rs
@@ -48,8 +48,9 @@
 pub struct CallerIdentity {
     /// The customer.
     pub customer: ObjectName,
-    /// The digest of the key, by which a revocation is noticed.
-    pub digest: KeyDigest,
+    /// The digest of the key, by which a revocation is noticed; `None` for the samples of a training
+    /// run, which need no key once the run is declared.
+    pub digest: Option<KeyDigest>,
 }
 
 impl CallerKeys {
@@ -93,7 +94,7 @@
         let customer = customer.ok_or_else(|| refuse("the key is unknown"))?;
         Ok(CallerIdentity {
             customer: customer.clone(),
-            digest,
+            digest: Some(digest),
         })
     }
 
--- a/crates/catkindeck-entry/src/events.rs
+++ b/crates/catkindeck-entry/src/events.rs
@@ -58,4 +58,6 @@
     CRASH_SHARE_FAILED = 1042, "crash_share_failed", Warning, "crash reports could not be shared with a peer";
     /// A peer asked for something that its role may not ask.
     PEER_REFUSED = 1050, "peer_refused", Warning, "peer was refused";
+    /// Agents did not drop acknowledged samples.
+    SAMPLES_UNRELEASED = 1060, "samples_unreleased", Warning, "agents could not be told that samples were acknowledged";
 }
--- a/crates/catkindeck-entry/src/forward/attempt.rs
+++ b/crates/catkindeck-entry/src/forward/attempt.rs
@@ -156,8 +156,10 @@
             .as_ref()
             .is_some_and(|seen| Arc::ptr_eq(&current, seen))
         {
-            if let Some(identity) = &work.identity {
-                let key = current.key(&identity.digest);
+            if let Some(identity) = &work.identity
+                && let Some(digest) = &identity.digest
+            {
+                let key = current.key(digest);
                 if key.is_none_or(|key| key.customer != identity.customer) {
                     return Some(StopCause::KeyRevoked);
                 }
@@ -201,7 +203,7 @@
         idempotent: work.route.idempotent,
         idempotency_key: work.idempotency_key.clone(),
         digest: work.digest,
-        sample: None,
+        sample: work.sample.clone(),
         body,
     })))
 }
--- a/crates/catkindeck-entry/src/forward/work.rs
+++ b/crates/catkindeck-entry/src/forward/work.rs
@@ -6,7 +6,7 @@
         Moment, ServiceError,
         config::RouteRecord,
         id::{BodyDigest, BootId, ObjectName, RequestId},
-        message::{WorkBody, WorkClass},
+        message::{SampleId, WorkBody, WorkClass},
         token::VersionLabels,
     },
     std::net::SocketAddr,
@@ -33,6 +33,8 @@
     pub digest: BodyDigest,
     /// The digest of the prompt's prefix, for routing.
     pub prefix: Option<u64>,
+    /// The sample that the answer becomes.
+    pub sample: Option<SampleId>,
     /// The work itself.
     pub body: WorkBody,
 }
--- a/crates/catkindeck-entry/src/lib.rs
+++ b/crates/catkindeck-entry/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod http;
 pub mod metrics;
 pub mod peer;
+pub mod samples;
 pub mod settings;
 pub mod source;
--- a/crates/catkindeck-entry/tests/common/mod.rs
+++ b/crates/catkindeck-entry/tests/common/mod.rs
@@ -516,7 +516,7 @@
     let route = snapshot.route(&name(route)).expect("a known route").clone();
     let identity = (!route.open).then(|| CallerIdentity {
         customer: name("archive"),
-        digest: KeyDigest::of(ARCHIVE_KEY),
+        digest: Some(KeyDigest::of(ARCHIVE_KEY)),
     });
     ForwardWork {
         request: RequestId::random(),
@@ -528,6 +528,7 @@
         idempotency_key: None,
         digest: BodyDigest([digest; 32]),
         prefix: None,
+        sample: None,
         body,
     }
 }
