Let an announced return of a zone yield to the next configuration

Cause: an announcement that the zone is in held for 60 s against a newer configuration that took it out again. Ruled out: dropping all announcements at the next configuration, because an unrelated change could then reopen a zone for a moment. Change: only an announcement that the zone is out holds. Conclusion: the configuration decides once it has caught up.

--- a/crates/catkindeck-agent/src/state.rs
+++ b/crates/catkindeck-agent/src/state.rs
@@ -22,11 +22,13 @@
     },
 };
 
-/// How long an announced zone state holds against a newer configuration that contradicts it, in
-/// milliseconds.
+/// How long an announcement that the zone is out holds against newer configurations that contradict
+/// it, in milliseconds.
 ///
 /// The announcement comes ahead of the configuration that it announces; in between, unrelated
-/// changes may arrive. At target size a change is everywhere after 17 s.
+/// changes may arrive. At target size a change is everywhere after 17 s. An announcement that the
+/// zone is in yields to the next configuration, because taking work in a zone that is out is worse
+/// than refusing it for a moment.
 const ANNOUNCEMENT_HOLD_MS: u64 = 60_000;
 
 /// The number of prefixes in a load report.
@@ -173,7 +175,9 @@
         let zone = config.zone(&self.settings.process.zone);
         self.config_zone = zone.map_or(ZoneState::In, |zone| zone.state);
         if let Some((announced, at)) = self.announced
-            && (announced == self.config_zone || now.since(at) >= ANNOUNCEMENT_HOLD_MS)
+            && (announced == ZoneState::In
+                || announced == self.config_zone
+                || now.since(at) >= ANNOUNCEMENT_HOLD_MS)
         {
             self.announced = None;
         }
--- /dev/null
+++ b/crates/catkindeck-agent/tests/common/mod.rs
@@ -0,0 +1,403 @@
+//! An agent over loopback with a stand-in upstream and an entry that calls it.
+
+// Each test file uses a part of these helpers.
+#![allow(dead_code)]
+
+use {
+    catkindeck::{
+        ServiceError, ServiceKernel,
+        config::{
+            ConfigRevision, ConfigSnapshot, CustomerRecord, RouteRecord, ServiceKind,
+            ServiceRecord, UpstreamRecord, ZoneRecord, ZoneState,
+        },
+        id::{BodyDigest, IncarnationId, ObjectName, RequestId},
+        link::{FrameStream, PeerHandler, PeerIdentity, PeerRole},
+        log::discard_logger,
+        message::{
+            CallBody, CompletionBody, ExecuteRequest, ExecutionRecord, LoadReport, PeerFrame,
+            PeerRequest, WorkBody, WorkClass,
+        },
+        settings::SettingsText,
+        token::VersionLabels,
+    },
+    catkindeck_agent::{AgentProcess, AgentSettings},
+    catkindeck_wire::{DevelopmentAuthority, PeerEndpoint, RevisionHook, WireLimits, WireSettings},
+    std::{
+        fs,
+        net::SocketAddr,
+        path::PathBuf,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+    tempfile::TempDir,
+};
+
+/// Long enough that it only passes when a test has failed.
+pub const LONG: Duration = Duration::from_secs(60);
+
+pub fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).unwrap()
+}
+
+/// The certificates of one test.
+pub struct TestSite {
+    authority: DevelopmentAuthority,
+    directory: TempDir,
+}
+
+impl TestSite {
+    pub fn new() -> Self {
+        let directory = TempDir::new().unwrap();
+        let authority = DevelopmentAuthority::create().unwrap();
+        let path = directory.path().join("authority.pem");
+        fs::write(path, authority.certificate_pem()).unwrap();
+        Self {
+            authority,
+            directory,
+        }
+    }
+
+    fn issue(&self, role: PeerRole, host: &str) -> [PathBuf; 3] {
+        let issued = self.authority.issue(role, &name(host)).unwrap();
+        let path = |suffix: &str| {
+            self.directory
+                .path()
+                .join(format!("{role:?}-{host}.{suffix}"))
+        };
+        fs::write(path("pem"), issued.certificate_pem).unwrap();
+        fs::write(path("key"), issued.key_pem).unwrap();
+        [
+            self.directory.path().join("authority.pem"),
+            path("pem"),
+            path("key"),
+        ]
+    }
+
+    /// Writes the settings of an agent of zone `vault-a`.
+    pub fn agent_settings(
+        &self,
+        host: &str,
+        kind: &str,
+        upstream: SocketAddr,
+        extra: &str,
+    ) -> String {
+        let [authority, certificate, key] = self.issue(PeerRole::Agent, host);
+        format!(
+            r#"
+            [process]
+            host = "{host}"
+            zone = "vault-a"
+            peer_listen = "127.0.0.1:0"
+            health_listen = "127.0.0.1:0"
+            [process.tls]
+            authority = "{}"
+            certificate = "{}"
+            key = "{}"
+            [upstream]
+            name = "{host}"
+            service = "drafting"
+            kind = "{kind}"
+            base_url = "http://{upstream}"
+            first_start = true
+            {extra}
+            "#,
+            authority.display(),
+            certificate.display(),
+            key.display(),
+        )
+    }
+
+    pub fn start_agent(
+        &self,
+        host: &str,
+        kind: &str,
+        upstream: SocketAddr,
+        extra: &str,
+    ) -> AgentProcess {
+        let text = self.agent_settings(host, kind, upstream, extra);
+        let text = SettingsText::new("agent.toml", &text);
+        let settings = AgentSettings::try_from((&text, text.parse().unwrap())).unwrap();
+        AgentProcess::start(settings, &ServiceKernel::new(), discard_logger()).unwrap()
+    }
+
+    pub fn start_peer(&self, role: PeerRole, host: &str) -> TestPeer {
+        let [authority, certificate, key] = self.issue(role, host);
+        let settings = WireSettings {
+            listen: "127.0.0.1:0".parse().unwrap(),
+            tls: catkindeck::process::RawTls {
+                authority,
+                certificate,
+                key,
+            },
+            limits: WireLimits::default(),
+        };
+        let shown = Arc::new(ShownRevision::default());
+        let endpoint = PeerEndpoint::start(&settings, shown.clone(), discard_logger()).unwrap();
+        TestPeer { endpoint, shown }
+    }
+}
+
+/// The revision that a test's entry shows.
+#[derive(Default)]
+pub struct ShownRevision(AtomicU64);
+
+impl RevisionHook for ShownRevision {
+    fn current(&self) -> ConfigRevision {
+        ConfigRevision(self.0.load(Ordering::SeqCst))
+    }
+
+    fn higher_seen(&self, _: ConfigRevision, _: &PeerIdentity, _: SocketAddr) {}
+}
+
+/// An entry, agent or operator that calls agents.
+pub struct TestPeer {
+    pub endpoint: PeerEndpoint,
+    shown: Arc<ShownRevision>,
+}
+
+impl TestPeer {
+    pub fn show_revision(&self, revision: u64) {
+        self.shown.0.store(revision, Ordering::SeqCst);
+    }
+
+    /// Serves the configuration to agents that ask for it.
+    pub fn serve_configuration(&self, config: ConfigSnapshot) -> Arc<Mutex<u32>> {
+        let fetches = Arc::new(Mutex::new(0));
+        self.endpoint.serve(Arc::new(ConfigurationHandler {
+            config,
+            fetches: fetches.clone(),
+        }));
+        fetches
+    }
+
+    pub fn open(&self, agent: &AgentProcess, request: PeerRequest) -> Box<dyn FrameStream> {
+        let address = agent.peer_address().unwrap();
+        self.endpoint.link().call(address, request, LONG).unwrap()
+    }
+
+    /// Calls and returns the single frame of the answer.
+    pub fn ask(&self, agent: &AgentProcess, request: PeerRequest) -> PeerFrame {
+        let mut stream = self.open(agent, request);
+        let frame = stream.receive(LONG).unwrap().unwrap();
+        assert_eq!(stream.receive(LONG).unwrap(), None);
+        frame
+    }
+
+    pub fn execute(&self, agent: &AgentProcess, request: &ExecuteRequest) -> TestAnswer {
+        let request = PeerRequest::Execute(Box::new(request.clone()));
+        TestAnswer::read(self.open(agent, request))
+    }
+
+    pub fn load(&self, agent: &AgentProcess) -> LoadReport {
+        match self.ask(agent, PeerRequest::ReadLoad) {
+            PeerFrame::Load(load) => *load,
+            frame => panic!("unexpected {frame:?}"),
+        }
+    }
+
+    /// Pushes the usual configuration with an amendment.
+    pub fn configure(
+        &self,
+        agent: &AgentProcess,
+        revision: u64,
+        amend: impl FnOnce(&mut ConfigSnapshot),
+    ) {
+        let mut config = configuration(revision, &[("vault-a-1", agent.peer_address().unwrap())]);
+        amend(&mut config);
+        config.sort();
+        let pushed = self.ask(agent, PeerRequest::PushConfiguration(Box::new(config)));
+        assert_eq!(pushed, PeerFrame::Revision(ConfigRevision(revision)));
+    }
+}
+
+struct ConfigurationHandler {
+    config: ConfigSnapshot,
+    fetches: Arc<Mutex<u32>>,
+}
+
+impl PeerHandler for ConfigurationHandler {
+    fn handle(
+        &self,
+        _: &PeerIdentity,
+        request: PeerRequest,
+        reply: Arc<dyn catkindeck::link::FrameSink>,
+    ) {
+        assert_eq!(request, PeerRequest::FetchConfiguration);
+        *self.fetches.lock().unwrap() += 1;
+        let config = Box::new(self.config.clone());
+        reply.send(PeerFrame::Configuration(config)).unwrap();
+    }
+}
+
+/// What an execution answered.
+#[derive(Debug, Default)]
+pub struct TestAnswer {
+    pub started: Option<IncarnationId>,
+    pub head: Option<(u16, Vec<(String, String)>)>,
+    pub bytes: Vec<u8>,
+    pub labels: VersionLabels,
+    pub finished: Option<Box<ExecutionRecord>>,
+    pub refused: Option<ServiceError>,
+    pub load: Option<Box<LoadReport>>,
+}
+
+impl TestAnswer {
+    pub fn read(mut stream: Box<dyn FrameStream>) -> Self {
+        let mut answer = Self::default();
+        let mut chunks = 0;
+        while let Some(frame) = stream.receive(LONG).unwrap() {
+            assert!(answer.load.is_none(), "a frame after the end: {frame:?}");
+            match frame {
+                PeerFrame::Started { incarnation, .. } => {
+                    assert_eq!(answer.started, None);
+                    assert!(answer.head.is_none() && chunks == 0);
+                    answer.started = Some(incarnation);
+                }
+                PeerFrame::Head {
+                    status, headers, ..
+                } => answer.head = Some((status, headers)),
+                PeerFrame::Chunk {
+                    sequence,
+                    bytes,
+                    tokens,
+                    version,
+                    ..
+                } => {
+                    assert_eq!(sequence, chunks);
+                    chunks += 1;
+                    answer.bytes.extend(bytes);
+                    answer.labels.push(tokens, version);
+                }
+                PeerFrame::Finished {
+                    chunks: counted,
+                    record,
+                    load,
+                    ..
+                } => {
+                    assert_eq!(counted, chunks);
+                    answer.finished = Some(record);
+                    answer.load = Some(load);
+                }
+                PeerFrame::Refused { error, load, .. } => {
+                    answer.refused = Some(error);
+                    answer.load = Some(load);
+                }
+                PeerFrame::Failed(error) => answer.refused = Some(error),
+                frame => panic!("unexpected {frame:?}"),
+            }
+        }
+        answer
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8(self.bytes.clone()).unwrap()
+    }
+
+    pub fn error(&self) -> &ServiceError {
+        self.refused.as_ref().expect("the request was refused")
+    }
+}
+
+/// Makes a configuration in which every upstream runs `drafting` in `vault-a`.
+pub fn configuration(revision: u64, upstreams: &[(&str, SocketAddr)]) -> ConfigSnapshot {
+    let mut config = ConfigSnapshot {
+        revision: ConfigRevision(revision),
+        customers: vec![CustomerRecord {
+            name: name("court"),
+            weight: 1,
+            retry_percent: 10,
+        }],
+        services: vec![ServiceRecord {
+            name: name("drafting"),
+            kind: ServiceKind::Engine,
+            warm_limit: 8,
+            cold_limit: 8,
+            cold_start_ms: 0,
+            checks_fence: false,
+        }],
+        routes: vec![RouteRecord {
+            name: name("drafts"),
+            service: name("drafting"),
+            open: false,
+            idempotent: true,
+            timeout_ms: 60_000,
+        }],
+        zones: vec![ZoneRecord {
+            name: name("vault-a"),
+            region: name("tvm"),
+            state: ZoneState::In,
+        }],
+        ..ConfigSnapshot::default()
+    };
+    for (upstream, agent) in upstreams {
+        config.upstreams.push(UpstreamRecord {
+            name: name(upstream),
+            service: name("drafting"),
+            zone: name("vault-a"),
+            agent: *agent,
+            added_ms: 1,
+            removed_ms: None,
+        });
+    }
+    config.sort();
+    config
+}
+
+/// Makes a completion that may be repeated.
+pub fn completion(prompt: &str, max_tokens: u32) -> ExecuteRequest {
+    let body = WorkBody::Completion(CompletionBody {
+        prompt: prompt.to_owned(),
+        max_tokens,
+        resume_text: String::new(),
+        resume_tokens: 0,
+    });
+    work(prompt, true, body)
+}
+
+/// Makes a call that must not be repeated.
+pub fn call(path: &str, bytes: &[u8]) -> ExecuteRequest {
+    let body = WorkBody::Call(CallBody {
+        method: "POST".to_owned(),
+        path: path.to_owned(),
+        headers: vec![("content-type".to_owned(), "text/plain".to_owned())],
+        bytes: bytes.to_vec(),
+    });
+    work(path, false, body)
+}
+
+fn work(content: &str, idempotent: bool, body: WorkBody) -> ExecuteRequest {
+    let mut digest = [0; 32];
+    for (index, byte) in content.bytes().enumerate() {
+        digest[index % 32] ^= byte.rotate_left((index / 32) as u32);
+    }
+    ExecuteRequest {
+        request: RequestId::random(),
+        incarnation: None,
+        customer: Some(name("court")),
+        route: name("drafts"),
+        service: name("drafting"),
+        class: WorkClass::Interactive,
+        priority: 0,
+        attempt: 1,
+        deadline_ms: 60_000,
+        idempotent,
+        idempotency_key: None,
+        digest: BodyDigest(digest),
+        sample: None,
+        body,
+    }
+}
+
+/// Waits until a condition holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let mut left = 12_000;
+    while !condition() {
+        assert!(left > 0, "never true: {what}");
+        left -= 1;
+        thread::sleep(Duration::from_millis(5));
+    }
+}
