--- a/crates/catkindeck-entry/src/http/body.rs
+++ b/crates/catkindeck-entry/src/http/body.rs
@@ -37,6 +37,7 @@
 pub(super) struct ReplyBody {
     parts: Option<mpsc::Receiver<ReplyPart>>,
     whole: Option<Bytes>,
+    flushed: bool,
     _guard: Option<Arc<InFlightGuard>>,
 }
 
@@ -46,6 +47,7 @@
         Self {
             parts: None,
             whole: Some(Bytes::from(bytes)),
+            flushed: false,
             _guard: None,
         }
     }
@@ -79,6 +81,12 @@
                 None
             }
             // The handler ended without marking the body whole; the error breaks the connection off.
+            // hyper drops what it has not flushed then, so it gets one turn to flush it.
+            None if !self.flushed => {
+                self.flushed = true;
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
             None => Some(Err(io::Error::other("the answer is not whole"))),
         })
     }
@@ -144,6 +152,7 @@
         let body = ReplyBody {
             parts: Some(receiver),
             whole: None,
+            flushed: false,
             _guard: None,
         };
         self.send_head(status, headers, body)?;
--- a/crates/catkindeck-entry/src/http/server.rs
+++ b/crates/catkindeck-entry/src/http/server.rs
@@ -19,7 +19,7 @@
         panic::{AssertUnwindSafe, catch_unwind},
         sync::{
             Arc,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -163,7 +163,9 @@
 async fn serve_connection(stream: TcpStream, shared: &Arc<ServerShared>) {
     // Each token is a small write that must not wait for the acknowledgement of the one before.
     let _ = stream.set_nodelay(true);
+    let served = AtomicBool::new(false);
     let service = service_fn(|request| {
+        served.store(true, Ordering::SeqCst);
         let shared = Arc::clone(shared);
         async move { Ok::<_, Infallible>(answer(request, &shared).await) }
     });
@@ -176,7 +178,13 @@
     let mut drain = shared.drain.subscribe();
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = drain.wait_for(|draining| *draining) => connection.as_mut().graceful_shutdown(),
+        _ = drain.wait_for(|draining| *draining) => {
+            // A connection without a request so far is left open: hyper would close it and lose a
+            // request that is on its way, which instead gets its refusal with `Connection: close`.
+            if served.load(Ordering::SeqCst) {
+                connection.as_mut().graceful_shutdown();
+            }
+        }
     }
     // An error here is the caller's: it is gone or broke the protocol, which hyper answered.
     let _ = connection.await;
