--- a/tests/fakes/src/lib.rs
+++ b/tests/fakes/src/lib.rs
@@ -2,16 +2,16 @@
 
 pub mod control;
 pub mod engine;
-pub mod service;
-pub mod stream;
-
-mod engine_state;
-
-pub use engine_state::EngineSettings;
 pub mod fault;
 pub mod hosts;
 pub mod http;
+pub mod service;
 pub mod store;
+pub mod stream;
 pub mod usage;
 pub mod weights;
 pub mod zones;
+
+mod engine_state;
+
+pub use engine_state::EngineSettings;
