Replace astra in the stand-in of the command's tests

Cause: in 3 of about 47 runs of tests/command.rs a call to the stand-in hung until the command's 30 s limit. astra 0.4 runs the handler while it polls the connection; a handler that reads a body which has not arrived yet blocks the poll that would read it. ureq sends head and body separately, so this depends on timing.

Ruled out: a fault of the command, because its request is complete and the server never answers; a longer limit, because the server waits for itself.

Change: the stand-in uses the small server of tests/fakes.

Conclusion: no handler on astra may read a request body; the entry has its own server.

--- a/crates/catkindeck-cli/tests/support/mod.rs
+++ b/crates/catkindeck-cli/tests/support/mod.rs
@@ -4,7 +4,6 @@
 #![allow(dead_code)]
 
 use {
-    astra::{Body, ConnectionInfo, Request, Response, ResponseBuilder, Server},
     catkindeck::{
         ServiceError,
         config::{ConfigRevision, ConfigSnapshot},
@@ -14,13 +13,13 @@
         AdminRequest, CommitOutcome, ConfigLedger, IntentAdmin, LoadSource, LoadView, PlanId,
         SpreadState,
     },
+    catkindeck_fakes::stream::{StreamCall, StreamHandler, StreamReply, spawn},
     std::{
-        io::Read,
+        io,
         net::SocketAddr,
         path::Path,
         process::{Command, Output},
         sync::{Arc, Mutex},
-        thread,
     },
 };
 
@@ -75,40 +74,35 @@
 pub fn start_entry() -> SocketAddr {
     let ledger = Arc::new(MemoryLedger::default());
     let operators = vec![KeyDigest::of(OPERATOR_KEY)];
-    let admin = Arc::new(IntentAdmin::new(ledger.clone(), ledger, operators));
-    let server = Server::bind("127.0.0.1:0");
-    let address = server.local_addr().unwrap();
-    thread::spawn(move || {
-        let _ = server.serve(move |request: Request, _: ConnectionInfo| answer(&admin, request));
-    });
-    address
+    let admin = IntentAdmin::new(ledger.clone(), ledger, operators);
+    let handler: StreamHandler = Arc::new(move |call, reply| answer(&admin, call, reply));
+    spawn("127.0.0.1:0".parse().unwrap(), handler).unwrap()
 }
 
-fn answer(admin: &IntentAdmin, mut request: Request) -> Response {
-    let mut body = Vec::new();
-    request.body_mut().reader().read_to_end(&mut body).unwrap();
+fn answer(admin: &IntentAdmin, call: &StreamCall, reply: &mut StreamReply<'_>) -> io::Result<()> {
     let whole = r#"{"choices": [{"text": "a b"}], "usage": {"completion_tokens": 2}}"#;
-    let events = "data: {\"choices\": [{\"text\": \"a\"}]}\n\ndata: {\"choices\": [{\"text\": \
-                  \"b\"}]}\n\n";
-    match request.uri().path() {
-        "/v1/completions" if wants_stream(&body) => {
-            Response::new(Body::new(format!("{events}data: [DONE]\n\n")))
+    let event = |text: &str| format!("data: {{\"choices\": [{{\"text\": \"{text}\"}}]}}\n\n");
+    let events = format!("{}{}", event("a"), event("b"));
+    match call.path.as_str() {
+        "/v1/completions" if wants_stream(&call.body) => {
+            reply.start(200, &[])?;
+            reply.piece(events.as_bytes())?;
+            reply.piece(b"data: [DONE]\n\n")?;
+            reply.end()
         }
-        "/v1/completions" => Response::new(Body::new(whole)),
-        "/cut" => Response::new(Body::new(events)),
-        "/engine" => Response::new(Body::new("{\"token\": 1}\n{\"token\": 2}\n")),
+        "/v1/completions" => reply.whole(200, &[], whole.as_bytes()),
+        "/cut" => reply.whole(200, &[], events.as_bytes()),
+        "/engine" => reply.whole(200, &[], b"{\"token\": 1}\n{\"token\": 2}\n"),
         path => {
-            let header = request.headers().get("authorization");
-            let key = header.and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
+            let header = call.header("authorization");
             let answer = admin.handle(AdminRequest {
-                method: request.method().as_str(),
+                method: &call.method,
                 path,
-                key,
-                body: &body,
+                key: header.and_then(|value| value.strip_prefix("Bearer ")),
+                body: &call.body,
                 now_ms: 1000,
             });
-            let response = ResponseBuilder::new().status(answer.status);
-            response.body(Body::new(answer.body)).unwrap()
+            reply.whole(answer.status, &[], &answer.body)
         }
     }
 }
