Check settings of entries and agents, and add those of both deployments

Cause: entries and agents define their settings now, so deployments can be whole and checked.

Ruled out: a key in each deployment's declarations; customers' keys are made by the quick start. The operator key is a development key whose digest the loopback settings hold, because three or four entries would otherwise have to be edited by hand before the first start.

Before: declarations only.

Conclusion: `apply` against a running entry was not run, because entries do not read the store yet.

--- a/crates/catkindeck-cli/src/arguments.rs
+++ b/crates/catkindeck-cli/src/arguments.rs
@@ -178,6 +178,8 @@
 pub enum KeyAction {
     /// Creates a key.
     Create(KeyCreateArguments),
+    /// Digests a key.
+    Digest(KeyDigestArguments),
     /// Lists keys.
     List(KeyListArguments),
     /// Revokes a key.
@@ -205,6 +207,15 @@
     pub declare: Option<PathBuf>,
 }
 
+/// Print the digest of a key in a file, as for an entry's `operator_digests`.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "digest")]
+pub struct KeyDigestArguments {
+    /// file with the key
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
 /// List the keys that work, without the keys themselves.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "list")]
@@ -259,9 +270,17 @@
 #[argh(
     subcommand,
     name = "check-config",
-    example = "{command_name} declarations/"
+    example = "{command_name} --entry entry.toml --agent agent.toml declarations/"
 )]
 pub struct CheckArguments {
+    /// settings file of an entry; may be repeated
+    #[argh(option)]
+    pub entry: Vec<PathBuf>,
+
+    /// settings file of an agent; may be repeated
+    #[argh(option)]
+    pub agent: Vec<PathBuf>,
+
     /// objectives file of the burn report; may be repeated
     #[argh(option)]
     pub objectives: Vec<PathBuf>,
--- a/crates/catkindeck-cli/src/check_command.rs
+++ b/crates/catkindeck-cli/src/check_command.rs
@@ -5,7 +5,12 @@
         arguments::CheckArguments, burn::read_objectives, files::read_declarations,
         intent_command::check_declarations, load::read_profile, output::CommandReport,
     },
-    catkindeck::{ErrorKind, ServiceError},
+    catkindeck::{
+        ErrorKind, ServiceError,
+        settings::{SettingsError, SettingsText},
+    },
+    catkindeck_agent::AgentSettings,
+    catkindeck_entry::settings::EntrySettings,
     serde_json::json,
     std::path::Path,
 };
@@ -18,6 +23,14 @@
         Ok(line) => lines.push(line),
         Err(error) => faults.push(error.detail),
     };
+    for path in &arguments.entry {
+        let checked = SettingsText::read(path).and_then(|text| EntrySettings::load(&text));
+        take(settings(path, "entry settings", checked.map(drop)));
+    }
+    for path in &arguments.agent {
+        let checked = AgentSettings::read(path);
+        take(settings(path, "agent settings", checked.map(drop)));
+    }
     for path in &arguments.objectives {
         take(read_objectives(path).map(|_| accepted(path, "objectives file")));
     }
@@ -59,6 +72,16 @@
     ))
 }
 
+fn settings(
+    path: &Path,
+    kind: &str,
+    checked: Result<(), SettingsError>,
+) -> Result<String, ServiceError> {
+    checked
+        .map(|()| accepted(path, kind))
+        .map_err(|fault| ServiceError::not_run(ErrorKind::BadRequest, fault.to_string()))
+}
+
 fn accepted(path: &Path, kind: &str) -> String {
     format!("{}: valid {kind}", path.display())
 }
--- a/crates/catkindeck-cli/src/key_command.rs
+++ b/crates/catkindeck-cli/src/key_command.rs
@@ -3,9 +3,11 @@
 use {
     crate::{
         admin_client::AdminClient,
-        arguments::{KeyAction, KeyArguments, KeyCreateArguments, KeyRevokeArguments},
+        arguments::{
+            KeyAction, KeyArguments, KeyCreateArguments, KeyDigestArguments, KeyRevokeArguments,
+        },
         confirm::{ConfirmOptions, plan_and_apply},
-        files::{append_file, write_secret},
+        files::{append_file, unreadable, write_secret},
         output::{CommandContext, CommandReport, columns},
     },
     catkindeck::{
@@ -14,6 +16,7 @@
     },
     catkindeck_control::intent::{IntentAmendment, IntentStatement, IntentStatus},
     serde_json::json,
+    std::fs,
 };
 
 /// The random bytes of a key; 256 bits cannot be guessed or collide.
@@ -26,6 +29,7 @@
 ) -> Result<CommandReport, ServiceError> {
     match arguments.action {
         KeyAction::Create(arguments) => create(&arguments),
+        KeyAction::Digest(arguments) => digest(&arguments),
         KeyAction::List(_) => list(context),
         KeyAction::Revoke(arguments) => revoke(context, &arguments),
     }
@@ -75,6 +79,13 @@
     CommandReport::success(text, &content)
 }
 
+fn digest(arguments: &KeyDigestArguments) -> Result<CommandReport, ServiceError> {
+    let path = &arguments.file;
+    let key = fs::read_to_string(path).map_err(|error| unreadable(path, &error))?;
+    let digest = KeyDigest::of(key.trim()).to_string();
+    CommandReport::success(digest.clone(), &json!({"digest": digest}))
+}
+
 fn list(context: &CommandContext) -> Result<CommandReport, ServiceError> {
     let status: IntentStatus = AdminClient::open(context)?.get("/v1/intent/status")?;
     let mut rows = vec![["label", "customer", "digest"].map(str::to_owned).to_vec()];
--- a/crates/catkindeck-cli/src/output.rs
+++ b/crates/catkindeck-cli/src/output.rs
@@ -57,7 +57,7 @@
             .admin
             .clone()
             .or_else(|| std::env::var("CATKINDECK_ADMIN").ok())
-            .unwrap_or_else(|| "http://127.0.0.1:7300".to_owned());
+            .unwrap_or_else(|| "http://127.0.0.1:7391".to_owned());
         let from_environment =
             || std::env::var_os("CATKINDECK_OPERATOR_KEY_FILE").map(PathBuf::from);
         Self {
--- a/crates/catkindeck-cli/tests/deployments.rs
+++ b/crates/catkindeck-cli/tests/deployments.rs
@@ -3,8 +3,13 @@
 mod support;
 
 use {
-    catkindeck::config::{ConfigSnapshot, ServiceKind, ZoneState},
+    catkindeck::{
+        config::{ConfigSnapshot, ServiceKind, ZoneState},
+        settings::SettingsText,
+    },
+    catkindeck_agent::AgentSettings,
     catkindeck_control::intent::{DeclarationFile, DeclaredIntent},
+    catkindeck_entry::settings::EntrySettings,
     std::{
         fs,
         path::{Path, PathBuf},
@@ -87,24 +92,84 @@
     }
 }
 
+/// Returns the settings files of a deployment: those of entries, then those of agents.
+fn settings_files(name: &str) -> (Vec<PathBuf>, Vec<PathBuf>) {
+    let entries = fs::read_dir(directory(name).join("settings")).unwrap();
+    let files = entries.map(|entry| entry.unwrap().path());
+    files.partition(|file| {
+        file.file_name()
+            .unwrap()
+            .to_str()
+            .unwrap()
+            .starts_with("entry-")
+    })
+}
+
+/// Guards against settings and declarations that name different hosts, zones or addresses.
+#[test]
+fn settings_agree_with_declarations() {
+    for name in ["directorate", "listkovnica"] {
+        let snapshot = declared(name);
+        let (entries, agents) = settings_files(name);
+        assert_eq!(agents.len(), snapshot.upstreams.len());
+        for file in agents {
+            let settings = AgentSettings::read(&file).unwrap();
+            let upstream = snapshot.upstream(&settings.upstream.name).unwrap();
+            assert_eq!(settings.process.peer_listen, upstream.agent);
+            assert_eq!(settings.process.zone, upstream.zone);
+            assert_eq!(settings.upstream.service, upstream.service);
+            let service = snapshot.service(&upstream.service).unwrap();
+            assert_eq!(settings.upstream.kind, service.kind);
+            // A request that outlives the agent's own bound would be cut off by it.
+            let longest = settings.timeouts.longest_request.as_millis();
+            assert!(
+                snapshot
+                    .routes
+                    .iter()
+                    .all(|route| u128::from(route.timeout_ms) <= longest)
+            );
+        }
+        let zones = entries.iter().map(|file| {
+            let text = SettingsText::read(file).unwrap();
+            EntrySettings::load(&text).unwrap().process.zone
+        });
+        let mut zones: Vec<_> = zones.collect();
+        zones.sort();
+        let declared: Vec<_> = snapshot
+            .zones
+            .iter()
+            .map(|zone| zone.name.clone())
+            .collect();
+        assert_eq!(zones, declared);
+    }
+}
+
 /// Guards against files that the operators' command refuses.
 #[test]
 fn check_config_accepts_every_file() {
     let scratch = tempdir().unwrap();
     let nowhere = "127.0.0.1:1".parse().unwrap();
     for name in ["directorate", "listkovnica"] {
-        let load = directory(name).join("load.toml");
-        let declarations = directory(name).join("declarations");
-        let objectives = directory(name).join("objectives.toml");
-        let words = [
-            "check-config",
-            "--objectives",
-            objectives.to_str().unwrap(),
-            "--load",
-            load.to_str().unwrap(),
-            declarations.to_str().unwrap(),
-        ];
+        let (entries, agents) = settings_files(name);
+        let mut words = vec!["check-config".to_owned()];
+        let mut add = |option: &str, files: &[PathBuf]| {
+            for file in files {
+                words.extend([option.to_owned(), file.display().to_string()]);
+            }
+        };
+        add("--entry", &entries);
+        add("--agent", &agents);
+        add("--objectives", &[directory(name).join("objectives.toml")]);
+        add("--load", &[directory(name).join("load.toml")]);
+        words.push(directory(name).join("declarations").display().to_string());
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
         let (code, text) = outcome(&run(scratch.path(), nowhere, &words));
         assert_eq!(code, 0, "{text}");
+        // One line for each file, and one for the declarations.
+        assert_eq!(
+            text.lines().count(),
+            entries.len() + agents.len() + 3,
+            "{text}"
+        );
     }
 }
