Give new customers the credit of idle ones

Cause: a customer that was never served joined at the level of the others without the credit that an idle customer has, so its first burst waited for the level to catch up.

Ruled out: joining at counter zero, which is an unbounded credit.

--- a/crates/catkindeck-policy/src/fair.rs
+++ b/crates/catkindeck-policy/src/fair.rs
@@ -11,6 +11,9 @@
 /// The counter units for one unit of service at weight 1; large enough for weights up to a million.
 const COUNTER_SCALE: u64 = 1 << 20;
 
+/// The counter at which a queue begins, from which the credit of the first customers is taken.
+const FIRST_LEVEL: u64 = 1 << 50;
+
 /// A customer's account in one queue.
 #[key]
 pub struct AccountKey(u32);
@@ -51,7 +54,7 @@
             accounts: BTreeMap::new(),
             ready: BTreeSet::new(),
             next_account: 0,
-            level: 0,
+            level: FIRST_LEVEL,
             idle_credit,
             length: 0,
             ready_weight: 0,
@@ -71,9 +74,11 @@
         let account = AccountKey(self.next_account);
         self.next_account += 1;
         self.names.insert(customer.clone(), account);
+        // A new customer has idled so far; without the credit its first burst would wait.
+        let weight = u64::from(weight.max(1));
         let opened = FairAccount {
-            weight: u64::from(weight.max(1)),
-            counter: self.level,
+            weight,
+            counter: self.level.saturating_sub(self.credit(weight)),
             queue: BTreeMap::new(),
         };
         self.accounts.insert(account, opened);
@@ -106,11 +111,12 @@
     /// Queues a request.
     pub fn push(&mut self, account: AccountKey, order: OrderKey, item: T) {
         let floor = self.lowest();
+        let full_credit = self.credit(1);
         let Some(entry) = self.accounts.get_mut(&account) else {
             return;
         };
         if entry.queue.is_empty() {
-            let credit = self.idle_credit.saturating_mul(COUNTER_SCALE) / entry.weight;
+            let credit = full_credit / entry.weight;
             entry.counter = entry.counter.max(floor.saturating_sub(credit));
             self.ready.insert((entry.counter, account));
             self.ready_weight += entry.weight;
@@ -190,6 +196,10 @@
         self.length == 0
     }
 
+    fn credit(&self, weight: u64) -> u64 {
+        self.idle_credit.saturating_mul(COUNTER_SCALE) / weight
+    }
+
     fn adjust(&mut self, account: AccountKey, change: impl Fn(u64, u64) -> u64) {
         let Some(entry) = self.accounts.get_mut(&account) else {
             return;
