Keep a warm limit on completions

Cause: a completion cut the limit to the line of the cold start even when the upstream had been warm before; after a change of settings a warm upstream fell to its cold limit.

Ruled out: a fault of fairness; a dump of the counters showed a limit of 2 on engines that are warm.

Before: a_completion_never_lowers_the_limit failed with 2 instead of 16. After: it passes.

--- a/crates/catkindeck-policy/src/limit.rs
+++ b/crates/catkindeck-policy/src/limit.rs
@@ -109,7 +109,7 @@
         let passed = now.since(self.started) as f64;
         let share = passed / self.settings.cold_start_ms.max(1) as f64;
         let ceiling = cold + (warm - cold).max(0.0) * share.min(1.0);
-        self.ramp = (self.ramp + 1.0).min(ceiling).max(self.ramp.min(ceiling));
+        self.ramp = (self.ramp + 1.0).min(ceiling).max(self.ramp);
         if self.settings.adaptive {
             self.follow_latency(now, per_unit_ms, warm, cold.min(warm));
         }
