Count only crashes for quarantine, not every failed answer

Cause: an agent's refusal did not say whether its upstream crashed, so the entry counted every upstream_failed with unknown. Ruled out: a kind of its own, because callers get the same answer for both.

Change: Refused carries crashed, which the agent already knew. The attempts of a request moved into a file of their own.

--- a/crates/catkindeck-agent/src/execute.rs
+++ b/crates/catkindeck-agent/src/execute.rs
@@ -67,6 +67,7 @@
         let frame = PeerFrame::Refused {
             request: request.request,
             error,
+            crashed: false,
             load: Box::new(self.report(entry)),
         };
         // A caller that is gone needs no refusal.
--- a/crates/catkindeck-agent/src/run.rs
+++ b/crates/catkindeck-agent/src/run.rs
@@ -99,7 +99,7 @@
                     "request" => tap.request.request.to_string(),
                 );
                 let error = ServiceError::unknown(ErrorKind::Revoked, "the request was cancelled");
-                self.end_failed(tap, entry, error, FinishCause::Cancelled);
+                self.end_failed(tap, entry, error, FinishCause::Cancelled, false);
             }
             UpstreamEnd::NotSent(error) if !tap.notice.was_sent() => {
                 let now = self.now();
@@ -116,7 +116,7 @@
             }
             UpstreamEnd::NotSent(error) => {
                 let error = ServiceError::unknown(error.kind, error.detail);
-                self.end_failed(tap, entry, error, FinishCause::UpstreamFailed);
+                self.end_failed(tap, entry, error, FinishCause::UpstreamFailed, false);
             }
             UpstreamEnd::Failed { error, crashed } => {
                 if crashed {
@@ -131,7 +131,7 @@
                     self.upstream.cancel(&tap.request.request);
                 }
                 self.log_failure(&tap, &error);
-                self.end_failed(tap, entry, error, cause);
+                self.end_failed(tap, entry, error, cause, crashed);
             }
         }
     }
@@ -219,6 +219,7 @@
         entry: &ObjectName,
         error: ServiceError,
         cause: FinishCause,
+        crashed: bool,
     ) {
         let request = tap.request;
         let load = {
@@ -245,6 +246,7 @@
         let frame = PeerFrame::Refused {
             request: request.request,
             error,
+            crashed,
             load: Box::new(load),
         };
         // A caller that is gone needs no refusal.
--- a/crates/catkindeck-entry/src/forward/answer.rs
+++ b/crates/catkindeck-entry/src/forward/answer.rs
@@ -29,7 +29,14 @@
     /// The answer is whole.
     Finished(Box<ExecutionRecord>, Box<LoadReport>),
     /// The request was refused or failed.
-    Refused(ServiceError, Box<LoadReport>),
+    Refused {
+        /// The error.
+        error: ServiceError,
+        /// Whether the upstream crashed.
+        crashed: bool,
+        /// The load.
+        load: Box<LoadReport>,
+    },
 }
 
 /// Lets through only frames of one request, in order and without a gap (`docs/design.md`, G11).
@@ -130,11 +137,16 @@
             PeerFrame::Refused {
                 request,
                 error,
+                crashed,
                 load,
             } => {
                 self.check_request(request)?;
                 self.ended = true;
-                Ok(CheckedFrame::Refused(self.check_refusal(error), load))
+                Ok(CheckedFrame::Refused {
+                    error: self.check_refusal(error),
+                    crashed,
+                    load,
+                })
             }
             // The agent could not handle the message as a whole, and names no request.
             PeerFrame::Failed(error) if !self.started && self.chunks == 0 => Err(error),
--- a/crates/catkindeck-entry/src/forward/attempt.rs
+++ b/crates/catkindeck-entry/src/forward/attempt.rs
@@ -3,13 +3,14 @@
 use {
     super::{
         AnswerCheck, AnswerSink, CheckedFrame, ForwardWork, RequestForwarder, StopCause,
-        forwarder::AttemptCourse,
+        course::AttemptCourse,
     },
     crate::events::ANSWER_REJECTED,
     catkindeck::{
         ErrorKind, ExecutionOutcome, ServiceError,
         config::ConfigSnapshot,
         id::{IncarnationId, ObjectName},
+        link::FrameStream,
         log_event,
         message::{ExecuteRequest, ExecutionRecord, PeerFrame, PeerRequest, WorkBody},
     },
@@ -35,6 +36,7 @@
     /// The attempt failed; `incarnation` is the one that may have run the request.
     Failed {
         error: ServiceError,
+        crashed: bool,
         incarnation: Option<IncarnationId>,
     },
     /// This entry gave the attempt up.
@@ -67,18 +69,14 @@
         sink: &mut dyn AnswerSink,
     ) -> AttemptEnd {
         let mut incarnation = target.incarnation;
-        let failed = |error, incarnation| AttemptEnd::Failed { error, incarnation };
-        let message = match build_message(work, target, self.remaining(work), course) {
-            Ok(message) => message,
-            Err(error) => return failed(error, incarnation),
+        let failed = |error, incarnation| AttemptEnd::Failed {
+            error,
+            crashed: false,
+            incarnation,
         };
-        let timeout = self.limits().call_timeout.min(self.remaining(work));
-        let mut stream = match self.link().call(target.address, message, timeout) {
+        let mut stream = match self.open_stream(work, target, course) {
             Ok(stream) => stream,
-            Err(error) => {
-                self.note_unreachable(&target.upstream);
-                return failed(error, incarnation);
-            }
+            Err(error) => return failed(error, incarnation),
         };
         let mut check = AnswerCheck::new(work);
         let mut seen = None;
@@ -129,14 +127,35 @@
                     self.observe(&target.upstream, &load);
                     return AttemptEnd::Finished(record);
                 }
-                CheckedFrame::Refused(error, load) => {
+                CheckedFrame::Refused {
+                    error,
+                    crashed,
+                    load,
+                } => {
                     self.observe(&target.upstream, &load);
-                    return failed(error, incarnation);
+                    return AttemptEnd::Failed {
+                        error,
+                        crashed,
+                        incarnation,
+                    };
                 }
             }
         }
     }
 
+    fn open_stream(
+        &self,
+        work: &ForwardWork,
+        target: &AttemptTarget,
+        course: &AttemptCourse,
+    ) -> Result<Box<dyn FrameStream>, ServiceError> {
+        let remaining = self.remaining(work);
+        let message = build_message(work, target, remaining, course)?;
+        let timeout = self.limits().call_timeout.min(remaining);
+        let stream = self.link().call(target.address, message, timeout);
+        stream.inspect_err(|_| self.note_unreachable(&target.upstream))
+    }
+
     /// Tells whether this entry must give the request up now.
     ///
     /// `seen` is the configuration in which the key was last found; the key is looked up again only
--- a/crates/catkindeck-entry/src/forward/forwarder.rs
+++ b/crates/catkindeck-entry/src/forward/forwarder.rs
@@ -2,10 +2,9 @@
 
 use {
     super::{
-        AnswerProgress, AnswerSink, CrashShare, DeliveredAnswer, ForwardEnd, ForwardWork,
-        PeerDirectory, StopCause,
+        AnswerSink, CrashShare, DeliveredAnswer, ForwardEnd, ForwardWork, PeerDirectory, StopCause,
         attempt::{AttemptEnd, AttemptTarget},
-        homes::KeyPlan,
+        course::AttemptCourse,
         resolve::Resolution,
         retry::RetryVerdict,
     },
@@ -119,14 +118,7 @@
         // The bytes are kept where an answer can be resumed or compared with a stored one.
         let resumable = work.route.idempotent && matches!(work.body, WorkBody::Completion(_));
         let keeps_bytes = resumable || work.idempotency_key.is_some();
-        let mut course = AttemptCourse {
-            plan: None,
-            excluded: Vec::new(),
-            attempt: 0,
-            progress: AnswerProgress::new(keeps_bytes),
-            may_have_run: false,
-            last: None,
-        };
+        let mut course = AttemptCourse::new(keeps_bytes);
         let end = self.run(work, &mut course, sink);
         end.map_err(|end| match end {
             ForwardEnd::Failed(error) => ForwardEnd::Failed(course.qualify(error)),
@@ -151,8 +143,7 @@
         loop {
             course.attempt += 1;
             let target = self.choose_target(work, course.plan.as_ref(), &course.excluded);
-            // After a failed attempt its error says more than the lack of a further upstream.
-            let target = target.map_err(|error| course.last.take().unwrap_or(error))?;
+            let target = target.map_err(|error| course.explain(error))?;
             let (target, error) = match self.address_incarnation(work, target) {
                 Ok(target) => {
                     let end = self.attempt(work, &target, course, sink);
@@ -163,9 +154,15 @@
                         AttemptEnd::Stopped { cause, incarnation } => {
                             return Err(self.stop(work, &target, cause, incarnation));
                         }
-                        AttemptEnd::Failed { error, incarnation } => (error, incarnation),
+                        AttemptEnd::Failed {
+                            error,
+                            crashed,
+                            incarnation,
+                        } => {
+                            self.note_attempt(work, &target, &error, crashed);
+                            (error, incarnation)
+                        }
                     };
-                    self.note_attempt(work, &target, &error);
                     match self.resolve(work, &target, incarnation, error) {
                         Resolution::Answered(record) => {
                             return self.replay(work, &record, course, sink);
@@ -354,11 +351,15 @@
     }
 
     /// Logs a failed attempt and counts a crash.
-    fn note_attempt(&self, work: &ForwardWork, target: &AttemptTarget, error: &ServiceError) {
+    fn note_attempt(
+        &self,
+        work: &ForwardWork,
+        target: &AttemptTarget,
+        error: &ServiceError,
+        crashed: bool,
+    ) {
         log_event!(self.logger(), events::ATTEMPT_FAILED; "request" => %work.request,
             "upstream" => %target.upstream, "kind" => %error.kind);
-        let crashed =
-            error.kind == ErrorKind::UpstreamFailed && error.execution == ExecutionOutcome::Unknown;
         if !crashed {
             return;
         }
@@ -374,43 +375,6 @@
     }
 }
 
-/// The attempts of one request so far.
-pub(super) struct AttemptCourse {
-    pub(super) plan: Option<KeyPlan>,
-    pub(super) excluded: Vec<ObjectName>,
-    pub(super) attempt: u8,
-    pub(super) progress: AnswerProgress,
-    may_have_run: bool,
-    last: Option<ServiceError>,
-}
-
-impl AttemptCourse {
-    fn note(&mut self, error: &ServiceError) {
-        self.may_have_run |= error.execution != ExecutionOutcome::NotRun;
-    }
-
-    /// Prepares the next attempt after one that failed at `target`.
-    fn advance(&mut self, target: &AttemptTarget, error: ServiceError) {
-        if let Some(plan) = self.plan.as_mut() {
-            plan.advance(error.kind);
-        }
-        // A restarted agent is as good as any other; the next attempt addresses its incarnation.
-        let restarted = error.kind == ErrorKind::WrongIncarnation;
-        if !restarted && !self.excluded.contains(&target.upstream) {
-            self.excluded.push(target.upstream.clone());
-        }
-        self.last = Some(error);
-    }
-
-    /// Takes back a `not_run` that only the last attempt proves (`docs/design.md`, G12).
-    fn qualify(&self, error: ServiceError) -> ServiceError {
-        if self.may_have_run && error.execution == ExecutionOutcome::NotRun {
-            return ServiceError::unknown(error.kind, error.detail);
-        }
-        error
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|poison| poison.into_inner())
 }
--- a/crates/catkindeck-entry/src/forward/mod.rs
+++ b/crates/catkindeck-entry/src/forward/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod attempt;
+mod course;
 mod crash;
 mod forwarder;
 mod homes;
--- a/crates/catkindeck-entry/src/forward/retry.rs
+++ b/crates/catkindeck-entry/src/forward/retry.rs
@@ -1,7 +1,7 @@
 //! Whether a failed attempt is followed by another.
 
 use {
-    super::{ForwardWork, RequestForwarder, forwarder::AttemptCourse},
+    super::{ForwardWork, RequestForwarder, course::AttemptCourse},
     catkindeck::{ErrorKind, ExecutionOutcome, ServiceError, message::WorkBody},
 };
 
--- a/crates/catkindeck-entry/tests/common/mod.rs
+++ b/crates/catkindeck-entry/tests/common/mod.rs
@@ -395,6 +395,17 @@
     Step::Frame(PeerFrame::Refused {
         request: request.request,
         error,
+        crashed: false,
+        load: Box::new(load(number)),
+    })
+}
+
+/// The upstream broke the connection while it ran the request.
+pub fn crashed(request: &ExecuteRequest, number: u8) -> Step {
+    Step::Frame(PeerFrame::Refused {
+        request: request.request,
+        error: ServiceError::unknown(ErrorKind::UpstreamFailed, "the upstream crashed"),
+        crashed: true,
         load: Box::new(load(number)),
     })
 }
--- a/crates/catkindeck-entry/tests/outcomes.rs
+++ b/crates/catkindeck-entry/tests/outcomes.rs
@@ -272,8 +272,7 @@
             number,
             agent(1, |request, _| {
                 if request.digest == BodyDigest([66; 32]) {
-                    let error = ServiceError::unknown(ErrorKind::UpstreamFailed, "crashed");
-                    return vec![started(request, 1), refused(request, error, 1)];
+                    return vec![started(request, 1), crashed(request, 1)];
                 }
                 vec![
                     started(request, 1),
@@ -308,6 +307,24 @@
     assert_eq!(other.0, "fine");
 }
 
+/// Guards against quarantine for bodies that upstreams merely answer with a failure.
+#[test]
+fn failed_answer_is_no_crash() {
+    let bench = Bench::new();
+    for number in [1, 2] {
+        bench.link.set(
+            number,
+            agent(1, |request, _| {
+                let error = ServiceError::unknown(ErrorKind::UpstreamFailed, "answered 500");
+                vec![started(request, 1), refused(request, error, 1)]
+            }),
+        );
+    }
+    for _ in 0..2 {
+        assert_eq!(bench.fail(&completion(66)).kind, ErrorKind::UpstreamFailed);
+    }
+}
+
 /// Guards against a body that crashes two more upstreams on each entry.
 #[test]
 fn crashes_reported_by_peers_count() {
--- a/crates/catkindeck/src/message.rs
+++ b/crates/catkindeck/src/message.rs
@@ -143,6 +143,9 @@
         request: RequestId,
         /// The error, with what is known about the execution.
         error: ServiceError,
+        /// Whether the upstream broke the connection while it ran the request, as it does when it
+        /// crashes; such bodies are counted for quarantine, and mere failures are not.
+        crashed: bool,
         /// The load, which makes a refusal useful to the router.
         load: Box<LoadReport>,
     },
