--- /dev/null
+++ b/crates/catkindeck-cli/tests/pages.rs
@@ -0,0 +1,344 @@
+//! Tests that the pages in docs/ agree with the code.
+
+use {
+    catkindeck::ErrorKind,
+    std::{
+        collections::BTreeSet,
+        fs,
+        path::{Path, PathBuf},
+    },
+};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn read(path: &str) -> String {
+    let path = root().join(path);
+    fs::read_to_string(&path).unwrap_or_else(|error| panic!("{}: {error}", path.display()))
+}
+
+/// Returns the cells of a table's row, without the backticks around code.
+fn cells(line: &str) -> Option<Vec<String>> {
+    let row = line.trim().strip_prefix('|')?.strip_suffix('|')?;
+    let cell = |cell: &str| cell.trim().trim_matches('`').to_owned();
+    Some(row.split('|').map(cell).collect())
+}
+
+/// Guards against a table of errors that differs from what callers and scripts are given.
+#[test]
+fn the_table_of_errors_is_that_of_the_code() {
+    let page = read("docs/errors.md");
+    let kinds = ErrorKind::ALL.map(|kind| {
+        let answer = kind.answer();
+        let retryable = if answer.retryable { "yes" } else { "no" };
+        [
+            answer.name.to_owned(),
+            answer.status.to_string(),
+            answer.exit_code.to_string(),
+            retryable.to_owned(),
+        ]
+    });
+    let rows = page.lines().filter_map(cells).filter(|row| row.len() == 6);
+    let rows: Vec<[String; 4]> = rows
+        .skip_while(|row| row[0] != "kind")
+        .skip(2)
+        .map(|row| {
+            [
+                row[0].clone(),
+                row[1].clone(),
+                row[2].clone(),
+                row[3].clone(),
+            ]
+        })
+        .collect();
+    assert_eq!(rows, kinds);
+}
+
+/// An event as both the code and the catalogue name it.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct EventLine {
+    number: u16,
+    name: String,
+    level: String,
+}
+
+/// Finds events written as `LogEvent { number: 1, ... }` and as rows of a crate's own macro,
+/// `NAME = 1, "name", Level, "text";`.
+fn events_in_code(source: &str) -> Vec<EventLine> {
+    let after = |block: &str, field: &str| -> String {
+        let start = block
+            .find(field)
+            .unwrap_or_else(|| panic!("no {field} in {block}"));
+        let rest = &block[start + field.len()..];
+        rest[..rest.find(',').unwrap()]
+            .trim()
+            .trim_matches('"')
+            .to_owned()
+    };
+    let blocks = source.split("LogEvent {").skip(1).filter(|block| {
+        let number = block.trim_start().strip_prefix("number:");
+        number.is_some_and(|number| {
+            number
+                .trim_start()
+                .starts_with(|c: char| c.is_ascii_digit())
+        })
+    });
+    let mut events: Vec<EventLine> = blocks
+        .map(|block| EventLine {
+            number: after(block, "number:").replace('_', "").parse().unwrap(),
+            name: after(block, "name:"),
+            level: after(block, "Level::").to_lowercase(),
+        })
+        .collect();
+    // A row of a macro may be broken over several lines, but ends in a semicolon.
+    for statement in source.split(';') {
+        let Some((_, row)) = statement.rsplit_once(" = ") else {
+            continue;
+        };
+        let parts: Vec<&str> = row.split(',').map(str::trim).collect();
+        let (Some(Ok(number)), true) = (parts.first().map(|part| part.parse()), parts.len() >= 4)
+        else {
+            continue;
+        };
+        events.push(EventLine {
+            number,
+            name: parts[1].trim_matches('"').to_owned(),
+            level: parts[2].to_lowercase(),
+        });
+    }
+    events
+}
+
+fn rust_files(directory: &Path, files: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(directory).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            rust_files(&path, files);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            files.push(path);
+        }
+    }
+}
+
+/// Guards against events that operators cannot look up, and entries for events that do not exist.
+#[test]
+fn the_catalogue_of_events_is_that_of_the_code() {
+    let page = read("docs/events.md");
+    // Each section gives the range of numbers of one crate.
+    let ranges = [
+        ("catkindeck-entry", 1),
+        ("catkindeck-agent", 2),
+        ("catkindeck-store", 3),
+        ("catkindeck-control", 4),
+        ("catkindeck-wire", 5),
+        ("catkindeck-health", 6),
+    ];
+    let mut in_code = Vec::new();
+    let mut crates_with_events = BTreeSet::new();
+    for entry in fs::read_dir(root().join("crates")).unwrap() {
+        let directory = entry.unwrap().path();
+        let name = directory.file_name().unwrap().to_str().unwrap().to_owned();
+        let mut files = Vec::new();
+        rust_files(&directory.join("src"), &mut files);
+        for file in files {
+            let events = events_in_code(&fs::read_to_string(&file).unwrap());
+            if events.is_empty() {
+                continue;
+            }
+            assert_eq!(file.file_name().unwrap(), "events.rs", "{}", file.display());
+            let thousands = ranges.iter().find(|(other, _)| *other == name);
+            let thousands = thousands.unwrap_or_else(|| panic!("{name} has no range")).1;
+            assert!(
+                events.iter().all(|event| event.number / 1000 == thousands),
+                "{name}"
+            );
+            crates_with_events.insert(name.clone());
+            in_code.extend(events);
+        }
+    }
+    let rows = page
+        .lines()
+        .filter_map(cells)
+        .filter(|row| row[0].parse::<u16>().is_ok());
+    let mut on_page: Vec<EventLine> = rows
+        .map(|row| {
+            assert!(
+                row.len() == 5 && row.iter().all(|cell| !cell.is_empty()),
+                "{row:?}"
+            );
+            EventLine {
+                number: row[0].parse().unwrap(),
+                name: row[1].clone(),
+                level: row[2].clone(),
+            }
+        })
+        .collect();
+    in_code.sort();
+    on_page.sort();
+    assert!(crates_with_events.len() >= 5, "{crates_with_events:?}");
+    assert_eq!(on_page, in_code);
+    let numbers: BTreeSet<u16> = in_code.iter().map(|event| event.number).collect();
+    assert_eq!(numbers.len(), in_code.len(), "a number is used twice");
+}
+
+/// Returns the public fields of a struct in TOML's names.
+fn fields_in_code(source: &str, name: &str) -> Vec<String> {
+    let start = source
+        .find(&format!("pub struct {name} {{"))
+        .unwrap_or_else(|| panic!("{name}"));
+    let body = &source[start..];
+    let body = &body[..body.find("\n}").unwrap()];
+    let mut renamed = None;
+    let mut fields = Vec::new();
+    for line in body.lines().map(str::trim) {
+        if let Some((_, rest)) = line.split_once("rename = \"") {
+            renamed = rest.split('"').next().map(str::to_owned);
+        }
+        if let Some((field, _)) = line
+            .strip_prefix("pub ")
+            .and_then(|line| line.split_once(':'))
+        {
+            fields.push(renamed.take().unwrap_or_else(|| field.to_owned()));
+        }
+    }
+    fields
+}
+
+/// Returns the rows of the table below a heading.
+fn rows_below(page: &str, heading: &str) -> Vec<Vec<String>> {
+    let lines = page
+        .lines()
+        .skip_while(|line| line.trim_start_matches('#').trim() != heading);
+    let section = lines.skip(1).take_while(|line| !line.starts_with('#'));
+    section.filter_map(cells).skip(2).collect()
+}
+
+/// The raw types of each file, with the heading of their table on the page.
+type SettingsFile = (&'static str, &'static [(&'static str, &'static str)]);
+
+const SETTINGS: [SettingsFile; 6] = [
+    (
+        "crates/catkindeck-entry/src/settings.rs",
+        &[
+            ("RawEntry", "Entry"),
+            ("RawPeer", "Entry peers"),
+            ("RawLimits", "Entry limits"),
+            ("RawTimeouts", "Entry timeouts"),
+        ],
+    ),
+    (
+        "crates/catkindeck-agent/src/settings.rs",
+        &[
+            ("RawAgent", "Agent"),
+            ("RawUpstream", "Agent upstream"),
+            ("RawPeers", "Agent peers"),
+            ("RawTimeouts", "Agent timeouts"),
+            ("RawLimits", "Agent limits"),
+        ],
+    ),
+    (
+        "crates/catkindeck/src/process.rs",
+        &[
+            ("RawProcess", "Every process"),
+            ("RawLog", "Log"),
+            ("RawTls", "TLS"),
+        ],
+    ),
+    (
+        "crates/catkindeck-control/src/intent/raw.rs",
+        &[
+            ("RawCustomer", "Customers"),
+            ("RawKey", "Keys"),
+            ("RawService", "Services"),
+            ("RawRoute", "Routes"),
+            ("RawZone", "Zones"),
+            ("RawUpstream", "Upstreams"),
+            ("RawRun", "Runs"),
+        ],
+    ),
+    (
+        "crates/catkindeck-cli/src/burn/objective.rs",
+        &[
+            ("RawObjectives", "Objectives"),
+            ("RawWindow", "Windows"),
+            ("RawObjective", "Objective"),
+        ],
+    ),
+    (
+        "crates/catkindeck-cli/src/load/profile.rs",
+        &[
+            ("RawLoad", "Load profiles"),
+            ("RawCustomerLoad", "Load customers"),
+        ],
+    ),
+];
+
+/// Guards against settings that the page does not explain, and explanations of absent settings.
+#[test]
+fn the_page_of_settings_lists_the_fields_of_the_code() {
+    let page = read("docs/settings.md");
+    let tables = SETTINGS.iter().flat_map(|(file, types)| {
+        types
+            .iter()
+            .map(move |(name, heading)| (file, name, heading))
+    });
+    for (file, name, heading) in tables {
+        let rows = rows_below(&page, heading);
+        let listed: Vec<&str> = rows.iter().map(|row| row[0].as_str()).collect();
+        assert_eq!(
+            listed,
+            fields_in_code(&read(file), name),
+            "{file}, {name}, `{heading}`"
+        );
+        assert!(
+            rows.iter().all(|row| row.len() == 5 && !row[4].is_empty()),
+            "{heading}"
+        );
+    }
+}
+
+/// Guards against defaults on the page that differ from those in force.
+#[test]
+fn the_page_of_settings_gives_the_defaults_of_the_code() {
+    let page = read("docs/settings.md");
+    let defaults = [
+        (
+            "Entry limits",
+            format!("{:?}", catkindeck_entry::settings::RawLimits::default()),
+        ),
+        (
+            "Entry timeouts",
+            format!("{:?}", catkindeck_entry::settings::RawTimeouts::default()),
+        ),
+        (
+            "Agent limits",
+            format!("{:?}", catkindeck_agent::settings::RawLimits::default()),
+        ),
+        (
+            "Agent timeouts",
+            format!("{:?}", catkindeck_agent::settings::RawTimeouts::default()),
+        ),
+        (
+            "Log",
+            format!("{:?}", catkindeck::process::RawLog::default()),
+        ),
+    ];
+    for (heading, code) in defaults {
+        let (_, fields) = code.split_once('{').unwrap();
+        let fields = fields.trim_end_matches('}').split(',').map(|field| {
+            let (name, value) = field.split_once(':').unwrap();
+            [
+                name.trim().to_owned(),
+                value.trim().trim_matches('"').to_owned(),
+            ]
+        });
+        let fields: Vec<[String; 2]> = fields.collect();
+        let rows = rows_below(&page, heading);
+        let rows: Vec<[String; 2]> = rows
+            .iter()
+            .map(|row| [row[0].clone(), row[2].clone()])
+            .collect();
+        assert_eq!(rows, fields, "{heading}");
+    }
+}
