Write declarations as a configuration file for entries without a store

Cause: an entry can start from a configuration file, but nothing made one from declarations.

Ruled out: entries that read declarations themselves, because added and removed times of upstreams follow from the configuration before.

Before: such files were written by hand. After: tests/command.rs opens the file with the entry's own reader and sees revisions 1, 1 and 2.

Conclusion: for one entry; several entries share their configuration by the store.

--- a/crates/catkindeck-cli/src/arguments.rs
+++ b/crates/catkindeck-cli/src/arguments.rs
@@ -289,6 +289,10 @@
     #[argh(option)]
     pub load: Vec<PathBuf>,
 
+    /// file for the declarations as one configuration, for entries without a store (`config_file`)
+    #[argh(option)]
+    pub snapshot: Option<PathBuf>,
+
     /// declaration files, or directories whose *.toml files are all taken; checked together
     #[argh(positional)]
     pub paths: Vec<PathBuf>,
--- a/crates/catkindeck-cli/src/check_command.rs
+++ b/crates/catkindeck-cli/src/check_command.rs
@@ -2,17 +2,27 @@
 
 use {
     crate::{
-        arguments::CheckArguments, burn::read_objectives, files::read_declarations,
-        intent_command::check_declarations, load::read_profile, output::CommandReport,
+        arguments::CheckArguments,
+        burn::read_objectives,
+        files::{read_declarations, replace_file, unreadable},
+        intent_command::check_declarations,
+        load::read_profile,
+        output::CommandReport,
     },
     catkindeck::{
         ErrorKind, ServiceError,
+        config::ConfigSnapshot,
         settings::{SettingsError, SettingsText},
     },
     catkindeck_agent::AgentSettings,
+    catkindeck_control::intent::{DeclaredIntent, compare},
     catkindeck_entry::settings::EntrySettings,
     serde_json::json,
-    std::path::Path,
+    std::{
+        fs, io,
+        path::Path,
+        time::{SystemTime, UNIX_EPOCH},
+    },
 };
 
 /// Checks every named file and reports all that are faulty.
@@ -39,6 +49,9 @@
     }
     if !arguments.paths.is_empty() {
         take(declarations(arguments));
+    } else if arguments.snapshot.is_some() {
+        let detail = "--snapshot needs declarations";
+        take(Err(ServiceError::not_run(ErrorKind::BadRequest, detail)));
     }
     let checked = lines.len() + faults.len();
     if checked == 0 {
@@ -58,6 +71,9 @@
 fn declarations(arguments: &CheckArguments) -> Result<String, ServiceError> {
     let texts = read_declarations(&arguments.paths)?;
     let intent = check_declarations(&texts)?;
+    if let Some(path) = &arguments.snapshot {
+        write_snapshot(&intent, path)?;
+    }
     Ok(format!(
         "{} declaration files are valid: {} customers, {} keys, {} services, {} routes, {} zones, \
          {} upstreams, {} runs",
@@ -72,6 +88,30 @@
     ))
 }
 
+/// Writes the configuration that follows the one in the file; an entry takes up higher revisions.
+fn write_snapshot(intent: &DeclaredIntent, path: &Path) -> Result<(), ServiceError> {
+    let current: ConfigSnapshot = match fs::read(path) {
+        Ok(bytes) => serde_json::from_slice(&bytes).map_err(|error| {
+            let detail = format!("{} is not a configuration: {error}", path.display());
+            ServiceError::not_run(ErrorKind::Conflict, detail)
+        })?,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => ConfigSnapshot::default(),
+        Err(error) => return Err(unreadable(path, &error)),
+    };
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let now_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+    let next = intent.to_snapshot(&current, now_ms);
+    if compare(&current, &next).is_empty() {
+        return Ok(());
+    }
+    let text = serde_json::to_string_pretty(&next).map_err(|error| {
+        ServiceError::not_run(ErrorKind::Internal, format!("cannot encode: {error}"))
+    })?;
+    replace_file(path, &text)
+}
+
 fn settings(
     path: &Path,
     kind: &str,
--- a/crates/catkindeck-cli/tests/command.rs
+++ b/crates/catkindeck-cli/tests/command.rs
@@ -207,3 +207,27 @@
         2
     );
 }
+
+/// Guards against a configuration file that an entry does not take up, or that counts up for nothing.
+#[test]
+fn a_snapshot_follows_the_one_in_the_file() {
+    let directory = tempdir().unwrap();
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let path = directory.path().join("snapshot.json");
+    let write = |text: &str| {
+        fs::write(directory.path().join("a.toml"), text).unwrap();
+        let words = ["check-config", "--snapshot", "snapshot.json", "a.toml"];
+        let (code, text) = outcome(&run(directory.path(), nowhere, &words));
+        assert_eq!(code, 0, "{text}");
+        let logger = catkindeck::log::discard_logger();
+        let source = catkindeck_entry::source::FileSource::open(&path, logger).unwrap();
+        let current = catkindeck_control::source::ConfigSource::current(&*source);
+        (current.revision.0, current.customers[0].weight)
+    };
+    assert_eq!(write(DECLARATIONS), (1, 1));
+    assert_eq!(write(DECLARATIONS), (1, 1));
+    assert_eq!(
+        write(&DECLARATIONS.replace("\"courts\"\n\n[[zones", "\"courts\"\nweight = 3\n\n[[zones")),
+        (2, 3)
+    );
+}
