Call engines in their own protocol when sides are compared

Cause: a trial against an entry, an agent and the stand-in engine gave 215 of 215 direct calls as http_400, because the load tool sent the entry's form of a completion to the engine.

Ruled out: a stand-in that accepts both forms, because agents speak only the engine's.

Change: direct completions carry a request id and are whole only with the end line. A comparison without figures of both sides ends with an exit code.

Before: no ratio. The test's stand-in now answers only the engine's form, which fails with the code before.

--- a/crates/catkindeck-cli/src/load/caller.rs
+++ b/crates/catkindeck-cli/src/load/caller.rs
@@ -6,7 +6,10 @@
         schedule::{CallSide, LoadSlot},
     },
     crate::files::unreadable,
-    catkindeck::ServiceError,
+    catkindeck::{
+        ServiceError,
+        id::{ObjectName, RequestId},
+    },
     serde_json::{Value, json},
     std::{
         fs,
@@ -119,12 +122,7 @@
         };
         let url = format!("{address}{path}");
         if let Some(model) = &customer.model {
-            let body = json!({
-                "model": model,
-                "prompt": prompt(slot.number, customer.prompt_words),
-                "max_tokens": customer.max_tokens,
-                "stream": customer.stream,
-            });
+            let body = completion_body(slot, customer, model);
             let request = self.agent.post(url);
             return match key {
                 Some(key) => request.header("authorization", key).send_json(body),
@@ -144,6 +142,27 @@
     }
 }
 
+/// Returns the body in the form of the side that is called.
+fn completion_body(slot: &LoadSlot, customer: &CustomerLoad, model: &ObjectName) -> Value {
+    let prompt = prompt(slot.number, customer.prompt_words);
+    match slot.side {
+        CallSide::Entry => json!({
+            "model": model,
+            "prompt": prompt,
+            "max_tokens": customer.max_tokens,
+            "stream": customer.stream,
+        }),
+        // The engine's own protocol, as an agent speaks it.
+        CallSide::Direct => json!({
+            "request_id": RequestId::random().to_string(),
+            "model": model,
+            "prompt": prompt,
+            "max_tokens": customer.max_tokens,
+            "priority": 0,
+        }),
+    }
+}
+
 /// Reads an answer and checks that it is whole.
 fn read_response(
     mut response: Response<Body>,
@@ -217,13 +236,17 @@
     Ok(())
 }
 
-/// Reads an engine's own lines, one for each token.
+/// Reads an engine's own lines, one for each token, up to the end line.
 fn read_engine_lines(reader: impl BufRead, record: &mut CallRecord) -> Result<(), String> {
     for line in reader.lines() {
         let line = line.map_err(|_| "truncated".to_owned())?;
-        record.tokens += u64::from(line.contains("\"token\""));
+        let parsed: Value = serde_json::from_str(&line).map_err(|_| "malformed".to_owned())?;
+        if parsed["done"] == true {
+            return Ok(());
+        }
+        record.tokens += 1;
     }
-    Ok(())
+    Err("truncated".to_owned())
 }
 
 fn prompt(number: u64, words: u64) -> String {
--- a/crates/catkindeck-cli/src/load/mod.rs
+++ b/crates/catkindeck-cli/src/load/mod.rs
@@ -46,7 +46,8 @@
     let tally = generate(&profile, arguments.compare)?;
     let report = LoadReport::new(&profile, &tally);
     let mut command = CommandReport::success(describe_load(&report), &report)?;
-    if report.finished == 0 {
+    // A comparison without figures of both sides is no comparison.
+    if report.finished == 0 || (arguments.compare && report.ratio.is_none()) {
         command.failure = Some(ErrorKind::NoUpstream);
     }
     Ok(command)
--- a/crates/catkindeck-cli/tests/support/mod.rs
+++ b/crates/catkindeck-cli/tests/support/mod.rs
@@ -92,7 +92,13 @@
         }
         "/v1/completions" => reply.whole(200, &[], whole.as_bytes()),
         "/cut" => reply.whole(200, &[], events.as_bytes()),
-        "/engine" => reply.whole(200, &[], b"{\"token\": 1}\n{\"token\": 2}\n"),
+        "/engine" => {
+            let request: serde_json::Value = serde_json::from_slice(&call.body)?;
+            let known = request["request_id"].is_string() && request["prompt"].is_string();
+            let lines = "{\"token\": \"a\", \"version\": 1}\n".repeat(2);
+            let end = if known { "{\"done\": true}\n" } else { "" };
+            reply.whole(200, &[], format!("{lines}{end}").as_bytes())
+        }
         path => {
             let header = call.header("authorization");
             let answer = admin.handle(AdminRequest {
