Fuzz the application of plans with racing operators and lost answers

Cause: a plan must be applied at most once, and its outcome must be told truly, whatever operators and the store do.

Ruled out: a model with clocks and processes, because the outcome depends only on the order of calls.

Change: tests/intent_fuzz.rs runs sequences of plans, applications with store faults and questions for outcomes against a record of what was written. The seed is fixed unless PROPTEST_CASES is set.

Before: single cases only.

--- /dev/null
+++ b/crates/catkindeck-control/tests/intent_fuzz.rs
@@ -0,0 +1,250 @@
+//! Racing operators, lost answers and slow nodes against a record of what was really written.
+
+use {
+    catkindeck::{
+        ServiceError,
+        config::{ConfigRevision, ConfigSnapshot, ZoneRecord, ZoneState},
+        id::ObjectName,
+    },
+    catkindeck_control::intent::{
+        ApplyOutcome, CommitOutcome, ConfigLedger, IntentAmendment, IntentApplier, IntentStatement,
+        LoadView, PlanId, SpreadState,
+    },
+    proptest::{
+        prelude::{Just, ProptestConfig, Strategy, any, prop_oneof, proptest},
+        test_runner::RngSeed,
+    },
+    std::sync::Mutex,
+};
+
+const ZONES: [&str; 2] = ["vault-a", "vault-b"];
+
+/// What the store does with the next commit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum StoreFault {
+    None,
+    LostBeforeWrite,
+    LostAfterWrite,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// An operator plans to set a zone's state and keeps the plan.
+    Plan { zone: usize, out: bool },
+    /// An operator applies a kept plan, whether or not it was applied before.
+    Apply {
+        plan: usize,
+        fault: StoreFault,
+        waiting: bool,
+    },
+    /// An operator asks for the outcome of a kept plan.
+    Outcome { plan: usize },
+}
+
+/// The store, with the plan that made each revision.
+struct RecordLedger {
+    revisions: Mutex<Vec<(ConfigSnapshot, Option<PlanId>)>>,
+    fault: Mutex<StoreFault>,
+    waiting: Mutex<bool>,
+}
+
+impl RecordLedger {
+    fn new() -> Self {
+        let zones = ZONES.map(|zone| ZoneRecord {
+            name: ObjectName::try_from(zone).unwrap(),
+            region: ObjectName::try_from("tvm").unwrap(),
+            state: ZoneState::In,
+        });
+        let first = ConfigSnapshot {
+            zones: zones.to_vec(),
+            ..ConfigSnapshot::default()
+        };
+        Self {
+            revisions: Mutex::new(vec![(first, None)]),
+            fault: Mutex::new(StoreFault::None),
+            waiting: Mutex::new(false),
+        }
+    }
+
+    fn applier(&self) -> IntentApplier<'_> {
+        IntentApplier {
+            ledger: self,
+            view: LoadView::default(),
+            now_ms: 0,
+        }
+    }
+
+    /// Returns the revisions that a plan made.
+    fn made_by(&self, id: &PlanId) -> Vec<u64> {
+        let revisions = self.revisions.lock().unwrap();
+        let made = revisions
+            .iter()
+            .filter(|(_, plan)| plan.as_ref() == Some(id));
+        made.map(|(snapshot, _)| snapshot.revision.0).collect()
+    }
+}
+
+impl ConfigLedger for RecordLedger {
+    fn head(&self) -> Result<ConfigSnapshot, ServiceError> {
+        Ok(self.revisions.lock().unwrap().last().unwrap().0.clone())
+    }
+
+    fn at(&self, revision: ConfigRevision) -> Result<Option<ConfigSnapshot>, ServiceError> {
+        let index = usize::try_from(revision.0).unwrap();
+        let revisions = self.revisions.lock().unwrap();
+        Ok(revisions.get(index).map(|(snapshot, _)| snapshot.clone()))
+    }
+
+    fn commit(&self, id: &PlanId, next: &ConfigSnapshot) -> Result<CommitOutcome, ServiceError> {
+        let mut revisions = self.revisions.lock().unwrap();
+        if revisions.last().unwrap().0.revision != id.base {
+            return Ok(CommitOutcome::Moved);
+        }
+        let fault = *self.fault.lock().unwrap();
+        if fault != StoreFault::LostBeforeWrite {
+            revisions.push((next.clone(), Some(id.clone())));
+        }
+        Ok(match fault {
+            StoreFault::None => CommitOutcome::Committed(next.revision),
+            StoreFault::LostBeforeWrite | StoreFault::LostAfterWrite => CommitOutcome::Unknown,
+        })
+    }
+
+    fn spread(&self, _revision: ConfigRevision) -> Result<SpreadState, ServiceError> {
+        Ok(SpreadState {
+            waiting: u32::from(*self.waiting.lock().unwrap()),
+            ..SpreadState::default()
+        })
+    }
+}
+
+/// A kept plan with what its operator was told for certain.
+struct KeptPlan {
+    id: PlanId,
+    statement: IntentStatement,
+    is_empty: bool,
+    told: Option<ApplyOutcome>,
+}
+
+/// Compares an answer with the record, and with what the operator was told before.
+fn check(ledger: &RecordLedger, plan: &mut KeptPlan, outcome: ApplyOutcome) {
+    let made = ledger.made_by(&plan.id);
+    assert!(made.len() <= 1, "a plan was applied twice");
+    let head = ledger.head().unwrap().revision;
+    match &outcome {
+        ApplyOutcome::Accepted { revision } if plan.is_empty => assert_eq!(*revision, plan.id.base),
+        ApplyOutcome::Accepted { revision } => {
+            // An equal plan of another operator has the same id and content.
+            assert_eq!(made, [revision.0]);
+            assert_eq!(revision.0, plan.id.base.0 + 1);
+        }
+        ApplyOutcome::Refused { changed, .. } => {
+            assert!(made.is_empty(), "an applied plan is called refused");
+            assert!(head > plan.id.base);
+            let back = ledger.at(plan.id.base).unwrap().unwrap() == {
+                let mut now = ledger.head().unwrap();
+                now.revision = plan.id.base;
+                now
+            };
+            assert_eq!(changed.is_empty(), back, "what changed is not told");
+        }
+        ApplyOutcome::NotApplied { .. } => {
+            assert!(made.is_empty(), "an applied plan is called not applied");
+            assert_eq!(head, plan.id.base);
+        }
+        ApplyOutcome::Unknown { .. } => return,
+    }
+    // Accepted and refused are final.
+    match &plan.told {
+        Some(ApplyOutcome::Accepted { .. }) => assert_eq!(plan.told.as_ref(), Some(&outcome)),
+        Some(ApplyOutcome::Refused { .. }) => {
+            assert!(matches!(outcome, ApplyOutcome::Refused { .. }));
+        }
+        _ => {}
+    }
+    plan.told = Some(outcome);
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fault = prop_oneof![
+        3 => Just(StoreFault::None),
+        1 => Just(StoreFault::LostBeforeWrite),
+        1 => Just(StoreFault::LostAfterWrite),
+    ];
+    prop_oneof![
+        (0..ZONES.len(), any::<bool>()).prop_map(|(zone, out)| Step::Plan { zone, out }),
+        (any::<usize>(), fault, any::<bool>()).prop_map(|(plan, fault, waiting)| Step::Apply {
+            plan,
+            fault,
+            waiting
+        }),
+        any::<usize>().prop_map(|plan| Step::Outcome { plan }),
+    ]
+}
+
+/// Uses a fixed seed, so that every run gives the same verdict; with `PROPTEST_CASES` set, new
+/// cases are drawn.
+fn config() -> ProptestConfig {
+    let rng_seed = if std::env::var_os("PROPTEST_CASES").is_some() {
+        RngSeed::Random
+    } else {
+        RngSeed::Fixed(20_261_204)
+    };
+    ProptestConfig {
+        rng_seed,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against a plan that is applied twice, undone unseen, or whose outcome is told wrongly
+    /// or changes.
+    #[test]
+    fn every_answer_agrees_with_what_was_written(
+        steps in proptest::collection::vec(step(), 1..40),
+    ) {
+        let ledger = RecordLedger::new();
+        let mut plans: Vec<KeptPlan> = Vec::new();
+        for step in steps {
+            let count = plans.len().max(1);
+            match step {
+                Step::Plan { zone, out } => {
+                    let statement = IntentStatement::Amendment(IntentAmendment::SetZone {
+                        zone: ObjectName::try_from(ZONES[zone]).unwrap(),
+                        state: if out { ZoneState::Out } else { ZoneState::In },
+                    });
+                    let planned = ledger.applier().plan(&statement).unwrap();
+                    plans.push(KeptPlan {
+                        id: planned.id,
+                        statement,
+                        is_empty: planned.changes.is_empty(),
+                        told: None,
+                    });
+                }
+                Step::Apply { plan, fault, waiting } => {
+                    let Some(kept) = plans.get_mut(plan % count) else { continue };
+                    *ledger.fault.lock().unwrap() = fault;
+                    *ledger.waiting.lock().unwrap() = waiting;
+                    let outcome = ledger.applier().apply(&kept.statement, &kept.id, true).unwrap();
+                    check(&ledger, kept, outcome);
+                    *ledger.waiting.lock().unwrap() = false;
+                }
+                Step::Outcome { plan } => {
+                    let Some(kept) = plans.get_mut(plan % count) else { continue };
+                    let outcome = ledger.applier().outcome(&kept.id).unwrap();
+                    check(&ledger, kept, outcome);
+                }
+            }
+        }
+        // With the store and all nodes back, no outcome stays unknown.
+        for kept in &mut plans {
+            let outcome = ledger.applier().outcome(&kept.id).unwrap();
+            let settled = !matches!(outcome, ApplyOutcome::Unknown { .. });
+            assert!(settled, "an outcome stays unknown");
+            check(&ledger, kept, outcome);
+        }
+    }
+}
