Confirm amendments in two steps, and plan urgent ones again when overtaken

Cause: `zone` and `keys revoke` could not be confirmed by the id of a plan that was shown before, and with `--yes` they failed whenever another operator changed anything in between, which at target size happens every few seconds.

Ruled out: planning again after a plan was confirmed by its id or on the terminal, because the operator saw another state.

Change: `--dry-run` and `--plan ID`; with `--yes` a plan that was overtaken is made again, at most five times. The check of declarations exists once, in the control crate.

After: the new test in tests/command.rs sees three plans and success with `--yes`, and a refusal with what changed for a plan by its id.

Conclusion: none.

--- a/crates/catkindeck-cli/src/arguments.rs
+++ b/crates/catkindeck-cli/src/arguments.rs
@@ -133,8 +133,9 @@
 #[argh(
     subcommand,
     name = "zone",
-    example = "{command_name} out vault-a",
-    example = "{command_name} in vault-a --yes"
+    example = "Show the plan, ask, and apply:\n  {command_name} out vault-a",
+    example = "In two steps, as for a second pair of eyes:\n  {command_name} out vault-a --dry-run\n  \
+        {command_name} out vault-a --plan 7-3f..."
 )]
 pub struct ZoneArguments {
     /// the new state, `out` or `in`
@@ -145,6 +146,14 @@
     #[argh(positional)]
     pub zone: String,
 
+    /// show the plan and stop
+    #[argh(switch)]
+    pub dry_run: bool,
+
+    /// id of a plan that `--dry-run` showed, to confirm exactly that one
+    #[argh(option)]
+    pub plan: Option<String>,
+
     /// confirm the plan without asking
     #[argh(switch)]
     pub yes: bool,
@@ -229,6 +238,14 @@
     #[argh(positional)]
     pub label: String,
 
+    /// show the plan and stop
+    #[argh(switch)]
+    pub dry_run: bool,
+
+    /// id of a plan that `--dry-run` showed, to confirm exactly that one
+    #[argh(option)]
+    pub plan: Option<String>,
+
     /// confirm the plan without asking
     #[argh(switch)]
     pub yes: bool,
--- a/crates/catkindeck-cli/src/check_command.rs
+++ b/crates/catkindeck-cli/src/check_command.rs
@@ -5,7 +5,6 @@
         arguments::CheckArguments,
         burn::read_objectives,
         files::{read_declarations, replace_file, unreadable},
-        intent_command::check_declarations,
         load::read_profile,
         output::CommandReport,
     },
@@ -15,7 +14,7 @@
         settings::{SettingsError, SettingsText},
     },
     catkindeck_agent::AgentSettings,
-    catkindeck_control::intent::{DeclaredIntent, compare},
+    catkindeck_control::intent::{DeclaredIntent, check_declarations, compare},
     catkindeck_entry::settings::EntrySettings,
     serde_json::json,
     std::{
--- a/crates/catkindeck-cli/src/confirm.rs
+++ b/crates/catkindeck-cli/src/confirm.rs
@@ -7,7 +7,9 @@
         output::{CommandContext, CommandReport, write_line},
     },
     catkindeck::{ErrorKind, ServiceError},
-    catkindeck_control::intent::{ApplyOutcome, ApplyRequest, IntentPlan, IntentStatement, PlanId},
+    catkindeck_control::intent::{
+        ApplyOutcome, ApplyRequest, IntentAmendment, IntentPlan, IntentStatement, PlanId,
+    },
     std::{
         io::{self, BufRead, Write},
         thread,
@@ -18,6 +20,31 @@
 /// The time between questions for an outcome.
 const OUTCOME_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How often a plan that was confirmed in advance is made again.
+const PLAN_ATTEMPTS: u32 = 5;
+
+/// Which plan of an amendment is meant.
+#[derive(Debug, Clone, Copy)]
+pub enum ShownPlan<'a> {
+    /// One that is shown now and then confirmed.
+    Now,
+    /// One that is only shown.
+    Dry,
+    /// One that was shown before, by its id.
+    Before(&'a str),
+}
+
+impl<'a> ShownPlan<'a> {
+    /// Takes the choice from the options `--dry-run` and `--plan`.
+    pub fn new(dry_run: bool, plan: Option<&'a str>) -> Self {
+        match (dry_run, plan) {
+            (true, _) => Self::Dry,
+            (false, Some(id)) => Self::Before(id),
+            (false, None) => Self::Now,
+        }
+    }
+}
+
 /// How a plan is confirmed and awaited.
 #[derive(Debug, Clone, Copy)]
 pub struct ConfirmOptions {
@@ -29,31 +56,66 @@
     pub wait_ms: u64,
 }
 
-/// Plans a statement, shows the plan, has it confirmed and applies exactly that plan.
+/// Amends the configuration by a plan that is shown and confirmed, or by one shown before.
 ///
 /// `reminder` tells which declaration the operator must change as well.
-pub fn plan_and_apply(
+pub fn amend(
     context: &CommandContext,
-    statement: IntentStatement,
+    amendment: IntentAmendment,
+    shown: ShownPlan<'_>,
     options: ConfirmOptions,
     reminder: &str,
 ) -> Result<CommandReport, ServiceError> {
-    let client = AdminClient::open(context)?;
-    let plan: IntentPlan = client.post("/v1/intent/plan", &statement)?;
-    if !context.json {
-        write_line(&mut io::stdout(), &describe_plan(&plan));
-    }
-    if !plan.changes.is_empty() && !options.yes && !ask(context)? {
-        let detail = "the plan was not confirmed; nothing is changed";
-        return Err(ServiceError::not_run(ErrorKind::Conflict, detail));
-    }
-    let mut report = apply_plan(&client, statement, plan.id, options)?;
-    if report.failure.is_none() && !reminder.is_empty() {
+    let statement = IntentStatement::Amendment(amendment);
+    let mut report = match shown {
+        ShownPlan::Dry => {
+            let plan: IntentPlan =
+                AdminClient::open(context)?.post("/v1/intent/plan", &statement)?;
+            return CommandReport::success(describe_plan(&plan), &plan);
+        }
+        ShownPlan::Before(id) => apply_plan(
+            &AdminClient::open(context)?,
+            statement,
+            id.parse()?,
+            options,
+        )?,
+        ShownPlan::Now => plan_and_apply(context, statement, options)?,
+    };
+    if report.failure.is_none() {
         report.text = format!("{}\n{reminder}", report.text);
     }
     Ok(report)
 }
 
+/// Plans a statement, shows the plan, has it confirmed and applies exactly that plan.
+///
+/// With confirmation given in advance, a plan that another change overtook is made again: the
+/// operator agreed to the statement, and changes arrive every few seconds at target size.
+pub fn plan_and_apply(
+    context: &CommandContext,
+    statement: IntentStatement,
+    options: ConfirmOptions,
+) -> Result<CommandReport, ServiceError> {
+    let client = AdminClient::open(context)?;
+    let mut attempt = 1;
+    loop {
+        let plan: IntentPlan = client.post("/v1/intent/plan", &statement)?;
+        if !context.json {
+            write_line(&mut io::stdout(), &describe_plan(&plan));
+        }
+        if !plan.changes.is_empty() && !options.yes && !ask(context)? {
+            let detail = "the plan was not confirmed; nothing is changed";
+            return Err(ServiceError::not_run(ErrorKind::Conflict, detail));
+        }
+        let report = apply_plan(&client, statement.clone(), plan.id, options)?;
+        let overtaken = report.failure == Some(ErrorKind::Conflict);
+        if !(overtaken && options.yes && attempt < PLAN_ATTEMPTS) {
+            return Ok(report);
+        }
+        attempt += 1;
+    }
+}
+
 /// Applies a confirmed plan and waits for its outcome.
 pub fn apply_plan(
     client: &AdminClient,
--- a/crates/catkindeck-cli/src/intent_command.rs
+++ b/crates/catkindeck-cli/src/intent_command.rs
@@ -4,16 +4,14 @@
     crate::{
         admin_client::AdminClient,
         arguments::{ApplyArguments, PlanArguments, StatusArguments, ZoneArguments},
-        confirm::{ConfirmOptions, apply_plan, plan_and_apply, report_outcome},
+        confirm::{ConfirmOptions, ShownPlan, amend, apply_plan, plan_and_apply, report_outcome},
         files::read_declarations,
         output::{CommandContext, CommandReport, columns},
     },
-    catkindeck::{
-        ErrorKind, ServiceError, config::ZoneState, id::ObjectName, settings::SettingsText,
-    },
+    catkindeck::{ErrorKind, ServiceError, config::ZoneState, id::ObjectName},
     catkindeck_control::intent::{
-        ApplyOutcome, CapacityVerdict, DeclarationFile, DeclarationText, DeclaredIntent,
-        IntentAmendment, IntentPlan, IntentStatement, IntentStatus, PlanId, ServiceCapacity,
+        ApplyOutcome, CapacityVerdict, IntentAmendment, IntentPlan, IntentStatement, IntentStatus,
+        PlanId, ServiceCapacity, check_declarations,
     },
     std::path::PathBuf,
 };
@@ -54,7 +52,7 @@
             let id: PlanId = id.parse()?;
             apply_plan(&AdminClient::open(context)?, statement, id, options)
         }
-        None => plan_and_apply(context, statement, options, ""),
+        None => plan_and_apply(context, statement, options),
     }
 }
 
@@ -87,7 +85,8 @@
         }
     };
     let zone = ObjectName::try_from(arguments.zone.as_str())?;
-    let statement = IntentStatement::Amendment(IntentAmendment::SetZone { zone, state });
+    let amendment = IntentAmendment::SetZone { zone, state };
+    let shown = ShownPlan::new(arguments.dry_run, arguments.plan.as_deref());
     let options = ConfirmOptions {
         yes: arguments.yes,
         accept_shortfall: arguments.accept_shortfall,
@@ -97,7 +96,7 @@
         "If the declarations give zone {} a `state`, set it to \"{}\" as well.",
         arguments.zone, arguments.state
     );
-    plan_and_apply(context, statement, options, &reminder)
+    amend(context, amendment, shown, options, &reminder)
 }
 
 /// Reads and checks declarations, so that faults show without asking an entry.
@@ -107,16 +106,6 @@
     Ok(IntentStatement::Declarations(texts))
 }
 
-/// Checks declarations together.
-pub fn check_declarations(texts: &[DeclarationText]) -> Result<DeclaredIntent, ServiceError> {
-    let parse =
-        |text: &DeclarationText| DeclarationFile::parse(SettingsText::new(&text.file, &text.text));
-    let files: Result<Vec<DeclarationFile>, _> = texts.iter().map(parse).collect();
-    files
-        .and_then(|files| DeclaredIntent::try_from(files.as_slice()))
-        .map_err(|fault| ServiceError::not_run(ErrorKind::BadRequest, fault.to_string()))
-}
-
 /// Describes a plan for people.
 pub fn describe_plan(plan: &IntentPlan) -> String {
     if plan.changes.is_empty() {
--- a/crates/catkindeck-cli/src/key_command.rs
+++ b/crates/catkindeck-cli/src/key_command.rs
@@ -6,7 +6,7 @@
         arguments::{
             KeyAction, KeyArguments, KeyCreateArguments, KeyDigestArguments, KeyRevokeArguments,
         },
-        confirm::{ConfirmOptions, plan_and_apply},
+        confirm::{ConfirmOptions, ShownPlan, amend},
         files::{append_file, unreadable, write_secret},
         output::{CommandContext, CommandReport, columns},
     },
@@ -14,7 +14,7 @@
         ErrorKind, ServiceError,
         id::{KeyDigest, ObjectName},
     },
-    catkindeck_control::intent::{IntentAmendment, IntentStatement, IntentStatus},
+    catkindeck_control::intent::{IntentAmendment, IntentStatus},
     serde_json::json,
     std::fs,
 };
@@ -107,12 +107,13 @@
     let reminder = format!(
         "Set `revoked = true` in the declaration of key {label}, or the next plan adds it again."
     );
-    let statement = IntentStatement::Amendment(IntentAmendment::RevokeKey { label });
+    let amendment = IntentAmendment::RevokeKey { label };
+    let shown = ShownPlan::new(arguments.dry_run, arguments.plan.as_deref());
     let options = ConfirmOptions {
         yes: arguments.yes,
         // Capacity does not depend on keys, and a leaked key must go at any load.
         accept_shortfall: true,
         wait_ms: arguments.wait_ms,
     };
-    plan_and_apply(context, statement, options, &reminder)
+    amend(context, amendment, shown, options, &reminder)
 }
--- a/crates/catkindeck-cli/tests/command.rs
+++ b/crates/catkindeck-cli/tests/command.rs
@@ -4,8 +4,8 @@
 
 use {
     serde_json::Value,
-    std::fs,
-    support::{outcome, run, start_entry},
+    std::{fs, sync::Arc},
+    support::{MemoryLedger, outcome, run, start_entry, start_entry_on},
     tempfile::tempdir,
 };
 
@@ -49,7 +49,13 @@
     let (code, text) = command(&["zone", "out", "vault-a", "--yes"]);
     assert_eq!(code, 0, "{text}");
     assert!(text.contains("~ zone vault-a  state: in -> out"), "{text}");
-    let (code, text) = command(&["keys", "revoke", "courts-1", "--yes"]);
+    // In two steps, exactly the plan that was shown is applied.
+    let (code, text) = command(&["keys", "revoke", "courts-1", "--dry-run", "--json"]);
+    assert_eq!(code, 0, "{text}");
+    let shown: Value = serde_json::from_str(&text).unwrap();
+    let shown = shown["id"].as_str().unwrap();
+    assert_eq!(command(&["zone", "in", "vault-a", "--plan", shown]).0, 5);
+    let (code, text) = command(&["keys", "revoke", "courts-1", "--plan", shown]);
     assert_eq!(code, 0, "{text}");
     let (code, text) = command(&["status", "--outcome", id]);
     assert_eq!((code, text.trim()), (0, "accepted: in force as revision 1"));
@@ -66,6 +72,35 @@
     assert!(!text.contains("zone vault-a"), "{text}");
 }
 
+/// Guards against an urgent command that fails whenever another operator changes something else,
+/// and against one that was confirmed by its plan and then applied to another state.
+#[test]
+fn only_a_statement_confirmed_in_advance_is_planned_again() {
+    let directory = tempdir().unwrap();
+    let ledger = Arc::new(MemoryLedger::default());
+    let entry = start_entry_on(ledger.clone());
+    let command = |words: &[&str]| outcome(&run(directory.path(), entry, words));
+    fs::write(directory.path().join("a.toml"), DECLARATIONS).unwrap();
+    assert_eq!(command(&["apply", "--yes", "a.toml"]).0, 0);
+    ledger.overtake(2);
+    let (code, text) = command(&["zone", "out", "vault-a", "--yes"]);
+    assert_eq!(code, 0, "{text}");
+    assert_eq!(text.matches("Plan ").count(), 3, "{text}");
+    let (_, text) = command(&["zone", "in", "vault-a", "--dry-run", "--json"]);
+    let shown: Value = serde_json::from_str(&text).unwrap();
+    ledger.overtake(1);
+    let words = [
+        "zone",
+        "in",
+        "vault-a",
+        "--plan",
+        shown["id"].as_str().unwrap(),
+    ];
+    let (code, text) = command(&words);
+    assert_eq!(code, 5, "{text}");
+    assert!(text.contains("~ customer courts  weight: 3 -> 4"), "{text}");
+}
+
 /// Guards against keys that leak into declarations, and digests that do not match the key.
 #[test]
 fn a_created_key_is_shown_once_and_declared_by_digest() {
--- a/crates/catkindeck-cli/tests/support/mod.rs
+++ b/crates/catkindeck-cli/tests/support/mod.rs
@@ -30,6 +30,15 @@
 #[derive(Default)]
 pub struct MemoryLedger {
     revisions: Mutex<Vec<ConfigSnapshot>>,
+    /// The number of commits that another operator's change overtakes.
+    races: Mutex<u32>,
+}
+
+impl MemoryLedger {
+    /// Lets another operator's change overtake the next commits.
+    pub fn overtake(&self, commits: u32) {
+        *self.races.lock().unwrap() = commits;
+    }
 }
 
 impl ConfigLedger for MemoryLedger {
@@ -55,7 +64,20 @@
     }
 
     fn commit(&self, _id: &PlanId, next: &ConfigSnapshot) -> Result<CommitOutcome, ServiceError> {
-        self.revisions.lock().unwrap().push(next.clone());
+        let mut revisions = self.revisions.lock().unwrap();
+        let mut races = self.races.lock().unwrap();
+        if *races > 0 {
+            *races -= 1;
+            let mut other = revisions.last().cloned().unwrap_or_default();
+            other.revision.0 += 1;
+            other
+                .customers
+                .iter_mut()
+                .for_each(|customer| customer.weight += 1);
+            revisions.push(other);
+            return Ok(CommitOutcome::Moved);
+        }
+        revisions.push(next.clone());
         Ok(CommitOutcome::Committed(next.revision))
     }
 
@@ -72,7 +94,11 @@
 
 /// Starts the stand-in on a free port; it lives as long as the test process.
 pub fn start_entry() -> SocketAddr {
-    let ledger = Arc::new(MemoryLedger::default());
+    start_entry_on(Arc::new(MemoryLedger::default()))
+}
+
+/// Starts the stand-in on a ledger.
+pub fn start_entry_on(ledger: Arc<MemoryLedger>) -> SocketAddr {
     let operators = vec![KeyDigest::of(OPERATOR_KEY)];
     let admin = IntentAdmin::new(ledger.clone(), ledger, operators);
     let handler: StreamHandler = Arc::new(move |call, reply| answer(&admin, call, reply));
--- a/crates/catkindeck-control/src/intent/amendment.rs
+++ b/crates/catkindeck-control/src/intent/amendment.rs
@@ -62,16 +62,23 @@
         now_ms: u64,
     ) -> Result<ConfigSnapshot, ServiceError> {
         match self {
-            Self::Declarations(texts) => Ok(check_texts(texts)?.to_snapshot(current, now_ms)),
+            Self::Declarations(texts) => {
+                Ok(check_declarations(texts)?.to_snapshot(current, now_ms))
+            }
             Self::Amendment(amendment) => amend(amendment, current),
         }
     }
 }
 
-fn check_texts(texts: &[DeclarationText]) -> Result<DeclaredIntent, ServiceError> {
+/// Checks declaration files together.
+///
+/// # Errors
+///
+/// Returns `bad_request` with file, line, field and expectation of the first fault.
+pub fn check_declarations(texts: &[DeclarationText]) -> Result<DeclaredIntent, ServiceError> {
     let parse =
         |text: &DeclarationText| DeclarationFile::parse(SettingsText::new(&text.file, &text.text));
-    let files: Result<Vec<_>, _> = texts.iter().map(parse).collect();
+    let files: Result<Vec<DeclarationFile>, _> = texts.iter().map(parse).collect();
     files
         .and_then(|files| DeclaredIntent::try_from(files.as_slice()))
         .map_err(|fault| ServiceError::not_run(ErrorKind::BadRequest, fault.to_string()))
--- a/crates/catkindeck-control/src/intent/mod.rs
+++ b/crates/catkindeck-control/src/intent/mod.rs
@@ -19,7 +19,7 @@
 
 pub use {
     admin::{AdminAnswer, AdminRequest, ApplyRequest, IntentAdmin, IntentStatus, KeyStatus},
-    amendment::{DeclarationText, IntentAmendment, IntentStatement},
+    amendment::{DeclarationText, IntentAmendment, IntentStatement, check_declarations},
     apply::{ApplyOutcome, IntentApplier},
     capacity::{CapacityVerdict, LoadRecord, LoadView, ServiceCapacity, StartOrder, judge},
     declared::{DeclarationFile, DeclaredIntent, DeclaredKey, DeclaredUpstream, DeclaredZone},
