Compare configurations by bisection

Cause: comparing two configurations and keeping removed upstreams searched linearly for each object, which grows with the square of 5,700 upstreams and the customers' keys.

Ruled out: comparing encoded parts, which does not tell the fields that changed.

Change: the lists that are compared are sorted and searched by bisection.

Before: about 32 million comparisons of names for 5,700 upstreams.

--- a/crates/catkindeck-control/src/intent/declared.rs
+++ b/crates/catkindeck-control/src/intent/declared.rs
@@ -13,7 +13,7 @@
         id::ObjectName,
         settings::{SettingsError, SettingsText},
     },
-    std::{net::SocketAddr, path::Path},
+    std::{collections::BTreeSet, net::SocketAddr, path::Path},
     toml::Spanned,
 };
 
@@ -159,8 +159,9 @@
             }
         })
         .collect();
+    let names: BTreeSet<&ObjectName> = declared.iter().map(|upstream| &upstream.name).collect();
     for record in &current.upstreams {
-        let declared_again = declared.iter().any(|upstream| upstream.name == record.name);
+        let declared_again = names.contains(&record.name);
         let removed_ms = record.removed_ms.unwrap_or(now_ms);
         let retained = now_ms.saturating_sub(removed_ms) < EXECUTION_RETENTION_MS;
         if !declared_again && retained {
--- a/crates/catkindeck-control/src/intent/diff.rs
+++ b/crates/catkindeck-control/src/intent/diff.rs
@@ -178,9 +178,11 @@
         .upstreams
         .iter()
         .filter(|record| record.removed_ms.is_none());
-    present
+    let mut list: NamedFields = present
         .map(|record| (record.name.to_string(), fields(record)))
-        .collect()
+        .collect();
+    list.sort();
+    list
 }
 
 fn fields_of<R: Serialize>(record: &R) -> Vec<(String, String)> {
@@ -198,23 +200,28 @@
         .collect()
 }
 
+/// Compares two lists that are sorted by name, which at target size hold thousands of objects.
 fn compare_lists(
     kind: ObjectKind,
     before: &NamedFields,
     after: &NamedFields,
     changes: &mut Vec<IntentChange>,
 ) {
+    let find = |list: &NamedFields, name: &String| {
+        list.binary_search_by(|(other, _)| other.cmp(name)).ok()
+    };
     for (name, old) in before {
-        let Some((_, new)) = after.iter().find(|(other, _)| other == name) else {
+        let Some(index) = find(after, name) else {
             changes.push(change(ChangeAction::Remove, kind, name, old, &[]));
             continue;
         };
+        let new = &after[index].1;
         if old != new {
             changes.push(change(ChangeAction::Change, kind, name, old, new));
         }
     }
     for (name, new) in after {
-        if !before.iter().any(|(other, _)| other == name) {
+        if find(before, name).is_none() {
             changes.push(change(ChangeAction::Add, kind, name, &[], new));
         }
     }
