State type faults in settings in the terms of TOML

Cause: a trial with a text in place of a number said "expected i64", which operators need not know.

Ruled out: own deserializers for each type, because only the message differs.

Change: the parser's Rust types are restated, as in "expected a whole number" or "expected a list".

Before: "expected i64", "expected a sequence". After: two more cases of tests/intent.rs pass.

Conclusion: none.

--- a/crates/catkindeck-control/tests/intent.rs
+++ b/crates/catkindeck-control/tests/intent.rs
@@ -160,6 +160,12 @@
 #[test]
 fn faults_name_file_line_field_and_expectation() {
     let cases = [
+        (
+            "weight = 4",
+            "weight = \"4\"",
+            "base.toml:4: weight: invalid type: string \"4\", expected a whole number",
+        ),
+        ("[[customers]]", "[customers]", "expected a list"),
         (
             "weight = 4",
             "weigth = 4",
--- a/crates/catkindeck/src/settings.rs
+++ b/crates/catkindeck/src/settings.rs
@@ -114,7 +114,7 @@
             let field = line_text.split('=').next().unwrap_or("-").trim();
             (
                 if field.is_empty() { "-" } else { field }.to_owned(),
-                message.to_owned(),
+                in_terms_of_toml(message),
             )
         };
         SettingsError {
@@ -145,6 +145,23 @@
     }
 }
 
+/// Restates what the parser expected in the terms of TOML instead of Rust.
+fn in_terms_of_toml(message: &str) -> String {
+    let Some((got, expected)) = message.rsplit_once("expected ") else {
+        return message.to_owned();
+    };
+    let expected = match expected {
+        "u8" | "u16" | "u32" | "u64" | "usize" => "a whole number that is not negative",
+        "i8" | "i16" | "i32" | "i64" | "isize" => "a whole number",
+        "f32" | "f64" => "a number",
+        "a sequence" => "a list",
+        "a map" => "a table",
+        other if other.starts_with("struct ") => "a table",
+        other => other,
+    };
+    format!("{got}expected {expected}")
+}
+
 fn describe_unknown(field: &str, known: &[&str]) -> String {
     match nearest_word(field, known) {
         Some(nearest) => {
