--- a/crates/catkindeck-bench/src/gate.rs
+++ b/crates/catkindeck-bench/src/gate.rs
@@ -215,17 +215,16 @@
         }
     }
 
-    /// Takes a queued request out and tells whether it was there.
-    pub fn withdraw(&mut self, id: u32) -> bool {
+    /// Takes a queued request out, if it is queued.
+    pub fn withdraw(&mut self, id: u32) -> Option<ModelWork> {
         match self {
             Self::Fifo { queue, .. } => {
-                let before = queue.len();
-                queue.retain(|work| work.id != id);
-                queue.len() < before
+                let place = queue.iter().position(|work| work.id == id)?;
+                queue.remove(place)
             }
             Self::Fair { queue, waiting, .. } => {
                 queue.withdraw(&request_id(id));
-                waiting.remove(&id).is_some()
+                waiting.remove(&id)
             }
         }
     }
