Measure a zone that leaves, returns and fails

Cause: decisions 5 and 17 have targets and nothing measured them.

Change: the bench takes a zone out and back with its engines cold, and in a second run lets it vanish; amplification is taken over the worst 10 s.

--- a/crates/catkindeck-bench/src/lib.rs
+++ b/crates/catkindeck-bench/src/lib.rs
@@ -10,11 +10,13 @@
 pub mod gate;
 pub mod random;
 pub mod report;
+pub mod zone;
 
 use {
     deployment::{DEPLOYMENTS, Deployment},
     gate::PolicyKind,
     report::{BenchReport, ReportRow, Target},
+    zone::ZoneEvent,
 };
 
 /// Runs every measurement.
@@ -22,6 +24,7 @@
     let mut rows = Vec::new();
     for deployment in DEPLOYMENTS {
         rows.extend(fairness_rows(deployment, seed));
+        rows.extend(zone_rows(deployment, seed));
     }
     rows.sort_by_key(|row| row.measure);
     BenchReport { seed, rows }
@@ -54,3 +57,52 @@
         ),
     ]
 }
+
+fn zone_rows(deployment: Deployment, seed: u64) -> Vec<ReportRow> {
+    let kinds = [PolicyKind::Baseline, PolicyKind::Catkindeck];
+    let [baseline, policy] =
+        kinds.map(|kind| zone::measure(deployment, kind, ZoneEvent::Announced, seed));
+    let [failed_baseline, failed_policy] =
+        kinds.map(|kind| zone::measure(deployment, kind, ZoneEvent::Failed, seed));
+    let row = |figure, baseline, catkindeck, target: Option<Target>| ReportRow {
+        measure: 5,
+        deployment: deployment.name,
+        figure,
+        baseline,
+        catkindeck,
+        target,
+        listed: true,
+    };
+    vec![
+        row(
+            "last start of work after the zone is out, s",
+            baseline.last_start_s,
+            policy.last_start_s,
+            Some(Target::AtMost(2.0)),
+        ),
+        row(
+            "time the returned engines are overloaded, %",
+            baseline.overload_percent,
+            policy.overload_percent,
+            Some(Target::AtMost(0.0)),
+        ),
+        row(
+            "requests not answered whole, zone taken out, %",
+            baseline.unanswered_percent,
+            policy.unanswered_percent,
+            None,
+        ),
+        row(
+            "attempts for each request in 10 s, zone failed",
+            failed_baseline.amplification,
+            failed_policy.amplification,
+            Some(Target::AtMost(1.1)),
+        ),
+        row(
+            "requests not answered whole, zone failed, %",
+            failed_baseline.unanswered_percent,
+            failed_policy.unanswered_percent,
+            None,
+        ),
+    ]
+}
--- a/crates/catkindeck-bench/src/random.rs
+++ b/crates/catkindeck-bench/src/random.rs
@@ -8,12 +8,12 @@
     /// Makes the generator of the model numbered `stream`.
     pub fn new(seed: u64, stream: u64) -> Self {
         let mut random = Self(seed ^ stream.wrapping_mul(0xD6E8_FEB8_6659_FD93));
-        random.next();
+        random.bits();
         random
     }
 
     /// Draws 64 bits.
-    pub fn next(&mut self) -> u64 {
+    pub fn bits(&mut self) -> u64 {
         self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
         let mut value = self.0;
         value = (value ^ (value >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
@@ -23,7 +23,7 @@
 
     /// Draws a number from 0 inclusive to 1 exclusive.
     pub fn unit(&mut self) -> f64 {
-        (self.next() >> 11) as f64 / (1u64 << 53) as f64
+        (self.bits() >> 11) as f64 / (1u64 << 53) as f64
     }
 
     /// Draws a number from `low` inclusive to `high` exclusive.
