Bound saved retries by recent requests

Cause: a budget saved ten retries whatever its flow, and each entry has a budget of its own, so the worst 10 s after a zone failure had more than 1.1 attempts for each request.

Ruled out: a smaller fixed number.

--- a/crates/catkindeck-bench/src/zone.rs
+++ b/crates/catkindeck-bench/src/zone.rs
@@ -68,7 +68,8 @@
 struct ZoneRun {
     fleet: ModelFleet,
     kind: PolicyKind,
-    budget: RetryBudget,
+    /// One budget at each entry; requests alternate between the entries.
+    budgets: [RetryBudget; 2],
     tried: BTreeMap<u32, Vec<usize>>,
     requests: u64,
     unanswered: u64,
@@ -86,7 +87,7 @@
     let mut run = ZoneRun {
         fleet: ModelFleet::new(deployment, kind, seed),
         kind,
-        budget: RetryBudget::new(),
+        budgets: [RetryBudget::new(), RetryBudget::new()],
         tried: BTreeMap::new(),
         requests: 0,
         unanswered: 0,
@@ -170,8 +171,12 @@
         self.requests_out += u64::from(self.is_out());
         let customer = customer_name(work.customer);
         let now = self.fleet.now;
-        self.budget
-            .pay(now, Some(&customer), &object_name("drafts"), RETRY_PERCENT);
+        self.budgets[work.id as usize % 2].pay(
+            now,
+            Some(&customer),
+            &object_name("drafts"),
+            RETRY_PERCENT,
+        );
         self.attempt(work, Vec::new());
     }
 
@@ -198,7 +203,9 @@
                 let customer = customer_name(ended.work.customer);
                 let route = object_name("drafts");
                 let now = self.fleet.now;
-                self.budget.spend(now, Some(&customer), &route).is_ok()
+                self.budgets[ended.work.id as usize % 2]
+                    .spend(now, Some(&customer), &route)
+                    .is_ok()
             }
         };
         match allowed && self.fleet.now < ended.work.deadline {
--- a/crates/catkindeck-policy/src/retry.rs
+++ b/crates/catkindeck-policy/src/retry.rs
@@ -2,11 +2,12 @@
 
 use catkindeck::{ErrorKind, Moment, ServiceError, SortedMap, id::ObjectName};
 
-/// The most retries that a budget saves up.
+/// The time over which unused retries are saved up, in milliseconds.
 ///
-/// It bounds the burst when a zone fails after a long quiet time; ten cover one failed first
-/// attempt for each upstream of a small deployment's zone.
-const SAVED_RETRIES: u64 = 10;
+/// A fixed number of saved retries is a large part of a small customer's requests, and it adds up
+/// over the entries, each of which has its own budget; with ten, a failed zone showed 1.13 attempts
+/// for each request in its worst 10 s.
+const SAVING_MS: f64 = 5_000.0;
 
 /// How long an unused budget is kept, in milliseconds.
 const IDLE_BUDGET_MS: u64 = 600_000;
@@ -17,7 +18,8 @@
 /// Retries paid for by first attempts, for each customer and route (`docs/design.md`, decision 5).
 ///
 /// Each first attempt pays the customer's percentage; each retry costs 100. The budget starts
-/// empty, so attempts never exceed `1 + percent / 100` times the requests.
+/// empty, so attempts never exceed `1 + percent / 100` times the requests. What is saved is bounded
+/// by what about five seconds of requests pay, but at least one retry.
 #[derive(Debug, Clone, Default)]
 pub struct RetryBudget {
     balances: SortedMap<(Option<ObjectName>, ObjectName), RetryBalance>,
@@ -26,6 +28,8 @@
 #[derive(Debug, Clone, Copy)]
 struct RetryBalance {
     saved: u64,
+    /// The requests of about the last [`SAVING_MS`].
+    recent: f64,
     used_at: Moment,
 }
 
@@ -46,9 +50,13 @@
         let key = (customer.cloned(), route.clone());
         let balance = self.balances.get_or_insert_with(key, || RetryBalance {
             saved: 0,
+            recent: 0.0,
             used_at: now,
         });
-        balance.saved = (balance.saved + u64::from(percent)).min(SAVED_RETRIES * RETRY_COST);
+        let passed = now.since(balance.used_at) as f64;
+        balance.recent = balance.recent * SAVING_MS / (SAVING_MS + passed) + 1.0;
+        let bound = (balance.recent * f64::from(percent)) as u64;
+        balance.saved = (balance.saved + u64::from(percent)).min(bound.max(RETRY_COST));
         balance.used_at = now;
     }
 
@@ -67,9 +75,10 @@
         let key = (customer.cloned(), route.clone());
         let balance = self.balances.get_mut(&key);
         match balance {
-            Some(balance) if balance.saved >= RETRY_COST => {
+            Some(balance)
+                if balance.saved >= RETRY_COST && now.since(balance.used_at) < IDLE_BUDGET_MS =>
+            {
                 balance.saved -= RETRY_COST;
-                balance.used_at = now;
                 Ok(())
             }
             _ => Err(ServiceError::not_run(
