--- a/crates/catkindeck-bench/src/lib.rs
+++ b/crates/catkindeck-bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gate;
 pub mod random;
 pub mod report;
+pub mod spending;
 pub mod zone;
 
 use {
@@ -24,6 +25,7 @@
     let mut rows = Vec::new();
     for deployment in DEPLOYMENTS {
         rows.extend(fairness_rows(deployment, seed));
+        rows.extend(spending_rows(deployment, seed));
         rows.extend(zone_rows(deployment, seed));
     }
     rows.sort_by_key(|row| row.measure);
@@ -58,6 +60,35 @@
     ]
 }
 
+fn spending_rows(deployment: Deployment, seed: u64) -> Vec<ReportRow> {
+    let [baseline, policy] = [PolicyKind::Baseline, PolicyKind::Catkindeck]
+        .map(|kind| spending::measure(deployment, kind, seed));
+    let row = |figure, baseline, catkindeck, target: Option<Target>| ReportRow {
+        measure: 3,
+        deployment: deployment.name,
+        figure,
+        baseline,
+        catkindeck,
+        target,
+        listed: true,
+    };
+    vec![
+        row(
+            "running time to the least in hindsight",
+            baseline.cost_ratio,
+            policy.cost_ratio,
+            Some(Target::AtMost(1.15)),
+        ),
+        row(
+            "demand without a warm upstream, %",
+            baseline.unserved_percent,
+            policy.unserved_percent,
+            None,
+        ),
+        row("starts of upstreams", baseline.starts, policy.starts, None),
+    ]
+}
+
 fn zone_rows(deployment: Deployment, seed: u64) -> Vec<ReportRow> {
     let kinds = [PolicyKind::Baseline, PolicyKind::Catkindeck];
     let [baseline, policy] =
