Measure a trainer's idle time and the staleness of its samples

Change: the bench runs a trainer of 150 s steps with 1 % of samples ten times as long beside interactive load while a zone is out.

--- a/crates/catkindeck-bench/src/lib.rs
+++ b/crates/catkindeck-bench/src/lib.rs
@@ -11,12 +11,15 @@
 pub mod random;
 pub mod report;
 pub mod spending;
+pub mod steps;
+pub mod trainer;
 pub mod zone;
 
 use {
     deployment::{DEPLOYMENTS, Deployment},
     gate::PolicyKind,
     report::{BenchReport, ReportRow, Target},
+    trainer::TrainerCase,
     zone::ZoneEvent,
 };
 
@@ -24,6 +27,7 @@
 pub fn run(seed: u64) -> BenchReport {
     let mut rows = Vec::new();
     for deployment in DEPLOYMENTS {
+        rows.extend(trainer_rows(deployment, seed));
         rows.extend(fairness_rows(deployment, seed));
         rows.extend(spending_rows(deployment, seed));
         rows.extend(zone_rows(deployment, seed));
@@ -32,6 +36,52 @@
     BenchReport { seed, rows }
 }
 
+fn trainer_rows(deployment: Deployment, seed: u64) -> Vec<ReportRow> {
+    // A baseline without prediction stays within the bound only if the trainer opens one step ahead.
+    let measure =
+        |kind, ahead, slow| trainer::measure(deployment, kind, TrainerCase { ahead, slow }, seed);
+    let baseline = measure(PolicyKind::Baseline, 1, false);
+    let baseline_ahead = measure(PolicyKind::Baseline, 2, false);
+    let slow_baseline = measure(PolicyKind::Baseline, 1, true);
+    let policy = measure(PolicyKind::Catkindeck, 2, false);
+    let slow_policy = measure(PolicyKind::Catkindeck, 2, true);
+    let row = |figure, baseline, catkindeck, target: Option<Target>| ReportRow {
+        measure: 1,
+        deployment: deployment.name,
+        figure,
+        baseline,
+        catkindeck,
+        target,
+        listed: true,
+    };
+    vec![
+        row(
+            "trainer idle, 1 % long samples and a zone out, %",
+            baseline.idle_percent,
+            policy.idle_percent,
+            Some(Target::AtMost(5.0)),
+        ),
+        row(
+            "samples past the staleness bound, two steps ahead, %",
+            baseline_ahead.stale_percent,
+            policy.stale_percent,
+            Some(Target::AtMost(0.0)),
+        ),
+        row(
+            "tokens of samples that were not delivered, %",
+            baseline.wasted_percent,
+            policy.wasted_percent,
+            None,
+        ),
+        row(
+            "trainer idle, also one engine at a quarter speed, %",
+            slow_baseline.idle_percent,
+            slow_policy.idle_percent,
+            None,
+        ),
+    ]
+}
+
 fn fairness_rows(deployment: Deployment, seed: u64) -> Vec<ReportRow> {
     let [baseline, policy] = [PolicyKind::Baseline, PolicyKind::Catkindeck]
         .map(|kind| fairness::measure(deployment, kind, seed));
