Duplicate only attempts that are slow, not those that are long

Cause: near the end of a step every old attempt was duplicated, although the duplicate of a long sample is as long.

Ruled out: duplicating slow attempts before the tail; decision 12 keeps duplicates to the tail.

Change: the owner tells the tokens made so far; an old attempt is duplicated if it is below half the usual speed.

--- a/crates/catkindeck-bench/src/steps.rs
+++ b/crates/catkindeck-bench/src/steps.rs
@@ -108,6 +108,11 @@
         self.versions.insert(id, version);
     }
 
+    /// Learns how many tokens an attempt has made.
+    pub fn progressed(&mut self, member: MemberKey, id: u32, tokens: u64) {
+        self.policy.progressed(member, &request_id(id), tokens);
+    }
+
     /// Learns that an attempt ended without a result.
     pub fn refused(&mut self, member: MemberKey, id: u32) {
         self.versions.remove(&id);
--- a/crates/catkindeck-bench/src/trainer.rs
+++ b/crates/catkindeck-bench/src/trainer.rs
@@ -240,6 +240,8 @@
             self.wasted_tokens += ended.work.tokens;
             return;
         }
+        let tokens = ended.work.tokens as u64;
+        step.progressed(member, ended.work.id, tokens);
         for loser in step.accept(self.fleet.now, member, ended.work.id) {
             self.samples.remove(&loser);
             self.wasted_tokens += self.fleet.cancel(loser);
@@ -248,6 +250,12 @@
 
     fn treat_stragglers(&mut self) {
         let now = self.fleet.now;
+        for running in self.fleet.engines.iter().flat_map(|engine| &engine.running) {
+            if let Some((index, member)) = self.samples.get(&running.work.id) {
+                let tokens = (running.work.tokens - running.left) as u64;
+                self.steps[*index].progressed(*member, running.work.id, tokens);
+            }
+        }
         for index in self.current..self.steps.len() {
             for action in self.steps[index].policy.plan(now) {
                 if let StragglerAction::Duplicate(member) = action {
--- a/crates/catkindeck-policy/src/straggler.rs
+++ b/crates/catkindeck-policy/src/straggler.rs
@@ -10,8 +10,13 @@
 pub struct StragglerSettings {
     /// The part of a step's samples that must still be open for duplicates to begin, in percent.
     pub tail_percent: u32,
-    /// The age from which an attempt is duplicated, in percent of the usual duration.
+    /// The age from which an attempt may be duplicated, in percent of the usual duration.
     pub age_percent: u64,
+    /// The speed below which such an attempt is duplicated, in percent of the usual speed.
+    ///
+    /// An attempt that is old but makes tokens as fast as others is a long sample; a duplicate
+    /// would be as long and only cost tokens.
+    pub speed_percent: u64,
     /// The most duplicates in one step, in percent of its samples.
     pub duplicate_percent: u32,
 }
@@ -21,6 +26,7 @@
         Self {
             tail_percent: 5,
             age_percent: 300,
+            speed_percent: 50,
             duplicate_percent: 5,
         }
     }
@@ -49,13 +55,15 @@
     request: RequestId,
     started: Moment,
     priority: u8,
+    tokens: u64,
 }
 
 /// The open samples of one step and the attempts to produce them (`docs/design.md`, decision 12).
 ///
 /// A group can be used only when its last member is there, so members of nearly whole groups go
-/// first. Near the end of the step an attempt that takes far longer than usual is duplicated on
-/// another upstream; the first result wins and the loser is cancelled at once.
+/// first. Near the end of the step an attempt that is old and slow is duplicated on another upstream;
+/// the first result wins and the loser is cancelled at once. `progressed` must be called for every
+/// attempt, at the latest before its result is accepted.
 #[derive(Debug, Clone)]
 pub struct StragglerPolicy {
     settings: StragglerSettings,
@@ -66,6 +74,7 @@
     open: BTreeMap<MemberKey, Vec<AttemptState>>,
     group_open: Vec<u32>,
     usual_ms: f64,
+    usual_speed: f64,
 }
 
 impl StragglerPolicy {
@@ -83,6 +92,7 @@
             open: members.collect(),
             group_open: vec![group_size; groups as usize],
             usual_ms: 0.0,
+            usual_speed: 0.0,
         }
     }
 
@@ -103,10 +113,19 @@
                 request,
                 started: now,
                 priority,
+                tokens: 0,
             });
         }
     }
 
+    /// Learns how many tokens a request has made so far.
+    pub fn progressed(&mut self, member: MemberKey, request: &RequestId, tokens: u64) {
+        let attempts = self.open.get_mut(&member).into_iter().flatten();
+        for attempt in attempts.filter(|attempt| attempt.request == *request) {
+            attempt.tokens = tokens;
+        }
+    }
+
     /// Learns that a request ended without an acceptable result, and tells whether the sample has
     /// no attempt left.
     pub fn failed(&mut self, member: MemberKey, request: &RequestId) -> bool {
@@ -136,6 +155,8 @@
             let duration = now.since(winner.started) as f64;
             // The plain mean over the step is robust enough, since 1 % of samples are long.
             self.usual_ms += (duration - self.usual_ms) / f64::from(self.accepted);
+            let speed = winner.tokens as f64 / duration.max(1.0);
+            self.usual_speed += (speed - self.usual_speed) / f64::from(self.accepted);
         }
         let losers = attempts.iter().map(|attempt| attempt.request);
         losers.filter(|loser| loser != request).collect()
@@ -174,11 +195,13 @@
         let mut allowed = percent(self.settings.duplicate_percent).max(1);
         allowed = allowed.saturating_sub(u64::from(self.duplicates));
         let old_ms = self.usual_ms * self.settings.age_percent as f64 / 100.0;
+        let slow = self.usual_speed * self.settings.speed_percent as f64 / 100.0;
         let late = self.open.iter().filter(|(_, attempts)| {
             let [only] = attempts.as_slice() else {
                 return false;
             };
-            now.since(only.started) as f64 > old_ms
+            let age = now.since(only.started) as f64;
+            age > old_ms && only.tokens as f64 / age < slow
         });
         for (member, _) in late.take(usize::try_from(allowed).unwrap_or(usize::MAX)) {
             actions.push(StragglerAction::Duplicate(*member));
