Keep duplicates by age for owners that report no progress

Cause: with no progress reported the usual speed is zero, so no attempt counted as slow and duplicates stopped altogether; the owner of a run does not report progress yet.

Change: without any reported progress age alone decides, as before. Tests cover duplicates, priorities and the staleness forecast.

Before: without_progress_age_decides fails. After: it passes. Conclusion: the owner may report progress later.

--- a/crates/catkindeck-policy/src/straggler.rs
+++ b/crates/catkindeck-policy/src/straggler.rs
@@ -62,8 +62,8 @@
 ///
 /// A group can be used only when its last member is there, so members of nearly whole groups go
 /// first. Near the end of the step an attempt that is old and slow is duplicated on another upstream;
-/// the first result wins and the loser is cancelled at once. `progressed` must be called for every
-/// attempt, at the latest before its result is accepted.
+/// the first result wins and the loser is cancelled at once. An owner that never calls `progressed`
+/// has old attempts duplicated whatever their speed.
 #[derive(Debug, Clone)]
 pub struct StragglerPolicy {
     settings: StragglerSettings,
@@ -201,7 +201,8 @@
                 return false;
             };
             let age = now.since(only.started) as f64;
-            age > old_ms && only.tokens as f64 / age < slow
+            let is_slow = only.tokens as f64 / age.max(1.0) < slow;
+            age > old_ms && (is_slow || self.usual_speed == 0.0)
         });
         for (member, _) in late.take(usize::try_from(allowed).unwrap_or(usize::MAX)) {
             actions.push(StragglerAction::Duplicate(*member));
--- /dev/null
+++ b/crates/catkindeck-policy/tests/straggler.rs
@@ -0,0 +1,103 @@
+//! Guards against duplicates of long samples, losers that run on, and samples begun too late.
+
+mod common;
+
+use {
+    catkindeck::Moment,
+    catkindeck_policy::{
+        MemberKey, StalenessForecast, StragglerAction, StragglerPolicy, StragglerSettings,
+    },
+    common::request,
+};
+
+const LAST: MemberKey = MemberKey { group: 4, index: 3 };
+
+/// Returns the policy of a step whose samples are all accepted after 1 s but for the last one,
+/// which has made `tokens` in 10 s while the others made 100 in 1 s.
+fn nearly_whole_step(reported: bool, tokens: u64) -> StragglerPolicy {
+    let mut policy = StragglerPolicy::new(StragglerSettings::default(), 5, 4);
+    for number in 0..20 {
+        let member = MemberKey {
+            group: number / 4,
+            index: number % 4,
+        };
+        policy.sent(Moment(0), member, request(number));
+        if member == LAST {
+            continue;
+        }
+        if reported {
+            policy.progressed(member, &request(number), 100);
+        }
+        assert!(
+            policy
+                .accepted(Moment(1_000), member, &request(number))
+                .is_empty()
+        );
+    }
+    if reported {
+        policy.progressed(LAST, &request(19), tokens);
+    }
+    policy
+}
+
+#[test]
+fn a_slow_attempt_is_duplicated_once_and_its_loser_cancelled() {
+    let mut policy = nearly_whole_step(true, 200);
+    let actions = policy.plan(Moment(10_000));
+    assert!(actions.contains(&StragglerAction::Duplicate(LAST)));
+    policy.sent(Moment(10_000), LAST, request(20));
+    assert!(
+        !policy
+            .plan(Moment(30_000))
+            .contains(&StragglerAction::Duplicate(LAST))
+    );
+    assert_eq!(
+        policy.accepted(Moment(31_000), LAST, &request(20)),
+        [request(19)]
+    );
+    assert_eq!(policy.open_count(), 0);
+}
+
+#[test]
+fn a_long_attempt_at_usual_speed_is_left_alone() {
+    let mut policy = nearly_whole_step(true, 1_000);
+    assert!(
+        !policy
+            .plan(Moment(10_000))
+            .contains(&StragglerAction::Duplicate(LAST))
+    );
+}
+
+/// Guards against owners that report no progress and would never get a duplicate.
+#[test]
+fn without_progress_age_decides() {
+    let mut policy = nearly_whole_step(false, 0);
+    assert!(
+        policy
+            .plan(Moment(10_000))
+            .contains(&StragglerAction::Duplicate(LAST))
+    );
+}
+
+#[test]
+fn the_last_member_of_a_group_goes_first() {
+    let policy = nearly_whole_step(true, 0);
+    assert_eq!(policy.priority(LAST.group), 200);
+    let fresh = StragglerPolicy::new(StragglerSettings::default(), 5, 4);
+    assert_eq!(fresh.priority(0), 0);
+}
+
+#[test]
+fn a_sample_that_would_end_past_the_bound_waits_for_the_swap() {
+    let mut forecast = StalenessForecast::new();
+    for minute in 0..4 {
+        forecast.announced(Moment(minute * 60_000));
+    }
+    let now = Moment(3 * 60_000 + 50_000);
+    assert!(forecast.admits(now, 5_000, 0, 0));
+    assert!(!forecast.admits(now, 15_000, 0, 0));
+    assert!(forecast.admits(now, 15_000, 0, 1));
+    assert!(!forecast.admits(now, 15_000, 1, 1));
+    // A swap that is overdue may come at any moment.
+    assert_eq!(forecast.swaps_within(Moment(400_000), 0), 1);
+}
