--- a/crates/catkindeck-bench/src/lib.rs
+++ b/crates/catkindeck-bench/src/lib.rs
@@ -10,23 +10,78 @@
 pub mod gate;
 pub mod random;
 pub mod report;
+pub mod spending;
+pub mod steps;
+pub mod trainer;
+pub mod zone;
 
 use {
     deployment::{DEPLOYMENTS, Deployment},
     gate::PolicyKind,
     report::{BenchReport, ReportRow, Target},
+    trainer::TrainerCase,
+    zone::ZoneEvent,
 };
 
 /// Runs every measurement.
 pub fn run(seed: u64) -> BenchReport {
     let mut rows = Vec::new();
     for deployment in DEPLOYMENTS {
+        rows.extend(trainer_rows(deployment, seed));
         rows.extend(fairness_rows(deployment, seed));
+        rows.extend(spending_rows(deployment, seed));
+        rows.extend(zone_rows(deployment, seed));
     }
     rows.sort_by_key(|row| row.measure);
     BenchReport { seed, rows }
 }
 
+fn trainer_rows(deployment: Deployment, seed: u64) -> Vec<ReportRow> {
+    // A baseline without prediction stays within the bound only if the trainer opens one step ahead.
+    let measure =
+        |kind, ahead, slow| trainer::measure(deployment, kind, TrainerCase { ahead, slow }, seed);
+    let baseline = measure(PolicyKind::Baseline, 1, false);
+    let baseline_ahead = measure(PolicyKind::Baseline, 2, false);
+    let slow_baseline = measure(PolicyKind::Baseline, 1, true);
+    let policy = measure(PolicyKind::Catkindeck, 2, false);
+    let slow_policy = measure(PolicyKind::Catkindeck, 2, true);
+    let row = |figure, baseline, catkindeck, target: Option<Target>| ReportRow {
+        measure: 1,
+        deployment: deployment.name,
+        figure,
+        baseline,
+        catkindeck,
+        target,
+        listed: true,
+    };
+    vec![
+        row(
+            "trainer idle, 1 % long samples and a zone out, %",
+            baseline.idle_percent,
+            policy.idle_percent,
+            Some(Target::AtMost(5.0)),
+        ),
+        row(
+            "samples past the staleness bound, two steps ahead, %",
+            baseline_ahead.stale_percent,
+            policy.stale_percent,
+            Some(Target::AtMost(0.0)),
+        ),
+        row(
+            "tokens of samples that were not delivered, %",
+            baseline.wasted_percent,
+            policy.wasted_percent,
+            None,
+        ),
+        row(
+            "trainer idle, also one engine at a quarter speed, %",
+            slow_baseline.idle_percent,
+            slow_policy.idle_percent,
+            None,
+        ),
+    ]
+}
+
 fn fairness_rows(deployment: Deployment, seed: u64) -> Vec<ReportRow> {
     let [baseline, policy] = [PolicyKind::Baseline, PolicyKind::Catkindeck]
         .map(|kind| fairness::measure(deployment, kind, seed));
@@ -54,3 +109,81 @@
         ),
     ]
 }
+
+fn spending_rows(deployment: Deployment, seed: u64) -> Vec<ReportRow> {
+    let [baseline, policy] = [PolicyKind::Baseline, PolicyKind::Catkindeck]
+        .map(|kind| spending::measure(deployment, kind, seed));
+    let row = |figure, baseline, catkindeck, target: Option<Target>| ReportRow {
+        measure: 3,
+        deployment: deployment.name,
+        figure,
+        baseline,
+        catkindeck,
+        target,
+        listed: true,
+    };
+    vec![
+        row(
+            "running time to the least in hindsight",
+            baseline.cost_ratio,
+            policy.cost_ratio,
+            Some(Target::AtMost(1.15)),
+        ),
+        row(
+            "demand without a warm upstream, %",
+            baseline.unserved_percent,
+            policy.unserved_percent,
+            None,
+        ),
+        row("starts of upstreams", baseline.starts, policy.starts, None),
+    ]
+}
+
+fn zone_rows(deployment: Deployment, seed: u64) -> Vec<ReportRow> {
+    let kinds = [PolicyKind::Baseline, PolicyKind::Catkindeck];
+    let [baseline, policy] =
+        kinds.map(|kind| zone::measure(deployment, kind, ZoneEvent::Announced, seed));
+    let [failed_baseline, failed_policy] =
+        kinds.map(|kind| zone::measure(deployment, kind, ZoneEvent::Failed, seed));
+    let row = |figure, baseline, catkindeck, target: Option<Target>| ReportRow {
+        measure: 5,
+        deployment: deployment.name,
+        figure,
+        baseline,
+        catkindeck,
+        target,
+        listed: true,
+    };
+    vec![
+        row(
+            "last start of work after the zone is out, s",
+            baseline.last_start_s,
+            policy.last_start_s,
+            Some(Target::AtMost(2.0)),
+        ),
+        row(
+            "time the returned engines are overloaded, %",
+            baseline.overload_percent,
+            policy.overload_percent,
+            Some(Target::AtMost(0.0)),
+        ),
+        row(
+            "requests not answered whole, zone taken out, %",
+            baseline.unanswered_percent,
+            policy.unanswered_percent,
+            None,
+        ),
+        row(
+            "attempts for each request in 10 s, zone failed",
+            failed_baseline.amplification,
+            failed_policy.amplification,
+            Some(Target::AtMost(1.1)),
+        ),
+        row(
+            "requests not answered whole, zone failed, %",
+            failed_baseline.unanswered_percent,
+            failed_policy.unanswered_percent,
+            None,
+        ),
+    ]
+}
