Add the spread of the configuration

Entries need the newest configuration, must refuse keyed traffic when they cannot know it, and operators must be told the truth about a change.

The content is split into immutable parts; the head names them and moves only by compare-and-swap. Each committer records the head that it replaces, so a plan's outcome is found later by the content of the revision after its base. A taken part number belongs to an operator who lost a race and is skipped. Nodes hand their parts on to each other, a new node included.

Evidence therefore travels with its age, and without the store it needs a majority of the zones; an unreachable node counts as lapsed 10 s after a majority of the zones confirmed wholly. A node that had no evidence since its start does not count for its zone, since it may have forgotten what it confirmed.

New messages: ReadSpread and FetchShards with their answers, so that a change costs the changed parts and not the whole configuration.

--- a/crates/catkindeck-control/src/lib.rs
+++ b/crates/catkindeck-control/src/lib.rs
@@ -4,7 +4,10 @@
 //! Every entry links this crate and carries out the control work of the leases it holds, see
 //! `docs/design.md`, section 4.
 
+pub mod events;
 pub mod intent;
+pub mod members;
 pub mod run;
 pub mod source;
+pub mod spread;
 pub mod step;
--- a/crates/catkindeck-control/src/source.rs
+++ b/crates/catkindeck-control/src/source.rs
@@ -2,10 +2,8 @@
 
 use {
     catkindeck::{
-        ServiceError,
         config::{ConfigRevision, ConfigSnapshot},
-        id::RequestId,
-        message,
+        message::{PeerFrame, PeerRequest},
     },
     std::sync::Arc,
 };
@@ -13,9 +11,6 @@
 /// The name under which a [`ConfigSource`] is registered in the kernel.
 pub const CONFIG_SOURCE: &str = "config-source";
 
-/// The name under which a [`ConfigCommitter`] is registered in the kernel.
-pub const CONFIG_COMMITTER: &str = "config-committer";
-
 /// The age of the last sign of the newest configuration beyond which keyed traffic is refused, in
 /// milliseconds (`docs/design.md`, decision 9).
 pub const FRESHNESS_BOUND: u64 = 10_000;
@@ -38,58 +33,14 @@
     fn note_revision(&self, revision: ConfigRevision);
 }
 
-/// What became of a change of the configuration.
-#[message]
-pub enum CommitOutcome {
-    /// The change is in force on every live node as this revision.
-    Accepted(ConfigRevision),
-    /// Another change came first; nothing was changed by this one.
-    Refused {
-        /// The revision that is in force instead.
-        newer: ConfigRevision,
-    },
-    /// The outcome must be asked for later.
-    Unknown {
-        /// The identity by which [`ConfigCommitter::outcome`] finds the change.
-        id: OutcomeId,
-        /// The revision if the change is committed and only its spread is unconfirmed.
-        committed: Option<ConfigRevision>,
-    },
-}
-
-/// The identity of a change whose outcome can be asked for.
-#[message]
-#[derive(Copy)]
-pub struct OutcomeId {
-    /// The revision on which the change is based.
-    pub base: ConfigRevision,
-    /// The random part.
-    pub change: RequestId,
-}
+/// The name under which a [`SpreadPeer`] is registered in the kernel.
+pub const SPREAD_PEER: &str = "spread-peer";
 
-/// Commits changes of the configuration.
-pub trait ConfigCommitter: Send + Sync {
-    /// Commits `snapshot` over revision `base` and waits until it is in force.
-    ///
-    /// The revision inside `snapshot` is replaced by the next one. The lists are sorted here. A
-    /// caller that repeats a commit after a crash passes the same `change`, which is then committed
-    /// at most once.
-    ///
-    /// # Errors
-    ///
-    /// Returns `store_unavailable` with `not_run` if nothing was changed and the head could not be
-    /// read, and `too_large` if the content does not fit into the store.
-    fn commit(
-        &self,
-        change: RequestId,
-        base: ConfigRevision,
-        snapshot: ConfigSnapshot,
-    ) -> Result<CommitOutcome, ServiceError>;
-
-    /// Asks for the outcome of an earlier change.
-    ///
-    /// # Errors
+/// Answers other entries' calls about the configuration.
+pub trait SpreadPeer: Send + Sync {
+    /// Answers `request`, or returns `None` if it does not concern the configuration.
     ///
-    /// Returns `store_unavailable` if the head cannot be read.
-    fn outcome(&self, id: OutcomeId) -> Result<CommitOutcome, ServiceError>;
+    /// It serves `ReadRevision`, `ReadSpread`, `FetchConfiguration`, `FetchShards` and
+    /// `PushConfiguration`; the caller has checked that the peer may ask.
+    fn answer(&self, request: &PeerRequest) -> Option<PeerFrame>;
 }
--- /dev/null
+++ b/crates/catkindeck-control/src/spread/confirm.rs
@@ -0,0 +1,115 @@
+//! When a committed configuration is in force everywhere, without clock, thread or socket.
+
+use {
+    crate::{intent::SpreadState, source::FRESHNESS_BOUND},
+    catkindeck::{Moment, config::ConfigRevision, id::ObjectName},
+};
+
+/// Covers clocks that run apart by up to 5 % over the freshness bound.
+const CLOCK_MARGIN: u64 = FRESHNESS_BOUND / 20;
+
+/// A node that must confirm.
+#[derive(Debug, Clone)]
+pub struct ConfirmNode {
+    /// The host's name.
+    pub host: ObjectName,
+    /// The availability zone.
+    pub zone: ObjectName,
+    /// When it confirmed.
+    pub confirmed: Option<Moment>,
+}
+
+/// Collects confirmations of one revision.
+///
+/// A node that cannot be reached counts as lapsed only `FRESHNESS_BOUND` after a majority of the
+/// zones confirmed wholly: from then on neither the store nor a majority of the zones gives it
+/// evidence for an older revision.
+#[derive(Debug, Clone)]
+pub struct ConfirmTally {
+    revision: ConfigRevision,
+    committed: Moment,
+    zone_lists: [Vec<ObjectName>; 2],
+    nodes: Vec<ConfirmNode>,
+}
+
+impl ConfirmTally {
+    /// Starts for a revision known to be committed at `committed`; `zone_lists` are the zones of
+    /// the configuration before and of this one.
+    pub fn new(
+        revision: ConfigRevision,
+        committed: Moment,
+        zone_lists: [Vec<ObjectName>; 2],
+    ) -> Self {
+        Self {
+            revision,
+            committed,
+            zone_lists,
+            nodes: Vec::new(),
+        }
+    }
+
+    /// Sets the nodes of the host list, live and leaving; confirmations of nodes that stay are kept.
+    pub fn set_nodes(&mut self, nodes: impl Iterator<Item = (ObjectName, ObjectName)>) {
+        let former = std::mem::take(&mut self.nodes);
+        self.nodes = nodes
+            .map(|(host, zone)| {
+                let known = former.iter().find(|node| node.host == host);
+                ConfirmNode {
+                    confirmed: known.and_then(|node| node.confirmed),
+                    host,
+                    zone,
+                }
+            })
+            .collect();
+    }
+
+    /// Returns the nodes that have not confirmed.
+    pub fn missing(&self) -> Vec<ObjectName> {
+        let missing = self.nodes.iter().filter(|node| node.confirmed.is_none());
+        missing.map(|node| node.host.clone()).collect()
+    }
+
+    /// Learns which revision a node uses.
+    pub fn on_used(&mut self, host: &ObjectName, used: ConfigRevision, now: Moment) {
+        if used < self.revision {
+            return;
+        }
+        if let Some(node) = self.nodes.iter_mut().find(|node| node.host == *host) {
+            node.confirmed.get_or_insert(now);
+        }
+    }
+
+    /// Returns how far the revision has spread.
+    pub fn state(&self, now: Moment) -> SpreadState {
+        let missing = self.missing().len();
+        let lapsed = self
+            .majority_at()
+            .is_some_and(|at| now.since(at.max(self.committed)) > FRESHNESS_BOUND + CLOCK_MARGIN);
+        let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
+        SpreadState {
+            confirmed: count(self.nodes.len() - missing),
+            lapsed: if lapsed { count(missing) } else { 0 },
+            waiting: if lapsed { 0 } else { count(missing) },
+        }
+    }
+
+    /// Returns when a majority of the zones, of the lists before and after, had confirmed wholly.
+    fn majority_at(&self) -> Option<Moment> {
+        let [before, after] = &self.zone_lists;
+        let before = if before.is_empty() { after } else { before };
+        Some(self.majority_of(before)?.max(self.majority_of(after)?))
+    }
+
+    fn majority_of(&self, zones: &[ObjectName]) -> Option<Moment> {
+        let mut moments: Vec<Moment> = zones.iter().filter_map(|zone| self.zone_at(zone)).collect();
+        moments.sort_unstable();
+        moments.get(zones.len() / 2).copied()
+    }
+
+    /// Returns when the last node of a zone confirmed; a zone without nodes never does.
+    fn zone_at(&self, zone: &ObjectName) -> Option<Moment> {
+        let nodes = self.nodes.iter().filter(|node| node.zone == *zone);
+        let moments: Option<Vec<Moment>> = nodes.map(|node| node.confirmed).collect();
+        moments?.into_iter().max()
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/spread/head.rs
@@ -0,0 +1,217 @@
+//! The form of the configuration in the store and between peers.
+
+use {
+    catkindeck::{
+        ErrorKind, ServiceError, SortedMap,
+        config::{ConfigRevision, ConfigSnapshot},
+        message,
+        message::{ShardBytes, ShardRef},
+        platform::VALUE_LIMIT,
+    },
+    serde::{Serialize, de::DeserializeOwned},
+    std::sync::Arc,
+};
+
+/// The parts into which each list is split by the hash of the name.
+///
+/// A change touches one or two parts. With 128 parts of the longest lists, 5,700 upstreams make
+/// parts of about 5 KB, and the head that names all parts has about the same size.
+const LIST_PARTS: [(&str, u8); 7] = [
+    ("customers", 16),
+    ("keys", 128),
+    ("routes", 16),
+    ("runs", 16),
+    ("services", 16),
+    ("upstreams", 128),
+    ("zones", 1),
+];
+
+/// The head, which names the parts of one revision.
+#[message]
+#[derive(Default)]
+pub struct ConfigHead {
+    /// The revision.
+    pub revision: ConfigRevision,
+    /// The parts in order of name; empty parts are absent.
+    pub shards: Vec<ShardRef>,
+}
+
+impl ConfigHead {
+    /// Encodes the head.
+    ///
+    /// # Errors
+    ///
+    /// Returns `internal` if the codec fails.
+    pub fn encode(&self) -> Result<Vec<u8>, ServiceError> {
+        encode(self)
+    }
+
+    /// Decodes a head.
+    ///
+    /// # Errors
+    ///
+    /// Returns `internal` if the bytes are not a head.
+    pub fn decode(bytes: &[u8]) -> Result<Self, ServiceError> {
+        decode(bytes)
+    }
+}
+
+/// A whole configuration with the encoded parts from which peers are served.
+#[derive(Debug, Clone, Default)]
+pub struct HeldConfig {
+    /// The head.
+    pub head: ConfigHead,
+    /// The encoded parts.
+    pub shards: SortedMap<ShardRef, Arc<Vec<u8>>>,
+    /// The decoded content.
+    pub snapshot: Arc<ConfigSnapshot>,
+}
+
+impl HeldConfig {
+    /// Returns the parts of `head` that are not held.
+    pub fn missing(&self, head: &ConfigHead) -> Vec<ShardRef> {
+        let missing = head
+            .shards
+            .iter()
+            .filter(|shard| !self.shards.contains_key(shard));
+        missing.cloned().collect()
+    }
+
+    /// Builds the configuration of `head` from held and fetched parts.
+    ///
+    /// # Errors
+    ///
+    /// Returns `internal` if a part is missing or malformed; this configuration is then unchanged.
+    pub fn advance(
+        &self,
+        head: ConfigHead,
+        fetched: Vec<ShardBytes>,
+    ) -> Result<Self, ServiceError> {
+        let mut fetched: SortedMap<ShardRef, Arc<Vec<u8>>> = fetched
+            .into_iter()
+            .map(|part| (part.shard, Arc::new(part.bytes)))
+            .collect();
+        let mut shards = SortedMap::new();
+        let mut snapshot = ConfigSnapshot {
+            revision: head.revision,
+            ..ConfigSnapshot::default()
+        };
+        for shard in &head.shards {
+            let held = self.shards.get(shard).cloned();
+            let bytes = held.or_else(|| fetched.remove(shard)).ok_or_else(|| {
+                let detail = format!("part {} of the configuration is missing", shard.name);
+                ServiceError::not_run(ErrorKind::Internal, detail)
+            })?;
+            append(&mut snapshot, &shard.name, &bytes)?;
+            shards.insert(shard.clone(), bytes);
+        }
+        snapshot.sort();
+        Ok(Self {
+            head,
+            shards,
+            snapshot: Arc::new(snapshot),
+        })
+    }
+
+    /// Returns those of the named parts that are held.
+    pub fn parts(&self, shards: &[ShardRef]) -> Vec<ShardBytes> {
+        let held = shards.iter().filter_map(|shard| {
+            let bytes = self.shards.get(shard)?;
+            Some(ShardBytes {
+                shard: shard.clone(),
+                bytes: bytes.to_vec(),
+            })
+        });
+        held.collect()
+    }
+}
+
+/// Splits a configuration into encoded parts by name.
+///
+/// # Errors
+///
+/// Returns `too_large` if a part exceeds the store's limit.
+pub fn encode_shards(
+    snapshot: &ConfigSnapshot,
+) -> Result<SortedMap<String, Vec<u8>>, ServiceError> {
+    let mut shards = SortedMap::new();
+    split(&mut shards, 0, &snapshot.customers, |record| {
+        record.name.as_str().as_bytes()
+    })?;
+    split(&mut shards, 1, &snapshot.keys, |record| &record.digest.0)?;
+    split(&mut shards, 2, &snapshot.routes, |record| {
+        record.name.as_str().as_bytes()
+    })?;
+    split(&mut shards, 3, &snapshot.runs, |record| {
+        record.name.as_str().as_bytes()
+    })?;
+    split(&mut shards, 4, &snapshot.services, |record| {
+        record.name.as_str().as_bytes()
+    })?;
+    split(&mut shards, 5, &snapshot.upstreams, |record| {
+        record.name.as_str().as_bytes()
+    })?;
+    split(&mut shards, 6, &snapshot.zones, |record| {
+        record.name.as_str().as_bytes()
+    })?;
+    Ok(shards)
+}
+
+fn split<R: Serialize>(
+    shards: &mut SortedMap<String, Vec<u8>>,
+    list: usize,
+    records: &[R],
+    name_of: fn(&R) -> &[u8],
+) -> Result<(), ServiceError> {
+    let (list, parts) = LIST_PARTS[list];
+    let mut split: Vec<Vec<&R>> = vec![Vec::new(); usize::from(parts)];
+    for record in records {
+        let hash = blake3::hash(name_of(record));
+        split[usize::from(hash.as_bytes()[0] % parts)].push(record);
+    }
+    for (index, records) in split
+        .iter()
+        .enumerate()
+        .filter(|(_, part)| !part.is_empty())
+    {
+        let bytes = encode(records)?;
+        if bytes.len() > VALUE_LIMIT {
+            return Err(ServiceError::not_run(
+                ErrorKind::TooLarge,
+                format!("too many {list}: a part exceeds {VALUE_LIMIT} bytes"),
+            ));
+        }
+        shards.insert(format!("{list}-{index:02x}"), bytes);
+    }
+    Ok(())
+}
+
+fn append(snapshot: &mut ConfigSnapshot, name: &str, bytes: &[u8]) -> Result<(), ServiceError> {
+    match name.split('-').next().unwrap_or("") {
+        "customers" => snapshot.customers.append(&mut decode(bytes)?),
+        "keys" => snapshot.keys.append(&mut decode(bytes)?),
+        "routes" => snapshot.routes.append(&mut decode(bytes)?),
+        "runs" => snapshot.runs.append(&mut decode(bytes)?),
+        "services" => snapshot.services.append(&mut decode(bytes)?),
+        "upstreams" => snapshot.upstreams.append(&mut decode(bytes)?),
+        "zones" => snapshot.zones.append(&mut decode(bytes)?),
+        // A list that only a newer version knows must not be dropped silently.
+        other => {
+            let detail = format!("the configuration has an unknown list {other}");
+            return Err(ServiceError::not_run(ErrorKind::Internal, detail));
+        }
+    }
+    Ok(())
+}
+
+fn encode(value: &impl Serialize) -> Result<Vec<u8>, ServiceError> {
+    postcard::to_allocvec(value)
+        .map_err(|error| ServiceError::not_run(ErrorKind::Internal, error.to_string()))
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, ServiceError> {
+    postcard::from_bytes(bytes).map_err(|error| {
+        let detail = format!("a part of the configuration is malformed: {error}");
+        ServiceError::not_run(ErrorKind::Internal, detail)
+    })
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/spread/ledger.rs
@@ -0,0 +1,227 @@
+//! The configuration in the store, as operators' changes use it.
+
+use {
+    super::{
+        confirm::ConfirmTally,
+        head::{ConfigHead, HeldConfig, encode_shards},
+        loader::{HEAD_KEY, load_from_store, manifest_key, read_head, shard_key},
+    },
+    crate::{
+        events,
+        intent::{CommitOutcome, ConfigLedger, PlanId, SpreadState},
+    },
+    catkindeck::{
+        Clock, ErrorKind, ExecutionOutcome, ServiceError,
+        config::{ConfigRevision, ConfigSnapshot},
+        id::ObjectName,
+        log_event,
+        message::ShardRef,
+        platform::{StoreClient, SwapOutcome},
+    },
+    slog::Logger,
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        thread,
+        time::Duration,
+    },
+};
+
+/// The numbers tried for one part; each taken one belongs to an operator who raced and lost.
+const NUMBER_ATTEMPTS: u64 = 16;
+
+/// How long an operator waits for a change to be in force; the target is 17 s.
+const CONFIRM_TIMEOUT_MS: u64 = 17_000;
+
+/// The pause between rounds of asking nodes, in milliseconds.
+const ROUND_PAUSE_MS: u64 = 250;
+
+/// Asks nodes which revision they use.
+pub trait ConfirmRounds: Send + Sync {
+    /// Sets the tally's nodes from the host list and asks those that have not confirmed.
+    ///
+    /// # Errors
+    ///
+    /// Returns `peer_unavailable` if the host list was never read.
+    fn round(&self, tally: &mut ConfirmTally) -> Result<(), ServiceError>;
+}
+
+/// Commits changes by compare-and-swap of the head.
+pub struct StoreLedger {
+    store: Arc<dyn StoreClient>,
+    rounds: Arc<dyn ConfirmRounds>,
+    clock: Arc<dyn Clock>,
+    /// The parts last read, so that a small change reads and writes little.
+    held: Mutex<HeldConfig>,
+    logger: Logger,
+}
+
+impl StoreLedger {
+    /// Makes a ledger.
+    pub fn new(
+        store: Arc<dyn StoreClient>,
+        rounds: Arc<dyn ConfirmRounds>,
+        clock: Arc<dyn Clock>,
+        logger: Logger,
+    ) -> Self {
+        Self {
+            store,
+            rounds,
+            clock,
+            held: Mutex::default(),
+            logger,
+        }
+    }
+
+    fn load(&self, head: ConfigHead) -> Result<HeldConfig, ServiceError> {
+        let held = self.held().clone();
+        if held.head == head {
+            return Ok(held);
+        }
+        let loaded = load_from_store(self.store.as_ref(), &held, head)?;
+        *self.held() = loaded.clone();
+        Ok(loaded)
+    }
+
+    fn held(&self) -> std::sync::MutexGuard<'_, HeldConfig> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes the parts that differ from `base` and returns the head of the new revision.
+    fn write_shards(
+        &self,
+        base: &HeldConfig,
+        next: &ConfigSnapshot,
+    ) -> Result<ConfigHead, ServiceError> {
+        let revision = ConfigRevision(base.head.revision.0 + 1);
+        let mut head = ConfigHead {
+            revision,
+            shards: Vec::new(),
+        };
+        for (name, bytes) in encode_shards(next)?.iter() {
+            let present = base.head.shards.iter().find(|shard| shard.name == *name);
+            let unchanged = present.filter(|shard| {
+                let held = base.shards.get(shard);
+                held.is_some_and(|held| held.as_slice() == bytes.as_slice())
+            });
+            let shard = match unchanged {
+                Some(shard) => shard.clone(),
+                None => self.write_shard(name, revision.0, bytes)?,
+            };
+            head.shards.push(shard);
+        }
+        Ok(head)
+    }
+
+    /// Writes a part under the first free number from `number` on.
+    ///
+    /// A taken number with the same bytes is an earlier attempt of this change and is used.
+    fn write_shard(&self, name: &str, number: u64, bytes: &[u8]) -> Result<ShardRef, ServiceError> {
+        for number in number..number + NUMBER_ATTEMPTS {
+            let shard = ShardRef {
+                name: name.to_owned(),
+                number,
+            };
+            match self.store.swap(&shard_key(&shard), 0, bytes)? {
+                SwapOutcome::Written(_) => return Ok(shard),
+                SwapOutcome::Conflict(Some(taken)) if taken.value == bytes => return Ok(shard),
+                SwapOutcome::Conflict(_) => {}
+            }
+        }
+        Err(ServiceError::not_run(
+            ErrorKind::Conflict,
+            format!("no free number for part {name}; many changes race"),
+        ))
+    }
+}
+
+impl ConfigLedger for StoreLedger {
+    fn head(&self) -> Result<ConfigSnapshot, ServiceError> {
+        let (_, head) = read_head(self.store.as_ref())?;
+        Ok((*self.load(head)?.snapshot).clone())
+    }
+
+    fn at(&self, revision: ConfigRevision) -> Result<Option<ConfigSnapshot>, ServiceError> {
+        if revision == ConfigRevision::default() {
+            return Ok(Some(ConfigSnapshot::default()));
+        }
+        let (_, head) = read_head(self.store.as_ref())?;
+        if revision == head.revision {
+            return Ok(Some((*self.load(head)?.snapshot).clone()));
+        }
+        if revision > head.revision {
+            return Ok(None);
+        }
+        let Some(value) = self.store.read(&manifest_key(revision))? else {
+            return Ok(None);
+        };
+        let former = ConfigHead::decode(&value.value)?;
+        let held = self.held().clone();
+        let loaded = load_from_store(self.store.as_ref(), &held, former)?;
+        Ok(Some((*loaded.snapshot).clone()))
+    }
+
+    fn commit(&self, id: &PlanId, next: &ConfigSnapshot) -> Result<CommitOutcome, ServiceError> {
+        let (version, head) = read_head(self.store.as_ref()).map_err(nothing_written)?;
+        if head.revision != id.base {
+            return Ok(CommitOutcome::Moved);
+        }
+        let base = self.load(head).map_err(nothing_written)?;
+        let mut next = next.clone();
+        next.sort();
+
+        // Parts and the record of the base are written first; nothing refers to them yet.
+        let head = self.write_shards(&base, &next).map_err(nothing_written)?;
+        if base.head.revision > ConfigRevision::default() {
+            let key = manifest_key(base.head.revision);
+            let bytes = base.head.encode()?;
+            self.store.swap(&key, 0, &bytes).map_err(nothing_written)?;
+        }
+
+        // Only this write changes the configuration.
+        match self.store.swap(HEAD_KEY, version, &head.encode()?) {
+            Ok(SwapOutcome::Written(_)) => {
+                log_event!(self.logger, events::CONFIG_COMMITTED;
+                    "revision" => head.revision.0);
+                Ok(CommitOutcome::Committed(head.revision))
+            }
+            Ok(SwapOutcome::Conflict(_)) => Ok(CommitOutcome::Moved),
+            Err(error) if error.execution == ExecutionOutcome::NotRun => Err(error),
+            Err(_) => {
+                log_event!(self.logger, events::CONFIG_UNKNOWN;
+                    "revision" => head.revision.0);
+                Ok(CommitOutcome::Unknown)
+            }
+        }
+    }
+
+    fn spread(&self, revision: ConfigRevision) -> Result<SpreadState, ServiceError> {
+        // The commit happened before now, so counting from now is on the safe side.
+        let committed = self.clock.now();
+        let before = self.at(ConfigRevision(revision.0.saturating_sub(1)))?;
+        let after = self.at(revision)?;
+        let zones = [zone_names(before), zone_names(after)];
+        let mut tally = ConfirmTally::new(revision, committed, zones);
+        loop {
+            self.rounds.round(&mut tally)?;
+            let now = self.clock.now();
+            let state = tally.state(now);
+            if state.is_complete() || now.since(committed) > CONFIRM_TIMEOUT_MS {
+                log_event!(self.logger, events::CONFIG_SPREAD;
+                    "revision" => revision.0, "confirmed" => state.confirmed,
+                    "lapsed" => state.lapsed, "waiting" => state.waiting);
+                return Ok(state);
+            }
+            thread::sleep(Duration::from_millis(ROUND_PAUSE_MS));
+        }
+    }
+}
+
+fn zone_names(snapshot: Option<ConfigSnapshot>) -> Vec<ObjectName> {
+    let zones = snapshot.map(|snapshot| snapshot.zones).unwrap_or_default();
+    zones.into_iter().map(|zone| zone.name).collect()
+}
+
+/// Restates an error before the head's write: whatever was written is not referred to.
+fn nothing_written(error: ServiceError) -> ServiceError {
+    ServiceError::not_run(error.kind, error.detail)
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/spread/mod.rs
@@ -0,0 +1,17 @@
+//! The spread of the configuration: its form in the store, what nodes know of it, and when a change
+//! is in force everywhere (`docs/design.md`, decision 9).
+
+mod confirm;
+mod head;
+mod holder;
+mod ledger;
+mod loader;
+mod tracker;
+
+pub use {
+    confirm::{ConfirmNode, ConfirmTally},
+    head::{ConfigHead, HeldConfig, encode_shards},
+    holder::{ConfigHolder, HolderParts, HolderSettings},
+    ledger::{ConfirmRounds, StoreLedger},
+    tracker::SpreadTracker,
+};
--- /dev/null
+++ b/crates/catkindeck-control/src/spread/tracker.rs
@@ -0,0 +1,151 @@
+//! What one node knows of the newest configuration, without clock, thread or socket.
+
+use {
+    crate::source::FRESHNESS_BOUND,
+    catkindeck::{
+        Moment, SortedMap, config::ConfigRevision, id::ObjectName, message::SpreadReport,
+    },
+};
+
+/// Decides whether the configuration in use is the newest one.
+///
+/// Evidence is a moment at which no higher revision existed. The store gives it directly and peers
+/// pass theirs on with its age. When no node reaches the store, a majority of the availability zones
+/// that know of no higher revision is evidence as well: a change is accepted only after it is in
+/// force in a majority of the zones or at every live node, so a part of the fleet that is cut off
+/// cannot keep itself fresh. A node that has had no evidence since it started does not count for its
+/// zone, because it may have forgotten a revision that it confirmed before.
+#[derive(Debug, Clone)]
+pub struct SpreadTracker {
+    zone: ObjectName,
+    zone_count: usize,
+    started: Moment,
+    settled: bool,
+    used: ConfigRevision,
+    known: ConfigRevision,
+    evidence: Option<Moment>,
+    votes: SortedMap<ObjectName, Moment>,
+    peer_heard: Option<Moment>,
+}
+
+impl SpreadTracker {
+    /// Makes the state of a node in `zone` that starts at `started` and knows nothing.
+    pub fn new(zone: ObjectName, started: Moment) -> Self {
+        Self {
+            zone,
+            zone_count: 1,
+            started,
+            settled: false,
+            used: ConfigRevision::default(),
+            known: ConfigRevision::default(),
+            evidence: None,
+            votes: SortedMap::new(),
+            peer_heard: None,
+        }
+    }
+
+    /// Returns the revision in use.
+    pub fn used(&self) -> ConfigRevision {
+        self.used
+    }
+
+    /// Returns the revision that must be fetched before keyed traffic is served, if any.
+    pub fn wanted(&self) -> Option<ConfigRevision> {
+        (self.known > self.used).then_some(self.known)
+    }
+
+    /// Learns that the store, asked at `asked`, had its head at `revision`.
+    pub fn on_head(&mut self, revision: ConfigRevision, asked: Moment) {
+        self.learn(revision, Some(asked));
+        self.settle();
+    }
+
+    /// Learns that a peer sent a message with this revision.
+    pub fn on_message(&mut self, revision: ConfigRevision) {
+        if revision > self.known {
+            self.learn(revision, None);
+        }
+    }
+
+    /// Learns what a peer, asked at `asked`, knows.
+    pub fn on_report(&mut self, report: &SpreadReport, asked: Moment) {
+        let evidence = report.age_ms.map(|age_ms| asked - age_ms);
+        self.learn(report.revision, evidence);
+        self.settle();
+        if !report.settled {
+            return;
+        }
+        // The peer knows of nothing higher than what this node knows now.
+        if report.zone == self.zone {
+            self.peer_heard = self.peer_heard.max(Some(asked));
+        } else {
+            let vote = self.votes.get_or_insert_with(report.zone.clone(), || asked);
+            *vote = asked.max(*vote);
+        }
+        self.settle();
+    }
+
+    /// Starts to use a fetched configuration that lists `zone_count` zones.
+    ///
+    /// Returns false if a higher or the same one is in use; it is then kept.
+    pub fn on_fetched(&mut self, revision: ConfigRevision, zone_count: usize) -> bool {
+        if revision <= self.used {
+            return false;
+        }
+        self.on_message(revision);
+        self.used = revision;
+        self.zone_count = zone_count.max(1);
+        true
+    }
+
+    /// Returns the age of the newest evidence for the known revision, in milliseconds.
+    pub fn age_ms(&self, now: Moment) -> Option<u64> {
+        let newest = self.evidence.max(self.majority());
+        newest.map(|moment| now.since(moment))
+    }
+
+    /// Tells whether keyed traffic may be served.
+    pub fn is_fresh(&self, now: Moment) -> bool {
+        let recent = self.age_ms(now).is_some_and(|age| age <= FRESHNESS_BOUND);
+        recent && self.used == self.known && self.used > ConfigRevision::default()
+    }
+
+    /// Returns what this node tells its peers.
+    pub fn report(&self, reader: bool, now: Moment) -> SpreadReport {
+        SpreadReport {
+            revision: self.known,
+            zone: self.zone.clone(),
+            age_ms: self.age_ms(now),
+            reader,
+            settled: self.settled,
+            used: self.used == self.known,
+        }
+    }
+
+    fn learn(&mut self, revision: ConfigRevision, evidence: Option<Moment>) {
+        if revision > self.known {
+            self.known = revision;
+            self.evidence = evidence;
+        } else if revision == self.known {
+            self.evidence = self.evidence.max(evidence);
+        }
+    }
+
+    fn settle(&mut self) {
+        let newest = self.evidence.max(self.majority());
+        self.settled |= newest.is_some_and(|moment| moment > self.started);
+    }
+
+    /// Returns the latest moment since which a majority of the zones was heard, this zone included
+    /// if this node counts for it.
+    fn majority(&self) -> Option<Moment> {
+        let others_needed = match (self.settled, self.zone_count) {
+            (true, 1) => return self.peer_heard,
+            (true, count) => count / 2,
+            (false, count) => count / 2 + 1,
+        };
+        let mut votes: Vec<Moment> = self.votes.values().copied().collect();
+        votes.sort_unstable_by(|left, right| right.cmp(left));
+        votes.get(others_needed - 1).copied()
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-control/tests/ledger.rs
@@ -0,0 +1,257 @@
+//! Operators who race on the configuration in a store that loses answers.
+
+mod common;
+mod support;
+
+use {
+    catkindeck::{
+        ErrorKind, ServiceError,
+        config::{ConfigRevision, ConfigSnapshot, CustomerRecord, ZoneRecord, ZoneState},
+        id::ObjectName,
+        log::discard_logger,
+        platform::StoreClient,
+        time::SystemClock,
+    },
+    catkindeck_control::{
+        intent::{CommitOutcome, ConfigLedger, PlanId},
+        spread::{ConfirmRounds, ConfirmTally, HeldConfig, StoreLedger, encode_shards},
+    },
+    proptest::prelude::*,
+    std::sync::Arc,
+    support::{MemoryStore, StoreFault},
+};
+
+struct AllConfirm;
+
+impl ConfirmRounds for AllConfirm {
+    fn round(&self, tally: &mut ConfirmTally) -> Result<(), ServiceError> {
+        tally.set_nodes([(name("n0"), name("a"))].into_iter());
+        tally.on_used(&name("n0"), ConfigRevision(u64::MAX), Default::default());
+        Ok(())
+    }
+}
+
+fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).expect("a valid name")
+}
+
+fn ledger(store: &Arc<MemoryStore>) -> StoreLedger {
+    let store: Arc<dyn StoreClient> = store.clone();
+    StoreLedger::new(
+        store,
+        Arc::new(AllConfirm),
+        Arc::new(SystemClock::new()),
+        discard_logger(),
+    )
+}
+
+fn with_customer(base: &ConfigSnapshot, customer: &str, weight: u32) -> ConfigSnapshot {
+    let mut next = base.clone();
+    next.customers
+        .retain(|record| record.name.as_str() != customer);
+    next.customers.push(CustomerRecord {
+        name: name(customer),
+        weight,
+        retry_percent: 10,
+    });
+    next.sort();
+    next
+}
+
+/// One operator's action.
+#[derive(Debug, Clone)]
+enum Action {
+    /// Reads the head and keeps a plan over it.
+    Plan(usize, u32),
+    /// Commits the plan kept.
+    Commit(usize),
+    /// The store's behaviour from now on: served, down or losing answers.
+    Fault(u8),
+}
+
+fn actions() -> impl Strategy<Value = Vec<Action>> {
+    let action = prop_oneof![
+        4 => (0..3_usize, 1..50_u32).prop_map(|(who, weight)| Action::Plan(who, weight)),
+        5 => (0..3_usize).prop_map(Action::Commit),
+        3 => (0..4_u8).prop_map(Action::Fault),
+    ];
+    prop::collection::vec(action, 1..60)
+}
+
+proptest! {
+    #![proptest_config(common::fuzz_config(300))]
+
+    /// Guards against two operators who both change one revision, a change told as refused that
+    /// is in the store, a revision whose content changes later, and a head that moves back.
+    #[test]
+    fn racing_operators_never_overwrite(actions in actions()) {
+        let store = Arc::new(MemoryStore::default());
+        let ledgers = [ledger(&store), ledger(&store), ledger(&store)];
+        let mut plans: [Option<(PlanId, ConfigSnapshot)>; 3] = [None, None, None];
+        // The oracle: the content of each revision as first seen, and plans told to be applied.
+        let mut history: Vec<ConfigSnapshot> = vec![ConfigSnapshot::default()];
+        let mut refused: Vec<PlanId> = Vec::new();
+        let mut unknown: Vec<PlanId> = Vec::new();
+        for action in actions {
+            match action {
+                Action::Plan(who, weight) => {
+                    let Ok(head) = ledgers[who].head() else { continue };
+                    let next = with_customer(&head, &format!("c{who}"), weight);
+                    plans[who] = Some((PlanId::of(head.revision, &next), next));
+                }
+                Action::Commit(who) => {
+                    let Some((id, next)) = plans[who].clone() else { continue };
+                    match ledgers[who].commit(&id, &next) {
+                        Ok(CommitOutcome::Committed(revision)) => {
+                            prop_assert_eq!(revision.0, id.base.0 + 1);
+                            prop_assert!(!refused.contains(&id));
+                        }
+                        Ok(CommitOutcome::Moved) => {
+                            if !unknown.contains(&id) {
+                                refused.push(id);
+                            }
+                        }
+                        Ok(CommitOutcome::Unknown) => unknown.push(id),
+                        Err(error) => prop_assert_eq!(error.kind, ErrorKind::StoreUnavailable),
+                    }
+                }
+                Action::Fault(fault) => store.set_fault(match fault {
+                    0 => StoreFault::Outage,
+                    1 => StoreFault::AnswerLost,
+                    _ => StoreFault::None,
+                }),
+            }
+            check_history(&store, &mut history)?;
+        }
+    }
+}
+
+/// Compares every revision with what it was when it was first seen.
+fn check_history(
+    store: &Arc<MemoryStore>,
+    history: &mut Vec<ConfigSnapshot>,
+) -> Result<(), TestCaseError> {
+    let fresh = ledger(store);
+    let Ok(head) = fresh.head() else {
+        return Ok(());
+    };
+    let known = u64::try_from(history.len()).expect("few revisions");
+    prop_assert!(head.revision.0 + 1 >= known, "the head moved back");
+    for revision in 0..=head.revision.0 {
+        let content = fresh
+            .at(ConfigRevision(revision))
+            .map_err(|error| TestCaseError::fail(error.to_string()))?;
+        let Some(content) = content else {
+            return Err(TestCaseError::fail(format!("revision {revision} is gone")));
+        };
+        prop_assert_eq!(content.revision.0, revision);
+        match history.get(usize::try_from(revision).expect("few revisions")) {
+            Some(first) => prop_assert_eq!(&content, first),
+            None => {
+                // Each revision differs from the one before by one operator's change.
+                let before = history.last().expect("revision zero is there");
+                let added = content
+                    .customers
+                    .iter()
+                    .filter(|record| !before.customers.contains(record));
+                prop_assert!(
+                    added.count() <= 1,
+                    "revision {} joins two changes",
+                    revision
+                );
+                let lost = before
+                    .customers
+                    .iter()
+                    .filter(|record| content.customer(&record.name).is_none());
+                prop_assert_eq!(lost.count(), 0, "a committed change was lost");
+                history.push(content);
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a change whose answer was lost and that the operator cannot resolve.
+#[test]
+fn lost_commit_is_found_by_its_content() {
+    let store = Arc::new(MemoryStore::default());
+    let ledger = ledger(&store);
+    let base = ConfigSnapshot::default();
+    let next = with_customer(&base, "c0", 3);
+    let id = PlanId::of(base.revision, &next);
+    // The parts are written, then the head's answer is lost.
+    ledger.commit(&id, &next).expect("commits");
+    let second = with_customer(&next, "c1", 4);
+    let second_id = PlanId::of(ConfigRevision(1), &second);
+    store.set_fault(StoreFault::AnswerLost);
+    let first_try = ledger.commit(&second_id, &second);
+    assert!(
+        first_try.is_err(),
+        "the answer of a part was lost, nothing refers to it"
+    );
+    store.set_fault(StoreFault::None);
+    assert_eq!(
+        ledger.commit(&second_id, &second).expect("commits"),
+        CommitOutcome::Committed(ConfigRevision(2))
+    );
+    assert_eq!(
+        ledger.commit(&second_id, &second).expect("answers"),
+        CommitOutcome::Moved
+    );
+    let written = ledger.at(ConfigRevision(2)).expect("reads").expect("kept");
+    assert_eq!(PlanId::of(ConfigRevision(1), &written), second_id);
+    assert!(
+        ledger
+            .spread(ConfigRevision(2))
+            .expect("asks")
+            .is_complete()
+    );
+}
+
+/// Guards against a split that loses or reorders records.
+#[test]
+fn parts_join_to_the_same_configuration() {
+    let mut snapshot = ConfigSnapshot::default();
+    for number in 0..500 {
+        snapshot = with_customer(&snapshot, &format!("c{number}"), number + 1);
+    }
+    for zone in ["b", "a"] {
+        snapshot.zones.push(ZoneRecord {
+            name: name(zone),
+            region: name("r"),
+            state: ZoneState::In,
+        });
+    }
+    snapshot.sort();
+    let shards = encode_shards(&snapshot).expect("encodes");
+    let head = catkindeck_control::spread::ConfigHead {
+        revision: ConfigRevision(0),
+        shards: shards
+            .keys()
+            .map(|name| catkindeck::message::ShardRef {
+                name: name.clone(),
+                number: 1,
+            })
+            .collect(),
+    };
+    let parts = shards
+        .iter()
+        .map(|(name, bytes)| catkindeck::message::ShardBytes {
+            shard: catkindeck::message::ShardRef {
+                name: name.clone(),
+                number: 1,
+            },
+            bytes: bytes.clone(),
+        })
+        .collect();
+    let held = HeldConfig::default()
+        .advance(head.clone(), parts)
+        .expect("joins");
+    assert_eq!(*held.snapshot, snapshot);
+    // A missing part is an error, never a configuration without it.
+    let error = HeldConfig::default().advance(head, Vec::new());
+    assert_eq!(
+        error.expect_err("parts are missing").kind,
+        ErrorKind::Internal
+    );
+}
--- /dev/null
+++ b/crates/catkindeck-control/tests/spread.rs
@@ -0,0 +1,329 @@
+//! Six nodes in three zones follow the configuration through outages and partitions, in virtual
+//! time.
+
+mod common;
+
+use {
+    catkindeck::{Moment, config::ConfigRevision, id::ObjectName, message::SpreadReport},
+    catkindeck_control::spread::{ConfirmTally, SpreadTracker},
+    proptest::prelude::*,
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine},
+};
+
+const NODES: usize = 6;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// The nodes' clocks run this much too slow, in parts of a thousand.
+const DRIFT: [u64; NODES] = [0, 40, 0, 40, 20, 40];
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// Time passes.
+    Advance(u64),
+    /// A node asks the store for the head; the answer is on its way.
+    AskStore(usize),
+    /// A node asks another; the answer is on its way.
+    AskPeer(usize, usize),
+    /// An answer on its way arrives.
+    Deliver(usize),
+    /// A node fetches the configuration that another uses.
+    Fetch(usize, usize),
+    /// A node reads the whole configuration from the store.
+    Load(usize),
+    /// A node commits a change.
+    Commit(usize),
+    /// The last committer asks a node which revision it uses.
+    Confirm(usize),
+    /// Nodes with different numbers cannot reach each other.
+    Partition([u8; NODES]),
+    /// The nodes that reach the store.
+    Store([bool; NODES]),
+    /// A node is replaced and forgets everything.
+    Restart(usize),
+}
+
+/// The reference keeps nothing: the oracle is the store's head and the accepted revision.
+struct StepSource;
+
+impl ReferenceStateMachine for StepSource {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<Step> {
+        let node = || 0..NODES;
+        prop_oneof![
+            6 => (1..1500_u64).prop_map(Step::Advance),
+            2 => (1500..12_000_u64).prop_map(Step::Advance),
+            5 => node().prop_map(Step::AskStore),
+            10 => (node(), node()).prop_map(|(from, to)| Step::AskPeer(from, to)),
+            14 => (0..8_usize).prop_map(Step::Deliver),
+            5 => (node(), node()).prop_map(|(from, to)| Step::Fetch(from, to)),
+            4 => node().prop_map(Step::Load),
+            2 => node().prop_map(Step::Commit),
+            10 => node().prop_map(Step::Confirm),
+            1 => prop::array::uniform6(0..2_u8).prop_map(Step::Partition),
+            1 => Just(Step::Partition([0; NODES])),
+            1 => prop::array::uniform6(any::<bool>()).prop_map(Step::Store),
+            1 => Just(Step::Store([false; NODES])),
+            1 => Just(Step::Store([true; NODES])),
+            1 => node().prop_map(Step::Restart),
+        ]
+        .boxed()
+    }
+
+    fn apply(_state: (), _step: &Step) {}
+}
+
+enum Answer {
+    Head(ConfigRevision),
+    Peer(SpreadReport),
+}
+
+struct Flight {
+    node: usize,
+    asked: Moment,
+    answer: Answer,
+}
+
+struct SpreadWorld {
+    now: u64,
+    head: ConfigRevision,
+    nodes: Vec<SpreadTracker>,
+    highest: [ConfigRevision; NODES],
+    flights: Vec<Flight>,
+    groups: [u8; NODES],
+    store: [bool; NODES],
+    tally: Option<(usize, ConfirmTally)>,
+    accepted: ConfigRevision,
+}
+
+impl SpreadWorld {
+    fn local(&self, node: usize) -> Moment {
+        Moment(self.now * (1000 - DRIFT[node]) / 1000)
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        from != to && self.groups[from] == self.groups[to]
+    }
+
+    fn use_revision(&mut self, node: usize, revision: ConfigRevision) {
+        if self.nodes[node].on_fetched(revision, ZONES.len()) {
+            assert!(revision > self.highest[node], "node {node} reverted");
+            self.highest[node] = revision;
+        }
+    }
+
+    fn commit(&mut self, node: usize) {
+        if !self.store[node] {
+            return;
+        }
+        self.head = ConfigRevision(self.head.0 + 1);
+        let zones = || ZONES.iter().map(|zone| name(zone)).collect();
+        let mut tally = ConfirmTally::new(self.head, self.local(node), [zones(), zones()]);
+        tally.set_nodes((0..NODES).map(|node| (name(&format!("n{node}")), zone_of(node))));
+        self.tally = Some((node, tally));
+    }
+
+    fn confirm(&mut self, node: usize) {
+        let Some((committer, mut tally)) = self.tally.take() else {
+            return;
+        };
+        let now = self.local(committer);
+        if committer == node || self.reaches(committer, node) {
+            let used = self.nodes[node].used();
+            tally.on_used(&name(&format!("n{node}")), used, now);
+            let sent = self.nodes[committer].used();
+            self.nodes[node].on_message(sent);
+        }
+        if tally.state(now).is_complete() {
+            self.accepted = self.head;
+        }
+        self.tally = Some((committer, tally));
+    }
+}
+
+impl StateMachineTest for SpreadWorld {
+    type SystemUnderTest = Self;
+    type Reference = StepSource;
+
+    fn init_test(_state: &()) -> Self {
+        let head = ConfigRevision(1);
+        let mut world = Self {
+            now: 1000,
+            head,
+            nodes: (0..NODES)
+                .map(|node| SpreadTracker::new(zone_of(node), Moment(0)))
+                .collect(),
+            highest: [ConfigRevision(0); NODES],
+            flights: Vec::new(),
+            groups: [0; NODES],
+            store: [true; NODES],
+            tally: None,
+            accepted: head,
+        };
+        for node in 0..NODES {
+            let now = world.local(node);
+            world.nodes[node].on_head(head, now);
+            world.use_revision(node, head);
+        }
+        world
+    }
+
+    fn apply(mut world: Self, _state: &(), step: Step) -> Self {
+        match step {
+            Step::Advance(ms) => world.now += ms,
+            Step::AskStore(node) if world.store[node] => {
+                let flight = Flight {
+                    node,
+                    asked: world.local(node),
+                    answer: Answer::Head(world.head),
+                };
+                world.flights.push(flight);
+            }
+            Step::AskPeer(from, to) if world.reaches(from, to) => {
+                // The question itself carries the caller's revision.
+                let asked = world.local(from);
+                let used = world.nodes[from].used();
+                world.nodes[to].on_message(used);
+                let report = world.nodes[to].report(false, world.local(to));
+                world.flights.push(Flight {
+                    node: from,
+                    asked,
+                    answer: Answer::Peer(report),
+                });
+            }
+            Step::Deliver(index) if index < world.flights.len() => {
+                let flight = world.flights.remove(index);
+                let node = &mut world.nodes[flight.node];
+                match flight.answer {
+                    Answer::Head(revision) => node.on_head(revision, flight.asked),
+                    Answer::Peer(report) => node.on_report(&report, flight.asked),
+                }
+            }
+            Step::Fetch(from, to) if world.reaches(from, to) => {
+                let used = world.nodes[to].used();
+                world.use_revision(from, used);
+            }
+            Step::Load(node) if world.store[node] => {
+                let now = world.local(node);
+                let head = world.head;
+                world.nodes[node].on_head(head, now);
+                world.use_revision(node, head);
+            }
+            Step::Commit(node) => world.commit(node),
+            Step::Confirm(node) => world.confirm(node),
+            Step::Partition(groups) => world.groups = groups,
+            Step::Store(store) => world.store = store,
+            Step::Restart(node) => {
+                world.nodes[node] = SpreadTracker::new(zone_of(node), world.local(node));
+                world.highest[node] = ConfigRevision(0);
+                world.flights.retain(|flight| flight.node != node);
+                if world
+                    .tally
+                    .as_ref()
+                    .is_some_and(|(committer, _)| *committer == node)
+                {
+                    world.tally = None;
+                }
+            }
+            _ => {}
+        }
+        world
+    }
+
+    fn check_invariants(world: &Self, _state: &()) {
+        for node in 0..NODES {
+            let tracker = &world.nodes[node];
+            assert!(
+                !tracker.is_fresh(world.local(node)) || tracker.used() >= world.accepted,
+                "node {node} serves revision {} after {} was accepted",
+                tracker.used().0,
+                world.accepted.0
+            );
+        }
+    }
+}
+
+fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).expect("a valid name")
+}
+
+fn zone_of(node: usize) -> ObjectName {
+    name(ZONES[node / 2])
+}
+
+prop_state_machine! {
+    #![proptest_config(common::fuzz_config(600))]
+
+    /// Guards against a node that serves keyed traffic under an older configuration than an
+    /// accepted one, and against a node that reverts.
+    #[test]
+    fn accepted_is_in_force(sequential 1..150 => SpreadWorld);
+}
+
+/// Guards against a fleet that stops serving because the store is down for all of it.
+#[test]
+fn outage_of_the_store_keeps_nodes_fresh() {
+    let mut world = SpreadWorld::init_test(&());
+    world.store = [false; NODES];
+    for round in 0..100 {
+        world.now += 1000;
+        for node in 0..NODES {
+            let peer = (node + 1 + round % (NODES - 1)) % NODES;
+            world = SpreadWorld::apply(world, &(), Step::AskPeer(node, peer));
+            world = SpreadWorld::apply(world, &(), Step::Deliver(0));
+        }
+        // A node that is replaced meanwhile learns the configuration from its peers.
+        if round == 50 {
+            world = SpreadWorld::apply(world, &(), Step::Restart(0));
+            world = SpreadWorld::apply(world, &(), Step::Fetch(0, 1));
+            assert!(!world.nodes[0].is_fresh(world.local(0)));
+        }
+        if round >= 20 && round != 50 {
+            let stale: Vec<usize> = (0..NODES)
+                .filter(|node| !world.nodes[*node].is_fresh(world.local(*node)))
+                .collect();
+            assert!(
+                stale.is_empty() || (round < 60 && stale == [0]),
+                "nodes {stale:?} are stale in round {round}"
+            );
+        }
+    }
+}
+
+/// Guards against a node that is cut off and goes on serving.
+#[test]
+fn cut_off_node_lapses() {
+    let mut world = SpreadWorld::init_test(&());
+    let fresh = |world: &SpreadWorld| world.nodes[0].is_fresh(world.local(0));
+    world.now += 10_000;
+    assert!(fresh(&world));
+    world.now += 1;
+    assert!(!fresh(&world));
+}
+
+/// Guards against a change that is told as accepted while a node has neither confirmed nor lapsed,
+/// and against one that is never accepted because a node is gone.
+#[test]
+fn unreachable_node_delays_acceptance() {
+    let zones = || ZONES.iter().map(|zone| name(zone)).collect::<Vec<_>>();
+    let mut tally = ConfirmTally::new(ConfigRevision(2), Moment(0), [zones(), zones()]);
+    tally.set_nodes((0..NODES).map(|node| (name(&format!("n{node}")), zone_of(node))));
+    for node in 1..NODES {
+        tally.on_used(&name(&format!("n{node}")), ConfigRevision(2), Moment(500));
+    }
+    assert_eq!(tally.state(Moment(10_999)).waiting, 1);
+    let state = tally.state(Moment(11_001));
+    assert_eq!((state.confirmed, state.lapsed, state.waiting), (5, 1, 0));
+    // Without a majority of whole zones the unreachable part may keep itself fresh.
+    let mut tally = ConfirmTally::new(ConfigRevision(2), Moment(0), [zones(), zones()]);
+    tally.set_nodes((0..NODES).map(|node| (name(&format!("n{node}")), zone_of(node))));
+    for node in 3..NODES {
+        tally.on_used(&name(&format!("n{node}")), ConfigRevision(2), Moment(500));
+    }
+    assert_eq!(tally.state(Moment(1_000_000)).waiting, 3);
+}
--- a/crates/catkindeck-store/tests/common/mod.rs
+++ b/crates/catkindeck-store/tests/common/mod.rs
@@ -18,6 +18,8 @@
         cases: longer.unwrap_or(cases),
         rng_seed: RngSeed::Fixed(seed),
         failure_persistence: None,
+        // Long sequences shrink slowly; a few hundred attempts leave a readable case.
+        max_shrink_iters: 400,
         ..Config::default()
     }
 }
--- a/crates/catkindeck/src/message.rs
+++ b/crates/catkindeck/src/message.rs
@@ -92,6 +92,49 @@
         /// The records.
         records: Vec<ExecutionRecord>,
     },
+    /// Asks an entry what it knows of the newest configuration; answered by `Spread`.
+    ReadSpread,
+    /// Fetches the head and the named parts of the configuration; answered by `Shards`.
+    FetchShards {
+        /// The parts that the caller lacks; empty asks only for the head.
+        shards: Vec<ShardRef>,
+    },
+}
+
+/// Names an immutable part of the configuration.
+#[message]
+#[derive(PartialOrd, Ord, Default)]
+pub struct ShardRef {
+    /// The name.
+    pub name: String,
+    /// The number of this content, which differs between contents of one name.
+    pub number: u64,
+}
+
+/// A part of the configuration.
+#[message]
+pub struct ShardBytes {
+    /// Which part it is.
+    pub shard: ShardRef,
+    /// The encoded content.
+    pub bytes: Vec<u8>,
+}
+
+/// What an entry knows of the newest configuration.
+#[message]
+pub struct SpreadReport {
+    /// The highest revision that it knows of.
+    pub revision: ConfigRevision,
+    /// The entry's availability zone.
+    pub zone: ObjectName,
+    /// The age of the newest evidence that no higher revision exists, in milliseconds.
+    pub age_ms: Option<u64>,
+    /// Whether the entry asks the store and the other zones on behalf of its zone.
+    pub reader: bool,
+    /// Whether the entry has had evidence since it started, so that its word counts for its zone.
+    pub settled: bool,
+    /// Whether the entry uses this revision, and does not only know of it.
+    pub used: bool,
 }
 
 /// One part of an answer.
@@ -169,6 +212,15 @@
     StepAnswer(StepAnswer),
     /// The request failed as a whole.
     Failed(ServiceError),
+    /// What an entry knows of the newest configuration.
+    Spread(SpreadReport),
+    /// The head of the configuration and the parts that were asked for.
+    Shards {
+        /// The encoded head.
+        head: Vec<u8>,
+        /// The parts.
+        shards: Vec<ShardBytes>,
+    },
 }
 
 /// The classes of work, from most to least urgent.
