Share crash reports before the caller is answered

Cause: a request that crashed two engines crashed a third, because its caller sent it again through another entry before that entry had the report. Change: the failed attempt waits up to 500 ms until every reachable entry has the report; 16 entries are told at once. Before: 3 crashes instead of 2. After: the test passes.

--- a/crates/catkindeck-entry/src/forward/crash.rs
+++ b/crates/catkindeck-entry/src/forward/crash.rs
@@ -4,13 +4,14 @@
     super::PeerDirectory,
     crate::events::CRASH_SHARE_FAILED,
     catkindeck::{
+        id::ObjectName,
         link::PeerLink,
         log_event,
         message::{CrashReport, PeerRequest},
     },
     crossbeam::channel::{Receiver, Sender, TrySendError, bounded},
     slog::Logger,
-    std::{sync::Arc, thread, time::Duration},
+    std::{net::SocketAddr, sync::Arc, thread, time::Duration},
 };
 
 /// The number of reports that wait; beyond it reports are dropped, because a crash that happens
@@ -23,12 +24,24 @@
 /// The time to reach one entry; a lost report only delays the quarantine there.
 const SHARE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long the answer to a caller waits until the other entries have the report.
+const SHARE_WAIT: Duration = Duration::from_millis(500);
+
+/// The number of entries that are told at once.
+const SHARE_THREADS: usize = 16;
+
 /// Sends crash reports to the other entries from a thread of its own.
 pub struct CrashShare {
-    queue: Sender<CrashReport>,
+    queue: Sender<QueuedReport>,
     logger: Logger,
 }
 
+/// A report with the channel that is closed when every reachable entry has it.
+struct QueuedReport {
+    crash: CrashReport,
+    _shared: Sender<()>,
+}
+
 impl CrashShare {
     /// Starts the thread, which ends when the value is dropped.
     pub fn start(link: Arc<dyn PeerLink>, peers: Arc<dyn PeerDirectory>, logger: Logger) -> Self {
@@ -43,34 +56,62 @@
         Self { queue, logger }
     }
 
-    /// Queues a report.
+    /// Sends a report, and returns when every reachable entry has it or after [`SHARE_WAIT`].
+    ///
+    /// The caller is answered only then: a caller that sends a crashing request again through
+    /// another entry would otherwise be faster than the report.
     pub fn share(&self, crash: CrashReport) {
-        if let Err(TrySendError::Full(crash)) = self.queue.try_send(crash) {
-            log_event!(self.logger, CRASH_SHARE_FAILED; "upstream" => %crash.upstream,
+        let (shared, done) = bounded(0);
+        let report = QueuedReport {
+            crash,
+            _shared: shared,
+        };
+        if let Err(TrySendError::Full(report)) = self.queue.try_send(report) {
+            log_event!(self.logger, CRASH_SHARE_FAILED; "upstream" => %report.crash.upstream,
                 "error" => "the queue is full");
+            return;
         }
+        // The channel carries nothing; it is closed after the report was sent.
+        let _ = done.recv_timeout(SHARE_WAIT);
     }
 }
 
 fn run(
-    reports: &Receiver<CrashReport>,
+    reports: &Receiver<QueuedReport>,
     link: &dyn PeerLink,
     peers: &dyn PeerDirectory,
     logger: &Logger,
 ) {
     while let Ok(first) = reports.recv() {
-        let mut crashes = vec![first];
-        crashes.extend(reports.try_iter().take(BATCH - 1));
-        for (name, address) in peers.entries() {
-            let request = PeerRequest::ReportCrashes {
-                crashes: crashes.clone(),
-            };
-            let sent = link
-                .call(address, request, SHARE_TIMEOUT)
-                .and_then(|mut stream| stream.receive(SHARE_TIMEOUT));
-            if let Err(error) = sent {
-                log_event!(logger, CRASH_SHARE_FAILED; "peer" => %name, "error" => %error);
+        let mut queued = vec![first];
+        queued.extend(reports.try_iter().take(BATCH - 1));
+        let crashes: Vec<CrashReport> = queued.iter().map(|report| report.crash.clone()).collect();
+        let entries = peers.entries();
+        // A few threads at once, so that one entry that hangs does not delay all others.
+        thread::scope(|scope| {
+            for part in entries.chunks(entries.len().div_ceil(SHARE_THREADS).max(1)) {
+                scope.spawn(|| send_to(part, &crashes, link, logger));
             }
+        });
+        drop(queued);
+    }
+}
+
+fn send_to(
+    entries: &[(ObjectName, SocketAddr)],
+    crashes: &[CrashReport],
+    link: &dyn PeerLink,
+    logger: &Logger,
+) {
+    for (name, address) in entries {
+        let request = PeerRequest::ReportCrashes {
+            crashes: crashes.to_vec(),
+        };
+        let sent = link
+            .call(*address, request, SHARE_TIMEOUT)
+            .and_then(|mut stream| stream.receive(SHARE_TIMEOUT));
+        if let Err(error) = sent {
+            log_event!(logger, CRASH_SHARE_FAILED; "peer" => %name, "error" => %error);
         }
     }
 }
