Do not take the revocation of a retry for proof about its key

Cause: an entry died in the middle of a call with an idempotency key; the caller's retry through another entry was refused by the home agent as in progress with an unknown outcome. The entry then revoked the retry, whose own identity had never started, and answered not_run, although the key's call was running. Ruled out: the execution table, which answers unknown. Change: after a revocation of a keyed request the entry looks the key up at its home and judges that record. Before: an_idempotency_key_is_found_through_another_entry failed with conflict and not_run. After: it passes; the call ran once.

--- a/crates/catkindeck-entry/src/forward/resolve.rs
+++ b/crates/catkindeck-entry/src/forward/resolve.rs
@@ -44,7 +44,7 @@
         };
         let resolution = match self.revoke(work, target.address, incarnation) {
             Ok(PeerFrame::Revoked { request }) if request == work.request => {
-                Resolution::Known(ServiceError::not_run(error.kind, error.detail))
+                self.resolve_key(work, target, error)
             }
             Ok(PeerFrame::Execution(Some(record))) if record.request == work.request => {
                 judge_record(record, error)
@@ -64,6 +64,37 @@
         resolution
     }
 
+    /// Resolves the outcome of a request that was revoked before it started.
+    ///
+    /// The revocation proves nothing about an earlier request with the same idempotency key, which
+    /// may run or have run under another identity.
+    fn resolve_key(
+        &self,
+        work: &ForwardWork,
+        target: &AttemptTarget,
+        error: ServiceError,
+    ) -> Resolution {
+        let not_run = |error: ServiceError| {
+            Resolution::Known(ServiceError::not_run(error.kind, error.detail))
+        };
+        let Some(idempotency_key) = work.idempotency_key.clone() else {
+            return not_run(error);
+        };
+        let lookup = PeerRequest::FindExecution {
+            customer: work.customer().cloned(),
+            route: work.route.name.clone(),
+            idempotency_key,
+            forbid_start: false,
+        };
+        match self.ask(target.address, lookup) {
+            Ok(PeerFrame::Execution(None)) => not_run(error),
+            Ok(PeerFrame::Execution(Some(record))) if record.digest == work.digest => {
+                judge_record(record, error)
+            }
+            _ => Resolution::Known(error),
+        }
+    }
+
     /// Withdraws a request that this entry gave up, and returns what is proved about it.
     ///
     /// Idempotent work is cancelled. Other work is revoked if it has not started; if it has, the
