Confirm the boot identity before admitting after a pause

Cause: an engine that crashed between two requests got the load of a warm one, because its new boot identity was learnt only from its first reply. Ruled out: a shorter interval of load reports, because any interval leaves a window in which a whole burst is admitted; treating a broken connection as a restart, because one cut request would make the engine count as cold. Change: an agent that has seen no sign of the boot identity for 10 ms asks the engine before it admits, and a request whose connection broke asks before it gives up its place. An upstream that cannot be reached is closed until it answers. Conclusion: a burst within 10 ms after an unnoticed crash of an idle engine is still not held back.

--- a/crates/catkindeck-agent/src/core.rs
+++ b/crates/catkindeck-agent/src/core.rs
@@ -5,6 +5,7 @@
         configuration::ConfigKeeper,
         events,
         metrics::{AgentMetrics, gauge_value},
+        probe::ProbeTrack,
         settings::AgentSettings,
         state::AgentState,
         upstream::UpstreamClient,
@@ -61,6 +62,8 @@
     /// Held while an order is at the upstream, so that orders arrive there in the order of their
     /// fencing numbers.
     pub(crate) order_turn: Mutex<()>,
+    /// Held while the upstream is probed, so that requests that fail together probe it once.
+    pub(crate) probing: Mutex<ProbeTrack>,
     pub(crate) logger: Logger,
     state: Mutex<AgentState>,
 }
@@ -94,6 +97,7 @@
             keeper: Arc::new(keeper),
             link: OnceLock::new(),
             order_turn: Mutex::new(()),
+            probing: Mutex::default(),
             logger: parts.logger,
             state: Mutex::new(state),
         });
--- a/crates/catkindeck-agent/src/execute.rs
+++ b/crates/catkindeck-agent/src/execute.rs
@@ -97,6 +97,7 @@
         reply: &Arc<dyn FrameSink>,
     ) -> Result<(), ServiceError> {
         let id = request.request;
+        self.confirm_boot();
         let now = self.now();
         {
             let mut state = self.lock();
--- a/crates/catkindeck-agent/src/lib.rs
+++ b/crates/catkindeck-agent/src/lib.rs
@@ -18,6 +18,7 @@
 mod hand_over;
 mod metrics;
 mod orders;
+mod probe;
 mod run;
 mod state;
 mod watch;
--- a/crates/catkindeck-agent/src/run.rs
+++ b/crates/catkindeck-agent/src/run.rs
@@ -20,7 +20,10 @@
         token::{VersionLabels, WeightVersion},
     },
     catkindeck_policy::{ExecutionResult, FinishCause},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Passes frames on and remembers what the answer was made of.
@@ -75,6 +78,17 @@
         };
         let limit = self.run_limit(request, deadline);
         let end = self.upstream.run(request, limit, &mut tap);
+        let broken = match &end {
+            UpstreamEnd::NotSent(error) => error.kind == ErrorKind::UpstreamFailed,
+            UpstreamEnd::Failed { crashed, .. } => *crashed,
+            UpstreamEnd::Complete | UpstreamEnd::Stopped => false,
+        };
+        if broken {
+            let noticed = Instant::now();
+            self.lock().broken += 1;
+            self.probe_since(noticed);
+            self.lock().broken -= 1;
+        }
         self.end_run(tap, entry, end);
     }
 
@@ -335,6 +349,9 @@
         let now = self.core.now();
         let mut state = self.core.lock();
         let tokens = u64::from(tokens);
+        if state.boot == self.boot {
+            state.last_sign = state.last_sign.max(now);
+        }
         state.queue.served(now, &self.request.request, tokens);
         if let Some(version) = version {
             state.observe_version(&self.boot, version);
--- a/crates/catkindeck-agent/src/state.rs
+++ b/crates/catkindeck-agent/src/state.rs
@@ -105,6 +105,12 @@
     /// The number of the last cache event of this boot.
     pub last_cache_event: u64,
     pub leaving: bool,
+    /// Whether the upstream cannot be reached.
+    pub unreachable: bool,
+    /// The last sign that the upstream still has this boot identity.
+    pub last_sign: Moment,
+    /// The number of requests whose connection broke and that have not probed the upstream yet.
+    pub broken: u32,
     /// Set when the records are handed over and usage is final.
     pub ending: bool,
     grants: BTreeMap<RequestId, QueueGrant>,
@@ -141,6 +147,9 @@
             version: None,
             last_cache_event: 0,
             leaving: false,
+            unreachable: false,
+            last_sign: now,
+            broken: 0,
             ending: false,
             grants: BTreeMap::new(),
             billed: BTreeSet::new(),
@@ -210,7 +219,7 @@
             Some((zone, at)) if now.since(at) < ANNOUNCEMENT_HOLD_MS => zone,
             _ => self.config_zone,
         };
-        let closed = zone == ZoneState::Out || self.leaving || !self.member;
+        let closed = zone == ZoneState::Out || self.leaving || self.unreachable || !self.member;
         if closed == self.queue.counts().closed {
             return None;
         }
@@ -248,6 +257,7 @@
 
     /// Learns the boot identity that an answer carried; tells whether it is new.
     pub fn observe_boot(&mut self, now: Moment, boot: &BootId) -> bool {
+        self.last_sign = self.last_sign.max(now);
         let new = self.queue.observe_boot(now, boot);
         if self.boot != *boot {
             self.boot = boot.clone();
--- a/crates/catkindeck-agent/src/upstream/engine.rs
+++ b/crates/catkindeck-agent/src/upstream/engine.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        CacheChange, StreamFlow, UpstreamClient, UpstreamEnd, UpstreamEvents, UpstreamProbe,
-        http::{build_agent, end_of, end_of_read, failure, read_body, read_boot},
+        CacheChange, ProbeOutcome, StreamFlow, UpstreamClient, UpstreamEnd, UpstreamEvents,
+        UpstreamProbe,
+        http::{build_agent, end_of, end_of_read, failure, probe_failure, read_body, read_boot},
     },
     crate::settings::{AgentTimeouts, UpstreamSettings},
     catkindeck::{
@@ -18,7 +19,7 @@
         io::{BufRead, BufReader, Read},
         time::Duration,
     },
-    ureq::Agent,
+    ureq::{Agent, http::HeaderMap},
 };
 
 /// The longest line of an engine's answer, in bytes.
@@ -133,7 +134,7 @@
         read_tokens(BufReader::new(reader), events)
     }
 
-    fn fetch(&self, path: &str) -> Result<(ureq::http::HeaderMap, Vec<u8>), ServiceError> {
+    fn fetch(&self, path: &str) -> Result<(HeaderMap, Vec<u8>), ProbeOutcome> {
         let mut response = self
             .agent
             .get(format!("{}{path}", self.base_url))
@@ -141,14 +142,40 @@
             .timeout_global(Some(self.timeouts.probe))
             .build()
             .call()
-            .map_err(|error| failure(&error))?;
+            .map_err(|error| probe_failure(&error))?;
         if response.status() != 200 {
-            let detail = format!("the engine answered {} to {path}", response.status());
-            return Err(ServiceError::unknown(ErrorKind::UpstreamFailed, detail));
+            return Err(ProbeOutcome::Reachable);
         }
-        let body = read_body(response.body_mut(), ANSWER_LIMIT)?;
+        let body = response
+            .body_mut()
+            .with_config()
+            .limit(ANSWER_LIMIT)
+            .read_to_vec()
+            .map_err(|error| probe_failure(&error))?;
         Ok((response.headers().clone(), body))
     }
+
+    fn read_report(&self, events_after: u64) -> Result<UpstreamProbe, ProbeOutcome> {
+        let (headers, body) = self.fetch("/v1/load")?;
+        let load: LoadForm = serde_json::from_slice(&body).map_err(|_| ProbeOutcome::Reachable)?;
+        // An engine without cache events still reports its boot and version.
+        let changes = match self.fetch(&format!("/v1/events?after={events_after}")) {
+            Ok((_, body)) => serde_json::from_slice::<EventsForm>(&body).ok(),
+            Err(ProbeOutcome::Reachable) => None,
+            Err(failed) => return Err(failed),
+        };
+        let changes = changes.map_or_else(Vec::new, |form| form.events);
+        let cache = changes.iter().map(|event| CacheChange {
+            sequence: event.sequence,
+            prefix: event.prefix,
+            stored: event.kind == "stored",
+        });
+        Ok(UpstreamProbe {
+            boot: read_boot(&headers),
+            version: load.version.map(WeightVersion),
+            cache: cache.collect(),
+        })
+    }
 }
 
 impl UpstreamClient for EngineUpstream {
@@ -215,25 +242,9 @@
         }
     }
 
-    fn probe(&self, events_after: u64) -> Result<Option<UpstreamProbe>, ServiceError> {
-        let (headers, body) = self.fetch("/v1/load")?;
-        let unreadable = |error: serde_json::Error| {
-            let detail = format!("the engine's report is unreadable: {error}");
-            ServiceError::unknown(ErrorKind::UpstreamFailed, detail)
-        };
-        let load: LoadForm = serde_json::from_slice(&body).map_err(unreadable)?;
-        let (_, body) = self.fetch(&format!("/v1/events?after={events_after}"))?;
-        let events: EventsForm = serde_json::from_slice(&body).map_err(unreadable)?;
-        let cache = events.events.iter().map(|event| CacheChange {
-            sequence: event.sequence,
-            prefix: event.prefix,
-            stored: event.kind == "stored",
-        });
-        Ok(Some(UpstreamProbe {
-            boot: read_boot(&headers),
-            version: load.version.map(WeightVersion),
-            cache: cache.collect(),
-        }))
+    fn probe(&self, events_after: u64) -> ProbeOutcome {
+        self.read_report(events_after)
+            .map_or_else(|failed| failed, ProbeOutcome::Report)
     }
 }
 
--- a/crates/catkindeck-agent/src/upstream/http.rs
+++ b/crates/catkindeck-agent/src/upstream/http.rs
@@ -1,7 +1,7 @@
 //! What the HTTP clients of both kinds of upstream share.
 
 use {
-    super::UpstreamEnd,
+    super::{ProbeOutcome, UpstreamEnd},
     catkindeck::{ErrorKind, ServiceError, id::BootId},
     std::{io, time::Duration},
     ureq::{Agent, Body, config::AutoHeaderValue, http::HeaderMap},
@@ -88,6 +88,14 @@
     }
 }
 
+/// Tells what a probe without an answer found.
+pub fn probe_failure(error: &ureq::Error) -> ProbeOutcome {
+    match error {
+        ureq::Error::Timeout(_) => ProbeOutcome::Late,
+        error => ProbeOutcome::Unreachable(error.to_string()),
+    }
+}
+
 fn is_not_sent(error: &ureq::Error) -> bool {
     match error {
         ureq::Error::ConnectionFailed
--- a/crates/catkindeck-agent/src/upstream/mod.rs
+++ b/crates/catkindeck-agent/src/upstream/mod.rs
@@ -39,13 +39,8 @@
     /// `unknown` if it failed or was not reached, and `bad_request` if it takes no such orders.
     fn order(&self, kind: &OrderKind, fence: u64) -> Result<(), ServiceError>;
 
-    /// Reads boot identity, version and cache changes, or returns `None` if the upstream has no
-    /// report.
-    ///
-    /// # Errors
-    ///
-    /// Returns `upstream_failed` if the upstream cannot be reached.
-    fn probe(&self, events_after: u64) -> Result<Option<UpstreamProbe>, ServiceError>;
+    /// Reads boot identity, version and cache changes as far as the upstream reports them.
+    fn probe(&self, events_after: u64) -> ProbeOutcome;
 }
 
 /// Takes what arrives while a request runs.
@@ -87,6 +82,19 @@
     },
 }
 
+/// What a probe of the upstream found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// The upstream's report.
+    Report(UpstreamProbe),
+    /// The upstream can be reached and gives no usable report.
+    Reachable,
+    /// The upstream did not answer in time, which also happens when it is busy.
+    Late,
+    /// The upstream cannot be reached or cuts connections.
+    Unreachable(String),
+}
+
 /// A report of the upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamProbe {
--- a/crates/catkindeck-agent/src/upstream/plain.rs
+++ b/crates/catkindeck-agent/src/upstream/plain.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        StreamFlow, UpstreamClient, UpstreamEnd, UpstreamEvents, UpstreamProbe,
+        ProbeOutcome, StreamFlow, UpstreamClient, UpstreamEnd, UpstreamEvents,
         http::{build_agent, end_of, end_of_read, read_boot},
     },
     crate::settings::{AgentTimeouts, UpstreamSettings},
@@ -11,7 +11,11 @@
         id::RequestId,
         message::{CallBody, ExecuteRequest, OrderKind, WorkBody},
     },
-    std::{io::Read, time::Duration},
+    std::{
+        io::{self, Read},
+        net::{TcpStream, ToSocketAddrs},
+        time::Duration,
+    },
     ureq::{
         Agent,
         http::{HeaderMap, Method, Request, Uri},
@@ -66,6 +70,7 @@
 pub struct PlainUpstream {
     agent: Agent,
     base_url: String,
+    connect: Duration,
 }
 
 impl PlainUpstream {
@@ -74,6 +79,7 @@
         Self {
             agent: build_agent(timeouts.connect),
             base_url: settings.base_url.clone(),
+            connect: timeouts.connect,
         }
     }
 
@@ -132,6 +138,10 @@
         let refuse = |detail: &str| ServiceError::not_run(ErrorKind::BadRequest, detail);
         let method = Method::from_bytes(call.method.as_bytes())
             .map_err(|_| refuse("the HTTP method is not valid"))?;
+        let takes_no_body = [Method::GET, Method::HEAD, Method::TRACE].contains(&method);
+        if takes_no_body && !call.bytes.is_empty() {
+            return Err(refuse("a request with this HTTP method has no body"));
+        }
         // A path that starts otherwise could change the host of the address.
         if !call.path.starts_with('/') {
             return Err(refuse("the path does not start with a slash"));
@@ -185,8 +195,24 @@
         }
     }
 
-    fn probe(&self, _events_after: u64) -> Result<Option<UpstreamProbe>, ServiceError> {
-        Ok(None)
+    /// Opens a connection and closes it, because a plain service has no report.
+    fn probe(&self, _events_after: u64) -> ProbeOutcome {
+        let authority = self.base_url.trim_start_matches("http://");
+        let addresses = match authority.to_socket_addrs() {
+            Ok(addresses) => addresses,
+            Err(error) => return ProbeOutcome::Unreachable(error.to_string()),
+        };
+        let mut failure = ProbeOutcome::Unreachable("the name has no address".to_owned());
+        for address in addresses {
+            match TcpStream::connect_timeout(&address, self.connect) {
+                Ok(_) => return ProbeOutcome::Reachable,
+                Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+                    failure = ProbeOutcome::Late;
+                }
+                Err(error) => failure = ProbeOutcome::Unreachable(error.to_string()),
+            }
+        }
+        failure
     }
 }
 
--- a/crates/catkindeck-agent/src/watch.rs
+++ b/crates/catkindeck-agent/src/watch.rs
@@ -1,8 +1,8 @@
 //! The agent's periodic work, on threads of its own.
 
 use {
-    crate::{core::AgentCore, events},
-    catkindeck::{id::RequestId, log_event},
+    crate::core::AgentCore,
+    catkindeck::id::RequestId,
     std::{
         io,
         sync::{Arc, Weak},
@@ -17,6 +17,9 @@
 /// The number of ticks between two updates of what nobody waits for.
 const TICKS_PER_UPKEEP: u32 = 20;
 
+/// The interval of looking whether an upstream that could not be reached has returned.
+const RETURN_CHECK: Duration = Duration::from_millis(100);
+
 /// The interval of asking peers for a missing configuration.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -44,10 +47,12 @@
             core.update_gauges();
         }
     })?;
-    let mut reachable = true;
     let interval = core.settings.timeouts.probe_interval;
-    repeat("probe", core, interval, move |core| {
-        probe(core, &mut reachable);
+    repeat("probe", core, interval.min(RETURN_CHECK), move |core| {
+        let due = core.lock().unreachable || core.probe_age() >= interval;
+        if due {
+            core.probe();
+        }
     })?;
     repeat("catch-up", core, CATCH_UP_INTERVAL, |core| {
         core.keeper().catch_up();
@@ -102,44 +107,3 @@
         core.upstream.cancel(&request);
     }
 }
-
-/// Reads the upstream's report, by which a restart is noticed even without traffic.
-fn probe(core: &Arc<AgentCore>, reachable: &mut bool) {
-    let after = core.lock().last_cache_event;
-    let report = match core.upstream.probe(after) {
-        Ok(Some(report)) => report,
-        Ok(None) => return,
-        Err(error) => {
-            if std::mem::replace(reachable, false) {
-                let reason = error.to_string();
-                log_event!(core.logger, events::UPSTREAM_UNREACHABLE; "reason" => reason);
-            }
-            return;
-        }
-    };
-    if !std::mem::replace(reachable, true) {
-        log_event!(core.logger, events::UPSTREAM_REACHABLE);
-    }
-    let now = core.now();
-    let new = {
-        let mut state = core.lock();
-        let restarted = state.boot != report.boot;
-        let new = state.observe_boot(now, &report.boot);
-        if let Some(version) = report.version {
-            state.observe_version(&report.boot, version);
-        }
-        // The events after a restart were asked for by a number of the earlier boot.
-        if !restarted || after == 0 {
-            for change in report.cache {
-                state.observe_cache(change.prefix, change.stored);
-                state.last_cache_event = state.last_cache_event.max(change.sequence);
-            }
-        }
-        state.pump(now);
-        new
-    };
-    if new {
-        core.metrics.boots.inc();
-        log_event!(core.logger, events::UPSTREAM_BOOTED; "boot" => &report.boot.0);
-    }
-}
--- a/crates/catkindeck-agent/tests/engine.rs
+++ b/crates/catkindeck-agent/tests/engine.rs
@@ -405,6 +405,72 @@
     }
 }
 
+/// Guards against a burst that meets an engine just after it crashed, before its new boot identity
+/// came with a reply: under load, and after a pause in which nothing noticed the crash.
+#[test]
+fn an_engine_that_crashed_is_not_overloaded() {
+    for (down_ms, idle) in [(0, false), (300, false), (0, true)] {
+        let site = start_unconfigured(
+            EngineSettings {
+                slots: 32,
+                token_ms: 2,
+                down_ms,
+                ..EngineSettings::default()
+            },
+            "[timeouts]\nprobe_interval_ms = 60000\n[limits]\nadaptive = false",
+        );
+        site.entry.configure(&site.agent, 1, |config| {
+            config.services[0].warm_limit = 16;
+            config.services[0].cold_limit = 2;
+            config.services[0].cold_start_ms = 2000;
+        });
+        wait_until("the limit has grown", || {
+            burst_one(&site);
+            site.entry.load(&site.agent).limit == 16
+        });
+        // From its next start the engine bears a little more than the agent's limit allows. Long
+        // prompts keep its first reply, which would show the new boot, until the burst is there.
+        site.engine.set(|settings| {
+            settings.prefill_ms = 10_000;
+            settings.cold_ms = 1500;
+            settings.cold_slots = 2;
+        });
+        if idle {
+            site.engine.crash();
+            thread::sleep(std::time::Duration::from_millis(50));
+            burst(&site, "after", 24, || {});
+        } else {
+            burst(&site, "around", 24, || {
+                wait_until("the engine is busy", || running(&site.engine) == 16);
+                site.engine.crash();
+            });
+        }
+        let state = site.engine.state();
+        assert_eq!(state["overload_failures"], 0, "{down_ms} {idle} {state}");
+    }
+}
+
+fn burst_one(site: &EngineSite) {
+    let request = completion("one more", 1);
+    site.entry.execute(&site.agent, &request);
+}
+
+/// Runs requests at once, each again until it is answered, while `action` runs.
+fn burst(site: &EngineSite, round: &str, count: u32, action: impl FnOnce()) {
+    thread::scope(|scope| {
+        for index in 0..count {
+            scope.spawn(move || {
+                wait_until("the request is answered", || {
+                    let request = completion(&format!("{round} {index}"), 60);
+                    let answer = site.entry.execute(&site.agent, &request);
+                    answer.finished.is_some()
+                });
+            });
+        }
+        action();
+    });
+}
+
 /// Guards against a crash that looks like a whole answer, and against bodies that crash one engine
 /// after another.
 #[test]
