--- a/crates/catkindeck-agent/src/process.rs
+++ b/crates/catkindeck-agent/src/process.rs
@@ -135,6 +135,19 @@
         Ok(cause)
     }
 
+    /// Makes the agent unready and refuses new work, as the first signal does.
+    pub fn begin_drain(&self) {
+        self.core
+            .readiness
+            .hold("shutting_down", "the process is draining");
+        self.core.gate.close();
+    }
+
+    /// Waits until nothing is in flight and returns whether that is so before `timeout`.
+    pub fn wait_idle(&self, timeout: Duration) -> bool {
+        self.core.gate.wait_idle(timeout)
+    }
+
     /// Ends a drained agent: records are handed over, usage and samples collected, peers told.
     pub fn finish(self) {
         self.core.hand_over();
--- a/crates/catkindeck-agent/tests/common/mod.rs
+++ b/crates/catkindeck-agent/tests/common/mod.rs
@@ -118,8 +118,12 @@
         upstream: SocketAddr,
         extra: &str,
     ) -> AgentProcess {
-        let text = self.agent_settings(host, kind, upstream, extra);
-        let text = SettingsText::new("agent.toml", &text);
+        self.start_agent_with(&self.agent_settings(host, kind, upstream, extra))
+    }
+
+    /// Starts an agent with the text of a settings file.
+    pub fn start_agent_with(&self, text: &str) -> AgentProcess {
+        let text = SettingsText::new("agent.toml", text);
         let settings = AgentSettings::try_from((&text, text.parse().unwrap())).unwrap();
         AgentProcess::start(settings, &ServiceKernel::new(), discard_logger()).unwrap()
     }
