--- a/crates/catkindeck-control/src/intent/mod.rs
+++ b/crates/catkindeck-control/src/intent/mod.rs
@@ -13,17 +13,19 @@
 mod declared;
 mod diff;
 mod ledger;
+mod load;
 mod plan;
 mod raw;
 
 pub use {
     admin::{AdminAnswer, AdminRequest, ApplyRequest, IntentAdmin, IntentStatus, KeyStatus},
-    amendment::{DeclarationText, IntentAmendment, IntentStatement},
+    amendment::{DeclarationText, IntentAmendment, IntentStatement, check_declarations},
     apply::{ApplyOutcome, IntentApplier},
     capacity::{CapacityVerdict, LoadRecord, LoadView, ServiceCapacity, StartOrder, judge},
     declared::{DeclarationFile, DeclaredIntent, DeclaredKey, DeclaredUpstream, DeclaredZone},
     diff::{ChangeAction, FieldChange, IntentChange, ObjectKind, compare},
     ledger::{CommitOutcome, ConfigLedger, LoadSource, SpreadState},
+    load::AgentLoadSource,
     plan::{IntentPlan, PlanId, plan},
     raw::RawIntent,
 };
