Count a broken connection as a crash only if the upstream restarted

Cause: a request whose connection the upstream cut counted towards the quarantine of its body even if the upstream had not crashed. Ruled out: leaving the decision to the entry, which cannot see the boot identity. Change: after the probe that follows a broken connection, a crash is reported only if the boot identity changed, is unknown, or the upstream cannot be reached. Before: every cut counted. Conclusion: innocent requests that were in flight during a real crash still count once.

--- a/crates/catkindeck-agent/src/handler.rs
+++ b/crates/catkindeck-agent/src/handler.rs
@@ -102,7 +102,10 @@
                 core.lock().table.adopt(now, records)?;
                 PeerFrame::Done
             }
-            PeerRequest::Execute(_) | PeerRequest::ForwardStep(_) => {
+            PeerRequest::Execute(_)
+            | PeerRequest::ForwardStep(_)
+            | PeerRequest::ReadSpread
+            | PeerRequest::FetchShards { .. } => {
                 return Err(ServiceError::not_run(
                     ErrorKind::BadRequest,
                     "an agent does not take this request",
--- a/crates/catkindeck-agent/src/run.rs
+++ b/crates/catkindeck-agent/src/run.rs
@@ -31,6 +31,9 @@
     core: &'a AgentCore,
     request: &'a ExecuteRequest,
     notice: Arc<StartNotice>,
+    /// The boot identity when the request was sent.
+    boot_at_start: BootId,
+    /// The boot identity that the answer carried.
     boot: BootId,
     status: u16,
     headers: Vec<(String, String)>,
@@ -68,6 +71,7 @@
             core: self,
             request,
             notice,
+            boot_at_start: boot.clone(),
             boot,
             status: 0,
             headers: Vec::new(),
@@ -83,15 +87,35 @@
             UpstreamEnd::Failed { crashed, .. } => *crashed,
             UpstreamEnd::Complete | UpstreamEnd::Stopped => false,
         };
-        if broken {
-            let noticed = Instant::now();
-            self.lock().broken += 1;
-            self.probe_since(noticed);
-            self.lock().broken -= 1;
-        }
+        let end = match broken {
+            true => self.confirm_crash(&tap.boot_at_start, end),
+            false => end,
+        };
         self.end_run(tap, entry, end);
     }
 
+    /// Probes the upstream after a connection to it broke.
+    ///
+    /// An upstream that still has the boot identity of before has not crashed; it only cut this
+    /// request, which must not count against the request's body.
+    fn confirm_crash(&self, boot: &BootId, end: UpstreamEnd) -> UpstreamEnd {
+        let noticed = Instant::now();
+        self.lock().broken += 1;
+        self.probe_since(noticed);
+        let same_boot = {
+            let mut state = self.lock();
+            state.broken -= 1;
+            !state.unreachable && !boot.0.is_empty() && state.boot == *boot
+        };
+        match end {
+            UpstreamEnd::Failed { error, crashed } => UpstreamEnd::Failed {
+                error,
+                crashed: crashed && !same_boot,
+            },
+            end => end,
+        }
+    }
+
     /// Returns the time that a request may take at the upstream.
     ///
     /// Work that may not be repeated runs on after its caller gave up, because cutting it would
