--- a/crates/catkindeck-agent/src/run.rs
+++ b/crates/catkindeck-agent/src/run.rs
@@ -20,7 +20,10 @@
         token::{VersionLabels, WeightVersion},
     },
     catkindeck_policy::{ExecutionResult, FinishCause},
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Passes frames on and remembers what the answer was made of.
@@ -28,6 +31,9 @@
     core: &'a AgentCore,
     request: &'a ExecuteRequest,
     notice: Arc<StartNotice>,
+    /// The boot identity when the request was sent.
+    boot_at_start: BootId,
+    /// The boot identity that the answer carried.
     boot: BootId,
     status: u16,
     headers: Vec<(String, String)>,
@@ -65,6 +71,7 @@
             core: self,
             request,
             notice,
+            boot_at_start: boot.clone(),
             boot,
             status: 0,
             headers: Vec::new(),
@@ -75,9 +82,40 @@
         };
         let limit = self.run_limit(request, deadline);
         let end = self.upstream.run(request, limit, &mut tap);
+        let broken = match &end {
+            UpstreamEnd::NotSent(error) => error.kind == ErrorKind::UpstreamFailed,
+            UpstreamEnd::Failed { crashed, .. } => *crashed,
+            UpstreamEnd::Complete | UpstreamEnd::Stopped => false,
+        };
+        let end = match broken {
+            true => self.confirm_crash(&tap.boot_at_start, end),
+            false => end,
+        };
         self.end_run(tap, entry, end);
     }
 
+    /// Probes the upstream after a connection to it broke.
+    ///
+    /// An upstream that still has the boot identity of before has not crashed; it only cut this
+    /// request, which must not count against the request's body.
+    fn confirm_crash(&self, boot: &BootId, end: UpstreamEnd) -> UpstreamEnd {
+        let noticed = Instant::now();
+        self.lock().broken += 1;
+        self.probe_since(noticed);
+        let same_boot = {
+            let mut state = self.lock();
+            state.broken -= 1;
+            !state.unreachable && !boot.0.is_empty() && state.boot == *boot
+        };
+        match end {
+            UpstreamEnd::Failed { error, crashed } => UpstreamEnd::Failed {
+                error,
+                crashed: crashed && !same_boot,
+            },
+            end => end,
+        }
+    }
+
     /// Returns the time that a request may take at the upstream.
     ///
     /// Work that may not be repeated runs on after its caller gave up, because cutting it would
@@ -337,6 +375,9 @@
         let now = self.core.now();
         let mut state = self.core.lock();
         let tokens = u64::from(tokens);
+        if state.boot == self.boot {
+            state.last_sign = state.last_sign.max(now);
+        }
         state.queue.served(now, &self.request.request, tokens);
         if let Some(version) = version {
             state.observe_version(&self.boot, version);
