Log what becomes of operators' plans

Cause: operators make conflicting changes, and nothing recorded who applied which plan.

Ruled out: the operator's name in the call, which the caller could choose; the start of the key's digest is proved by the key and reveals nothing.

Change: events 4020 and 4021. `IntentAdmin::new` takes a logger. No key and no declaration is logged.

Before: no record.

Conclusion: none.

--- a/crates/catkindeck-cli/tests/support/mod.rs
+++ b/crates/catkindeck-cli/tests/support/mod.rs
@@ -8,6 +8,7 @@
         ServiceError,
         config::{ConfigRevision, ConfigSnapshot},
         id::KeyDigest,
+        log::discard_logger,
     },
     catkindeck_control::intent::{
         AdminRequest, CommitOutcome, ConfigLedger, IntentAdmin, LoadSource, LoadView, PlanId,
@@ -100,7 +101,7 @@
 /// Starts the stand-in on a ledger.
 pub fn start_entry_on(ledger: Arc<MemoryLedger>) -> SocketAddr {
     let operators = vec![KeyDigest::of(OPERATOR_KEY)];
-    let admin = IntentAdmin::new(ledger.clone(), ledger, operators);
+    let admin = IntentAdmin::new(ledger.clone(), ledger, operators, discard_logger());
     let handler: StreamHandler = Arc::new(move |call, reply| answer(&admin, call, reply));
     spawn("127.0.0.1:0".parse().unwrap(), handler).unwrap()
 }
--- a/crates/catkindeck-control/src/events.rs
+++ b/crates/catkindeck-control/src/events.rs
@@ -58,6 +58,22 @@
     text: "host list could not be read; the last one stays in use",
 };
 
+/// An operator's plan was applied, refused or left in doubt.
+pub const PLAN_JUDGED: LogEvent = LogEvent {
+    number: 4020,
+    name: "plan_judged",
+    level: Level::Info,
+    text: "operator's plan was applied, refused or left in doubt",
+};
+
+/// An operator's call was refused.
+pub const OPERATOR_REFUSED: LogEvent = LogEvent {
+    number: 4021,
+    name: "operator_refused",
+    level: Level::Warning,
+    text: "operator's call was refused",
+};
+
 /// All events of this crate, in order of number.
 pub const ALL: &[LogEvent] = &[
     CONFIG_COMMITTED,
@@ -67,4 +83,6 @@
     CONFIG_WATCH_FAILED,
     CONFIG_FETCH_FAILED,
     HOSTS_FAILED,
+    PLAN_JUDGED,
+    OPERATOR_REFUSED,
 ];
--- a/crates/catkindeck-control/src/intent/admin.rs
+++ b/crates/catkindeck-control/src/intent/admin.rs
@@ -8,14 +8,16 @@
         ledger::{ConfigLedger, LoadSource, SpreadState},
         plan::PlanId,
     },
+    crate::events,
     catkindeck::{
         ErrorKind, ServiceError,
         config::{ConfigRevision, RouteRecord, RunRecord, ServiceRecord, ZoneRecord},
         id::{KeyDigest, ObjectName},
-        message,
+        log_event, message,
     },
     serde::{Serialize, de::DeserializeOwned},
     serde_json::json,
+    slog::Logger,
     std::sync::Arc,
 };
 
@@ -102,6 +104,7 @@
     ledger: Arc<dyn ConfigLedger>,
     source: Arc<dyn LoadSource>,
     operators: Vec<KeyDigest>,
+    logger: Logger,
 }
 
 impl IntentAdmin {
@@ -110,11 +113,13 @@
         ledger: Arc<dyn ConfigLedger>,
         source: Arc<dyn LoadSource>,
         operators: Vec<KeyDigest>,
+        logger: Logger,
     ) -> Self {
         Self {
             ledger,
             source,
             operators,
+            logger,
         }
     }
 
@@ -122,12 +127,16 @@
     pub fn handle(&self, request: AdminRequest<'_>) -> AdminAnswer {
         match self.dispatch(request) {
             Ok(answer) => answer,
-            Err(error) => error_answer(&error),
+            Err(error) => {
+                log_event!(self.logger, events::OPERATOR_REFUSED; "path" => request.path,
+                    "kind" => %error.kind);
+                error_answer(&error)
+            }
         }
     }
 
     fn dispatch(&self, request: AdminRequest<'_>) -> Result<AdminAnswer, ServiceError> {
-        self.authenticate(request.key)?;
+        let operator = self.authenticate(request.key)?;
         if request.body.len() > BODY_LIMIT {
             let detail = format!("the body exceeds {BODY_LIMIT} bytes");
             return Err(ServiceError::not_run(ErrorKind::TooLarge, detail));
@@ -151,7 +160,11 @@
                     accept_shortfall,
                 } = apply;
                 let applier = applier(self.source.load());
-                outcome_answer(&applier.apply(&statement, &plan, accept_shortfall)?)
+                let outcome = applier.apply(&statement, &plan, accept_shortfall)?;
+                let digest_start: String = operator.to_string().chars().take(12).collect();
+                log_event!(self.logger, events::PLAN_JUDGED; "plan" => %plan,
+                    "operator" => digest_start, "outcome" => outcome.name());
+                outcome_answer(&outcome)
             }
             ("GET", "/v1/intent/status") => to_answer(200, &self.status(self.source.load())?),
             ("GET", path) => match path.strip_prefix("/v1/intent/outcome/") {
@@ -162,17 +175,19 @@
         }
     }
 
-    fn authenticate(&self, key: Option<&str>) -> Result<(), ServiceError> {
+    /// Returns the digest of the operator's key.
+    fn authenticate(&self, key: Option<&str>) -> Result<KeyDigest, ServiceError> {
         let key = key.ok_or_else(|| {
             ServiceError::not_run(ErrorKind::Unauthenticated, "an operator key is required")
         })?;
         // The comparison of blake3 hashes takes the same time for all values.
-        let presented = blake3::Hash::from_bytes(KeyDigest::of(key).0);
+        let digest = KeyDigest::of(key);
+        let presented = blake3::Hash::from_bytes(digest.0);
         let known = self.operators.iter().fold(false, |known, operator| {
             known | (blake3::Hash::from_bytes(operator.0) == presented)
         });
         if known {
-            return Ok(());
+            return Ok(digest);
         }
         Err(ServiceError::not_run(
             ErrorKind::Unauthenticated,
--- a/crates/catkindeck-control/src/intent/apply.rs
+++ b/crates/catkindeck-control/src/intent/apply.rs
@@ -45,6 +45,18 @@
     },
 }
 
+impl ApplyOutcome {
+    /// Returns the name in answers and logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted { .. } => "accepted",
+            Self::Refused { .. } => "refused",
+            Self::Unknown { .. } => "unknown",
+            Self::NotApplied { .. } => "not_applied",
+        }
+    }
+}
+
 /// Plans and applies statements of intent on a ledger.
 pub struct IntentApplier<'a> {
     /// The configuration in the store.
--- a/crates/catkindeck-control/tests/intent.rs
+++ b/crates/catkindeck-control/tests/intent.rs
@@ -5,6 +5,7 @@
         ErrorKind, ServiceError,
         config::{ConfigRevision, ConfigSnapshot, ZoneState},
         id::{KeyDigest, ObjectName},
+        log::discard_logger,
         settings::SettingsText,
     },
     catkindeck_control::intent::{
@@ -382,7 +383,7 @@
 fn admin_calls_need_an_operator_key_and_a_known_path() {
     let ledger = Arc::new(MemoryLedger::with_base());
     let operators = vec![KeyDigest::of("operator-key")];
-    let admin = IntentAdmin::new(ledger.clone(), ledger.clone(), operators);
+    let admin = IntentAdmin::new(ledger.clone(), ledger.clone(), operators, discard_logger());
     let call = |method, path, key, body: &str| {
         let request = AdminRequest {
             method,
