--- a/crates/catkindeck-bench/src/lib.rs
+++ b/crates/catkindeck-bench/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod spending;
 pub mod steps;
 pub mod trainer;
+pub mod usage;
 pub mod zone;
 
 use {
@@ -30,6 +31,7 @@
         rows.extend(trainer_rows(deployment, seed));
         rows.extend(fairness_rows(deployment, seed));
         rows.extend(spending_rows(deployment, seed));
+        rows.extend(usage_rows(deployment, seed));
         rows.extend(zone_rows(deployment, seed));
     }
     rows.sort_by_key(|row| row.measure);
@@ -139,6 +141,40 @@
     ]
 }
 
+fn usage_rows(deployment: Deployment, seed: u64) -> Vec<ReportRow> {
+    let [baseline, policy] = [PolicyKind::Baseline, PolicyKind::Catkindeck]
+        .map(|kind| usage::measure(deployment, kind, seed));
+    let row = |figure, baseline, catkindeck, target: Option<Target>| ReportRow {
+        measure: 4,
+        deployment: deployment.name,
+        figure,
+        baseline,
+        catkindeck,
+        target,
+        listed: true,
+    };
+    vec![
+        row(
+            "usage windows reported again with other figures",
+            baseline.changed_windows,
+            policy.changed_windows,
+            Some(Target::AtMost(0.0)),
+        ),
+        row(
+            "difference of reported and counted tokens, %",
+            baseline.error_percent,
+            policy.error_percent,
+            Some(Target::AtMost(0.0)),
+        ),
+        row(
+            "tokens reported more than three windows late, %",
+            baseline.late_percent,
+            policy.late_percent,
+            None,
+        ),
+    ]
+}
+
 fn zone_rows(deployment: Deployment, seed: u64) -> Vec<ReportRow> {
     let kinds = [PolicyKind::Baseline, PolicyKind::Catkindeck];
     let [baseline, policy] =
--- a/crates/catkindeck-policy/src/lib.rs
+++ b/crates/catkindeck-policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod scaler;
 pub mod staleness;
 pub mod straggler;
+pub mod usage;
 
 mod candidate;
 mod classes;
@@ -55,4 +56,5 @@
     scaler::{ScaleOrder, ScalerSettings, ZoneOutlook, ZoneScaler, ZoneSupply},
     staleness::StalenessForecast,
     straggler::{MemberKey, StragglerAction, StragglerPolicy, StragglerSettings},
+    usage::{SealedWindow, USAGE_GRACE_WINDOWS, UsageCollector},
 };
--- /dev/null
+++ b/crates/catkindeck-policy/src/usage.rs
@@ -0,0 +1,134 @@
+//! The collection of usage counts into sealed windows.
+
+use {
+    catkindeck::{SortedMap, id::ObjectName, message, message::UsageLine},
+    std::collections::BTreeMap,
+};
+
+/// How many windows the collector waits for agents that do not answer.
+///
+/// Reports must not wait for a lost host; what it counted goes into a later window.
+pub const USAGE_GRACE_WINDOWS: u64 = 2;
+
+/// After how many windows a silent agent is forgotten: one day.
+const FORGOTTEN_WINDOWS: u64 = 1_440;
+
+/// The content of one window of a zone, which is written by compare-and-swap before it is reported.
+#[message]
+pub struct SealedWindow {
+    /// The window.
+    pub window: u64,
+    /// The counts, sorted; a line with an earlier window was late.
+    pub lines: Vec<UsageLine>,
+    /// For each agent the last window whose counts are sealed, from which a successor goes on.
+    pub through: Vec<(ObjectName, u64)>,
+}
+
+/// Collects the counts of a zone's agents (`docs/design.md`, decision 19 and G8).
+///
+/// A window is composed once and never changes. What was sealed of an agent is remembered by the
+/// windows of its lines and not by a clock, because an agent whose clock is behind may still count
+/// into a window that the collector takes for closed.
+#[derive(Debug, Clone, Default)]
+pub struct UsageCollector {
+    sealed: Option<u64>,
+    through: SortedMap<ObjectName, u64>,
+    pending: SortedMap<ObjectName, AgentUsage>,
+}
+
+#[derive(Debug, Clone)]
+struct AgentUsage {
+    /// The window in which the agent was last asked.
+    asked_in: u64,
+    lines: Vec<UsageLine>,
+}
+
+impl UsageCollector {
+    /// Goes on after the window that was sealed last, by this holder of the zone's lease or another.
+    pub fn restore(last: Option<&SealedWindow>) -> Self {
+        let mut collector = Self::default();
+        if let Some(last) = last {
+            collector.sealed(last);
+        }
+        collector
+    }
+
+    /// Returns the last window sealed for an agent, which the next collection acknowledges.
+    pub fn sealed_through(&self, agent: &ObjectName) -> Option<u64> {
+        self.through.get(agent).copied()
+    }
+
+    /// Takes an agent's answer, which replaces its earlier one; `present` is the present window.
+    pub fn collected(&mut self, present: u64, agent: &ObjectName, lines: Vec<UsageLine>) {
+        let usage = AgentUsage {
+            asked_in: present,
+            lines,
+        };
+        self.pending.insert(agent.clone(), usage);
+    }
+
+    /// Returns the window to seal next, if it is over and all agents answered since, or if the
+    /// agents that did not had time enough.
+    pub fn due(&self, present: u64, agents: &[ObjectName]) -> Option<u64> {
+        let next = match self.sealed {
+            Some(sealed) => sealed + 1,
+            None => present.checked_sub(1)?,
+        };
+        if next >= present {
+            return None;
+        }
+        let answered = |agent: &ObjectName| {
+            let usage = self.pending.get(agent);
+            usage.is_some_and(|usage| usage.asked_in > next)
+        };
+        let waited = present > next + USAGE_GRACE_WINDOWS;
+        (waited || agents.iter().all(answered)).then_some(next)
+    }
+
+    /// Composes a window from what was collected, including late lines of earlier windows.
+    pub fn compose(&self, window: u64) -> SealedWindow {
+        let mut sums: BTreeMap<(u64, Option<ObjectName>, ObjectName), (u64, u64)> = BTreeMap::new();
+        let mut through = self.through.clone();
+        for (agent, usage) in self.pending.iter() {
+            let sealed = self.sealed_through(agent);
+            let new = |line: &&UsageLine| {
+                line.window <= window && sealed.is_none_or(|sealed| line.window > sealed)
+            };
+            for line in usage.lines.iter().filter(new) {
+                let key = (line.window, line.customer.clone(), line.service.clone());
+                let sum = sums.entry(key).or_default();
+                *sum = (sum.0 + line.requests, sum.1 + line.tokens);
+                let last = through.get_or_insert_with(agent.clone(), || line.window);
+                *last = (*last).max(line.window);
+            }
+        }
+        through.retain(|_, last| *last + FORGOTTEN_WINDOWS > window);
+        let lines =
+            sums.into_iter().map(
+                |((window, customer, service), (requests, tokens))| UsageLine {
+                    window,
+                    customer,
+                    service,
+                    requests,
+                    tokens,
+                },
+            );
+        SealedWindow {
+            window,
+            lines: lines.collect(),
+            through: through
+                .iter()
+                .map(|(agent, last)| (agent.clone(), *last))
+                .collect(),
+        }
+    }
+
+    /// Learns what the store holds for a window: this collector's content or another holder's.
+    pub fn sealed(&mut self, window: &SealedWindow) {
+        self.sealed = self.sealed.max(Some(window.window));
+        for (agent, last) in &window.through {
+            let known = self.through.get_or_insert_with(agent.clone(), || *last);
+            *known = (*known).max(*last);
+        }
+    }
+}
