Add usage sealing, zone orders, membership and weight rollout

A zone's lease holder seals and reports usage windows and orders upstreams; both must bear a holder that is paused, replaced or loses answers.

UsageSealer fixes a window's content by the compare-and-swap that creates its key and reports the stored bytes. Marks for each agent say what is sealed, so late counts come as lines of their own in a later window. ZoneController writes the intended order before it is sent, looks at the lease last, and a successor settles an order in doubt from the actual counts after the order can no longer be on its way. WeightRollout stages a version on all members before it activates it.

tests/usage.rs found that a first holder that failed between sealing and writing its progress drew a new start, skipped the sealed window and counted its lines again (2 reported, 1 counted). The start is now stored before anything is sealed.

--- a/crates/catkindeck-control/src/events.rs
+++ b/crates/catkindeck-control/src/events.rs
@@ -58,6 +58,78 @@
     text: "host list could not be read; the last one stays in use",
 };
 
+/// A usage window was sealed.
+pub const USAGE_SEALED: LogEvent = LogEvent {
+    number: 4101,
+    name: "usage_sealed",
+    level: Level::Info,
+    text: "usage window was sealed",
+};
+
+/// A usage window could not be reported and is reported again.
+pub const USAGE_UNREPORTED: LogEvent = LogEvent {
+    number: 4102,
+    name: "usage_unreported",
+    level: Level::Warning,
+    text: "usage window could not be reported and is reported again",
+};
+
+/// A usage window was reported before with other figures.
+pub const USAGE_CONFLICT: LogEvent = LogEvent {
+    number: 4103,
+    name: "usage_conflict",
+    level: Level::Error,
+    text: "usage window was reported before with other figures",
+};
+
+/// Upstreams were ordered for a zone.
+pub const ZONE_ORDERED: LogEvent = LogEvent {
+    number: 4201,
+    name: "zone_ordered",
+    level: Level::Info,
+    text: "upstreams were ordered for a zone",
+};
+
+/// An order for upstreams failed or its answer was lost.
+pub const ZONE_ORDER_FAILED: LogEvent = LogEvent {
+    number: 4202,
+    name: "zone_order_failed",
+    level: Level::Warning,
+    text: "order for upstreams failed or its answer was lost",
+};
+
+/// An order in doubt was resolved by the actual counts.
+pub const ZONE_RESOLVED: LogEvent = LogEvent {
+    number: 4203,
+    name: "zone_resolved",
+    level: Level::Info,
+    text: "order in doubt was resolved by the actual counts",
+};
+
+/// Weights are active on all upstreams.
+pub const ROLLOUT_DONE: LogEvent = LogEvent {
+    number: 4301,
+    name: "rollout_done",
+    level: Level::Info,
+    text: "weights are active on all upstreams",
+};
+
+/// Weights are not active on all upstreams.
+pub const ROLLOUT_PARTIAL: LogEvent = LogEvent {
+    number: 4302,
+    name: "rollout_partial",
+    level: Level::Warning,
+    text: "weights are not active on all upstreams",
+};
+
+/// A leaving upstream was told to take no new work.
+pub const LEAVE_ORDERED: LogEvent = LogEvent {
+    number: 4303,
+    name: "leave_ordered",
+    level: Level::Info,
+    text: "leaving upstream was told to take no new work",
+};
+
 /// All events of this crate, in order of number.
 pub const ALL: &[LogEvent] = &[
     CONFIG_COMMITTED,
@@ -67,4 +139,13 @@
     CONFIG_WATCH_FAILED,
     CONFIG_FETCH_FAILED,
     HOSTS_FAILED,
+    USAGE_SEALED,
+    USAGE_UNREPORTED,
+    USAGE_CONFLICT,
+    ZONE_ORDERED,
+    ZONE_ORDER_FAILED,
+    ZONE_RESOLVED,
+    ROLLOUT_DONE,
+    ROLLOUT_PARTIAL,
+    LEAVE_ORDERED,
 ];
--- a/crates/catkindeck-control/src/lib.rs
+++ b/crates/catkindeck-control/src/lib.rs
@@ -4,10 +4,14 @@
 //! Every entry links this crate and carries out the control work of the leases it holds, see
 //! `docs/design.md`, section 4.
 
+pub mod authority;
 pub mod events;
 pub mod intent;
 pub mod members;
+pub mod rollout;
 pub mod run;
 pub mod source;
 pub mod spread;
 pub mod step;
+pub mod usage;
+pub mod zones;
--- /dev/null
+++ b/crates/catkindeck-control/src/rollout.rs
@@ -0,0 +1,264 @@
+//! Orders to the agents of a service: weights in two phases, and leaving.
+
+use {
+    crate::source::ConfigSource,
+    crate::{authority::ControlLease, events, members::MemberView, run::ports::WeightPublisher},
+    catkindeck::{
+        ErrorKind, ServiceError, SortedMap,
+        config::{RunRecord, UpstreamRecord},
+        id::{ObjectName, RequestId},
+        link::PeerLink,
+        log_event,
+        message::{OrderKind, PeerFrame, PeerRequest, UpstreamOrder},
+        platform::HostState,
+        token::WeightVersion,
+    },
+    slog::Logger,
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        thread,
+        time::Duration,
+    },
+};
+
+/// Orders that are given at the same time.
+const ORDER_THREADS: usize = 16;
+
+/// The time for one order; staging copies weights, so it takes longer than other calls.
+const STAGE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The time for an order that copies nothing.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The rounds of staging and activation before an agent is left to the next version.
+const ROUNDS: u32 = 3;
+
+/// The pause between rounds.
+const ROUND_PAUSE: Duration = Duration::from_millis(500);
+
+/// Brings weights to all upstreams of a run's service: all are staged before any is activated, so
+/// that they switch together (`docs/design.md`, decision 20).
+pub struct WeightRollout {
+    shared: Arc<RolloutShared>,
+}
+
+struct RolloutShared {
+    link: Arc<dyn PeerLink>,
+    source: Arc<dyn ConfigSource>,
+    logger: Logger,
+    /// The newest version and fence by run; an older rollout stops.
+    newest: Mutex<SortedMap<ObjectName, (u64, WeightVersion)>>,
+}
+
+impl WeightRollout {
+    /// Makes a rollout that gives orders over `link` to the members of the configuration.
+    pub fn new(link: Arc<dyn PeerLink>, source: Arc<dyn ConfigSource>, logger: Logger) -> Self {
+        Self {
+            shared: Arc::new(RolloutShared {
+                link,
+                source,
+                logger,
+                newest: Mutex::default(),
+            }),
+        }
+    }
+}
+
+impl WeightPublisher for WeightRollout {
+    fn publish(&self, run: &RunRecord, version: WeightVersion, fence: u64) {
+        if !self.shared.begin(&run.name, version, fence) {
+            return;
+        }
+        let shared = Arc::clone(&self.shared);
+        let run = run.clone();
+        let spawned = thread::Builder::new()
+            .name("rollout".to_owned())
+            .spawn(move || shared.roll_out(&run, version, fence));
+        if let Err(error) = spawned {
+            log_event!(self.shared.logger, events::ROLLOUT_PARTIAL;
+                "version" => version.0, "detail" => error.to_string());
+        }
+    }
+}
+
+impl RolloutShared {
+    /// Notes a version; returns false if the same or a newer one was begun.
+    fn begin(&self, run: &ObjectName, version: WeightVersion, fence: u64) -> bool {
+        let mut newest = self.newest();
+        if newest
+            .get(run)
+            .is_some_and(|known| *known >= (fence, version))
+        {
+            return false;
+        }
+        newest.insert(run.clone(), (fence, version));
+        true
+    }
+
+    fn is_newest(&self, run: &ObjectName, version: WeightVersion, fence: u64) -> bool {
+        self.newest().get(run) == Some(&(fence, version))
+    }
+
+    fn newest(&self) -> MutexGuard<'_, SortedMap<ObjectName, (u64, WeightVersion)>> {
+        self.newest.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn roll_out(&self, run: &RunRecord, version: WeightVersion, fence: u64) {
+        let staged = self.phase(run, version, fence, &OrderKind::Stage(version));
+        let activated = self.phase(run, version, fence, &OrderKind::Activate(version));
+        let event = match (staged, activated) {
+            (0, 0) => events::ROLLOUT_DONE,
+            _ => events::ROLLOUT_PARTIAL,
+        };
+        log_event!(self.logger, event;
+            "run" => %run.name, "version" => version.0, "unstaged" => staged,
+            "unactivated" => activated);
+    }
+
+    /// Gives an order to all members in rounds; returns how many did not take it.
+    fn phase(
+        &self,
+        run: &RunRecord,
+        version: WeightVersion,
+        fence: u64,
+        kind: &OrderKind,
+    ) -> usize {
+        let snapshot = self.source.current();
+        let members = snapshot.upstreams.iter();
+        let mut left: Vec<UpstreamRecord> = members
+            .filter(|member| member.service == run.service && member.removed_ms.is_none())
+            .cloned()
+            .collect();
+        for round in 0..ROUNDS {
+            if left.is_empty() || !self.is_newest(&run.name, version, fence) {
+                break;
+            }
+            if round > 0 {
+                thread::sleep(ROUND_PAUSE);
+            }
+            left = self.give(run, fence, kind, left);
+        }
+        left.len()
+    }
+
+    /// Gives an order to `members` in parallel and returns those that did not take it.
+    fn give(
+        &self,
+        run: &RunRecord,
+        fence: u64,
+        kind: &OrderKind,
+        members: Vec<UpstreamRecord>,
+    ) -> Vec<UpstreamRecord> {
+        let timeout = match kind {
+            OrderKind::Stage(_) => STAGE_TIMEOUT,
+            _ => ORDER_TIMEOUT,
+        };
+        let threads = ORDER_THREADS.min(members.len());
+        let queue = Mutex::new(members.into_iter());
+        let failed = Mutex::new(Vec::new());
+        thread::scope(|scope| {
+            for _ in 0..threads {
+                scope.spawn(|| {
+                    loop {
+                        let member = queue.lock().unwrap_or_else(PoisonError::into_inner).next();
+                        let Some(member) = member else {
+                            return;
+                        };
+                        let order = UpstreamOrder {
+                            order: RequestId::random(),
+                            lease: run.name.clone(),
+                            fence,
+                            kind: kind.clone(),
+                        };
+                        if give_order(self.link.as_ref(), &member, order, timeout).is_err() {
+                            let mut failed = failed.lock().unwrap_or_else(PoisonError::into_inner);
+                            failed.push(member);
+                        }
+                    }
+                });
+            }
+        });
+        failed.into_inner().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Tells the agents of leaving hosts to take no new work, once each (`docs/design.md`, G14).
+pub struct LeaveAnnouncer {
+    link: Arc<dyn PeerLink>,
+    lease: Arc<dyn ControlLease>,
+    zone: ObjectName,
+    told: Vec<ObjectName>,
+    logger: Logger,
+}
+
+impl LeaveAnnouncer {
+    /// Makes an announcer for the upstreams of `zone`, under the zone's lease.
+    pub fn new(
+        link: Arc<dyn PeerLink>,
+        lease: Arc<dyn ControlLease>,
+        zone: ObjectName,
+        logger: Logger,
+    ) -> Self {
+        Self {
+            link,
+            lease,
+            zone,
+            told: Vec::new(),
+            logger,
+        }
+    }
+
+    /// Tells leaving members that were not told; returns how many could not be told.
+    ///
+    /// # Errors
+    ///
+    /// Returns `fenced` if the lease is not held.
+    pub fn announce(&mut self, members: &[MemberView]) -> Result<usize, ServiceError> {
+        let leaving = members.iter().filter(|member| {
+            member.state == Some(HostState::Leaving) && member.upstream.zone == self.zone
+        });
+        let leaving: Vec<&UpstreamRecord> = leaving.map(|member| &member.upstream).collect();
+        // A host that came back is told again the next time that it leaves.
+        self.told
+            .retain(|host| leaving.iter().any(|member| member.name == *host));
+        let mut failed = 0;
+        for member in leaving {
+            if self.told.contains(&member.name) {
+                continue;
+            }
+            let proof = self.lease.check()?;
+            let order = UpstreamOrder {
+                order: RequestId::random(),
+                lease: self.zone.clone(),
+                fence: proof.number,
+                kind: OrderKind::Leave,
+            };
+            let timeout = ORDER_TIMEOUT.min(Duration::from_millis(proof.remaining_ms));
+            match give_order(self.link.as_ref(), member, order, timeout) {
+                Ok(()) => {
+                    log_event!(self.logger, events::LEAVE_ORDERED; "host" => %member.name);
+                    self.told.push(member.name.clone());
+                }
+                Err(_) => failed += 1,
+            }
+        }
+        Ok(failed)
+    }
+}
+
+fn give_order(
+    link: &dyn PeerLink,
+    member: &UpstreamRecord,
+    order: UpstreamOrder,
+    timeout: Duration,
+) -> Result<(), ServiceError> {
+    let mut frames = link.call(member.agent, PeerRequest::Order(order), timeout)?;
+    match frames.receive(timeout)? {
+        Some(PeerFrame::Done) => Ok(()),
+        Some(PeerFrame::Failed(error)) => Err(error),
+        _ => Err(ServiceError::unknown(
+            ErrorKind::PeerUnavailable,
+            "the agent's answer is not whole",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/usage.rs
@@ -0,0 +1,283 @@
+//! Seals and reports a zone's usage windows (`docs/design.md`, decision 19).
+
+use {
+    crate::{authority::ControlLease, events},
+    catkindeck::{
+        ErrorKind, ServiceError, SortedMap,
+        id::ObjectName,
+        log_event, message,
+        message::{USAGE_WINDOW_MS, UsageLine},
+        platform::{StoreClient, SwapOutcome, UsageSink},
+    },
+    slog::Logger,
+    std::sync::Arc,
+};
+
+/// The time after a window's end before it is sealed, so that agents have closed it although their
+/// clocks differ, in milliseconds.
+const SEAL_DELAY_MS: u64 = 5000;
+
+/// Counts of one agent.
+#[message]
+pub struct AgentUsage {
+    /// The agent's host.
+    pub agent: ObjectName,
+    /// Its closed windows that it was not told to be sealed.
+    pub lines: Vec<UsageLine>,
+}
+
+/// The last window that was sealed for an agent.
+#[message]
+pub struct AgentMark {
+    /// The agent's host.
+    pub agent: ObjectName,
+    /// The window; nothing up to it is taken from this agent again.
+    pub sealed_through: u64,
+}
+
+/// The content of a sealed window; its bytes are reported as they are stored.
+#[message]
+pub struct SealedUsage {
+    /// The zone.
+    pub zone: ObjectName,
+    /// The window in which the counts are reported.
+    pub window: u64,
+    /// The counts; a line of an earlier window arrived late.
+    pub lines: Vec<UsageLine>,
+    /// What is sealed for each agent after this window.
+    pub marks: Vec<AgentMark>,
+}
+
+/// How far a zone's windows are reported.
+#[message]
+struct UsageProgress {
+    /// The next window to seal and report.
+    next: u64,
+    /// What is sealed for each agent before it.
+    marks: Vec<AgentMark>,
+}
+
+/// Collects counts from the agents of a zone.
+pub trait UsageCollector: Send + Sync {
+    /// Asks the agents that can be reached, telling each what is sealed for it.
+    fn collect(&self, zone: &ObjectName, marks: &[AgentMark]) -> Vec<AgentUsage>;
+}
+
+/// What one step of the sealer did.
+#[message]
+pub enum SealStep {
+    /// The next window is not over yet, or the lease is not held.
+    Waiting,
+    /// A step was made and another may follow.
+    Progress,
+}
+
+/// Seals and reports the windows of one zone in order, one outside call a step.
+///
+/// The content is fixed by the compare-and-swap that creates the window's key. Whoever continues
+/// after a failure or a change of holder finds that key and reports the same bytes again.
+pub struct UsageSealer {
+    zone: ObjectName,
+    store: Arc<dyn StoreClient>,
+    sink: Arc<dyn UsageSink>,
+    collector: Arc<dyn UsageCollector>,
+    lease: Arc<dyn ControlLease>,
+    logger: Logger,
+    phase: SealPhase,
+}
+
+enum SealPhase {
+    Reading,
+    Sealing(u64, UsageProgress),
+    Reporting(u64, UsageProgress, Vec<u8>),
+    Advancing(u64, UsageProgress),
+}
+
+impl UsageSealer {
+    /// Makes a sealer that starts by reading the zone's progress.
+    pub fn new(
+        zone: ObjectName,
+        store: Arc<dyn StoreClient>,
+        sink: Arc<dyn UsageSink>,
+        collector: Arc<dyn UsageCollector>,
+        lease: Arc<dyn ControlLease>,
+        logger: Logger,
+    ) -> Self {
+        Self {
+            zone,
+            store,
+            sink,
+            collector,
+            lease,
+            logger,
+            phase: SealPhase::Reading,
+        }
+    }
+
+    /// Makes the next step at a wall-clock time in milliseconds since the Unix epoch.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the outside call; the next step starts by reading again.
+    pub fn step(&mut self, unix_ms: u64) -> Result<SealStep, ServiceError> {
+        if self.lease.check().is_err() {
+            self.phase = SealPhase::Reading;
+            return Ok(SealStep::Waiting);
+        }
+        match std::mem::replace(&mut self.phase, SealPhase::Reading) {
+            SealPhase::Reading => self.read(unix_ms),
+            SealPhase::Sealing(version, progress) => self.seal(version, progress),
+            SealPhase::Reporting(version, progress, sealed) => {
+                self.report(version, progress, &sealed)
+            }
+            SealPhase::Advancing(version, progress) => self.advance(version, progress),
+        }
+    }
+
+    fn read(&mut self, unix_ms: u64) -> Result<SealStep, ServiceError> {
+        let closed = unix_ms.saturating_sub(SEAL_DELAY_MS) / USAGE_WINDOW_MS;
+        let Some(stored) = self.store.read(&self.progress_key())? else {
+            // The first holder starts with the last closed window; earlier counts come late in it.
+            // The start is stored before anything is sealed, because a start drawn anew after a
+            // failure would skip the window that is already sealed and count its lines again.
+            let start = UsageProgress {
+                next: closed.saturating_sub(1),
+                marks: Vec::new(),
+            };
+            return self.advance(0, start);
+        };
+        let (version, progress): (u64, UsageProgress) = (stored.version, parse(&stored.value)?);
+        if progress.next >= closed {
+            return Ok(SealStep::Waiting);
+        }
+        self.phase = SealPhase::Sealing(version, progress);
+        Ok(SealStep::Progress)
+    }
+
+    fn seal(&mut self, version: u64, progress: UsageProgress) -> Result<SealStep, ServiceError> {
+        let key = format!("usage/{}/window/{}", self.zone, progress.next);
+        let sealed = match self.store.read(&key)? {
+            Some(stored) => stored.value,
+            None => {
+                let collected = self.collector.collect(&self.zone, &progress.marks);
+                let content = seal_window(&self.zone, progress.next, &progress.marks, &collected);
+                let bytes = to_json(&content)?;
+                self.lease.check()?;
+                match self.store.swap(&key, 0, &bytes)? {
+                    SwapOutcome::Written(_) => {
+                        log_event!(self.logger, events::USAGE_SEALED;
+                            "zone" => %self.zone, "window" => progress.next,
+                            "lines" => content.lines.len());
+                        bytes
+                    }
+                    SwapOutcome::Conflict(Some(stored)) => stored.value,
+                    SwapOutcome::Conflict(None) => return Ok(SealStep::Progress),
+                }
+            }
+        };
+        self.phase = SealPhase::Reporting(version, progress, sealed);
+        Ok(SealStep::Progress)
+    }
+
+    fn report(
+        &mut self,
+        version: u64,
+        progress: UsageProgress,
+        sealed: &[u8],
+    ) -> Result<SealStep, ServiceError> {
+        let content: SealedUsage = parse(sealed)?;
+        if let Err(error) = self.sink.report(&self.zone, progress.next, sealed) {
+            let event = match error.kind {
+                ErrorKind::Conflict => events::USAGE_CONFLICT,
+                _ => events::USAGE_UNREPORTED,
+            };
+            log_event!(self.logger, event;
+                "zone" => %self.zone, "window" => progress.next, "detail" => &error.detail);
+            return Err(error);
+        }
+        let next = UsageProgress {
+            next: progress.next + 1,
+            marks: content.marks,
+        };
+        self.phase = SealPhase::Advancing(version, next);
+        Ok(SealStep::Progress)
+    }
+
+    fn advance(&mut self, version: u64, next: UsageProgress) -> Result<SealStep, ServiceError> {
+        // A conflict means that another holder advanced; the next step reads its progress.
+        self.store
+            .swap(&self.progress_key(), version, &to_json(&next)?)?;
+        Ok(SealStep::Progress)
+    }
+
+    fn progress_key(&self) -> String {
+        format!("usage/{}/progress", self.zone)
+    }
+}
+
+/// Joins the collected counts into the content of a window.
+///
+/// Lines up to an agent's mark were sealed before and are left out; lines of other windows keep
+/// their own window.
+pub fn seal_window(
+    zone: &ObjectName,
+    window: u64,
+    marks: &[AgentMark],
+    collected: &[AgentUsage],
+) -> SealedUsage {
+    let mut sealed: SortedMap<ObjectName, u64> = marks
+        .iter()
+        .map(|mark| (mark.agent.clone(), mark.sealed_through))
+        .collect();
+    let mut lines: SortedMap<(u64, Option<ObjectName>, ObjectName), (u64, u64)> = SortedMap::new();
+    for usage in collected {
+        let before = sealed.get(&usage.agent).copied();
+        let fresh = usage
+            .lines
+            .iter()
+            .filter(|line| before.is_none_or(|before| line.window > before));
+        for line in fresh {
+            let key = (line.window, line.customer.clone(), line.service.clone());
+            let count = lines.get_or_insert_with(key, || (0, 0));
+            count.0 = count.0.saturating_add(line.requests);
+            count.1 = count.1.saturating_add(line.tokens);
+            let mark = sealed.get_or_insert_with(usage.agent.clone(), || line.window);
+            *mark = line.window.max(*mark);
+        }
+    }
+    SealedUsage {
+        zone: zone.clone(),
+        window,
+        lines: lines
+            .iter()
+            .map(
+                |((window, customer, service), (requests, tokens))| UsageLine {
+                    window: *window,
+                    customer: customer.clone(),
+                    service: service.clone(),
+                    requests: *requests,
+                    tokens: *tokens,
+                },
+            )
+            .collect(),
+        marks: sealed
+            .iter()
+            .map(|(agent, sealed_through)| AgentMark {
+                agent: agent.clone(),
+                sealed_through: *sealed_through,
+            })
+            .collect(),
+    }
+}
+
+fn to_json(value: &impl serde::Serialize) -> Result<Vec<u8>, ServiceError> {
+    serde_json::to_vec(value)
+        .map_err(|error| ServiceError::not_run(ErrorKind::Internal, error.to_string()))
+}
+
+fn parse<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, ServiceError> {
+    serde_json::from_slice(bytes).map_err(|error| {
+        let detail = format!("stored usage is malformed: {error}");
+        ServiceError::not_run(ErrorKind::Internal, detail)
+    })
+}
--- /dev/null
+++ b/crates/catkindeck-control/tests/usage.rs
@@ -0,0 +1,297 @@
+//! Two sealers of one zone race through outages, lost answers and pauses.
+
+mod common;
+mod support;
+
+use {
+    catkindeck::{
+        ErrorKind, ServiceError,
+        id::ObjectName,
+        log::discard_logger,
+        message::{USAGE_WINDOW_MS, UsageLine},
+        platform::UsageSink,
+    },
+    catkindeck_control::{
+        authority::ControlLease,
+        usage::{AgentMark, AgentUsage, UsageCollector, UsageSealer, seal_window},
+    },
+    catkindeck_store::LeaseProof,
+    proptest::prelude::*,
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex},
+    },
+    support::{MemoryStore, StoreFault},
+};
+
+/// Both processes believe that they hold the lease, which is the case that sealing must bear.
+struct BelievedLease;
+
+impl ControlLease for BelievedLease {
+    fn check(&self) -> Result<LeaseProof, ServiceError> {
+        Ok(LeaseProof {
+            number: 1,
+            remaining_ms: 1000,
+        })
+    }
+}
+
+/// Agents with counts by window; the reachable ones answer with what is not sealed for them.
+#[derive(Default)]
+struct AgentCounts {
+    state: Mutex<AgentState>,
+}
+
+#[derive(Default)]
+struct AgentState {
+    now_window: u64,
+    counts: [BTreeMap<u64, u64>; 2],
+    unreachable: [bool; 2],
+    total: u64,
+}
+
+impl UsageCollector for AgentCounts {
+    fn collect(&self, _zone: &ObjectName, marks: &[AgentMark]) -> Vec<AgentUsage> {
+        let state = self.state.lock().unwrap();
+        let mut collected = Vec::new();
+        for agent in 0..2 {
+            if state.unreachable[agent] {
+                continue;
+            }
+            let host = agent_name(agent);
+            let mark = marks.iter().find(|mark| mark.agent == host);
+            let lines = state.counts[agent]
+                .iter()
+                .filter(|(window, _)| **window < state.now_window)
+                .filter(|(window, _)| mark.is_none_or(|mark| **window > mark.sealed_through));
+            collected.push(AgentUsage {
+                agent: host,
+                lines: lines.map(|(window, count)| line(*window, *count)).collect(),
+            });
+        }
+        collected
+    }
+}
+
+/// Keeps every reported byte string and refuses a second one for a window.
+#[derive(Default)]
+struct ReportLog {
+    state: Mutex<ReportState>,
+}
+
+#[derive(Default)]
+struct ReportState {
+    attempts: BTreeMap<u64, Vec<Vec<u8>>>,
+    down: bool,
+    lose_answers: bool,
+}
+
+impl UsageSink for ReportLog {
+    fn report(&self, _zone: &ObjectName, window: u64, sealed: &[u8]) -> Result<(), ServiceError> {
+        let mut state = self.state.lock().unwrap();
+        let lost = ServiceError::unknown(ErrorKind::PeerUnavailable, "ordered by the test");
+        if state.down {
+            return Err(lost);
+        }
+        state
+            .attempts
+            .entry(window)
+            .or_default()
+            .push(sealed.to_vec());
+        if state.lose_answers {
+            Err(lost)
+        } else {
+            Ok(())
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Action {
+    /// A sealer makes its next outside call.
+    Step(usize),
+    /// A sealer's process is replaced.
+    Restart(usize),
+    /// An agent counts requests in the present window.
+    Count(usize, u64),
+    /// The next window begins.
+    NextWindow,
+    /// An agent can be reached or not.
+    Reach(usize, bool),
+    /// The store's behaviour.
+    Store(u8),
+    /// The usage interface's behaviour.
+    Sink(u8),
+}
+
+fn actions() -> impl Strategy<Value = Vec<Action>> {
+    let action = prop_oneof![
+        12 => (0..2_usize).prop_map(Action::Step),
+        1 => (0..2_usize).prop_map(Action::Restart),
+        4 => (0..2_usize, 1..9_u64).prop_map(|(agent, count)| Action::Count(agent, count)),
+        2 => Just(Action::NextWindow),
+        1 => (0..2_usize, any::<bool>()).prop_map(|(agent, up)| Action::Reach(agent, up)),
+        1 => (0..4_u8).prop_map(Action::Store),
+        1 => (0..4_u8).prop_map(Action::Sink),
+    ];
+    prop::collection::vec(action, 1..200)
+}
+
+struct UsageWorld {
+    store: Arc<MemoryStore>,
+    sink: Arc<ReportLog>,
+    agents: Arc<AgentCounts>,
+    sealers: [UsageSealer; 2],
+}
+
+impl UsageWorld {
+    fn new() -> Self {
+        let store = Arc::new(MemoryStore::default());
+        let sink = Arc::new(ReportLog::default());
+        let agents = Arc::new(AgentCounts::default());
+        agents.state.lock().unwrap().now_window = 10;
+        let sealers = [(); 2].map(|()| sealer(&store, &sink, &agents));
+        Self {
+            store,
+            sink,
+            agents,
+            sealers,
+        }
+    }
+
+    fn apply(&mut self, action: &Action) {
+        match *action {
+            Action::Step(who) => {
+                let window = self.agents.state.lock().unwrap().now_window;
+                // Errors are faults ordered below; the sealer goes on by itself.
+                let _ = self.sealers[who].step(window * USAGE_WINDOW_MS + 6000);
+            }
+            Action::Restart(who) => {
+                self.sealers[who] = sealer(&self.store, &self.sink, &self.agents);
+            }
+            Action::Count(agent, count) => {
+                let mut state = self.agents.state.lock().unwrap();
+                let window = state.now_window;
+                *state.counts[agent].entry(window).or_default() += count;
+                state.total += count;
+            }
+            Action::NextWindow => self.agents.state.lock().unwrap().now_window += 1,
+            Action::Reach(agent, up) => {
+                self.agents.state.lock().unwrap().unreachable[agent] = !up;
+            }
+            Action::Store(fault) => self.store.set_fault(match fault {
+                0 => StoreFault::Outage,
+                1 => StoreFault::AnswerLost,
+                _ => StoreFault::None,
+            }),
+            Action::Sink(fault) => {
+                let mut sink = self.sink.state.lock().unwrap();
+                sink.down = fault == 0;
+                sink.lose_answers = fault == 1;
+            }
+        }
+    }
+
+    /// Returns the requests over all windows, after checking that each has one content.
+    fn reported(&self) -> Result<u64, TestCaseError> {
+        let state = self.sink.state.lock().unwrap();
+        let mut total = 0;
+        for (window, reports) in &state.attempts {
+            for report in reports {
+                prop_assert_eq!(report, &reports[0], "window {} differs", window);
+            }
+            let content: catkindeck_control::usage::SealedUsage =
+                serde_json::from_slice(&reports[0]).expect("the report is sealed usage");
+            prop_assert_eq!(content.window, *window);
+            total += content.lines.iter().map(|line| line.requests).sum::<u64>();
+        }
+        Ok(total)
+    }
+}
+
+fn sealer(
+    store: &Arc<MemoryStore>,
+    sink: &Arc<ReportLog>,
+    agents: &Arc<AgentCounts>,
+) -> UsageSealer {
+    UsageSealer::new(
+        name("vault-a"),
+        store.clone(),
+        sink.clone(),
+        agents.clone(),
+        Arc::new(BelievedLease),
+        discard_logger(),
+    )
+}
+
+fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).expect("a valid name")
+}
+
+fn agent_name(agent: usize) -> ObjectName {
+    name(["agent-0", "agent-1"][agent])
+}
+
+fn line(window: u64, requests: u64) -> UsageLine {
+    UsageLine {
+        window,
+        customer: Some(name("customer")),
+        service: name("service"),
+        requests,
+        tokens: requests * 10,
+    }
+}
+
+proptest! {
+    #![proptest_config(common::fuzz_config(300))]
+
+    /// Guards against a window reported with two sets of figures, and against counts that are
+    /// reported twice or never.
+    #[test]
+    fn windows_never_differ(actions in actions()) {
+        let mut world = UsageWorld::new();
+        for action in &actions {
+            world.apply(action);
+            let counted = world.agents.state.lock().unwrap().total;
+            prop_assert!(world.reported()? <= counted, "counts were reported twice");
+        }
+        // With all faults over, everything counted is reported exactly once.
+        for action in [
+            Action::Store(3),
+            Action::Sink(3),
+            Action::Reach(0, true),
+            Action::Reach(1, true),
+            Action::NextWindow,
+            Action::NextWindow,
+        ] {
+            world.apply(&action);
+        }
+        for _ in 0..1000 {
+            world.apply(&Action::Step(0));
+        }
+        let counted = world.agents.state.lock().unwrap().total;
+        prop_assert_eq!(world.reported()?, counted);
+    }
+}
+
+/// Guards against a late count that is dropped or mixed with the later window's own counts.
+#[test]
+fn late_counts_keep_their_own_line() {
+    let marks = [AgentMark {
+        agent: agent_name(0),
+        sealed_through: 4,
+    }];
+    let collected = [
+        AgentUsage {
+            agent: agent_name(0),
+            lines: vec![line(4, 100), line(6, 1)],
+        },
+        AgentUsage {
+            agent: agent_name(1),
+            lines: vec![line(5, 2), line(6, 3)],
+        },
+    ];
+    let sealed = seal_window(&name("vault-a"), 6, &marks, &collected);
+    assert_eq!(sealed.lines, vec![line(5, 2), line(6, 4)]);
+    assert!(sealed.marks.iter().all(|mark| mark.sealed_through == 6));
+}
--- /dev/null
+++ b/crates/catkindeck-control/tests/zones.rs
@@ -0,0 +1,296 @@
+//! Two controllers of one zone with lapsing leases, pauses and lost answers, in virtual time.
+
+mod common;
+mod support;
+
+use {
+    catkindeck::{
+        Clock, ErrorKind, Moment, ServiceError,
+        id::ObjectName,
+        log::discard_logger,
+        platform::{StoreClient, ZoneCount, ZoneOrder, ZoneOrders},
+    },
+    catkindeck_control::{
+        authority::ControlLease,
+        zones::{ZoneController, ZoneIntent, ZoneParts},
+    },
+    catkindeck_policy::ScaleOrder,
+    catkindeck_store::LeaseProof,
+    proptest::prelude::*,
+    std::{
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
+    support::{MemoryStore, StoreFault},
+};
+
+const ORDER_MS: u64 = 2000;
+
+/// Time, the lease and the interface; one order can be held back on its way.
+#[derive(Default)]
+struct ZoneState {
+    now: u64,
+    /// The holder, its number and the end of the lease.
+    holder: usize,
+    number: u64,
+    expires: u64,
+    /// What the next order meets.
+    fate: Fate,
+    /// Orders on their way with the moment by which they arrive.
+    flights: Vec<(u64, ZoneOrder)>,
+    /// Accepted orders in order of arrival.
+    accepted: Vec<ZoneOrder>,
+    ordered: u32,
+    /// Orders that were sent without an intent in the store.
+    unannounced: usize,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+enum Fate {
+    #[default]
+    Accepted,
+    /// It takes effect, but the answer is lost.
+    AnswerLost,
+    /// It arrives after this time, and the caller has given up.
+    Delayed(u64),
+    /// It is lost on its way.
+    Lost,
+}
+
+#[derive(Default)]
+struct ZoneWorld {
+    state: Mutex<ZoneState>,
+    store: Arc<MemoryStore>,
+}
+
+impl ZoneWorld {
+    fn lock(&self) -> MutexGuard<'_, ZoneState> {
+        self.state.lock().unwrap()
+    }
+
+    fn advance(&self, ms: u64) {
+        let mut state = self.lock();
+        state.now += ms;
+        let now = state.now;
+        let (arrived, flying): (Vec<_>, Vec<_>) = std::mem::take(&mut state.flights)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        state.flights = flying;
+        for (_, order) in arrived {
+            accept(&mut state, order);
+        }
+    }
+}
+
+fn accept(state: &mut ZoneState, order: ZoneOrder) {
+    state.ordered = order.count;
+    state.accepted.push(order);
+}
+
+impl Clock for ZoneWorld {
+    fn now(&self) -> Moment {
+        Moment(self.lock().now)
+    }
+}
+
+impl ZoneOrders for ZoneWorld {
+    /// Takes every order whatever its fencing number.
+    fn order(
+        &self,
+        _zone: &ObjectName,
+        order: &ZoneOrder,
+        timeout: Duration,
+    ) -> Result<(), ServiceError> {
+        let stored = self.store.peek("zone/vault-a/intent");
+        let mut state = self.lock();
+        let announced = stored.is_some_and(|bytes| {
+            let intent: ZoneIntent = serde_json::from_slice(&bytes).expect("an intent");
+            intent.order == *order && !intent.settled
+        });
+        state.unannounced += usize::from(!announced);
+        let lost = ServiceError::unknown(ErrorKind::PeerUnavailable, "ordered by the test");
+        match state.fate {
+            Fate::Accepted => {
+                accept(&mut state, order.clone());
+                Ok(())
+            }
+            Fate::AnswerLost => {
+                accept(&mut state, order.clone());
+                Err(lost)
+            }
+            Fate::Delayed(ms) => {
+                let limit = u64::try_from(timeout.as_millis()).expect("a short timeout");
+                let arrives = state.now + ms.min(limit);
+                state.flights.push((arrives, order.clone()));
+                Err(lost)
+            }
+            Fate::Lost => Err(lost),
+        }
+    }
+
+    fn counts(&self, _zone: &ObjectName) -> Result<Vec<ZoneCount>, ServiceError> {
+        let ordered = self.lock().ordered;
+        Ok(vec![ZoneCount {
+            service: name("drafting"),
+            ordered,
+            running: ordered,
+        }])
+    }
+}
+
+struct WorldLease {
+    world: Arc<ZoneWorld>,
+    who: usize,
+}
+
+impl ControlLease for WorldLease {
+    fn check(&self) -> Result<LeaseProof, ServiceError> {
+        let state = self.world.lock();
+        if state.holder != self.who || state.now >= state.expires {
+            return Err(ServiceError::not_run(ErrorKind::Fenced, "not held"));
+        }
+        Ok(LeaseProof {
+            number: state.number,
+            remaining_ms: (state.expires - state.now).min(ORDER_MS),
+        })
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Action {
+    Advance(u64),
+    Step(usize, u32),
+    /// The lease ends and this process gets the next one.
+    Grant(usize),
+    Restart(usize),
+    Fate(Fate),
+    Store(u8),
+}
+
+fn actions() -> impl Strategy<Value = Vec<Action>> {
+    let fate = prop_oneof![
+        3 => Just(Fate::Accepted),
+        2 => Just(Fate::AnswerLost),
+        3 => (0..ORDER_MS).prop_map(Fate::Delayed),
+        1 => Just(Fate::Lost),
+    ];
+    let action = prop_oneof![
+        6 => (1..1500_u64).prop_map(Action::Advance),
+        14 => (0..2_usize, 1..9_u32).prop_map(|(who, count)| Action::Step(who, count)),
+        2 => (0..2_usize).prop_map(Action::Grant),
+        1 => (0..2_usize).prop_map(Action::Restart),
+        3 => fate.prop_map(Action::Fate),
+        1 => (0..4_u8).prop_map(Action::Store),
+    ];
+    prop::collection::vec(action, 1..150)
+}
+
+fn controller(world: &Arc<ZoneWorld>, who: usize) -> ZoneController {
+    let store: Arc<dyn StoreClient> = world.store.clone();
+    let parts = ZoneParts {
+        store,
+        orders: world.clone(),
+        lease: Arc::new(WorldLease {
+            world: world.clone(),
+            who,
+        }),
+        clock: world.clone(),
+        logger: discard_logger(),
+    };
+    ZoneController::new(name("vault-a"), parts, ORDER_MS)
+}
+
+fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).expect("a valid name")
+}
+
+fn wanted(count: u32) -> ScaleOrder {
+    ScaleOrder {
+        zone: name("vault-a"),
+        service: name("drafting"),
+        count,
+    }
+}
+
+proptest! {
+    #![proptest_config(common::fuzz_config(400))]
+
+    /// Guards against an order of a former holder that takes effect after one of its successor at
+    /// an interface that ignores fencing numbers, and against an order that is not in the store.
+    #[test]
+    fn orders_arrive_in_order_of_holders(actions in actions()) {
+        let world = Arc::new(ZoneWorld::default());
+        let mut controllers = [controller(&world, 0), controller(&world, 1)];
+        for action in actions {
+            match action {
+                Action::Advance(ms) => world.advance(ms),
+                Action::Step(who, count) => {
+                    // Errors are faults ordered here; the controller goes on by itself.
+                    let _ = controllers[who].step(Some(&wanted(count)));
+                }
+                Action::Grant(who) => {
+                    let mut state = world.lock();
+                    state.holder = who;
+                    state.number += 1;
+                    state.expires = state.now + 10_000;
+                }
+                Action::Restart(who) => controllers[who] = controller(&world, who),
+                Action::Fate(fate) => world.lock().fate = fate,
+                Action::Store(fault) => world.store.set_fault(match fault {
+                    0 => StoreFault::Outage,
+                    1 => StoreFault::AnswerLost,
+                    _ => StoreFault::None,
+                }),
+            }
+            let state = world.lock();
+            prop_assert_eq!(state.unannounced, 0);
+            let fences: Vec<u64> = state.accepted.iter().map(|order| order.fence).collect();
+            prop_assert!(fences.is_sorted(), "orders took effect as {:?}", fences);
+        }
+    }
+}
+
+/// Guards against a controller that stays with an order in doubt and never follows the scaler.
+#[test]
+fn order_in_doubt_is_settled() {
+    let world = Arc::new(ZoneWorld::default());
+    {
+        let mut state = world.lock();
+        (state.holder, state.number, state.expires) = (0, 1, 10_000);
+        state.fate = Fate::AnswerLost;
+    }
+    let mut first = controller(&world, 0);
+    for _ in 0..3 {
+        let _ = first.step(Some(&wanted(3)));
+    }
+    assert_eq!(world.lock().accepted.len(), 1);
+    // The successor waits until nothing can be on its way, then gives its own order.
+    {
+        let mut state = world.lock();
+        (state.holder, state.number, state.expires) = (1, 2, 20_000);
+        state.fate = Fate::Accepted;
+    }
+    let mut second = controller(&world, 1);
+    for _ in 0..10 {
+        second.step(Some(&wanted(5))).expect("the store answers");
+    }
+    assert_eq!(
+        world.lock().accepted.len(),
+        1,
+        "the order in doubt may be on its way"
+    );
+    world.advance(ORDER_MS);
+    for _ in 0..10 {
+        second.step(None).expect("the store answers");
+    }
+    for _ in 0..3 {
+        second.step(Some(&wanted(5))).expect("the store answers");
+    }
+    let state = world.lock();
+    let orders: Vec<(u64, u32)> = state
+        .accepted
+        .iter()
+        .map(|order| (order.fence, order.count))
+        .collect();
+    assert_eq!(orders, [(1, 3), (2, 5)]);
+}
