Count no majority before the zones are known

A replaced node knew of one zone until it had fetched a configuration, so one peer's word was a majority: it settled, and with a part of the fleet that is cut off served an older configuration than an accepted one. tests/spread.rs, forgetful_node_does_not_count, failed in the commit before this one ('node 0 serves revision 1 after 2 was accepted') and passes now.

--- a/crates/catkindeck-control/src/spread/tracker.rs
+++ b/crates/catkindeck-control/src/spread/tracker.rs
@@ -33,7 +33,8 @@
     pub fn new(zone: ObjectName, started: Moment) -> Self {
         Self {
             zone,
-            zone_count: 1,
+            // Before the zones are known, no number of them is a majority.
+            zone_count: usize::MAX,
             started,
             settled: false,
             used: ConfigRevision::default(),
