Test commits that run into each other

Evidence for a lower revision is kept when a higher one is learned: nothing higher existed then, so it stays true.

--- a/crates/catkindeck-control/src/spread/tracker.rs
+++ b/crates/catkindeck-control/src/spread/tracker.rs
@@ -63,9 +63,7 @@
 
     /// Learns that a peer sent a message with this revision.
     pub fn on_message(&mut self, revision: ConfigRevision) {
-        if revision > self.known {
-            self.learn(revision, None);
-        }
+        self.known = self.known.max(revision);
     }
 
     /// Learns what a peer, asked at `asked`, knows.
@@ -123,13 +121,10 @@
         }
     }
 
+    /// Evidence for a lower revision stays evidence for a higher one: nothing higher existed then.
     fn learn(&mut self, revision: ConfigRevision, evidence: Option<Moment>) {
-        if revision > self.known {
-            self.known = revision;
-            self.evidence = evidence;
-        } else if revision == self.known {
-            self.evidence = self.evidence.max(evidence);
-        }
+        self.known = self.known.max(revision);
+        self.evidence = self.evidence.max(evidence);
     }
 
     fn settle(&mut self) {
--- a/crates/catkindeck-control/tests/ledger.rs
+++ b/crates/catkindeck-control/tests/ledger.rs
@@ -9,7 +9,7 @@
         config::{ConfigRevision, ConfigSnapshot, CustomerRecord, ZoneRecord, ZoneState},
         id::ObjectName,
         log::discard_logger,
-        platform::StoreClient,
+        platform::{LeaseGrant, LeaseOutcome, StoreClient, StoreValue, SwapOutcome},
         time::SystemClock,
     },
     catkindeck_control::{
@@ -17,7 +17,13 @@
         spread::{ConfirmRounds, ConfirmTally, HeldConfig, StoreLedger, encode_shards},
     },
     proptest::prelude::*,
-    std::sync::Arc,
+    std::{
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
     support::{MemoryStore, StoreFault},
 };
 
@@ -255,3 +261,130 @@
         ErrorKind::Internal
     );
 }
+
+/// Runs another operator's commit before the call with this number.
+struct RacingStore {
+    inner: Arc<MemoryStore>,
+    calls: AtomicUsize,
+    race_at: usize,
+    race: Mutex<Option<Box<dyn FnOnce() + Send>>>,
+}
+
+impl RacingStore {
+    fn count(&self) {
+        if self.calls.fetch_add(1, Ordering::Relaxed) == self.race_at {
+            let race = self.race.lock().unwrap().take();
+            race.expect("the number comes once")();
+        }
+    }
+}
+
+impl StoreClient for RacingStore {
+    fn read(&self, key: &str) -> Result<Option<StoreValue>, ServiceError> {
+        self.count();
+        self.inner.read(key)
+    }
+
+    fn swap(&self, key: &str, expected: u64, value: &[u8]) -> Result<SwapOutcome, ServiceError> {
+        self.count();
+        self.inner.swap(key, expected, value)
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<(String, StoreValue)>, ServiceError> {
+        self.inner.list(prefix)
+    }
+
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<u64, ServiceError> {
+        self.inner.watch(prefix, after, wait)
+    }
+
+    fn acquire(&self, lease: &str, holder: &str, ttl: u64) -> Result<LeaseOutcome, ServiceError> {
+        self.inner.acquire(lease, holder, ttl)
+    }
+
+    fn renew(&self, lease: &str, number: u64, ttl: u64) -> Result<LeaseGrant, ServiceError> {
+        self.inner.renew(lease, number, ttl)
+    }
+
+    fn release(&self, lease: &str, number: u64) -> Result<(), ServiceError> {
+        self.inner.release(lease, number)
+    }
+}
+
+/// Guards against two operators whose commits run into each other at any point: exactly one change
+/// is in force, whole, and the other operator is told so.
+#[test]
+fn racing_commits_have_one_winner() {
+    let mut raced = 0;
+    for race_at in 0..12 {
+        let inner = Arc::new(MemoryStore::default());
+        let setup = ledger(&inner);
+        let first = with_customer(&ConfigSnapshot::default(), "c0", 1);
+        let id = PlanId::of(ConfigRevision(0), &first);
+        setup.commit(&id, &first).expect("commits");
+        let base = setup.head().expect("reads");
+
+        // Both change the same record, so both write the same part.
+        let theirs = with_customer(&base, "c0", 7);
+        let ours = with_customer(&base, "c0", 9);
+        let their_id = PlanId::of(base.revision, &theirs);
+        let our_id = PlanId::of(base.revision, &ours);
+        let (store, expected) = (inner.clone(), theirs.clone());
+        let race = move || {
+            let outcome = ledger(&store)
+                .commit(&their_id, &expected)
+                .expect("commits");
+            assert_eq!(outcome, CommitOutcome::Committed(ConfigRevision(2)));
+        };
+        let racing = Arc::new(RacingStore {
+            inner: inner.clone(),
+            calls: AtomicUsize::new(0),
+            race_at,
+            race: Mutex::new(Some(Box::new(race))),
+        });
+        let ours_ledger = StoreLedger::new(
+            racing.clone(),
+            Arc::new(AllConfirm),
+            Arc::new(SystemClock::new()),
+            discard_logger(),
+        );
+        let outcome = ours_ledger.commit(&our_id, &ours).expect("answers");
+        let head = ledger(&inner).head().expect("reads");
+        assert_eq!(
+            head.revision,
+            ConfigRevision(2),
+            "race before call {race_at}"
+        );
+        if racing.race.lock().unwrap().is_some() {
+            assert_eq!(outcome, CommitOutcome::Committed(ConfigRevision(2)));
+            assert_eq!(head.customers, ours.customers);
+            continue;
+        }
+        raced += 1;
+        assert_eq!(outcome, CommitOutcome::Moved, "race before call {race_at}");
+        assert_eq!(
+            head.customers, theirs.customers,
+            "race before call {race_at}"
+        );
+    }
+    assert!(raced >= 4, "the race met only {raced} calls of a commit");
+}
+
+/// Guards against a change that is joined with a part which an operator wrote who lost a race.
+#[test]
+fn parts_of_lost_races_are_skipped() {
+    let store = Arc::new(MemoryStore::default());
+    let base = ConfigSnapshot::default();
+    let lost = with_customer(&base, "c0", 7);
+    let shards = encode_shards(&lost).expect("encodes");
+    for (name, bytes) in shards.iter() {
+        let key = format!("config/shard/{name}/1");
+        store.swap(&key, 0, bytes).expect("writes");
+    }
+    let ours = with_customer(&base, "c0", 9);
+    let id = PlanId::of(base.revision, &ours);
+    let ledger = ledger(&store);
+    let outcome = ledger.commit(&id, &ours).expect("commits");
+    assert_eq!(outcome, CommitOutcome::Committed(ConfigRevision(1)));
+    assert_eq!(ledger.head().expect("reads").customers, ours.customers);
+}
--- a/crates/catkindeck-control/tests/spread.rs
+++ b/crates/catkindeck-control/tests/spread.rs
@@ -405,3 +405,19 @@
         );
     }
 }
+
+/// Guards against a node that knows of a newer configuration and serves before it has it.
+#[test]
+fn known_revision_is_fetched_before_serving() {
+    let mut tracker = SpreadTracker::new(zone_of(0), Moment(0));
+    tracker.on_head(ConfigRevision(1), Moment(100));
+    assert!(tracker.on_fetched(ConfigRevision(1), ZONES.len()));
+    assert!(tracker.is_fresh(Moment(200)));
+    tracker.on_message(ConfigRevision(2));
+    assert_eq!(tracker.wanted(), Some(ConfigRevision(2)));
+    assert!(!tracker.is_fresh(Moment(200)));
+    assert!(tracker.on_fetched(ConfigRevision(2), ZONES.len()));
+    assert!(tracker.is_fresh(Moment(200)));
+    assert!(!tracker.on_fetched(ConfigRevision(1), ZONES.len()));
+    assert_eq!(tracker.used(), ConfigRevision(2));
+}
