Let idle agents learn of configurations

Cause: after a zone went out, entries sent nothing there any more, so its agents saw no revision in messages and kept the old configuration; an entry with an older view could still have sent work. Ruled out: a slow fetch (no fetch was made). Change: an agent asks one entry in turn for its revision each second. Before: a_zone_out_gets_no_new_work waited 120 s for the revision at the agents and failed. After: it passes in 8 s.

--- a/crates/catkindeck-agent/src/configuration.rs
+++ b/crates/catkindeck-agent/src/configuration.rs
@@ -16,7 +16,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, OnceLock, PoisonError,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -36,6 +36,8 @@
     /// Peers that showed a higher revision, newest last.
     shown_by: Mutex<Vec<SocketAddr>>,
     seeds: Vec<SocketAddr>,
+    /// The seed that is asked next.
+    turn: AtomicUsize,
     /// Held while a configuration is applied, so that listeners see revisions in order.
     applying: Mutex<()>,
     /// Held while a configuration is fetched, so that concurrent calls fetch it once.
@@ -54,6 +56,7 @@
             highest_seen: AtomicU64::new(0),
             shown_by: Mutex::default(),
             seeds,
+            turn: AtomicUsize::new(0),
             applying: Mutex::new(()),
             fetching: Mutex::new(()),
             link: OnceLock::new(),
@@ -133,31 +136,50 @@
         }
     }
 
+    /// Asks one seed, in turn, whether there is a higher revision, and fetches it.
+    ///
+    /// An agent that gets no requests sees no revisions in messages. It must learn all the same that
+    /// its zone went out, because an entry with an older view may still send work.
+    pub fn follow(&self) {
+        if self.seeds.is_empty() {
+            return;
+        }
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        let address = self.seeds[turn % self.seeds.len()];
+        match self.ask(address, PeerRequest::ReadRevision) {
+            Ok(PeerFrame::Revision(revision)) if revision > self.current.load().revision => {
+                self.note_higher(revision, address);
+            }
+            // A seed that cannot be reached is skipped; the next turn asks another.
+            Ok(_) | Err(_) => {}
+        }
+    }
+
     fn fetch(&self, address: SocketAddr) -> Result<(), ServiceError> {
-        let unavailable =
-            |detail: &str| ServiceError::not_run(ErrorKind::PeerUnavailable, detail.to_owned());
-        let link = self
-            .link
-            .get()
-            .ok_or_else(|| unavailable("the transport has not started"))?;
-        let mut stream = link.call(address, PeerRequest::FetchConfiguration, self.timeout)?;
-        match stream.receive(self.timeout)? {
-            Some(PeerFrame::Configuration(config)) => {
+        match self.ask(address, PeerRequest::FetchConfiguration)? {
+            PeerFrame::Configuration(config) => {
                 self.accept(*config);
                 Ok(())
             }
-            Some(PeerFrame::Failed(error)) => Err(error),
             _ => Err(unavailable("the peer sent no configuration")),
         }
     }
-}
 
-impl RevisionHook for ConfigKeeper {
-    fn current(&self) -> ConfigRevision {
-        self.current.load().revision
+    fn ask(&self, address: SocketAddr, request: PeerRequest) -> Result<PeerFrame, ServiceError> {
+        let link = self
+            .link
+            .get()
+            .ok_or_else(|| unavailable("the transport has not started"))?;
+        let mut stream = link.call(address, request, self.timeout)?;
+        match stream.receive(self.timeout)? {
+            Some(PeerFrame::Failed(error)) => Err(error),
+            Some(frame) => Ok(frame),
+            None => Err(unavailable("the peer ended its answer without a frame")),
+        }
     }
 
-    fn higher_seen(&self, revision: ConfigRevision, _peer: &PeerIdentity, address: SocketAddr) {
+    /// Notes that `address` has a higher revision, and fetches it from there.
+    fn note_higher(&self, revision: ConfigRevision, address: SocketAddr) {
         self.highest_seen.fetch_max(revision.0, Ordering::AcqRel);
         {
             let mut shown_by = lock(&self.shown_by);
@@ -181,6 +203,20 @@
     }
 }
 
+impl RevisionHook for ConfigKeeper {
+    fn current(&self) -> ConfigRevision {
+        self.current.load().revision
+    }
+
+    fn higher_seen(&self, revision: ConfigRevision, _peer: &PeerIdentity, address: SocketAddr) {
+        self.note_higher(revision, address);
+    }
+}
+
+fn unavailable(detail: &str) -> ServiceError {
+    ServiceError::not_run(ErrorKind::PeerUnavailable, detail)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/catkindeck-agent/src/watch.rs
+++ b/crates/catkindeck-agent/src/watch.rs
@@ -30,6 +30,12 @@
 /// ran; a caller who waits long for a slow answer needs the incarnation to revoke the request.
 const NOTICE_AFTER_MS: u64 = 1500;
 
+/// How often an entry is asked for its configuration's revision.
+///
+/// A zone that is taken out gets no new work after 2 s (`docs/design.md`, G10); one exchange of
+/// about 200 bytes a second stays well below the 6 KB/s for control.
+const FOLLOW_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Starts the threads, which end when the agent is dropped.
 ///
 /// # Errors
@@ -56,6 +62,9 @@
     })?;
     repeat("catch-up", core, CATCH_UP_INTERVAL, |core| {
         core.keeper().catch_up();
+    })?;
+    repeat("follow", core, FOLLOW_INTERVAL, |core| {
+        core.keeper().follow();
     })
 }
 
