Follow the platform's host list at the agent

Ruled out: treating a host that the list does not name as leaving, because the list lags. Change: an optional section [hosts]; a host called leaving closes the queue, and entries of the list are asked for a missing configuration. Before: only orders closed the queue. After: the_host_list_tells_of_leaving_and_of_entries passes.

--- a/crates/catkindeck-agent/src/configuration.rs
+++ b/crates/catkindeck-agent/src/configuration.rs
@@ -36,6 +36,8 @@
     /// Peers that showed a higher revision, newest last.
     shown_by: Mutex<Vec<SocketAddr>>,
     seeds: Vec<SocketAddr>,
+    /// Entries of the host list.
+    listed: Mutex<Vec<SocketAddr>>,
     /// Held while a configuration is applied, so that listeners see revisions in order.
     applying: Mutex<()>,
     /// Held while a configuration is fetched, so that concurrent calls fetch it once.
@@ -54,6 +56,7 @@
             highest_seen: AtomicU64::new(0),
             shown_by: Mutex::default(),
             seeds,
+            listed: Mutex::default(),
             applying: Mutex::new(()),
             fetching: Mutex::new(()),
             link: OnceLock::new(),
@@ -75,6 +78,11 @@
         let _ = self.link.set(link);
     }
 
+    /// Sets the entries of the host list, which are asked after the seeds.
+    pub fn set_listed(&self, entries: Vec<SocketAddr>) {
+        *lock(&self.listed) = entries;
+    }
+
     /// Returns the configuration in use; revision zero means that none is known.
     pub fn current(&self) -> Arc<ConfigSnapshot> {
         self.current.load_full()
@@ -116,13 +124,14 @@
 
     /// Asks peers for a configuration if none is known or a higher one was shown.
     ///
-    /// The highest answer of the seeds counts, because a single peer may be behind.
+    /// The highest answer counts, because a single peer may be behind.
     pub fn catch_up(&self) {
         if self.check_current().is_ok() {
             return;
         }
         let mut peers = lock(&self.shown_by).clone();
         peers.extend(&self.seeds);
+        peers.extend(lock(&self.listed).iter());
         for address in peers {
             if let Err(error) = self.fetch(address) {
                 log_event!(
--- a/crates/catkindeck-agent/src/events.rs
+++ b/crates/catkindeck-agent/src/events.rs
@@ -146,8 +146,16 @@
     text: "the configuration lists this upstream under another service than the settings",
 };
 
+/// The host list could not be read.
+pub const HOST_LIST_UNREADABLE: LogEvent = LogEvent {
+    number: 2018,
+    name: "host_list_unreadable",
+    level: Level::Warning,
+    text: "the host list could not be read",
+};
+
 /// Every event of this crate, in order of number.
-pub const ALL: [LogEvent; 18] = [
+pub const ALL: [LogEvent; 19] = [
     AGENT_STARTED,
     CONFIGURATION_APPLIED,
     CONFIGURATION_NOT_FETCHED,
@@ -166,4 +174,5 @@
     SAMPLE_DROPPED,
     LEFT_UNCOLLECTED,
     SERVICE_MISMATCH,
+    HOST_LIST_UNREADABLE,
 ];
--- a/crates/catkindeck-agent/src/lib.rs
+++ b/crates/catkindeck-agent/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod execute;
 mod hand_over;
+mod hosts;
 mod metrics;
 mod orders;
 mod probe;
--- a/crates/catkindeck-agent/src/process.rs
+++ b/crates/catkindeck-agent/src/process.rs
@@ -13,9 +13,11 @@
         Clock, ErrorKind, ServiceError, ServiceKernel,
         link::{PeerLink, PeerRole},
         log_event,
+        platform::HostList,
         time::SystemClock,
     },
     catkindeck_health::{DrainGate, HealthServer, ReadinessFlag, ShutdownCause, ShutdownWatch},
+    catkindeck_store::HttpHosts,
     catkindeck_wire::{PeerEndpoint, WireLimits, WireSettings},
     prometheus::Registry,
     slog::Logger,
@@ -28,6 +30,9 @@
 /// The name under which the kernel holds the upstream's client.
 pub const UPSTREAM: &str = "upstream";
 
+/// The name under which the kernel holds the platform's host list, if there is one.
+pub const HOST_LIST: &str = "host-list";
+
 /// The name under which the kernel holds the way to other processes.
 pub const PEER_LINK: &str = "peer-link";
 
@@ -64,6 +69,14 @@
                 register(kernel, UPSTREAM, client)?
             }
         };
+        let hosts: Option<Arc<dyn HostList>> = match (kernel.find(HOST_LIST), &settings.hosts) {
+            (Ok(hosts), _) => Some(hosts),
+            (Err(_), Some(hosts)) => {
+                let hosts = HttpHosts::new(hosts.clone(), clock.clone(), logger.clone());
+                Some(register(kernel, HOST_LIST, Arc::new(hosts))?)
+            }
+            (Err(_), None) => None,
+        };
 
         // The agent and its sockets.
         let registry = Registry::new();
@@ -83,7 +96,7 @@
         core.connect(link);
         let health_listen = settings.process.health_listen;
         let health = HealthServer::start(health_listen, readiness, gate, registry, logger.clone())?;
-        watch::start(&core).map_err(|error| {
+        watch::start(&core, hosts).map_err(|error| {
             ServiceError::not_run(ErrorKind::Internal, format!("no thread: {error}"))
         })?;
         endpoint.serve(Arc::new(AgentHandler::new(core.clone())));
--- a/crates/catkindeck-agent/src/settings.rs
+++ b/crates/catkindeck-agent/src/settings.rs
@@ -7,6 +7,7 @@
         process::{ProcessSettings, RawProcess, parse_address, parse_name},
         settings::{SettingsError, SettingsText},
     },
+    catkindeck_store::{ClientSettings, RawClient},
     http::Uri,
     serde::Deserialize,
     std::{net::SocketAddr, path::Path, time::Duration},
@@ -23,6 +24,9 @@
     /// Where the configuration is learnt after a start.
     #[serde(default)]
     pub peers: RawPeers,
+    /// The platform's host list, by which the agent learns that its upstream is leaving.
+    #[serde(default)]
+    pub hosts: Option<RawClient>,
     /// Time limits.
     #[serde(default)]
     pub timeouts: RawTimeouts,
@@ -71,6 +75,8 @@
     pub probe_ms: u64,
     /// The interval between load reports of the upstream.
     pub probe_interval_ms: u64,
+    /// The interval of reading the host list.
+    pub hosts_interval_ms: u64,
     /// The time that a call of another process may take.
     pub peer_ms: u64,
     /// The longest time that a request may run; no route may have a longer time-out.
@@ -86,6 +92,8 @@
             order_ms: 60_000,
             probe_ms: 1000,
             probe_interval_ms: 500,
+            // New work must stop a few seconds after the list says that the host is leaving.
+            hosts_interval_ms: 2000,
             peer_ms: 2000,
             longest_request_ms: 600_000,
             // A window of 60 s is collected soon after its end; this allows for one failed try.
@@ -128,6 +136,8 @@
     pub upstream: UpstreamSettings,
     /// Processes that are asked for the configuration.
     pub peers: Vec<SocketAddr>,
+    /// The platform's host list.
+    pub hosts: Option<ClientSettings>,
     /// Time limits.
     pub timeouts: AgentTimeouts,
     /// Bounds.
@@ -160,6 +170,8 @@
     pub probe: Duration,
     /// The interval between load reports of the upstream.
     pub probe_interval: Duration,
+    /// The interval of reading the host list.
+    pub hosts_interval: Duration,
     /// The time that a call of another process may take.
     pub peer: Duration,
     /// The longest time that a request may run.
@@ -196,10 +208,13 @@
             .map(|address| parse_address(text, "peers.addresses", address))
             .collect();
         check_limits(text, &raw.limits)?;
+        let hosts = raw.hosts.map(|hosts| (text, "hosts", hosts));
+        let hosts = hosts.map(ClientSettings::try_from).transpose()?;
         Ok(Self {
             process,
             upstream,
             peers: peers?,
+            hosts,
             timeouts: check_timeouts(text, &raw.timeouts)?,
             limits: raw.limits,
         })
@@ -247,6 +262,7 @@
         order: check("order_ms", raw.order_ms, 100, 600_000)?,
         probe: check("probe_ms", raw.probe_ms, 10, 60_000)?,
         probe_interval: check("probe_interval_ms", raw.probe_interval_ms, 10, 60_000)?,
+        hosts_interval: check("hosts_interval_ms", raw.hosts_interval_ms, 10, 60_000)?,
         peer: check("peer_ms", raw.peer_ms, 10, 60_000)?,
         longest_request: check(
             "longest_request_ms",
--- a/crates/catkindeck-agent/src/state.rs
+++ b/crates/catkindeck-agent/src/state.rs
@@ -104,7 +104,10 @@
     pub version: Option<WeightVersion>,
     /// The number of the last cache event of this boot.
     pub last_cache_event: u64,
+    /// Whether an order said that the upstream leaves.
     pub leaving: bool,
+    /// Whether the host list says that the host leaves.
+    pub listed_leaving: bool,
     /// Whether the upstream cannot be reached.
     pub unreachable: bool,
     /// The last sign that the upstream still has this boot identity.
@@ -147,6 +150,7 @@
             version: None,
             last_cache_event: 0,
             leaving: false,
+            listed_leaving: false,
             unreachable: false,
             last_sign: now,
             broken: 0,
--- a/crates/catkindeck-agent/src/watch.rs
+++ b/crates/catkindeck-agent/src/watch.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::core::AgentCore,
-    catkindeck::id::RequestId,
+    catkindeck::{id::RequestId, platform::HostList},
     std::{
         io,
         sync::{Arc, Weak},
@@ -35,7 +35,13 @@
 /// # Errors
 ///
 /// Returns the system's error if a thread cannot be started.
-pub(crate) fn start(core: &Arc<AgentCore>) -> io::Result<()> {
+pub(crate) fn start(core: &Arc<AgentCore>, hosts: Option<Arc<dyn HostList>>) -> io::Result<()> {
+    if let Some(hosts) = hosts {
+        let interval = core.settings.timeouts.hosts_interval;
+        repeat("hosts", core, interval, move |core| {
+            core.read_hosts(hosts.as_ref());
+        })?;
+    }
     let mut ticks = 0;
     repeat("tick", core, TICK, move |core| {
         tick(core);
--- a/crates/catkindeck-agent/tests/common/mod.rs
+++ b/crates/catkindeck-agent/tests/common/mod.rs
@@ -123,9 +123,14 @@
 
     /// Starts an agent with the text of a settings file.
     pub fn start_agent_with(&self, text: &str) -> AgentProcess {
+        self.start_agent_in(&ServiceKernel::new(), text)
+    }
+
+    /// Starts an agent with the services of a kernel.
+    pub fn start_agent_in(&self, kernel: &ServiceKernel, text: &str) -> AgentProcess {
         let text = SettingsText::new("agent.toml", text);
         let settings = AgentSettings::try_from((&text, text.parse().unwrap())).unwrap();
-        AgentProcess::start(settings, &ServiceKernel::new(), discard_logger()).unwrap()
+        AgentProcess::start(settings, kernel, discard_logger()).unwrap()
     }
 
     pub fn start_peer(&self, role: PeerRole, host: &str) -> TestPeer {
--- a/crates/catkindeck-agent/tests/engine.rs
+++ b/crates/catkindeck-agent/tests/engine.rs
@@ -11,6 +11,7 @@
         message::{
             CrashReport, ExecutionState, PeerFrame, PeerRequest, SampleId, WorkBody, prefix_digest,
         },
+        platform::{HostList, HostRecord, HostState},
         token::WeightVersion,
     },
     catkindeck_agent::AgentProcess,
@@ -683,3 +684,67 @@
     assert_eq!(answer.error().kind, ErrorKind::UpstreamLeaving);
     assert_eq!(answer.error().execution, ExecutionOutcome::NotRun);
 }
+
+/// A host list that a test changes.
+#[derive(Default)]
+struct TestHosts(std::sync::Mutex<Vec<HostRecord>>);
+
+impl HostList for TestHosts {
+    fn hosts(&self) -> Result<Vec<HostRecord>, catkindeck::ServiceError> {
+        Ok(self.0.lock().unwrap().clone())
+    }
+}
+
+/// Guards against new work at an upstream that the host list calls leaving (G14), and against an
+/// agent that does not find an entry to learn the configuration from.
+#[test]
+fn the_host_list_tells_of_leaving_and_of_entries() {
+    let engine = FakeEngine::new();
+    let address = engine.spawn("127.0.0.1:0".parse().unwrap()).unwrap();
+    let site = TestSite::new();
+    let entry = site.start_peer(PeerRole::Entry, "entry-1");
+    entry.serve_configuration(configuration(4, &[("vault-a-1", address)]));
+    let hosts = std::sync::Arc::new(TestHosts::default());
+    let kernel = catkindeck::ServiceKernel::new();
+    kernel
+        .register::<dyn HostList>(catkindeck_agent::process::HOST_LIST, hosts.clone())
+        .unwrap();
+    let extra = "[timeouts]\nhosts_interval_ms = 10";
+    let text = site.agent_settings("vault-a-1", "engine", address, extra);
+    let agent = site.start_agent_in(&kernel, &text);
+    let record = |host: &str, role: &str, state, address| HostRecord {
+        host: name(host),
+        zone: name("vault-a"),
+        address,
+        role: role.to_owned(),
+        state,
+    };
+    let list = |state| {
+        let own = agent.peer_address().unwrap();
+        let other = entry.endpoint.local_address().unwrap();
+        *hosts.0.lock().unwrap() = vec![
+            record("vault-a-1", "agent", state, own),
+            record("entry-1", "entry", HostState::Live, other),
+        ];
+    };
+    list(HostState::Live);
+    wait_until("the configuration is known", || {
+        entry.load(&agent).revision == ConfigRevision(4)
+    });
+    assert!(
+        entry
+            .execute(&agent, &completion("draft", 1))
+            .finished
+            .is_some()
+    );
+    list(HostState::Leaving);
+    wait_until("the upstream is closed", || entry.load(&agent).closed);
+    let answer = entry.execute(&agent, &completion("late", 1));
+    assert_eq!(answer.error().kind, ErrorKind::UpstreamLeaving);
+    // A list that lost the host for a moment changes nothing.
+    hosts.0.lock().unwrap().remove(0);
+    thread::sleep(std::time::Duration::from_millis(50));
+    assert!(entry.load(&agent).closed);
+    list(HostState::Live);
+    wait_until("the upstream is open", || !entry.load(&agent).closed);
+}
