--- a/crates/catkindeck-wire/src/certificate.rs
+++ b/crates/catkindeck-wire/src/certificate.rs
@@ -82,7 +82,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the error of the certificate library.
+    /// Returns an error if the host's name does not fit into a DNS name, and otherwise the error of
+    /// the certificate library.
     pub fn issue(&self, role: PeerRole, host: &ObjectName) -> Result<IssuedCertificate, WireError> {
         let key = KeyPair::generate()?;
         let mut params = base_params(vec![dns_name(role, host.as_str())])?;
@@ -98,6 +99,8 @@
             ],
         };
         let certificate = params.signed_by(&key, &self.issuer)?;
+        // A host name may be longer than a DNS label, which peers would refuse only later.
+        read_identity(certificate.der())?;
         Ok(IssuedCertificate {
             certificate_pem: certificate.pem(),
             key_pem: key.serialize_pem(),
--- a/crates/catkindeck-wire/tests/frames.rs
+++ b/crates/catkindeck-wire/tests/frames.rs
@@ -2,11 +2,12 @@
 
 use {
     catkindeck::{
-        id::{IncarnationId, RequestId},
+        id::{IncarnationId, ObjectName, RequestId},
         link::PeerRole,
         message::{MESSAGE_LIMIT, PeerFrame},
     },
     catkindeck_wire::{
+        DevelopmentAuthority,
         certificate::{dns_name, parse_dns_name},
         frame::{FrameBuffer, encode},
     },
@@ -85,6 +86,20 @@
     assert!(buffer.take::<PeerFrame>().is_err());
 }
 
+/// Guards against certificates that are issued and then refused by every peer.
+#[test]
+fn issued_certificates_carry_a_usable_name() {
+    let authority = DevelopmentAuthority::create().unwrap();
+    let reopened =
+        DevelopmentAuthority::open(authority.certificate_pem(), authority.key_pem()).unwrap();
+    for host in ["vault-a-1", "a_b", "rack.7", "7", &"h".repeat(63)] {
+        let host = ObjectName::try_from(host).unwrap();
+        assert!(reopened.issue(PeerRole::Entry, &host).is_ok(), "{host}");
+    }
+    let long = ObjectName::try_from("h".repeat(64)).unwrap();
+    assert!(authority.issue(PeerRole::Entry, &long).is_err());
+}
+
 /// Guards against names that would give a process another role or host.
 #[test]
 fn certificate_names_are_checked() {
