--- a/crates/catkindeck-wire/tests/frames.rs
+++ b/crates/catkindeck-wire/tests/frames.rs
@@ -2,18 +2,38 @@
 
 use {
     catkindeck::{
-        id::{IncarnationId, RequestId},
+        id::{IncarnationId, ObjectName, RequestId},
         link::PeerRole,
         message::{MESSAGE_LIMIT, PeerFrame},
     },
     catkindeck_wire::{
+        DevelopmentAuthority,
         certificate::{dns_name, parse_dns_name},
         frame::{FrameBuffer, encode},
     },
-    proptest::{collection::vec, prelude::*},
+    proptest::{collection::vec, prelude::*, test_runner::RngSeed},
 };
 
+/// Runs with a fixed seed, or with a random one and many cases if `CATKINDECK_FUZZ_CASES` is set.
+fn config() -> ProptestConfig {
+    let cases = std::env::var("CATKINDECK_FUZZ_CASES")
+        .ok()
+        .and_then(|text| text.parse().ok());
+    let rng_seed = match cases {
+        Some(_) => RngSeed::Random,
+        None => RngSeed::Fixed(20_261_206),
+    };
+    ProptestConfig {
+        cases: cases.unwrap_or(256),
+        rng_seed,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
+    #![proptest_config(config())]
+
     /// Guards against panics and endless loops on bytes that no encoder made.
     #[test]
     fn arbitrary_bytes_are_refused_or_wait(pieces in vec(vec(any::<u8>(), 0..64), 0..16)) {
@@ -85,6 +105,20 @@
     assert!(buffer.take::<PeerFrame>().is_err());
 }
 
+/// Guards against certificates that are issued and then refused by every peer.
+#[test]
+fn issued_certificates_carry_a_usable_name() {
+    let authority = DevelopmentAuthority::create().unwrap();
+    let reopened =
+        DevelopmentAuthority::open(authority.certificate_pem(), authority.key_pem()).unwrap();
+    for host in ["vault-a-1", "a_b", "rack.7", "7", &"h".repeat(63)] {
+        let host = ObjectName::try_from(host).unwrap();
+        assert!(reopened.issue(PeerRole::Entry, &host).is_ok(), "{host}");
+    }
+    let long = ObjectName::try_from("h".repeat(64)).unwrap();
+    assert!(authority.issue(PeerRole::Entry, &long).is_err());
+}
+
 /// Guards against names that would give a process another role or host.
 #[test]
 fn certificate_names_are_checked() {
