--- a/crates/catkindeck-agent/src/state.rs
+++ b/crates/catkindeck-agent/src/state.rs
@@ -22,11 +22,13 @@
     },
 };
 
-/// How long an announced zone state holds against a newer configuration that contradicts it, in
-/// milliseconds.
+/// How long an announcement that the zone is out holds against newer configurations that contradict
+/// it, in milliseconds.
 ///
 /// The announcement comes ahead of the configuration that it announces; in between, unrelated
-/// changes may arrive. At target size a change is everywhere after 17 s.
+/// changes may arrive. At target size a change is everywhere after 17 s. An announcement that the
+/// zone is in yields to the next configuration, because taking work in a zone that is out is worse
+/// than refusing it for a moment.
 const ANNOUNCEMENT_HOLD_MS: u64 = 60_000;
 
 /// The number of prefixes in a load report.
@@ -103,6 +105,12 @@
     /// The number of the last cache event of this boot.
     pub last_cache_event: u64,
     pub leaving: bool,
+    /// Whether the upstream cannot be reached.
+    pub unreachable: bool,
+    /// The last sign that the upstream still has this boot identity.
+    pub last_sign: Moment,
+    /// The number of requests whose connection broke and that have not probed the upstream yet.
+    pub broken: u32,
     /// Set when the records are handed over and usage is final.
     pub ending: bool,
     grants: BTreeMap<RequestId, QueueGrant>,
@@ -139,6 +147,9 @@
             version: None,
             last_cache_event: 0,
             leaving: false,
+            unreachable: false,
+            last_sign: now,
+            broken: 0,
             ending: false,
             grants: BTreeMap::new(),
             billed: BTreeSet::new(),
@@ -173,7 +184,9 @@
         let zone = config.zone(&self.settings.process.zone);
         self.config_zone = zone.map_or(ZoneState::In, |zone| zone.state);
         if let Some((announced, at)) = self.announced
-            && (announced == self.config_zone || now.since(at) >= ANNOUNCEMENT_HOLD_MS)
+            && (announced == ZoneState::In
+                || announced == self.config_zone
+                || now.since(at) >= ANNOUNCEMENT_HOLD_MS)
         {
             self.announced = None;
         }
@@ -206,7 +219,7 @@
             Some((zone, at)) if now.since(at) < ANNOUNCEMENT_HOLD_MS => zone,
             _ => self.config_zone,
         };
-        let closed = zone == ZoneState::Out || self.leaving || !self.member;
+        let closed = zone == ZoneState::Out || self.leaving || self.unreachable || !self.member;
         if closed == self.queue.counts().closed {
             return None;
         }
@@ -244,6 +257,7 @@
 
     /// Learns the boot identity that an answer carried; tells whether it is new.
     pub fn observe_boot(&mut self, now: Moment, boot: &BootId) -> bool {
+        self.last_sign = self.last_sign.max(now);
         let new = self.queue.observe_boot(now, boot);
         if self.boot != *boot {
             self.boot = boot.clone();
--- a/crates/catkindeck-cli/src/arguments.rs
+++ b/crates/catkindeck-cli/src/arguments.rs
@@ -133,8 +133,9 @@
 #[argh(
     subcommand,
     name = "zone",
-    example = "{command_name} out vault-a",
-    example = "{command_name} in vault-a --yes"
+    example = "Show the plan, ask, and apply:\n  {command_name} out vault-a",
+    example = "In two steps, as for a second pair of eyes:\n  {command_name} out vault-a --dry-run\n  \
+        {command_name} out vault-a --plan 7-3f..."
 )]
 pub struct ZoneArguments {
     /// the new state, `out` or `in`
@@ -145,6 +146,14 @@
     #[argh(positional)]
     pub zone: String,
 
+    /// show the plan and stop
+    #[argh(switch)]
+    pub dry_run: bool,
+
+    /// id of a plan that `--dry-run` showed, to confirm exactly that one
+    #[argh(option)]
+    pub plan: Option<String>,
+
     /// confirm the plan without asking
     #[argh(switch)]
     pub yes: bool,
@@ -178,6 +187,8 @@
 pub enum KeyAction {
     /// Creates a key.
     Create(KeyCreateArguments),
+    /// Digests a key.
+    Digest(KeyDigestArguments),
     /// Lists keys.
     List(KeyListArguments),
     /// Revokes a key.
@@ -205,6 +216,15 @@
     pub declare: Option<PathBuf>,
 }
 
+/// Print the digest of a key in a file, as for an entry's `operator_digests`.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "digest")]
+pub struct KeyDigestArguments {
+    /// file with the key
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
 /// List the keys that work, without the keys themselves.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "list")]
@@ -218,6 +238,14 @@
     #[argh(positional)]
     pub label: String,
 
+    /// show the plan and stop
+    #[argh(switch)]
+    pub dry_run: bool,
+
+    /// id of a plan that `--dry-run` showed, to confirm exactly that one
+    #[argh(option)]
+    pub plan: Option<String>,
+
     /// confirm the plan without asking
     #[argh(switch)]
     pub yes: bool,
@@ -259,9 +287,17 @@
 #[argh(
     subcommand,
     name = "check-config",
-    example = "{command_name} declarations/"
+    example = "{command_name} --entry entry.toml --agent agent.toml declarations/"
 )]
 pub struct CheckArguments {
+    /// settings file of an entry; may be repeated
+    #[argh(option)]
+    pub entry: Vec<PathBuf>,
+
+    /// settings file of an agent; may be repeated
+    #[argh(option)]
+    pub agent: Vec<PathBuf>,
+
     /// objectives file of the burn report; may be repeated
     #[argh(option)]
     pub objectives: Vec<PathBuf>,
@@ -270,6 +306,10 @@
     #[argh(option)]
     pub load: Vec<PathBuf>,
 
+    /// file for the declarations as one configuration, for entries without a store (`config_file`)
+    #[argh(option)]
+    pub snapshot: Option<PathBuf>,
+
     /// declaration files, or directories whose *.toml files are all taken; checked together
     #[argh(positional)]
     pub paths: Vec<PathBuf>,
--- a/crates/catkindeck-cli/src/check_command.rs
+++ b/crates/catkindeck-cli/src/check_command.rs
@@ -2,12 +2,26 @@
 
 use {
     crate::{
-        arguments::CheckArguments, burn::read_objectives, files::read_declarations,
-        intent_command::check_declarations, load::read_profile, output::CommandReport,
+        arguments::CheckArguments,
+        burn::read_objectives,
+        files::{read_declarations, replace_file, unreadable},
+        load::read_profile,
+        output::CommandReport,
     },
-    catkindeck::{ErrorKind, ServiceError},
+    catkindeck::{
+        ErrorKind, ServiceError,
+        config::ConfigSnapshot,
+        settings::{SettingsError, SettingsText},
+    },
+    catkindeck_agent::AgentSettings,
+    catkindeck_control::intent::{DeclaredIntent, check_declarations, compare},
+    catkindeck_entry::settings::EntrySettings,
     serde_json::json,
-    std::path::Path,
+    std::{
+        fs, io,
+        path::Path,
+        time::{SystemTime, UNIX_EPOCH},
+    },
 };
 
 /// Checks every named file and reports all that are faulty.
@@ -18,6 +32,14 @@
         Ok(line) => lines.push(line),
         Err(error) => faults.push(error.detail),
     };
+    for path in &arguments.entry {
+        let checked = SettingsText::read(path).and_then(|text| EntrySettings::load(&text));
+        take(settings(path, "entry settings", checked.map(drop)));
+    }
+    for path in &arguments.agent {
+        let checked = AgentSettings::read(path);
+        take(settings(path, "agent settings", checked.map(drop)));
+    }
     for path in &arguments.objectives {
         take(read_objectives(path).map(|_| accepted(path, "objectives file")));
     }
@@ -26,6 +48,9 @@
     }
     if !arguments.paths.is_empty() {
         take(declarations(arguments));
+    } else if arguments.snapshot.is_some() {
+        let detail = "--snapshot needs declarations";
+        take(Err(ServiceError::not_run(ErrorKind::BadRequest, detail)));
     }
     let checked = lines.len() + faults.len();
     if checked == 0 {
@@ -45,6 +70,9 @@
 fn declarations(arguments: &CheckArguments) -> Result<String, ServiceError> {
     let texts = read_declarations(&arguments.paths)?;
     let intent = check_declarations(&texts)?;
+    if let Some(path) = &arguments.snapshot {
+        write_snapshot(&intent, path)?;
+    }
     Ok(format!(
         "{} declaration files are valid: {} customers, {} keys, {} services, {} routes, {} zones, \
          {} upstreams, {} runs",
@@ -59,6 +87,40 @@
     ))
 }
 
+/// Writes the configuration that follows the one in the file; an entry takes up higher revisions.
+fn write_snapshot(intent: &DeclaredIntent, path: &Path) -> Result<(), ServiceError> {
+    let current: ConfigSnapshot = match fs::read(path) {
+        Ok(bytes) => serde_json::from_slice(&bytes).map_err(|error| {
+            let detail = format!("{} is not a configuration: {error}", path.display());
+            ServiceError::not_run(ErrorKind::Conflict, detail)
+        })?,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => ConfigSnapshot::default(),
+        Err(error) => return Err(unreadable(path, &error)),
+    };
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let now_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+    let next = intent.to_snapshot(&current, now_ms);
+    if compare(&current, &next).is_empty() {
+        return Ok(());
+    }
+    let text = serde_json::to_string_pretty(&next).map_err(|error| {
+        ServiceError::not_run(ErrorKind::Internal, format!("cannot encode: {error}"))
+    })?;
+    replace_file(path, &text)
+}
+
+fn settings(
+    path: &Path,
+    kind: &str,
+    checked: Result<(), SettingsError>,
+) -> Result<String, ServiceError> {
+    checked
+        .map(|()| accepted(path, kind))
+        .map_err(|fault| ServiceError::not_run(ErrorKind::BadRequest, fault.to_string()))
+}
+
 fn accepted(path: &Path, kind: &str) -> String {
     format!("{}: valid {kind}", path.display())
 }
--- a/crates/catkindeck-cli/tests/support/mod.rs
+++ b/crates/catkindeck-cli/tests/support/mod.rs
@@ -4,23 +4,23 @@
 #![allow(dead_code)]
 
 use {
-    astra::{Body, ConnectionInfo, Request, Response, ResponseBuilder, Server},
     catkindeck::{
         ServiceError,
         config::{ConfigRevision, ConfigSnapshot},
         id::KeyDigest,
+        log::discard_logger,
     },
     catkindeck_control::intent::{
         AdminRequest, CommitOutcome, ConfigLedger, IntentAdmin, LoadSource, LoadView, PlanId,
         SpreadState,
     },
+    catkindeck_fakes::stream::{StreamCall, StreamHandler, StreamReply, spawn},
     std::{
-        io::Read,
+        io,
         net::SocketAddr,
         path::Path,
         process::{Command, Output},
         sync::{Arc, Mutex},
-        thread,
     },
 };
 
@@ -31,6 +31,15 @@
 #[derive(Default)]
 pub struct MemoryLedger {
     revisions: Mutex<Vec<ConfigSnapshot>>,
+    /// The number of commits that another operator's change overtakes.
+    races: Mutex<u32>,
+}
+
+impl MemoryLedger {
+    /// Lets another operator's change overtake the next commits.
+    pub fn overtake(&self, commits: u32) {
+        *self.races.lock().unwrap() = commits;
+    }
 }
 
 impl ConfigLedger for MemoryLedger {
@@ -56,7 +65,20 @@
     }
 
     fn commit(&self, _id: &PlanId, next: &ConfigSnapshot) -> Result<CommitOutcome, ServiceError> {
-        self.revisions.lock().unwrap().push(next.clone());
+        let mut revisions = self.revisions.lock().unwrap();
+        let mut races = self.races.lock().unwrap();
+        if *races > 0 {
+            *races -= 1;
+            let mut other = revisions.last().cloned().unwrap_or_default();
+            other.revision.0 += 1;
+            other
+                .customers
+                .iter_mut()
+                .for_each(|customer| customer.weight += 1);
+            revisions.push(other);
+            return Ok(CommitOutcome::Moved);
+        }
+        revisions.push(next.clone());
         Ok(CommitOutcome::Committed(next.revision))
     }
 
@@ -73,42 +95,47 @@
 
 /// Starts the stand-in on a free port; it lives as long as the test process.
 pub fn start_entry() -> SocketAddr {
-    let ledger = Arc::new(MemoryLedger::default());
+    start_entry_on(Arc::new(MemoryLedger::default()))
+}
+
+/// Starts the stand-in on a ledger.
+pub fn start_entry_on(ledger: Arc<MemoryLedger>) -> SocketAddr {
     let operators = vec![KeyDigest::of(OPERATOR_KEY)];
-    let admin = Arc::new(IntentAdmin::new(ledger.clone(), ledger, operators));
-    let server = Server::bind("127.0.0.1:0");
-    let address = server.local_addr().unwrap();
-    thread::spawn(move || {
-        let _ = server.serve(move |request: Request, _: ConnectionInfo| answer(&admin, request));
-    });
-    address
+    let admin = IntentAdmin::new(ledger.clone(), ledger, operators, discard_logger());
+    let handler: StreamHandler = Arc::new(move |call, reply| answer(&admin, call, reply));
+    spawn("127.0.0.1:0".parse().unwrap(), handler).unwrap()
 }
 
-fn answer(admin: &IntentAdmin, mut request: Request) -> Response {
-    let mut body = Vec::new();
-    request.body_mut().reader().read_to_end(&mut body).unwrap();
+fn answer(admin: &IntentAdmin, call: &StreamCall, reply: &mut StreamReply<'_>) -> io::Result<()> {
     let whole = r#"{"choices": [{"text": "a b"}], "usage": {"completion_tokens": 2}}"#;
-    let events = "data: {\"choices\": [{\"text\": \"a\"}]}\n\ndata: {\"choices\": [{\"text\": \
-                  \"b\"}]}\n\n";
-    match request.uri().path() {
-        "/v1/completions" if wants_stream(&body) => {
-            Response::new(Body::new(format!("{events}data: [DONE]\n\n")))
+    let event = |text: &str| format!("data: {{\"choices\": [{{\"text\": \"{text}\"}}]}}\n\n");
+    let events = format!("{}{}", event("a"), event("b"));
+    match call.path.as_str() {
+        "/v1/completions" if wants_stream(&call.body) => {
+            reply.start(200, &[])?;
+            reply.piece(events.as_bytes())?;
+            reply.piece(b"data: [DONE]\n\n")?;
+            reply.end()
+        }
+        "/v1/completions" => reply.whole(200, &[], whole.as_bytes()),
+        "/cut" => reply.whole(200, &[], events.as_bytes()),
+        "/engine" => {
+            let request: serde_json::Value = serde_json::from_slice(&call.body)?;
+            let known = request["request_id"].is_string() && request["prompt"].is_string();
+            let lines = "{\"token\": \"a\", \"version\": 1}\n".repeat(2);
+            let end = if known { "{\"done\": true}\n" } else { "" };
+            reply.whole(200, &[], format!("{lines}{end}").as_bytes())
         }
-        "/v1/completions" => Response::new(Body::new(whole)),
-        "/cut" => Response::new(Body::new(events)),
-        "/engine" => Response::new(Body::new("{\"token\": 1}\n{\"token\": 2}\n")),
         path => {
-            let header = request.headers().get("authorization");
-            let key = header.and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
+            let header = call.header("authorization");
             let answer = admin.handle(AdminRequest {
-                method: request.method().as_str(),
+                method: &call.method,
                 path,
-                key,
-                body: &body,
+                key: header.and_then(|value| value.strip_prefix("Bearer ")),
+                body: &call.body,
                 now_ms: 1000,
             });
-            let response = ResponseBuilder::new().status(answer.status);
-            response.body(Body::new(answer.body)).unwrap()
+            reply.whole(answer.status, &[], &answer.body)
         }
     }
 }
--- a/crates/catkindeck-control/tests/intent.rs
+++ b/crates/catkindeck-control/tests/intent.rs
@@ -5,6 +5,7 @@
         ErrorKind, ServiceError,
         config::{ConfigRevision, ConfigSnapshot, ZoneState},
         id::{KeyDigest, ObjectName},
+        log::discard_logger,
         settings::SettingsText,
     },
     catkindeck_control::intent::{
@@ -160,6 +161,12 @@
 #[test]
 fn faults_name_file_line_field_and_expectation() {
     let cases = [
+        (
+            "weight = 4",
+            "weight = \"4\"",
+            "base.toml:4: weight: invalid type: string \"4\", expected a whole number",
+        ),
+        ("[[customers]]", "[customers]", "expected a list"),
         (
             "weight = 4",
             "weigth = 4",
@@ -376,7 +383,7 @@
 fn admin_calls_need_an_operator_key_and_a_known_path() {
     let ledger = Arc::new(MemoryLedger::with_base());
     let operators = vec![KeyDigest::of("operator-key")];
-    let admin = IntentAdmin::new(ledger.clone(), ledger.clone(), operators);
+    let admin = IntentAdmin::new(ledger.clone(), ledger.clone(), operators, discard_logger());
     let call = |method, path, key, body: &str| {
         let request = AdminRequest {
             method,
