--- a/crates/catkindeck-bench/src/fairness.rs
+++ b/crates/catkindeck-bench/src/fairness.rs
@@ -36,6 +36,9 @@
     /// The lowest part of its weighted share that a backlogged customer got in any window, in
     /// percent.
     pub worst_share: f64,
+    /// The lowest part of its weighted share that a backlogged customer got over all windows in
+    /// which it was backlogged, in percent.
+    pub run_share: f64,
     /// The longest wait of a customer without a backlog beyond its wait when alone, in slots' times.
     pub extra_wait_slots: f64,
 }
@@ -50,6 +53,7 @@
     let quiet = run(deployment, kind, seed, &alone);
     FairnessFigures {
         worst_share: loaded.worst_share,
+        run_share: loaded.run_share,
         extra_wait_slots: (loaded.longest_wait_ms - quiet.longest_wait_ms).max(0.0)
             / (MEAN_TOKENS / TOKENS_PER_MS),
     }
@@ -57,6 +61,7 @@
 
 struct RunFigures {
     worst_share: f64,
+    run_share: f64,
     longest_wait_ms: f64,
 }
 
@@ -78,6 +83,7 @@
     let (mut next, mut longest_wait_ms, mut worst_share) = (0, 0.0f64, f64::INFINITY);
     let mut window = [0.0; 8];
     let mut backlogged = [true; 8];
+    let mut shares: Vec<Vec<f64>> = vec![Vec::new(); 8];
     let mut window_end = WARM_UP_MS + WINDOW_MS;
     while fleet.now.0 < WARM_UP_MS + MEASURED_MS {
         for customer in 0..8 {
@@ -109,32 +115,43 @@
             }
         }
         if fleet.now.0 >= window_end {
-            worst_share = worst_share.min(window_share(&window, &backlogged));
+            for (customer, share) in window_shares(&window, &backlogged) {
+                worst_share = worst_share.min(share);
+                shares[customer].push(share);
+            }
             (window, backlogged) = ([0.0; 8], [true; 8]);
             window_end += WINDOW_MS;
         }
     }
+    let means = shares
+        .iter()
+        .filter(|shares| !shares.is_empty())
+        .map(|shares| shares.iter().sum::<f64>() / shares.len() as f64);
     RunFigures {
         worst_share,
+        run_share: means.fold(f64::INFINITY, f64::min),
         longest_wait_ms,
     }
 }
 
-/// Returns the lowest part of its share that a backlogged customer got, in percent.
+/// Returns the part of its share that each backlogged customer got, in percent.
 ///
 /// A customer counts if it had a backlog at every agent throughout the window; where it had none it
 /// got all that it asked for.
-fn window_share(window: &[f64; 8], backlogged: &[bool; 8]) -> f64 {
+fn window_shares(window: &[f64; 8], backlogged: &[bool; 8]) -> Vec<(usize, f64)> {
     let weight = |customer: usize| f64::from(WEIGHTS[customer]);
     let counted: Vec<usize> = (0..8).filter(|customer| backlogged[*customer]).collect();
     let served: f64 = counted.iter().map(|customer| window[*customer]).sum();
     let weights: f64 = counted.iter().map(|customer| weight(*customer)).sum();
     counted
-        .iter()
+        .into_iter()
         // The overloaded customer is not protected from itself.
-        .filter(|customer| OFFERED[**customer] < 10.0)
-        .map(|customer| 100.0 * window[*customer] / (served * weight(*customer) / weights))
-        .fold(f64::INFINITY, f64::min)
+        .filter(|customer| OFFERED[*customer] < 10.0)
+        .map(|customer| {
+            let due = served * weight(customer) / weights;
+            (customer, 100.0 * window[customer] / due)
+        })
+        .collect()
 }
 
 fn work(id: u32, customer: usize, tokens: f64, now: Moment) -> ModelWork {
