Check the shares of classes and customers

Cause: the guaranteed part of a step near its deadline, the bound on the credit of idle customers and the choice of who gives way in a full queue had no test.

Conclusion: no fault found.

--- /dev/null
+++ b/crates/catkindeck-policy/tests/fair.rs
@@ -0,0 +1,178 @@
+//! Guards the shares of customers and classes in the admission queue.
+
+mod common;
+
+use {
+    catkindeck::{Moment, message::WorkClass},
+    catkindeck_policy::{
+        AdmissionAction, AdmissionQueue, AdmissionRequest, AdmissionSettings, FinishCause,
+        LimitSettings,
+    },
+    common::{name, request},
+    std::collections::BTreeMap,
+};
+
+const SLOTS: u32 = 8;
+const COST: u64 = 100;
+
+/// A queue before a warm upstream that runs every request for one second.
+struct Bench {
+    now: Moment,
+    queue: AdmissionQueue,
+    running: Vec<(u32, Moment)>,
+    owners: BTreeMap<u32, &'static str>,
+    served: BTreeMap<&'static str, u64>,
+    shed: Vec<&'static str>,
+}
+
+impl Bench {
+    fn new(queue_limit: usize) -> Self {
+        let settings = AdmissionSettings {
+            limit: LimitSettings {
+                cold: SLOTS,
+                warm: SLOTS,
+                cold_start_ms: 1,
+                adaptive: false,
+            },
+            queue_limit,
+            idle_credit: 1_000,
+            urgent_percent: 25,
+            urgent_ms: 60_000,
+        };
+        Self {
+            now: Moment(0),
+            queue: AdmissionQueue::new(settings, Moment(0)),
+            running: Vec::new(),
+            owners: BTreeMap::new(),
+            served: BTreeMap::new(),
+            shed: Vec::new(),
+        }
+    }
+
+    fn offer(&mut self, customer: &'static str, class: WorkClass, patience: u64) -> bool {
+        let number = u32::try_from(self.owners.len()).expect("small");
+        self.owners.insert(number, customer);
+        let admission = AdmissionRequest {
+            request: request(number),
+            customer: Some(name(customer)),
+            class,
+            priority: 0,
+            deadline: self.now + patience,
+            service_limit: COST,
+            entry: None,
+        };
+        self.queue.offer(self.now, admission).is_ok()
+    }
+
+    fn advance(&mut self, milliseconds: u64) {
+        self.now = self.now + milliseconds;
+        let now = self.now;
+        for (number, started) in std::mem::take(&mut self.running) {
+            if now.since(started) < 1_000 {
+                self.running.push((number, started));
+                continue;
+            }
+            self.queue.served(now, &request(number), COST);
+            self.queue
+                .finish(now, &request(number), FinishCause::Completed);
+            *self.served.entry(self.owners[&number]).or_default() += 1;
+        }
+        for action in self.queue.poll(now) {
+            let (id, started) = match action {
+                AdmissionAction::Start(id) => (id, true),
+                AdmissionAction::Shed(id, _) => (id, false),
+            };
+            let number = u32::from_be_bytes(id.0[..4].try_into().expect("four bytes"));
+            match started {
+                true => self.running.push((number, now)),
+                false => self.shed.push(self.owners[&number]),
+            }
+        }
+    }
+
+    fn served(&self, customer: &str) -> u64 {
+        self.served.get(customer).copied().unwrap_or(0)
+    }
+}
+
+/// Guards against a training step that misses its deadline because callers keep all slots busy.
+#[test]
+fn a_step_near_its_deadline_has_its_part() {
+    let mut bench = Bench::new(10_000);
+    for _ in 0..400 {
+        bench.offer("editor", WorkClass::Interactive, 900_000);
+        bench.offer("trainer", WorkClass::Rollout, 59_000);
+    }
+    (0..200).for_each(|_| bench.advance(100));
+    let (trainer, editor) = (bench.served("trainer"), bench.served("editor"));
+    assert!(
+        trainer * 100 >= 25 * (trainer + editor) - 200,
+        "{trainer} of {}",
+        trainer + editor
+    );
+    assert!(
+        editor > 2 * trainer,
+        "rollouts have no more than their part"
+    );
+}
+
+/// Guards against rollouts that take slots from callers while their deadline is far.
+#[test]
+fn a_step_far_from_its_deadline_waits_for_callers() {
+    let mut bench = Bench::new(10_000);
+    for _ in 0..400 {
+        bench.offer("trainer", WorkClass::Rollout, 600_000);
+        bench.offer("editor", WorkClass::Interactive, 900_000);
+    }
+    (0..200).for_each(|_| bench.advance(100));
+    assert_eq!(bench.served("trainer"), 0);
+}
+
+/// Guards against a customer that saves up service by idling and then shuts the others out.
+#[test]
+fn idling_earns_a_bounded_credit() {
+    let mut bench = Bench::new(10_000);
+    bench.offer("idle", WorkClass::Interactive, 900_000);
+    for _ in 0..2_000 {
+        bench.offer("busy", WorkClass::Interactive, 900_000);
+    }
+    (0..600).for_each(|_| bench.advance(100));
+    let before = (bench.served("idle"), bench.served("busy"));
+    for _ in 0..1_000 {
+        bench.offer("idle", WorkClass::Interactive, 900_000);
+    }
+    (0..100).for_each(|_| bench.advance(100));
+    let idle = bench.served("idle") - before.0;
+    let busy = bench.served("busy") - before.1;
+    // The credit is ten requests; beyond it the two share evenly.
+    assert!(
+        idle <= busy + 10 + u64::from(SLOTS),
+        "{idle} against {busy}"
+    );
+    assert!(idle + u64::from(SLOTS) >= busy, "{idle} against {busy}");
+}
+
+/// Guards against a full queue that refuses customers for the sake of the one that filled it.
+#[test]
+fn the_customer_with_the_longest_queue_gives_way() {
+    let mut bench = Bench::new(50);
+    for _ in 0..60 {
+        bench.offer("flood", WorkClass::Interactive, 900_000);
+    }
+    bench.advance(0);
+    while bench.offer("flood", WorkClass::Interactive, 900_000) {}
+    assert!(bench.offer("editor", WorkClass::Interactive, 900_000));
+    bench.advance(1);
+    assert_eq!(bench.shed, ["flood"]);
+}
+
+/// Guards against work that is started although its caller has given up before it can end.
+#[test]
+fn what_cannot_end_in_time_is_refused_before_it_starts() {
+    let mut bench = Bench::new(50);
+    bench.offer("editor", WorkClass::Interactive, 900_000);
+    (0..12).for_each(|_| bench.advance(100));
+    // A request takes a second, so one with 400 ms left is refused at once.
+    assert!(!bench.offer("editor", WorkClass::Interactive, 400));
+    assert!(bench.offer("editor", WorkClass::Interactive, 2_000));
+}
