State the bound on credits for each grant

Cause: 8,000 random cases found credits above the limit: four were granted at a limit of four, one was used, then the upstream failed and the limit fell to two while three were out.

Ruled out: calling credits back, for which there is no message; they lapse after 2 s and the agent enforces its limit on arrival, so the case is allowed.

Conclusion: the guarantee is a bound on grants, not on a falling limit.

--- a/crates/catkindeck-policy/src/credit.rs
+++ b/crates/catkindeck-policy/src/credit.rs
@@ -9,8 +9,9 @@
 
 /// The credits outstanding at each entry (`docs/design.md`, decision 1).
 ///
-/// Credits only direct entries; the agent's limit is enforced on arrival. Their sum never exceeds
-/// the free part of the limit at the time of the grant.
+/// Credits only direct entries; the agent's limit is enforced on arrival. A grant never raises their
+/// sum above the free part of the limit. Credits that are out when the limit falls cannot be called
+/// back and lapse with their lifetime or the next report.
 #[derive(Debug, Clone, Default)]
 pub struct CreditLedger {
     grants: SortedMap<ObjectName, CreditGrant>,
