Count a refused request as one that waited for its patience

Cause: the bench took the moment of the deadline for the time waited, so the baseline's extra wait grew with the time of the refusal.

Conclusion: a fault of the bench, to the baseline's disadvantage.

--- a/crates/catkindeck-bench/src/fairness.rs
+++ b/crates/catkindeck-bench/src/fairness.rs
@@ -101,9 +101,10 @@
                 let wait = ended.started.since(ended.work.arrived) as f64;
                 longest_wait_ms = longest_wait_ms.max(wait);
             }
-            // A refused request of a customer without a backlog counts as one that waited forever.
+            // A refused request counts as one that waited until its caller gave up.
             if measured && light && ended.end != WorkEnd::Finished {
-                longest_wait_ms = longest_wait_ms.max(ended.work.deadline.0 as f64);
+                let wait = ended.work.deadline.since(ended.work.arrived) as f64;
+                longest_wait_ms = longest_wait_ms.max(wait);
             }
         }
         if measured {
