Spread the baseline's round robin evenly over open engines

Cause: the baseline skipped hidden engines by taking the next one, which then got the load of two or three.

Idle time does not tell the two apart unless an engine is slow.

--- a/crates/catkindeck-bench/src/fleet.rs
+++ b/crates/catkindeck-bench/src/fleet.rs
@@ -213,10 +213,11 @@
     }
 
     fn round_robin(&self, excluded: &[usize]) -> Option<usize> {
-        let count = self.engines.len();
-        let order = (0..count).map(|step| (self.turn + step) % count);
-        let mut open = order.filter(|engine| !self.hidden[*engine] && !excluded.contains(engine));
-        open.next()
+        let engines = 0..self.engines.len();
+        let open: Vec<usize> = engines
+            .filter(|engine| !self.hidden[*engine] && !excluded.contains(engine))
+            .collect();
+        open.get(self.turn % open.len().max(1)).copied()
     }
 
     fn route(&mut self, excluded: &[usize]) -> Option<usize> {
