Admit samples of the bench by the staleness forecast

Cause: the bench compared steps instead of asking the forecast, so the figures said nothing about it.

Conclusion: the forecast holds back slightly more than needed, which shows only above capacity.

--- a/crates/catkindeck-bench/src/trainer.rs
+++ b/crates/catkindeck-bench/src/trainer.rs
@@ -10,7 +10,7 @@
         steps::{ModelStep, SampleState},
     },
     catkindeck::{Moment, message::WorkClass},
-    catkindeck_policy::{MemberKey, StragglerAction},
+    catkindeck_policy::{MemberKey, StalenessForecast, StragglerAction},
     std::collections::BTreeMap,
 };
 
@@ -56,6 +56,9 @@
     fleet: ModelFleet,
     kind: PolicyKind,
     ahead: usize,
+    forecast: StalenessForecast,
+    /// The mean time of a sample from its start, in milliseconds.
+    usual_ms: f64,
     random: ModelRandom,
     steps: Vec<ModelStep>,
     /// The step of which the trainer fetches batches; also the current weight version.
@@ -91,6 +94,8 @@
         fleet: ModelFleet::new(deployment, kind, seed),
         kind,
         ahead: case.ahead,
+        forecast: StalenessForecast::new(),
+        usual_ms: 0.0,
         random: ModelRandom::new(seed, 70),
         steps: Vec::new(),
         current: 0,
@@ -152,6 +157,7 @@
             // The step is trained on, so new weights are announced.
             self.current += 1;
             self.fetched = 0;
+            self.forecast.announced(self.fleet.now);
             return;
         }
         let arrival_order = self.kind == PolicyKind::Catkindeck;
@@ -171,8 +177,12 @@
     /// Sends samples: all at once as the baseline, or as far as staleness and capacity admit.
     fn dispatch(&mut self) {
         for index in self.current..self.steps.len() {
-            let lag = index - self.current;
-            if self.kind == PolicyKind::Catkindeck && lag > STALENESS_BOUND {
+            // A step ahead is delivered under a later version, which counts as lag from the start.
+            let lag = (index - self.current) as u64;
+            let bound = STALENESS_BOUND as u64;
+            let usual_ms = self.usual_ms as u64;
+            let fresh = self.forecast.admits(self.fleet.now, usual_ms, lag, bound);
+            if self.kind == PolicyKind::Catkindeck && !fresh {
                 return;
             }
             // Waiting samples stay with the owner, so that the oldest step goes first.
@@ -240,6 +250,8 @@
             self.wasted_tokens += ended.work.tokens;
             return;
         }
+        let took = self.fleet.now.since(ended.started) as f64;
+        self.usual_ms += (took - self.usual_ms) * 0.02;
         let tokens = ended.work.tokens as u64;
         step.progressed(member, ended.work.id, tokens);
         for loser in step.accept(self.fleet.now, member, ended.work.id) {
