--- a/crates/catkindeck-bench/src/lib.rs
+++ b/crates/catkindeck-bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gate;
 pub mod random;
 pub mod report;
+pub mod routing;
 pub mod spending;
 pub mod steps;
 pub mod trainer;
@@ -119,6 +120,8 @@
     };
     let [fixed, adaptive] = [PolicyKind::FixedLimit, PolicyKind::Catkindeck]
         .map(|kind| adaptive::measure(deployment, kind, seed));
+    let [robin, routed] = [PolicyKind::Baseline, PolicyKind::Catkindeck]
+        .map(|kind| routing::measure(deployment, kind, seed));
     let compared = |figure, baseline, catkindeck| ReportRow {
         measure: 2,
         deployment: deployment.name,
@@ -129,6 +132,16 @@
         listed: false,
     };
     vec![
+        compared(
+            "requests that found their prefix held, round robin, %",
+            robin.hit_percent,
+            routed.hit_percent,
+        ),
+        compared(
+            "99th percentile of the wait for a slot, round robin, s",
+            robin.wait_s,
+            routed.wait_s,
+        ),
         compared(
             "answered in time, hosts shared for 2 min, fixed limit, %",
             fixed.in_time_percent,
