Keep prefix hints when every upstream is full

Cause: hints needed a credit and a slot below the limit, so they ended just when the load was high; misses then kept the load high.

Ruled out: raising the load bound, which would let a popular prefix overload its upstream.

Change: credits no longer gate hints, and a full upstream may be hinted if all together are full; the bound of 1.25 times the mean stays. The property checks the same, because a wait that is the same everywhere is no reason to give up a held prefix, and a case without the bound shows that it finds one.

--- a/crates/catkindeck-policy/src/router.rs
+++ b/crates/catkindeck-policy/src/router.rs
@@ -222,12 +222,14 @@
         let (used, limits) = open.iter().fold((0, 0), |(used, limits), (_, load)| {
             (used + load.used, limits + load.limit)
         });
+        // Where all together are full, a miss costs more than a wait that is the same everywhere.
+        let all_full = used >= limits;
         let within = |load: &UpstreamLoad| {
             // One request is added, because on an idle fleet every share of the mean is zero.
             let share = u128::from(used + 1) * u128::from(load.limit);
             let bound = share * u128::from(self.settings.load_bound_percent);
             let own = u128::from(load.used) * u128::from(limits) * 100;
-            load.used < load.limit && load.credits > 0 && own <= bound
+            (load.used < load.limit || all_full) && own <= bound
         };
         open.iter()
             .filter(|(_, load)| within(load))
