Avoid a failed upstream longer, but never all of them

Cause: when a zone vanishes, each entry tried each of its upstreams with a caller's request after 0.5, 1 and 2 s, and these failures used up the retry budget.

Change: the first pause is 2 s, a report ends it as before, and if only failures speak against all upstreams, they are used rather than none.

--- a/crates/catkindeck-policy/src/candidate.rs
+++ b/crates/catkindeck-policy/src/candidate.rs
@@ -23,7 +23,8 @@
     unanswered: u64,
     prefixes: Vec<u64>,
     failures: u32,
-    avoided_until: Moment,
+    failed_until: Moment,
+    closed_until: Moment,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -68,7 +69,8 @@
             unanswered: 0,
             prefixes: Vec::new(),
             failures: 0,
-            avoided_until: Moment(0),
+            failed_until: Moment(0),
+            closed_until: Moment(0),
         }
     }
 
@@ -76,7 +78,8 @@
     pub(crate) fn set_zone(&mut self, upstream: &UpstreamRecord, out: bool) {
         self.service.clone_from(&upstream.service);
         if self.zone_out && !out {
-            self.avoided_until = Moment(0);
+            self.failed_until = Moment(0);
+            self.closed_until = Moment(0);
             self.report = None;
             self.sent_since = 0;
         }
@@ -84,7 +87,12 @@
     }
 
     pub(crate) fn takes_work(&self, now: Moment) -> bool {
-        !self.leaving && !self.zone_out && self.avoided_until <= now
+        self.is_open(now) && self.failed_until <= now
+    }
+
+    /// Tells whether only failures speak against this upstream, so that it is better than none.
+    pub(crate) fn is_open(&self, now: Moment) -> bool {
+        !self.leaving && !self.zone_out && self.closed_until <= now
     }
 
     /// Estimates the load from the last report, its age and what was sent since.
@@ -140,7 +148,8 @@
         self.sent_since = 0;
         self.prefixes.clone_from(&report.prefixes);
         self.failures = 0;
-        self.avoided_until = match report.closed {
+        self.failed_until = Moment(0);
+        self.closed_until = match report.closed {
             true => closed_until,
             false => Moment(0),
         };
@@ -150,7 +159,7 @@
         let doubled = settings
             .failure_pause_ms
             .saturating_mul(1 << self.failures.min(16));
-        self.avoided_until = now + doubled.min(settings.longest_pause_ms);
+        self.failed_until = now + doubled.min(settings.longest_pause_ms);
         self.failures += 1;
         // The agent may have restarted, so its last report says nothing any more.
         self.report = None;
--- a/crates/catkindeck-policy/src/router.rs
+++ b/crates/catkindeck-policy/src/router.rs
@@ -40,7 +40,7 @@
             load_bound_percent: 125,
             report_lifetime_ms: 1_000,
             closed_pause_ms: 5_000,
-            failure_pause_ms: 500,
+            failure_pause_ms: 2_000,
             longest_pause_ms: 10_000,
         }
     }
@@ -144,19 +144,11 @@
         now: Moment,
         query: &RouteQuery<'_>,
     ) -> Result<RouteChoice, ServiceError> {
-        let pool = self.pools.get(query.service);
-        let open: Vec<(usize, UpstreamLoad)> = pool
-            .into_iter()
-            .flatten()
-            .filter(|position| {
-                let candidate = &self.candidates[**position];
-                candidate.takes_work(now) && !query.excluded.contains(&candidate.name)
-            })
-            .map(|position| {
-                let candidate = &self.candidates[*position];
-                (*position, candidate.load(now, &self.settings))
-            })
-            .collect();
+        let mut open = self.candidates_for(now, query, RouteCandidate::takes_work);
+        if open.is_empty() {
+            // A request that may fail is better than one that is refused for certain.
+            open = self.candidates_for(now, query, RouteCandidate::is_open);
+        }
         let Some(first) = open.first() else {
             return Err(ServiceError::not_run(
                 ErrorKind::NoUpstream,
@@ -214,6 +206,24 @@
             .collect()
     }
 
+    fn candidates_for(
+        &self,
+        now: Moment,
+        query: &RouteQuery<'_>,
+        usable: fn(&RouteCandidate, Moment) -> bool,
+    ) -> Vec<(usize, UpstreamLoad)> {
+        let pool = self.pools.get(query.service).into_iter().flatten();
+        pool.filter(|position| {
+            let candidate = &self.candidates[**position];
+            usable(candidate, now) && !query.excluded.contains(&candidate.name)
+        })
+        .map(|position| {
+            let load = self.candidates[*position].load(now, &self.settings);
+            (*position, load)
+        })
+        .collect()
+    }
+
     /// Selects by prefix among the upstreams within the load bound.
     ///
     /// Upstreams that report the prefix come first. Where none does, the prefix chooses one by
--- a/crates/catkindeck-policy/tests/common/mod.rs
+++ b/crates/catkindeck-policy/tests/common/mod.rs
@@ -7,6 +7,7 @@
 
 use {
     catkindeck::{
+        config::UpstreamRecord,
         id::{BodyDigest, IncarnationId, ObjectName, RequestId},
         message::{CallBody, ExecuteRequest, WorkBody, WorkClass},
     },
@@ -113,3 +114,14 @@
         }),
     }
 }
+
+pub fn upstream(number: usize, zone: usize) -> UpstreamRecord {
+    UpstreamRecord {
+        name: name(&format!("engine-{number}")),
+        service: name("drafts"),
+        zone: name(&format!("zone-{zone}")),
+        agent: ([127, 0, 0, 1], 9_000).into(),
+        added_ms: 0,
+        removed_ms: None,
+    }
+}
