--- a/crates/catkindeck-bench/src/fleet.rs
+++ b/crates/catkindeck-bench/src/fleet.rs
@@ -113,7 +113,7 @@
         self.turn += 1;
         let engine = match self.kind {
             PolicyKind::Baseline => self.round_robin(excluded)?,
-            PolicyKind::Catkindeck => self.route(excluded)?,
+            PolicyKind::Catkindeck | PolicyKind::FixedLimit => self.route(excluded)?,
         };
         if self.vanished[engine] {
             self.fail(engine);
@@ -213,10 +213,11 @@
     }
 
     fn round_robin(&self, excluded: &[usize]) -> Option<usize> {
-        let count = self.engines.len();
-        let order = (0..count).map(|step| (self.turn + step) % count);
-        let mut open = order.filter(|engine| !self.hidden[*engine] && !excluded.contains(engine));
-        open.next()
+        let engines = 0..self.engines.len();
+        let open: Vec<usize> = engines
+            .filter(|engine| !self.hidden[*engine] && !excluded.contains(engine))
+            .collect();
+        open.get(self.turn % open.len().max(1)).copied()
     }
 
     fn route(&mut self, excluded: &[usize]) -> Option<usize> {
