--- a/crates/catkindeck-control/src/spread/confirm.rs
+++ b/crates/catkindeck-control/src/spread/confirm.rs
@@ -63,6 +63,11 @@
             .collect();
     }
 
+    /// Tells whether no nodes were set yet.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
     /// Returns the nodes that have not confirmed.
     pub fn missing(&self) -> Vec<ObjectName> {
         let missing = self.nodes.iter().filter(|node| node.confirmed.is_none());
--- a/crates/catkindeck-control/src/spread/holder.rs
+++ b/crates/catkindeck-control/src/spread/holder.rs
@@ -506,6 +506,10 @@
 
 impl ConfirmRounds for ConfigHolder {
     fn round(&self, tally: &mut ConfirmTally) -> Result<(), ServiceError> {
+        // The list of this node may be seconds old, and a node missing from it would not be asked.
+        if tally.is_empty() {
+            self.parts.members.refresh()?;
+        }
         let entries = self.parts.members.entries()?;
         let nodes = entries
             .iter()
