--- a/crates/catkindeck-control/src/spread/holder.rs
+++ b/crates/catkindeck-control/src/spread/holder.rs
@@ -37,19 +37,25 @@
 };
 
 /// How long a reader's watch waits; the evidence of a reader is at most this old.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+pub const WATCH_WAIT: Duration = Duration::from_secs(2);
 
 /// How often a node that does not watch the store asks a peer, in milliseconds.
 ///
 /// With a reader's evidence of at most 2 s the sum stays well below the freshness bound of 10 s, so
 /// that one lost exchange does no harm.
-const FOLLOW_PERIOD_MS: u64 = 3000;
+pub const FOLLOW_PERIOD_MS: u64 = 3000;
 
 /// The age of evidence from which a node that does not watch the store asks it itself.
 const FALLBACK_AGE_MS: u64 = 6000;
 
-/// How often the host list is read, in milliseconds; it lags by more than this anyway.
-const REFRESH_PERIOD_MS: u64 = 5000;
+/// How often a node that asks for its zone reads the host list, in milliseconds.
+pub const REFRESH_PERIOD_MS: u64 = 5000;
+
+/// How often another node reads the host list while it has recent evidence, in milliseconds.
+///
+/// The list of the target size has over 6,000 hosts, so a read costs hundreds of kilobytes. The
+/// other nodes only need the few peers of their zone.
+pub const IDLE_REFRESH_PERIOD_MS: u64 = 300_000;
 
 /// The calls that a round of confirmations makes at the same time.
 const ROUND_THREADS: usize = 16;
@@ -58,10 +64,10 @@
 const TICK: Duration = Duration::from_millis(250);
 
 /// The children of one node in the tree by which a zone's nodes fetch parts.
-const TREE_WIDTH: usize = 4;
+pub const TREE_WIDTH: usize = 4;
 
 /// The time to live of a reader lease, in milliseconds.
-const READER_TTL_MS: u64 = 10_000;
+pub const READER_TTL_MS: u64 = 10_000;
 
 /// Who this node is.
 #[derive(Debug, Clone)]
@@ -110,7 +116,7 @@
     turn: usize,
     next_follow: Moment,
     next_fallback: Moment,
-    next_refresh: Moment,
+    refreshed: Option<Moment>,
 }
 
 impl ConfigHolder {
@@ -124,7 +130,7 @@
             turn: 0,
             next_follow: Moment::default(),
             next_fallback: Moment::default(),
-            next_refresh: Moment::default(),
+            refreshed: None,
         };
         Arc::new(Self {
             settings,
@@ -332,12 +338,19 @@
     }
 
     fn refresh_members(&self, now: Moment) {
+        let asks = self.asks_for_zone();
         {
             let mut state = self.state();
-            if now < state.next_refresh {
+            let age = state.tracker.age_ms(now);
+            let idle = !asks && age.is_some_and(|age| age <= FALLBACK_AGE_MS);
+            let period = match idle {
+                true => IDLE_REFRESH_PERIOD_MS,
+                false => REFRESH_PERIOD_MS,
+            };
+            if state.refreshed.is_some_and(|at| now < at + period) {
                 return;
             }
-            state.next_refresh = now + REFRESH_PERIOD_MS;
+            state.refreshed = Some(now);
         }
         if let Err(error) = self.parts.members.refresh() {
             log_event!(self.parts.logger, events::HOSTS_FAILED; "detail" => &error.detail);
--- a/crates/catkindeck-control/src/spread/mod.rs
+++ b/crates/catkindeck-control/src/spread/mod.rs
@@ -11,7 +11,10 @@
 pub use {
     confirm::{ConfirmNode, ConfirmTally},
     head::{ConfigHead, HeldConfig, encode_shards},
-    holder::{ConfigHolder, HolderParts, HolderSettings},
+    holder::{
+        ConfigHolder, FOLLOW_PERIOD_MS, HolderParts, HolderSettings, IDLE_REFRESH_PERIOD_MS,
+        READER_TTL_MS, REFRESH_PERIOD_MS, TREE_WIDTH, WATCH_WAIT,
+    },
     ledger::{ConfirmRounds, StoreLedger},
     tracker::SpreadTracker,
 };
--- a/crates/catkindeck-control/tests/usage.rs
+++ b/crates/catkindeck-control/tests/usage.rs
@@ -295,3 +295,64 @@
     assert_eq!(sealed.lines, vec![line(5, 2), line(6, 4)]);
     assert!(sealed.marks.iter().all(|mark| mark.sealed_through == 6));
 }
+
+/// Lets another sealer seal the same window while this one collects.
+struct RacingCollector {
+    inner: Arc<AgentCounts>,
+    other: Mutex<Option<UsageSealer>>,
+}
+
+impl UsageCollector for RacingCollector {
+    fn collect(&self, zone: &ObjectName, marks: &[AgentMark]) -> Vec<AgentUsage> {
+        let collected = self.inner.collect(zone, marks);
+        if let Some(mut other) = self.other.lock().unwrap().take() {
+            // The other one reaches one agent less, so its content differs.
+            self.inner.state.lock().unwrap().unreachable[1] = true;
+            for _ in 0..4 {
+                other
+                    .step(12 * USAGE_WINDOW_MS + 6000)
+                    .expect("the store answers");
+            }
+        }
+        collected
+    }
+}
+
+/// Guards against a sealer that collected figures of its own and reports them although another one
+/// sealed the window meanwhile.
+#[test]
+fn loser_of_a_race_reports_the_sealed_bytes() {
+    let mut world = UsageWorld::new();
+    world.apply(&Action::Step(0));
+    for action in [Action::Count(0, 3), Action::Count(1, 4), Action::NextWindow] {
+        world.apply(&action);
+    }
+    world.apply(&Action::NextWindow);
+    let [first, other] = world.sealers;
+    drop(first);
+    let racing = RacingCollector {
+        inner: world.agents.clone(),
+        other: Mutex::new(Some(other)),
+    };
+    let mut sealer = UsageSealer::new(
+        name("vault-a"),
+        world.store.clone(),
+        world.sink.clone(),
+        Arc::new(racing),
+        Arc::new(BelievedLease),
+        discard_logger(),
+    );
+    for _ in 0..4 {
+        sealer
+            .step(12 * USAGE_WINDOW_MS + 6000)
+            .expect("the store answers");
+    }
+    let state = world.sink.state.lock().unwrap();
+    let reports = state
+        .attempts
+        .values()
+        .next()
+        .expect("a window is reported");
+    assert_eq!(reports.len(), 2, "both reported the window");
+    assert_eq!(reports[0], reports[1]);
+}
