--- a/crates/catkindeck-control/src/events.rs
+++ b/crates/catkindeck-control/src/events.rs
@@ -58,6 +58,22 @@
     text: "host list could not be read; the last one stays in use",
 };
 
+/// An operator's plan was applied, refused or left in doubt.
+pub const PLAN_JUDGED: LogEvent = LogEvent {
+    number: 4020,
+    name: "plan_judged",
+    level: Level::Info,
+    text: "operator's plan was applied, refused or left in doubt",
+};
+
+/// An operator's call was refused.
+pub const OPERATOR_REFUSED: LogEvent = LogEvent {
+    number: 4021,
+    name: "operator_refused",
+    level: Level::Warning,
+    text: "operator's call was refused",
+};
+
 /// A usage window was sealed.
 pub const USAGE_SEALED: LogEvent = LogEvent {
     number: 4101,
@@ -139,6 +155,8 @@
     CONFIG_WATCH_FAILED,
     CONFIG_FETCH_FAILED,
     HOSTS_FAILED,
+    PLAN_JUDGED,
+    OPERATOR_REFUSED,
     USAGE_SEALED,
     USAGE_UNREPORTED,
     USAGE_CONFLICT,
