Add the zone worker

The parts of a zone's control work need one holder: the worker holds the zone's lease and in each round tells leaving upstreams, sums the load of its agents, shares it through the store, plans with ZoneScaler over all zones, gives its zone's order and seals usage. Nothing is ordered when fewer than half of the agents told their load, because silence is no sign of low demand. LoadBoard is the operators' LoadSource.

tests/worker.rs: an order, a usage report and one Leave order reach the stand-ins; weights are staged on all members before any is activated. tests/clients.rs: two writers race while answers are lost, and every version of the key is accounted for.

--- a/crates/catkindeck-control/src/events.rs
+++ b/crates/catkindeck-control/src/events.rs
@@ -122,6 +122,14 @@
     text: "order in doubt was resolved by the actual counts",
 };
 
+/// A round of a zone's control work failed.
+pub const ZONE_ROUND_FAILED: LogEvent = LogEvent {
+    number: 4204,
+    name: "zone_round_failed",
+    level: Level::Warning,
+    text: "round of a zone's control work failed and is repeated",
+};
+
 /// Weights are active on all upstreams.
 pub const ROLLOUT_DONE: LogEvent = LogEvent {
     number: 4301,
@@ -163,6 +171,7 @@
     ZONE_ORDERED,
     ZONE_ORDER_FAILED,
     ZONE_RESOLVED,
+    ZONE_ROUND_FAILED,
     ROLLOUT_DONE,
     ROLLOUT_PARTIAL,
     LEAVE_ORDERED,
--- a/crates/catkindeck-control/src/lib.rs
+++ b/crates/catkindeck-control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod authority;
 pub mod events;
 pub mod intent;
+pub mod load;
 pub mod members;
 pub mod rollout;
 pub mod run;
@@ -14,4 +15,5 @@
 pub mod spread;
 pub mod step;
 pub mod usage;
+pub mod worker;
 pub mod zones;
--- /dev/null
+++ b/crates/catkindeck-control/src/load.rs
@@ -0,0 +1,185 @@
+//! The load of the zones: collected from agents, shared through the store.
+
+use {
+    crate::{
+        intent::{LoadRecord, LoadSource, LoadView},
+        members::MemberView,
+    },
+    catkindeck::{
+        ErrorKind, ServiceError, SortedMap,
+        config::ConfigSnapshot,
+        id::ObjectName,
+        link::PeerLink,
+        message,
+        message::{LoadReport, PeerFrame, PeerRequest, UsageLine},
+        platform::{StoreClient, SwapOutcome, ZoneCount},
+    },
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        thread,
+        time::Duration,
+    },
+};
+
+/// The time for one call of an agent.
+const AGENT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Calls of agents that are made at the same time.
+const CALL_THREADS: usize = 16;
+
+/// The prefix of the keys that hold the zones' loads.
+const LOAD_PREFIX: &str = "load/";
+
+/// The load of one zone as its lease holder last saw it.
+#[message]
+pub struct ZoneLoad {
+    /// The zone.
+    pub zone: ObjectName,
+    /// One record for each service.
+    pub records: Vec<LoadRecord>,
+    /// The numbers that the zone's interface reports.
+    pub counts: Vec<ZoneCount>,
+}
+
+/// Shares the zones' loads through the store, one key a zone.
+pub struct LoadBoard {
+    store: Arc<dyn StoreClient>,
+    known: Mutex<Vec<ZoneLoad>>,
+}
+
+impl LoadBoard {
+    /// Makes a board that knows no load.
+    pub fn new(store: Arc<dyn StoreClient>) -> Self {
+        Self {
+            store,
+            known: Mutex::default(),
+        }
+    }
+
+    /// Writes the load of one zone.
+    ///
+    /// # Errors
+    ///
+    /// Returns `store_unavailable` if the store cannot be reached in time.
+    pub fn publish(&self, load: &ZoneLoad) -> Result<(), ServiceError> {
+        let key = format!("{LOAD_PREFIX}{}", load.zone);
+        let bytes = serde_json::to_vec(load)
+            .map_err(|error| ServiceError::not_run(ErrorKind::Internal, error.to_string()))?;
+        let version = self.store.read(&key)?.map_or(0, |stored| stored.version);
+        match self.store.swap(&key, version, &bytes)? {
+            SwapOutcome::Written(_) => Ok(()),
+            SwapOutcome::Conflict(_) => Err(ServiceError::not_run(
+                ErrorKind::Conflict,
+                "another process wrote the zone's load",
+            )),
+        }
+    }
+
+    /// Reads the loads of all zones; a malformed one is left out.
+    ///
+    /// # Errors
+    ///
+    /// Returns `store_unavailable` if the store cannot be reached in time.
+    pub fn refresh(&self) -> Result<Vec<ZoneLoad>, ServiceError> {
+        let stored = self.store.list(LOAD_PREFIX)?;
+        let loads: Vec<ZoneLoad> = stored
+            .iter()
+            .filter_map(|(_, stored)| serde_json::from_slice(&stored.value).ok())
+            .collect();
+        *self.known.lock().unwrap_or_else(PoisonError::into_inner) = loads.clone();
+        Ok(loads)
+    }
+}
+
+impl LoadSource for LoadBoard {
+    /// Reads the loads anew; without the store the last known ones are returned.
+    fn load(&self) -> LoadView {
+        let loads = self.refresh().unwrap_or_else(|_| {
+            let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+            known.clone()
+        });
+        LoadView {
+            records: loads.into_iter().flat_map(|load| load.records).collect(),
+        }
+    }
+}
+
+/// Asks the agents among `members` with the same request, several at a time.
+pub fn ask_agents(
+    link: &dyn PeerLink,
+    members: &[MemberView],
+    request_of: impl Fn(&ObjectName) -> PeerRequest + Sync,
+) -> Vec<(ObjectName, PeerFrame)> {
+    let queue = Mutex::new(members.iter());
+    let answers = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..CALL_THREADS.min(members.len()) {
+            scope.spawn(|| {
+                loop {
+                    let member = queue.lock().unwrap_or_else(PoisonError::into_inner).next();
+                    let Some(member) = member else {
+                        return;
+                    };
+                    let request = request_of(&member.upstream.name);
+                    let frame = link
+                        .call(member.upstream.agent, request, AGENT_TIMEOUT)
+                        .and_then(|mut frames| frames.receive(AGENT_TIMEOUT));
+                    // An agent that cannot be reached is asked again in the next round.
+                    if let Ok(Some(frame)) = frame {
+                        answers
+                            .lock()
+                            .unwrap_or_else(PoisonError::into_inner)
+                            .push((member.upstream.name.clone(), frame));
+                    }
+                }
+            });
+        }
+    });
+    let mut answers = answers.into_inner().unwrap_or_else(PoisonError::into_inner);
+    answers.sort_by(|left, right| left.0.cmp(&right.0));
+    answers
+}
+
+/// Sums the loads of a zone's upstreams by service.
+pub fn sum_loads(
+    snapshot: &ConfigSnapshot,
+    zone: &ObjectName,
+    answers: &[(ObjectName, PeerFrame)],
+) -> Vec<LoadRecord> {
+    let mut records: SortedMap<ObjectName, LoadRecord> = SortedMap::new();
+    for (host, frame) in answers {
+        let (Some(upstream), PeerFrame::Load(load)) = (snapshot.upstream(host), frame) else {
+            continue;
+        };
+        let Some(service) = snapshot.service(&upstream.service) else {
+            continue;
+        };
+        let record = records.get_or_insert_with(service.name.clone(), || LoadRecord {
+            service: service.name.clone(),
+            zone: zone.clone(),
+            running: 0,
+            warm: 0,
+            demand: 0,
+        });
+        let LoadReport {
+            limit,
+            in_flight,
+            queued,
+            ..
+        } = **load;
+        record.running += 1;
+        record.warm += u32::from(limit >= service.warm_limit);
+        record.demand = record
+            .demand
+            .saturating_add(in_flight.saturating_add(queued));
+    }
+    records.values().cloned().collect()
+}
+
+/// Returns the lines of a usage answer.
+pub fn usage_lines(frame: PeerFrame) -> Option<Vec<UsageLine>> {
+    match frame {
+        PeerFrame::Usage(lines) => Some(lines),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/worker.rs
@@ -0,0 +1,347 @@
+//! The control work of one availability zone under its lease.
+
+use {
+    crate::{
+        authority::{ControlLease, zone_lease_name},
+        events,
+        load::{LoadBoard, ZoneLoad, ask_agents, sum_loads, usage_lines},
+        members::{MemberList, MemberView},
+        rollout::LeaveAnnouncer,
+        source::ConfigSource,
+        usage::{AgentMark, AgentUsage, SealStep, UsageCollector, UsageSealer},
+        zones::{ZoneController, ZoneParts, ZoneStep},
+    },
+    catkindeck::{
+        Clock, ErrorKind, ServiceError,
+        config::{ConfigSnapshot, ServiceRecord, ZoneState},
+        id::ObjectName,
+        link::PeerLink,
+        log_event,
+        message::PeerRequest,
+        platform::{StoreClient, UsageSink, ZoneOrders},
+    },
+    catkindeck_policy::{ScaleOrder, ScalerSettings, ZoneScaler, ZoneSupply},
+    catkindeck_store::{LeaseHolder, LeaseSettings},
+    slog::Logger,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// The pause between rounds of a zone's control work.
+const ROUND_PAUSE: Duration = Duration::from_secs(2);
+
+/// The steps of one round after which other work has its turn.
+const STEPS_PER_ROUND: usize = 16;
+
+/// The time to live of a zone's lease, in milliseconds.
+const ZONE_TTL_MS: u64 = 10_000;
+
+/// The longest time that an order to a zone's interface takes, in milliseconds.
+const ORDER_MS: u64 = 2000;
+
+/// What a [`ZoneWorker`] needs from the process around it.
+#[derive(Clone)]
+pub struct WorkerParts {
+    /// The key-value service.
+    pub store: Arc<dyn StoreClient>,
+    /// The interface that takes orders for upstreams.
+    pub orders: Arc<dyn ZoneOrders>,
+    /// The interface that takes usage reports.
+    pub sink: Arc<dyn UsageSink>,
+    /// The members.
+    pub members: Arc<MemberList>,
+    /// The configuration.
+    pub source: Arc<dyn ConfigSource>,
+    /// Calls agents.
+    pub link: Arc<dyn PeerLink>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The logger.
+    pub logger: Logger,
+}
+
+/// Which zone a [`ZoneWorker`] works for.
+#[derive(Debug, Clone)]
+pub struct WorkerSettings {
+    /// The zone.
+    pub zone: ObjectName,
+    /// The name of this run of the process, by which the lease is held.
+    pub holder: String,
+    /// The most upstreams of a service that a zone can have.
+    pub room: u32,
+}
+
+/// Does the control work of one zone while this process holds its lease: leaving upstreams, load,
+/// orders for upstreams and usage.
+pub struct ZoneWorker {
+    settings: WorkerSettings,
+    parts: WorkerParts,
+    lease: Arc<LeaseHolder>,
+    board: Arc<LoadBoard>,
+    scaler: ZoneScaler,
+    controller: ZoneController,
+    sealer: UsageSealer,
+    announcer: LeaveAnnouncer,
+}
+
+/// Stops a worker's thread.
+pub struct WorkerHandle {
+    stopped: Arc<AtomicBool>,
+    lease: Arc<LeaseHolder>,
+}
+
+impl WorkerHandle {
+    /// Stops the work and gives the lease back.
+    pub fn drain(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        self.lease.drain();
+    }
+
+    /// Sets this host's position among the hosts that may hold the lease, counted from zero.
+    pub fn set_rank(&self, rank: u32) {
+        self.lease.set_rank(rank);
+    }
+}
+
+impl ZoneWorker {
+    /// Starts to ask for the zone's lease and to work while it is held.
+    ///
+    /// # Errors
+    ///
+    /// Returns `internal` if a thread cannot be started.
+    pub fn start(
+        settings: WorkerSettings,
+        parts: WorkerParts,
+        board: Arc<LoadBoard>,
+    ) -> Result<WorkerHandle, ServiceError> {
+        let failed =
+            |error: std::io::Error| ServiceError::not_run(ErrorKind::Internal, error.to_string());
+        let lease = LeaseSettings {
+            name: zone_lease_name(&settings.zone),
+            holder: settings.holder.clone(),
+            ttl_ms: ZONE_TTL_MS,
+            margin_ms: ZONE_TTL_MS / 10,
+            order_ms: ORDER_MS,
+        };
+        let lease = LeaseHolder::start(
+            lease,
+            Arc::clone(&parts.store),
+            Arc::clone(&parts.clock),
+            parts.logger.clone(),
+        );
+        let lease = Arc::new(lease.map_err(failed)?);
+        let stopped = Arc::new(AtomicBool::new(false));
+        let handle = WorkerHandle {
+            stopped: Arc::clone(&stopped),
+            lease: Arc::clone(&lease),
+        };
+        let mut worker = Self::new(settings, parts, lease, board);
+        let body = move || {
+            while !stopped.load(Ordering::Relaxed) {
+                if worker.lease.check().is_ok()
+                    && let Err(error) = worker.round()
+                {
+                    log_event!(worker.parts.logger, events::ZONE_ROUND_FAILED;
+                        "zone" => %worker.settings.zone, "detail" => &error.detail);
+                }
+                thread::sleep(ROUND_PAUSE);
+            }
+        };
+        let thread = thread::Builder::new().name("zone-worker".to_owned());
+        thread.spawn(body).map_err(failed)?;
+        Ok(handle)
+    }
+
+    fn new(
+        settings: WorkerSettings,
+        parts: WorkerParts,
+        lease: Arc<LeaseHolder>,
+        board: Arc<LoadBoard>,
+    ) -> Self {
+        let zone = settings.zone.clone();
+        let control: Arc<dyn ControlLease> = lease.clone();
+        let controller = ZoneController::new(
+            zone.clone(),
+            ZoneParts {
+                store: Arc::clone(&parts.store),
+                orders: Arc::clone(&parts.orders),
+                lease: Arc::clone(&control),
+                clock: Arc::clone(&parts.clock),
+                logger: parts.logger.clone(),
+            },
+            ORDER_MS,
+        );
+        let collector = AgentCollector {
+            members: Arc::clone(&parts.members),
+            source: Arc::clone(&parts.source),
+            link: Arc::clone(&parts.link),
+        };
+        let sealer = UsageSealer::new(
+            zone.clone(),
+            Arc::clone(&parts.store),
+            Arc::clone(&parts.sink),
+            Arc::new(collector),
+            Arc::clone(&control),
+            parts.logger.clone(),
+        );
+        let link = Arc::clone(&parts.link);
+        let announcer = LeaveAnnouncer::new(link, control, zone, parts.logger.clone());
+        Self {
+            settings,
+            parts,
+            lease,
+            board,
+            scaler: ZoneScaler::new(ScalerSettings::default()),
+            controller,
+            sealer,
+            announcer,
+        }
+    }
+
+    /// Does one round; a failure of one kind of work does not keep the others from their turn.
+    fn round(&mut self) -> Result<(), ServiceError> {
+        let snapshot = self.parts.source.current();
+        let members = self.parts.members.merge(&snapshot);
+        let left = self.announcer.announce(&members).map(drop);
+        let scaled = self.scale(&snapshot, &members);
+        let sealed = self.seal();
+        left.and(scaled).and(sealed)
+    }
+
+    fn scale(
+        &mut self,
+        snapshot: &ConfigSnapshot,
+        members: &[MemberView],
+    ) -> Result<(), ServiceError> {
+        let zone = &self.settings.zone;
+        let own = zone_members(members, zone);
+        let answers = ask_agents(self.parts.link.as_ref(), &own, |_| PeerRequest::ReadLoad);
+        // Silence of the agents is no sign of low demand; nothing is ordered on it.
+        if 2 * answers.len() < own.len() {
+            return Err(ServiceError::not_run(
+                ErrorKind::PeerUnavailable,
+                format!("{} of {} agents told their load", answers.len(), own.len()),
+            ));
+        }
+        self.board.publish(&ZoneLoad {
+            zone: zone.clone(),
+            records: sum_loads(snapshot, zone, &answers),
+            counts: self.controller.counts()?,
+        })?;
+        let loads = self.board.refresh()?;
+        let now = self.parts.clock.now();
+        for service in &snapshot.services {
+            let records = loads.iter().flat_map(|load| &load.records);
+            let demands = records
+                .filter(|record| record.service == service.name)
+                .map(|record| record.demand);
+            self.scaler.observe(now, service, demands.sum());
+            let supplies = supplies(snapshot, service, &loads, self.settings.room);
+            let orders = self.scaler.plan(now, service, &supplies);
+            let wanted = orders.iter().find(|order| order.zone == *zone);
+            step_controller(&mut self.controller, wanted)?;
+        }
+        Ok(())
+    }
+
+    fn seal(&mut self) -> Result<(), ServiceError> {
+        for _ in 0..STEPS_PER_ROUND {
+            if self.sealer.step(unix_ms())? == SealStep::Waiting {
+                break;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Steps until the order is given and settled; without an order only what is open is settled.
+fn step_controller(
+    controller: &mut ZoneController,
+    wanted: Option<&ScaleOrder>,
+) -> Result<(), ServiceError> {
+    // First what is open, so that the order below is given once.
+    for _ in 0..STEPS_PER_ROUND {
+        if controller.step(None)? == ZoneStep::Waiting {
+            break;
+        }
+    }
+    if wanted.is_none() || !controller.is_settled() {
+        return Ok(());
+    }
+    controller.step(wanted)?;
+    for _ in 0..STEPS_PER_ROUND {
+        if controller.step(None)? == ZoneStep::Waiting {
+            break;
+        }
+    }
+    Ok(())
+}
+
+/// Returns the upstreams of a service by zone; a zone without a load has none running.
+fn supplies(
+    snapshot: &ConfigSnapshot,
+    service: &ServiceRecord,
+    loads: &[ZoneLoad],
+    room: u32,
+) -> Vec<ZoneSupply> {
+    let of_zone = |name: &ObjectName, state: ZoneState| {
+        let load = loads.iter().find(|load| load.zone == *name);
+        let counts = load.map_or(&[][..], |load| &load.counts);
+        let count = counts.iter().find(|count| count.service == service.name);
+        ZoneSupply {
+            zone: name.clone(),
+            state,
+            running: count.map_or(0, |count| count.running),
+            ordered: count.map_or(0, |count| count.ordered),
+            room,
+        }
+    };
+    let zones = snapshot.zones.iter();
+    zones.map(|zone| of_zone(&zone.name, zone.state)).collect()
+}
+
+fn zone_members(members: &[MemberView], zone: &ObjectName) -> Vec<MemberView> {
+    let own = members
+        .iter()
+        .filter(|member| member.upstream.zone == *zone);
+    own.cloned().collect()
+}
+
+/// Collects usage from the agents of a zone.
+struct AgentCollector {
+    members: Arc<MemberList>,
+    source: Arc<dyn ConfigSource>,
+    link: Arc<dyn PeerLink>,
+}
+
+impl UsageCollector for AgentCollector {
+    fn collect(&self, zone: &ObjectName, marks: &[AgentMark]) -> Vec<AgentUsage> {
+        let members = self.members.merge(&self.source.current());
+        let own = zone_members(&members, zone);
+        let answers = ask_agents(self.link.as_ref(), &own, |host| {
+            let mark = marks.iter().find(|mark| mark.agent == *host);
+            PeerRequest::CollectUsage {
+                sealed_through: mark.map(|mark| mark.sealed_through),
+            }
+        });
+        let usages = answers.into_iter().filter_map(|(agent, frame)| {
+            let lines = usage_lines(frame)?;
+            Some(AgentUsage { agent, lines })
+        });
+        usages.collect()
+    }
+}
+
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    // A clock before 1970 seals nothing, because no window is over yet.
+    elapsed.map_or(0, |elapsed| {
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- a/crates/catkindeck-control/src/zones.rs
+++ b/crates/catkindeck-control/src/zones.rs
@@ -95,6 +95,11 @@
         self.parts.orders.counts(&self.zone)
     }
 
+    /// Tells whether no order is open.
+    pub fn is_settled(&self) -> bool {
+        matches!(self.phase, ZonePhase::Settled(_))
+    }
+
     /// Makes the next step toward `wanted`, the order that the scaler asks for now, if any.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/catkindeck-control/tests/worker.rs
@@ -0,0 +1,287 @@
+//! A zone's control work and weight rollout against the stand-ins and recording agents.
+
+use {
+    catkindeck::{
+        ErrorKind, ServiceError,
+        config::{
+            ConfigRevision, ConfigSnapshot, RunRecord, ServiceKind, ServiceRecord, UpstreamRecord,
+            ZoneRecord, ZoneState,
+        },
+        id::{BootId, IncarnationId, ObjectName},
+        link::{FrameStream, PeerLink},
+        log::discard_logger,
+        message::{LoadReport, OrderKind, PeerFrame, PeerRequest, UsageLine},
+        platform::{HostList, HostRecord, HostState},
+        time::SystemClock,
+        token::WeightVersion,
+    },
+    catkindeck_control::{
+        intent::LoadSource,
+        load::LoadBoard,
+        members::MemberList,
+        rollout::WeightRollout,
+        run::ports::WeightPublisher,
+        source::ConfigSource,
+        worker::{WorkerParts, WorkerSettings, ZoneWorker},
+    },
+    catkindeck_fakes::{
+        fault::{FakeCall, FakeMode, FakeServer},
+        store::StoreMode,
+        usage::UsageMode,
+        zones::ZonesMode,
+    },
+    catkindeck_store::{ClientSettings, HttpStore, HttpUsage, HttpZones},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        thread,
+        time::Duration,
+    },
+};
+
+/// Agents that record their orders and tell a fixed load.
+#[derive(Default)]
+struct Agents {
+    orders: Mutex<Vec<(SocketAddr, u64, OrderKind)>>,
+    refuse_first: Mutex<bool>,
+}
+
+struct OneFrame(Option<PeerFrame>);
+
+impl FrameStream for OneFrame {
+    fn receive(&mut self, _timeout: Duration) -> Result<Option<PeerFrame>, ServiceError> {
+        Ok(self.0.take())
+    }
+}
+
+impl PeerLink for Agents {
+    fn call(
+        &self,
+        address: SocketAddr,
+        request: PeerRequest,
+        _timeout: Duration,
+    ) -> Result<Box<dyn FrameStream>, ServiceError> {
+        let frame = match request {
+            PeerRequest::ReadLoad => PeerFrame::Load(Box::new(busy_load())),
+            PeerRequest::CollectUsage { sealed_through } => {
+                let line = UsageLine {
+                    window: 1,
+                    customer: Some(name("customer")),
+                    service: name("drafting"),
+                    requests: 2,
+                    tokens: 30,
+                };
+                let lines = if sealed_through.is_none() {
+                    vec![line]
+                } else {
+                    Vec::new()
+                };
+                PeerFrame::Usage(lines)
+            }
+            PeerRequest::Order(order) => {
+                if std::mem::take(&mut *self.refuse_first.lock().unwrap()) {
+                    let detail = "ordered by the test";
+                    return Err(ServiceError::unknown(ErrorKind::PeerUnavailable, detail));
+                }
+                let mut orders = self.orders.lock().unwrap();
+                orders.push((address, order.fence, order.kind));
+                PeerFrame::Done
+            }
+            _ => PeerFrame::Done,
+        };
+        Ok(Box::new(OneFrame(Some(frame))))
+    }
+}
+
+struct LeavingHosts;
+
+impl HostList for LeavingHosts {
+    fn hosts(&self) -> Result<Vec<HostRecord>, ServiceError> {
+        Ok(vec![HostRecord {
+            host: name("u1"),
+            zone: name("vault-a"),
+            address: address(1),
+            role: "agent".to_owned(),
+            state: HostState::Leaving,
+        }])
+    }
+}
+
+struct FixedSource(Arc<ConfigSnapshot>);
+
+impl ConfigSource for FixedSource {
+    fn current(&self) -> Arc<ConfigSnapshot> {
+        Arc::clone(&self.0)
+    }
+
+    fn is_fresh(&self) -> bool {
+        true
+    }
+
+    fn note_revision(&self, _revision: ConfigRevision) {}
+}
+
+fn busy_load() -> LoadReport {
+    LoadReport {
+        incarnation: IncarnationId::default(),
+        boot: BootId::default(),
+        limit: 4,
+        in_flight: 4,
+        queued: 4,
+        credits: 0,
+        closed: false,
+        version: None,
+        revision: ConfigRevision(1),
+        prefixes: Vec::new(),
+    }
+}
+
+fn source() -> Arc<dyn ConfigSource> {
+    let mut snapshot = ConfigSnapshot {
+        revision: ConfigRevision(1),
+        ..ConfigSnapshot::default()
+    };
+    snapshot.zones.push(ZoneRecord {
+        name: name("vault-a"),
+        region: name("tvm"),
+        state: ZoneState::In,
+    });
+    snapshot.services.push(ServiceRecord {
+        name: name("drafting"),
+        kind: ServiceKind::Engine,
+        warm_limit: 4,
+        cold_limit: 1,
+        cold_start_ms: 1000,
+        checks_fence: true,
+    });
+    for port in 0..2 {
+        snapshot.upstreams.push(UpstreamRecord {
+            name: name(&format!("u{port}")),
+            service: name("drafting"),
+            zone: name("vault-a"),
+            agent: address(port),
+            added_ms: 0,
+            removed_ms: None,
+        });
+    }
+    Arc::new(FixedSource(Arc::new(snapshot)))
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 100 + port))
+}
+
+fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).expect("a valid name")
+}
+
+fn serve(mode: impl FakeMode + 'static) -> (FakeServer, ClientSettings) {
+    let server = FakeServer::new(Box::new(mode));
+    let any = "127.0.0.1:0".parse().expect("a valid address");
+    let address = server.spawn(any, None).expect("a loopback port is free");
+    (server, ClientSettings::new(address))
+}
+
+fn control(server: &FakeServer, path: &str) -> String {
+    let call = FakeCall {
+        method: "GET".to_owned(),
+        path: vec!["control".to_owned(), path.to_owned()],
+        query: String::new(),
+        body: Vec::new(),
+    };
+    String::from_utf8(server.control(&call).body).expect("the answer is text")
+}
+
+/// Waits until `done`; the limit only ends a test that would never end.
+fn wait_for(what: &str, done: impl Fn() -> bool) {
+    for _ in 0..3000 {
+        if done() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    panic!("{what} did not happen");
+}
+
+/// Guards against a zone whose load, leaving hosts or usage nobody looks after.
+#[test]
+fn worker_orders_announces_and_reports() {
+    let (_store_server, store_settings) = serve(StoreMode::default());
+    let (zones_server, zones_settings) = serve(ZonesMode::default());
+    let (usage_server, usage_settings) = serve(UsageMode::default());
+    let clock = Arc::new(SystemClock::new());
+    let store = Arc::new(HttpStore::new(
+        store_settings,
+        clock.clone(),
+        discard_logger(),
+    ));
+    let agents = Arc::new(Agents::default());
+    let members = Arc::new(MemberList::new(Arc::new(LeavingHosts)));
+    members.refresh().expect("the list is there");
+    let parts = WorkerParts {
+        store: store.clone(),
+        orders: Arc::new(HttpZones::new(
+            zones_settings,
+            clock.clone(),
+            discard_logger(),
+        )),
+        sink: Arc::new(HttpUsage::new(
+            usage_settings,
+            clock.clone(),
+            discard_logger(),
+        )),
+        members,
+        source: source(),
+        link: agents.clone(),
+        clock,
+        logger: discard_logger(),
+    };
+    let settings = WorkerSettings {
+        zone: name("vault-a"),
+        holder: "n0-1".to_owned(),
+        room: 20,
+    };
+    let board = Arc::new(LoadBoard::new(store));
+    let worker = ZoneWorker::start(settings, parts, Arc::clone(&board)).expect("starts");
+
+    wait_for("an order for upstreams", || {
+        control(&zones_server, "orders").contains("drafting")
+    });
+    wait_for("a usage report", || {
+        control(&usage_server, "reports").contains("customer")
+    });
+    let view = board.load();
+    assert_eq!((view.records[0].running, view.records[0].demand), (2, 16));
+    let orders = agents.orders.lock().unwrap().clone();
+    assert_eq!(orders, [(address(1), 1, OrderKind::Leave)], "told once");
+    worker.drain();
+}
+
+/// Guards against upstreams that switch to a version while others have not staged it, and against
+/// an agent that is left out because one call failed.
+#[test]
+fn weights_are_staged_before_any_is_activated() {
+    let agents = Arc::new(Agents::default());
+    *agents.refuse_first.lock().unwrap() = true;
+    let rollout = WeightRollout::new(agents.clone(), source(), discard_logger());
+    let run = RunRecord {
+        name: name("run"),
+        customer: name("customer"),
+        service: name("drafting"),
+        staleness_bound: 1,
+        step_deadline_ms: 1000,
+    };
+    let version = WeightVersion(3);
+    rollout.publish(&run, version, 7);
+    rollout.publish(&run, version, 7);
+    wait_for("activation", || agents.orders.lock().unwrap().len() == 4);
+    let orders = agents.orders.lock().unwrap().clone();
+    assert!(orders.iter().all(|(_, fence, _)| *fence == 7));
+    let kinds: Vec<OrderKind> = orders.iter().map(|(_, _, kind)| kind.clone()).collect();
+    let (stage, activate) = (OrderKind::Stage(version), OrderKind::Activate(version));
+    assert_eq!(kinds, [stage.clone(), stage, activate.clone(), activate]);
+    // An older owner's version is not rolled out.
+    rollout.publish(&run, WeightVersion(9), 6);
+    thread::sleep(Duration::from_millis(50));
+    assert_eq!(agents.orders.lock().unwrap().len(), 4);
+}
--- a/crates/catkindeck-store/tests/clients.rs
+++ b/crates/catkindeck-store/tests/clients.rs
@@ -372,3 +372,50 @@
     let hosts = hosts.hosts().expect("reads");
     assert_eq!(hosts[0].host, name("n1"));
 }
+
+/// Guards against a write that took effect and is told as a conflict, and against one that is told
+/// as written and is not, while two writers race and answers are lost.
+#[test]
+fn racing_writers_account_for_every_version() {
+    const WRITES: usize = 60;
+    let (server, mut settings) = server(StoreMode::default());
+    settings.calls_per_s = 10_000;
+    settings.retry.base_ms = 1;
+    lose(&server, 50);
+    let write = |writer: usize| -> (Vec<u64>, usize) {
+        let store = HttpStore::new(settings.clone(), clock(), discard_logger());
+        let mut written = Vec::new();
+        let mut unknown = 0;
+        for number in 0..WRITES {
+            let Ok(current) = store.read("key") else {
+                continue;
+            };
+            let version = current.map_or(0, |current| current.version);
+            let value = format!("{writer}/{number}");
+            match store.swap("key", version, value.as_bytes()) {
+                Ok(SwapOutcome::Written(version)) => written.push(version),
+                Ok(SwapOutcome::Conflict(_)) => {}
+                Err(error) if error.execution == ExecutionOutcome::NotRun => {}
+                Err(_) => unknown += 1,
+            }
+        }
+        (written, unknown)
+    };
+    let (first, second) = std::thread::scope(|scope| {
+        let first = scope.spawn(|| write(0));
+        let second = scope.spawn(|| write(1));
+        (first.join().expect("runs"), second.join().expect("runs"))
+    });
+    let store = HttpStore::new(settings.clone(), clock(), discard_logger());
+    let last = store.read("key").expect("reads").expect("written").version;
+    let mut versions = [first.0, second.0].concat();
+    versions.sort_unstable();
+    let unique = versions.windows(2).all(|pair| pair[0] < pair[1]);
+    assert!(unique, "two writes were told the same version");
+    let (written, unknown) = (versions.len() as u64, (first.1 + second.1) as u64);
+    assert!(written <= last, "{written} writes told, {last} versions");
+    assert!(
+        last <= written + unknown,
+        "{last} versions, {written} told, {unknown} unknown"
+    );
+}
