Ask peers in parallel and split the configuration holder

A peer that is gone takes a timeout of 2 s, and the watch told the zone's nodes one after the other, so the evidence of a reader could lapse while several hosts of the lagging list were gone. Telling has a thread of its own and peers are asked 16 at a time.

--- /dev/null
+++ b/crates/catkindeck-control/src/spread/answers.rs
@@ -0,0 +1,107 @@
+//! What a node answers: to its own process, to peers and to a committer.
+
+use {
+    super::{confirm::ConfirmTally, holder::ConfigHolder, ledger::ConfirmRounds},
+    crate::source::{ConfigSource, SpreadPeer},
+    catkindeck::{
+        ErrorKind, ServiceError,
+        config::{ConfigRevision, ConfigSnapshot},
+        id::ObjectName,
+        message::{PeerFrame, PeerRequest},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+    },
+};
+
+impl ConfigSource for ConfigHolder {
+    fn current(&self) -> Arc<ConfigSnapshot> {
+        Arc::clone(&self.state().held.snapshot)
+    }
+
+    fn is_fresh(&self) -> bool {
+        let now = self.parts.clock.now();
+        self.state().tracker.is_fresh(now)
+    }
+
+    fn note_revision(&self, revision: ConfigRevision) {
+        let mut state = self.state();
+        state.tracker.on_message(revision);
+        if state.tracker.wanted().is_some() {
+            // A full channel means that the thread is already told.
+            let _ = self.wake.try_send(());
+        }
+    }
+}
+
+impl SpreadPeer for ConfigHolder {
+    fn answer(&self, request: &PeerRequest) -> Option<PeerFrame> {
+        let held = Arc::clone(&self.state().held);
+        let frame = match request {
+            PeerRequest::ReadRevision => PeerFrame::Revision(held.head.revision),
+            PeerRequest::ReadSpread => {
+                let reader = self.asks_for_zone();
+                let now = self.parts.clock.now();
+                PeerFrame::Spread(self.state().tracker.report(reader, now))
+            }
+            PeerRequest::FetchConfiguration if held.head.revision > ConfigRevision::default() => {
+                PeerFrame::Configuration(Box::new((*held.snapshot).clone()))
+            }
+            PeerRequest::FetchConfiguration => {
+                let detail = "this entry has no configuration yet";
+                PeerFrame::Failed(ServiceError::not_run(ErrorKind::NotFound, detail))
+            }
+            PeerRequest::FetchShards { shards } => match held.head.encode() {
+                Ok(head) => PeerFrame::Shards {
+                    head,
+                    shards: held.parts(shards),
+                },
+                Err(error) => PeerFrame::Failed(error),
+            },
+            PeerRequest::PushConfiguration(snapshot) => {
+                // Only the number is taken: the parts come with their names from a peer.
+                self.note_revision(snapshot.revision);
+                PeerFrame::Revision(held.head.revision)
+            }
+            _ => return None,
+        };
+        Some(frame)
+    }
+}
+
+impl ConfirmRounds for ConfigHolder {
+    fn round(&self, tally: &mut ConfirmTally) -> Result<(), ServiceError> {
+        // The list of this node may be seconds old, and a node missing from it would not be asked.
+        if tally.is_empty() {
+            self.parts.members.refresh()?;
+        }
+        let entries = self.parts.members.entries()?;
+        let nodes = entries
+            .iter()
+            .map(|(host, zone, _)| (host.clone(), zone.clone()));
+        tally.set_nodes(nodes);
+        let missing = tally.missing();
+        if missing.contains(&self.settings.host) {
+            let used = self.state().tracker.used();
+            tally.on_used(&self.settings.host, used, self.parts.clock.now());
+        }
+        let asked: Vec<(ObjectName, SocketAddr)> = entries
+            .into_iter()
+            .filter(|(host, _, _)| missing.contains(host) && *host != self.settings.host)
+            .map(|(host, _, address)| (host, address))
+            .collect();
+        let tally = Mutex::new(tally);
+        let addresses = asked.iter().map(|(_, address)| *address).collect();
+        self.ask_all(addresses, |address, report| {
+            let used = report.filter(|report| report.used);
+            let host = asked.iter().find(|(_, other)| *other == address);
+            if let (Some(report), Some((host, _))) = (used, host) {
+                let now = self.parts.clock.now();
+                let mut tally = tally.lock().unwrap_or_else(PoisonError::into_inner);
+                tally.on_used(host, report.revision, now);
+            }
+        });
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/catkindeck-control/src/spread/follow.rs
@@ -0,0 +1,307 @@
+//! How a node follows the configuration: the store's watch, peers and fetches.
+
+use {
+    super::{
+        holder::{
+            ConfigHolder, FOLLOW_PERIOD_MS, IDLE_REFRESH_PERIOD_MS, REFRESH_PERIOD_MS, TREE_WIDTH,
+            WATCH_WAIT,
+        },
+        loader::{self, HEAD_KEY},
+    },
+    crate::events,
+    catkindeck::{
+        ErrorKind, Moment, ServiceError,
+        config::ConfigRevision,
+        log_event,
+        message::{PeerFrame, PeerRequest, SpreadReport},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
+        thread,
+        time::Duration,
+    },
+};
+
+/// The age of evidence from which a node that does not watch the store asks it itself.
+const FALLBACK_AGE_MS: u64 = 6000;
+
+/// The pause of the following thread.
+const TICK: Duration = Duration::from_millis(250);
+
+/// The calls that this node makes at the same time.
+const ASK_THREADS: usize = 16;
+
+impl ConfigHolder {
+    /// Watches the store while this node is a reader.
+    pub(super) fn run_watch(&self) {
+        let mut seen = None;
+        while !self.is_stopped() {
+            if !self.is_reader() {
+                seen = None;
+                thread::sleep(TICK);
+                continue;
+            }
+            if let Err(error) = self.watch_once(&mut seen) {
+                log_event!(self.parts.logger, events::CONFIG_WATCH_FAILED;
+                    "detail" => &error.detail);
+                thread::sleep(Duration::from_secs(1));
+            }
+        }
+    }
+
+    fn watch_once(&self, seen: &mut Option<(u64, ConfigRevision)>) -> Result<(), ServiceError> {
+        let store = self.parts.store.as_ref();
+        let asked = self.parts.clock.now();
+        let after = seen.map_or(0, |(after, _)| after);
+        let wait = if seen.is_some() {
+            WATCH_WAIT
+        } else {
+            Duration::ZERO
+        };
+        let changed = store.watch(HEAD_KEY, after, wait)?;
+        let known = seen.filter(|(after, _)| *after == changed);
+        let revision = match known {
+            // No change until the answer means that the head was the same when it was asked for.
+            Some((_, revision)) => {
+                self.state().tracker.on_head(revision, asked);
+                revision
+            }
+            None => self.read_head()?,
+        };
+        *seen = Some((changed, revision));
+        self.load_wanted();
+        if known.is_none() {
+            // A full channel means that the thread is already told.
+            let _ = self.notify.try_send(());
+        }
+        Ok(())
+    }
+
+    /// Reads the head from the store and loads what changed.
+    fn read_head(&self) -> Result<ConfigRevision, ServiceError> {
+        let store = self.parts.store.as_ref();
+        let asked = self.parts.clock.now();
+        let (_, head) = loader::read_head(store)?;
+        let revision = head.revision;
+        let held = {
+            let mut state = self.state();
+            state.tracker.on_head(revision, asked);
+            Arc::clone(&state.held)
+        };
+        if revision > held.head.revision {
+            self.adopt(loader::load_from_store(store, &held, head)?);
+        }
+        Ok(revision)
+    }
+
+    /// Tells the zone's nodes of changes that this node saw; the revision travels with the message.
+    ///
+    /// This has a thread of its own, because nodes that are gone take a timeout each and the watch
+    /// must go on meanwhile.
+    pub(super) fn run_notify(&self) {
+        while !self.is_stopped() {
+            if self.notified.recv_timeout(TICK).is_err() {
+                continue;
+            }
+            let mut peers = self.parts.members.entries_of(&self.settings.zone);
+            peers.retain(|(host, _)| *host != self.settings.host);
+            // A node that is not reached asks within the follow period.
+            self.ask_all(
+                peers.into_iter().map(|(_, address)| address).collect(),
+                |_, _| {},
+            );
+        }
+    }
+
+    /// Asks peers, several at a time, and hands each report on.
+    pub(super) fn ask_all(
+        &self,
+        addresses: Vec<SocketAddr>,
+        on_report: impl Fn(SocketAddr, Option<SpreadReport>) + Sync,
+    ) {
+        let threads = ASK_THREADS.min(addresses.len());
+        let queue = Mutex::new(addresses.into_iter());
+        thread::scope(|scope| {
+            for _ in 0..threads {
+                scope.spawn(|| {
+                    loop {
+                        let next = queue.lock().unwrap_or_else(PoisonError::into_inner).next();
+                        let Some(address) = next else {
+                            return;
+                        };
+                        on_report(address, self.ask(address).ok());
+                    }
+                });
+            }
+        });
+    }
+
+    /// Asks peers and fetches what is wanted.
+    pub(super) fn run_follow(&self) {
+        while !self.is_stopped() {
+            // A wake-up or the tick, whichever comes first.
+            let _ = self.woken.recv_timeout(TICK);
+            if let Some(reader) = self.reader.get() {
+                let rank = u32::try_from(self.rank() / 2).unwrap_or(u32::MAX);
+                reader.set_rank(rank);
+            }
+            let now = self.parts.clock.now();
+            self.refresh_members(now);
+            let follow = {
+                let mut state = self.state();
+                let follow = now >= state.next_follow;
+                if follow {
+                    state.next_follow = now + FOLLOW_PERIOD_MS;
+                    state.turn = state.turn.wrapping_add(1);
+                }
+                follow
+            };
+            if follow {
+                self.follow_once();
+            }
+            self.load_wanted();
+            self.fall_back(now);
+        }
+    }
+
+    /// Tells whether this node asks the other zones on behalf of its zone.
+    ///
+    /// The first two of a zone do so without a lease as well, because no lease can be renewed while
+    /// the store is down, and that is when the other zones' word is needed.
+    pub(super) fn asks_for_zone(&self) -> bool {
+        self.is_reader() || self.rank() < 2
+    }
+
+    pub(super) fn refresh_members(&self, now: Moment) {
+        let asks = self.asks_for_zone();
+        {
+            let mut state = self.state();
+            let age = state.tracker.age_ms(now);
+            let idle = !asks && age.is_some_and(|age| age <= FALLBACK_AGE_MS);
+            let period = match idle {
+                true => IDLE_REFRESH_PERIOD_MS,
+                false => REFRESH_PERIOD_MS,
+            };
+            if state.refreshed.is_some_and(|at| now < at + period) {
+                return;
+            }
+            state.refreshed = Some(now);
+        }
+        if let Err(error) = self.parts.members.refresh() {
+            log_event!(self.parts.logger, events::HOSTS_FAILED; "detail" => &error.detail);
+        }
+    }
+
+    /// Asks a node of its own zone, and one of each other zone if it does so for its zone or has
+    /// had no evidence for a while.
+    fn follow_once(&self) {
+        let (turn, readers) = {
+            let state = self.state();
+            (state.turn, state.readers.clone())
+        };
+        let now = self.parts.clock.now();
+        let age = self.state().tracker.age_ms(now);
+        let asks_zones = self.asks_for_zone() || age.is_none_or(|age| age > FALLBACK_AGE_MS);
+        let members = &self.parts.members;
+        let mut addresses = Vec::new();
+        for zone in members.entry_zones() {
+            let own = zone == self.settings.zone;
+            let mut peers = members.entries_of(&zone);
+            peers.retain(|(host, _)| *host != self.settings.host);
+            if peers.is_empty() || (!own && !asks_zones) {
+                continue;
+            }
+            let watching: Vec<SocketAddr> = peers
+                .iter()
+                .map(|(_, address)| *address)
+                .filter(|address| readers.contains(address))
+                .collect();
+            let address = match watching.is_empty() {
+                // Without a known reader, and every third time, all peers take their turn.
+                false if turn % 3 != 0 => watching[turn % watching.len()],
+                _ => peers[turn % peers.len()].1,
+            };
+            addresses.push(address);
+        }
+        self.ask_all(addresses, |address, report| {
+            if report.is_none() {
+                self.state().readers.retain(|reader| *reader != address);
+            }
+        });
+    }
+
+    fn ask(&self, address: SocketAddr) -> Result<SpreadReport, ServiceError> {
+        let link = self.link.get().ok_or_else(not_started)?;
+        let asked = self.parts.clock.now();
+        let frame = loader::call(link.as_ref(), address, PeerRequest::ReadSpread)?;
+        let PeerFrame::Spread(report) = frame else {
+            let detail = "the peer is not an entry";
+            return Err(ServiceError::unknown(ErrorKind::PeerUnavailable, detail));
+        };
+        let mut state = self.state();
+        state.tracker.on_report(&report, asked);
+        state.readers.retain(|reader| *reader != address);
+        if report.reader {
+            state.readers.push(address);
+        }
+        Ok(report)
+    }
+
+    /// Fetches the wanted revision, first from the parent in the zone's tree.
+    fn load_wanted(&self) {
+        let (wanted, held, readers) = {
+            let state = self.state();
+            let held = Arc::clone(&state.held);
+            (state.tracker.wanted(), held, state.readers.clone())
+        };
+        let (Some(wanted), Some(link)) = (wanted, self.link.get()) else {
+            return;
+        };
+        let peers = self.parts.members.entries_of(&self.settings.zone);
+        let parent = self.rank().checked_sub(1).map(|rank| rank / TREE_WIDTH);
+        let mut sources: Vec<SocketAddr> = Vec::new();
+        sources.extend(
+            parent
+                .and_then(|parent| peers.get(parent))
+                .map(|peer| peer.1),
+        );
+        sources.extend(readers);
+        let others = peers.iter().filter(|(host, _)| *host != self.settings.host);
+        sources.extend(others.map(|(_, address)| *address).take(TREE_WIDTH));
+        for address in sources {
+            if let Ok(loaded) = loader::load_from_peer(link.as_ref(), address, &held, wanted) {
+                self.adopt(loaded);
+                return;
+            }
+        }
+        // The store's own budget bounds this; it matters when no peer has the revision yet.
+        if let Err(error) = self.read_head() {
+            log_event!(self.parts.logger, events::CONFIG_FETCH_FAILED;
+                "revision" => wanted.0, "detail" => &error.detail);
+        }
+    }
+
+    /// Reads the head from the store itself when peers give no recent evidence.
+    fn fall_back(&self, now: Moment) {
+        {
+            let mut state = self.state();
+            let old = state
+                .tracker
+                .age_ms(now)
+                .is_none_or(|age| age > FALLBACK_AGE_MS);
+            if !old || now < state.next_fallback {
+                return;
+            }
+            state.next_fallback = now + FOLLOW_PERIOD_MS;
+        }
+        if let Err(error) = self.read_head() {
+            log_event!(self.parts.logger, events::CONFIG_WATCH_FAILED;
+                "detail" => &error.detail);
+        }
+    }
+}
+
+fn not_started() -> ServiceError {
+    ServiceError::not_run(ErrorKind::PeerUnavailable, "peers cannot be called yet")
+}
--- a/crates/catkindeck-control/src/spread/mod.rs
+++ b/crates/catkindeck-control/src/spread/mod.rs
@@ -1,7 +1,9 @@
 //! The spread of the configuration: its form in the store, what nodes know of it, and when a change
 //! is in force everywhere (`docs/design.md`, decision 9).
 
+mod answers;
 mod confirm;
+mod follow;
 mod head;
 mod holder;
 mod ledger;
