Serve health by hyper and give notice before a shutdown

Cause: two faults. And callers' connections were reset when an entry ended under load, because it closed its address as soon as nothing was in flight, before any balancer could have seen that it was unready. Ruled out: a lost wake-up in the daemons (the agents' logs showed them ready); draining the accept queue, which leaves the same race. Change: hyper, on which astra is built, serves the health address; an entry goes on serving for shutdown_notice_ms after it became unready.

--- a/crates/catkindeck-agent/src/configuration.rs
+++ b/crates/catkindeck-agent/src/configuration.rs
@@ -36,7 +36,7 @@
     /// Peers that showed a higher revision, newest last.
     shown_by: Mutex<Vec<SocketAddr>>,
     seeds: Vec<SocketAddr>,
-    /// The seed that is asked next.
+    /// The position of the entry that is asked next.
     turn: AtomicUsize,
     /// Entries of the host list.
     listed: Mutex<Vec<SocketAddr>>,
@@ -145,21 +145,23 @@
         }
     }
 
-    /// Asks one seed, in turn, whether there is a higher revision, and fetches it.
+    /// Asks one entry, in turn, whether there is a higher revision, and fetches it.
     ///
     /// An agent that gets no requests sees no revisions in messages. It must learn all the same that
     /// its zone went out, because an entry with an older view may still send work.
     pub fn follow(&self) {
-        if self.seeds.is_empty() {
+        let mut entries = self.seeds.clone();
+        entries.extend(lock(&self.listed).iter());
+        if entries.is_empty() {
             return;
         }
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
-        let address = self.seeds[turn % self.seeds.len()];
+        let address = entries[turn % entries.len()];
         match self.ask(address, PeerRequest::ReadRevision) {
             Ok(PeerFrame::Revision(revision)) if revision > self.current.load().revision => {
                 self.note_higher(revision, address);
             }
-            // A seed that cannot be reached is skipped; the next turn asks another.
+            // An entry that cannot be reached is skipped; the next turn asks another.
             Ok(_) | Err(_) => {}
         }
     }
--- a/crates/catkindeck-entry/src/daemon.rs
+++ b/crates/catkindeck-entry/src/daemon.rs
@@ -104,7 +104,8 @@
         readiness.hold("configuration", "no configuration is known yet");
         let gate = DrainGate::new();
         let watch =
-            ShutdownWatch::install(Arc::clone(&readiness), Arc::clone(&gate), logger.clone())?;
+            ShutdownWatch::install(Arc::clone(&readiness), Arc::clone(&gate), logger.clone())?
+                .with_notice(settings.shutdown_notice);
         let health = HealthServer::start(
             settings.process.health_listen,
             Arc::clone(&readiness),
--- a/crates/catkindeck-entry/src/settings.rs
+++ b/crates/catkindeck-entry/src/settings.rs
@@ -103,6 +103,9 @@
     pub call_ms: u64,
     /// The time in which an unknown outcome is resolved.
     pub resolve_ms: u64,
+    /// How long the entry goes on serving after it became unready before a shutdown; longer than
+    /// the balancer takes to notice.
+    pub shutdown_notice_ms: u64,
 }
 
 impl Default for RawTimeouts {
@@ -112,6 +115,8 @@
             body_ms: 30_000,
             call_ms: 2_000,
             resolve_ms: 1_000,
+            // Balancers commonly ask for readiness every few seconds.
+            shutdown_notice_ms: 10_000,
         }
     }
 }
@@ -146,6 +151,8 @@
     pub api: ApiLimits,
     /// The limits of forwarding.
     pub forward: ForwardLimits,
+    /// How long the entry goes on serving after it became unready before a shutdown.
+    pub shutdown_notice: Duration,
 }
 
 impl EntrySettings {
@@ -208,6 +215,7 @@
                 resolve_timeout: Duration::from_millis(timeouts.resolve_ms),
                 open_retry_percent: limits.open_retry_percent,
             },
+            shutdown_notice: Duration::from_millis(timeouts.shutdown_notice_ms),
             process: ProcessSettings::try_from((text, raw.process))?,
         })
     }
@@ -277,7 +285,8 @@
     ] {
         check_range(text, &format!("timeouts.{field}"), value, 10, most)?;
     }
-    Ok(())
+    let notice = timeouts.shutdown_notice_ms;
+    check_range(text, "timeouts.shutdown_notice_ms", notice, 0, 600_000)
 }
 
 fn check_range(
--- a/crates/catkindeck-health/src/server.rs
+++ b/crates/catkindeck-health/src/server.rs
@@ -5,27 +5,24 @@
         DrainGate, ReadinessFlag,
         events::{HEALTH_ACCEPT_FAILED, HEALTH_LISTENING, METRICS_FAILED},
     },
-    astra::{Body, ConnectionInfo, Request, Response, ResponseBuilder, Server},
     catkindeck::{ErrorKind, ServiceError, log_event},
+    http::{Request, Response},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
     prometheus::{IntGauge, Registry, TextEncoder},
     slog::Logger,
-    std::{
-        net::{SocketAddr, TcpListener},
-        sync::Arc,
-        thread,
-        time::Duration,
-    },
+    std::{convert::Infallible, net::SocketAddr, sync::Arc, thread, time::Duration},
+    tokio::{net::TcpListener, runtime::Builder, sync::Semaphore, time::sleep},
 };
 
-/// The number of connections served at once.
-///
-/// astra gives each connection a thread and has no time-out for a caller that sends nothing, so a
-/// few stuck probes must not use up the threads.
+/// The number of connections served at once; a few stuck probes must not use up file descriptors.
 const CONNECTION_LIMIT: usize = 64;
 
-/// The pause before a failed listener is opened again, which keeps a lasting fault such as a lack of
-/// file descriptors from filling the log.
-const REOPEN_PAUSE: Duration = Duration::from_millis(200);
+/// The time for the headers of a request, after which a caller that sends nothing is dropped.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The pause after a failed accept, so that a lack of file descriptors does not fill the log.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(200);
 
 /// Serves `/healthz`, `/readyz` and `/metrics` on an address of their own.
 #[derive(Debug)]
@@ -50,13 +47,23 @@
         logger: Logger,
     ) -> Result<Self, ServiceError> {
         let service = HealthService::new(readiness, gate, registry, logger.clone())?;
-        let server = open_server(address)?;
-        let bound = server.local_addr().map_err(|error| fault(&error))?;
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|error| fault(&error))?;
+        let listener = runtime
+            .block_on(TcpListener::bind(address))
+            .map_err(|error| {
+                ServiceError::not_run(
+                    ErrorKind::Internal,
+                    format!("the health address {address} cannot be opened: {error}"),
+                )
+            })?;
+        let bound = listener.local_addr().map_err(|error| fault(&error))?;
         log_event!(logger, HEALTH_LISTENING; "address" => %bound);
-        let service = Arc::new(service);
         thread::Builder::new()
             .name("health".to_owned())
-            .spawn(move || serve_forever(server, bound, &service, &logger))
+            .spawn(move || runtime.block_on(accept(listener, Arc::new(service), logger)))
             .map_err(|error| fault(&error))?;
         Ok(Self { address: bound })
     }
@@ -101,7 +108,7 @@
         })
     }
 
-    fn answer(&self, request: &Request) -> Response {
+    fn answer(&self, request: &Request<Incoming>) -> Response<String> {
         if request.method() != http::Method::GET && request.method() != http::Method::HEAD {
             return text(405, "expected GET\n".to_owned());
         }
@@ -113,7 +120,7 @@
         }
     }
 
-    fn answer_readiness(&self) -> Response {
+    fn answer_readiness(&self) -> Response<String> {
         let reasons = self.readiness.reasons();
         if reasons.is_empty() {
             return text(200, "ready\n".to_owned());
@@ -124,7 +131,7 @@
         text(503, lines.collect())
     }
 
-    fn answer_metrics(&self) -> Response {
+    fn answer_metrics(&self) -> Response<String> {
         self.ready.set(i64::from(self.readiness.is_ready()));
         let in_flight = i64::try_from(self.gate.in_flight()).unwrap_or(i64::MAX);
         self.in_flight.set(in_flight);
@@ -138,56 +145,46 @@
     }
 }
 
-impl astra::Service for HealthService {
-    fn call(&self, request: Request, _info: ConnectionInfo) -> Response {
-        self.answer(&request)
-    }
-}
-
-/// Opens the address, first with the standard library because astra panics on a failure to bind.
-fn open_server(address: SocketAddr) -> Result<Server, ServiceError> {
-    let probe = TcpListener::bind(address).map_err(|error| {
-        ServiceError::not_run(
-            ErrorKind::Internal,
-            format!("the health address {address} cannot be opened: {error}"),
-        )
-    })?;
-    let bound = probe.local_addr().map_err(|error| fault(&error))?;
-    drop(probe);
-    // Without keep-alive a probe that stays connected does not hold a thread between its requests.
-    Ok(Server::bind(bound)
-        .http1_only()
-        .http1_keep_alive(false)
-        .max_workers(CONNECTION_LIMIT))
-}
-
-/// Serves, and opens the address again when accepting a connection failed, at which astra returns.
-fn serve_forever(
-    mut server: Server,
-    address: SocketAddr,
-    service: &Arc<HealthService>,
-    logger: &Logger,
-) {
+/// Accepts connections for as long as the process lives.
+async fn accept(listener: TcpListener, service: Arc<HealthService>, logger: Logger) {
+    let connections = Arc::new(Semaphore::new(CONNECTION_LIMIT));
     loop {
-        if let Err(error) = server.serve_clone(Arc::clone(service)) {
-            log_event!(logger, HEALTH_ACCEPT_FAILED; "error" => %error);
-        }
-        server = loop {
-            thread::sleep(REOPEN_PAUSE);
-            match open_server(address) {
-                Ok(server) => break server,
-                Err(error) => log_event!(logger, HEALTH_ACCEPT_FAILED; "error" => %error),
+        // The semaphore is never closed.
+        let Ok(permit) = Arc::clone(&connections).acquire_owned().await else {
+            return;
+        };
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log_event!(logger, HEALTH_ACCEPT_FAILED; "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
             }
         };
+        let service = Arc::clone(&service);
+        tokio::spawn(async move {
+            let handler = service_fn(|request| {
+                let answer = service.answer(&request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEADER_TIMEOUT)
+                .keep_alive(false)
+                .serve_connection(TokioIo::new(stream), handler);
+            // A probe that broke off is of no interest.
+            let _ = served.await;
+            drop(permit);
+        });
     }
 }
 
-fn text(status: u16, content: String) -> Response {
-    let response = ResponseBuilder::new()
+fn text(status: u16, content: String) -> Response<String> {
+    let response = Response::builder()
         .status(status)
         .header("content-type", "text/plain; charset=utf-8")
-        .body(Body::new(content));
-    response.unwrap_or_else(|_| Response::new(Body::empty()))
+        .body(content);
+    response.unwrap_or_default()
 }
 
 fn fault(error: &dyn std::error::Error) -> ServiceError {
--- a/crates/catkindeck-health/src/shutdown.rs
+++ b/crates/catkindeck-health/src/shutdown.rs
@@ -17,7 +17,7 @@
             atomic::{AtomicUsize, Ordering},
         },
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -42,13 +42,14 @@
     readiness: Arc<ReadinessFlag>,
     gate: Arc<DrainGate>,
     signals: Arc<AtomicUsize>,
+    notice: Duration,
     logger: Logger,
 }
 
 impl ShutdownWatch {
     /// Starts to catch SIGTERM and SIGINT.
     ///
-    /// On the first signal readiness goes off and the gate closes at once.
+    /// On the first signal readiness goes off; the gate closes after the notice.
     ///
     /// # Errors
     ///
@@ -63,6 +64,7 @@
             readiness,
             gate,
             signals: Arc::new(AtomicUsize::new(0)),
+            notice: Duration::ZERO,
             logger,
         };
         let signals = Arc::clone(&watch.signals);
@@ -79,12 +81,20 @@
         Ok(watch)
     }
 
+    /// Goes on serving for `notice` after readiness went off, so that the platform's balancer stops
+    /// sending first. A connection that arrives while the process exits would be reset.
+    #[must_use]
+    pub fn with_notice(mut self, notice: Duration) -> Self {
+        self.notice = notice;
+        self
+    }
+
     /// Asks for a shutdown without a signal.
     pub fn request(&self) {
         self.signals.fetch_add(1, Ordering::SeqCst);
     }
 
-    /// Waits for a signal, closes the gate and waits until nothing is in flight.
+    /// Waits for a signal, gives notice, closes the gate and waits until nothing is in flight.
     ///
     /// `on_drain` runs once between the two, for example to hand over records. It is called after
     /// the gate is closed, so it sees no new work.
@@ -95,11 +105,21 @@
         log_event!(self.logger, SHUTDOWN_REQUESTED; "in_flight" => self.gate.in_flight());
         self.readiness
             .hold("shutting_down", "the process is draining");
+        self.wait_notice();
         self.gate.close();
         on_drain();
         self.wait_for_drain()
     }
 
+    /// Waits until the notice is over or a second signal arrives.
+    fn wait_notice(&self) {
+        let started = Instant::now();
+        while started.elapsed() < self.notice && self.signals.load(Ordering::SeqCst) < 2 {
+            let left = self.notice.saturating_sub(started.elapsed());
+            thread::sleep(left.min(POLL_INTERVAL));
+        }
+    }
+
     fn wait_for_drain(&self) -> ShutdownCause {
         let mut polls = 0;
         while !self.gate.wait_idle(POLL_INTERVAL) {
