Follow the configuration of the platform's store on the entry

The settings name the platform's interfaces in the table platform, in place of store_url, which could not carry time-outs and rates. The entry registers store client, host list, holder of the configuration and operators' calls in the kernel, answers peers about the spread, learns the other entries and leaving upstreams from the host list, and follows the configuration until the last request of a drain ended. The forwarder is built before the daemon starts, so that services in the kernel can use it. config_file stays for a start without the platform.

A start against a store is not tested here.

--- a/crates/catkindeck-entry/src/daemon.rs
+++ b/crates/catkindeck-entry/src/daemon.rs
@@ -5,22 +5,25 @@
         admin::{AdminService, INTENT_ADMIN},
         api::EntryService,
         events::{CONFIG_IN_USE, ENTRY_STARTED},
-        forward::{ForwardParts, RequestForwarder, StaticPeers},
+        forward::{ForwardParts, RequestForwarder},
         http::{CallerServer, ServerLimits},
         metrics::EntryMetrics,
-        peer::{CONFIG_RECEIVER, ConfigReceiver, EntryPeer},
+        peer::EntryPeer,
+        platform::{CONFIG_HOLDER, KnownEntries, MEMBER_LIST},
         settings::EntrySettings,
     },
     catkindeck::{
-        ErrorKind, ServiceError, ServiceKernel,
+        Clock, ErrorKind, ServiceError, ServiceKernel,
         config::{ConfigRevision, ConfigSnapshot},
-        link::PeerIdentity,
+        link::{PeerIdentity, PeerLink},
         log_event,
-        time::SystemClock,
+        platform::HostState,
     },
     catkindeck_control::{
         intent::IntentAdmin,
-        source::{CONFIG_SOURCE, ConfigSource},
+        members::MemberList,
+        source::{CONFIG_SOURCE, ConfigSource, SPREAD_PEER, SpreadPeer},
+        spread::ConfigHolder,
         step::{STEP_SERVICE, StepService},
     },
     catkindeck_health::{DrainGate, HealthServer, ReadinessFlag, ShutdownCause, ShutdownWatch},
@@ -41,6 +44,9 @@
 /// How many intervals pass between two sweeps of what has expired.
 const INTERVALS_PER_SWEEP: u32 = 50;
 
+/// How many intervals pass between two looks at the host list, which itself is read every 5 s.
+const INTERVALS_PER_REFRESH: u32 = 10;
+
 /// How long the exit waits for the last answers to leave, after nothing is in flight.
 const LAST_ANSWERS: Duration = Duration::from_secs(5);
 
@@ -54,6 +60,7 @@
     operators: Option<CallerServer>,
     health: HealthServer,
     endpoint: PeerEndpoint,
+    holder: Option<Arc<ConfigHolder>>,
     watch: ShutdownWatch,
 }
 
@@ -78,11 +85,56 @@
         .map_err(|error| ServiceError::not_run(ErrorKind::Internal, error.to_string()))
 }
 
+/// The forwarder with its metrics, which services in the kernel may need before the daemon starts.
+pub struct EntryCore {
+    /// The forwarder.
+    pub forwarder: Arc<RequestForwarder>,
+    /// The metrics that the health address shows.
+    pub registry: Registry,
+}
+
+impl EntryCore {
+    /// Makes the forwarder over the services in `kernel`.
+    ///
+    /// # Errors
+    ///
+    /// Returns `internal` if no [`ConfigSource`] is registered.
+    pub fn build(
+        settings: &EntrySettings,
+        kernel: &ServiceKernel,
+        link: Arc<dyn PeerLink>,
+        clock: Arc<dyn Clock>,
+        logger: &Logger,
+    ) -> Result<Self, ServiceError> {
+        let registry = Registry::new();
+        let metrics = Arc::new(EntryMetrics::register(&registry)?);
+        let members = kernel.find::<MemberList>(MEMBER_LIST).ok();
+        let mut seed = [0; 8];
+        getrandom::fill(&mut seed)
+            .map_err(|error| ServiceError::not_run(ErrorKind::Internal, error.to_string()))?;
+        let forwarder = RequestForwarder::new(ForwardParts {
+            entry: settings.process.host.clone(),
+            link,
+            source: kernel.find::<dyn ConfigSource>(CONFIG_SOURCE)?,
+            peers: KnownEntries::new(settings, members),
+            clock,
+            metrics,
+            limits: settings.forward,
+            seed: u64::from_le_bytes(seed),
+            logger: logger.clone(),
+        });
+        Ok(Self {
+            forwarder,
+            registry,
+        })
+    }
+}
+
 impl EntryDaemon {
     /// Starts to serve with the services that are registered in `kernel`.
     ///
-    /// A [`ConfigSource`] is required; [`StepService`], [`ConfigReceiver`] and [`IntentAdmin`] are
-    /// used where they are registered.
+    /// A [`ConfigSource`] is required; [`StepService`], [`SpreadPeer`], [`MemberList`] and
+    /// [`IntentAdmin`] are used where they are registered.
     ///
     /// # Errors
     ///
@@ -91,15 +143,17 @@
         settings: &EntrySettings,
         kernel: &ServiceKernel,
         endpoint: PeerEndpoint,
+        core: EntryCore,
         logger: &Logger,
     ) -> Result<Self, ServiceError> {
-        let source = kernel.find::<dyn ConfigSource>(CONFIG_SOURCE)?;
+        let EntryCore {
+            forwarder,
+            registry,
+        } = core;
         let steps = kernel.find::<dyn StepService>(STEP_SERVICE).ok();
-        let receiver = kernel.find::<dyn ConfigReceiver>(CONFIG_RECEIVER).ok();
+        let spread = kernel.find::<dyn SpreadPeer>(SPREAD_PEER).ok();
 
         // Health comes first, so that the process can be watched while it becomes ready.
-        let registry = Registry::new();
-        let metrics = Arc::new(EntryMetrics::register(&registry)?);
         let readiness = Arc::new(ReadinessFlag::new(logger.clone()));
         readiness.hold("configuration", "no configuration is known yet");
         let gate = DrainGate::new();
@@ -112,24 +166,9 @@
             registry,
             logger.clone(),
         )?;
-
-        let mut seed = [0; 8];
-        getrandom::fill(&mut seed)
-            .map_err(|error| ServiceError::not_run(ErrorKind::Internal, error.to_string()))?;
-        let forwarder = RequestForwarder::new(ForwardParts {
-            entry: settings.process.host.clone(),
-            link: endpoint.link(),
-            source: Arc::clone(&source),
-            peers: Arc::new(StaticPeers(settings.peers.clone())),
-            clock: Arc::new(SystemClock::new()),
-            metrics,
-            limits: settings.forward,
-            seed: u64::from_le_bytes(seed),
-            logger: logger.clone(),
-        });
         let peer = EntryPeer::new(
             Arc::clone(&forwarder),
-            receiver,
+            spread,
             steps.clone(),
             Arc::clone(&gate),
         );
@@ -144,7 +183,8 @@
             logger.clone(),
         )?;
         let operators = start_operators(settings, kernel, &gate, logger)?;
-        watch_configuration(forwarder, readiness, logger.clone())?;
+        let members = kernel.find::<MemberList>(MEMBER_LIST).ok();
+        watch_configuration(forwarder, members, readiness, logger.clone())?;
         log_event!(logger, ENTRY_STARTED; "host" => %settings.process.host,
             "zone" => %settings.process.zone);
         Ok(Self {
@@ -152,6 +192,7 @@
             operators,
             health,
             endpoint,
+            holder: kernel.find::<ConfigHolder>(CONFIG_HOLDER).ok(),
             watch,
         })
     }
@@ -173,6 +214,10 @@
         while cause == ShutdownCause::Drained && open() > 0 && Instant::now() < deadline {
             thread::sleep(Duration::from_millis(10));
         }
+        // The configuration is followed to the end, so that revoked keys end open streams.
+        if let Some(holder) = &self.holder {
+            holder.drain();
+        }
         self.endpoint.close(Duration::from_secs(1));
         cause
     }
@@ -203,7 +248,8 @@
         return Ok(None);
     };
     let admin = kernel.find::<IntentAdmin>(INTENT_ADMIN).map_err(|_| {
-        let detail = "admin_listen needs store_url, because operators change what is in the store";
+        let detail =
+            "admin_listen needs the table platform, because operators change what is in the store";
         ServiceError::not_run(ErrorKind::Internal, detail)
     })?;
     let limits = ServerLimits {
@@ -220,6 +266,7 @@
 /// Follows the configuration on a thread that lives as long as the process.
 fn watch_configuration(
     forwarder: Arc<RequestForwarder>,
+    members: Option<Arc<MemberList>>,
     readiness: Arc<ReadinessFlag>,
     logger: Logger,
 ) -> Result<(), ServiceError> {
@@ -241,6 +288,14 @@
                 readiness.clear("configuration");
             }
             round = round.wrapping_add(1);
+            if round.is_multiple_of(INTERVALS_PER_REFRESH) {
+                let views = members.as_ref().map(|members| members.merge(&seen));
+                let views = views.unwrap_or_default().into_iter();
+                let hosts: Vec<_> = views
+                    .map(|view| (view.upstream.name, view.state == Some(HostState::Leaving)))
+                    .collect();
+                forwarder.refresh_members(&hosts);
+            }
             if round.is_multiple_of(INTERVALS_PER_SWEEP) {
                 forwarder.sweep();
             }
--- a/crates/catkindeck-entry/src/forward/forwarder.rs
+++ b/crates/catkindeck-entry/src/forward/forwarder.rs
@@ -204,6 +204,16 @@
         lock(&self.budget).sweep(now);
     }
 
+    /// Applies the host list: entries that came or went, and for each upstream whether it leaves.
+    pub fn refresh_members(&self, leaving: &[(ObjectName, bool)]) {
+        self.members.store(None);
+        self.with_router(|router| {
+            for (upstream, leaves) in leaving {
+                router.set_leaving(upstream, *leaves);
+            }
+        });
+    }
+
     /// Returns the other entries.
     pub fn peers(&self) -> &dyn PeerDirectory {
         &*self.parts.peers
--- a/crates/catkindeck-entry/src/lib.rs
+++ b/crates/catkindeck-entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http;
 pub mod metrics;
 pub mod peer;
+pub mod platform;
 pub mod samples;
 pub mod settings;
 pub mod source;
--- a/crates/catkindeck-entry/src/main.rs
+++ b/crates/catkindeck-entry/src/main.rs
@@ -3,21 +3,27 @@
 use {
     argh::FromArgs,
     catkindeck::{
-        ErrorKind, ServiceError, ServiceKernel,
+        Clock, ErrorKind, ServiceError, ServiceKernel,
         log::build_logger,
         log_event,
         settings::{SettingsError, SettingsText},
+        time::SystemClock,
     },
     catkindeck_control::source::{CONFIG_SOURCE, ConfigSource},
     catkindeck_entry::{
-        daemon::{EntryDaemon, open_peers},
+        daemon::{EntryCore, EntryDaemon, open_peers},
         events::{CONFIG_FILE_REJECTED, ENTRY_FAILED},
+        platform::{register_platform, start_platform},
         settings::{ConfigOrigin, EntrySettings},
         source::FileSource,
     },
     catkindeck_health::ShutdownCause,
     slog::Logger,
-    std::{path::PathBuf, process::ExitCode, sync::Arc},
+    std::{
+        path::{Path, PathBuf},
+        process::ExitCode,
+        sync::Arc,
+    },
 };
 
 /// Serves callers, trainers and operators and forwards their requests to agents.
@@ -59,30 +65,30 @@
 
 fn serve(settings: &EntrySettings, logger: &Logger) -> Result<ShutdownCause, ServiceError> {
     let kernel = ServiceKernel::new();
-    let source = open_source(settings, logger)?;
-    kernel.register(CONFIG_SOURCE, Arc::clone(&source))?;
-    let endpoint = open_peers(settings, source, logger.clone())?;
-    Ok(EntryDaemon::start(settings, &kernel, endpoint, logger)?.run())
-}
-
-fn open_source(
-    settings: &EntrySettings,
-    logger: &Logger,
-) -> Result<Arc<dyn ConfigSource>, ServiceError> {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::new());
     match &settings.origin {
-        ConfigOrigin::File(path) => {
-            let source = FileSource::open(path, logger.clone()).map_err(|error| {
-                log_event!(logger, CONFIG_FILE_REJECTED; "error" => %error);
-                ServiceError::not_run(ErrorKind::BadRequest, error.to_string())
-            })?;
-            source.watch(path);
-            Ok(source)
+        ConfigOrigin::File(path) => register_file(&kernel, path, logger)?,
+        ConfigOrigin::Platform(platform) => {
+            register_platform(&kernel, settings, platform, &clock, logger)?;
         }
-        ConfigOrigin::Store(_) => Err(ServiceError::not_run(
-            ErrorKind::Internal,
-            "store_url is not supported by this build yet; use config_file",
-        )),
     }
+    let source = kernel.find::<dyn ConfigSource>(CONFIG_SOURCE)?;
+    let endpoint = open_peers(settings, source, logger.clone())?;
+    let link = endpoint.link();
+    if let ConfigOrigin::Platform(_) = &settings.origin {
+        start_platform(&kernel, settings, &link, &clock, logger)?;
+    }
+    let core = EntryCore::build(settings, &kernel, link, clock, logger)?;
+    Ok(EntryDaemon::start(settings, &kernel, endpoint, core, logger)?.run())
+}
+
+fn register_file(kernel: &ServiceKernel, path: &Path, logger: &Logger) -> Result<(), ServiceError> {
+    let source = FileSource::open(path, logger.clone()).map_err(|error| {
+        log_event!(logger, CONFIG_FILE_REJECTED; "error" => %error);
+        ServiceError::not_run(ErrorKind::BadRequest, error.to_string())
+    })?;
+    source.watch(path);
+    kernel.register::<dyn ConfigSource>(CONFIG_SOURCE, source)
 }
 
 fn check(settings: &EntrySettings) -> ExitCode {
--- a/crates/catkindeck-entry/src/peer.rs
+++ b/crates/catkindeck-entry/src/peer.rs
@@ -4,33 +4,20 @@
     crate::{events::PEER_REFUSED, forward::RequestForwarder},
     catkindeck::{
         ErrorKind, ServiceError,
-        config::{ConfigRevision, ConfigSnapshot},
+        config::ConfigRevision,
         link::{FrameSink, PeerHandler, PeerIdentity, PeerRole},
         log_event,
         message::{PeerFrame, PeerRequest, StepAnswer},
     },
-    catkindeck_control::step::StepService,
+    catkindeck_control::{source::SpreadPeer, step::StepService},
     catkindeck_health::DrainGate,
     std::sync::Arc,
 };
 
-/// The name under which a [`ConfigReceiver`] is registered in the kernel.
-pub const CONFIG_RECEIVER: &str = "config-receiver";
-
-/// Takes configurations that other entries push.
-pub trait ConfigReceiver: Send + Sync {
-    /// Takes `snapshot` if its revision is higher than the one in use.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if this process does not take configurations from peers.
-    fn receive(&self, snapshot: ConfigSnapshot) -> Result<ConfigRevision, ServiceError>;
-}
-
 /// Answers other entries, agents and operators' commands.
 pub struct EntryPeer {
     forwarder: Arc<RequestForwarder>,
-    receiver: Option<Arc<dyn ConfigReceiver>>,
+    spread: Option<Arc<dyn SpreadPeer>>,
     steps: Option<Arc<dyn StepService>>,
     gate: Arc<DrainGate>,
 }
@@ -39,21 +26,35 @@
     /// Makes the handler.
     pub fn new(
         forwarder: Arc<RequestForwarder>,
-        receiver: Option<Arc<dyn ConfigReceiver>>,
+        spread: Option<Arc<dyn SpreadPeer>>,
         steps: Option<Arc<dyn StepService>>,
         gate: Arc<DrainGate>,
     ) -> Self {
         Self {
             forwarder,
-            receiver,
+            spread,
             steps,
             gate,
         }
     }
 
     fn answer(&self, peer: &PeerIdentity, request: PeerRequest) -> Result<PeerFrame, ServiceError> {
+        match &request {
+            PeerRequest::PushConfiguration(_)
+            | PeerRequest::ReadSpread
+            | PeerRequest::FetchShards { .. } => require_entry(peer)?,
+            _ => {}
+        }
+        let answer = self
+            .spread
+            .as_ref()
+            .and_then(|spread| spread.answer(&request));
+        if let Some(frame) = answer {
+            return Ok(frame);
+        }
         let source = self.forwarder.source();
         match request {
+            // Without the spread, the configuration is that of a file on this host.
             PeerRequest::ReadRevision => Ok(PeerFrame::Revision(source.current().revision)),
             PeerRequest::FetchConfiguration => {
                 // A process without a configuration must not hand the empty one out as real.
@@ -64,14 +65,12 @@
                 }
                 Ok(PeerFrame::Configuration(Box::new((*snapshot).clone())))
             }
-            PeerRequest::PushConfiguration(snapshot) => {
-                require_entry(peer)?;
-                let receiver = self.receiver.as_ref().ok_or_else(|| {
-                    let detail = "this entry reads its configuration from a file";
-                    ServiceError::not_run(ErrorKind::Forbidden, detail)
-                })?;
-                Ok(PeerFrame::Revision(receiver.receive(*snapshot)?))
-            }
+            PeerRequest::PushConfiguration(_)
+            | PeerRequest::ReadSpread
+            | PeerRequest::FetchShards { .. } => Err(ServiceError::not_run(
+                ErrorKind::Forbidden,
+                "this entry reads its configuration from a file",
+            )),
             PeerRequest::ReportCrashes { crashes } => {
                 require_entry(peer)?;
                 self.forwarder.learn_crashes(&crashes);
--- /dev/null
+++ b/crates/catkindeck-entry/src/platform.rs
@@ -0,0 +1,155 @@
+//! The services of an entry that rest on the platform: its configuration, the hosts and the
+//! operators' calls.
+
+use {
+    crate::{
+        admin::INTENT_ADMIN,
+        forward::PeerDirectory,
+        settings::{EntrySettings, PlatformSettings},
+    },
+    catkindeck::{
+        Clock, ServiceError, ServiceKernel,
+        id::{IncarnationId, ObjectName},
+        link::PeerLink,
+        platform::{HostList, StoreClient},
+    },
+    catkindeck_control::{
+        intent::{AgentLoadSource, IntentAdmin},
+        members::MemberList,
+        run::directory::EntryDirectory,
+        source::{CONFIG_SOURCE, ConfigSource, SPREAD_PEER, SpreadPeer},
+        spread::{ConfigHolder, HolderParts, HolderSettings, StoreLedger},
+    },
+    catkindeck_store::{HttpHosts, HttpStore},
+    slog::Logger,
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// The name under which the [`StoreClient`] is registered in the kernel.
+pub const STORE_CLIENT: &str = "store-client";
+
+/// The name under which the [`MemberList`] is registered in the kernel.
+pub const MEMBER_LIST: &str = "member-list";
+
+/// The name under which the [`ConfigHolder`] is registered in the kernel.
+pub const CONFIG_HOLDER: &str = "config-holder";
+
+/// Registers the platform's clients and the holder of the configuration, which is not started yet.
+///
+/// # Errors
+///
+/// Returns `internal` if a service is registered already.
+pub fn register_platform(
+    kernel: &ServiceKernel,
+    settings: &EntrySettings,
+    platform: &PlatformSettings,
+    clock: &Arc<dyn Clock>,
+    logger: &Logger,
+) -> Result<(), ServiceError> {
+    let store: Arc<dyn StoreClient> = Arc::new(HttpStore::new(
+        platform.store.clone(),
+        Arc::clone(clock),
+        logger.clone(),
+    ));
+    let hosts: Arc<dyn HostList> = Arc::new(HttpHosts::new(
+        platform.hosts.clone(),
+        Arc::clone(clock),
+        logger.clone(),
+    ));
+    let members = Arc::new(MemberList::new(hosts));
+    let host = &settings.process.host;
+    let holder = ConfigHolder::new(
+        HolderSettings {
+            host: host.clone(),
+            zone: settings.process.zone.clone(),
+            holder: format!("{host}/{}", IncarnationId::random()),
+        },
+        HolderParts {
+            store: Arc::clone(&store),
+            members: Arc::clone(&members),
+            clock: Arc::clone(clock),
+            logger: logger.clone(),
+        },
+    );
+    kernel.register(STORE_CLIENT, store)?;
+    kernel.register(MEMBER_LIST, members)?;
+    kernel.register::<dyn ConfigSource>(CONFIG_SOURCE, holder.clone())?;
+    kernel.register::<dyn SpreadPeer>(SPREAD_PEER, holder.clone())?;
+    kernel.register(CONFIG_HOLDER, holder)
+}
+
+/// Starts to follow the configuration and registers the operators' calls.
+///
+/// # Errors
+///
+/// Returns `internal` if a thread cannot be started or a service is missing.
+pub fn start_platform(
+    kernel: &ServiceKernel,
+    settings: &EntrySettings,
+    link: &Arc<dyn PeerLink>,
+    clock: &Arc<dyn Clock>,
+    logger: &Logger,
+) -> Result<(), ServiceError> {
+    let holder = kernel.find::<ConfigHolder>(CONFIG_HOLDER)?;
+    let store = kernel.find::<dyn StoreClient>(STORE_CLIENT)?;
+    let source = kernel.find::<dyn ConfigSource>(CONFIG_SOURCE)?;
+    holder.start(Arc::clone(link))?;
+    let ledger = StoreLedger::new(store, holder, Arc::clone(clock), logger.clone());
+    let loads = AgentLoadSource::new(Arc::clone(link), source);
+    let admin = IntentAdmin::new(
+        Arc::new(ledger),
+        Arc::new(loads),
+        settings.operators.clone(),
+        logger.clone(),
+    );
+    kernel.register(INTENT_ADMIN, Arc::new(admin))
+}
+
+/// The other entries: those of the host list, and those named in the settings.
+pub struct KnownEntries {
+    host: ObjectName,
+    address: SocketAddr,
+    named: Vec<(ObjectName, SocketAddr)>,
+    members: Option<Arc<MemberList>>,
+}
+
+impl KnownEntries {
+    /// Makes the directory of an entry; without `members` only the named ones are known.
+    pub fn new(settings: &EntrySettings, members: Option<Arc<MemberList>>) -> Arc<Self> {
+        Arc::new(Self {
+            host: settings.process.host.clone(),
+            address: settings.process.peer_listen,
+            named: settings.peers.clone(),
+            members,
+        })
+    }
+}
+
+impl PeerDirectory for KnownEntries {
+    fn entries(&self) -> Vec<(ObjectName, SocketAddr)> {
+        let listed = self
+            .members
+            .as_ref()
+            .and_then(|members| members.entries().ok());
+        let listed = listed.into_iter().flatten();
+        let mut entries: Vec<_> = listed.map(|(host, _, address)| (host, address)).collect();
+        for (host, address) in &self.named {
+            // The host list knows an entry's present address; the settings may be older.
+            if !entries.iter().any(|(known, _)| known == host) {
+                entries.push((host.clone(), *address));
+            }
+        }
+        entries.retain(|(host, _)| *host != self.host);
+        entries.sort();
+        entries
+    }
+}
+
+impl EntryDirectory for KnownEntries {
+    fn entries(&self) -> Vec<(ObjectName, SocketAddr)> {
+        let mut entries = PeerDirectory::entries(self);
+        entries.push((self.host.clone(), self.address));
+        entries.sort();
+        entries
+    }
+}
--- a/crates/catkindeck-entry/src/settings.rs
+++ b/crates/catkindeck-entry/src/settings.rs
@@ -8,6 +8,7 @@
         process::{ProcessSettings, RawProcess, parse_address, parse_name},
         settings::{SettingsError, SettingsText},
     },
+    catkindeck_store::{ClientSettings, RawClient},
     serde::Deserialize,
     std::{net::SocketAddr, path::PathBuf, time::Duration},
 };
@@ -26,10 +27,10 @@
     /// The blake3 digests of the operators' keys, in hexadecimal.
     #[serde(default)]
     pub operator_digests: Vec<String>,
-    /// The URL of the platform's key-value service.
-    pub store_url: Option<String>,
-    /// A configuration in TOML or JSON for a stand-alone start, instead of `store_url`.
+    /// A configuration in TOML or JSON for a start without the platform.
     pub config_file: Option<PathBuf>,
+    /// The platform's interfaces, instead of `config_file`.
+    pub platform: Option<RawPlatform>,
     /// The part that every daemon has.
     pub process: RawProcess,
     /// Other entries that are known from the start.
@@ -43,6 +44,22 @@
     pub timeouts: RawTimeouts,
 }
 
+/// The platform's interfaces as written.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawPlatform {
+    /// The key-value service.
+    pub store: RawClient,
+    /// The list of hosts.
+    pub hosts: RawClient,
+    /// The interface that orders upstreams.
+    pub zones: Option<RawClient>,
+    /// The interface that takes usage reports.
+    pub usage: Option<RawClient>,
+    /// The store of model weights.
+    pub weights: Option<RawClient>,
+}
+
 /// Another entry as written.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -116,11 +133,26 @@
     }
 }
 
+/// The checked settings of the platform's interfaces.
+#[derive(Debug, Clone)]
+pub struct PlatformSettings {
+    /// The key-value service.
+    pub store: ClientSettings,
+    /// The list of hosts.
+    pub hosts: ClientSettings,
+    /// The interface that orders upstreams.
+    pub zones: Option<ClientSettings>,
+    /// The interface that takes usage reports.
+    pub usage: Option<ClientSettings>,
+    /// The store of model weights.
+    pub weights: Option<ClientSettings>,
+}
+
 /// Where the configuration comes from.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub enum ConfigOrigin {
-    /// The platform's key-value service at this URL.
-    Store(String),
+    /// The platform's key-value service.
+    Platform(Box<PlatformSettings>),
     /// A file on this host.
     File(PathBuf),
 }
@@ -173,6 +205,10 @@
             let expected = "expected at least one digest, because admin_listen is set";
             return Err(text.fault("operator_digests", expected));
         }
+        if admin_listen.is_some() && raw.platform.is_none() {
+            let expected = "expected the table platform too, where operators' changes are stored";
+            return Err(text.fault("admin_listen", expected));
+        }
         let digests = raw.operator_digests.iter();
         let operators = digests.map(|digest| parse_digest(text, digest));
         let peers = raw.peers.iter().map(|peer| {
@@ -214,21 +250,40 @@
 }
 
 fn parse_origin(text: &SettingsText, raw: &RawEntry) -> Result<ConfigOrigin, SettingsError> {
-    match (&raw.store_url, &raw.config_file) {
-        (Some(url), None) if url.starts_with("http://") => Ok(ConfigOrigin::Store(url.clone())),
-        (Some(url), None) => {
-            let expected = format!("expected a URL that starts with http://, got `{url}`");
-            Err(text.fault("store_url", expected))
+    match (&raw.platform, &raw.config_file) {
+        (Some(platform), None) => {
+            let platform = PlatformSettings::try_from((text, platform.clone()))?;
+            Ok(ConfigOrigin::Platform(Box::new(platform)))
         }
         (None, Some(file)) => Ok(ConfigOrigin::File(file.clone())),
-        (Some(_), Some(_)) => Err(text.fault(
-            "config_file",
-            "expected either store_url or config_file, not both",
-        )),
-        (None, None) => Err(text.fault(
-            "store_url",
-            "expected store_url, or config_file to start alone",
-        )),
+        (Some(_), Some(_)) => {
+            let expected = "expected either config_file or the table platform, not both";
+            Err(text.fault("config_file", expected))
+        }
+        (None, None) => {
+            let expected = "expected the table platform, or config_file for a start without it";
+            Err(text.fault("config_file", expected))
+        }
+    }
+}
+
+impl TryFrom<(&SettingsText, RawPlatform)> for PlatformSettings {
+    type Error = SettingsError;
+
+    fn try_from((text, raw): (&SettingsText, RawPlatform)) -> Result<Self, SettingsError> {
+        let client = |name: &str, raw| {
+            let section = format!("platform.{name}");
+            ClientSettings::try_from((text, section.as_str(), raw))
+        };
+        let optional =
+            |name: &str, raw: Option<RawClient>| raw.map(|raw| client(name, raw)).transpose();
+        Ok(Self {
+            store: client("store", raw.store)?,
+            hosts: client("hosts", raw.hosts)?,
+            zones: optional("zones", raw.zones)?,
+            usage: optional("usage", raw.usage)?,
+            weights: optional("weights", raw.weights)?,
+        })
     }
 }
 
--- /dev/null
+++ b/crates/catkindeck-entry/tests/peer.rs
@@ -0,0 +1,156 @@
+//! What an entry answers other processes.
+
+mod common;
+
+use {
+    catkindeck::{
+        ErrorKind, ServiceError,
+        config::{ConfigRevision, ConfigSnapshot},
+        id::BodyDigest,
+        link::{FrameSink, PeerHandler, PeerIdentity, PeerRole},
+        message::{CrashReport, PeerFrame, PeerRequest, StepAction, StepAnswer, StepRequest},
+        token::WeightVersion,
+    },
+    catkindeck_control::step::StepService,
+    catkindeck_entry::peer::EntryPeer,
+    catkindeck_health::DrainGate,
+    common::*,
+    std::sync::{Arc, Mutex},
+};
+
+#[derive(Default)]
+struct RecordedFrames(Mutex<Vec<PeerFrame>>);
+
+impl FrameSink for RecordedFrames {
+    fn send(&self, frame: PeerFrame) -> Result<(), ServiceError> {
+        self.0.lock().expect("no panic").push(frame);
+        Ok(())
+    }
+
+    fn is_closed(&self) -> bool {
+        false
+    }
+}
+
+/// Tells apart the two ways in which a step request arrives.
+struct TwoWays;
+
+impl StepService for TwoWays {
+    fn handle(&self, _request: StepRequest) -> StepAnswer {
+        StepAnswer::Refused(ServiceError::not_run(
+            ErrorKind::Internal,
+            "forwarded again",
+        ))
+    }
+
+    fn handle_forwarded(&self, _request: StepRequest) -> StepAnswer {
+        StepAnswer::Accepted
+    }
+}
+
+fn ask(peer: &EntryPeer, role: PeerRole, request: PeerRequest) -> PeerFrame {
+    let sink = Arc::new(RecordedFrames::default());
+    let identity = PeerIdentity {
+        role,
+        host: "other".to_owned(),
+    };
+    peer.handle(&identity, request, sink.clone());
+    let mut frames = sink.0.lock().expect("no panic");
+    assert_eq!(frames.len(), 1);
+    frames.remove(0)
+}
+
+fn failure(frame: PeerFrame) -> ErrorKind {
+    match frame {
+        PeerFrame::Failed(error) => error.kind,
+        other => panic!("expected a failure, got {other:?}"),
+    }
+}
+
+fn step() -> PeerRequest {
+    PeerRequest::ForwardStep(StepRequest {
+        run: name("slips"),
+        customer: name("archive"),
+        action: StepAction::Announce(WeightVersion(8)),
+    })
+}
+
+/// Guards against processes that act in a role which their certificate does not name.
+#[test]
+fn roles_are_checked() {
+    let bench = Bench::new();
+    let gate = DrainGate::new();
+    let steps: Arc<dyn StepService> = Arc::new(TwoWays);
+    let peer = EntryPeer::new(bench.forwarder.clone(), None, Some(steps), gate);
+    let crash = || CrashReport {
+        digest: BodyDigest([66; 32]),
+        upstream: name("draft-1"),
+    };
+    for role in [PeerRole::Agent, PeerRole::Operator] {
+        for request in [
+            PeerRequest::PushConfiguration(Box::default()),
+            PeerRequest::ReportCrashes {
+                crashes: vec![crash()],
+            },
+            step(),
+        ] {
+            assert_eq!(failure(ask(&peer, role, request)), ErrorKind::Forbidden);
+        }
+    }
+    assert_eq!(
+        ask(&peer, PeerRole::Entry, step()),
+        PeerFrame::StepAnswer(StepAnswer::Accepted)
+    );
+    assert_eq!(
+        failure(ask(&peer, PeerRole::Entry, PeerRequest::ReadLoad)),
+        ErrorKind::Forbidden
+    );
+}
+
+/// Guards against an empty configuration that a starting entry hands out as the real one (G16).
+#[test]
+fn unknown_configuration_is_not_handed_out() {
+    let bench = Bench::with(ConfigSnapshot::default());
+    let peer = EntryPeer::new(bench.forwarder.clone(), None, None, DrainGate::new());
+    let fetched = ask(&peer, PeerRole::Agent, PeerRequest::FetchConfiguration);
+    assert_eq!(failure(fetched), ErrorKind::NotFound);
+
+    bench
+        .source
+        .replace(|snapshot| snapshot.revision = ConfigRevision(9));
+    let fetched = ask(&peer, PeerRole::Agent, PeerRequest::FetchConfiguration);
+    let PeerFrame::Configuration(fetched) = fetched else {
+        panic!("a configuration");
+    };
+    assert_eq!(fetched.revision, ConfigRevision(9));
+    let revision = ask(&peer, PeerRole::Agent, PeerRequest::ReadRevision);
+    assert_eq!(revision, PeerFrame::Revision(ConfigRevision(9)));
+}
+
+/// Guards against crash reports of peers that are taken and forgotten.
+#[test]
+fn reported_crashes_quarantine_the_body() {
+    let bench = Bench::new();
+    let peer = EntryPeer::new(bench.forwarder.clone(), None, None, DrainGate::new());
+    let crashes = ["draft-1", "draft-2"].map(|upstream| CrashReport {
+        digest: BodyDigest([66; 32]),
+        upstream: name(upstream),
+    });
+    let report = PeerRequest::ReportCrashes {
+        crashes: crashes.to_vec(),
+    };
+    assert_eq!(ask(&peer, PeerRole::Entry, report), PeerFrame::Done);
+    assert_eq!(bench.fail(&completion(66)).kind, ErrorKind::Quarantined);
+}
+
+/// Guards against a step's request that the exit cuts off or that starts during the drain (G15).
+#[test]
+fn steps_are_refused_while_draining() {
+    let bench = Bench::new();
+    let gate = DrainGate::new();
+    let steps: Arc<dyn StepService> = Arc::new(TwoWays);
+    let peer = EntryPeer::new(bench.forwarder.clone(), None, Some(steps), gate.clone());
+    gate.close();
+    let refused = ask(&peer, PeerRole::Entry, step());
+    assert_eq!(failure(refused), ErrorKind::ShuttingDown);
+}
