--- a/tests/system/tests/failures.rs
+++ b/tests/system/tests/failures.rs
@@ -477,6 +477,7 @@
 fn a_cold_engine_is_not_overloaded() {
     let mut shape = DeploymentShape::two_zones();
     shape.engine_limits = (16, 2);
+    shape.engine_cold_start_ms = 3_600_000;
     let deployment = TestDeployment::start(shape);
     let cold = engines(&deployment)[0];
     let settings = json!({"cold_ms": 3_600_000, "cold_slots": 2, "slots": 16, "token_ms": 3});
