--- a/crates/catkindeck-entry/tests/daemon.rs
+++ b/crates/catkindeck-entry/tests/daemon.rs
@@ -73,8 +73,8 @@
         Self {
             directory,
             authority,
-            store: spawn(Box::new(StoreMode::default()), None),
-            hosts: spawn(Box::new(HostsMode::default()), Some(hosts_control)),
+            store: spawn(Box::<StoreMode>::default(), None),
+            hosts: spawn(Box::<HostsMode>::default(), Some(hosts_control)),
             hosts_control,
         }
     }
