--- a/crates/catkindeck-entry/src/http/mod.rs
+++ b/crates/catkindeck-entry/src/http/mod.rs
@@ -1,7 +1,7 @@
 //! HTTP for callers: the server and the types that the rest of the crate sees of it.
 //!
-//! The server is hyper with blocking handlers; `docs/http.md` describes the limits that it enforces
-//! and why astra does not fit.
+//! The server is hyper with blocking handlers; `docs/http.md` says why it is not astra, and which
+//! limits the server enforces.
 
 mod body;
 mod exchange;
