Fuzz the handover of execution records

Cause: the fuzzer of executions moved home and records in one step, while a draining agent sends its records after it began to refuse, may crash before they arrive, and may come back.

Ruled out: nothing new; known keys are answered by the draining agent and unknown ones have not run there, so their order does not matter.

Conclusion: no fault found.

--- /dev/null
+++ b/crates/catkindeck-policy/tests/handover.rs
@@ -0,0 +1,244 @@
+//! Fuzzes the handover of execution records from a draining home agent to the next one.
+//!
+//! Guards against a second execution of an idempotency key while the records are on their way, when
+//! the draining agent crashes, and when it comes back as a new incarnation (G13).
+
+mod common;
+
+use {
+    catkindeck::{
+        ErrorKind, Moment,
+        id::{BootId, IncarnationId},
+        message::{ExecutionRecord, ExecutionState},
+        token::VersionLabels,
+    },
+    catkindeck_policy::{
+        BeginDecision, ExecutionResult, ExecutionSettings, ExecutionTable, TableOrigin,
+    },
+    common::{assert_fails, assert_holds, execute, name, request},
+    proptest::prelude::*,
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
+    std::collections::BTreeMap,
+};
+
+const RETENTION: u64 = 100;
+const LONGEST: u64 = 40;
+const KEYS: u8 = 3;
+
+const NONE: u8 = 0;
+const NEXT_WITHOUT_REFUSAL: u8 = 1;
+const TRUSTED_AFTER_RESTART: u8 = 2;
+
+#[derive(Debug, Clone)]
+enum Event {
+    Execute(u8),
+    Finish(usize, bool),
+    HandOver,
+    Deliver,
+    Restart,
+    Leave,
+    Advance(u64),
+}
+
+struct Events;
+
+impl ReferenceStateMachine for Events {
+    type State = ();
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<Event> {
+        prop_oneof![
+            8 => (0..KEYS).prop_map(Event::Execute),
+            4 => (any::<usize>(), any::<bool>()).prop_map(|(choice, whole)| Event::Finish(choice, whole)),
+            1 => Just(Event::HandOver),
+            2 => Just(Event::Deliver),
+            1 => Just(Event::Restart),
+            1 => Just(Event::Leave),
+            4 => (1u64..30).prop_map(Event::Advance),
+        ]
+        .boxed()
+    }
+
+    fn apply(_state: (), _event: &Event) {}
+}
+
+/// The home of all keys and the agent that is next, with what an entry sees of them.
+struct World<const OFF: u8> {
+    now: Moment,
+    home: ExecutionTable,
+    next: ExecutionTable,
+    /// Records that the home handed over and the next agent does not have yet.
+    on_their_way: Vec<ExecutionRecord>,
+    /// Whether the configuration has removed the home.
+    left: bool,
+    incarnations: u8,
+    number: u32,
+    /// The running executions: request, key, whether at the home, and start.
+    running: Vec<(u32, u8, bool, Moment)>,
+    ends: BTreeMap<u8, Moment>,
+}
+
+fn table(incarnation: u8, now: Moment, origin: TableOrigin) -> ExecutionTable {
+    let settings = ExecutionSettings {
+        retention_ms: RETENTION,
+        longest_request_ms: LONGEST,
+        ..ExecutionSettings::default()
+    };
+    ExecutionTable::new(settings, IncarnationId([incarnation; 16]), now, origin)
+}
+
+impl<const OFF: u8> World<OFF> {
+    /// Sends a keyed request as an entry does.
+    fn execute(&mut self, key: u8) {
+        self.number += 1;
+        let work = execute(self.number, Some(key), 0, None);
+        if !self.left {
+            match self.home.begin(self.now, &work) {
+                Ok(BeginDecision::Run) => return self.start(key, true),
+                Ok(BeginDecision::Replay(record)) => {
+                    assert_eq!(record.state, ExecutionState::Finished);
+                    return;
+                }
+                // Only an agent that handed over sends its callers to the next one.
+                Err(error) if error.kind == ErrorKind::ShuttingDown => {}
+                Err(_) if OFF == NEXT_WITHOUT_REFUSAL => {}
+                Err(_) => return,
+            }
+        } else {
+            let customer = name("court");
+            let text = format!("key-{key}");
+            let found = self
+                .home
+                .forbid(self.now, Some(&customer), &name("desk"), &text);
+            if !found.is_ok_and(|record| record.state == ExecutionState::Forbidden) {
+                return;
+            }
+        }
+        if self.next.begin(self.now, &work) == Ok(BeginDecision::Run) {
+            self.start(key, false);
+        }
+    }
+
+    fn start(&mut self, key: u8, at_home: bool) {
+        let table = if at_home {
+            &mut self.home
+        } else {
+            &mut self.next
+        };
+        let boot = BootId("boot".to_owned());
+        table
+            .start(&request(self.number), &boot)
+            .expect("it was queued just now");
+        let ended = self.ends.get(&key);
+        let fresh = ended.is_none_or(|ended| self.now >= *ended + RETENTION);
+        assert!(fresh, "second execution of key {key}");
+        self.ends.insert(key, self.now + LONGEST);
+        self.running.push((self.number, key, at_home, self.now));
+    }
+
+    fn finish(&mut self, place: usize, complete: bool) {
+        let (number, key, at_home, _) = self.running.swap_remove(place);
+        let table = if at_home {
+            &mut self.home
+        } else {
+            &mut self.next
+        };
+        let result = ExecutionResult {
+            complete,
+            boot: BootId("boot".to_owned()),
+            labels: VersionLabels::default(),
+            status: 200,
+            answer: vec![1],
+        };
+        table.finish(self.now, &request(number), result);
+        self.ends.insert(key, self.now);
+    }
+
+    fn hand_over(&mut self) {
+        // The agent hands over when nothing is in flight.
+        if !self.running.iter().any(|(_, _, at_home, _)| *at_home) && !self.left {
+            self.on_their_way = self.home.hand_over(self.now);
+        }
+    }
+
+    fn restart(&mut self) {
+        self.incarnations += 1;
+        let origin = match OFF {
+            TRUSTED_AFTER_RESTART => TableOrigin::First,
+            _ => TableOrigin::Restarted,
+        };
+        self.home = table(self.incarnations, self.now, origin);
+        self.on_their_way.clear();
+        self.running.retain(|(_, _, at_home, _)| !at_home);
+    }
+
+    fn advance(&mut self, milliseconds: u64) {
+        while let Some(place) = self
+            .running
+            .iter()
+            .position(|(_, _, _, from)| self.now.since(*from) + milliseconds > LONGEST)
+        {
+            self.finish(place, false);
+        }
+        self.now = self.now + milliseconds;
+    }
+}
+
+struct Machine<const OFF: u8>;
+
+impl<const OFF: u8> StateMachineTest for Machine<OFF> {
+    type SystemUnderTest = World<OFF>;
+    type Reference = Events;
+
+    fn init_test(_state: &()) -> World<OFF> {
+        World {
+            now: Moment(0),
+            home: table(1, Moment(0), TableOrigin::First),
+            next: table(2, Moment(0), TableOrigin::First),
+            on_their_way: Vec::new(),
+            left: false,
+            incarnations: 2,
+            number: 0,
+            running: Vec::new(),
+            ends: BTreeMap::new(),
+        }
+    }
+
+    fn apply(mut world: World<OFF>, _state: &(), event: Event) -> World<OFF> {
+        match event {
+            Event::Execute(key) => world.execute(key),
+            Event::Finish(choice, complete) if !world.running.is_empty() => {
+                world.finish(choice % world.running.len(), complete);
+            }
+            Event::Finish(..) => {}
+            Event::HandOver => world.hand_over(),
+            Event::Deliver => {
+                let records = std::mem::take(&mut world.on_their_way);
+                assert!(world.next.adopt(world.now, records).is_ok());
+            }
+            Event::Restart => world.restart(),
+            Event::Leave => world.left = true,
+            Event::Advance(milliseconds) => world.advance(milliseconds),
+        }
+        world
+    }
+}
+
+#[test]
+fn a_handover_runs_no_key_twice() {
+    assert_holds::<Machine<NONE>>(71, 150);
+}
+
+#[test]
+fn going_to_the_next_home_on_any_refusal_is_found() {
+    assert_fails::<Machine<NEXT_WITHOUT_REFUSAL>>(72, 150, "second execution of key");
+}
+
+#[test]
+fn a_home_that_trusts_itself_after_a_restart_is_found() {
+    assert_fails::<Machine<TRUSTED_AFTER_RESTART>>(73, 150, "second execution of key");
+}
