Test a write that is lost on its way

With the unchanged version told as a conflict instead of sending the write again, all client tests passed; lost_request_is_sent_again fails then. The stand-ins can lose calls before their effect for this.

--- a/crates/catkindeck-store/tests/clients.rs
+++ b/crates/catkindeck-store/tests/clients.rs
@@ -118,6 +118,22 @@
     );
 }
 
+/// Guards against a write that was lost on its way and is told as a conflict, although it may
+/// still arrive.
+#[test]
+fn lost_request_is_sent_again() {
+    let (server, store) = store();
+    server.set_faults(FaultPlan {
+        lose_calls: 1,
+        ..FaultPlan::default()
+    });
+    assert_eq!(
+        store.swap("key", 0, b"mine").expect("resolves"),
+        SwapOutcome::Written(1)
+    );
+    assert_eq!(store.counters().get(CallKind::Swap), 2);
+}
+
 /// Guards against a store that cannot be reached and a write that is told as not run.
 #[test]
 fn outage_leaves_a_write_unknown() {
--- a/tests/fakes/src/fault.rs
+++ b/tests/fakes/src/fault.rs
@@ -23,6 +23,8 @@
     pub outage: bool,
     /// The number of next changing calls whose answer is lost after the effect.
     pub lose_answers: u32,
+    /// The number of next calls that are lost before they take effect.
+    pub lose_calls: u32,
     /// Whether fencing numbers are ignored.
     pub ignore_fence: bool,
     /// The calls a second above which calls are refused with 429; zero is no limit.
@@ -176,9 +178,14 @@
     fn handle(&self, call: &FakeCall) -> Option<FakeReply> {
         let kind = format!("{} {}", call.method, call.path.get(1).map_or("", |s| s));
         *lock(&self.counters).entry(kind).or_default() += 1;
-        let faults = lock(&self.faults).clone();
+        let faults = {
+            let mut faults = lock(&self.faults);
+            let present = faults.clone();
+            faults.lose_calls = faults.lose_calls.saturating_sub(1);
+            present
+        };
         thread::sleep(Duration::from_millis(faults.latency_ms));
-        if faults.outage {
+        if faults.outage || faults.lose_calls > 0 {
             return None;
         }
         if !self.take_rate(faults.rate_per_s) {
