Tell a zone's agents that it went out or came back

The target of 2 s for a zone that goes out rests on SetZone orders, and nothing sent them. ZoneAnnouncer looks at the configuration every 200 ms from a thread of its own and tells each agent until it has taken the state; a new lease number tells all agents again. An outdated configuration announces nothing, so it cannot take a zone back in.

Usage is also collected from members that were removed lately, which may still have counts.

--- a/crates/catkindeck-control/src/events.rs
+++ b/crates/catkindeck-control/src/events.rs
@@ -130,6 +130,14 @@
     text: "round of a zone's control work failed and is repeated",
 };
 
+/// A zone's state was told to its agents.
+pub const ZONE_ANNOUNCED: LogEvent = LogEvent {
+    number: 4205,
+    name: "zone_announced",
+    level: Level::Info,
+    text: "state of a zone was told to its agents",
+};
+
 /// Weights are active on all upstreams.
 pub const ROLLOUT_DONE: LogEvent = LogEvent {
     number: 4301,
@@ -172,6 +180,7 @@
     ZONE_ORDER_FAILED,
     ZONE_RESOLVED,
     ZONE_ROUND_FAILED,
+    ZONE_ANNOUNCED,
     ROLLOUT_DONE,
     ROLLOUT_PARTIAL,
     LEAVE_ORDERED,
--- a/crates/catkindeck-control/src/lib.rs
+++ b/crates/catkindeck-control/src/lib.rs
@@ -4,6 +4,7 @@
 //! Every entry links this crate and carries out the control work of the leases it holds, see
 //! `docs/design.md`, section 4.
 
+pub mod announce;
 pub mod authority;
 pub mod events;
 pub mod intent;
--- a/crates/catkindeck-control/src/worker.rs
+++ b/crates/catkindeck-control/src/worker.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        announce::ZoneAnnouncer,
         authority::{ControlLease, zone_lease_name},
         events,
         load::{LoadBoard, ZoneLoad, ask_agents, sum_loads, usage_lines},
@@ -24,6 +25,7 @@
     catkindeck_store::{LeaseHolder, LeaseSettings},
     slog::Logger,
     std::{
+        io,
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
@@ -36,6 +38,9 @@
 /// The pause between rounds of a zone's control work.
 const ROUND_PAUSE: Duration = Duration::from_secs(2);
 
+/// The pause between looks at the zone's state; a zone that goes out is told to its agents within 2 s.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(200);
+
 /// The steps of one round after which other work has its turn.
 const STEPS_PER_ROUND: usize = 16;
 
@@ -121,7 +126,7 @@
         board: Arc<LoadBoard>,
     ) -> Result<WorkerHandle, ServiceError> {
         let failed =
-            |error: std::io::Error| ServiceError::not_run(ErrorKind::Internal, error.to_string());
+            |error: io::Error| ServiceError::not_run(ErrorKind::Internal, error.to_string());
         let lease = LeaseSettings {
             name: zone_lease_name(&settings.zone),
             holder: settings.holder.clone(),
@@ -141,6 +146,13 @@
             stopped: Arc::clone(&stopped),
             lease: Arc::clone(&lease),
         };
+        let announcer = ZoneAnnouncer::new(
+            Arc::clone(&parts.link),
+            lease.clone(),
+            settings.zone.clone(),
+            parts.logger.clone(),
+        );
+        spawn_announcer(&settings, &parts, announcer, Arc::clone(&stopped)).map_err(failed)?;
         let mut worker = Self::new(settings, parts, lease, board);
         let body = move || {
             while !stopped.load(Ordering::Relaxed) {
@@ -178,7 +190,6 @@
             ORDER_MS,
         );
         let collector = AgentCollector {
-            members: Arc::clone(&parts.members),
             source: Arc::clone(&parts.source),
             link: Arc::clone(&parts.link),
         };
@@ -260,6 +271,30 @@
     }
 }
 
+/// Tells changes of the zone's state from a thread of its own, so that no other work delays them.
+fn spawn_announcer(
+    settings: &WorkerSettings,
+    parts: &WorkerParts,
+    mut announcer: ZoneAnnouncer,
+    stopped: Arc<AtomicBool>,
+) -> io::Result<()> {
+    let (zone, parts) = (settings.zone.clone(), parts.clone());
+    let body = move || {
+        while !stopped.load(Ordering::Relaxed) {
+            let snapshot = parts.source.current();
+            // A configuration that may be outdated must not take a zone back in.
+            if let Some(record) = snapshot.zone(&zone).filter(|_| parts.source.is_fresh()) {
+                let members = parts.members.merge(&snapshot);
+                // Without the lease another process tells the agents.
+                let _ = announcer.announce(&members, record.state);
+            }
+            thread::sleep(ANNOUNCE_PAUSE);
+        }
+    };
+    let thread = thread::Builder::new().name("zone-announce".to_owned());
+    thread.spawn(body).map(drop)
+}
+
 /// Steps until the order is given and settled; without an order only what is open is settled.
 fn step_controller(
     controller: &mut ZoneController,
@@ -315,15 +350,23 @@
 
 /// Collects usage from the agents of a zone.
 struct AgentCollector {
-    members: Arc<MemberList>,
     source: Arc<dyn ConfigSource>,
     link: Arc<dyn PeerLink>,
 }
 
 impl UsageCollector for AgentCollector {
     fn collect(&self, zone: &ObjectName, marks: &[AgentMark]) -> Vec<AgentUsage> {
-        let members = self.members.merge(&self.source.current());
-        let own = zone_members(&members, zone);
+        let snapshot = self.source.current();
+        // Members that were removed lately may still have counts.
+        let own: Vec<MemberView> = snapshot
+            .upstreams
+            .iter()
+            .filter(|upstream| upstream.zone == *zone)
+            .map(|upstream| MemberView {
+                upstream: upstream.clone(),
+                state: None,
+            })
+            .collect();
         let answers = ask_agents(self.link.as_ref(), &own, |host| {
             let mark = marks.iter().find(|mark| mark.agent == *host);
             PeerRequest::CollectUsage {
--- a/crates/catkindeck-control/tests/worker.rs
+++ b/crates/catkindeck-control/tests/worker.rs
@@ -107,11 +107,20 @@
     }
 }
 
-struct FixedSource(Arc<ConfigSnapshot>);
+struct TestSource(Mutex<Arc<ConfigSnapshot>>);
 
-impl ConfigSource for FixedSource {
+impl TestSource {
+    fn set_zone(&self, state: ZoneState) {
+        let mut current = self.0.lock().unwrap();
+        let mut next = (**current).clone();
+        next.zones[0].state = state;
+        *current = Arc::new(next);
+    }
+}
+
+impl ConfigSource for TestSource {
     fn current(&self) -> Arc<ConfigSnapshot> {
-        Arc::clone(&self.0)
+        Arc::clone(&self.0.lock().unwrap())
     }
 
     fn is_fresh(&self) -> bool {
@@ -136,7 +145,7 @@
     }
 }
 
-fn source() -> Arc<dyn ConfigSource> {
+fn source() -> Arc<TestSource> {
     let mut snapshot = ConfigSnapshot {
         revision: ConfigRevision(1),
         ..ConfigSnapshot::default()
@@ -164,7 +173,7 @@
             removed_ms: None,
         });
     }
-    Arc::new(FixedSource(Arc::new(snapshot)))
+    Arc::new(TestSource(Mutex::new(Arc::new(snapshot))))
 }
 
 fn address(port: u16) -> SocketAddr {
@@ -216,6 +225,7 @@
         discard_logger(),
     ));
     let agents = Arc::new(Agents::default());
+    let source = source();
     let members = Arc::new(MemberList::new(Arc::new(LeavingHosts)));
     members.refresh().expect("the list is there");
     let parts = WorkerParts {
@@ -231,7 +241,7 @@
             discard_logger(),
         )),
         members,
-        source: source(),
+        source: source.clone(),
         link: agents.clone(),
         clock,
         logger: discard_logger(),
@@ -252,8 +262,27 @@
     });
     let view = board.load();
     assert_eq!((view.records[0].running, view.records[0].demand), (2, 16));
-    let orders = agents.orders.lock().unwrap().clone();
-    assert_eq!(orders, [(address(1), 1, OrderKind::Leave)], "told once");
+    let told = |kind: &OrderKind| -> Vec<SocketAddr> {
+        let orders = agents.orders.lock().unwrap();
+        let told = orders
+            .iter()
+            .filter(|(_, fence, other)| *fence == 1 && other == kind);
+        told.map(|(address, ..)| *address).collect()
+    };
+    wait_for("the zone's state", || {
+        told(&OrderKind::SetZone(ZoneState::In)).len() == 2
+    });
+    assert_eq!(told(&OrderKind::Leave), [address(1)], "told once");
+
+    // The zone goes out and comes back; each agent is told each change once.
+    for state in [ZoneState::Out, ZoneState::In] {
+        let before = told(&OrderKind::SetZone(state)).len();
+        source.set_zone(state);
+        wait_for("the zone's new state", || {
+            told(&OrderKind::SetZone(state)).len() == before + 2
+        });
+    }
+    assert_eq!(agents.orders.lock().unwrap().len(), 7);
     worker.drain();
 }
 
