--- a/crates/catkindeck-cli/tests/pages.rs
+++ b/crates/catkindeck-cli/tests/pages.rs
@@ -217,11 +217,12 @@
 /// The raw types of each file, with the heading of their table on the page.
 type SettingsFile = (&'static str, &'static [(&'static str, &'static str)]);
 
-const SETTINGS: [SettingsFile; 6] = [
+const SETTINGS: [SettingsFile; 7] = [
     (
         "crates/catkindeck-entry/src/settings.rs",
         &[
             ("RawEntry", "Entry"),
+            ("RawPlatform", "Platform"),
             ("RawPeer", "Entry peers"),
             ("RawLimits", "Entry limits"),
             ("RawTimeouts", "Entry timeouts"),
@@ -237,6 +238,10 @@
             ("RawLimits", "Agent limits"),
         ],
     ),
+    (
+        "crates/catkindeck-store/src/settings.rs",
+        &[("RawClient", "Platform client")],
+    ),
     (
         "crates/catkindeck/src/process.rs",
         &[
