Do the control work of runs and zones on entries

Cause: owners of runs and workers of zones had tests of their own, but no daemon started them. Change: an entry with the platform in its settings starts RunDirectory, with samples over its forwarder and weights over WeightRollout, and a ZoneWorker if the interfaces for zones and usage are named; both give their leases back on a drain.

--- /dev/null
+++ b/crates/catkindeck-entry/src/control.rs
@@ -0,0 +1,215 @@
+//! The control work of an entry: the runs and the zone for which it holds leases.
+
+use {
+    crate::{
+        events::CONTROL_FAILED,
+        forward::RequestForwarder,
+        platform::{KnownEntries, MEMBER_LIST, STORE_CLIENT},
+        samples::EntrySamples,
+        settings::{EntrySettings, PlatformSettings},
+    },
+    catkindeck::{
+        Clock, ErrorKind, ServiceError, ServiceKernel, id::IncarnationId, link::PeerLink,
+        log_event, platform::StoreClient,
+    },
+    catkindeck_control::{
+        authority::zone_lease_name,
+        load::LoadBoard,
+        members::MemberList,
+        rollout::WeightRollout,
+        run::directory::{DirectoryParts, DirectorySettings, RunDirectory},
+        source::{CONFIG_SOURCE, ConfigSource},
+        step::{STEP_SERVICE, StepService},
+        worker::{WorkerHandle, WorkerParts, WorkerSettings, ZoneWorker},
+    },
+    catkindeck_policy::choose_candidates,
+    catkindeck_store::{HttpUsage, HttpZones},
+    slog::Logger,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+};
+
+/// The name under which the [`ControlWork`] is registered in the kernel.
+pub const CONTROL_WORK: &str = "control-work";
+
+/// How often runs and ranks are compared with the configuration and the hosts.
+const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The time to live of a run's lease, in milliseconds; a run whose owner was killed stands still
+/// this long.
+const RUN_LEASE_MS: u64 = 10_000;
+
+/// The time before expiry from which a run's lease is not used any more, in milliseconds.
+const RUN_MARGIN_MS: u64 = 1000;
+
+/// The longest time of a write to the store under a run's lease, in milliseconds.
+const RUN_ORDER_MS: u64 = 2000;
+
+/// The samples of one run that are generated at the same time; a thread of 256 KiB stack each.
+const RUN_WORKERS: usize = 128;
+
+/// The most upstreams of a service that a zone can have; 5,700 workers in 12 zones are 475 each.
+const ZONE_ROOM: u32 = 600;
+
+/// The control work that this entry does while it holds the leases for it.
+pub struct ControlWork {
+    runs: Arc<RunDirectory>,
+    zone: Option<WorkerHandle>,
+    stopped: Arc<AtomicBool>,
+}
+
+/// What the control work needs besides the services in the kernel.
+pub struct ControlParts {
+    /// The forwarder, which generates samples.
+    pub forwarder: Arc<RequestForwarder>,
+    /// Calls other processes.
+    pub link: Arc<dyn PeerLink>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The logger.
+    pub logger: Logger,
+}
+
+impl ControlWork {
+    /// Starts the control work, and registers it and the [`StepService`] in `kernel`.
+    ///
+    /// # Errors
+    ///
+    /// Returns `internal` if a thread cannot be started or a service is missing.
+    pub fn start(
+        kernel: &ServiceKernel,
+        settings: &EntrySettings,
+        platform: &PlatformSettings,
+        parts: ControlParts,
+    ) -> Result<(), ServiceError> {
+        let holder = format!("{}/{}", settings.process.host, IncarnationId::random());
+        let runs = Arc::new(build_runs(kernel, settings, &holder, &parts)?);
+        let zone = start_zone(kernel, settings, platform, &holder, &parts)?;
+        let work = Arc::new(Self {
+            runs: Arc::clone(&runs),
+            zone,
+            stopped: Arc::new(AtomicBool::new(false)),
+        });
+        kernel.register::<dyn StepService>(STEP_SERVICE, runs)?;
+        kernel.register(CONTROL_WORK, Arc::clone(&work))?;
+        let entries = KnownEntries::new(settings, kernel.find::<MemberList>(MEMBER_LIST).ok());
+        let zone_name = settings.process.zone.clone();
+        let host = settings.process.host.clone();
+        thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || {
+                while !work.stopped.load(Ordering::Relaxed) {
+                    if let Err(error) = work.runs.maintain() {
+                        log_event!(parts.logger, CONTROL_FAILED; "error" => %error);
+                    }
+                    if let Some(zone) = &work.zone {
+                        let hosts = entries.hosts();
+                        let ranked = choose_candidates(&zone_lease_name(&zone_name), &hosts);
+                        let position = ranked.iter().position(|known| *known == host);
+                        zone.set_rank(position.map_or(u32::MAX, rank_of));
+                    }
+                    thread::sleep(MAINTENANCE_INTERVAL);
+                }
+            })
+            .map(drop)
+            .map_err(|error| ServiceError::not_run(ErrorKind::Internal, error.to_string()))
+    }
+
+    /// Stops the control work and gives the leases back.
+    pub fn drain(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        self.runs.drain();
+        if let Some(zone) = &self.zone {
+            zone.drain();
+        }
+    }
+}
+
+fn build_runs(
+    kernel: &ServiceKernel,
+    settings: &EntrySettings,
+    holder: &str,
+    parts: &ControlParts,
+) -> Result<RunDirectory, ServiceError> {
+    let source = kernel.find::<dyn ConfigSource>(CONFIG_SOURCE)?;
+    let members = kernel.find::<MemberList>(MEMBER_LIST).ok();
+    let rollout = WeightRollout::new(
+        Arc::clone(&parts.link),
+        Arc::clone(&source),
+        parts.logger.clone(),
+    );
+    let samples = EntrySamples::new(Arc::clone(&parts.forwarder), Arc::clone(&parts.link));
+    Ok(RunDirectory::new(
+        DirectorySettings {
+            host: settings.process.host.clone(),
+            holder: holder.to_owned(),
+            lease_ttl_ms: RUN_LEASE_MS,
+            lease_margin_ms: RUN_MARGIN_MS,
+            order_ms: RUN_ORDER_MS,
+            workers: RUN_WORKERS,
+        },
+        DirectoryParts {
+            source,
+            entries: KnownEntries::new(settings, members),
+            link: Arc::clone(&parts.link),
+            store: kernel.find::<dyn StoreClient>(STORE_CLIENT)?,
+            runner: Arc::new(samples),
+            publisher: Arc::new(rollout),
+            clock: Arc::clone(&parts.clock),
+            logger: parts.logger.clone(),
+        },
+    ))
+}
+
+/// Starts the work for this entry's zone if the interfaces for it are in the settings.
+fn start_zone(
+    kernel: &ServiceKernel,
+    settings: &EntrySettings,
+    platform: &PlatformSettings,
+    holder: &str,
+    parts: &ControlParts,
+) -> Result<Option<WorkerHandle>, ServiceError> {
+    let (Some(zones), Some(usage)) = (&platform.zones, &platform.usage) else {
+        return Ok(None);
+    };
+    let (clock, logger) = (&parts.clock, &parts.logger);
+    let worker = ZoneWorker::start(
+        WorkerSettings {
+            zone: settings.process.zone.clone(),
+            holder: holder.to_owned(),
+            room: ZONE_ROOM,
+        },
+        WorkerParts {
+            store: kernel.find::<dyn StoreClient>(STORE_CLIENT)?,
+            orders: Arc::new(HttpZones::new(
+                zones.clone(),
+                Arc::clone(clock),
+                logger.clone(),
+            )),
+            sink: Arc::new(HttpUsage::new(
+                usage.clone(),
+                Arc::clone(clock),
+                logger.clone(),
+            )),
+            members: kernel.find::<MemberList>(MEMBER_LIST)?,
+            source: kernel.find::<dyn ConfigSource>(CONFIG_SOURCE)?,
+            link: Arc::clone(&parts.link),
+            clock: Arc::clone(clock),
+            logger: logger.clone(),
+        },
+        Arc::new(LoadBoard::new(
+            kernel.find::<dyn StoreClient>(STORE_CLIENT)?,
+        )),
+    )?;
+    Ok(Some(worker))
+}
+
+fn rank_of(position: usize) -> u32 {
+    u32::try_from(position).unwrap_or(u32::MAX)
+}
--- a/crates/catkindeck-entry/src/daemon.rs
+++ b/crates/catkindeck-entry/src/daemon.rs
@@ -4,6 +4,7 @@
     crate::{
         admin::{AdminService, INTENT_ADMIN},
         api::EntryService,
+        control::{CONTROL_WORK, ControlWork},
         events::{CONFIG_IN_USE, ENTRY_STARTED},
         forward::{ForwardParts, RequestForwarder},
         http::{CallerServer, ServerLimits},
@@ -60,6 +61,7 @@
     operators: Option<CallerServer>,
     health: HealthServer,
     endpoint: PeerEndpoint,
+    control: Option<Arc<ControlWork>>,
     holder: Option<Arc<ConfigHolder>>,
     watch: ShutdownWatch,
 }
@@ -193,6 +195,7 @@
             operators,
             health,
             endpoint,
+            control: kernel.find::<ControlWork>(CONTROL_WORK).ok(),
             holder: kernel.find::<ConfigHolder>(CONFIG_HOLDER).ok(),
             watch,
         })
@@ -215,6 +218,9 @@
         while cause == ShutdownCause::Drained && open() > 0 && Instant::now() < deadline {
             thread::sleep(Duration::from_millis(10));
         }
+        if let Some(control) = &self.control {
+            control.drain();
+        }
         // The configuration is followed to the end, so that revoked keys end open streams.
         if let Some(holder) = &self.holder {
             holder.drain();
--- a/crates/catkindeck-entry/src/events.rs
+++ b/crates/catkindeck-entry/src/events.rs
@@ -60,4 +60,6 @@
     PEER_REFUSED = 1050, "peer_refused", Warning, "peer was refused";
     /// Agents did not drop acknowledged samples.
     SAMPLES_UNRELEASED = 1060, "samples_unreleased", Warning, "agents could not be told that samples were acknowledged";
+    /// Control work could not be started.
+    CONTROL_FAILED = 1061, "control_failed", Error, "control work could not be started and is tried again";
 }
--- a/crates/catkindeck-entry/src/lib.rs
+++ b/crates/catkindeck-entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod api;
+pub mod control;
 pub mod credentials;
 pub mod daemon;
 pub mod events;
--- a/crates/catkindeck-entry/src/main.rs
+++ b/crates/catkindeck-entry/src/main.rs
@@ -11,6 +11,7 @@
     },
     catkindeck_control::source::{CONFIG_SOURCE, ConfigSource},
     catkindeck_entry::{
+        control::{ControlParts, ControlWork},
         daemon::{EntryCore, EntryDaemon, open_peers},
         events::{CONFIG_FILE_REJECTED, ENTRY_FAILED},
         platform::{register_platform, start_platform},
@@ -78,7 +79,22 @@
     if let ConfigOrigin::Platform(_) = &settings.origin {
         start_platform(&kernel, settings, &link, &clock, logger)?;
     }
-    let core = EntryCore::build(settings, &kernel, link, clock, logger)?;
+    let core = EntryCore::build(
+        settings,
+        &kernel,
+        Arc::clone(&link),
+        Arc::clone(&clock),
+        logger,
+    )?;
+    if let ConfigOrigin::Platform(platform) = &settings.origin {
+        let parts = ControlParts {
+            forwarder: Arc::clone(&core.forwarder),
+            link,
+            clock,
+            logger: logger.clone(),
+        };
+        ControlWork::start(&kernel, settings, platform, parts)?;
+    }
     Ok(EntryDaemon::start(settings, &kernel, endpoint, core, logger)?.run())
 }
 
--- a/crates/catkindeck-entry/src/platform.rs
+++ b/crates/catkindeck-entry/src/platform.rs
@@ -125,6 +125,16 @@
     }
 }
 
+impl KnownEntries {
+    /// Returns the names of all entries, this one included.
+    pub fn hosts(&self) -> Vec<ObjectName> {
+        EntryDirectory::entries(self)
+            .into_iter()
+            .map(|(host, _)| host)
+            .collect()
+    }
+}
+
 impl PeerDirectory for KnownEntries {
     fn entries(&self) -> Vec<(ObjectName, SocketAddr)> {
         let listed = self
