Deliver a step of 1,024 samples through separate processes

Cause: runs, platform and operators' command had not run together. Change: the test library starts the platform's stand-ins and declares the configuration by 'catkindeck apply'; a trainer opens steps, fetches through either entry and checks identities, labels and staleness. The command takes admin addresses without a scheme. Before: the command refused 127.0.0.1:13007 with 'invalid format'.

--- a/crates/catkindeck-cli/src/output.rs
+++ b/crates/catkindeck-cli/src/output.rs
@@ -64,7 +64,7 @@
             json: arguments.json,
             admin: admin
                 .split(',')
-                .map(|address| address.trim().trim_end_matches('/').to_owned())
+                .map(|address| admin_url(address.trim().trim_end_matches('/')))
                 .collect(),
             operator_key_file: arguments
                 .operator_key_file
@@ -124,3 +124,11 @@
     });
     lines.collect::<Vec<String>>().join("\n")
 }
+
+/// Completes an address without a scheme, such as `127.0.0.1:7391`.
+fn admin_url(address: &str) -> String {
+    match address.contains("://") {
+        true => address.to_owned(),
+        false => format!("http://{address}"),
+    }
+}
--- a/tests/system/src/deployment.rs
+++ b/tests/system/src/deployment.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         http::{self, HttpAnswer, wait_for},
+        platform::{self, CommandResult, TestPlatform},
         process::ChildProcess,
         shape::{DeploymentShape, OPERATOR_KEY, service_name},
     },
@@ -12,7 +13,7 @@
         link::PeerRole,
     },
     catkindeck_wire::certificate::DevelopmentAuthority,
-    serde_json::Value,
+    serde_json::{Value, json},
     std::{
         fs,
         net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
@@ -52,6 +53,8 @@
     pub agents: Vec<ChildProcess>,
     /// The stand-ins for upstreams, in the shape's order.
     pub upstreams: Vec<ChildProcess>,
+    /// The platform, if the shape has one.
+    pub platform: Option<TestPlatform>,
     snapshot: ConfigSnapshot,
     entry_ports: Vec<EntryPorts>,
     upstream_ports: Vec<UpstreamPorts>,
@@ -77,11 +80,19 @@
             entries: Vec::new(),
             agents: Vec::new(),
             upstreams: Vec::new(),
+            platform: None,
             snapshot,
             entry_ports,
             upstream_ports,
             directory,
         };
+        if deployment.shape.platform {
+            let addresses = std::array::from_fn(|_| free_tcp());
+            let controls = std::array::from_fn(|_| free_tcp());
+            let platform = TestPlatform::start(addresses, controls, deployment.directory.path());
+            platform.set_hosts(&deployment.host_list());
+            deployment.platform = Some(platform);
+        }
         deployment.write_snapshot();
         for index in 0..deployment.shape.upstreams.len() {
             let upstream = deployment.start_upstream(index);
@@ -95,10 +106,59 @@
             let entry = deployment.start_entry(index);
             deployment.entries.push(entry);
         }
+        if deployment.shape.platform {
+            deployment.declare();
+        }
         deployment.wait_ready();
         deployment
     }
 
+    /// Runs the operators' command toward the first entry that runs.
+    pub fn command(&self, arguments: &[&str]) -> CommandResult {
+        let admin: Vec<String> = self
+            .entry_ports
+            .iter()
+            .map(|ports| ports.admin.to_string())
+            .collect();
+        platform::run_command(self.directory.path(), &admin.join(","), arguments)
+    }
+
+    /// Returns the platform.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the shape has none.
+    pub fn platform(&self) -> &TestPlatform {
+        self.platform.as_ref().expect("the shape has a platform")
+    }
+
+    /// Returns the host list with all hosts live.
+    pub fn host_list(&self) -> Vec<Value> {
+        let entries = self.shape.entries.iter().zip(&self.entry_ports).map(|((host, zone), ports)| {
+            json!({"host": host, "zone": zone, "address": ports.peer, "role": "entry", "state": "live"})
+        });
+        let agents = self.shape.upstreams.iter().zip(&self.upstream_ports).map(|(u, ports)| {
+            json!({"host": u.name, "zone": u.zone, "address": ports.agent, "role": "agent", "state": "live"})
+        });
+        entries.chain(agents).collect()
+    }
+
+    /// Applies the configuration through the operators' command.
+    fn declare(&self) {
+        self.write_snapshot();
+        let started = Instant::now();
+        loop {
+            let result = self.command(&["apply", "--yes", "declarations.toml"]);
+            if result.code == Some(0) {
+                return;
+            }
+            // Entries that have just started do not take operators' calls yet.
+            let passing = result.code == Some(8) && started.elapsed() < http::PATIENCE;
+            assert!(passing, "{result:?}\n{}", self.all_logs());
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+
     /// Tells whether an entry says that it is ready, as the platform's balancer asks.
     pub fn is_ready(&self, entry: usize) -> bool {
         let url = format!("http://{}/readyz", self.entry_ports[entry].health);
@@ -186,7 +246,11 @@
         change(&mut self.snapshot);
         self.snapshot.revision.0 += 1;
         self.snapshot.sort();
-        self.write_snapshot();
+        if self.shape.platform {
+            self.declare();
+        } else {
+            self.write_snapshot();
+        }
     }
 
     /// Starts the agent of an upstream again after it was killed.
@@ -260,6 +324,8 @@
         let temporary = self.path("configuration.tmp");
         fs::write(&temporary, text).expect("the configuration is written");
         fs::rename(temporary, self.path("configuration.json")).expect("it is put in place");
+        let declared = platform::declarations(&self.snapshot);
+        fs::write(self.path("declarations.toml"), declared).expect("declarations are written");
     }
 
     fn write_agent_settings(&self, index: usize, first_start: bool) {
@@ -307,11 +373,22 @@
             })
             .collect();
         let process = self.process_settings("entry", name, zone, ports.peer, ports.health);
+        let origin = match &self.platform {
+            Some(_) => format!("admin_listen = \"{}\"\n", ports.admin),
+            None => format!(
+                "config_file = \"{}\"\n",
+                self.path("configuration.json").display()
+            ),
+        };
+        let platform = self
+            .platform
+            .as_ref()
+            .map(TestPlatform::settings)
+            .unwrap_or_default();
         let text = format!(
-            "caller_listen = \"{}\"\nconfig_file = \"{}\"\noperator_digests = [\"{}\"]\n\n{peers}\
-             [timeouts]\nshutdown_notice_ms = 3000\n\n{process}",
+            "caller_listen = \"{}\"\n{origin}operator_digests = [\"{}\"]\n\n{peers}\
+             [timeouts]\nshutdown_notice_ms = 3000\n\n{platform}{process}",
             ports.callers,
-            self.path("configuration.json").display(),
             KeyDigest::of(OPERATOR_KEY),
         );
         fs::write(self.path(&format!("{name}.toml")), text).expect("the settings are written");
--- a/tests/system/src/http.rs
+++ b/tests/system/src/http.rs
@@ -12,7 +12,7 @@
 
 /// The time after which a test that waits for something gives up; it is far above what a busy
 /// machine needs, so that it only ends tests that would never end.
-pub const PATIENCE: Duration = Duration::from_secs(120);
+pub const PATIENCE: Duration = Duration::from_secs(60);
 
 /// An answer with its body read whole.
 #[derive(Debug, Clone)]
--- a/tests/system/src/lib.rs
+++ b/tests/system/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod deployment;
 pub mod http;
+pub mod platform;
 pub mod process;
 pub mod shape;
 
--- a/tests/system/src/shape.rs
+++ b/tests/system/src/shape.rs
@@ -39,6 +39,8 @@
     pub engine_limits: (u32, u32),
     /// The time that an engine takes to become warm, in milliseconds.
     pub engine_cold_start_ms: u64,
+    /// Whether the configuration lies in the platform's store; otherwise in a file.
+    pub platform: bool,
 }
 
 impl DeploymentShape {
@@ -49,6 +51,7 @@
             upstreams: Vec::new(),
             engine_limits: (16, 16),
             engine_cold_start_ms: 1000,
+            platform: false,
         };
         for zone in ["vault-a", "vault-b"] {
             let letter = &zone[6..];
@@ -80,6 +83,14 @@
         shape
     }
 
+    /// Two zones whose configuration, runs and usage go through the platform.
+    pub fn two_zones_on_platform() -> Self {
+        Self {
+            platform: true,
+            ..Self::two_zones()
+        }
+    }
+
     /// Returns the configuration with the agents at `agents`, in the order of the upstreams.
     pub fn snapshot(&self, agents: &[std::net::SocketAddr]) -> ConfigSnapshot {
         let mut zones: Vec<&str> = self.upstreams.iter().map(|u| u.zone.as_str()).collect();
