--- a/crates/catkindeck-agent/src/state.rs
+++ b/crates/catkindeck-agent/src/state.rs
@@ -223,7 +223,8 @@
             Some((zone, at)) if now.since(at) < ANNOUNCEMENT_HOLD_MS => zone,
             _ => self.config_zone,
         };
-        let closed = zone == ZoneState::Out || self.leaving || self.unreachable || !self.member;
+        let leaving = self.leaving || self.listed_leaving || !self.member;
+        let closed = zone == ZoneState::Out || leaving || self.unreachable;
         if closed == self.queue.counts().closed {
             return None;
         }
