--- a/crates/catkindeck-agent/src/configuration.rs
+++ b/crates/catkindeck-agent/src/configuration.rs
@@ -36,9 +36,10 @@
     /// Peers that showed a higher revision, newest last.
     shown_by: Mutex<Vec<SocketAddr>>,
     seeds: Vec<SocketAddr>,
+    /// The position of the entry that is asked next.
+    turn: AtomicUsize,
     /// Entries of the host list.
     listed: Mutex<Vec<SocketAddr>>,
-    next_poll: AtomicUsize,
     /// Held while a configuration is applied, so that listeners see revisions in order.
     applying: Mutex<()>,
     /// Held while a configuration is fetched, so that concurrent calls fetch it once.
@@ -57,8 +58,8 @@
             highest_seen: AtomicU64::new(0),
             shown_by: Mutex::default(),
             seeds,
+            turn: AtomicUsize::new(0),
             listed: Mutex::default(),
-            next_poll: AtomicUsize::new(0),
             applying: Mutex::new(()),
             fetching: Mutex::new(()),
             link: OnceLock::new(),
@@ -144,43 +145,52 @@
         }
     }
 
-    /// Asks one peer in turn for its revision and fetches the configuration if it is higher.
+    /// Asks one entry, in turn, whether there is a higher revision, and fetches it.
     ///
-    /// Requests carry the revision, but an agent whose zone is out gets none.
-    pub fn poll_revision(&self) {
-        let mut peers = self.seeds.clone();
-        peers.extend(lock(&self.listed).iter());
-        let Some(turn) = self
-            .next_poll
-            .fetch_add(1, Ordering::Relaxed)
-            .checked_rem(peers.len())
-        else {
+    /// An agent that gets no requests sees no revisions in messages. It must learn all the same that
+    /// its zone went out, because an entry with an older view may still send work.
+    pub fn follow(&self) {
+        let mut entries = self.seeds.clone();
+        entries.extend(lock(&self.listed).iter());
+        if entries.is_empty() {
             return;
-        };
-        let address = peers[turn];
-        // A peer that cannot be reached is passed over; the next one is asked in the next turn.
-        if let Ok(PeerFrame::Revision(revision)) = self.ask(address, PeerRequest::ReadRevision)
-            && revision > self.current.load().revision
-        {
-            self.fetch_higher(revision, address);
+        }
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        let address = entries[turn % entries.len()];
+        match self.ask(address, PeerRequest::ReadRevision) {
+            Ok(PeerFrame::Revision(revision)) if revision > self.current.load().revision => {
+                self.note_higher(revision, address);
+            }
+            // An entry that cannot be reached is skipped; the next turn asks another.
+            Ok(_) | Err(_) => {}
+        }
+    }
+
+    fn fetch(&self, address: SocketAddr) -> Result<(), ServiceError> {
+        match self.ask(address, PeerRequest::FetchConfiguration)? {
+            PeerFrame::Configuration(config) => {
+                self.accept(*config);
+                Ok(())
+            }
+            _ => Err(unavailable("the peer sent no configuration")),
         }
     }
 
     fn ask(&self, address: SocketAddr, request: PeerRequest) -> Result<PeerFrame, ServiceError> {
-        let unavailable =
-            |detail: &str| ServiceError::not_run(ErrorKind::PeerUnavailable, detail.to_owned());
         let link = self
             .link
             .get()
             .ok_or_else(|| unavailable("the transport has not started"))?;
         let mut stream = link.call(address, request, self.timeout)?;
-        stream
-            .receive(self.timeout)?
-            .ok_or_else(|| unavailable("the peer sent no answer"))
+        match stream.receive(self.timeout)? {
+            Some(PeerFrame::Failed(error)) => Err(error),
+            Some(frame) => Ok(frame),
+            None => Err(unavailable("the peer ended its answer without a frame")),
+        }
     }
 
-    /// Fetches a revision that a peer showed, once for all calls that see it.
-    fn fetch_higher(&self, revision: ConfigRevision, address: SocketAddr) {
+    /// Notes that `address` has a higher revision, and fetches it from there.
+    fn note_higher(&self, revision: ConfigRevision, address: SocketAddr) {
         self.highest_seen.fetch_max(revision.0, Ordering::AcqRel);
         {
             let mut shown_by = lock(&self.shown_by);
@@ -202,20 +212,6 @@
             );
         }
     }
-
-    fn fetch(&self, address: SocketAddr) -> Result<(), ServiceError> {
-        match self.ask(address, PeerRequest::FetchConfiguration)? {
-            PeerFrame::Configuration(config) => {
-                self.accept(*config);
-                Ok(())
-            }
-            PeerFrame::Failed(error) => Err(error),
-            _ => Err(ServiceError::not_run(
-                ErrorKind::PeerUnavailable,
-                "the peer sent no configuration",
-            )),
-        }
-    }
 }
 
 impl RevisionHook for ConfigKeeper {
@@ -224,10 +220,14 @@
     }
 
     fn higher_seen(&self, revision: ConfigRevision, _peer: &PeerIdentity, address: SocketAddr) {
-        self.fetch_higher(revision, address);
+        self.note_higher(revision, address);
     }
 }
 
+fn unavailable(detail: &str) -> ServiceError {
+    ServiceError::not_run(ErrorKind::PeerUnavailable, detail)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/catkindeck-agent/src/watch.rs
+++ b/crates/catkindeck-agent/src/watch.rs
@@ -23,12 +23,6 @@
 /// The interval of asking peers for a missing configuration.
 const CATCH_UP_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The interval of asking a peer for its revision.
-///
-/// One short call a second stays far below the 6 KB/s of a node, and finds a change within the 2 s
-/// after which a zone that is out must get no new work.
-const REVISION_INTERVAL: Duration = Duration::from_secs(1);
-
 /// How long a request must have run until its caller is told even though the upstream has not
 /// answered, in milliseconds.
 ///
@@ -36,6 +30,12 @@
 /// ran; a caller who waits long for a slow answer needs the incarnation to revoke the request.
 const NOTICE_AFTER_MS: u64 = 1500;
 
+/// How often an entry is asked for its configuration's revision.
+///
+/// A zone that is taken out gets no new work after 2 s (`docs/design.md`, G10); one exchange of
+/// about 200 bytes a second stays well below the 6 KB/s for control.
+const FOLLOW_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Starts the threads, which end when the agent is dropped.
 ///
 /// # Errors
@@ -69,8 +69,8 @@
     repeat("catch-up", core, CATCH_UP_INTERVAL, |core| {
         core.keeper().catch_up();
     })?;
-    repeat("revision", core, REVISION_INTERVAL, |core| {
-        core.keeper().poll_revision();
+    repeat("follow", core, FOLLOW_INTERVAL, |core| {
+        core.keeper().follow();
     })
 }
 
--- a/crates/catkindeck-control/src/lib.rs
+++ b/crates/catkindeck-control/src/lib.rs
@@ -4,9 +4,11 @@
 //! Every entry links this crate and carries out the control work of the leases it holds, see
 //! `docs/design.md`, section 4.
 
+pub mod announce;
 pub mod authority;
 pub mod events;
 pub mod intent;
+pub mod load;
 pub mod members;
 pub mod rollout;
 pub mod run;
@@ -14,4 +16,5 @@
 pub mod spread;
 pub mod step;
 pub mod usage;
+pub mod worker;
 pub mod zones;
--- a/crates/catkindeck-entry/src/lib.rs
+++ b/crates/catkindeck-entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod api;
+pub mod control;
 pub mod credentials;
 pub mod daemon;
 pub mod events;
@@ -14,6 +15,7 @@
 pub mod http;
 pub mod metrics;
 pub mod peer;
+pub mod platform;
 pub mod samples;
 pub mod settings;
 pub mod source;
--- a/tests/system/src/deployment.rs
+++ b/tests/system/src/deployment.rs
@@ -17,6 +17,9 @@
         fs,
         net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
         path::{Path, PathBuf},
+        sync::atomic::{AtomicU32, Ordering},
+        thread,
+        time::{Duration, Instant},
     },
     tempfile::TempDir,
 };
@@ -96,16 +99,28 @@
         deployment
     }
 
+    /// Tells whether an entry says that it is ready, as the platform's balancer asks.
+    pub fn is_ready(&self, entry: usize) -> bool {
+        let url = format!("http://{}/readyz", self.entry_ports[entry].health);
+        http::try_call("GET", &url, &[], b"").is_ok_and(|answer| answer.status == 200)
+    }
+
     /// Waits until every entry and every agent is ready.
     ///
     /// # Panics
     ///
     /// Panics if one does not become ready.
     pub fn wait_ready(&self) {
-        let entries = self.entry_ports.iter().map(|ports| ports.health);
-        let agents = self.upstream_ports.iter().map(|ports| ports.health);
-        for address in entries.chain(agents) {
-            wait_ready_at(address);
+        let entries = self
+            .entries
+            .iter()
+            .zip(self.entry_ports.iter().map(|ports| ports.health));
+        let agents = self
+            .agents
+            .iter()
+            .zip(self.upstream_ports.iter().map(|ports| ports.health));
+        for (process, health) in entries.chain(agents) {
+            wait_ready_at(process, health);
         }
     }
 
@@ -293,7 +308,8 @@
             .collect();
         let process = self.process_settings("entry", name, zone, ports.peer, ports.health);
         let text = format!(
-            "caller_listen = \"{}\"\nconfig_file = \"{}\"\noperator_digests = [\"{}\"]\n\n{peers}{process}",
+            "caller_listen = \"{}\"\nconfig_file = \"{}\"\noperator_digests = [\"{}\"]\n\n{peers}\
+             [timeouts]\nshutdown_notice_ms = 3000\n\n{process}",
             ports.callers,
             self.path("configuration.json").display(),
             KeyDigest::of(OPERATOR_KEY),
@@ -329,14 +345,22 @@
 ///
 /// # Panics
 ///
-/// Panics if it does not become ready.
-pub fn wait_ready_at(health: SocketAddr) {
+/// Panics with its log if it does not become ready.
+fn wait_ready_at(process: &ChildProcess, health: SocketAddr) {
     let url = format!("http://{health}/readyz");
-    wait_for(&url, || {
-        http::try_call("GET", &url, &[], b"")
-            .ok()
-            .filter(|answer| answer.status == 200)
-    });
+    let started = Instant::now();
+    loop {
+        let answer = http::try_call("GET", &url, &[], b"");
+        if answer.as_ref().is_ok_and(|answer| answer.status == 200) {
+            return;
+        }
+        if started.elapsed() > http::PATIENCE {
+            let body = answer.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
+            let (name, log) = (process.name(), process.log_text());
+            panic!("{name} never became ready: {body:?}\n{log}");
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
 }
 
 fn issue_certificates(directory: &Path, shape: &DeploymentShape) {
@@ -379,16 +403,30 @@
     }
 }
 
-/// Asks the system for a free port; another process may take it before it is used, which shows as a
-/// process that does not start.
+/// The ports that deployments use, below those that the system gives to outgoing connections; one
+/// of these could otherwise take a port between its choice and its use.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// Returns a port that is free and that no other deployment of this process has.
+fn free_port(is_free: impl Fn(SocketAddr) -> bool) -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let count = u32::from(PORTS.end - PORTS.start);
+    // Test processes that run at the same time begin at different ports.
+    let first = std::process::id().wrapping_mul(977);
+    loop {
+        let offset = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % count;
+        let port = PORTS.start + u16::try_from(offset).expect("the range has fewer ports");
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if is_free(address) {
+            return address;
+        }
+    }
+}
+
 fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
-    listener
-        .local_addr()
-        .expect("a bound socket has an address")
+    free_port(|address| TcpListener::bind(address).is_ok())
 }
 
 fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port is free");
-    socket.local_addr().expect("a bound socket has an address")
+    free_port(|address| UdpSocket::bind(address).is_ok())
 }
--- a/tests/system/src/shape.rs
+++ b/tests/system/src/shape.rs
@@ -37,6 +37,8 @@
     pub upstreams: Vec<UpstreamShape>,
     /// The concurrency limit of a warm engine and of a cold one.
     pub engine_limits: (u32, u32),
+    /// The time that an engine takes to become warm, in milliseconds.
+    pub engine_cold_start_ms: u64,
 }
 
 impl DeploymentShape {
@@ -46,6 +48,7 @@
             entries: Vec::new(),
             upstreams: Vec::new(),
             engine_limits: (16, 16),
+            engine_cold_start_ms: 1000,
         };
         for zone in ["vault-a", "vault-b"] {
             let letter = &zone[6..];
@@ -99,8 +102,12 @@
             customers: vec![customer("desk"), customer("lab")],
             keys: vec![key(FIRST_KEY, "desk"), key(SECOND_KEY, "lab")],
             services: vec![
-                self.service(ServiceKind::Engine, self.engine_limits),
-                self.service(ServiceKind::Plain, (32, 32)),
+                self.service(
+                    ServiceKind::Engine,
+                    self.engine_limits,
+                    self.engine_cold_start_ms,
+                ),
+                self.service(ServiceKind::Plain, (32, 32), 1000),
             ],
             routes: vec![
                 route("drafting", "drafting", false, true),
@@ -129,13 +136,13 @@
         snapshot
     }
 
-    fn service(&self, kind: ServiceKind, limits: (u32, u32)) -> ServiceRecord {
+    fn service(&self, kind: ServiceKind, limits: (u32, u32), cold_start_ms: u64) -> ServiceRecord {
         ServiceRecord {
             name: name(service_name(kind)),
             kind,
             warm_limit: limits.0,
             cold_limit: limits.1,
-            cold_start_ms: 1000,
+            cold_start_ms,
             checks_fence: false,
         }
     }
