Let refusals reach callers that still send, and close the listener before the exit

Cause: the entry answered shutting_down and too_large before it had received the body and closed the connection. A caller that was still sending got a reset instead of its answer; the system test shutdowns_cut_no_request failed with broken pipes and connection resets. The new test refusals_reach_callers_that_still_send was red with a broken pipe. The exit also reset connections that waited in the system's backlog.

Change: the body is received before a refusal, of a body that is too large up to four times the limit more. After the drain the listener accepts what the system holds and is closed before the process waits for the last connections.

--- a/crates/catkindeck-entry/src/daemon.rs
+++ b/crates/catkindeck-entry/src/daemon.rs
@@ -205,6 +205,10 @@
                 operators.drain();
             }
         });
+        self.callers.close();
+        if let Some(operators) = &self.operators {
+            operators.close();
+        }
         // The last answers may still be on their way to the system's buffers.
         let deadline = Instant::now() + LAST_ANSWERS;
         let open = || {
--- a/crates/catkindeck-entry/src/http/body.rs
+++ b/crates/catkindeck-entry/src/http/body.rs
@@ -25,6 +25,9 @@
 /// The number of parts of an answer that wait for a slow caller before its handler waits too.
 const PART_QUEUE: usize = 16;
 
+/// How many times the size limit of a body is received and dropped before its refusal.
+const DISCARD_FACTOR: usize = 4;
+
 /// One part of an answer on its way to the connection.
 pub(super) enum ReplyPart {
     /// Bytes.
@@ -228,10 +231,11 @@
         let detail = format!("the body exceeds {limit} bytes");
         BodyFault::Refused(ServiceError::not_run(ErrorKind::TooLarge, detail))
     };
+    let deadline = Instant::now() + timeout;
     if body.size_hint().lower() > limit as u64 {
+        discard(body, limit, deadline).await;
         return Err(too_large());
     }
-    let deadline = Instant::now() + timeout;
     let mut bytes = BytesMut::new();
     loop {
         let frame = timeout_at(deadline, body.frame()).await.map_err(|_| {
@@ -247,6 +251,7 @@
                     continue;
                 };
                 if bytes.len() + data.len() > limit {
+                    discard(body, limit, deadline).await;
                     return Err(too_large());
                 }
                 bytes.extend_from_slice(&data);
@@ -254,3 +259,17 @@
         }
     }
 }
+
+/// Receives the rest of a body that is too large, up to a few times the limit.
+///
+/// A caller that is still sending when the connection is closed gets a reset instead of its answer.
+async fn discard(mut body: Incoming, limit: usize, deadline: Instant) {
+    let mut room = limit.saturating_mul(DISCARD_FACTOR);
+    while let Ok(Some(Ok(frame))) = timeout_at(deadline, body.frame()).await {
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        if length > room {
+            return;
+        }
+        room -= length;
+    }
+}
--- a/crates/catkindeck-entry/src/http/server.rs
+++ b/crates/catkindeck-entry/src/http/server.rs
@@ -66,6 +66,7 @@
     gate: Arc<DrainGate>,
     connections: AtomicUsize,
     drain: watch::Sender<bool>,
+    close: watch::Sender<bool>,
     logger: Logger,
 }
 
@@ -105,6 +106,7 @@
             gate,
             connections: AtomicUsize::new(0),
             drain: watch::Sender::new(false),
+            close: watch::Sender::new(false),
             logger,
         });
         runtime.spawn(accept_loop(listener, Arc::clone(&shared)));
@@ -128,6 +130,14 @@
         self.shared.drain.send_replace(true);
     }
 
+    /// Stops to accept connections, after those that the system accepted already.
+    ///
+    /// The exit resets connections that wait in the system's backlog, so the listener is closed
+    /// first; callers are then refused by the system and nothing of theirs is lost.
+    pub fn close(&self) {
+        self.shared.close.send_replace(true);
+    }
+
     /// Returns the number of open connections; zero after a drain means that every answer was
     /// handed to the system.
     pub fn connections(&self) -> usize {
@@ -137,16 +147,23 @@
 
 async fn accept_loop(listener: TcpListener, shared: Arc<ServerShared>) {
     let permits = Arc::new(Semaphore::new(shared.limits.connections));
+    let mut close = shared.close.subscribe();
     loop {
         // The error means that the semaphore was closed, which never happens.
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
             return;
         };
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            // The branch above comes first, so nothing waits in the backlog now.
+            _ = close.wait_for(|closing| *closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let shared = Arc::clone(&shared);
+                shared.connections.fetch_add(1, Ordering::SeqCst);
                 tokio::spawn(async move {
-                    shared.connections.fetch_add(1, Ordering::SeqCst);
                     serve_connection(stream, &shared).await;
                     shared.connections.fetch_sub(1, Ordering::SeqCst);
                     drop(permit);
@@ -201,16 +218,9 @@
         let body = ReplyBody::whole(error_body(error, id));
         build_response(error.kind.answer().status, &headers, &common, body)
     };
-    let guard = match shared.gate.enter() {
-        Ok(guard) => Arc::new(guard),
-        Err(error) => return refuse(&error, true),
-    };
-    if shared.gate.in_flight() > shared.limits.requests {
-        let detail = "this entry has too many requests in progress";
-        return refuse(&ServiceError::not_run(ErrorKind::Overloaded, detail), false);
-    }
-
-    // The body is received here, so that slow callers occupy no thread.
+    // The body is received first: a connection that is closed while its caller still sends is
+    // reset, and the answer lost. It is received here, so that slow callers occupy no thread.
+    let entered = shared.gate.enter();
     let (parts, body) = request.into_parts();
     let limits = shared.limits;
     let body = match read_body(body, limits.body_bytes, limits.body_timeout).await {
@@ -223,6 +233,14 @@
             return refuse(&ServiceError::not_run(ErrorKind::BadRequest, detail), true);
         }
     };
+    let guard = match entered {
+        Ok(guard) => Arc::new(guard),
+        Err(error) => return refuse(&error, true),
+    };
+    if shared.gate.in_flight() > limits.requests {
+        let detail = "this entry has too many requests in progress";
+        return refuse(&ServiceError::not_run(ErrorKind::Overloaded, detail), false);
+    }
     let request = CallerRequest {
         id,
         method: parts.method,
--- a/crates/catkindeck-entry/tests/http.rs
+++ b/crates/catkindeck-entry/tests/http.rs
@@ -24,6 +24,7 @@
         io::{BufRead, BufReader, Read, Write},
         net::TcpStream,
         sync::{Arc, Mutex},
+        thread,
         time::Duration,
     },
 };
@@ -633,6 +634,45 @@
     assert!(entry.gate.wait_idle(Duration::from_secs(10)));
 }
 
+/// Guards against refusals that are lost because the connection is closed while the caller sends.
+#[test]
+fn refusals_reach_callers_that_still_send() {
+    let entry = Entry::start();
+    let large = "x".repeat(200 << 10);
+    let reply = entry.post("/v1/completions", &key(), &large);
+    assert_eq!((reply.status, reply.error()), (413, not_run("too_large")));
+    entry.gate.close();
+    entry.server.drain();
+    for _ in 0..20 {
+        let mut stream = entry.open();
+        let head = format!(
+            "POST /r/desk/x HTTP/1.1\r\nhost: e\r\n{}content-length: 9\r\n\r\n",
+            key()
+        );
+        stream.write_all(head.as_bytes()).expect("sent");
+        // The body follows after the entry has seen the headers.
+        thread::sleep(Duration::from_millis(5));
+        stream.write_all(b"carton ").expect("sent");
+        stream.write_all(b"12").expect("sent");
+        let reply = Reply::read(&mut stream);
+        assert_eq!(
+            (reply.status, reply.error()),
+            (503, not_run("shutting_down"))
+        );
+    }
+    entry.server.close();
+    for _ in 0..1000 {
+        match TcpStream::connect(entry.server.address()) {
+            Ok(_) => thread::sleep(Duration::from_millis(5)),
+            Err(error) => {
+                assert_eq!(error.kind(), std::io::ErrorKind::ConnectionRefused);
+                return;
+            }
+        }
+    }
+    panic!("the listener stays open");
+}
+
 /// Guards against trainers that reach the runs of others, and against wrong forms of their answers.
 #[test]
 fn trainers_reach_their_own_runs() {
