--- a/crates/catkindeck-entry/src/http/server.rs
+++ b/crates/catkindeck-entry/src/http/server.rs
@@ -26,7 +26,7 @@
     tokio::{
         net::{TcpListener, TcpStream},
         runtime::{Builder, Runtime},
-        sync::{Semaphore, watch},
+        sync::{OwnedSemaphorePermit, Semaphore, watch},
     },
 };
 
@@ -154,27 +154,54 @@
             return;
         };
         let accepted = tokio::select! {
-            biased;
             accepted = listener.accept() => accepted,
-            // The branch above comes first, so nothing waits in the backlog now.
-            _ = close.wait_for(|closing| *closing) => return,
+            _ = close.wait_for(|closing| *closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let shared = Arc::clone(&shared);
-                shared.connections.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(async move {
-                    serve_connection(stream, &shared).await;
-                    shared.connections.fetch_sub(1, Ordering::SeqCst);
-                    drop(permit);
-                });
-            }
+            Ok((stream, _)) => spawn_connection(stream, Some(permit), &shared),
             Err(error) => {
                 log_event!(shared.logger, ACCEPT_FAILED; "error" => %error);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    for stream in take_backlog(listener) {
+        spawn_connection(stream, None, &shared);
+    }
+}
+
+/// Closes the listener and returns the connections that waited in its backlog.
+///
+/// The system is asked directly, because tokio may not know of the last ones yet. A connection that
+/// is opened between the last accept and the close is reset; no call closes that gap.
+fn take_backlog(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let mut waiting = Vec::new();
+    while let Ok((stream, _)) = listener.accept() {
+        waiting.push(stream);
+    }
+    drop(listener);
+    let streams = waiting.into_iter().filter_map(|stream| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    streams.collect()
+}
+
+fn spawn_connection(
+    stream: TcpStream,
+    permit: Option<OwnedSemaphorePermit>,
+    shared: &Arc<ServerShared>,
+) {
+    let shared = Arc::clone(shared);
+    shared.connections.fetch_add(1, Ordering::SeqCst);
+    tokio::spawn(async move {
+        serve_connection(stream, &shared).await;
+        shared.connections.fetch_sub(1, Ordering::SeqCst);
+        drop(permit);
+    });
 }
 
 async fn serve_connection(stream: TcpStream, shared: &Arc<ServerShared>) {
