--- a/crates/catkindeck-entry/src/http/server.rs
+++ b/crates/catkindeck-entry/src/http/server.rs
@@ -26,7 +26,7 @@
     tokio::{
         net::{TcpListener, TcpStream},
         runtime::{Builder, Runtime},
-        sync::{Semaphore, watch},
+        sync::{OwnedSemaphorePermit, Semaphore, watch},
     },
 };
 
@@ -66,6 +66,7 @@
     gate: Arc<DrainGate>,
     connections: AtomicUsize,
     drain: watch::Sender<bool>,
+    close: watch::Sender<bool>,
     logger: Logger,
 }
 
@@ -105,6 +106,7 @@
             gate,
             connections: AtomicUsize::new(0),
             drain: watch::Sender::new(false),
+            close: watch::Sender::new(false),
             logger,
         });
         runtime.spawn(accept_loop(listener, Arc::clone(&shared)));
@@ -128,6 +130,14 @@
         self.shared.drain.send_replace(true);
     }
 
+    /// Stops to accept connections, after those that the system accepted already.
+    ///
+    /// The exit resets connections that wait in the system's backlog, so the listener is closed
+    /// first; callers are then refused by the system and nothing of theirs is lost.
+    pub fn close(&self) {
+        self.shared.close.send_replace(true);
+    }
+
     /// Returns the number of open connections; zero after a drain means that every answer was
     /// handed to the system.
     pub fn connections(&self) -> usize {
@@ -137,27 +147,61 @@
 
 async fn accept_loop(listener: TcpListener, shared: Arc<ServerShared>) {
     let permits = Arc::new(Semaphore::new(shared.limits.connections));
+    let mut close = shared.close.subscribe();
     loop {
         // The error means that the semaphore was closed, which never happens.
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
             return;
         };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let shared = Arc::clone(&shared);
-                tokio::spawn(async move {
-                    shared.connections.fetch_add(1, Ordering::SeqCst);
-                    serve_connection(stream, &shared).await;
-                    shared.connections.fetch_sub(1, Ordering::SeqCst);
-                    drop(permit);
-                });
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = close.wait_for(|closing| *closing) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => spawn_connection(stream, Some(permit), &shared),
             Err(error) => {
                 log_event!(shared.logger, ACCEPT_FAILED; "error" => %error);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    for stream in take_backlog(listener) {
+        spawn_connection(stream, None, &shared);
+    }
+}
+
+/// Closes the listener and returns the connections that waited in its backlog.
+///
+/// The system is asked directly, because tokio may not know of the last ones yet. A connection that
+/// is opened between the last accept and the close is reset; no call closes that gap.
+fn take_backlog(listener: TcpListener) -> Vec<TcpStream> {
+    let Ok(listener) = listener.into_std() else {
+        return Vec::new();
+    };
+    let mut waiting = Vec::new();
+    while let Ok((stream, _)) = listener.accept() {
+        waiting.push(stream);
+    }
+    drop(listener);
+    let streams = waiting.into_iter().filter_map(|stream| {
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    });
+    streams.collect()
+}
+
+fn spawn_connection(
+    stream: TcpStream,
+    permit: Option<OwnedSemaphorePermit>,
+    shared: &Arc<ServerShared>,
+) {
+    let shared = Arc::clone(shared);
+    shared.connections.fetch_add(1, Ordering::SeqCst);
+    tokio::spawn(async move {
+        serve_connection(stream, &shared).await;
+        shared.connections.fetch_sub(1, Ordering::SeqCst);
+        drop(permit);
+    });
 }
 
 async fn serve_connection(stream: TcpStream, shared: &Arc<ServerShared>) {
@@ -201,16 +245,9 @@
         let body = ReplyBody::whole(error_body(error, id));
         build_response(error.kind.answer().status, &headers, &common, body)
     };
-    let guard = match shared.gate.enter() {
-        Ok(guard) => Arc::new(guard),
-        Err(error) => return refuse(&error, true),
-    };
-    if shared.gate.in_flight() > shared.limits.requests {
-        let detail = "this entry has too many requests in progress";
-        return refuse(&ServiceError::not_run(ErrorKind::Overloaded, detail), false);
-    }
-
-    // The body is received here, so that slow callers occupy no thread.
+    // The body is received first: a connection that is closed while its caller still sends is
+    // reset, and the answer lost. It is received here, so that slow callers occupy no thread.
+    let entered = shared.gate.enter();
     let (parts, body) = request.into_parts();
     let limits = shared.limits;
     let body = match read_body(body, limits.body_bytes, limits.body_timeout).await {
@@ -223,6 +260,14 @@
             return refuse(&ServiceError::not_run(ErrorKind::BadRequest, detail), true);
         }
     };
+    let guard = match entered {
+        Ok(guard) => Arc::new(guard),
+        Err(error) => return refuse(&error, true),
+    };
+    if shared.gate.in_flight() > limits.requests {
+        let detail = "this entry has too many requests in progress";
+        return refuse(&ServiceError::not_run(ErrorKind::Overloaded, detail), false);
+    }
     let request = CallerRequest {
         id,
         method: parts.method,
