Tell a zone's agents at once when it goes out or comes back

Cause: in a trial with three entries, four agents and the stand-in store, an agent of a zone that was taken out still had the former configuration 3 s after the change was accepted.

Ruled out: pushing the whole configuration to each agent, which at target size is megabytes for several hundred agents; fencing by the zone's lease, whose holder does not make the change. The revision is the fence, because it only grows.

Change: after a commit, and when a repeated application finds that its lost answer was a commit, a `SetZone` order goes to the agents of the changed zones in parallel. The entry registers it.

Before: no announcement. After: a test counts the orders and their fence, and one sees the announcement only after a commit is known.

--- a/crates/catkindeck-control/src/intent/admin.rs
+++ b/crates/catkindeck-control/src/intent/admin.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         amendment::IntentStatement,
+        announce::ZoneAnnouncer,
         apply::{ApplyOutcome, IntentApplier},
         capacity::LoadView,
         ledger::{ConfigLedger, LoadSource, SpreadState},
@@ -103,6 +104,7 @@
 pub struct IntentAdmin {
     ledger: Arc<dyn ConfigLedger>,
     source: Arc<dyn LoadSource>,
+    announcer: Option<Arc<dyn ZoneAnnouncer>>,
     operators: Vec<KeyDigest>,
     logger: Logger,
 }
@@ -118,11 +120,18 @@
         Self {
             ledger,
             source,
+            announcer: None,
             operators,
             logger,
         }
     }
 
+    /// Lets agents be told of zones that go out or come back.
+    pub fn with_announcer(mut self, announcer: Arc<dyn ZoneAnnouncer>) -> Self {
+        self.announcer = Some(announcer);
+        self
+    }
+
     /// Answers a request; errors become answers by the table in `docs/errors.md`.
     pub fn handle(&self, request: AdminRequest<'_>) -> AdminAnswer {
         match self.dispatch(request) {
@@ -144,6 +153,7 @@
         // Only plans and the status depend on the load, which takes calls to agents.
         let applier = |view: LoadView| IntentApplier {
             ledger: &*self.ledger,
+            announcer: self.announcer.as_deref(),
             view,
             now_ms: request.now_ms,
         };
--- a/crates/catkindeck-control/src/intent/apply.rs
+++ b/crates/catkindeck-control/src/intent/apply.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         amendment::IntentStatement,
+        announce::ZoneAnnouncer,
         capacity::LoadView,
         diff::{IntentChange, compare},
         ledger::{CommitOutcome, ConfigLedger},
@@ -61,6 +62,8 @@
 pub struct IntentApplier<'a> {
     /// The configuration in the store.
     pub ledger: &'a dyn ConfigLedger,
+    /// Who tells agents of zones that go out or come back, if anyone does.
+    pub announcer: Option<&'a dyn ZoneAnnouncer>,
     /// The observed load.
     pub view: LoadView,
     /// The time since the Unix epoch, in milliseconds.
@@ -96,6 +99,7 @@
     ) -> Result<ApplyOutcome, ServiceError> {
         let current = self.ledger.head()?;
         if current.revision != id.base {
+            self.announce_again(id, &current);
             return self.judge_moved(id, &current);
         }
         // The head is still where the plan starts, so the statement must give the same plan.
@@ -118,7 +122,10 @@
             return Err(ServiceError::not_run(ErrorKind::Conflict, detail));
         }
         match self.ledger.commit(id, &target) {
-            Ok(CommitOutcome::Committed(revision)) => Ok(self.confirm_spread(id, revision)),
+            Ok(CommitOutcome::Committed(revision)) => {
+                self.announce(&current, &target);
+                Ok(self.confirm_spread(id, revision))
+            }
             Ok(CommitOutcome::Moved) => self.judge_moved(id, &self.ledger.head()?),
             Ok(CommitOutcome::Unknown) => Ok(unknown(id, "the store did not answer")),
             Err(error) => Err(error),
@@ -142,6 +149,25 @@
         self.judge_moved(id, &current)
     }
 
+    fn announce(&self, before: &ConfigSnapshot, after: &ConfigSnapshot) {
+        if let Some(announcer) = self.announcer {
+            announcer.announce(before, after);
+        }
+    }
+
+    /// Announces what a plan changed if it is the newest change, since the process that committed it
+    /// may have ended before it announced anything.
+    fn announce_again(&self, id: &PlanId, current: &ConfigSnapshot) {
+        let is_newest = current.revision.0 == id.base.0 + 1 && PlanId::of(id.base, current) == *id;
+        if !is_newest || self.announcer.is_none() {
+            return;
+        }
+        // Without the base there is nothing to compare; agents learn the state by configuration.
+        if let Ok(Some(base)) = self.ledger.at(id.base) {
+            self.announce(&base, current);
+        }
+    }
+
     /// Decides by the revision after the plan's base whether this plan or another was applied.
     fn judge_moved(
         &self,
--- a/crates/catkindeck-control/src/intent/mod.rs
+++ b/crates/catkindeck-control/src/intent/mod.rs
@@ -6,6 +6,7 @@
 
 mod admin;
 mod amendment;
+mod announce;
 mod apply;
 mod capacity;
 mod check;
@@ -20,6 +21,7 @@
 pub use {
     admin::{AdminAnswer, AdminRequest, ApplyRequest, IntentAdmin, IntentStatus, KeyStatus},
     amendment::{DeclarationText, IntentAmendment, IntentStatement, check_declarations},
+    announce::{OrderAnnouncer, ZoneAnnouncer},
     apply::{ApplyOutcome, IntentApplier},
     capacity::{CapacityVerdict, LoadRecord, LoadView, ServiceCapacity, StartOrder, judge},
     declared::{DeclarationFile, DeclaredIntent, DeclaredKey, DeclaredUpstream, DeclaredZone},
--- a/crates/catkindeck-control/tests/intent.rs
+++ b/crates/catkindeck-control/tests/intent.rs
@@ -11,7 +11,8 @@
     catkindeck_control::intent::{
         AdminRequest, ApplyOutcome, CapacityVerdict, CommitOutcome, ConfigLedger, DeclarationFile,
         DeclarationText, DeclaredIntent, IntentAdmin, IntentAmendment, IntentApplier,
-        IntentStatement, LoadRecord, LoadSource, LoadView, PlanId, SpreadState, plan,
+        IntentStatement, LoadRecord, LoadSource, LoadView, PlanId, SpreadState, ZoneAnnouncer,
+        plan,
     },
     std::sync::{Arc, Mutex},
 };
@@ -114,6 +115,7 @@
     fn applier(&self) -> IntentApplier<'_> {
         IntentApplier {
             ledger: self,
+            announcer: None,
             view: load([1, 1], 8),
             now_ms: 5000,
         }
@@ -364,6 +366,32 @@
     assert!(matches!(outcome, ApplyOutcome::Unknown { .. }));
 }
 
+#[derive(Default)]
+struct RecordAnnouncer(Mutex<Vec<(u64, u64)>>);
+
+impl ZoneAnnouncer for RecordAnnouncer {
+    fn announce(&self, before: &ConfigSnapshot, after: &ConfigSnapshot) {
+        let told = (before.revision.0, after.revision.0);
+        self.0.lock().unwrap().push(told);
+    }
+}
+
+/// Guards against agents that are told of a change that is not committed, or not told of one whose
+/// answer was lost.
+#[test]
+fn a_change_is_announced_once_it_is_known_to_be_committed() {
+    let mut ledger = MemoryLedger::with_base();
+    ledger.lose_answers = true;
+    let announcer = RecordAnnouncer::default();
+    let mut applier = ledger.applier();
+    applier.announcer = Some(&announcer);
+    let planned = applier.plan(&zone_out()).unwrap();
+    applier.apply(&zone_out(), &planned.id, false).unwrap();
+    assert!(announcer.0.lock().unwrap().is_empty());
+    applier.apply(&zone_out(), &planned.id, false).unwrap();
+    assert_eq!(*announcer.0.lock().unwrap(), [(1, 2)]);
+}
+
 /// Guards against an unconfirmed shortfall at the moment of application.
 #[test]
 fn a_shortfall_needs_explicit_consent() {
--- a/crates/catkindeck-control/tests/intent_fuzz.rs
+++ b/crates/catkindeck-control/tests/intent_fuzz.rs
@@ -69,6 +69,7 @@
     fn applier(&self) -> IntentApplier<'_> {
         IntentApplier {
             ledger: self,
+            announcer: None,
             view: LoadView::default(),
             now_ms: 0,
         }
--- a/crates/catkindeck-control/tests/intent_load.rs
+++ b/crates/catkindeck-control/tests/intent_load.rs
@@ -9,16 +9,16 @@
         },
         id::{BootId, IncarnationId, ObjectName},
         link::{FrameStream, PeerLink},
-        message::{LoadReport, PeerFrame, PeerRequest},
+        message::{LoadReport, OrderKind, PeerFrame, PeerRequest, UpstreamOrder},
     },
     catkindeck_control::{
-        intent::{AgentLoadSource, LoadSource},
+        intent::{AgentLoadSource, LoadSource, OrderAnnouncer, ZoneAnnouncer},
         source::ConfigSource,
     },
     std::{
         net::SocketAddr,
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicU32, Ordering},
         },
         time::Duration,
@@ -33,6 +33,7 @@
 #[derive(Default)]
 struct PortLink {
     calls: AtomicU32,
+    orders: Mutex<Vec<(u16, UpstreamOrder)>>,
 }
 
 struct OneFrame(Option<PeerFrame>);
@@ -47,11 +48,15 @@
     fn call(
         &self,
         address: SocketAddr,
-        _request: PeerRequest,
+        request: PeerRequest,
         _timeout: Duration,
     ) -> Result<Box<dyn FrameStream>, ServiceError> {
         self.calls.fetch_add(1, Ordering::Relaxed);
         let port = address.port();
+        if let PeerRequest::Order(order) = request {
+            self.orders.lock().unwrap().push((port, order));
+            return Ok(Box::new(OneFrame(Some(PeerFrame::Done))));
+        }
         if port >= 3000 {
             return Err(ServiceError::not_run(ErrorKind::PeerUnavailable, "gone"));
         }
@@ -87,6 +92,18 @@
 
 /// Returns running, warm and demand by service and zone, and the number of calls.
 fn load(ports: &[(&str, &str, u16)]) -> (Vec<(String, u32, u32, u32)>, u32) {
+    let link = Arc::new(PortLink::default());
+    let source = Arc::new(FixedSource(Arc::new(snapshot(ports))));
+    let view = AgentLoadSource::new(link.clone(), source).load();
+    let records = view.records.into_iter().map(|record| {
+        let place = format!("{}@{}", record.service, record.zone);
+        (place, record.running, record.warm, record.demand)
+    });
+    (records.collect(), link.calls.load(Ordering::Relaxed))
+}
+
+/// Returns a configuration with zones `in` and `out` and upstreams by service, zone and port.
+fn snapshot(ports: &[(&str, &str, u16)]) -> ConfigSnapshot {
     let service = |service| ServiceRecord {
         name: name(service),
         kind: ServiceKind::Engine,
@@ -111,20 +128,12 @@
             added_ms: 0,
             removed_ms: None,
         });
-    let snapshot = ConfigSnapshot {
+    ConfigSnapshot {
         services: vec![service("desk"), service("draft")],
         zones: vec![zone("in", ZoneState::In), zone("out", ZoneState::Out)],
         upstreams: upstreams.collect(),
         ..ConfigSnapshot::default()
-    };
-    let link = Arc::new(PortLink::default());
-    let source = AgentLoadSource::new(link.clone(), Arc::new(FixedSource(Arc::new(snapshot))));
-    let view = source.load();
-    let records = view.records.into_iter().map(|record| {
-        let place = format!("{}@{}", record.service, record.zone);
-        (place, record.running, record.warm, record.demand)
-    });
-    (records.collect(), link.calls.load(Ordering::Relaxed))
+    }
 }
 
 /// Guards against plans that count leaving or silent upstreams as running, or cold ones as warm.
@@ -156,3 +165,31 @@
     assert_eq!(records, [("draft@in".to_owned(), 640, 640, 1920)]);
     assert_eq!(calls, 32);
 }
+
+/// Guards against agents of a zone that goes out hearing of it only by chance, and against late
+/// announcements that undo newer ones.
+#[test]
+fn agents_of_changed_zones_are_told_under_the_revision() {
+    let before = snapshot(&[
+        ("draft", "in", 1000),
+        ("draft", "in", 1001),
+        ("draft", "out", 1002),
+    ]);
+    let mut after = before.clone();
+    after.revision = ConfigRevision(7);
+    after.zones[0].state = ZoneState::Out;
+    let link = Arc::new(PortLink::default());
+    OrderAnnouncer::new(link.clone()).announce(&before, &after);
+    let mut orders = link.orders.lock().unwrap().clone();
+    orders.sort_by_key(|(port, _)| *port);
+    let told: Vec<(u16, u64)> = orders
+        .iter()
+        .map(|(port, order)| (*port, order.fence))
+        .collect();
+    assert_eq!(told, [(1000, 7), (1001, 7)]);
+    assert!(
+        orders
+            .iter()
+            .all(|(_, order)| order.kind == OrderKind::SetZone(ZoneState::Out))
+    );
+}
--- a/crates/catkindeck-entry/src/platform.rs
+++ b/crates/catkindeck-entry/src/platform.rs
@@ -14,7 +14,7 @@
         platform::{HostList, StoreClient},
     },
     catkindeck_control::{
-        intent::{AgentLoadSource, IntentAdmin},
+        intent::{AgentLoadSource, IntentAdmin, OrderAnnouncer},
         members::MemberList,
         run::directory::EntryDirectory,
         source::{CONFIG_SOURCE, ConfigSource, SPREAD_PEER, SpreadPeer},
@@ -101,7 +101,8 @@
         Arc::new(loads),
         settings.operators.clone(),
         logger.clone(),
-    );
+    )
+    .with_announcer(Arc::new(OrderAnnouncer::new(Arc::clone(link))));
     kernel.register(INTENT_ADMIN, Arc::new(admin))
 }
 
