Warn of changed keys in one line

Cause: a first plan with eight keys showed eight equal warnings.

Ruled out: no warning, because a revoked key that declarations still list must be noticed.

Change: one warning for added keys and one for removed ones, with their labels.

Before: one warning a key.

Conclusion: none.

--- a/crates/catkindeck-control/src/intent/plan.rs
+++ b/crates/catkindeck-control/src/intent/plan.rs
@@ -174,18 +174,24 @@
             CapacityVerdict::Bears | CapacityVerdict::BearsAfter { .. } => {}
         }
     }
-    for change in changes {
-        let name = &change.name;
-        match (change.kind, change.action) {
-            (ObjectKind::Key, ChangeAction::Remove) => warnings.push(format!(
-                "key {name} stops working within seconds and its open streams end"
-            )),
-            (ObjectKind::Key, ChangeAction::Add) => warnings.push(format!(
-                "key {name} starts working; if it was revoked by command, set `revoked = true` in \
-                 its declaration instead"
-            )),
-            _ => {}
-        }
+    let keys = |action: ChangeAction| {
+        let changed = changes
+            .iter()
+            .filter(|change| change.kind == ObjectKind::Key && change.action == action);
+        let names: Vec<&str> = changed.map(|change| change.name.as_str()).collect();
+        names.join(", ")
+    };
+    let (removed, added) = (keys(ChangeAction::Remove), keys(ChangeAction::Add));
+    if !removed.is_empty() {
+        warnings.push(format!(
+            "these keys stop working within seconds and their open streams end: {removed}"
+        ));
+    }
+    if !added.is_empty() {
+        warnings.push(format!(
+            "these keys start working; set `revoked = true` for any that was revoked by command: \
+             {added}"
+        ));
     }
     warnings
 }
