Show sealed usage from the command

Cause: operators must see the usage that was billed.

Ruled out: listing all windows, whose number grows without bound; the zone's progress and the last windows are read by their keys. Windows that the progress does not cover may not be reported yet and are not shown.

Change: subcommand `usage`, summed up by zone, customer and service, with the number of late lines. The trait for announcements of plans is named `IntentAnnouncer`, because the zone's worker has a `ZoneAnnouncer` of its own.

Before: sealed windows could only be read from the store by hand.

Conclusion: none.

--- a/crates/catkindeck-cli/src/arguments.rs
+++ b/crates/catkindeck-cli/src/arguments.rs
@@ -1,6 +1,9 @@
 //! The command line's arguments.
 
-use {argh::FromArgs, std::path::PathBuf};
+use {
+    argh::FromArgs,
+    std::{net::SocketAddr, path::PathBuf},
+};
 
 /// Operates catkindeck: plan and apply declarations, manage keys and zones, check, load and report.
 #[derive(FromArgs, Debug)]
@@ -60,6 +63,8 @@
     Zone(ZoneArguments),
     /// Manages keys.
     Keys(KeyArguments),
+    /// Shows sealed usage windows.
+    Usage(UsageArguments),
     /// Reports burn rates.
     Burn(BurnArguments),
     /// Checks files.
@@ -255,6 +260,31 @@
     pub wait_ms: u64,
 }
 
+/// Show the usage that was sealed in the platform's store, by window, customer and service.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "usage",
+    example = "{command_name} --store 127.0.0.1:7701 --zone vault-a --zone vault-b --windows 60"
+)]
+pub struct UsageArguments {
+    /// address of the platform's key-value service
+    #[argh(option)]
+    pub store: SocketAddr,
+
+    /// availability zone; may be repeated
+    #[argh(option)]
+    pub zone: Vec<String>,
+
+    /// only this customer
+    #[argh(option)]
+    pub customer: Option<String>,
+
+    /// number of windows of 60 s, counted back from the last sealed one (10)
+    #[argh(option, default = "10")]
+    pub windows: u64,
+}
+
 /// Read counters at /metrics, keep them as samples, and report how fast objectives burn.
 #[derive(FromArgs, Debug)]
 #[argh(
--- /dev/null
+++ b/crates/catkindeck-cli/src/usage_command.rs
@@ -0,0 +1,149 @@
+//! The subcommand `usage`.
+
+use {
+    crate::{
+        arguments::UsageArguments,
+        output::{CommandReport, columns},
+    },
+    catkindeck::{
+        ErrorKind, ServiceError, SortedMap,
+        id::ObjectName,
+        log::discard_logger,
+        message::{USAGE_WINDOW_MS, UsageLine},
+        platform::StoreClient,
+        record,
+        time::SystemClock,
+    },
+    catkindeck_control::usage::SealedUsage,
+    catkindeck_store::{ClientSettings, HttpStore},
+    serde::Deserialize,
+    std::sync::Arc,
+};
+
+/// The most windows that are read for a zone, a day of them.
+const WINDOW_LIMIT: u64 = 1440;
+
+/// The part of a zone's progress that is needed here; the rest belongs to the sealer.
+#[derive(Deserialize)]
+struct ProgressForm {
+    next: u64,
+}
+
+/// The sealed usage of a zone.
+#[record]
+struct ZoneUsage {
+    zone: ObjectName,
+    /// The sealed windows that were read, oldest first.
+    windows: Vec<SealedUsage>,
+}
+
+/// Reads the last sealed windows of zones and sums them up.
+pub fn run(arguments: &UsageArguments) -> Result<CommandReport, ServiceError> {
+    if arguments.zone.is_empty() || !(1..=WINDOW_LIMIT).contains(&arguments.windows) {
+        let detail = format!("expected at least one --zone, and --windows 1 to {WINDOW_LIMIT}");
+        return Err(ServiceError::not_run(ErrorKind::BadRequest, detail));
+    }
+    let customer = arguments
+        .customer
+        .as_deref()
+        .map(ObjectName::try_from)
+        .transpose()?;
+    let settings = ClientSettings::new(arguments.store);
+    let store = HttpStore::new(settings, Arc::new(SystemClock::new()), discard_logger());
+    let mut zones = Vec::new();
+    for zone in &arguments.zone {
+        let zone = ObjectName::try_from(zone.as_str())?;
+        zones.push(read_zone(
+            &store,
+            zone,
+            arguments.windows,
+            customer.as_ref(),
+        )?);
+    }
+    CommandReport::success(describe(&zones), &zones)
+}
+
+fn read_zone(
+    store: &dyn StoreClient,
+    zone: ObjectName,
+    count: u64,
+    customer: Option<&ObjectName>,
+) -> Result<ZoneUsage, ServiceError> {
+    let mut usage = ZoneUsage {
+        zone,
+        windows: Vec::new(),
+    };
+    let Some(stored) = store.read(&format!("usage/{}/progress", usage.zone))? else {
+        return Ok(usage);
+    };
+    let progress: ProgressForm = parse(&stored.value)?;
+    for window in progress.next.saturating_sub(count)..progress.next {
+        let key = format!("usage/{}/window/{window}", usage.zone);
+        // A window before the first sealed one, or one that is no longer kept.
+        let Some(stored) = store.read(&key)? else {
+            continue;
+        };
+        let mut sealed: SealedUsage = parse(&stored.value)?;
+        sealed
+            .lines
+            .retain(|line| customer.is_none() || line.customer.as_ref() == customer);
+        usage.windows.push(sealed);
+    }
+    Ok(usage)
+}
+
+fn describe(zones: &[ZoneUsage]) -> String {
+    let head = ["zone", "customer", "service", "requests", "tokens"];
+    let mut rows = vec![head.map(str::to_owned).to_vec()];
+    let mut notes = Vec::new();
+    for usage in zones {
+        let mut sums: SortedMap<(Option<ObjectName>, ObjectName), (u64, u64)> = SortedMap::new();
+        let mut late = 0;
+        for sealed in &usage.windows {
+            for line in &sealed.lines {
+                add(&mut sums, line);
+                late += u64::from(line.window != sealed.window);
+            }
+        }
+        rows.extend(
+            sums.iter()
+                .map(|((customer, service), (requests, tokens))| {
+                    // Callers on open routes have no customer.
+                    let customer = customer.as_ref().map_or("-", ObjectName::as_str);
+                    vec![
+                        usage.zone.to_string(),
+                        customer.to_owned(),
+                        service.to_string(),
+                        requests.to_string(),
+                        tokens.to_string(),
+                    ]
+                }),
+        );
+        notes.push(match (usage.windows.first(), usage.windows.last()) {
+            (Some(first), Some(last)) => format!(
+                "{}: {} sealed windows of {} s, {} to {}, {late} lines of earlier windows",
+                usage.zone,
+                usage.windows.len(),
+                USAGE_WINDOW_MS / 1000,
+                first.window,
+                last.window
+            ),
+            _ => format!("{}: no sealed windows", usage.zone),
+        });
+    }
+    format!("{}\n\n{}", columns(&rows), notes.join("\n"))
+}
+
+fn add(sums: &mut SortedMap<(Option<ObjectName>, ObjectName), (u64, u64)>, line: &UsageLine) {
+    let key = (line.customer.clone(), line.service.clone());
+    let (requests, tokens) = sums.get_or_insert_with(key, || (0, 0));
+    *requests = requests.saturating_add(line.requests);
+    *tokens = tokens.saturating_add(line.tokens);
+}
+
+fn parse<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, ServiceError> {
+    serde_json::from_slice(bytes).map_err(|error| {
+        let detail = format!("stored usage is malformed: {error}");
+        ServiceError::not_run(ErrorKind::Internal, detail)
+    })
+}
--- a/crates/catkindeck-control/src/intent/admin.rs
+++ b/crates/catkindeck-control/src/intent/admin.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         amendment::IntentStatement,
-        announce::ZoneAnnouncer,
+        announce::IntentAnnouncer,
         apply::{ApplyOutcome, IntentApplier},
         capacity::LoadView,
         ledger::{ConfigLedger, LoadSource, SpreadState},
@@ -104,7 +104,7 @@
 pub struct IntentAdmin {
     ledger: Arc<dyn ConfigLedger>,
     source: Arc<dyn LoadSource>,
-    announcer: Option<Arc<dyn ZoneAnnouncer>>,
+    announcer: Option<Arc<dyn IntentAnnouncer>>,
     operators: Vec<KeyDigest>,
     logger: Logger,
 }
@@ -127,7 +127,7 @@
     }
 
     /// Lets agents be told of zones that go out or come back.
-    pub fn with_announcer(mut self, announcer: Arc<dyn ZoneAnnouncer>) -> Self {
+    pub fn with_announcer(mut self, announcer: Arc<dyn IntentAnnouncer>) -> Self {
         self.announcer = Some(announcer);
         self
     }
--- a/crates/catkindeck-control/src/intent/announce.rs
+++ b/crates/catkindeck-control/src/intent/announce.rs
@@ -33,7 +33,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Tells agents of a committed change of their zone's state.
-pub trait ZoneAnnouncer: Send + Sync {
+pub trait IntentAnnouncer: Send + Sync {
     /// Announces what changed from `before` to `after`; agents that are not reached learn of it by
     /// the configuration.
     fn announce(&self, before: &ConfigSnapshot, after: &ConfigSnapshot);
@@ -70,7 +70,7 @@
     }
 }
 
-impl ZoneAnnouncer for OrderAnnouncer {
+impl IntentAnnouncer for OrderAnnouncer {
     fn announce(&self, before: &ConfigSnapshot, after: &ConfigSnapshot) {
         let told: Vec<(&UpstreamRecord, ZoneState)> = after
             .upstreams
--- a/crates/catkindeck-control/src/intent/apply.rs
+++ b/crates/catkindeck-control/src/intent/apply.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         amendment::IntentStatement,
-        announce::ZoneAnnouncer,
+        announce::IntentAnnouncer,
         capacity::LoadView,
         diff::{IntentChange, compare},
         ledger::{CommitOutcome, ConfigLedger},
@@ -63,7 +63,7 @@
     /// The configuration in the store.
     pub ledger: &'a dyn ConfigLedger,
     /// Who tells agents of zones that go out or come back, if anyone does.
-    pub announcer: Option<&'a dyn ZoneAnnouncer>,
+    pub announcer: Option<&'a dyn IntentAnnouncer>,
     /// The observed load.
     pub view: LoadView,
     /// The time since the Unix epoch, in milliseconds.
--- a/crates/catkindeck-control/src/intent/mod.rs
+++ b/crates/catkindeck-control/src/intent/mod.rs
@@ -21,7 +21,7 @@
 pub use {
     admin::{AdminAnswer, AdminRequest, ApplyRequest, IntentAdmin, IntentStatus, KeyStatus},
     amendment::{DeclarationText, IntentAmendment, IntentStatement, check_declarations},
-    announce::{OrderAnnouncer, ZoneAnnouncer},
+    announce::{IntentAnnouncer, OrderAnnouncer},
     apply::{ApplyOutcome, IntentApplier},
     capacity::{CapacityVerdict, LoadRecord, LoadView, ServiceCapacity, StartOrder, judge},
     declared::{DeclarationFile, DeclaredIntent, DeclaredKey, DeclaredUpstream, DeclaredZone},
--- a/crates/catkindeck-control/tests/intent.rs
+++ b/crates/catkindeck-control/tests/intent.rs
@@ -10,8 +10,8 @@
     },
     catkindeck_control::intent::{
         AdminRequest, ApplyOutcome, CapacityVerdict, CommitOutcome, ConfigLedger, DeclarationFile,
-        DeclarationText, DeclaredIntent, IntentAdmin, IntentAmendment, IntentApplier,
-        IntentStatement, LoadRecord, LoadSource, LoadView, PlanId, SpreadState, ZoneAnnouncer,
+        DeclarationText, DeclaredIntent, IntentAdmin, IntentAmendment, IntentAnnouncer,
+        IntentApplier, IntentStatement, LoadRecord, LoadSource, LoadView, PlanId, SpreadState,
         plan,
     },
     std::sync::{Arc, Mutex},
@@ -369,7 +369,7 @@
 #[derive(Default)]
 struct RecordAnnouncer(Mutex<Vec<(u64, u64)>>);
 
-impl ZoneAnnouncer for RecordAnnouncer {
+impl IntentAnnouncer for RecordAnnouncer {
     fn announce(&self, before: &ConfigSnapshot, after: &ConfigSnapshot) {
         let told = (before.revision.0, after.revision.0);
         self.0.lock().unwrap().push(told);
--- a/crates/catkindeck-control/tests/intent_load.rs
+++ b/crates/catkindeck-control/tests/intent_load.rs
@@ -12,7 +12,7 @@
         message::{LoadReport, OrderKind, PeerFrame, PeerRequest, UpstreamOrder},
     },
     catkindeck_control::{
-        intent::{AgentLoadSource, LoadSource, OrderAnnouncer, ZoneAnnouncer},
+        intent::{AgentLoadSource, IntentAnnouncer, LoadSource, OrderAnnouncer},
         source::ConfigSource,
     },
     std::{
