Share the ledger in memory between the tests of plans

Ruled out: fewer tests; all 36 stay with the same checks.

Change: one ledger with faults and overtaking changes, and tables of cases as text.

--- a/crates/catkindeck-cli/tests/burn.rs
+++ b/crates/catkindeck-cli/tests/burn.rs
@@ -142,38 +142,24 @@
     assert!(count_scrape(&objectives, "a", "no{ metrics at all }}\n\u{0}", 0).is_ok());
 }
 
+/// What is replaced in the objectives, by what, and what the message contains.
+const FAULTS: &str = r#"
+99.0 | 100.0 | slo.toml:12: target_percent: objective courts: expected above 0 and below 100
+customer = "courts" | run = "r" | objective courts: expected either `routes` or `customer`
+threshold_ms = 500\n |  | objective first: exactly `first_token` has a threshold
+short_ms = 300000 | short_ms = 3600000 | slo.toml:4: short_ms
+name = "first" | name = "courts" | expected unique names
+"availability" | "avail" | unknown variant `avail`
+"#;
+
 /// Guards against objectives that can never be met or that measure nothing.
 #[test]
 fn faulty_objectives_are_refused() {
-    let cases = [
-        (
-            "99.0",
-            "100.0",
-            "slo.toml:12: target_percent: objective courts: expected above 0 and below 100",
-        ),
-        (
-            "customer = \"courts\"",
-            "run = \"r\"",
-            "objective courts: expected either `routes` or `customer`",
-        ),
-        (
-            "threshold_ms = 500\n",
-            "",
-            "objective first: exactly `first_token` has a threshold",
-        ),
-        (
-            "short_ms = 300000",
-            "short_ms = 3600000",
-            "slo.toml:4: short_ms",
-        ),
-        (
-            "name = \"first\"",
-            "name = \"courts\"",
-            "expected unique names",
-        ),
-        ("\"availability\"", "\"avail\"", "unknown variant `avail`"),
-    ];
-    for (from, to, expected) in cases {
+    for case in FAULTS.trim().lines() {
+        let case = case.replace("\\n", "\n");
+        let [from, to, expected] = case.split(" | ").collect::<Vec<_>>()[..] else {
+            panic!("{case}");
+        };
         let fault = objectives(&OBJECTIVES.replacen(from, to, 1)).unwrap_err();
         assert!(fault.contains(expected), "{fault}");
     }
--- a/crates/catkindeck-cli/tests/command.rs
+++ b/crates/catkindeck-cli/tests/command.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use {
+    catkindeck::config::ConfigSnapshot,
     serde_json::Value,
     std::{fs, sync::Arc},
     support::{MemoryLedger, outcome, run, start_entry, start_entry_on},
@@ -77,18 +78,18 @@
 #[test]
 fn only_a_statement_confirmed_in_advance_is_planned_again() {
     let directory = tempdir().unwrap();
-    let ledger = Arc::new(MemoryLedger::default());
+    let ledger = Arc::new(MemoryLedger::new(vec![ConfigSnapshot::default()]));
     let entry = start_entry_on(ledger.clone());
     let command = |words: &[&str]| outcome(&run(directory.path(), entry, words));
     fs::write(directory.path().join("a.toml"), DECLARATIONS).unwrap();
     assert_eq!(command(&["apply", "--yes", "a.toml"]).0, 0);
-    ledger.overtake(2);
+    *ledger.overtaken.lock().unwrap() = 2;
     let (code, text) = command(&["zone", "out", "vault-a", "--yes"]);
     assert_eq!(code, 0, "{text}");
     assert_eq!(text.matches("Plan ").count(), 3, "{text}");
     let (_, text) = command(&["zone", "in", "vault-a", "--dry-run", "--json"]);
     let shown: Value = serde_json::from_str(&text).unwrap();
-    ledger.overtake(1);
+    *ledger.overtaken.lock().unwrap() = 1;
     let words = [
         "zone",
         "in",
--- a/crates/catkindeck-cli/tests/pages.rs
+++ b/crates/catkindeck-cli/tests/pages.rs
@@ -214,81 +214,43 @@
     section.filter_map(cells).skip(2).collect()
 }
 
-/// The raw types of each file, with the heading of their table on the page.
-type SettingsFile = (&'static str, &'static [(&'static str, &'static str)]);
-
-const SETTINGS: [SettingsFile; 7] = [
-    (
-        "crates/catkindeck-entry/src/settings.rs",
-        &[
-            ("RawEntry", "Entry"),
-            ("RawPlatform", "Platform"),
-            ("RawPeer", "Entry peers"),
-            ("RawLimits", "Entry limits"),
-            ("RawTimeouts", "Entry timeouts"),
-        ],
-    ),
-    (
-        "crates/catkindeck-agent/src/settings.rs",
-        &[
-            ("RawAgent", "Agent"),
-            ("RawUpstream", "Agent upstream"),
-            ("RawPeers", "Agent peers"),
-            ("RawTimeouts", "Agent timeouts"),
-            ("RawLimits", "Agent limits"),
-        ],
-    ),
-    (
-        "crates/catkindeck-store/src/settings.rs",
-        &[("RawClient", "Platform client")],
-    ),
-    (
-        "crates/catkindeck/src/process.rs",
-        &[
-            ("RawProcess", "Every process"),
-            ("RawLog", "Log"),
-            ("RawTls", "TLS"),
-        ],
-    ),
-    (
-        "crates/catkindeck-control/src/intent/raw.rs",
-        &[
-            ("RawCustomer", "Customers"),
-            ("RawKey", "Keys"),
-            ("RawService", "Services"),
-            ("RawRoute", "Routes"),
-            ("RawZone", "Zones"),
-            ("RawUpstream", "Upstreams"),
-            ("RawRun", "Runs"),
-        ],
-    ),
-    (
-        "crates/catkindeck-cli/src/burn/objective.rs",
-        &[
-            ("RawObjectives", "Objectives"),
-            ("RawWindow", "Windows"),
-            ("RawObjective", "Objective"),
-        ],
-    ),
-    (
-        "crates/catkindeck-cli/src/load/profile.rs",
-        &[
-            ("RawLoad", "Load profiles"),
-            ("RawCustomerLoad", "Load customers"),
-        ],
-    ),
-];
+/// The raw types with their files and the headings of their tables on the page.
+const SETTINGS: &str = "
+crates/catkindeck-entry/src/settings.rs RawEntry Entry
+crates/catkindeck-entry/src/settings.rs RawPlatform Platform
+crates/catkindeck-entry/src/settings.rs RawPeer Entry peers
+crates/catkindeck-entry/src/settings.rs RawLimits Entry limits
+crates/catkindeck-entry/src/settings.rs RawTimeouts Entry timeouts
+crates/catkindeck-agent/src/settings.rs RawAgent Agent
+crates/catkindeck-agent/src/settings.rs RawUpstream Agent upstream
+crates/catkindeck-agent/src/settings.rs RawPeers Agent peers
+crates/catkindeck-agent/src/settings.rs RawTimeouts Agent timeouts
+crates/catkindeck-agent/src/settings.rs RawLimits Agent limits
+crates/catkindeck-store/src/settings.rs RawClient Platform client
+crates/catkindeck/src/process.rs RawProcess Every process
+crates/catkindeck/src/process.rs RawLog Log
+crates/catkindeck/src/process.rs RawTls TLS
+crates/catkindeck-control/src/intent/raw.rs RawCustomer Customers
+crates/catkindeck-control/src/intent/raw.rs RawKey Keys
+crates/catkindeck-control/src/intent/raw.rs RawService Services
+crates/catkindeck-control/src/intent/raw.rs RawRoute Routes
+crates/catkindeck-control/src/intent/raw.rs RawZone Zones
+crates/catkindeck-control/src/intent/raw.rs RawUpstream Upstreams
+crates/catkindeck-control/src/intent/raw.rs RawRun Runs
+crates/catkindeck-cli/src/burn/objective.rs RawObjectives Objectives
+crates/catkindeck-cli/src/burn/objective.rs RawWindow Windows
+crates/catkindeck-cli/src/burn/objective.rs RawObjective Objective
+crates/catkindeck-cli/src/load/profile.rs RawLoad Load profiles
+crates/catkindeck-cli/src/load/profile.rs RawCustomerLoad Load customers
+";
 
 /// Guards against settings that the page does not explain, and explanations of absent settings.
 #[test]
 fn the_page_of_settings_lists_the_fields_of_the_code() {
     let page = read("docs/settings.md");
-    let tables = SETTINGS.iter().flat_map(|(file, types)| {
-        types
-            .iter()
-            .map(move |(name, heading)| (file, name, heading))
-    });
-    for (file, name, heading) in tables {
+    for table in SETTINGS.trim().lines() {
+        let mut words = table.splitn(3, ' ');
+        let [file, name, heading] = [(); 3].map(|()| words.next().unwrap());
         let rows = rows_below(&page, heading);
         let listed: Vec<&str> = rows.iter().map(|row| row[0].as_str()).collect();
         assert_eq!(
--- a/crates/catkindeck-cli/tests/support/mod.rs
+++ b/crates/catkindeck-cli/tests/support/mod.rs
@@ -3,91 +3,30 @@
 // Each test file uses a part of this module.
 #![allow(dead_code)]
 
+#[path = "../../../catkindeck-control/tests/intent_ledger/mod.rs"]
+mod intent_ledger;
+
+pub use intent_ledger::MemoryLedger;
+
 use {
-    catkindeck::{
-        ServiceError,
-        config::{ConfigRevision, ConfigSnapshot},
-        id::KeyDigest,
-        log::discard_logger,
-    },
-    catkindeck_control::intent::{
-        AdminRequest, CommitOutcome, ConfigLedger, IntentAdmin, LoadSource, LoadView, PlanId,
-        SpreadState,
-    },
+    catkindeck::{config::ConfigSnapshot, id::KeyDigest, log::discard_logger},
+    catkindeck_control::intent::{AdminRequest, IntentAdmin, LoadSource, LoadView},
     catkindeck_fakes::stream::{StreamCall, StreamHandler, StreamReply, spawn},
     std::{
         io,
         net::SocketAddr,
         path::Path,
         process::{Command, Output},
-        sync::{Arc, Mutex},
+        sync::Arc,
     },
 };
 
 /// The key of the stand-in's operator.
 pub const OPERATOR_KEY: &str = "operator-key";
 
-/// A configuration in memory.
-#[derive(Default)]
-pub struct MemoryLedger {
-    revisions: Mutex<Vec<ConfigSnapshot>>,
-    /// The number of commits that another operator's change overtakes.
-    races: Mutex<u32>,
-}
-
-impl MemoryLedger {
-    /// Lets another operator's change overtake the next commits.
-    pub fn overtake(&self, commits: u32) {
-        *self.races.lock().unwrap() = commits;
-    }
-}
-
-impl ConfigLedger for MemoryLedger {
-    fn head(&self) -> Result<ConfigSnapshot, ServiceError> {
-        Ok(self
-            .revisions
-            .lock()
-            .unwrap()
-            .last()
-            .cloned()
-            .unwrap_or_default())
-    }
-
-    fn at(&self, revision: ConfigRevision) -> Result<Option<ConfigSnapshot>, ServiceError> {
-        if revision.0 == 0 {
-            return Ok(Some(ConfigSnapshot::default()));
-        }
-        let revisions = self.revisions.lock().unwrap();
-        Ok(revisions
-            .iter()
-            .find(|snapshot| snapshot.revision == revision)
-            .cloned())
-    }
-
-    fn commit(&self, _id: &PlanId, next: &ConfigSnapshot) -> Result<CommitOutcome, ServiceError> {
-        let mut revisions = self.revisions.lock().unwrap();
-        let mut races = self.races.lock().unwrap();
-        if *races > 0 {
-            *races -= 1;
-            let mut other = revisions.last().cloned().unwrap_or_default();
-            other.revision.0 += 1;
-            other
-                .customers
-                .iter_mut()
-                .for_each(|customer| customer.weight += 1);
-            revisions.push(other);
-            return Ok(CommitOutcome::Moved);
-        }
-        revisions.push(next.clone());
-        Ok(CommitOutcome::Committed(next.revision))
-    }
-
-    fn spread(&self, _revision: ConfigRevision) -> Result<SpreadState, ServiceError> {
-        Ok(SpreadState::default())
-    }
-}
+struct UnknownLoad;
 
-impl LoadSource for MemoryLedger {
+impl LoadSource for UnknownLoad {
     fn load(&self) -> LoadView {
         LoadView::default()
     }
@@ -95,13 +34,13 @@
 
 /// Starts the stand-in on a free port; it lives as long as the test process.
 pub fn start_entry() -> SocketAddr {
-    start_entry_on(Arc::new(MemoryLedger::default()))
+    start_entry_on(Arc::new(MemoryLedger::new(vec![ConfigSnapshot::default()])))
 }
 
 /// Starts the stand-in on a ledger.
 pub fn start_entry_on(ledger: Arc<MemoryLedger>) -> SocketAddr {
     let operators = vec![KeyDigest::of(OPERATOR_KEY)];
-    let admin = IntentAdmin::new(ledger.clone(), ledger, operators, discard_logger());
+    let admin = IntentAdmin::new(ledger, Arc::new(UnknownLoad), operators, discard_logger());
     let handler: StreamHandler = Arc::new(move |call, reply| answer(&admin, call, reply));
     spawn("127.0.0.1:0".parse().unwrap(), handler).unwrap()
 }
--- a/crates/catkindeck-control/tests/intent.rs
+++ b/crates/catkindeck-control/tests/intent.rs
@@ -1,19 +1,21 @@
 //! Tests of declarations, plans and their application.
 
+mod intent_ledger;
+
 use {
     catkindeck::{
-        ErrorKind, ServiceError,
+        ErrorKind,
         config::{ConfigRevision, ConfigSnapshot, ZoneState},
         id::{KeyDigest, ObjectName},
         log::discard_logger,
         settings::SettingsText,
     },
     catkindeck_control::intent::{
-        AdminRequest, ApplyOutcome, CapacityVerdict, CommitOutcome, ConfigLedger, DeclarationFile,
+        AdminRequest, ApplyOutcome, CapacityVerdict, ConfigLedger, DeclarationFile,
         DeclarationText, DeclaredIntent, IntentAdmin, IntentAmendment, IntentAnnouncer,
-        IntentApplier, IntentStatement, LoadRecord, LoadSource, LoadView, PlanId, SpreadState,
-        plan,
+        IntentApplier, IntentStatement, LoadRecord, LoadSource, LoadView, PlanId, plan,
     },
+    intent_ledger::{MemoryLedger, StoreFault},
     std::sync::{Arc, Mutex},
 };
 
@@ -95,117 +97,50 @@
     }
 }
 
-/// A ledger in memory that can lose the answer of a commit.
-#[derive(Default)]
-struct MemoryLedger {
-    revisions: Mutex<Vec<ConfigSnapshot>>,
-    lose_answers: bool,
-    waiting: u32,
+fn base_ledger() -> MemoryLedger {
+    let empty = ConfigSnapshot::default();
+    let first = declare(BASE).unwrap().to_snapshot(&empty, 1000);
+    MemoryLedger::new(vec![empty, first])
 }
 
-impl MemoryLedger {
-    fn with_base() -> Self {
-        let ledger = Self::default();
-        let empty = ConfigSnapshot::default();
-        let first = declare(BASE).unwrap().to_snapshot(&empty, 1000);
-        *ledger.revisions.lock().unwrap() = vec![empty, first];
-        ledger
-    }
-
-    fn applier(&self) -> IntentApplier<'_> {
-        IntentApplier {
-            ledger: self,
-            announcer: None,
-            view: load([1, 1], 8),
-            now_ms: 5000,
-        }
+fn applier(ledger: &MemoryLedger) -> IntentApplier<'_> {
+    IntentApplier {
+        ledger,
+        announcer: None,
+        view: load([1, 1], 8),
+        now_ms: 5000,
     }
 }
 
-impl ConfigLedger for MemoryLedger {
-    fn head(&self) -> Result<ConfigSnapshot, ServiceError> {
-        Ok(self.revisions.lock().unwrap().last().unwrap().clone())
-    }
-
-    fn at(&self, revision: ConfigRevision) -> Result<Option<ConfigSnapshot>, ServiceError> {
-        let index = usize::try_from(revision.0).unwrap();
-        Ok(self.revisions.lock().unwrap().get(index).cloned())
-    }
-
-    fn commit(&self, id: &PlanId, next: &ConfigSnapshot) -> Result<CommitOutcome, ServiceError> {
-        let mut revisions = self.revisions.lock().unwrap();
-        if revisions.last().unwrap().revision != id.base {
-            return Ok(CommitOutcome::Moved);
-        }
-        revisions.push(next.clone());
-        Ok(if self.lose_answers {
-            CommitOutcome::Unknown
-        } else {
-            CommitOutcome::Committed(next.revision)
-        })
-    }
-
-    fn spread(&self, _revision: ConfigRevision) -> Result<SpreadState, ServiceError> {
-        Ok(SpreadState {
-            waiting: self.waiting,
-            ..SpreadState::default()
-        })
-    }
-}
+struct FixedLoad;
 
-impl LoadSource for MemoryLedger {
+impl LoadSource for FixedLoad {
     fn load(&self) -> LoadView {
         load([1, 1], 8)
     }
 }
 
+/// What is replaced in the declarations, by what, and what the message contains.
+const FAULTS: &str = r#"
+weight = 4 | weight = "4" | base.toml:4: weight: invalid type: string "4", expected a whole number
+[[customers]] | [customers] | expected a list
+weight = 4 | weigth = 4 | base.toml:4: weigth: unknown field, did you mean `weight`?
+weight = 4 | weight = 0 | base.toml:4: customers.weight: expected 1 to 1000 shares
+kind = "engine" | kind = "gpu" | base.toml:13: services.kind: expected one of engine, plain
+service = "drafting"\nzone = "vault-b" | service = "drafing"\nzone = "vault-b" | base.toml:37: upstreams.service: no service `drafing` is declared, did you mean `drafting`?
+name = "vault-b" | name = "vault-a" | base.toml:26: zone: expected a new name, but zone `vault-a` is declared at base.toml:22
+127.0.0.1:7002 | 127.0.0.1 | base.toml:39: upstreams.agent: expected an IP address with port
+0001" | secret" | base.toml:9: keys.digest: expected 64 hexadecimal digits
+"#;
+
 /// Guards against messages that send the operator to the wrong line, field or name.
 #[test]
 fn faults_name_file_line_field_and_expectation() {
-    let cases = [
-        (
-            "weight = 4",
-            "weight = \"4\"",
-            "base.toml:4: weight: invalid type: string \"4\", expected a whole number",
-        ),
-        ("[[customers]]", "[customers]", "expected a list"),
-        (
-            "weight = 4",
-            "weigth = 4",
-            "base.toml:4: weigth: unknown field, did you mean `weight`?",
-        ),
-        (
-            "weight = 4",
-            "weight = 0",
-            "base.toml:4: customers.weight: expected 1 to 1000 shares",
-        ),
-        (
-            "kind = \"engine\"",
-            "kind = \"gpu\"",
-            "base.toml:13: services.kind: expected one of engine, plain",
-        ),
-        (
-            "service = \"drafting\"\nzone = \"vault-b\"",
-            "service = \"drafing\"\nzone = \"vault-b\"",
-            "base.toml:37: upstreams.service: no service `drafing` is declared, did you mean `drafting`?",
-        ),
-        (
-            "name = \"vault-b\"",
-            "name = \"vault-a\"",
-            "base.toml:26: zone: expected a new name, but zone `vault-a` is declared at base.toml:22",
-        ),
-        (
-            "127.0.0.1:7002",
-            "127.0.0.1",
-            "base.toml:39: upstreams.agent: expected an IP address with port",
-        ),
-        (
-            "0001\"",
-            "secret\"",
-            "base.toml:9: keys.digest: expected 64 hexadecimal digits",
-        ),
-    ];
-    for (from, to, expected) in cases {
+    for case in FAULTS.trim().lines() {
+        let case = case.replace("\\n", "\n");
+        let [from, to, expected] = case.split(" | ").collect::<Vec<_>>()[..] else {
+            panic!("{case}");
+        };
         let message = declare(&BASE.replacen(from, to, 1)).unwrap_err();
         assert!(
             message.contains(expected),
@@ -250,7 +185,7 @@
 /// Guards against a zone leaving for which the others cannot take over, or only after a cold start.
 #[test]
 fn plans_count_cold_starts_and_missing_upstreams() {
-    let current = MemoryLedger::with_base().head().unwrap();
+    let current = base_ledger().head().unwrap();
     let target = zone_out().target(&current, 0).unwrap();
     let verdict = |view: &LoadView| plan(&current, &target, view).capacity.remove(0);
     assert_eq!(verdict(&load([1, 1], 8)).verdict, CapacityVerdict::Bears);
@@ -289,8 +224,8 @@
 /// Guards against applying something other than what the operator saw, and against applying twice.
 #[test]
 fn apply_accepts_exactly_the_plan_and_is_safe_to_repeat() {
-    let ledger = MemoryLedger::with_base();
-    let applier = ledger.applier();
+    let ledger = base_ledger();
+    let applier = applier(&ledger);
     let planned = applier.plan(&zone_out()).unwrap();
     assert_eq!(planned.changes.len(), 1);
     assert_eq!(
@@ -319,8 +254,8 @@
 /// Guards against one operator undoing another's change unseen.
 #[test]
 fn apply_is_refused_with_what_changed_when_the_state_moved() {
-    let ledger = MemoryLedger::with_base();
-    let applier = ledger.applier();
+    let ledger = base_ledger();
+    let applier = applier(&ledger);
     let late = applier
         .plan(&statement(&BASE.replace("weight = 4", "weight = 5")))
         .unwrap();
@@ -345,24 +280,22 @@
 /// Guards against a lost answer being taken for a refusal, or the change being made again.
 #[test]
 fn a_lost_answer_is_resolved_by_the_plan_id() {
-    let mut ledger = MemoryLedger::with_base();
-    ledger.lose_answers = true;
-    let planned = ledger.applier().plan(&zone_out()).unwrap();
-    let before = ledger.applier().outcome(&planned.id).unwrap();
+    let ledger = base_ledger();
+    *ledger.fault.lock().unwrap() = StoreFault::LostAfterWrite;
+    let planned = applier(&ledger).plan(&zone_out()).unwrap();
+    let before = applier(&ledger).outcome(&planned.id).unwrap();
     assert!(matches!(before, ApplyOutcome::NotApplied { .. }));
-    let lost = ledger
-        .applier()
+    let lost = applier(&ledger)
         .apply(&zone_out(), &planned.id, false)
         .unwrap();
     assert!(matches!(lost, ApplyOutcome::Unknown { .. }));
-    let resolved = ledger
-        .applier()
+    let resolved = applier(&ledger)
         .apply(&zone_out(), &planned.id, false)
         .unwrap();
     assert!(matches!(resolved, ApplyOutcome::Accepted { .. }));
     // A revision that live nodes have not confirmed is not called accepted.
-    ledger.waiting = 1;
-    let outcome = ledger.applier().outcome(&planned.id).unwrap();
+    *ledger.waiting.lock().unwrap() = true;
+    let outcome = applier(&ledger).outcome(&planned.id).unwrap();
     assert!(matches!(outcome, ApplyOutcome::Unknown { .. }));
 }
 
@@ -380,10 +313,10 @@
 /// answer was lost.
 #[test]
 fn a_change_is_announced_once_it_is_known_to_be_committed() {
-    let mut ledger = MemoryLedger::with_base();
-    ledger.lose_answers = true;
+    let ledger = base_ledger();
+    *ledger.fault.lock().unwrap() = StoreFault::LostAfterWrite;
     let announcer = RecordAnnouncer::default();
-    let mut applier = ledger.applier();
+    let mut applier = applier(&ledger);
     applier.announcer = Some(&announcer);
     let planned = applier.plan(&zone_out()).unwrap();
     applier.apply(&zone_out(), &planned.id, false).unwrap();
@@ -395,8 +328,8 @@
 /// Guards against an unconfirmed shortfall at the moment of application.
 #[test]
 fn a_shortfall_needs_explicit_consent() {
-    let ledger = MemoryLedger::with_base();
-    let mut applier = ledger.applier();
+    let ledger = base_ledger();
+    let mut applier = applier(&ledger);
     let planned = applier.plan(&zone_out()).unwrap();
     applier.view = load([1, 1], 40);
     let refused = applier.apply(&zone_out(), &planned.id, false).unwrap_err();
@@ -409,9 +342,14 @@
 /// Guards against unauthenticated operator calls and against answers outside the error table.
 #[test]
 fn admin_calls_need_an_operator_key_and_a_known_path() {
-    let ledger = Arc::new(MemoryLedger::with_base());
+    let ledger = Arc::new(base_ledger());
     let operators = vec![KeyDigest::of("operator-key")];
-    let admin = IntentAdmin::new(ledger.clone(), ledger.clone(), operators, discard_logger());
+    let admin = IntentAdmin::new(
+        ledger.clone(),
+        Arc::new(FixedLoad),
+        operators,
+        discard_logger(),
+    );
     let call = |method, path, key, body: &str| {
         let request = AdminRequest {
             method,
--- a/crates/catkindeck-control/tests/intent_fuzz.rs
+++ b/crates/catkindeck-control/tests/intent_fuzz.rs
@@ -1,32 +1,25 @@
 //! Racing operators, lost answers and slow nodes against a record of what was really written.
 
+mod intent_ledger;
+
 use {
     catkindeck::{
-        ServiceError,
-        config::{ConfigRevision, ConfigSnapshot, ZoneRecord, ZoneState},
+        config::{ConfigSnapshot, ZoneRecord, ZoneState},
         id::ObjectName,
     },
     catkindeck_control::intent::{
-        ApplyOutcome, CommitOutcome, ConfigLedger, IntentAmendment, IntentApplier, IntentStatement,
-        LoadView, PlanId, SpreadState,
+        ApplyOutcome, ConfigLedger, IntentAmendment, IntentApplier, IntentStatement, LoadView,
+        PlanId,
     },
+    intent_ledger::{MemoryLedger, StoreFault},
     proptest::{
         prelude::{Just, ProptestConfig, Strategy, any, prop_oneof, proptest},
         test_runner::RngSeed,
     },
-    std::sync::Mutex,
 };
 
 const ZONES: [&str; 2] = ["vault-a", "vault-b"];
 
-/// What the store does with the next commit.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum StoreFault {
-    None,
-    LostBeforeWrite,
-    LostAfterWrite,
-}
-
 #[derive(Debug, Clone)]
 enum Step {
     /// An operator plans to set a zone's state and keeps the plan.
@@ -41,82 +34,34 @@
     Outcome { plan: usize },
 }
 
-/// The store, with the plan that made each revision.
-struct RecordLedger {
-    revisions: Mutex<Vec<(ConfigSnapshot, Option<PlanId>)>>,
-    fault: Mutex<StoreFault>,
-    waiting: Mutex<bool>,
+fn first_ledger() -> MemoryLedger {
+    let zones = ZONES.map(|zone| ZoneRecord {
+        name: ObjectName::try_from(zone).unwrap(),
+        region: ObjectName::try_from("tvm").unwrap(),
+        state: ZoneState::In,
+    });
+    MemoryLedger::new(vec![ConfigSnapshot {
+        zones: zones.to_vec(),
+        ..ConfigSnapshot::default()
+    }])
 }
 
-impl RecordLedger {
-    fn new() -> Self {
-        let zones = ZONES.map(|zone| ZoneRecord {
-            name: ObjectName::try_from(zone).unwrap(),
-            region: ObjectName::try_from("tvm").unwrap(),
-            state: ZoneState::In,
-        });
-        let first = ConfigSnapshot {
-            zones: zones.to_vec(),
-            ..ConfigSnapshot::default()
-        };
-        Self {
-            revisions: Mutex::new(vec![(first, None)]),
-            fault: Mutex::new(StoreFault::None),
-            waiting: Mutex::new(false),
-        }
-    }
-
-    fn applier(&self) -> IntentApplier<'_> {
-        IntentApplier {
-            ledger: self,
-            announcer: None,
-            view: LoadView::default(),
-            now_ms: 0,
-        }
-    }
-
-    /// Returns the revisions that a plan made.
-    fn made_by(&self, id: &PlanId) -> Vec<u64> {
-        let revisions = self.revisions.lock().unwrap();
-        let made = revisions
-            .iter()
-            .filter(|(_, plan)| plan.as_ref() == Some(id));
-        made.map(|(snapshot, _)| snapshot.revision.0).collect()
+fn applier(ledger: &MemoryLedger) -> IntentApplier<'_> {
+    IntentApplier {
+        ledger,
+        announcer: None,
+        view: LoadView::default(),
+        now_ms: 0,
     }
 }
 
-impl ConfigLedger for RecordLedger {
-    fn head(&self) -> Result<ConfigSnapshot, ServiceError> {
-        Ok(self.revisions.lock().unwrap().last().unwrap().0.clone())
-    }
-
-    fn at(&self, revision: ConfigRevision) -> Result<Option<ConfigSnapshot>, ServiceError> {
-        let index = usize::try_from(revision.0).unwrap();
-        let revisions = self.revisions.lock().unwrap();
-        Ok(revisions.get(index).map(|(snapshot, _)| snapshot.clone()))
-    }
-
-    fn commit(&self, id: &PlanId, next: &ConfigSnapshot) -> Result<CommitOutcome, ServiceError> {
-        let mut revisions = self.revisions.lock().unwrap();
-        if revisions.last().unwrap().0.revision != id.base {
-            return Ok(CommitOutcome::Moved);
-        }
-        let fault = *self.fault.lock().unwrap();
-        if fault != StoreFault::LostBeforeWrite {
-            revisions.push((next.clone(), Some(id.clone())));
-        }
-        Ok(match fault {
-            StoreFault::None => CommitOutcome::Committed(next.revision),
-            StoreFault::LostBeforeWrite | StoreFault::LostAfterWrite => CommitOutcome::Unknown,
-        })
-    }
-
-    fn spread(&self, _revision: ConfigRevision) -> Result<SpreadState, ServiceError> {
-        Ok(SpreadState {
-            waiting: u32::from(*self.waiting.lock().unwrap()),
-            ..SpreadState::default()
-        })
-    }
+/// Returns the revisions that a plan made.
+fn made_by(ledger: &MemoryLedger, id: &PlanId) -> Vec<u64> {
+    let revisions = ledger.revisions.lock().unwrap();
+    let made = revisions
+        .iter()
+        .filter(|(_, plan)| plan.as_ref() == Some(id));
+    made.map(|(snapshot, _)| snapshot.revision.0).collect()
 }
 
 /// A kept plan with what its operator was told for certain.
@@ -128,8 +73,8 @@
 }
 
 /// Compares an answer with the record, and with what the operator was told before.
-fn check(ledger: &RecordLedger, plan: &mut KeptPlan, outcome: ApplyOutcome) {
-    let made = ledger.made_by(&plan.id);
+fn check(ledger: &MemoryLedger, plan: &mut KeptPlan, outcome: ApplyOutcome) {
+    let made = made_by(ledger, &plan.id);
     assert!(made.len() <= 1, "a plan was applied twice");
     let head = ledger.head().unwrap().revision;
     match &outcome {
@@ -209,7 +154,7 @@
     fn every_answer_agrees_with_what_was_written(
         steps in proptest::collection::vec(step(), 1..40),
     ) {
-        let ledger = RecordLedger::new();
+        let ledger = first_ledger();
         let mut plans: Vec<KeptPlan> = Vec::new();
         for step in steps {
             let count = plans.len().max(1);
@@ -219,7 +164,7 @@
                         zone: ObjectName::try_from(ZONES[zone]).unwrap(),
                         state: if out { ZoneState::Out } else { ZoneState::In },
                     });
-                    let planned = ledger.applier().plan(&statement).unwrap();
+                    let planned = applier(&ledger).plan(&statement).unwrap();
                     plans.push(KeptPlan {
                         id: planned.id,
                         statement,
@@ -231,20 +176,20 @@
                     let Some(kept) = plans.get_mut(plan % count) else { continue };
                     *ledger.fault.lock().unwrap() = fault;
                     *ledger.waiting.lock().unwrap() = waiting;
-                    let outcome = ledger.applier().apply(&kept.statement, &kept.id, true).unwrap();
+                    let outcome = applier(&ledger).apply(&kept.statement, &kept.id, true).unwrap();
                     check(&ledger, kept, outcome);
                     *ledger.waiting.lock().unwrap() = false;
                 }
                 Step::Outcome { plan } => {
                     let Some(kept) = plans.get_mut(plan % count) else { continue };
-                    let outcome = ledger.applier().outcome(&kept.id).unwrap();
+                    let outcome = applier(&ledger).outcome(&kept.id).unwrap();
                     check(&ledger, kept, outcome);
                 }
             }
         }
         // With the store and all nodes back, no outcome stays unknown.
         for kept in &mut plans {
-            let outcome = ledger.applier().outcome(&kept.id).unwrap();
+            let outcome = applier(&ledger).outcome(&kept.id).unwrap();
             let settled = !matches!(outcome, ApplyOutcome::Unknown { .. });
             assert!(settled, "an outcome stays unknown");
             check(&ledger, kept, outcome);
--- /dev/null
+++ b/crates/catkindeck-control/tests/intent_ledger/mod.rs
@@ -0,0 +1,88 @@
+//! A configuration in memory with a store that can lose answers and operators who are faster.
+
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
+use {
+    catkindeck::{
+        ServiceError,
+        config::{ConfigRevision, ConfigSnapshot},
+    },
+    catkindeck_control::intent::{CommitOutcome, ConfigLedger, PlanId, SpreadState},
+    std::sync::Mutex,
+};
+
+/// What the store does with the next commits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum StoreFault {
+    None,
+    LostBeforeWrite,
+    LostAfterWrite,
+}
+
+/// The revisions from zero on, each with the plan that made it.
+pub struct MemoryLedger {
+    pub revisions: Mutex<Vec<(ConfigSnapshot, Option<PlanId>)>>,
+    pub fault: Mutex<StoreFault>,
+    pub waiting: Mutex<bool>,
+    /// The number of commits that another operator's change overtakes.
+    pub overtaken: Mutex<u32>,
+}
+
+impl MemoryLedger {
+    pub fn new(revisions: Vec<ConfigSnapshot>) -> Self {
+        let revisions = revisions.into_iter().map(|snapshot| (snapshot, None));
+        Self {
+            revisions: Mutex::new(revisions.collect()),
+            fault: Mutex::new(StoreFault::None),
+            waiting: Mutex::new(false),
+            overtaken: Mutex::new(0),
+        }
+    }
+}
+
+impl ConfigLedger for MemoryLedger {
+    fn head(&self) -> Result<ConfigSnapshot, ServiceError> {
+        Ok(self.revisions.lock().unwrap().last().unwrap().0.clone())
+    }
+
+    fn at(&self, revision: ConfigRevision) -> Result<Option<ConfigSnapshot>, ServiceError> {
+        let index = usize::try_from(revision.0).unwrap();
+        let revisions = self.revisions.lock().unwrap();
+        Ok(revisions.get(index).map(|(snapshot, _)| snapshot.clone()))
+    }
+
+    fn commit(&self, id: &PlanId, next: &ConfigSnapshot) -> Result<CommitOutcome, ServiceError> {
+        let mut revisions = self.revisions.lock().unwrap();
+        if revisions.last().unwrap().0.revision != id.base {
+            return Ok(CommitOutcome::Moved);
+        }
+        let mut overtaken = self.overtaken.lock().unwrap();
+        if *overtaken > 0 {
+            *overtaken -= 1;
+            let mut other = revisions.last().unwrap().0.clone();
+            other.revision.0 += 1;
+            other
+                .customers
+                .iter_mut()
+                .for_each(|customer| customer.weight += 1);
+            revisions.push((other, None));
+            return Ok(CommitOutcome::Moved);
+        }
+        let fault = *self.fault.lock().unwrap();
+        if fault != StoreFault::LostBeforeWrite {
+            revisions.push((next.clone(), Some(id.clone())));
+        }
+        Ok(match fault {
+            StoreFault::None => CommitOutcome::Committed(next.revision),
+            StoreFault::LostBeforeWrite | StoreFault::LostAfterWrite => CommitOutcome::Unknown,
+        })
+    }
+
+    fn spread(&self, _revision: ConfigRevision) -> Result<SpreadState, ServiceError> {
+        Ok(SpreadState {
+            waiting: u32::from(*self.waiting.lock().unwrap()),
+            ..SpreadState::default()
+        })
+    }
+}
