--- a/tests/fakes/src/lib.rs
+++ b/tests/fakes/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod service;
 pub mod store;
 pub mod stream;
+pub mod trainer;
 pub mod usage;
 pub mod weights;
 pub mod zones;
--- a/tests/fakes/src/main.rs
+++ b/tests/fakes/src/main.rs
@@ -9,29 +9,54 @@
         hosts::HostsMode,
         service::FakeService,
         store::StoreMode,
+        trainer::{self, TrainerSettings},
         usage::UsageMode,
         weights::WeightsMode,
         zones::ZonesMode,
     },
-    std::{io, net::SocketAddr, process::ExitCode, sync::Arc, thread},
+    std::{fs, io, net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc, thread},
 };
 
 /// Stand-in for one of the systems around catkindeck.
 #[derive(FromArgs)]
 struct FakeCommand {
-    /// the mode: engine, service, store, hosts, zones, usage or weights
+    /// the mode: engine, service, store, hosts, zones, usage, weights, caller or trainer
     #[argh(positional)]
     mode: String,
     /// the address that is served
-    #[argh(option)]
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 0))")]
     listen: SocketAddr,
     /// the address that takes orders for faults
     #[argh(option)]
     control: Option<SocketAddr>,
+    /// for a caller or trainer, the URL of an entry
+    #[argh(option, default = "String::new()")]
+    entry: String,
+    /// for a caller or trainer, the file with the key
+    #[argh(option)]
+    key_file: Option<PathBuf>,
+    /// for a caller the model, for a trainer the run
+    #[argh(option, default = "String::new()")]
+    target: String,
+    /// for a trainer, the number of groups of eight samples
+    #[argh(option, default = "8")]
+    groups: usize,
 }
 
 fn main() -> ExitCode {
     let command: FakeCommand = argh::from_env();
+    if matches!(command.mode.as_str(), "caller" | "trainer") {
+        return match run_client(&command) {
+            Ok(line) => {
+                println!("{line}");
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                eprintln!("{}: {error}", command.mode);
+                ExitCode::FAILURE
+            }
+        };
+    }
     let started = match command.mode.as_str() {
         "engine" => start_engine(&command),
         "service" => start_service(&command),
@@ -42,7 +67,8 @@
         "weights" => start_platform(&command, Box::new(WeightsMode::default())),
         other => {
             eprintln!(
-                "unknown mode {other}; known: engine, service, store, hosts, zones, usage, weights"
+                "unknown mode {other}; known: engine, service, store, hosts, zones, usage, weights, \
+                 caller, trainer"
             );
             return ExitCode::from(2);
         }
@@ -58,6 +84,21 @@
     }
 }
 
+fn run_client(command: &FakeCommand) -> Result<String, String> {
+    let path = command.key_file.as_ref().ok_or("--key-file is required")?;
+    let key = fs::read_to_string(path).map_err(|error| error.to_string())?;
+    let settings = TrainerSettings {
+        entry: command.entry.clone(),
+        key: key.trim().to_owned(),
+        target: command.target.clone(),
+        groups: command.groups,
+    };
+    match command.mode.as_str() {
+        "trainer" => trainer::run_step(&settings),
+        _ => trainer::stream_completion(&settings),
+    }
+}
+
 fn start_engine(command: &FakeCommand) -> io::Result<()> {
     let engine = FakeEngine::new();
     engine.spawn(command.listen)?;
--- /dev/null
+++ b/tests/fakes/src/trainer.rs
@@ -0,0 +1,165 @@
+//! A trainer that runs one step and a caller that reads one stream, for the quick start.
+
+use {
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeSet,
+        io::{BufRead, BufReader},
+        thread,
+        time::Duration,
+    },
+    ureq::{Agent, Body, http::Response},
+};
+
+/// The pause between fetches of a batch that is not ready.
+const FETCH_PAUSE: Duration = Duration::from_millis(100);
+
+/// The time for one request.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Who asks what.
+#[derive(Debug, Clone)]
+pub struct TrainerSettings {
+    /// The URL of an entry.
+    pub entry: String,
+    /// The key.
+    pub key: String,
+    /// The run, or the model for a caller.
+    pub target: String,
+    /// The number of groups of eight samples.
+    pub groups: usize,
+}
+
+/// Announces weights, opens a step and fetches it to its end; returns a line to print.
+///
+/// # Errors
+///
+/// Returns what was refused or unexpected.
+pub fn run_step(settings: &TrainerSettings) -> Result<String, String> {
+    let base = format!("{}/v1/runs/{}", settings.entry, settings.target);
+    post_until_accepted(settings, &format!("{base}/weights"), &json!({"version": 1}))?;
+    let groups: Vec<Value> = (0..settings.groups)
+        .map(|group| json!({"prompt": format!("slip {group}")}))
+        .collect();
+    let step = json!({"step": 1, "groups": groups, "group_size": 8, "max_tokens": 16});
+    post_until_accepted(settings, &format!("{base}/steps"), &step)?;
+
+    let (mut identities, mut versions) = (BTreeSet::new(), BTreeSet::new());
+    let (mut cursor, mut batches) = (0, 0);
+    loop {
+        let url = format!("{base}/steps/1/samples?cursor={cursor}");
+        let (status, answer) = call(settings, "GET", &url, None)?;
+        let Some(samples) = answer["samples"].as_array() else {
+            if status == 202 || status == 200 || status == 503 {
+                thread::sleep(FETCH_PAUSE);
+                continue;
+            }
+            if status == 410 {
+                cursor += 1;
+                continue;
+            }
+            return Err(format!("batch {cursor}: {answer}"));
+        };
+        batches += 1;
+        for sample in samples {
+            let identity = format!(
+                "{}/{}/{}",
+                sample["group"], sample["index"], sample["generation"]
+            );
+            if !identities.insert(identity.clone()) {
+                return Err(format!("sample {identity} came twice"));
+            }
+            let ranges = sample["versions"].as_array().into_iter().flatten();
+            versions.extend(ranges.map(|range| range["version"].to_string()));
+        }
+        if answer["last"] == json!(true) {
+            let count = identities.len();
+            return Ok(format!(
+                "step 1: {count} samples in {batches} batches, each once, weight versions {versions:?}"
+            ));
+        }
+        cursor += 1;
+    }
+}
+
+/// Streams one completion and returns its text with the last event.
+///
+/// # Errors
+///
+/// Returns what was refused or unexpected.
+pub fn stream_completion(settings: &TrainerSettings) -> Result<String, String> {
+    let body = json!({
+        "model": settings.target, "prompt": "the carton of rack 7", "max_tokens": 12, "stream": true,
+    });
+    let url = format!("{}/v1/completions", settings.entry);
+    let response = open(settings, "POST", &url, Some(&body))?;
+    let status = response.status().as_u16();
+    let (mut text, mut ended) = (String::new(), false);
+    for line in BufReader::new(response.into_body().into_reader()).lines() {
+        let line = line.map_err(|error| error.to_string())?;
+        let Some(data) = line.strip_prefix("data:").map(str::trim) else {
+            continue;
+        };
+        ended = data == "[DONE]";
+        if let Ok(event) = serde_json::from_str::<Value>(data) {
+            text.push_str(event["choices"][0]["text"].as_str().unwrap_or(""));
+        }
+    }
+    match ended {
+        true => Ok(format!("streamed completion: {}", text.trim())),
+        false => Err(format!("the stream ended early with status {status}")),
+    }
+}
+
+/// Posts until the entry accepts; a run has no owner for the first moments.
+fn post_until_accepted(settings: &TrainerSettings, url: &str, body: &Value) -> Result<(), String> {
+    for _ in 0..300 {
+        match call(settings, "POST", url, Some(body))? {
+            (status, _) if status < 300 => return Ok(()),
+            (503, _) => thread::sleep(FETCH_PAUSE),
+            (status, answer) => return Err(format!("{url}: {status} {answer}")),
+        }
+    }
+    Err(format!("{url} was never accepted"))
+}
+
+fn call(
+    settings: &TrainerSettings,
+    method: &str,
+    url: &str,
+    body: Option<&Value>,
+) -> Result<(u16, Value), String> {
+    let mut response = open(settings, method, url, body)?;
+    let status = response.status().as_u16();
+    let bytes = response
+        .body_mut()
+        .read_to_vec()
+        .map_err(|error| error.to_string())?;
+    Ok((
+        status,
+        serde_json::from_slice(&bytes).unwrap_or(Value::Null),
+    ))
+}
+
+fn open(
+    settings: &TrainerSettings,
+    method: &str,
+    url: &str,
+    body: Option<&Value>,
+) -> Result<Response<Body>, String> {
+    let agent: Agent = Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(REQUEST_TIMEOUT))
+        .build()
+        .into();
+    let request = ureq::http::Request::builder()
+        .method(method)
+        .uri(url)
+        .header("authorization", format!("Bearer {}", settings.key))
+        .header("content-type", "application/json")
+        .body(body.map(Value::to_string).unwrap_or_default())
+        .map_err(|error| error.to_string())?;
+    agent
+        .run(request)
+        .map_err(|error| format!("{url}: {error}"))
+}
