--- a/crates/catkindeck-agent/src/lib.rs
+++ b/crates/catkindeck-agent/src/lib.rs
@@ -22,6 +22,7 @@
 mod probe;
 mod run;
 mod state;
+mod tap;
 mod watch;
 
 pub use {
--- /dev/null
+++ b/crates/catkindeck-agent/src/tap.rs
@@ -0,0 +1,154 @@
+//! What arrives from the upstream, on its way to the caller.
+
+use {
+    crate::{
+        core::{AgentCore, unix_ms},
+        events,
+        state::StartNotice,
+        upstream::{StreamFlow, UpstreamEvents},
+    },
+    catkindeck::{
+        id::BootId,
+        log_event,
+        message::{ExecuteRequest, KEPT_ANSWER_LIMIT, PeerFrame, SampleRecord, WorkBody},
+        token::{VersionLabels, WeightVersion},
+    },
+    std::sync::Arc,
+};
+
+/// Passes frames on and remembers what the answer was made of.
+pub(crate) struct RunTap<'a> {
+    pub core: &'a AgentCore,
+    pub request: &'a ExecuteRequest,
+    pub notice: Arc<StartNotice>,
+    /// The boot identity when the request was sent.
+    pub boot_at_start: BootId,
+    /// The boot identity that the answer carried.
+    pub boot: BootId,
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub labels: VersionLabels,
+    pub answer: Vec<u8>,
+    pub chunks: u32,
+    /// Whether the caller is gone and the request runs on without it.
+    pub detached: bool,
+}
+
+impl RunTap<'_> {
+    /// Sends a frame unless the caller is gone; work that may be repeated is then stopped.
+    fn send(&mut self, frame: PeerFrame) -> StreamFlow {
+        self.notice.send();
+        if self.detached || self.notice.sink.send(frame).is_ok() {
+            return StreamFlow::Continue;
+        }
+        if self.request.idempotent {
+            return StreamFlow::Stop;
+        }
+        self.detached = true;
+        StreamFlow::Continue
+    }
+
+    fn keep(&mut self, bytes: &[u8]) {
+        let keyed = self.request.idempotency_key.is_some();
+        if self.request.sample.is_some() {
+            self.answer.extend_from_slice(bytes);
+        } else if keyed && self.answer.len() <= KEPT_ANSWER_LIMIT {
+            // One byte above the limit is enough for the record to see that it is too large.
+            let room = KEPT_ANSWER_LIMIT + 1 - self.answer.len();
+            self.answer
+                .extend_from_slice(&bytes[..bytes.len().min(room)]);
+        }
+    }
+}
+
+impl UpstreamEvents for RunTap<'_> {
+    fn boot(&mut self, boot: BootId) {
+        self.notice.send();
+        let new = {
+            let now = self.core.now();
+            let mut state = self.core.lock();
+            state.observe_boot(now, &boot)
+        };
+        if new {
+            self.core.metrics.boots.inc();
+            log_event!(self.core.logger, events::UPSTREAM_BOOTED; "boot" => &boot.0);
+        }
+        self.boot = boot;
+    }
+
+    fn head(&mut self, status: u16, headers: Vec<(String, String)>) -> StreamFlow {
+        self.status = status;
+        self.headers = headers.clone();
+        self.send(PeerFrame::Head {
+            request: self.request.request,
+            status,
+            headers,
+        })
+    }
+
+    fn chunk(&mut self, bytes: &[u8], tokens: u32, version: Option<WeightVersion>) -> StreamFlow {
+        self.labels.push(tokens, version);
+        self.keep(bytes);
+        let frame = PeerFrame::Chunk {
+            request: self.request.request,
+            sequence: self.chunks,
+            bytes: bytes.to_vec(),
+            tokens,
+            version,
+        };
+        self.chunks += 1;
+        let flow = self.send(frame);
+        let now = self.core.now();
+        let mut state = self.core.lock();
+        let tokens = u64::from(tokens);
+        if state.boot == self.boot {
+            state.last_sign = state.last_sign.max(now);
+        }
+        state.queue.served(now, &self.request.request, tokens);
+        if let Some(version) = version {
+            state.observe_version(&self.boot, version);
+        }
+        if flow == StreamFlow::Continue && !self.detached {
+            self.core.metrics.tokens.inc_by(tokens);
+            let customer = self.request.customer.as_ref();
+            state
+                .usage
+                .count(unix_ms(), customer, &self.request.service, 0, tokens);
+        }
+        let work = state.running.get(&self.request.request);
+        match work.is_some_and(|work| work.unwanted) {
+            true => StreamFlow::Stop,
+            false => flow,
+        }
+    }
+}
+
+/// Returns the beginning of the answer that earlier attempts delivered, so that what is kept is the
+/// whole answer.
+pub(crate) fn answer_start(request: &ExecuteRequest) -> Vec<u8> {
+    match &request.body {
+        WorkBody::Completion(body) => body.resume_text.clone().into_bytes(),
+        WorkBody::Call(_) => Vec::new(),
+    }
+}
+
+/// Returns the sample that a finished request became.
+///
+/// A sample with a token of unknown version is never delivered (G1). One whose beginning was made
+/// elsewhere is not kept either, because its first labels are only known to the step's owner.
+pub(crate) fn finished_sample(tap: &RunTap<'_>) -> Option<SampleRecord> {
+    let id = tap.request.sample.clone()?;
+    let resumed = match &tap.request.body {
+        WorkBody::Completion(body) => body.resume_tokens > 0,
+        WorkBody::Call(_) => true,
+    };
+    tap.labels.oldest()?;
+    if resumed {
+        return None;
+    }
+    Some(SampleRecord {
+        id,
+        text: String::from_utf8(tap.answer.clone()).ok()?,
+        labels: tap.labels.clone(),
+    })
+}
--- a/crates/catkindeck-agent/tests/common/mod.rs
+++ b/crates/catkindeck-agent/tests/common/mod.rs
@@ -3,6 +3,8 @@
 // Each test file uses a part of these helpers.
 #![allow(dead_code)]
 
+pub mod engine;
+
 use {
     catkindeck::{
         ServiceError, ServiceKernel,
