Hold refusals back while the listener is about to close

Cause: a caller that is refused during a shutdown comes back at once on a new connection, so with twelve such callers a connection was now and then opened between the last accept and the close, and was reset. Change: from the end of the drain until the listener is closed, refusals wait, so that callers stop to come; the listener is closed after 20 ms without a new connection, at the latest after 500 ms.

--- a/crates/catkindeck-entry/src/http/server.rs
+++ b/crates/catkindeck-entry/src/http/server.rs
@@ -27,6 +27,7 @@
         net::{TcpListener, TcpStream},
         runtime::{Builder, Runtime},
         sync::{OwnedSemaphorePermit, Semaphore, watch},
+        time::{Instant, timeout},
     },
 };
 
@@ -36,6 +37,12 @@
 /// The pause after a failed accept, so that a lack of file descriptors does not fill the log.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// The time without a new connection after which the listener is closed.
+const CLOSE_QUIET: Duration = Duration::from_millis(20);
+
+/// The longest time that the close of the listener waits for such a pause.
+const CLOSE_LIMIT: Duration = Duration::from_millis(500);
+
 /// The limits within which callers are served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerLimits {
@@ -67,6 +74,7 @@
     connections: AtomicUsize,
     drain: watch::Sender<bool>,
     close: watch::Sender<bool>,
+    closed: watch::Sender<bool>,
     logger: Logger,
 }
 
@@ -107,6 +115,7 @@
             connections: AtomicUsize::new(0),
             drain: watch::Sender::new(false),
             close: watch::Sender::new(false),
+            closed: watch::Sender::new(false),
             logger,
         });
         runtime.spawn(accept_loop(listener, Arc::clone(&shared)));
@@ -165,9 +174,17 @@
             }
         }
     }
+    // Callers that were refused wait for their answers now, so new connections soon stop to come.
+    let last = Instant::now() + CLOSE_LIMIT;
+    while Instant::now() < last
+        && let Ok(Ok((stream, _))) = timeout(CLOSE_QUIET, listener.accept()).await
+    {
+        spawn_connection(stream, None, &shared);
+    }
     for stream in take_backlog(listener) {
         spawn_connection(stream, None, &shared);
     }
+    shared.closed.send_replace(true);
 }
 
 /// Closes the listener and returns the connections that waited in its backlog.
@@ -262,7 +279,15 @@
     };
     let guard = match entered {
         Ok(guard) => Arc::new(guard),
-        Err(error) => return refuse(&error, true),
+        Err(error) => {
+            // A caller that is refused comes back at once on a new connection. While the listener is
+            // about to close, that connection could be reset, so the refusal waits for the close.
+            if *shared.close.borrow() {
+                // The error means that the server is gone, which ends the connection too.
+                let _ = shared.closed.subscribe().wait_for(|closed| *closed).await;
+            }
+            return refuse(&error, true);
+        }
     };
     if shared.gate.in_flight() > limits.requests {
         let detail = "this entry has too many requests in progress";
