--- a/crates/catkindeck-entry/src/forward/crash.rs
+++ b/crates/catkindeck-entry/src/forward/crash.rs
@@ -56,7 +56,7 @@
         Self { queue, logger }
     }
 
-    /// Sends a report, and returns when every reachable entry has it or after [`SHARE_WAIT`].
+    /// Sends a report, and returns when every reachable entry has it or after `SHARE_WAIT`.
     ///
     /// The caller is answered only then: a caller that sends a crashing request again through
     /// another entry would otherwise be faster than the report.
--- a/crates/catkindeck-entry/tests/settings.rs
+++ b/crates/catkindeck-entry/tests/settings.rs
@@ -127,3 +127,19 @@
     assert_eq!(error.line, 2, "{error}");
     assert_eq!(source.current().revision.0, 5);
 }
+
+/// Guards against an example in the documentation that the entry does not accept.
+#[test]
+fn documented_settings_are_valid() {
+    let page = include_str!("../../../docs/http.md");
+    let example = page.split("```toml\n").nth(1).expect("an example");
+    let example = example.split("```").next().expect("its end");
+    let digest = "0".repeat(64);
+    let start = example.find('<').expect("a placeholder");
+    let end = example.find('>').expect("its end");
+    let text = format!("{}{digest}{}", &example[..start], &example[end + 1..]);
+    let settings = EntrySettings::load(&SettingsText::new("http.md", &text));
+    let settings = settings.expect("a valid example");
+    assert!(matches!(settings.origin, ConfigOrigin::Platform(_)));
+    assert_eq!(settings.peers.len(), 1);
+}
