Keep the outcome of a keyed request unknown when its deadline passes

Cause: at the deadline the entry revoked the request and answered not_run, although the revocation proves nothing about an earlier request with the same key. The new test deadline_of_a_keyed_request_stays_unknown was red with not_run.

cargo test -p catkindeck-entry: all pass.

--- a/crates/catkindeck-entry/src/forward/resolve.rs
+++ b/crates/catkindeck-entry/src/forward/resolve.rs
@@ -118,6 +118,10 @@
             return ExecutionOutcome::Unknown;
         };
         match self.revoke(work, target.address, incarnation) {
+            // An earlier request with the same key may have run under another identity.
+            Ok(PeerFrame::Revoked { .. }) if work.idempotency_key.is_some() => {
+                ExecutionOutcome::Unknown
+            }
             Ok(PeerFrame::Revoked { request }) if request == work.request => {
                 ExecutionOutcome::NotRun
             }
--- a/crates/catkindeck-entry/tests/outcomes.rs
+++ b/crates/catkindeck-entry/tests/outcomes.rs
@@ -613,3 +613,31 @@
     assert_eq!(revocations(&bench), 1);
     assert_eq!(bench.forwarder.now(), Moment(20_000));
 }
+
+/// Guards against a `not_run` at the deadline for a key that an earlier request may have run: the
+/// revocation of this request proves nothing about that one (G12).
+#[test]
+fn deadline_of_a_keyed_request_stays_unknown() {
+    let bench = Bench::new();
+    let clock = bench.clock.clone();
+    for number in [3, 4] {
+        let clock = clock.clone();
+        bench.link.set(
+            number,
+            agent(3, move |_, _| {
+                let clock = clock.clone();
+                let (_, never) = crossbeam::channel::bounded(0);
+                vec![
+                    Step::Run(Box::new(move || clock.0.store(20_000, Ordering::SeqCst))),
+                    Step::Hold(never),
+                ]
+            }),
+        );
+    }
+    let error = bench.fail(&keyed("desk", "slip-1"));
+    assert_eq!(
+        (error.kind, error.execution),
+        (ErrorKind::DeadlineExceeded, UNKNOWN)
+    );
+    assert_eq!(revocations(&bench), 1);
+}
