End a waiting agent at the second signal

Ruled out: work in flight (the drain was complete). Change: the wait ends when a second signal has arrived. Before: a_second_signal_ends_a_waiting_agent failed after 60 s. After: it passes in 1.3 s. Conclusion: usage that was not collected is then lost, which event left_uncollected says.

--- a/crates/catkindeck-agent/src/hand_over.rs
+++ b/crates/catkindeck-agent/src/hand_over.rs
@@ -72,8 +72,9 @@
         }
     }
 
-    /// Waits until usage and samples were collected, at most for the time in the settings.
-    pub fn wait_collected(&self) {
+    /// Waits until usage and samples were collected, at most for the time in the settings or until
+    /// `is_forced` says that the exit shall not wait.
+    pub fn wait_collected(&self, is_forced: &dyn Fn() -> bool) {
         let deadline = Instant::now() + self.settings.timeouts.drain_collect;
         loop {
             let (lines, samples) = {
@@ -83,7 +84,7 @@
             if lines == 0 && samples == 0 {
                 return;
             }
-            if Instant::now() >= deadline {
+            if Instant::now() >= deadline || is_forced() {
                 log_event!(
                     self.logger, events::LEFT_UNCOLLECTED;
                     "usage_lines" => lines, "samples" => samples,
--- a/crates/catkindeck-agent/src/process.rs
+++ b/crates/catkindeck-agent/src/process.rs
@@ -143,7 +143,7 @@
         let watch = ShutdownWatch::install(readiness, gate, logger.clone())?;
         let cause = watch.wait(|| {});
         if cause == ShutdownCause::Drained {
-            self.finish();
+            self.finish_unless(&|| watch.is_forced());
         }
         Ok(cause)
     }
@@ -163,8 +163,14 @@
 
     /// Ends a drained agent: records are handed over, usage and samples collected, peers told.
     pub fn finish(self) {
+        self.finish_unless(&|| false);
+    }
+
+    /// Ends a drained agent like [`Self::finish`], without waiting for collectors once `is_forced`
+    /// is true.
+    fn finish_unless(self, is_forced: &dyn Fn() -> bool) {
         self.core.hand_over();
-        self.core.wait_collected();
+        self.core.wait_collected(is_forced);
         self.endpoint.close(CLOSE_TIMEOUT);
     }
 }
--- a/crates/catkindeck-health/src/shutdown.rs
+++ b/crates/catkindeck-health/src/shutdown.rs
@@ -94,6 +94,11 @@
         self.signals.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Tells whether a second signal asked to exit at once.
+    pub fn is_forced(&self) -> bool {
+        self.signals.load(Ordering::SeqCst) > 1
+    }
+
     /// Waits for a signal, gives notice, closes the gate and waits until nothing is in flight.
     ///
     /// `on_drain` runs once between the two, for example to hand over records. It is called after
@@ -114,7 +119,7 @@
     /// Waits until the notice is over or a second signal arrives.
     fn wait_notice(&self) {
         let started = Instant::now();
-        while started.elapsed() < self.notice && self.signals.load(Ordering::SeqCst) < 2 {
+        while started.elapsed() < self.notice && !self.is_forced() {
             let left = self.notice.saturating_sub(started.elapsed());
             thread::sleep(left.min(POLL_INTERVAL));
         }
@@ -123,7 +128,7 @@
     fn wait_for_drain(&self) -> ShutdownCause {
         let mut polls = 0;
         while !self.gate.wait_idle(POLL_INTERVAL) {
-            if self.signals.load(Ordering::SeqCst) > 1 {
+            if self.is_forced() {
                 log_event!(self.logger, DRAIN_FORCED; "in_flight" => self.gate.in_flight());
                 return ShutdownCause::Forced;
             }
--- a/tests/system/src/deployment.rs
+++ b/tests/system/src/deployment.rs
@@ -346,11 +346,12 @@
             "[upstream]\nname = \"{}\"\nservice = \"{}\"\nkind = \"{kind}\"\n\
              base_url = \"http://{}\"\nfirst_start = {first_start}\n\n\
              [peers]\naddresses = [{}]\n\n\
-             [timeouts]\ndrain_collect_ms = 500\n\n{process}",
+             [timeouts]\ndrain_collect_ms = {}\n\n{process}",
             shape.name,
             service_name(shape.kind),
             ports.upstream,
             peers.join(", "),
+            self.shape.drain_collect_ms,
         );
         fs::write(self.path(&format!("agent-{}.toml", shape.name)), text)
             .expect("the settings are written");
--- a/tests/system/src/shape.rs
+++ b/tests/system/src/shape.rs
@@ -39,6 +39,8 @@
     pub engine_limits: (u32, u32),
     /// The time that an engine takes to become warm, in milliseconds.
     pub engine_cold_start_ms: u64,
+    /// How long a draining agent waits for collectors, in milliseconds.
+    pub drain_collect_ms: u64,
     /// Whether the configuration lies in the platform's store; otherwise in a file.
     pub platform: bool,
 }
@@ -51,6 +53,7 @@
             upstreams: Vec::new(),
             engine_limits: (16, 16),
             engine_cold_start_ms: 1000,
+            drain_collect_ms: 500,
             platform: false,
         };
         for zone in ["vault-a", "vault-b"] {
--- a/tests/system/tests/failures.rs
+++ b/tests/system/tests/failures.rs
@@ -416,6 +416,31 @@
     );
 }
 
+/// Guards against an agent that cannot be ended: after a second signal it no longer waits until its
+/// usage was collected. In a trial three agents were still running 20 s after the second signal.
+#[test]
+fn a_second_signal_ends_a_waiting_agent() {
+    let mut shape = DeploymentShape::smallest();
+    shape.drain_collect_ms = 600_000;
+    let mut deployment = TestDeployment::start(shape);
+    let url = format!("{}/v1/completions", deployment.caller_url(0));
+    assert_eq!(
+        post_json(&url, FIRST_KEY, &completion("a slip", 4)).status,
+        200
+    );
+
+    let index = deployment.upstream_index("draft-a1");
+    let agent = &mut deployment.agents[index];
+    agent.terminate();
+    wait_for("the drain", || {
+        agent.log_text().contains("drain_complete").then_some(())
+    });
+    agent.terminate();
+    wait_for("the end of the agent", || {
+        (!agent.is_running()).then_some(())
+    });
+}
+
 /// Guards G10: once the configuration that takes a zone out has reached its agents, no request
 /// starts there, while work in progress ends; after its return it is used again.
 #[test]
