--- /dev/null
+++ b/crates/catkindeck-control/examples/capacity_threads.rs
@@ -0,0 +1,84 @@
+//! Prints the memory of threads that wait, for `docs/CAPACITY.md`.
+//!
+//! An entry and an agent keep one blocking thread for each stream, and a training run's owner one
+//! for each sample that is being generated. Resident memory is read from the system and depends on
+//! its page size and C library.
+
+use std::{
+    fs,
+    sync::mpsc::{Receiver, channel},
+    thread,
+};
+
+/// The stacks of an entry's handler and of a worker of a training run, and the library's default.
+const STACKS: [(&str, usize); 3] = [
+    ("run worker, 256 KiB", 256 << 10),
+    ("entry handler, 512 KiB", 512 << 10),
+    ("default, 2 MiB", 2 << 20),
+];
+
+const COUNTS: [usize; 4] = [8, 100, 700, 2_000];
+
+/// Stack that a waiting thread has touched, as a deep call would, in bytes.
+const TOUCHED: usize = 16 << 10;
+
+fn main() {
+    println!("# KiB a thread: resident with only a wait, resident after {TOUCHED} bytes, virtual");
+    for (what, stack) in STACKS {
+        for count in COUNTS {
+            let (idle, _) = measure(count, stack, false);
+            let (touched, size) = measure(count, stack, true);
+            println!("{what:<24} {count:>5} threads {idle:>8.1} {touched:>8.1} {size:>9.1}");
+        }
+    }
+}
+
+/// Returns the resident and virtual KiB that each of `count` waiting threads adds.
+fn measure(count: usize, stack: usize, touch: bool) -> (f64, f64) {
+    let before = (status("VmRSS:"), status("VmSize:"));
+    let (ready, started) = channel();
+    let mut ends = Vec::new();
+    let mut threads = Vec::new();
+    for _ in 0..count {
+        let (end, wait) = channel::<()>();
+        let ready = ready.clone();
+        ends.push(end);
+        let builder = thread::Builder::new().stack_size(stack);
+        let spawned = builder.spawn(move || {
+            if touch {
+                touch_stack();
+            }
+            // The receiver lives until every thread is ready.
+            let _ = ready.send(());
+            wait_for(&wait);
+        });
+        threads.push(spawned.expect("the system has threads to give"));
+    }
+    (0..count).for_each(|_| started.recv().expect("every thread sends once"));
+    let after = (status("VmRSS:"), status("VmSize:"));
+    drop(ends);
+    for thread in threads {
+        thread.join().expect("the threads do not panic");
+    }
+    let share = |before: f64, after: f64| (after - before) / count as f64;
+    (share(before.0, after.0), share(before.1, after.1))
+}
+
+#[inline(never)]
+fn touch_stack() {
+    let mut bytes = [0_u8; TOUCHED];
+    std::hint::black_box(&mut bytes);
+}
+
+fn wait_for(wait: &Receiver<()>) {
+    // The error says that the other end is gone, which ends the wait.
+    let _ = wait.recv();
+}
+
+/// Reads a figure in KiB of this process from the system.
+fn status(field: &str) -> f64 {
+    let text = fs::read_to_string("/proc/self/status").expect("the system is Linux");
+    let line = text.lines().find(|line| line.starts_with(field));
+    let figure = line.and_then(|line| line.split_whitespace().nth(1));
+    figure.and_then(|figure| figure.parse().ok()).unwrap_or(0.0)
+}
--- /dev/null
+++ b/crates/catkindeck-wire/examples/capacity_wire.rs
@@ -0,0 +1,202 @@
+//! Prints the datagrams and bytes of a connection, of an idle connection and of calls, for
+//! `docs/CAPACITY.md`.
+//!
+//! A relay between two endpoints on the loopback interface counts the payloads of UDP datagrams in
+//! both directions; 28 bytes of IP and UDP header for each datagram are added.
+
+use {
+    catkindeck::{
+        config::ConfigRevision,
+        id::{ObjectName, RequestId},
+        link::{FrameSink, PeerHandler, PeerIdentity, PeerRole},
+        log::discard_logger,
+        message::{OrderKind, PeerFrame, PeerRequest, UpstreamOrder},
+        process::RawTls,
+        token::WeightVersion,
+    },
+    catkindeck_wire::{DevelopmentAuthority, PeerEndpoint, RevisionHook, WireLimits, WireSettings},
+    std::{
+        error::Error,
+        fs,
+        net::{Ipv4Addr, SocketAddr, UdpSocket},
+        path::Path,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// The IPv4 and UDP headers of a datagram, in bytes.
+const HEADER_BYTES: u64 = 28;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The calls over which the cost of one is averaged.
+const CALLS: u64 = 200;
+
+/// How long a connection is left idle.
+const IDLE: Duration = Duration::from_secs(10);
+
+static DATAGRAMS: AtomicU64 = AtomicU64::new(0);
+static BYTES: AtomicU64 = AtomicU64::new(0);
+
+/// Answers every call with one frame.
+struct OneFrame;
+
+impl PeerHandler for OneFrame {
+    fn handle(&self, _peer: &PeerIdentity, request: PeerRequest, reply: Arc<dyn FrameSink>) {
+        let frame = match request {
+            PeerRequest::ReadRevision => PeerFrame::Revision(ConfigRevision(1)),
+            _ => PeerFrame::Done,
+        };
+        // An error means that the caller is gone.
+        let _ = reply.send(frame);
+    }
+}
+
+struct FixedRevision;
+
+impl RevisionHook for FixedRevision {
+    fn current(&self) -> ConfigRevision {
+        ConfigRevision(1)
+    }
+
+    fn higher_seen(&self, _revision: ConfigRevision, _peer: &PeerIdentity, _address: SocketAddr) {}
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let directory = tempfile::TempDir::new()?;
+    let authority = DevelopmentAuthority::create()?;
+    fs::write(
+        directory.path().join("authority.pem"),
+        authority.certificate_pem(),
+    )?;
+    let agent = endpoint(&authority, directory.path(), PeerRole::Agent, "upstream-1")?;
+    let entry = endpoint(&authority, directory.path(), PeerRole::Entry, "entry-1")?;
+    agent.serve(Arc::new(OneFrame));
+    let address = relay(agent.local_address()?)?;
+    let link = entry.link();
+    let call = |request: PeerRequest| -> Result<(), Box<dyn Error>> {
+        let mut stream = link.call(address, request, TIMEOUT)?;
+        while stream.receive(TIMEOUT)?.is_some() {}
+        Ok(())
+    };
+
+    println!("{:<34} {:>10} {:>10}", "", "datagrams", "bytes");
+    let before = counts();
+    call(PeerRequest::ReadRevision)?;
+    thread::sleep(Duration::from_millis(500));
+    print("connection with its first call", before, 1);
+
+    let before = counts();
+    thread::sleep(IDLE);
+    print("idle connection, a second", before, IDLE.as_secs());
+
+    let (before, started) = (counts(), Instant::now());
+    for _ in 0..CALLS {
+        call(PeerRequest::ReadRevision)?;
+    }
+    let spent = started.elapsed();
+    print("ReadRevision, back to back", before, CALLS);
+    println!("  {:.0} us each", spent.as_secs_f64() * 1e6 / CALLS as f64);
+
+    let before = counts();
+    for _ in 0..10 {
+        call(PeerRequest::ReadRevision)?;
+        thread::sleep(Duration::from_secs(1));
+    }
+    print("ReadRevision once a second", before, 10);
+
+    let before = counts();
+    for _ in 0..CALLS {
+        call(PeerRequest::Order(UpstreamOrder {
+            order: RequestId::random(),
+            lease: ObjectName::try_from("run-07")?,
+            fence: 5_000,
+            kind: OrderKind::Activate(WeightVersion(5_000)),
+        }))?;
+    }
+    print("Order, back to back", before, CALLS);
+
+    entry.close(TIMEOUT);
+    agent.close(TIMEOUT);
+    Ok(())
+}
+
+fn endpoint(
+    authority: &DevelopmentAuthority,
+    directory: &Path,
+    role: PeerRole,
+    host: &str,
+) -> Result<PeerEndpoint, Box<dyn Error>> {
+    let issued = authority.issue(role, &ObjectName::try_from(host)?)?;
+    let tls = RawTls {
+        authority: directory.join("authority.pem"),
+        certificate: directory.join(format!("{host}.pem")),
+        key: directory.join(format!("{host}.key")),
+    };
+    fs::write(&tls.certificate, issued.certificate_pem)?;
+    fs::write(&tls.key, issued.key_pem)?;
+    let settings = WireSettings {
+        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        tls,
+        limits: WireLimits::default(),
+    };
+    let hook = Arc::new(FixedRevision);
+    Ok(PeerEndpoint::start(&settings, hook, discard_logger())?)
+}
+
+/// Passes datagrams between one caller and `target` and counts them.
+fn relay(target: SocketAddr) -> std::io::Result<SocketAddr> {
+    let front = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let back = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let address = front.local_addr()?;
+    let caller: Arc<Mutex<Option<SocketAddr>>> = Arc::default();
+    let (receive, send) = (front.try_clone()?, back.try_clone()?);
+    let learned = Arc::clone(&caller);
+    thread::spawn(move || {
+        let mut bytes = [0; 65_536];
+        while let Ok((length, from)) = receive.recv_from(&mut bytes) {
+            *learned.lock().unwrap_or_else(PoisonError::into_inner) = Some(from);
+            count(length);
+            // A lost datagram is sent again by the transport.
+            let _ = send.send_to(&bytes[..length], target);
+        }
+    });
+    thread::spawn(move || {
+        let mut bytes = [0; 65_536];
+        while let Ok((length, _)) = back.recv_from(&mut bytes) {
+            let caller = *caller.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Some(caller) = caller {
+                count(length);
+                let _ = front.send_to(&bytes[..length], caller);
+            }
+        }
+    });
+    Ok(address)
+}
+
+fn count(length: usize) {
+    DATAGRAMS.fetch_add(1, Ordering::Relaxed);
+    BYTES.fetch_add(length as u64 + HEADER_BYTES, Ordering::Relaxed);
+}
+
+fn counts() -> (u64, u64) {
+    (
+        DATAGRAMS.load(Ordering::Relaxed),
+        BYTES.load(Ordering::Relaxed),
+    )
+}
+
+fn print(what: &str, before: (u64, u64), share: u64) {
+    let after = counts();
+    let each = |before: u64, after: u64| (after - before) as f64 / share as f64;
+    println!(
+        "{what:<34} {:>10.1} {:>10.0}",
+        each(before.0, after.0),
+        each(before.1, after.1)
+    );
+}
