--- a/crates/catkindeck-control/examples/capacity_messages.rs
+++ b/crates/catkindeck-control/examples/capacity_messages.rs
@@ -12,14 +12,14 @@
         id::{BodyDigest, BootId, IncarnationId, KeyDigest, ObjectName, RequestId},
         message::{
             CompletionBody, ExecuteRequest, ExecutionRecord, ExecutionState, LoadReport, OrderKind,
-            PeerEnvelope, PeerFrame, PeerRequest, SampleId, UpstreamOrder, UsageLine, WorkBody,
-            WorkClass,
+            PeerEnvelope, PeerFrame, PeerRequest, SampleId, ShardRef, UpstreamOrder, UsageLine,
+            WorkBody, WorkClass,
         },
         platform::{HostRecord, HostState},
         token::{VersionLabels, WeightVersion},
     },
     catkindeck_control::{
-        spread::encode_shards,
+        spread::{ConfigHead, encode_shards},
         usage::{AgentMark, SealedUsage},
     },
     catkindeck_policy::{BatchRecord, BatchSample, StepEntry},
@@ -88,8 +88,8 @@
 
     println!("\n# configuration with as many customers, keys and upstreams");
     println!(
-        "{:>7} {:>12} {:>10} {:>10} {:>8} {:>10} {:>10}",
-        "each", "whole bytes", "enc us", "dec us", "shards", "largest", "all shards"
+        "{:>7} {:>12} {:>10} {:>10} {:>8} {:>10} {:>10} {:>8}",
+        "each", "whole bytes", "enc us", "dec us", "shards", "largest", "all shards", "head"
     );
     SIZES
         .iter()
@@ -109,13 +109,27 @@
     let shards = encode_shards(snapshot).expect("the content fits into parts");
     let lengths: Vec<usize> = shards.iter().map(|(_, bytes)| bytes.len()).collect();
     println!(
-        "{label:>7} {bytes:>12} {encode:>10.1} {decode:>10.1} {:>8} {:>10} {:>10}",
+        "{label:>7} {bytes:>12} {encode:>10.1} {decode:>10.1} {:>8} {:>10} {:>10} {:>8}",
         lengths.len(),
         lengths.iter().max().unwrap_or(&0),
         lengths.iter().sum::<usize>(),
+        head_len(shards.iter().map(|(part, _)| part)),
     );
 }
 
+/// Returns the encoded length of a head that names these parts.
+fn head_len<'a>(parts: impl Iterator<Item = &'a String>) -> usize {
+    let shards = parts.map(|part| ShardRef {
+        name: part.clone(),
+        number: 1_000_000,
+    });
+    let head = ConfigHead {
+        revision: ConfigRevision(1_000_000),
+        shards: shards.collect(),
+    };
+    head.encode().expect("the head is encodable").len()
+}
+
 fn frame<T: Serialize + DeserializeOwned>(what: &str, value: &T) {
     let (bytes, encode, decode) = cost(value, 2_000);
     println!("{what:<36} {bytes:>9} {encode:>9.2} {decode:>9.2}");
--- a/crates/catkindeck-wire/examples/capacity_wire.rs
+++ b/crates/catkindeck-wire/examples/capacity_wire.rs
@@ -40,6 +40,11 @@
 /// How long a connection is left idle.
 const IDLE: Duration = Duration::from_secs(10);
 
+/// The tokens of a stream, the time of each, and the numbers of streams at once.
+const TOKENS: u32 = 250;
+const TOKEN_TIME: Duration = Duration::from_millis(20);
+const STREAMS: [u8; 3] = [10, 50, 200];
+
 static DATAGRAMS: AtomicU64 = AtomicU64::new(0);
 static BYTES: AtomicU64 = AtomicU64::new(0);
 
@@ -48,6 +53,9 @@
 
 impl PeerHandler for OneFrame {
     fn handle(&self, _peer: &PeerIdentity, request: PeerRequest, reply: Arc<dyn FrameSink>) {
+        if let PeerRequest::Cancel { request } = request {
+            return stream_tokens(request, reply.as_ref());
+        }
         let frame = match request {
             PeerRequest::ReadRevision => PeerFrame::Revision(ConfigRevision(1)),
             _ => PeerFrame::Done,
@@ -57,6 +65,23 @@
     }
 }
 
+/// Sends one token a chunk at the pace of an engine.
+fn stream_tokens(request: RequestId, reply: &dyn FrameSink) {
+    for sequence in 0..TOKENS {
+        let chunk = PeerFrame::Chunk {
+            request,
+            sequence,
+            bytes: b"word".to_vec(),
+            tokens: 1,
+            version: Some(WeightVersion(5_000)),
+        };
+        if reply.send(chunk).is_err() {
+            return;
+        }
+        thread::sleep(TOKEN_TIME);
+    }
+}
+
 struct FixedRevision;
 
 impl RevisionHook for FixedRevision {
@@ -121,6 +146,28 @@
     }
     print("Order, back to back", before, CALLS);
 
+    println!("streams of one token each {TOKEN_TIME:?}, processor time of both ends");
+    let direct = agent.local_address()?;
+    for streams in STREAMS {
+        let before = processor_ms();
+        thread::scope(|scope| {
+            for number in 0..streams {
+                let link = &link;
+                scope.spawn(move || {
+                    let request = RequestId([number; 16]);
+                    let cancel = PeerRequest::Cancel { request };
+                    let Ok(mut stream) = link.call(direct, cancel, TIMEOUT) else {
+                        return;
+                    };
+                    while let Ok(Some(_)) = stream.receive(TIMEOUT) {}
+                });
+            }
+        });
+        let chunks = u64::from(TOKENS) * u64::from(streams);
+        let each = (processor_ms() - before) as f64 * 1e3 / chunks as f64;
+        println!("  {streams:>4} streams {chunks:>7} chunks {each:>7.1} us each");
+    }
+
     entry.close(TIMEOUT);
     agent.close(TIMEOUT);
     Ok(())
@@ -179,6 +226,18 @@
     Ok(address)
 }
 
+/// Reads the processor time of this process in milliseconds, with a step of 10 ms.
+fn processor_ms() -> u64 {
+    let text = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    // The second field is a name in brackets; user and system time are fields 14 and 15.
+    let rest = text.rsplit(')').next().unwrap_or("");
+    let ticks = rest.split_whitespace().skip(11).take(2);
+    ticks
+        .filter_map(|field| field.parse::<u64>().ok())
+        .sum::<u64>()
+        * 10
+}
+
 fn count(length: usize) {
     DATAGRAMS.fetch_add(1, Ordering::Relaxed);
     BYTES.fetch_add(length as u64 + HEADER_BYTES, Ordering::Relaxed);
