--- a/crates/catkindeck-control/examples/capacity_messages.rs
+++ b/crates/catkindeck-control/examples/capacity_messages.rs
@@ -83,7 +83,16 @@
     json("log entry of a batch of 128 samples", &entry);
     json("sealed usage, 475 agents, 1,000 lines", &sealed(475, 1_000));
     for hosts in [11, 100, 1_000, 6_300] {
-        json(&format!("host list of {hosts}"), &host_list(hosts));
+        let list = host_list(hosts);
+        json(&format!("host list of {hosts}"), &list);
+        let bytes = serde_json::to_vec(&list).expect("the value is encodable");
+        let started = Instant::now();
+        for _ in 0..10 {
+            let parsed = serde_json::from_slice::<Vec<HostRecord>>(black_box(&bytes));
+            black_box(parsed.expect("the value is decodable"));
+        }
+        let each = started.elapsed().as_secs_f64() * 1e6 / 10.0;
+        println!("  parsed in {each:.0} us");
     }
 
     println!("\n# configuration with as many customers, keys and upstreams");
