Share the header lists and split the ledger by concern

Change: the lists lie in the shared crate; what a fetch does is a file of its own; ConfigKeeper is ConfigCache and SampleShelf is SampleBuffer. No behaviour changes. Measured: the tests of policy, agent and entry pass as before.

--- a/crates/catkindeck-agent/src/configuration.rs
+++ b/crates/catkindeck-agent/src/configuration.rs
@@ -30,7 +30,7 @@
 
 /// Keeps the configuration and fetches higher revisions from the peers that show them
 /// (`docs/design.md`, decision 9).
-pub struct ConfigKeeper {
+pub struct ConfigCache {
     current: ArcSwap<ConfigSnapshot>,
     highest_seen: AtomicU64,
     /// Peers that showed a higher revision, newest last.
@@ -50,8 +50,8 @@
     logger: Logger,
 }
 
-impl ConfigKeeper {
-    /// Makes a keeper that knows no configuration; `seeds` are asked for the first one.
+impl ConfigCache {
+    /// Makes a cache that knows no configuration; `seeds` are asked for the first one.
     pub fn new(seeds: Vec<SocketAddr>, timeout: Duration, logger: Logger) -> Self {
         Self {
             current: ArcSwap::default(),
@@ -214,7 +214,7 @@
     }
 }
 
-impl RevisionHook for ConfigKeeper {
+impl RevisionHook for ConfigCache {
     fn current(&self) -> ConfigRevision {
         self.current.load().revision
     }
--- a/crates/catkindeck-agent/src/core.rs
+++ b/crates/catkindeck-agent/src/core.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        configuration::ConfigKeeper,
+        configuration::ConfigCache,
         events,
         metrics::{AgentMetrics, gauge_value},
         probe::ProbeTrack,
@@ -57,7 +57,7 @@
     pub(crate) readiness: Arc<ReadinessFlag>,
     pub(crate) gate: Arc<DrainGate>,
     pub(crate) metrics: AgentMetrics,
-    pub(crate) keeper: Arc<ConfigKeeper>,
+    pub(crate) cache: Arc<ConfigCache>,
     pub(crate) link: OnceLock<Arc<dyn PeerLink>>,
     /// Held while an order is at the upstream, so that orders arrive there in the order of their
     /// fencing numbers.
@@ -81,7 +81,7 @@
             .hold(NO_CONFIGURATION, "no peer has given a configuration yet");
         let incarnation = IncarnationId::random();
         let state = AgentState::new(&parts.settings, incarnation, parts.clock.now());
-        let keeper = ConfigKeeper::new(
+        let cache = ConfigCache::new(
             parts.settings.peers.clone(),
             parts.settings.timeouts.peer,
             parts.logger.clone(),
@@ -94,7 +94,7 @@
             readiness: parts.readiness,
             gate: parts.gate,
             metrics,
-            keeper: Arc::new(keeper),
+            cache: Arc::new(cache),
             link: OnceLock::new(),
             order_turn: Mutex::new(()),
             probing: Mutex::default(),
@@ -102,7 +102,7 @@
             state: Mutex::new(state),
         });
         let listener = Arc::downgrade(&core);
-        core.keeper.set_listener(Box::new(move |config| {
+        core.cache.set_listener(Box::new(move |config| {
             if let Some(core) = listener.upgrade() {
                 core.apply_configuration(config);
             }
@@ -112,7 +112,7 @@
 
     /// Gives the agent the way to call other processes; only the first call has effect.
     pub fn connect(&self, link: Arc<dyn PeerLink>) {
-        self.keeper.connect(link.clone());
+        self.cache.connect(link.clone());
         // A second link would be of the same endpoint.
         let _ = self.link.set(link);
     }
@@ -123,13 +123,13 @@
     }
 
     /// Returns the holder of the configuration, which is also the transport's hook.
-    pub fn keeper(&self) -> &Arc<ConfigKeeper> {
-        &self.keeper
+    pub fn cache(&self) -> &Arc<ConfigCache> {
+        &self.cache
     }
 
     /// Makes the load report for a peer; only entries are granted credits.
     pub fn report(&self, entry: Option<&ObjectName>) -> LoadReport {
-        let revision = self.keeper.current().revision;
+        let revision = self.cache.current().revision;
         let now = self.now();
         self.lock().report(now, entry, revision)
     }
@@ -167,7 +167,7 @@
         metrics.records.set(gauge_value(state.table.len()));
         metrics.samples.set(gauge_value(state.samples.len()));
         metrics.usage_lines.set(gauge_value(state.usage.len()));
-        let revision = self.keeper.current().revision.0;
+        let revision = self.cache.current().revision.0;
         metrics
             .revision
             .set(i64::try_from(revision).unwrap_or(i64::MAX));
--- a/crates/catkindeck-agent/src/execute.rs
+++ b/crates/catkindeck-agent/src/execute.rs
@@ -75,7 +75,7 @@
     }
 
     fn begin(&self, request: &ExecuteRequest) -> Result<BeginDecision, ServiceError> {
-        self.keeper.check_current()?;
+        self.cache.check_current()?;
         if request.service != self.settings.upstream.service {
             let service = &self.settings.upstream.service;
             return Err(ServiceError::not_run(
--- a/crates/catkindeck-agent/src/hand_over.rs
+++ b/crates/catkindeck-agent/src/hand_over.rs
@@ -42,7 +42,7 @@
             state.ending = true;
             state.table.hand_over(now)
         };
-        let config = self.keeper.current();
+        let config = self.cache.current();
         let mut by_home: SortedMap<ObjectName, Vec<ExecutionRecord>> = SortedMap::new();
         let mut homeless = 0;
         for record in records {
--- a/crates/catkindeck-agent/src/handler.rs
+++ b/crates/catkindeck-agent/src/handler.rs
@@ -68,13 +68,13 @@
                 PeerFrame::Done
             }
             PeerRequest::PushConfiguration(config) => {
-                PeerFrame::Revision(core.keeper().accept(*config))
+                PeerFrame::Revision(core.cache().accept(*config))
             }
             PeerRequest::FetchConfiguration => {
-                let config = core.keeper().current();
+                let config = core.cache().current();
                 PeerFrame::Configuration(Box::new((*config).clone()))
             }
-            PeerRequest::ReadRevision => PeerFrame::Revision(core.keeper().current().revision),
+            PeerRequest::ReadRevision => PeerFrame::Revision(core.cache().current().revision),
             PeerRequest::CollectUsage { sealed_through } => {
                 let mut state = core.lock();
                 let ending = state.ending;
--- a/crates/catkindeck-agent/src/hosts.rs
+++ b/crates/catkindeck-agent/src/hosts.rs
@@ -39,7 +39,7 @@
             self.lock().listed_leaving = own.state == HostState::Leaving;
             self.refresh_closed();
         }
-        self.keeper.set_listed(self.nearest_entries(&hosts));
+        self.cache.set_listed(self.nearest_entries(&hosts));
     }
 
     /// Returns a few entries, those of the agent's zone first.
--- a/crates/catkindeck-agent/src/process.rs
+++ b/crates/catkindeck-agent/src/process.rs
@@ -189,7 +189,7 @@
             ..WireLimits::default()
         },
     };
-    let endpoint = PeerEndpoint::start(&wire, core.keeper().clone(), logger.clone())
+    let endpoint = PeerEndpoint::start(&wire, core.cache().clone(), logger.clone())
         .map_err(|error| fault(error.to_string()))?;
     let identity = endpoint.identity();
     if identity.role != PeerRole::Agent || identity.host != settings.process.host.as_str() {
--- a/crates/catkindeck-agent/src/run.rs
+++ b/crates/catkindeck-agent/src/run.rs
@@ -186,7 +186,7 @@
             let record = state.table.finish(now, &request.request, result);
             let dropped = sample.map_or_else(Vec::new, |sample| state.samples.keep(sample));
             state.pump(now);
-            let load = state.report(now, Some(entry), self.keeper.current().revision);
+            let load = state.report(now, Some(entry), self.cache.current().revision);
             (record, load, dropped)
         };
         for sample in dropped {
@@ -254,7 +254,7 @@
             };
             state.table.finish(now, &request.request, result);
             state.pump(now);
-            state.report(now, Some(entry), self.keeper.current().revision)
+            state.report(now, Some(entry), self.cache.current().revision)
         };
         self.metrics
             .requests
--- a/crates/catkindeck-agent/src/samples.rs
+++ b/crates/catkindeck-agent/src/samples.rs
@@ -14,15 +14,15 @@
 /// Keeps finished samples until they are released, so that a successor of the step's owner can
 /// collect them again (`docs/design.md`, decision 11).
 #[derive(Debug, Clone)]
-pub struct SampleShelf {
+pub struct SampleBuffer {
     limit: u64,
     bytes: u64,
     samples: BTreeMap<SampleId, SampleRecord>,
     order: VecDeque<SampleId>,
 }
 
-impl SampleShelf {
-    /// Makes an empty shelf that keeps at most `limit` bytes.
+impl SampleBuffer {
+    /// Makes an empty buffer that keeps at most `limit` bytes.
     pub fn new(limit: u64) -> Self {
         Self {
             limit,
--- a/crates/catkindeck-agent/src/state.rs
+++ b/crates/catkindeck-agent/src/state.rs
@@ -1,7 +1,7 @@
 //! The state of an agent, which one lock protects.
 
 use {
-    crate::{samples::SampleShelf, settings::AgentSettings, usage::UsageMeter},
+    crate::{samples::SampleBuffer, settings::AgentSettings, usage::UsageMeter},
     catkindeck::{
         ErrorKind, Moment, ServiceError,
         config::{ConfigRevision, ConfigSnapshot, ZoneState},
@@ -96,7 +96,7 @@
     pub fence: OrderFence,
     pub quarantine: CrashQuarantine,
     pub usage: UsageMeter,
-    pub samples: SampleShelf,
+    pub samples: SampleBuffer,
     /// The threads that wait for a grant.
     pub waiting: BTreeMap<RequestId, Thread>,
     pub running: BTreeMap<RequestId, RunningWork>,
@@ -143,7 +143,7 @@
             fence: OrderFence::new(),
             quarantine: CrashQuarantine::new(),
             usage: UsageMeter::new(),
-            samples: SampleShelf::new(settings.limits.sample_bytes),
+            samples: SampleBuffer::new(settings.limits.sample_bytes),
             waiting: BTreeMap::new(),
             running: BTreeMap::new(),
             boot: BootId::default(),
--- a/crates/catkindeck-agent/src/upstream/plain.rs
+++ b/crates/catkindeck-agent/src/upstream/plain.rs
@@ -8,6 +8,7 @@
     crate::settings::{AgentTimeouts, UpstreamSettings},
     catkindeck::{
         ErrorKind, ServiceError,
+        headers::{ANSWER_HEADERS, REQUEST_HEADERS},
         id::RequestId,
         message::{CallBody, ExecuteRequest, OrderKind, WorkBody},
     },
@@ -25,47 +26,6 @@
 /// The size of the pieces in which an answer is passed on, in bytes.
 const CHUNK_BYTES: usize = 64 << 10;
 
-/// The request headers that reach a plain service, besides the request's identity.
-///
-/// A list of what passes keeps keys away from upstreams even if an entry passes on too much
-/// (`docs/design.md`, G5).
-const REQUEST_HEADERS: [&str; 14] = [
-    "accept",
-    "accept-encoding",
-    "accept-language",
-    "content-encoding",
-    "content-language",
-    "content-type",
-    "if-match",
-    "if-modified-since",
-    "if-none-match",
-    "if-unmodified-since",
-    "range",
-    "traceparent",
-    "tracestate",
-    "user-agent",
-];
-
-/// The answer headers that are passed on.
-const ANSWER_HEADERS: [&str; 16] = [
-    "accept-ranges",
-    "allow",
-    "cache-control",
-    "content-disposition",
-    "content-encoding",
-    "content-language",
-    "content-range",
-    "content-type",
-    "etag",
-    "expires",
-    "last-modified",
-    "link",
-    "location",
-    "retry-after",
-    "vary",
-    "x-content-type-options",
-];
-
 /// A plain service.
 pub struct PlainUpstream {
     agent: Agent,
--- a/crates/catkindeck-agent/src/watch.rs
+++ b/crates/catkindeck-agent/src/watch.rs
@@ -67,10 +67,10 @@
         }
     })?;
     repeat("catch-up", core, CATCH_UP_INTERVAL, |core| {
-        core.keeper().catch_up();
+        core.cache().catch_up();
     })?;
     repeat("follow", core, FOLLOW_INTERVAL, |core| {
-        core.keeper().follow();
+        core.cache().follow();
     })
 }
 
--- a/crates/catkindeck-agent/tests/usage.rs
+++ b/crates/catkindeck-agent/tests/usage.rs
@@ -1,4 +1,4 @@
-//! Fuzzing of the usage meter and the sample shelf against simple oracles.
+//! Fuzzing of the usage meter and the sample buffer against simple oracles.
 
 use {
     catkindeck::{
@@ -6,7 +6,7 @@
         message::{SampleId, SampleRecord, USAGE_WINDOW_MS, UsageLine},
         token::VersionLabels,
     },
-    catkindeck_agent::{samples::SampleShelf, usage::UsageMeter},
+    catkindeck_agent::{samples::SampleBuffer, usage::UsageMeter},
     proptest::{collection::vec, prelude::*, test_runner::RngSeed},
     std::collections::BTreeMap,
 };
@@ -135,24 +135,24 @@
         steps in vec((0_u32..12, 0_usize..2000, any::<bool>()), 0..60),
     ) {
         const LIMIT: u64 = 8_000;
-        let mut shelf = SampleShelf::new(LIMIT);
+        let mut buffer = SampleBuffer::new(LIMIT);
         let mut expected: BTreeMap<SampleId, String> = BTreeMap::new();
         for (index, length, release) in steps {
             let id = SampleId { run: name("slips"), step: 1, group: 0, index, generation: 0 };
             if release {
-                shelf.release(std::slice::from_ref(&id));
+                buffer.release(std::slice::from_ref(&id));
                 expected.remove(&id);
             } else {
                 let text = "x".repeat(length);
                 let labels = VersionLabels::default();
                 let sample = SampleRecord { id: id.clone(), text: text.clone(), labels };
-                let dropped = shelf.keep(sample);
+                let dropped = buffer.keep(sample);
                 expected.entry(id).or_insert(text);
                 for id in dropped {
                     prop_assert!(expected.remove(&id).is_some());
                 }
             }
-            let kept = shelf.collect(&name("slips"), 1);
+            let kept = buffer.collect(&name("slips"), 1);
             let size: usize = kept.iter().map(|sample| sample.text.len()).sum();
             prop_assert!(size as u64 <= LIMIT);
             let kept: BTreeMap<_, _> =
--- a/crates/catkindeck-entry/src/headers.rs
+++ b/crates/catkindeck-entry/src/headers.rs
@@ -2,51 +2,13 @@
 
 use {
     crate::credentials::CallerKeys,
-    catkindeck::{ErrorKind, ServiceError},
+    catkindeck::{
+        ErrorKind, ServiceError,
+        headers::{ANSWER_HEADERS, REQUEST_HEADERS},
+    },
     http::HeaderMap,
 };
 
-/// The request headers that reach a plain service.
-///
-/// It is a list of what passes and not of what is removed, so that a header nobody thought of cannot
-/// carry a key to an upstream (`docs/design.md`, G5).
-const REQUEST_HEADERS: [&str; 14] = [
-    "accept",
-    "accept-encoding",
-    "accept-language",
-    "content-encoding",
-    "content-language",
-    "content-type",
-    "if-match",
-    "if-modified-since",
-    "if-none-match",
-    "if-unmodified-since",
-    "range",
-    "traceparent",
-    "tracestate",
-    "user-agent",
-];
-
-/// The answer headers that reach a caller.
-const ANSWER_HEADERS: [&str; 16] = [
-    "accept-ranges",
-    "allow",
-    "cache-control",
-    "content-disposition",
-    "content-encoding",
-    "content-language",
-    "content-range",
-    "content-type",
-    "etag",
-    "expires",
-    "last-modified",
-    "link",
-    "location",
-    "retry-after",
-    "vary",
-    "x-content-type-options",
-];
-
 /// The longest idempotency key, in bytes.
 const IDEMPOTENCY_KEY_LIMIT: usize = 128;
 
--- a/crates/catkindeck-policy/src/ledger.rs
+++ b/crates/catkindeck-policy/src/ledger.rs
@@ -6,8 +6,8 @@
 
 use {
     crate::batch::{
-        BATCH_BYTE_LIMIT, BATCH_SAMPLE_LIMIT, BatchRecord, BatchSample, DiscardReason, FetchAction,
-        STEP_SAMPLE_LIMIT, SampleTask, StepEntry, StepTerms, sample_digest,
+        BatchRecord, BatchSample, DiscardReason, STEP_SAMPLE_LIMIT, SampleTask, StepEntry,
+        StepTerms, sample_digest,
     },
     catkindeck::{
         ErrorKind, ServiceError,
@@ -16,8 +16,9 @@
     },
 };
 
+/// What became of a position of the step.
 #[derive(Debug, Clone)]
-enum SlotState {
+pub(crate) enum SlotState {
     Waiting,
     Running,
     Accepted(Box<SampleRecord>),
@@ -27,31 +28,33 @@
     },
 }
 
+/// A position of the step with the generation that is wanted now.
 #[derive(Debug, Clone)]
-struct SampleSlot {
+pub(crate) struct SampleSlot {
     generation: u32,
-    state: SlotState,
+    pub(crate) state: SlotState,
 }
 
+/// A batch whose offer the store holds.
 #[derive(Debug, Clone)]
-struct StepBatch {
-    samples: Vec<BatchSample>,
-    lost: bool,
+pub(crate) struct StepBatch {
+    pub(crate) samples: Vec<BatchSample>,
+    pub(crate) lost: bool,
 }
 
 /// The ledger of one step under its owner.
 #[derive(Debug, Clone)]
 pub struct StepLedger {
     terms: StepTerms,
-    plan: StepPlan,
+    pub(crate) plan: StepPlan,
     current: WeightVersion,
-    slots: Vec<SampleSlot>,
-    batches: Vec<StepBatch>,
+    pub(crate) slots: Vec<SampleSlot>,
+    pub(crate) batches: Vec<StepBatch>,
     /// The number of entries in the step's log.
     log_length: u32,
     /// The entry whose write to the store is in doubt; it stays fixed until it is resolved, because
     /// the write may have taken effect.
-    proposal: Option<StepEntry>,
+    pub(crate) proposal: Option<StepEntry>,
 }
 
 impl StepLedger {
@@ -267,25 +270,6 @@
         Ok(())
     }
 
-    /// Decides what to do for a fetch at `cursor`, which acknowledges the batch before it.
-    pub fn fetch(&mut self, cursor: u32) -> FetchAction {
-        let next = count_u32(self.batches.len());
-        if cursor == next {
-            return self.fetch_next(cursor);
-        }
-        if cursor + 1 == next {
-            return self.fetch_again(cursor);
-        }
-        let error = if cursor < next {
-            let detail = format!("batch {cursor} was acknowledged by the fetch of a later one");
-            ServiceError::not_run(ErrorKind::Conflict, detail)
-        } else {
-            let detail = format!("the next cursor is {next}, not {cursor}");
-            ServiceError::not_run(ErrorKind::BadRequest, detail)
-        };
-        FetchAction::Refuse(error)
-    }
-
     /// Notes that the store holds `entry` at [`StepLedger::log_position`]; returns the samples that
     /// agents need no longer retain.
     ///
@@ -312,75 +296,6 @@
         Ok(released)
     }
 
-    fn fetch_next(&mut self, cursor: u32) -> FetchAction {
-        if self.is_complete() {
-            let detail = "the step is complete and its last batch was acknowledged";
-            return FetchAction::Refuse(ServiceError::not_run(ErrorKind::Conflict, detail));
-        }
-        if let Some(proposal) = &self.proposal {
-            return FetchAction::Persist(proposal.clone());
-        }
-        let samples = self.compose();
-        if samples.is_empty() && !self.is_offered_whole() {
-            return FetchAction::Pending;
-        }
-        let proposal = StepEntry::Offer(BatchRecord { cursor, samples });
-        self.proposal = Some(proposal.clone());
-        FetchAction::Persist(proposal)
-    }
-
-    fn fetch_again(&self, cursor: u32) -> FetchAction {
-        let batch = &self.batches[cursor as usize];
-        if batch.lost {
-            return FetchAction::Lost(batch.samples.iter().map(|s| s.id.clone()).collect());
-        }
-        // A sample whose data is gone or that became too old while the offer was repeated makes the
-        // batch lost; the trainer asks again only if it did not take the first offer.
-        let samples: Option<Vec<SampleRecord>> = batch
-            .samples
-            .iter()
-            .map(|sample| self.offered_data(sample))
-            .map(|data| data.filter(|record| self.check(record).is_ok()))
-            .collect();
-        match samples {
-            Some(samples) => {
-                let last = self.is_offered_whole();
-                FetchAction::Offer { samples, last }
-            }
-            None => FetchAction::Persist(StepEntry::Lost(cursor)),
-        }
-    }
-
-    /// Chooses whole groups of accepted samples, up to the limits of a batch.
-    fn compose(&self) -> Vec<BatchSample> {
-        let size = self.plan.group_size as usize;
-        let mut samples = Vec::new();
-        let mut bytes = 0;
-        for group in self.slots.chunks(size) {
-            let records: Option<Vec<&SampleRecord>> = group
-                .iter()
-                .filter(|slot| !matches!(slot.state, SlotState::Batched { .. }))
-                .map(|slot| match &slot.state {
-                    SlotState::Accepted(record) => Some(record.as_ref()),
-                    _ => None,
-                })
-                .collect();
-            let Some(records) = records else { continue };
-            let group_bytes: usize = records.iter().map(|record| record.text.len()).sum();
-            let full = samples.len() + records.len() > BATCH_SAMPLE_LIMIT
-                || bytes + group_bytes > BATCH_BYTE_LIMIT;
-            if full && !samples.is_empty() {
-                break;
-            }
-            bytes += group_bytes;
-            samples.extend(records.into_iter().map(|record| BatchSample {
-                id: record.id.clone(),
-                digest: sample_digest(record),
-            }));
-        }
-        samples
-    }
-
     fn apply(&mut self, entry: StepEntry) -> Result<(), ServiceError> {
         self.log_length += 1;
         match entry {
@@ -455,7 +370,7 @@
         let _ = self.complete(record);
     }
 
-    fn check(&self, record: &SampleRecord) -> Result<(), DiscardReason> {
+    pub(crate) fn check(&self, record: &SampleRecord) -> Result<(), DiscardReason> {
         if !self.terms.checked {
             return Ok(());
         }
@@ -469,15 +384,6 @@
         Ok(())
     }
 
-    fn offered_data(&self, sample: &BatchSample) -> Option<SampleRecord> {
-        match &self.slots[self.slot_index(&sample.id)?].state {
-            SlotState::Batched {
-                data: Some(data), ..
-            } => Some(data.as_ref().clone()),
-            _ => None,
-        }
-    }
-
     fn drop_data(&mut self, id: &SampleId) {
         let Some(index) = self.slot_index(id) else {
             return;
@@ -510,7 +416,7 @@
         }
     }
 
-    fn slot_index(&self, id: &SampleId) -> Option<usize> {
+    pub(crate) fn slot_index(&self, id: &SampleId) -> Option<usize> {
         let size = self.plan.group_size;
         let known = id.run == self.terms.run
             && id.step == self.plan.step
@@ -530,6 +436,6 @@
     u8::try_from(size.saturating_sub(missing) * 3 / size.max(1)).unwrap_or(u8::MAX)
 }
 
-fn count_u32(count: usize) -> u32 {
+pub(crate) fn count_u32(count: usize) -> u32 {
     u32::try_from(count).unwrap_or(u32::MAX)
 }
--- a/crates/catkindeck-policy/src/lib.rs
+++ b/crates/catkindeck-policy/src/lib.rs
@@ -26,6 +26,7 @@
 mod candidate;
 mod classes;
 mod demand;
+mod fetch;
 mod hash;
 mod keyed;
 mod slots;
--- a/crates/catkindeck/src/lib.rs
+++ b/crates/catkindeck/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod arena;
 pub mod config;
 pub mod error;
+pub mod headers;
 pub mod id;
 pub mod kernel;
 pub mod link;
