Count steps and samples for the service-level report

Cause: the burn report declares objectives for steps on time and for staleness, but no process exported their counters, so both showed no data. Ruled out: counting at the trainer's fetch, which repeats. Change: the owner of a run reports stored batches, whole steps and samples discarded as too old; the entry exports them by run. Before: the metrics were absent. After: the system test of a step finds 2 steps and 1,056 samples in the entries' metrics; the owner's test counts 3,072 samples and 3 steps. Conclusion: after a change of owner the deadline is counted anew, because the step's opening time is not stored; usage windows on time are still not exported.

--- a/crates/catkindeck-control/src/run/directory.rs
+++ b/crates/catkindeck-control/src/run/directory.rs
@@ -4,7 +4,7 @@
     crate::{
         run::{
             owner::{OwnerParts, RunOwner},
-            ports::{OwnerLease, SampleRunner, WeightPublisher, lease_name},
+            ports::{OwnerLease, RunObserver, SampleRunner, WeightPublisher, lease_name},
         },
         source::ConfigSource,
         step::StepService,
@@ -69,6 +69,8 @@
     pub runner: Arc<dyn SampleRunner>,
     /// Brings new weights to upstreams.
     pub publisher: Arc<dyn WeightPublisher>,
+    /// Learns how the runs fare.
+    pub observer: Arc<dyn RunObserver>,
     /// The process's clock.
     pub clock: Arc<dyn Clock>,
     /// The process's logger.
@@ -172,6 +174,7 @@
             lease: Arc::clone(&lease) as Arc<dyn OwnerLease>,
             runner: Arc::clone(&parts.runner),
             publisher: Arc::clone(&parts.publisher),
+            observer: Arc::clone(&parts.observer),
             clock: Arc::clone(&parts.clock),
             logger: parts.logger.clone(),
         };
--- a/crates/catkindeck-control/src/run/owner.rs
+++ b/crates/catkindeck-control/src/run/owner.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::run::{
-        ports::{OwnerLease, SampleRunner, WeightPublisher},
+        ports::{OwnerLease, RunObserver, SampleRunner, WeightPublisher},
         storage::{AppendOutcome, RunHead, RunStorage, plan_digest},
         work::{StepWork, WorkerPool},
     },
@@ -37,6 +37,8 @@
     pub runner: Arc<dyn SampleRunner>,
     /// Brings new weights to upstreams.
     pub publisher: Arc<dyn WeightPublisher>,
+    /// Learns how the run fares.
+    pub observer: Arc<dyn RunObserver>,
     /// The process's clock.
     pub clock: Arc<dyn Clock>,
     /// The process's logger.
@@ -274,8 +276,20 @@
         let position = work.ledger.log_position();
         match self.storage.append(slot, step, position, &entry)? {
             AppendOutcome::Stored => {
+                let offered = match &entry {
+                    StepEntry::Offer(batch) => batch.samples.len(),
+                    StepEntry::Lost(_) => 0,
+                };
                 let released = work.ledger.confirm(entry)?;
-                work.reopen(self.parts.clock.now());
+                let now = self.parts.clock.now();
+                if offered > 0 {
+                    let (run, observer) = (&self.run.name, &self.parts.observer);
+                    observer.delivered(run, offered);
+                    if work.ledger.is_offered_whole() {
+                        observer.step_whole(run, work.is_on_time(now));
+                    }
+                }
+                work.reopen(now);
                 self.changed.notify_all();
                 if !released.is_empty() {
                     self.release_later(released);
--- a/crates/catkindeck-control/src/run/ports.rs
+++ b/crates/catkindeck-control/src/run/ports.rs
@@ -53,6 +53,18 @@
     fn publish(&self, run: &RunRecord, version: WeightVersion, fence: u64);
 }
 
+/// Learns how a run fares, for the service-level report.
+pub trait RunObserver: Send + Sync {
+    /// Samples within the staleness bound were stored for delivery.
+    fn delivered(&self, run: &ObjectName, samples: usize);
+
+    /// A finished sample was discarded because it was too old.
+    fn discarded_stale(&self, run: &ObjectName);
+
+    /// A step became whole, before its deadline or after it.
+    fn step_whole(&self, run: &ObjectName, on_time: bool);
+}
+
 /// The lease under which a run is owned.
 pub trait OwnerLease: Send + Sync {
     /// Returns the fencing token if the lease is held now.
--- a/crates/catkindeck-control/src/run/work.rs
+++ b/crates/catkindeck-control/src/run/work.rs
@@ -12,8 +12,8 @@
         token::WeightVersion,
     },
     catkindeck_policy::{
-        MemberKey, SampleTask, StalenessForecast, StepLedger, StragglerAction, StragglerPolicy,
-        StragglerSettings,
+        DiscardReason, MemberKey, SampleTask, StalenessForecast, StepLedger, StragglerAction,
+        StragglerPolicy, StragglerSettings,
     },
     std::{
         io,
@@ -40,6 +40,15 @@
 /// The stack of a worker thread in bytes; it holds one request and its answer on the heap.
 const WORKER_STACK_BYTES: usize = 256 * 1024;
 
+/// Why an attempt brought no acceptable sample.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AttemptFault {
+    /// The attempt failed, or its sample was not wanted any more.
+    Failed,
+    /// The sample was too old.
+    Stale,
+}
+
 /// An open step with what is known about its attempts.
 pub(crate) struct StepWork {
     pub(crate) ledger: StepLedger,
@@ -106,24 +115,27 @@
         now: Moment,
         request: RequestId,
         result: Result<SampleRecord, ServiceError>,
-    ) -> Result<Vec<RequestId>, ()> {
+    ) -> Result<Vec<RequestId>, AttemptFault> {
         let Some(task) = self.running.remove(&request) else {
             return Ok(Vec::new());
         };
         let member = member_key(&task.id);
-        let accepted = match result {
-            Ok(record) => self.ledger.complete(record).is_ok(),
-            Err(_) => false,
+        let fault = match result.map(|record| self.ledger.complete(record)) {
+            Ok(Ok(())) => return Ok(self.stragglers.accepted(now, member, &request)),
+            Ok(Err(DiscardReason::Stale)) => AttemptFault::Stale,
+            Ok(Err(_)) | Err(_) => AttemptFault::Failed,
         };
-        if accepted {
-            return Ok(self.stragglers.accepted(now, member, &request));
-        }
         self.stragglers.failed(member, &request);
         let another = self.running.values().any(|other| other.id == task.id);
         if !another {
             self.ledger.give_back(&task.id);
         }
-        Err(())
+        Err(fault)
+    }
+
+    /// Tells whether the step's deadline has not passed.
+    pub(crate) fn is_on_time(&self, now: Moment) -> bool {
+        now <= self.deadline
     }
 
     fn plan_duplicates(&mut self, now: Moment) {
@@ -257,7 +269,10 @@
                 .into_iter()
                 .for_each(|request| core.parts.runner.cancel(request));
         }
-        Err(()) => {
+        Err(fault) => {
+            if fault == AttemptFault::Stale {
+                core.parts.observer.discarded_stale(&core.run.name);
+            }
             let pause = (FAILURE_PAUSE_MS << (*failures).min(5)).min(FAILURE_PAUSE_LIMIT_MS);
             *failures += 1;
             thread::sleep(Duration::from_millis(pause));
--- a/crates/catkindeck-control/tests/run_directory.rs
+++ b/crates/catkindeck-control/tests/run_directory.rs
@@ -25,7 +25,7 @@
     },
     support::{
         MemoryStore,
-        agents::{TestAgents, TestPublisher, name, plan, run},
+        agents::{TestAgents, TestObserver, TestPublisher, name, plan, run},
     },
 };
 
@@ -115,6 +115,7 @@
             store: self.store.clone(),
             runner: self.agents.clone(),
             publisher: Arc::new(TestPublisher::default()),
+            observer: Arc::new(TestObserver::default()),
             clock: Arc::new(SystemClock::new()),
             logger: discard_logger(),
         };
--- a/crates/catkindeck-control/tests/run_owner.rs
+++ b/crates/catkindeck-control/tests/run_owner.rs
@@ -25,7 +25,7 @@
     },
     support::{
         MemoryStore, StoreFault,
-        agents::{TestAgents, TestPublisher, plan, run},
+        agents::{TestAgents, TestObserver, TestPublisher, plan, run},
     },
 };
 
@@ -48,6 +48,7 @@
     store: Arc<MemoryStore>,
     agents: Arc<TestAgents>,
     publisher: Arc<TestPublisher>,
+    observer: Arc<TestObserver>,
 }
 
 impl Scene {
@@ -56,6 +57,7 @@
             store: Arc::new(MemoryStore::default()),
             agents: Arc::new(TestAgents::default()),
             publisher: Arc::new(TestPublisher::default()),
+            observer: Arc::new(TestObserver::default()),
         }
     }
 
@@ -68,6 +70,7 @@
             lease: lease.clone(),
             runner: self.agents.clone(),
             publisher: self.publisher.clone(),
+            observer: self.observer.clone(),
             clock: Arc::new(SystemClock::new()),
             logger: discard_logger(),
         };
@@ -130,6 +133,10 @@
         assert_eq!(seen.len(), 1024);
     }
     owner.stop();
+    // What the service-level report counts agrees with what the trainer got.
+    assert_eq!(scene.observer.delivered.load(Ordering::SeqCst), 3 * 1024);
+    assert_eq!(scene.observer.whole.load(Ordering::SeqCst), 3);
+    assert_eq!(scene.observer.late.load(Ordering::SeqCst), 0);
 }
 
 /// Guards against a failed attempt that leaves a hole in the step.
--- a/crates/catkindeck-control/tests/support/agents.rs
+++ b/crates/catkindeck-control/tests/support/agents.rs
@@ -8,7 +8,7 @@
         message::{SampleId, SampleRecord, StepPlan},
         token::{VersionLabels, WeightVersion},
     },
-    catkindeck_control::run::ports::{SampleOrder, SampleRunner, WeightPublisher},
+    catkindeck_control::run::ports::{RunObserver, SampleOrder, SampleRunner, WeightPublisher},
     std::sync::{
         Mutex,
         atomic::{AtomicU64, Ordering},
@@ -103,3 +103,27 @@
         max_tokens: 16,
     }
 }
+
+/// Counts what an owner reports.
+#[derive(Default)]
+pub struct TestObserver {
+    pub delivered: AtomicU64,
+    pub stale: AtomicU64,
+    pub whole: AtomicU64,
+    pub late: AtomicU64,
+}
+
+impl RunObserver for TestObserver {
+    fn delivered(&self, _run: &ObjectName, samples: usize) {
+        self.delivered.fetch_add(samples as u64, Ordering::SeqCst);
+    }
+
+    fn discarded_stale(&self, _run: &ObjectName) {
+        self.stale.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn step_whole(&self, _run: &ObjectName, on_time: bool) {
+        let count = if on_time { &self.whole } else { &self.late };
+        count.fetch_add(1, Ordering::SeqCst);
+    }
+}
--- a/crates/catkindeck-entry/src/control.rs
+++ b/crates/catkindeck-entry/src/control.rs
@@ -4,6 +4,7 @@
     crate::{
         events::CONTROL_FAILED,
         forward::RequestForwarder,
+        metrics::EntryMetrics,
         platform::{KnownEntries, MEMBER_LIST, STORE_CLIENT},
         samples::EntrySamples,
         settings::{EntrySettings, PlatformSettings},
@@ -68,6 +69,8 @@
 pub struct ControlParts {
     /// The forwarder, which generates samples.
     pub forwarder: Arc<RequestForwarder>,
+    /// The metrics, which count steps and samples.
+    pub metrics: Arc<EntryMetrics>,
     /// Calls other processes.
     pub link: Arc<dyn PeerLink>,
     /// The clock.
@@ -161,6 +164,7 @@
             store: kernel.find::<dyn StoreClient>(STORE_CLIENT)?,
             runner: Arc::new(samples),
             publisher: Arc::new(rollout),
+            observer: parts.metrics.clone(),
             clock: Arc::clone(&parts.clock),
             logger: parts.logger.clone(),
         },
--- a/crates/catkindeck-entry/src/daemon.rs
+++ b/crates/catkindeck-entry/src/daemon.rs
@@ -91,6 +91,8 @@
 pub struct EntryCore {
     /// The forwarder.
     pub forwarder: Arc<RequestForwarder>,
+    /// The metrics.
+    pub metrics: Arc<EntryMetrics>,
     /// The metrics that the health address shows.
     pub registry: Registry,
 }
@@ -120,13 +122,14 @@
             source: kernel.find::<dyn ConfigSource>(CONFIG_SOURCE)?,
             peers: KnownEntries::new(settings, members),
             clock,
-            metrics,
+            metrics: Arc::clone(&metrics),
             limits: settings.forward,
             seed: u64::from_le_bytes(seed),
             logger: logger.clone(),
         });
         Ok(Self {
             forwarder,
+            metrics,
             registry,
         })
     }
@@ -151,6 +154,7 @@
         let EntryCore {
             forwarder,
             registry,
+            ..
         } = core;
         let steps = kernel.find::<dyn StepService>(STEP_SERVICE).ok();
         let spread = kernel.find::<dyn SpreadPeer>(SPREAD_PEER).ok();
--- a/crates/catkindeck-entry/src/main.rs
+++ b/crates/catkindeck-entry/src/main.rs
@@ -89,6 +89,7 @@
     if let ConfigOrigin::Platform(platform) = &settings.origin {
         let parts = ControlParts {
             forwarder: Arc::clone(&core.forwarder),
+            metrics: Arc::clone(&core.metrics),
             link,
             clock,
             logger: logger.clone(),
--- a/crates/catkindeck-entry/src/metrics.rs
+++ b/crates/catkindeck-entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use {
     catkindeck::{ErrorKind, ServiceError, config::ConfigSnapshot, id::ObjectName},
+    catkindeck_control::run::ports::RunObserver,
     prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry},
     std::time::Duration,
 };
@@ -26,6 +27,8 @@
     customers: IntCounterVec,
     tokens: IntCounterVec,
     retries: IntCounterVec,
+    steps: IntCounterVec,
+    samples: IntCounterVec,
     first: HistogramVec,
     total: HistogramVec,
 }
@@ -75,6 +78,16 @@
                 "Attempts after the first, by route and kind of the failure before.",
                 &["route", "cause"],
             )?,
+            steps: counter(
+                "catkindeck_run_steps_total",
+                "Training steps that became whole, by run and whether before their deadline.",
+                &["run", "on_time"],
+            )?,
+            samples: counter(
+                "catkindeck_run_samples_total",
+                "Samples by run, delivered fresh or discarded as too old.",
+                &["run", "fresh"],
+            )?,
             first: histogram(
                 "catkindeck_entry_first_part_seconds",
                 "Time from the request to the first token or byte, by route.",
@@ -162,6 +175,15 @@
                 self.forget_route(route.name.as_str());
             }
         }
+        for run in &before.runs {
+            if now.run(&run.name).is_none() {
+                let name = run.name.as_str();
+                for value in ["true", "false"] {
+                    let _ = self.steps.remove_label_values(&[name, value]);
+                    let _ = self.samples.remove_label_values(&[name, value]);
+                }
+            }
+        }
     }
 
     fn forget_route(&self, route: &str) {
@@ -175,6 +197,26 @@
     }
 }
 
+impl RunObserver for EntryMetrics {
+    fn delivered(&self, run: &ObjectName, samples: usize) {
+        let count = u64::try_from(samples).unwrap_or(u64::MAX);
+        self.samples
+            .with_label_values(&[run.as_str(), "true"])
+            .inc_by(count);
+    }
+
+    fn discarded_stale(&self, run: &ObjectName) {
+        self.samples
+            .with_label_values(&[run.as_str(), "false"])
+            .inc();
+    }
+
+    fn step_whole(&self, run: &ObjectName, on_time: bool) {
+        let on_time = if on_time { "true" } else { "false" };
+        self.steps.with_label_values(&[run.as_str(), on_time]).inc();
+    }
+}
+
 fn name_of(name: Option<&ObjectName>) -> &str {
     name.map_or(NONE, ObjectName::as_str)
 }
--- a/tests/system/tests/training.rs
+++ b/tests/system/tests/training.rs
@@ -196,6 +196,31 @@
     trainer.entry = 1;
     trainer.run_step(2, 4);
 
+    // The service-level report finds both steps and all samples in the entries' metrics.
+    let count = |name: &str| -> f64 {
+        let metrics = (0..2).map(|entry| {
+            let url = format!("http://{}/metrics", deployment.entry_health(entry));
+            String::from_utf8(call("GET", &url, &[], b"").body).expect("metrics are text")
+        });
+        let lines: Vec<String> = metrics
+            .flat_map(|text| {
+                let found = text
+                    .lines()
+                    .filter(|line| line.starts_with(name))
+                    .map(str::to_owned);
+                found.collect::<Vec<_>>()
+            })
+            .collect();
+        lines
+            .iter()
+            .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+            .sum()
+    };
+    let run = format!("run=\"{RUN}\"");
+    let steps = format!("catkindeck_run_steps_total{{on_time=\"true\",{run}}}");
+    let samples = format!("catkindeck_run_samples_total{{fresh=\"true\",{run}}}");
+    assert_eq!((count(&steps), count(&samples)), (2.0, 1056.0));
+
     // Another customer's key does not reach the run.
     let url = format!(
         "{}/v1/runs/{RUN}/steps/2/samples?cursor=0",
