Test a step under a store outage, a suspended owner and a restart

Cause: failures were tried together only for callers' requests. Change: one test suspends the owner of a step past its lease while the store is down and an engine restarts.

--- a/tests/system/tests/training.rs
+++ b/tests/system/tests/training.rs
@@ -292,3 +292,41 @@
     }
     assert_eq!(trainer.positions.len(), 128);
 }
+
+/// Guards G3 and G7 under three failures together: the store fails in the middle of a step, the
+/// owner is suspended past its lease meanwhile, and an engine restarts. After the outage the step is
+/// delivered once.
+#[test]
+fn an_outage_with_a_suspended_owner_repeats_nothing() {
+    let deployment = TestDeployment::start(DeploymentShape::two_zones_on_platform());
+    let mut trainer = Trainer::new(&deployment);
+    trainer.announce(1);
+    trainer.open(1, 16);
+    let mut whole = trainer.fetch(1, 0);
+    let owner = owner(&deployment);
+
+    deployment
+        .platform()
+        .set_faults("store", &json!({"outage": true}));
+    deployment.entries[owner].pause();
+    deployment.upstream_control(deployment.upstream_index("draft-a1"), "crash", &json!({}));
+    // The lease of 10 s lapses while its holder is suspended and nobody can renew or take it.
+    thread::sleep(Duration::from_secs(11));
+    deployment.entries[owner].resume();
+    let during = trainer.try_ask("GET", "steps/1/samples?cursor=1", &Value::Null);
+    if let Ok(answer) = during {
+        assert!(
+            answer.json()["samples"].as_array().is_none(),
+            "offered without the store"
+        );
+    }
+    deployment.platform().set_faults("store", &json!({}));
+
+    let mut cursor = 1;
+    while !whole {
+        trainer.entry = usize::try_from(cursor % 2).expect("it is small");
+        whole = trainer.fetch(1, cursor);
+        cursor += 1;
+    }
+    assert_eq!(trainer.positions.len(), 128);
+}
