Keep a step's deadline through a change of owner

Cause: a successor counted the deadline of an open step from its own start, so the report of steps on time could call a late step timely. Change: the run's head in the store holds when the step was opened. Before: a_successor_keeps_the_deadline failed (0 late steps in place of 1). After: it passes, as do the other tests of owners, three times. Conclusion: the deadline follows the wall clocks of hosts, which differ by far less than a deadline.

--- a/crates/catkindeck-control/src/run/owner.rs
+++ b/crates/catkindeck-control/src/run/owner.rs
@@ -19,6 +19,7 @@
         io,
         sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
         thread,
+        time::{SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -159,11 +160,9 @@
         let log = self.storage.read_log(head.slot, plan.step)?;
         let retained = self.parts.runner.collect(&self.run, plan.step);
         let ledger = StepLedger::restore(self.terms(), plan, head.version, log, retained)?;
-        Ok(StepWork::new(
-            ledger,
-            self.run.step_deadline_ms,
-            self.parts.clock.now(),
-        ))
+        let passed_ms = unix_ms().saturating_sub(head.opened_ms);
+        let left_ms = self.run.step_deadline_ms.saturating_sub(passed_ms);
+        Ok(StepWork::new(ledger, left_ms, self.parts.clock.now()))
     }
 
     fn open(&self, plan: &StepPlan) -> Result<StepAnswer, ServiceError> {
@@ -183,6 +182,7 @@
             step: Some(plan.step),
             slot: 1 - state.head.slot.min(1),
             plan_digest: digest,
+            opened_ms: unix_ms(),
             version: state.head.version,
         };
         self.storage.write_plan(head.slot, plan)?;
@@ -385,3 +385,12 @@
     }
     Ok(())
 }
+
+/// Returns the present on the wall clock, by which owners on different hosts agree about a step's
+/// deadline; hosts' clocks differ by far less than a deadline.
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/catkindeck-control/src/run/storage.rs
+++ b/crates/catkindeck-control/src/run/storage.rs
@@ -34,6 +34,9 @@
     /// The digest of the step's plan; two owners that race may overwrite each other's plan, and the
     /// trainer then opens the step again.
     pub plan_digest: [u8; 32],
+    /// When the step was opened, in milliseconds since the Unix epoch; its deadline counts from
+    /// here, also under a later owner.
+    pub opened_ms: u64,
     /// The current weight version.
     pub version: WeightVersion,
 }
@@ -72,6 +75,7 @@
             step: None,
             slot: 0,
             plan_digest: [0; 32],
+            opened_ms: 0,
             version: WeightVersion(0),
         }
     }
--- a/crates/catkindeck-control/src/run/work.rs
+++ b/crates/catkindeck-control/src/run/work.rs
@@ -135,7 +135,7 @@
 
     /// Tells whether the step's deadline has not passed.
     pub(crate) fn is_on_time(&self, now: Moment) -> bool {
-        now <= self.deadline
+        now < self.deadline
     }
 
     fn plan_duplicates(&mut self, now: Moment) {
--- a/crates/catkindeck-control/tests/run_owner.rs
+++ b/crates/catkindeck-control/tests/run_owner.rs
@@ -5,6 +5,7 @@
 use {
     catkindeck::{
         ErrorKind, ServiceError,
+        config::RunRecord,
         log::discard_logger,
         message::{StepAction, StepAnswer, StepPlan},
         time::SystemClock,
@@ -62,6 +63,10 @@
     }
 
     fn owner(&self, fence: u64) -> (RunOwner, Arc<TestLease>) {
+        self.owner_of(run(), fence)
+    }
+
+    fn owner_of(&self, run: RunRecord, fence: u64) -> (RunOwner, Arc<TestLease>) {
         let lease = Arc::new(TestLease {
             fence: AtomicU64::new(fence),
         });
@@ -74,7 +79,7 @@
             clock: Arc::new(SystemClock::new()),
             logger: discard_logger(),
         };
-        (RunOwner::start(run(), parts, 4).unwrap(), lease)
+        (RunOwner::start(run, parts, 4).unwrap(), lease)
     }
 }
 
@@ -340,3 +345,26 @@
     }
     owner.stop();
 }
+
+/// Guards the report of steps on time against a deadline that starts anew with each owner: the
+/// deadline of 500 ms has passed when the successor takes over.
+#[test]
+fn a_successor_keeps_the_deadline() {
+    let scene = Scene::new();
+    let (former, lease) = scene.owner(1);
+    former.handle(&StepAction::Open(plan(1, 1)));
+    lease.fence.store(0, Ordering::SeqCst);
+    former.stop();
+    thread::sleep(Duration::from_millis(600));
+
+    let late = RunRecord {
+        step_deadline_ms: 500,
+        ..run()
+    };
+    let (successor, _lease) = scene.owner_of(late, 2);
+    let mut seen = BTreeSet::new();
+    fetch_all(&successor, 1, 0, &mut seen);
+    assert_eq!(scene.observer.late.load(Ordering::SeqCst), 1);
+    assert_eq!(scene.observer.whole.load(Ordering::SeqCst), 0);
+    successor.stop();
+}
