Count reported usage windows for the service-level report

Cause: the objective of usage on time showed no data, because no process exported catkindeck_usage_windows_total. Change: the sealer says which window was reported, and the zone's worker counts it on time up to three windows after its end. Before: no counter. After: the worker's test waits for a count, which the former code could not give; whether it is on time is not asserted, since that depends on the machine.

--- a/crates/catkindeck-control/src/usage.rs
+++ b/crates/catkindeck-control/src/usage.rs
@@ -70,6 +70,18 @@
     Waiting,
     /// A step was made and another may follow.
     Progress,
+    /// This window was reported.
+    Reported(u64),
+}
+
+/// The time after a window's end until which its report is on time, in milliseconds; the sum of the
+/// delay before sealing, one round of collection and one failed try.
+pub const REPORT_TARGET_MS: u64 = 3 * USAGE_WINDOW_MS;
+
+/// Learns when windows were reported, for the service-level report.
+pub trait UsageObserver: Send + Sync {
+    /// A zone's window was reported, on time or late.
+    fn window_reported(&self, zone: &ObjectName, on_time: bool);
 }
 
 /// Seals and reports the windows of one zone in order, one outside call a step.
@@ -195,12 +207,13 @@
                 "zone" => %self.zone, "window" => progress.next, "detail" => &error.detail);
             return Err(error);
         }
+        let window = progress.next;
         let next = UsageProgress {
-            next: progress.next + 1,
+            next: window + 1,
             marks: content.marks,
         };
         self.phase = SealPhase::Advancing(version, next);
-        Ok(SealStep::Progress)
+        Ok(SealStep::Reported(window))
     }
 
     fn advance(&mut self, version: u64, next: UsageProgress) -> Result<SealStep, ServiceError> {
--- a/crates/catkindeck-control/src/worker.rs
+++ b/crates/catkindeck-control/src/worker.rs
@@ -9,7 +9,10 @@
         members::{MemberList, MemberView},
         rollout::LeaveAnnouncer,
         source::ConfigSource,
-        usage::{AgentMark, AgentUsage, SealStep, UsageCollector, UsageSealer},
+        usage::{
+            AgentMark, AgentUsage, REPORT_TARGET_MS, SealStep, UsageCollector, UsageObserver,
+            UsageSealer,
+        },
         zones::{ZoneController, ZoneParts, ZoneStep},
     },
     catkindeck::{
@@ -18,7 +21,7 @@
         id::ObjectName,
         link::PeerLink,
         log_event,
-        message::PeerRequest,
+        message::{PeerRequest, USAGE_WINDOW_MS},
         platform::{StoreClient, UsageSink, ZoneOrders},
     },
     catkindeck_policy::{ScaleOrder, ScalerSettings, ZoneScaler, ZoneSupply},
@@ -59,6 +62,8 @@
     pub orders: Arc<dyn ZoneOrders>,
     /// The interface that takes usage reports.
     pub sink: Arc<dyn UsageSink>,
+    /// Learns when usage was reported.
+    pub observer: Arc<dyn UsageObserver>,
     /// The members.
     pub members: Arc<MemberList>,
     /// The configuration.
@@ -263,8 +268,16 @@
 
     fn seal(&mut self) -> Result<(), ServiceError> {
         for _ in 0..STEPS_PER_ROUND {
-            if self.sealer.step(unix_ms())? == SealStep::Waiting {
-                break;
+            match self.sealer.step(unix_ms())? {
+                SealStep::Waiting => break,
+                SealStep::Progress => {}
+                SealStep::Reported(window) => {
+                    let due_ms = (window + 1) * USAGE_WINDOW_MS + REPORT_TARGET_MS;
+                    let on_time = unix_ms() <= due_ms;
+                    self.parts
+                        .observer
+                        .window_reported(&self.settings.zone, on_time);
+                }
             }
         }
         Ok(())
--- a/crates/catkindeck-control/tests/worker.rs
+++ b/crates/catkindeck-control/tests/worker.rs
@@ -22,6 +22,7 @@
         rollout::WeightRollout,
         run::ports::WeightPublisher,
         source::ConfigSource,
+        usage::UsageObserver,
         worker::{WorkerParts, WorkerSettings, ZoneWorker},
     },
     catkindeck_fakes::{
@@ -33,7 +34,10 @@
     catkindeck_store::{ClientSettings, HttpStore, HttpUsage, HttpZones},
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
         thread,
         time::Duration,
     },
@@ -201,6 +205,19 @@
     String::from_utf8(server.control(&call).body).expect("the answer is text")
 }
 
+/// Counts the windows that a worker reported.
+#[derive(Default)]
+struct CountedWindows {
+    reported: AtomicU64,
+}
+
+impl UsageObserver for CountedWindows {
+    /// Whether it was on time depends on the machine, so both count.
+    fn window_reported(&self, _zone: &ObjectName, _on_time: bool) {
+        self.reported.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
 /// Waits until `done`; the limit only ends a test that would never end.
 fn wait_for(what: &str, done: impl Fn() -> bool) {
     for _ in 0..3000 {
@@ -228,6 +245,7 @@
     let source = source();
     let members = Arc::new(MemberList::new(Arc::new(LeavingHosts)));
     members.refresh().expect("the list is there");
+    let windows = Arc::new(CountedWindows::default());
     let parts = WorkerParts {
         store: store.clone(),
         orders: Arc::new(HttpZones::new(
@@ -235,6 +253,7 @@
             clock.clone(),
             discard_logger(),
         )),
+        observer: windows.clone(),
         sink: Arc::new(HttpUsage::new(
             usage_settings,
             clock.clone(),
@@ -260,6 +279,9 @@
     wait_for("a usage report", || {
         control(&usage_server, "reports").contains("customer")
     });
+    wait_for("the count of the report", || {
+        windows.reported.load(Ordering::SeqCst) > 0
+    });
     let view = board.load();
     assert_eq!((view.records[0].running, view.records[0].demand), (2, 16));
     let told = |kind: &OrderKind| -> Vec<SocketAddr> {
--- a/crates/catkindeck-entry/src/control.rs
+++ b/crates/catkindeck-entry/src/control.rs
@@ -201,6 +201,7 @@
                 Arc::clone(clock),
                 logger.clone(),
             )),
+            observer: parts.metrics.clone(),
             members: kernel.find::<MemberList>(MEMBER_LIST)?,
             source: kernel.find::<dyn ConfigSource>(CONFIG_SOURCE)?,
             link: Arc::clone(&parts.link),
--- a/crates/catkindeck-entry/src/metrics.rs
+++ b/crates/catkindeck-entry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use {
     catkindeck::{ErrorKind, ServiceError, config::ConfigSnapshot, id::ObjectName},
-    catkindeck_control::run::ports::RunObserver,
+    catkindeck_control::{run::ports::RunObserver, usage::UsageObserver},
     prometheus::{HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry},
     std::time::Duration,
 };
@@ -29,6 +29,7 @@
     retries: IntCounterVec,
     steps: IntCounterVec,
     samples: IntCounterVec,
+    windows: IntCounterVec,
     first: HistogramVec,
     total: HistogramVec,
 }
@@ -88,6 +89,11 @@
                 "Samples by run, delivered fresh or discarded as too old.",
                 &["run", "fresh"],
             )?,
+            windows: counter(
+                "catkindeck_usage_windows_total",
+                "Usage windows that were reported, by zone and whether on time.",
+                &["zone", "on_time"],
+            )?,
             first: histogram(
                 "catkindeck_entry_first_part_seconds",
                 "Time from the request to the first token or byte, by route.",
@@ -197,6 +203,15 @@
     }
 }
 
+impl UsageObserver for EntryMetrics {
+    fn window_reported(&self, zone: &ObjectName, on_time: bool) {
+        let on_time = if on_time { "true" } else { "false" };
+        self.windows
+            .with_label_values(&[zone.as_str(), on_time])
+            .inc();
+    }
+}
+
 impl RunObserver for EntryMetrics {
     fn delivered(&self, run: &ObjectName, samples: usize) {
         let count = u64::try_from(samples).unwrap_or(u64::MAX);
