Read the wall clock by one function

Cause: reading the wall clock in milliseconds since the Unix epoch stood seven times in the agent, the entry, control and the command, in two forms that differ only in words. Ruled out: passing the wall clock like Moment everywhere; only a few dates use it, and pure decisions take it as an argument already. Conclusion: 41 lines less, and one place that says what the wall clock is for.

--- a/crates/catkindeck-agent/src/core.rs
+++ b/crates/catkindeck-agent/src/core.rs
@@ -21,10 +21,7 @@
     catkindeck_health::{DrainGate, ReadinessFlag},
     prometheus::Registry,
     slog::Logger,
-    std::{
-        sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
-        time::{SystemTime, UNIX_EPOCH},
-    },
+    std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
 };
 
 /// The reason that keeps an agent unready until it knows a configuration.
@@ -186,14 +183,6 @@
     }
 }
 
-/// Returns the wall-clock time in milliseconds since the Unix epoch, by which usage is dated.
-pub(crate) fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Returns the host's name of a peer.
 pub(crate) fn peer_name(peer: &PeerIdentity) -> Result<ObjectName, ServiceError> {
     ObjectName::try_from(peer.host.as_str()).map_err(|error| {
--- a/crates/catkindeck-agent/src/execute.rs
+++ b/crates/catkindeck-agent/src/execute.rs
@@ -173,7 +173,7 @@
         let now = self.now();
         let mut state = self.lock();
         if state.bill(now, &executed) {
-            let unix_ms = crate::core::unix_ms();
+            let unix_ms = catkindeck::time::unix_ms();
             let customer = request.customer.as_ref();
             state
                 .usage
--- a/crates/catkindeck-agent/src/hand_over.rs
+++ b/crates/catkindeck-agent/src/hand_over.rs
@@ -1,16 +1,14 @@
 //! Execution records on their way to the next home agents before the process ends.
 
 use {
-    crate::{
-        core::{AgentCore, unix_ms},
-        events,
-    },
+    crate::{core::AgentCore, events},
     catkindeck::{
         ErrorKind, ServiceError, SortedMap,
         config::ConfigSnapshot,
         id::ObjectName,
         log_event,
         message::{ExecutionRecord, PeerFrame, PeerRequest},
+        time::unix_ms,
     },
     catkindeck_policy::HomeSelector,
     std::{
--- a/crates/catkindeck-agent/src/handler.rs
+++ b/crates/catkindeck-agent/src/handler.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        core::{AgentCore, peer_name, unix_ms},
+        core::{AgentCore, peer_name},
         events,
     },
     catkindeck::{
@@ -11,6 +11,7 @@
         link::{FrameSink, PeerHandler, PeerIdentity, PeerRole},
         log_event,
         message::{ExecutionRecord, ExecutionState, PeerFrame, PeerRequest, SampleRecord},
+        time::unix_ms,
     },
     catkindeck_policy::RevokeOutcome,
     std::sync::Arc,
--- a/crates/catkindeck-agent/src/run.rs
+++ b/crates/catkindeck-agent/src/run.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        core::{AgentCore, unix_ms},
+        core::AgentCore,
         events,
         metrics::error_label,
         state::{RunningWork, StartNotice},
@@ -15,6 +15,7 @@
         link::FrameSink,
         log_event,
         message::{CrashReport, ExecuteRequest, ExecutionRecord, LoadReport, PeerFrame},
+        time::unix_ms,
         token::VersionLabels,
     },
     catkindeck_policy::{ExecutionResult, FinishCause},
--- a/crates/catkindeck-agent/src/tap.rs
+++ b/crates/catkindeck-agent/src/tap.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        core::{AgentCore, unix_ms},
+        core::AgentCore,
         events,
         state::StartNotice,
         upstream::{StreamFlow, UpstreamEvents},
@@ -11,6 +11,7 @@
         id::BootId,
         log_event,
         message::{ExecuteRequest, KEPT_ANSWER_LIMIT, PeerFrame, SampleRecord, WorkBody},
+        time::unix_ms,
         token::{VersionLabels, WeightVersion},
     },
     std::sync::Arc,
--- a/crates/catkindeck-cli/src/burn/mod.rs
+++ b/crates/catkindeck-cli/src/burn/mod.rs
@@ -26,14 +26,13 @@
 
 use {
     crate::{arguments::BurnArguments, files::replace_file, output::CommandReport},
-    catkindeck::{ErrorKind, ServiceError},
-    std::time::{SystemTime, UNIX_EPOCH},
+    catkindeck::{ErrorKind, ServiceError, time::unix_ms},
 };
 
 /// Runs the subcommand.
 pub fn run(arguments: &BurnArguments) -> Result<CommandReport, ServiceError> {
     let objectives = read_objectives(&arguments.objectives)?;
-    let now_ms = now_ms();
+    let now_ms = unix_ms();
     let mut file = SampleFile::open(&arguments.samples)?;
     let mut unreachable = Vec::new();
     if !arguments.offline {
@@ -62,10 +61,3 @@
     };
     Ok(command)
 }
-
-fn now_ms() -> u64 {
-    let elapsed = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/catkindeck-cli/src/check_command.rs
+++ b/crates/catkindeck-cli/src/check_command.rs
@@ -12,16 +12,13 @@
         ErrorKind, ServiceError,
         config::ConfigSnapshot,
         settings::{SettingsError, SettingsText},
+        time::unix_ms,
     },
     catkindeck_agent::AgentSettings,
     catkindeck_control::intent::{DeclaredIntent, check_declarations, compare},
     catkindeck_entry::settings::EntrySettings,
     serde_json::json,
-    std::{
-        fs, io,
-        path::Path,
-        time::{SystemTime, UNIX_EPOCH},
-    },
+    std::{fs, io, path::Path},
 };
 
 /// Checks every named file and reports all that are faulty.
@@ -97,11 +94,7 @@
         Err(error) if error.kind() == io::ErrorKind::NotFound => ConfigSnapshot::default(),
         Err(error) => return Err(unreadable(path, &error)),
     };
-    let elapsed = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let now_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
-    let next = intent.to_snapshot(&current, now_ms);
+    let next = intent.to_snapshot(&current, unix_ms());
     if compare(&current, &next).is_empty() {
         return Ok(());
     }
--- a/crates/catkindeck-control/src/run/owner.rs
+++ b/crates/catkindeck-control/src/run/owner.rs
@@ -11,6 +11,7 @@
         config::RunRecord,
         message::{StepAction, StepAnswer, StepPlan},
         platform::StoreClient,
+        time::unix_ms,
         token::WeightVersion,
     },
     catkindeck_policy::{FetchAction, StepEntry, StepLedger, StepTerms},
@@ -19,7 +20,6 @@
         io,
         sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
         thread,
-        time::{SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -385,12 +385,3 @@
     }
     Ok(())
 }
-
-/// Returns the present on the wall clock, by which owners on different hosts agree about a step's
-/// deadline; hosts' clocks differ by far less than a deadline.
-fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/catkindeck-control/src/worker.rs
+++ b/crates/catkindeck-control/src/worker.rs
@@ -23,6 +23,7 @@
         log_event,
         message::{PeerRequest, USAGE_WINDOW_MS},
         platform::{StoreClient, UsageSink, ZoneOrders},
+        time::unix_ms,
     },
     catkindeck_policy::{ScaleOrder, ScalerSettings, ZoneScaler, ZoneSupply},
     catkindeck_store::{LeaseHolder, LeaseSettings},
@@ -34,7 +35,7 @@
             atomic::{AtomicBool, Ordering},
         },
         thread,
-        time::{Duration, SystemTime, UNIX_EPOCH},
+        time::Duration,
     },
 };
 
@@ -393,11 +394,3 @@
         usages.collect()
     }
 }
-
-fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    // A clock before 1970 seals nothing, because no window is over yet.
-    elapsed.map_or(0, |elapsed| {
-        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-    })
-}
--- a/crates/catkindeck-entry/src/admin.rs
+++ b/crates/catkindeck-entry/src/admin.rs
@@ -2,11 +2,9 @@
 
 use {
     crate::http::{CallerHandler, CallerRequest, ReplySink},
+    catkindeck::time::unix_ms,
     catkindeck_control::intent::{AdminRequest, IntentAdmin},
-    std::{
-        sync::Arc,
-        time::{SystemTime, UNIX_EPOCH},
-    },
+    std::sync::Arc,
 };
 
 /// The name under which the [`IntentAdmin`] is registered in the kernel.
@@ -31,14 +29,12 @@
             let (scheme, key) = value.to_str().ok()?.trim().split_once(' ')?;
             scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
         });
-        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-        let now_ms = elapsed.map_or(0, |elapsed| elapsed.as_millis());
         let answer = self.admin.handle(AdminRequest {
             method: request.method.as_str(),
             path: request.uri.path(),
             key,
             body: &request.body,
-            now_ms: u64::try_from(now_ms).unwrap_or(u64::MAX),
+            now_ms: unix_ms(),
         });
         let headers = [("content-type".to_owned(), "application/json".to_owned())];
         // The error means that the operator is gone; the outcome can be asked for by its id.
--- a/crates/catkindeck-entry/src/forward/homes.rs
+++ b/crates/catkindeck-entry/src/forward/homes.rs
@@ -6,9 +6,9 @@
         ErrorKind, ExecutionOutcome, ServiceError,
         id::ObjectName,
         message::{ExecutionRecord, ExecutionState, PeerFrame, PeerRequest},
+        time::unix_ms,
     },
     catkindeck_policy::{HomeSelector, RouteQuery},
-    std::time::{SystemTime, UNIX_EPOCH},
 };
 
 /// Where the attempts of a request with an idempotency key go.
@@ -247,10 +247,3 @@
         }
     }
 }
-
-fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    elapsed.map_or(0, |elapsed| {
-        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-    })
-}
--- a/crates/catkindeck/src/time.rs
+++ b/crates/catkindeck/src/time.rs
@@ -4,7 +4,7 @@
     crate::key,
     std::{
         ops::{Add, Sub},
-        time::Instant,
+        time::{Instant, SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -73,3 +73,14 @@
         Moment(u64::try_from(elapsed).unwrap_or(u64::MAX))
     }
 }
+
+/// Returns the wall-clock time in milliseconds since the Unix epoch, or zero before it.
+///
+/// Only what hosts must agree on is dated by it, such as usage windows and a step's deadline; all
+/// else uses [`Moment`].
+pub fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
