--- /dev/null
+++ b/crates/catkindeck-policy/src/direct/routes.rs
@@ -0,0 +1,87 @@
+//! Selection of a route by host name and path.
+
+use {
+    crate::hash,
+    catkindeck::{config::RouteRecord, id::ObjectName},
+    std::rc::Rc,
+};
+
+/// The routes of a configuration, in the order in which they are looked up.
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    /// Sorted by host, then by falling length of the prefix, so that the first match is the longest.
+    routes: Vec<Rc<RouteRecord>>,
+}
+
+/// A route together with the service that takes one request.
+#[derive(Debug, Clone)]
+pub struct RouteMatch {
+    /// The route.
+    pub route: Rc<RouteRecord>,
+    /// The service.
+    pub service: ObjectName,
+}
+
+impl RouteTable {
+    /// Makes a table of the routes that are addressed by host and path.
+    pub fn new(routes: &[RouteRecord]) -> Self {
+        let mut routes: Vec<Rc<RouteRecord>> = routes.iter().cloned().map(Rc::new).collect();
+        routes.sort_by(|left, right| {
+            let by_host = left.terms.host.cmp(&right.terms.host);
+            let by_length = right.terms.prefix.len().cmp(&left.terms.prefix.len());
+            by_host
+                .then(by_length)
+                .then_with(|| left.terms.prefix.cmp(&right.terms.prefix))
+        });
+        Self { routes }
+    }
+
+    /// Finds the route with the longest prefix of `path` among those of `host`.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Rc<RouteRecord>> {
+        let start = self
+            .routes
+            .partition_point(|route| route.terms.host.as_str() < host);
+        self.routes[start..]
+            .iter()
+            .take_while(|route| route.terms.host == host)
+            .find(|route| path.starts_with(&route.terms.prefix))
+    }
+
+    /// Finds a route by its name.
+    pub fn named(&self, name: &ObjectName) -> Option<&Rc<RouteRecord>> {
+        self.routes.iter().find(|route| route.name == *name)
+    }
+
+    /// Iterates over all routes.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<RouteRecord>> {
+        self.routes.iter()
+    }
+
+    /// Finds the route of a request and the service that takes it.
+    ///
+    /// Which service of a divided route takes a request follows from `request`, so that a repetition
+    /// with the same identity goes to the same service.
+    pub fn resolve(&self, host: &str, path: &str, request: &str) -> Option<RouteMatch> {
+        let route = Rc::clone(self.find(host, path)?);
+        let service = choose_service(&route, request);
+        Some(RouteMatch { route, service })
+    }
+}
+
+/// Divides requests among the services of a route by their weights.
+pub fn choose_service(route: &RouteRecord, request: &str) -> ObjectName {
+    let targets = &route.terms.targets;
+    let total: u64 = targets.iter().map(|target| u64::from(target.weight)).sum();
+    if total == 0 {
+        return route.service.clone();
+    }
+    let mut rest = hash::rank(&[request.as_bytes()]) % total;
+    for target in targets {
+        let weight = u64::from(target.weight);
+        if rest < weight {
+            return target.service.clone();
+        }
+        rest -= weight;
+    }
+    route.service.clone()
+}
--- /dev/null
+++ b/crates/catkindeck-policy/src/direct/selection.rs
@@ -0,0 +1,173 @@
+//! Selection of the upstream for one request.
+
+use {
+    super::{
+        roster::UpstreamRoster,
+        upstream::{UpstreamKey, UpstreamState},
+    },
+    crate::hash,
+    catkindeck::{Moment, id::ObjectName, token::WeightVersion},
+};
+
+/// What one more request of the same kind in progress adds to the cost of an upstream, in percent
+/// of an idle upstream's cost for each full set of slots.
+const LOAD_PERCENT: u64 = 60;
+
+/// The advantage of an upstream that probably has the prompt in its cache, in percent.
+const CACHE_PERCENT: u64 = 15;
+
+/// The advantage of an upstream in the same availability zone, in percent.
+const ZONE_PERCENT: u64 = 5;
+
+/// What an engine is looked for.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineQuery<'a> {
+    /// The service.
+    pub service: &'a ObjectName,
+    /// The model.
+    pub model: &'a ObjectName,
+    /// The oldest version of the weights that may run the request.
+    pub least_version: WeightVersion,
+    /// The digest of the prompt's shared parts.
+    pub part: Option<u64>,
+    /// The runs that must not be used again for this request.
+    pub excluded: &'a [UpstreamKey],
+    /// The availability zone of this process.
+    pub zone: &'a ObjectName,
+}
+
+/// What a plain upstream is looked for.
+#[derive(Debug, Clone, Copy)]
+pub struct PlainQuery<'a> {
+    /// The service.
+    pub service: &'a ObjectName,
+    /// The runs that must not be used again for this request.
+    pub excluded: &'a [UpstreamKey],
+    /// The availability zone of this process.
+    pub zone: &'a ObjectName,
+}
+
+/// How many requests this process may send to one upstream within a second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RateLimits {
+    /// To an upstream that is warm as far as known; it may have turned cold since its last word.
+    pub warm: usize,
+    /// To a cold upstream.
+    pub cold: usize,
+}
+
+impl RateLimits {
+    /// The limits for services without a cold start.
+    pub const NONE: Self = Self {
+        warm: usize::MAX,
+        cold: usize::MAX,
+    };
+
+    fn allows(self, now: Moment, state: &UpstreamState) -> bool {
+        let limit = match state.is_cold(now) {
+            true => self.cold,
+            false => self.warm,
+        };
+        limit == usize::MAX || state.rate.allows(now, limit)
+    }
+}
+
+impl UpstreamRoster {
+    /// Selects the engine with a free slot that will probably finish a request first.
+    pub fn select_engine(
+        &self,
+        now: Moment,
+        query: &EngineQuery<'_>,
+        limits: RateLimits,
+    ) -> Option<UpstreamKey> {
+        let usable = self.iter().filter(|(key, state)| {
+            state.record.service == *query.service
+                && self.takes_work(*key)
+                && !query.excluded.contains(key)
+                && !state.is_avoided(now)
+                && !state.is_loading(now, query.model)
+                && state.version(query.model) >= Some(query.least_version)
+                && state.in_flight < state.record.slots
+                && limits.allows(now, state)
+        });
+        let fastest = self.fastest_gap(query.service);
+        let cost = |state: &UpstreamState| {
+            let cached = query.part.is_some_and(|part| state.holds_part(part));
+            let mut cost = loaded_cost(state, state.event_gap_us.max(fastest));
+            cost = discount(cost, CACHE_PERCENT, cached);
+            cost = discount(cost, ZONE_PERCENT, state.record.zone == *query.zone);
+            (state.is_cold(now), cost)
+        };
+        usable
+            .min_by_key(|(key, state)| (cost(state), *key))
+            .map(|(key, _)| key)
+    }
+
+    /// Selects the plain upstream that will probably answer first.
+    pub fn select_plain(
+        &self,
+        now: Moment,
+        query: &PlainQuery<'_>,
+        limits: RateLimits,
+    ) -> Option<UpstreamKey> {
+        let usable = |key: &UpstreamKey, state: &UpstreamState| {
+            state.record.service == *query.service
+                && self.takes_work(*key)
+                && !query.excluded.contains(key)
+                && limits.allows(now, state)
+        };
+        let fastest = self.fastest_latency(query.service);
+        let cost = |state: &UpstreamState| {
+            let cost = loaded_cost(state, state.latency_us.max(fastest));
+            let cost = discount(cost, ZONE_PERCENT, state.record.zone == *query.zone);
+            // An upstream that failed is better than none, but only then.
+            (state.is_avoided(now), state.is_cold(now), cost)
+        };
+        self.iter()
+            .filter(|(key, state)| usable(key, state))
+            .min_by_key(|(key, state)| (cost(state), *key))
+            .map(|(key, _)| key)
+    }
+
+    /// Tells whether any upstream of a service could take work, now or soon.
+    pub fn has_upstream(&self, service: &ObjectName) -> bool {
+        self.iter()
+            .any(|(key, state)| state.record.service == *service && self.takes_work(key))
+    }
+
+    /// Returns the shortest mean time between events at any engine of a service, in microseconds.
+    pub fn fastest_gap(&self, service: &ObjectName) -> u64 {
+        self.fastest(service, |state| state.event_gap_us)
+    }
+
+    fn fastest_latency(&self, service: &ObjectName) -> u64 {
+        self.fastest(service, |state| state.latency_us)
+    }
+
+    fn fastest(&self, service: &ObjectName, measure: fn(&UpstreamState) -> u64) -> u64 {
+        self.iter()
+            .filter(|(_, state)| state.record.service == *service)
+            .map(|(_, state)| measure(state))
+            .filter(|measured| *measured > 0)
+            .min()
+            .unwrap_or(1)
+    }
+}
+
+/// Digests the names of a prompt's shared parts, by which caches are remembered.
+pub fn part_digest(parts: &str) -> u64 {
+    hash::rank(&[parts.as_bytes()])
+}
+
+fn loaded_cost(state: &UpstreamState, base: u64) -> u64 {
+    let slots = u64::from(state.record.slots.max(1));
+    let load = u64::from(state.in_flight) * LOAD_PERCENT / slots;
+    base.saturating_mul(100 + load)
+}
+
+fn discount(cost: u64, percent: u64, applies: bool) -> u64 {
+    match applies {
+        true => cost / 100 * (100 - percent),
+        false => cost,
+    }
+}
--- a/crates/catkindeck-policy/src/lib.rs
+++ b/crates/catkindeck-policy/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod admission;
 pub mod batch;
 pub mod credit;
+pub mod direct;
 pub mod execution;
 pub mod fair;
 pub mod fence;
 pub mod home;
+pub mod lease;
 pub mod ledger;
 pub mod limit;
 pub mod placement;
--- a/crates/catkindeck-store/src/holder.rs
+++ b/crates/catkindeck-store/src/holder.rs
@@ -1,14 +1,12 @@
 //! Holds a lease in the store from a thread of its own.
 
 use {
-    crate::{
-        events,
-        lease::{LeaseCall, LeaseProof, LeaseSettings, LeaseState},
-    },
+    crate::events,
     catkindeck::{
         Clock, ErrorKind, ServiceError, log_event,
         platform::{LeaseOutcome, StoreClient},
     },
+    catkindeck_policy::lease::{LeaseCall, LeaseProof, LeaseSettings, LeaseState},
     crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded},
     slog::Logger,
     std::{
--- a/crates/catkindeck-store/src/lib.rs
+++ b/crates/catkindeck-store/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod hex;
 pub mod holder;
 pub mod hosts;
-pub mod lease;
+
 pub mod settings;
 pub mod store;
 pub mod usage;
@@ -18,9 +18,9 @@
 pub mod zones;
 
 pub use {
+    catkindeck_policy::lease::{LeaseProof, LeaseSettings},
     holder::LeaseHolder,
     hosts::HttpHosts,
-    lease::{LeaseProof, LeaseSettings},
     settings::{ClientSettings, RawClient},
     store::HttpStore,
     usage::HttpUsage,
--- a/crates/catkindeck-store/tests/lease.rs
+++ b/crates/catkindeck-store/tests/lease.rs
@@ -4,7 +4,7 @@
 
 use {
     catkindeck::{Moment, platform::LeaseGrant},
-    catkindeck_store::lease::{LeaseCall, LeaseProof, LeaseState},
+    catkindeck_policy::lease::{LeaseCall, LeaseProof, LeaseState},
     proptest::prelude::*,
     proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine},
 };
--- a/crates/catkindeck/src/config.rs
+++ b/crates/catkindeck/src/config.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        direct::{CallerLimits, DirectService, RouteTerms},
         id::{KeyDigest, ObjectName},
         key, message,
     },
@@ -33,6 +34,8 @@
     pub upstreams: Vec<UpstreamRecord>,
     /// The training runs.
     pub runs: Vec<RunRecord>,
+    /// What callers may send.
+    pub limits: CallerLimits,
 }
 
 /// A customer.
@@ -44,6 +47,8 @@
     pub weight: u32,
     /// Retries allowed for each 100 first attempts.
     pub retry_percent: u32,
+    /// The rank of the customer's requests, which goes before that of their routes; 0 is first.
+    pub priority: Option<u8>,
 }
 
 /// A key of a customer.
@@ -82,6 +87,8 @@
     pub cold_start_ms: u64,
     /// Whether the upstreams refuse orders with an old fencing number.
     pub checks_fence: bool,
+    /// What a gateway must know of the upstreams.
+    pub direct: DirectService,
 }
 
 /// A route by which callers reach a service.
@@ -97,6 +104,8 @@
     pub idempotent: bool,
     /// The longest time a request may take, in milliseconds.
     pub timeout_ms: u64,
+    /// How callers address the route and what they may expect of it.
+    pub terms: RouteTerms,
 }
 
 /// The states of an availability zone.
--- a/crates/catkindeck/src/lib.rs
+++ b/crates/catkindeck/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod arena;
 pub mod config;
+pub mod direct;
 pub mod error;
 pub mod headers;
 pub mod id;
--- a/crates/catkindeck/src/log.rs
+++ b/crates/catkindeck/src/log.rs
@@ -30,17 +30,17 @@
     Terminal,
 }
 
-/// Makes the process's logger, which writes to standard error from a thread of its own.
+/// Makes the process's logger, which writes to standard output from a thread of its own.
 pub fn build_logger(format: LogFormat, level: Level) -> Logger {
     let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match format {
-        LogFormat::Json => Box::new(Mutex::new(slog_json::Json::default(io::stderr())).fuse()),
+        LogFormat::Json => Box::new(Mutex::new(slog_json::Json::default(io::stdout())).fuse()),
         LogFormat::Terminal => {
-            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
+            let decorator = slog_term::PlainSyncDecorator::new(io::stdout());
             Box::new(slog_term::FullFormat::new(decorator).build().fuse())
         }
     };
     let filter = drain.filter_level(level).fuse();
-    // Serving threads never wait for a slow reader of standard error.
+    // Serving threads never wait for a slow reader of standard output.
     let queue = slog_async::Async::new(filter)
         .chan_size(4096)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
--- a/crates/catkindeck/src/time.rs
+++ b/crates/catkindeck/src/time.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::key,
+    rustix::time::{ClockId, clock_gettime},
     std::{
         ops::{Add, Sub},
         time::{Instant, SystemTime, UNIX_EPOCH},
@@ -74,6 +75,41 @@
     }
 }
 
+/// The clock since the host was started, which goes on while the host is suspended.
+///
+/// Leases and proofs of freshness are measured by it: a process that was suspended must not take
+/// an expired lease for a valid one (`docs/platform.md`).
+#[derive(Debug)]
+pub struct BootClock {
+    origin: u64,
+}
+
+impl BootClock {
+    /// Starts a clock whose moment zero is now.
+    pub fn new() -> Self {
+        Self { origin: boot_ms() }
+    }
+}
+
+impl Default for BootClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock for BootClock {
+    fn now(&self) -> Moment {
+        Moment(boot_ms().saturating_sub(self.origin))
+    }
+}
+
+fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanoseconds = u64::try_from(time.tv_nsec).unwrap_or(0);
+    seconds * 1_000 + nanoseconds / 1_000_000
+}
+
 /// Returns the wall-clock time in milliseconds since the Unix epoch, or zero before it.
 ///
 /// Only what hosts must agree on is dated by it, such as usage windows and a step's deadline; all
--- a/tests/system/src/shape.rs
+++ b/tests/system/src/shape.rs
@@ -145,6 +145,7 @@
                 staleness_bound: 2,
                 step_deadline_ms: 600_000,
             }],
+            limits: catkindeck::direct::CallerLimits::default(),
         };
         snapshot.sort();
         snapshot
@@ -158,6 +159,7 @@
             cold_limit: limits.1,
             cold_start_ms,
             checks_fence: false,
+            direct: catkindeck::direct::DirectService::default(),
         }
     }
 }
@@ -184,6 +186,7 @@
         name: name(customer),
         weight: 1,
         retry_percent: 10,
+        priority: None,
     }
 }
 
@@ -202,5 +205,6 @@
         open,
         idempotent,
         timeout_ms: 60_000,
+        terms: catkindeck::direct::RouteTerms::default(),
     }
 }
