Serve a job's results only while its ownership is confirmed

Ruled out: asking the store at each read; it costs a call for every poll of every trainer. Change: results are served from memory only under the lease under which ownership was confirmed; a take-over is conditional on the owner's registration; a lost answer is recognised by the stored bytes and owner.

--- a/crates/catkindeck-gateway/src/control/janitor.rs
+++ b/crates/catkindeck-gateway/src/control/janitor.rs
@@ -63,6 +63,14 @@
             .iter()
             .filter_map(|item| keys::decode_item(item).ok())
             .collect();
+        let registrations: Vec<StoreCondition> = listing
+            .items
+            .into_iter()
+            .map(|item| StoreCondition {
+                key: item.key,
+                revision: item.revision,
+            })
+            .collect();
         let former = self.work.members.replace(members.clone());
         let left = former.iter().any(|member| !contains(&members, member));
         if left && missing_since.is_none() {
@@ -76,7 +84,7 @@
         let listing = core.ports.store.list(OPEN_PREFIX).await?;
         *jobs_read = Some(Instant::now());
         for item in &listing.items {
-            self.care(item, &members).await?;
+            self.care(item, &members, &registrations).await?;
         }
         if missing {
             *missing_since = None;
@@ -85,7 +93,12 @@
         Ok(())
     }
 
-    async fn care(&self, item: &StoreItem, members: &[MemberRecord]) -> Result<(), ServiceError> {
+    async fn care(
+        &self,
+        item: &StoreItem,
+        members: &[MemberRecord],
+        registrations: &[StoreCondition],
+    ) -> Result<(), ServiceError> {
         let record: OpenRecord = keys::decode_item(item)?;
         let core = &self.work.core;
         let retention_ms = core.settings().bounds.job_retention_ms;
@@ -101,7 +114,13 @@
         if record.owner.incarnation == core.incarnation {
             return Ok(());
         }
-        if let Err(error) = self.work.jobs.take_over(item).await {
+        let key = keys::member_key(&record.owner.host);
+        let known = registrations.iter().find(|known| known.key == key);
+        let registration = known
+            .cloned()
+            .unwrap_or(StoreCondition { key, revision: 0 });
+        let taken = self.work.jobs.take_over(item, Some(registration)).await;
+        if let Err(error) = taken {
             log_event!(core.logger, CONTROL_FAILED;
                 "work" => "take over", "job" => &record.job, "detail" => error.detail);
         }
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -171,6 +171,7 @@
         StoreFollower::start(&self.core);
         tokio::task::spawn_local(Rc::clone(&self.session).run());
         tokio::task::spawn_local(Rc::clone(&self.jobs).run());
+        tokio::task::spawn_local(Rc::clone(&self.jobs).follow_session());
         let control = ControlWork::new(
             Rc::clone(&self.core),
             Rc::clone(&self.jobs),
@@ -218,7 +219,7 @@
         let former = record.owner.host == own.host && record.owner.incarnation != own.incarnation;
         if former && record.state == keys::JobState::Running {
             // Another process that was faster runs the job now.
-            let _ = jobs.take_over(item).await;
+            let _ = jobs.take_over(item, None).await;
         }
     }
 }
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -77,6 +77,8 @@
     ITEM_SCORED = 8151, "item_scored", Info, "item was scored";
     /// Scoring failed.
     SCORER_FAILED = 8152, "scorer_failed", Info, "scorer call failed";
+    /// Jobs could not be confirmed.
+    JOBS_UNCONFIRMED = 8153, "jobs_unconfirmed", Warning, "it could not be confirmed that jobs are still owned, and is tried again";
     /// The session lease is held.
     SESSION_STARTED = 8160, "session_started", Info, "process is registered under a lease";
     /// The session lease is lost.
--- a/crates/catkindeck-gateway/src/jobs/adopt.rs
+++ b/crates/catkindeck-gateway/src/jobs/adopt.rs
@@ -1,37 +1,51 @@
 //! Jobs that come from another process, and texts that come from another job.
 
 use {
-    super::{owned::OwnedJob, service::JobService},
+    super::{end::record_change, owned::OwnedJob, service::JobService},
     crate::{
-        events::{JOB_HANDED_OVER, JOB_TAKEN_OVER},
-        keys::{self, JobState, MemberRecord, OpenRecord},
+        events::{JOB_HANDED_OVER, JOB_TAKEN_OVER, JOBS_UNCONFIRMED},
+        keys::{self, JobState, MemberRecord, OPEN_PREFIX, OpenRecord},
         peer::{PeerAnswer, PeerCall},
-        port::{CommitOutcome, StoreItem},
+        port::{CommitOutcome, LeaseId, StoreCondition, StoreItem},
     },
     catkindeck::{ErrorKind, ServiceError, log_event},
     catkindeck_policy::direct::{ItemKey, ItemProgress, ResultState},
     std::{rc::Rc, time::Duration},
+    tokio::time::sleep,
 };
 
+/// The pause before jobs are confirmed again.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(200);
+
 /// The longest time for the new owner of a job to load it.
 const HAND_OVER_LIMIT: Duration = Duration::from_millis(1_500);
 
 impl JobService {
     /// Takes over a job whose owner is gone.
     ///
+    /// `registration` is the state of the owner's registration by which it was found to be gone; if
+    /// the owner has registered again since, the job stays with it.
+    ///
     /// # Errors
     ///
     /// Returns `conflict` if another process was faster, or the store's error.
-    pub async fn take_over(self: &Rc<Self>, item: &StoreItem) -> Result<(), ServiceError> {
+    pub async fn take_over(
+        self: &Rc<Self>,
+        item: &StoreItem,
+        registration: Option<StoreCondition>,
+    ) -> Result<(), ServiceError> {
         let found: OpenRecord = keys::decode_item(item)?;
         let former = found.owner.clone();
         let record = OpenRecord {
             owner: self.self_record(),
             ..found
         };
-        match self.write_record(&record, item.revision).await? {
+        let mut transaction = record_change(&record, item.revision)?;
+        transaction.conditions.extend(registration);
+        let lease = self.session.lease();
+        match self.core.ports.store.commit(&transaction).await? {
             CommitOutcome::Committed(revision) => {
-                self.run_adopted(record, revision, &former, Vec::new())
+                self.run_adopted(record, revision, &former, Vec::new(), lease)
                     .await
             }
             _ => Err(ServiceError::not_run(
@@ -41,7 +55,7 @@
         }
     }
 
-    /// Runs a job that its former owner handed over; the store names this process as its owner.
+    /// Runs a job that the store names this process as the owner of; `lease` was held before.
     ///
     /// # Errors
     ///
@@ -52,6 +66,7 @@
         revision: u64,
         former: &MemberRecord,
         progress: Vec<(u32, ItemProgress)>,
+        lease: Option<LeaseId>,
     ) -> Result<(), ServiceError> {
         let job = self.load(record, revision).await?;
         let now = self.core.now();
@@ -69,7 +84,68 @@
         log_event!(self.core.logger, JOB_TAKEN_OVER;
             "job" => &job.spec.id, "from" => %former.host, "revision" => revision,
             "listed" => job.results.borrow().len(), "items" => job.spec.items.len());
-        self.insert(job);
+        self.insert(job, lease);
+        Ok(())
+    }
+
+    /// Runs a job that its former owner handed over.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's error if the job cannot be loaded.
+    pub async fn accept_hand_over(
+        self: &Rc<Self>,
+        record: OpenRecord,
+        revision: u64,
+        former: &MemberRecord,
+        progress: Vec<(u32, ItemProgress)>,
+    ) -> Result<(), ServiceError> {
+        self.run_adopted(record, revision, former, progress, None)
+            .await?;
+        let Some(lease) = self.session.lease() else {
+            return Ok(());
+        };
+        // Until it is confirmed under the lease, readers are answered from the store.
+        if let Err(error) = self.confirm_jobs(lease).await {
+            log_event!(self.core.logger, JOBS_UNCONFIRMED; "detail" => error.detail);
+        }
+        Ok(())
+    }
+
+    /// Confirms after each new registration that this process still owns its jobs.
+    pub async fn follow_session(self: Rc<Self>) {
+        loop {
+            self.session.changed.notified().await;
+            while let Some(lease) = self.session.lease() {
+                match self.confirm_jobs(lease).await {
+                    Ok(()) => break,
+                    Err(error) => {
+                        log_event!(self.core.logger, JOBS_UNCONFIRMED; "detail" => error.detail);
+                        sleep(CONFIRM_PAUSE).await;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn confirm_jobs(&self, lease: LeaseId) -> Result<(), ServiceError> {
+        let jobs = self.all();
+        if jobs.is_empty() {
+            return Ok(());
+        }
+        let listing = self.core.ports.store.list(OPEN_PREFIX).await?;
+        for job in jobs {
+            let key = keys::open_key(&job.spec.id);
+            let item = listing.items.iter().find(|item| item.key == key);
+            match item {
+                Some(item) if item.revision == job.revision.get() => {
+                    job.confirmed_under.set(Some(lease));
+                }
+                // A write of this process may have changed the revision since the read was sent.
+                Some(item) if item.revision < job.revision.get() => {}
+                item => self.meet_change(&job, item.cloned()),
+            }
+        }
         Ok(())
     }
 
--- a/crates/catkindeck-gateway/src/jobs/commit.rs
+++ b/crates/catkindeck-gateway/src/jobs/commit.rs
@@ -42,10 +42,9 @@
     }
 
     async fn store_results(self: &Rc<Self>, job: &Rc<OwnedJob>, commit: ResultCommit) {
-        let mut tried = false;
         loop {
             let outcome = match self.results_transaction(job, &commit) {
-                Ok(transaction) => self.write_results(job, &transaction, tried).await,
+                Ok(transaction) => self.write_results(job, &transaction).await,
                 Err(error) => Err(error),
             };
             match outcome {
@@ -63,7 +62,6 @@
                 Err(error) => {
                     log_event!(self.core.logger, RESULTS_UNSTORED;
                         "job" => &job.spec.id, "first" => commit.first, "detail" => error.detail);
-                    tried = true;
                     sleep(RETRY_PAUSE).await;
                 }
             }
@@ -116,7 +114,6 @@
         &self,
         job: &OwnedJob,
         transaction: &Transaction,
-        tried: bool,
     ) -> Result<CommitEnd, ServiceError> {
         let outcome = self.core.ports.store.commit(transaction).await?;
         let items = match outcome {
@@ -136,14 +133,13 @@
         let found = |key: &str| items.iter().find(|item| item.key == key);
         let stored = found(&result.key);
         let current = found(&open.key);
-        // Only this process writes results under its revision, so what stands there after a lost
-        // answer is its own write. The last write changes the revision along with it.
-        let same_write = stored.is_some_and(|stored| {
-            current.is_some_and(|current| {
-                current.revision == open.revision || current.revision == stored.revision
-            })
-        });
-        match (tried && same_write, current) {
+        let record = current.and_then(|item| keys::decode_item::<OpenRecord>(item).ok());
+        let is_owner =
+            record.is_some_and(|record| record.owner.incarnation == self.core.incarnation);
+        // The answer to an earlier try was lost if the very same results stand there. Another owner's
+        // results may stand there too, after this process was cut off for long.
+        let is_same = stored.is_some_and(|stored| stored.value == transaction.writes[0].value);
+        match (is_owner && is_same, current) {
             (true, Some(current)) => {
                 job.revision.set(current.revision);
                 if let Ok(record) = keys::decode_item::<OpenRecord>(current) {
--- a/crates/catkindeck-gateway/src/jobs/end.rs
+++ b/crates/catkindeck-gateway/src/jobs/end.rs
@@ -144,23 +144,31 @@
         record: &OpenRecord,
         revision: u64,
     ) -> Result<CommitOutcome, ServiceError> {
-        let key = keys::open_key(&record.job);
-        let transaction = Transaction {
-            conditions: vec![StoreCondition {
-                key: key.clone(),
-                revision,
-            }],
-            writes: vec![StoreWrite {
-                key,
-                value: keys::encode(record)?,
-                lease: None,
-            }],
-            removals: Vec::new(),
-        };
+        let transaction = record_change(record, revision)?;
         self.core.ports.store.commit(&transaction).await
     }
 }
 
+/// Makes the change of the key that says who runs a job.
+pub(super) fn record_change(
+    record: &OpenRecord,
+    revision: u64,
+) -> Result<Transaction, ServiceError> {
+    let key = keys::open_key(&record.job);
+    Ok(Transaction {
+        conditions: vec![StoreCondition {
+            key: key.clone(),
+            revision,
+        }],
+        writes: vec![StoreWrite {
+            key,
+            value: keys::encode(record)?,
+            lease: None,
+        }],
+        removals: Vec::new(),
+    })
+}
+
 fn not_stored() -> ServiceError {
     ServiceError::not_run(
         ErrorKind::StoreUnavailable,
--- a/crates/catkindeck-gateway/src/jobs/owned.rs
+++ b/crates/catkindeck-gateway/src/jobs/owned.rs
@@ -4,6 +4,7 @@
     crate::{
         core::GatewayCore,
         keys::{JobState, OpenRecord},
+        port::LeaseId,
     },
     catkindeck::{SortedMap, config::RouteRecord, id::ObjectName},
     catkindeck_policy::direct::{ItemKey, JobLimits, JobResult, JobSpec, RolloutJob},
@@ -32,6 +33,8 @@
     pub record: RefCell<OpenRecord>,
     /// The listed results in order of their positions.
     pub results: RefCell<Vec<Rc<JobResult>>>,
+    /// The lease under which the store was last seen to name this process as the owner.
+    pub confirmed_under: Cell<Option<LeaseId>>,
     /// Whether another process owns the job now.
     pub is_lost: Cell<bool>,
     /// Wakes readers when results are listed.
@@ -59,6 +62,7 @@
             revision: Cell::new(revision),
             record: RefCell::new(record),
             results: RefCell::new(results.into_iter().map(Rc::new).collect()),
+            confirmed_under: Cell::new(None),
             is_lost: Cell::new(false),
             listed: Notify::new(),
             tasks: RefCell::new(SortedMap::new()),
--- a/crates/catkindeck-gateway/src/jobs/read.rs
+++ b/crates/catkindeck-gateway/src/jobs/read.rs
@@ -40,7 +40,10 @@
         keys::check_job_id(&read.job)?;
         let wait = Duration::from_millis(read.wait_ms).min(WAIT_LIMIT);
         let found = match self.owned(&read.job) {
-            Some(job) => own_results(&job, customer, read.after, wait).await?,
+            Some(job) if self.is_current(&job) => {
+                own_results(&job, customer, read.after, wait).await?
+            }
+            Some(_) => self.stored_results(read, customer).await?,
             None => self.foreign_results(read, customer, wait).await?,
         };
         let results: Vec<Rc<JobResult>> = found.results;
@@ -85,7 +88,8 @@
         wait: Duration,
         customer: Option<&ObjectName>,
     ) -> Result<PeerAnswer, ServiceError> {
-        let Some(owned) = self.owned(job) else {
+        let owned = self.owned(job).filter(|owned| self.is_current(owned));
+        let Some(owned) = owned else {
             return Ok(PeerAnswer::NotOwner);
         };
         let found = own_results(&owned, customer, after, wait).await?;
@@ -137,7 +141,15 @@
                 results: found.results.into_iter().map(Rc::new).collect(),
             });
         }
-        // What is stored is listed, whether or not the owner answers.
+        self.stored_results(read, customer).await
+    }
+
+    /// Reads results from the store: what is stored is listed, whether or not the owner answers.
+    async fn stored_results(
+        &self,
+        read: &JobRead,
+        customer: Option<&ObjectName>,
+    ) -> Result<FoundResults, ServiceError> {
         let stored = self.load_stored(&read.job).await?;
         own_results(&stored, customer, read.after, Duration::ZERO).await
     }
--- a/crates/catkindeck-gateway/src/jobs/service.rs
+++ b/crates/catkindeck-gateway/src/jobs/service.rs
@@ -5,6 +5,7 @@
     crate::{
         core::GatewayCore,
         keys::{JobState, MemberRecord, OpenRecord},
+        port::LeaseId,
         session::MemberSession,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, SortedMap, id::ObjectName},
@@ -50,8 +51,19 @@
         present.cloned().collect()
     }
 
-    /// Takes a job into this process.
-    pub fn insert(&self, job: Rc<OwnedJob>) {
+    /// Tells whether the results that this process has of a job are all that are listed.
+    ///
+    /// While its lease lasts no other process can have taken the job over and listed more. A job that
+    /// is no longer running does not change.
+    pub(super) fn is_current(&self, job: &OwnedJob) -> bool {
+        let lease = self.session.lease();
+        let is_final = job.record.borrow().state != JobState::Running;
+        is_final || (lease.is_some() && job.confirmed_under.get() == lease)
+    }
+
+    /// Takes a job into this process; `lease` was held before the store named this process as owner.
+    pub fn insert(&self, job: Rc<OwnedJob>, lease: Option<LeaseId>) {
+        job.confirmed_under.set(lease);
         let id = job.spec.id.clone();
         self.located.borrow_mut().remove(&id);
         self.owned.borrow_mut().insert(id, job);
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -6,7 +6,9 @@
         events::{JOB_ACCEPTED, JOB_REFUSED},
         front::AdmittedRequest,
         keys::{self, JobState, OpenRecord},
-        port::{CommitOutcome, PlainAnswer, StoreCondition, StoreItem, StoreWrite, Transaction},
+        port::{
+            CommitOutcome, LeaseId, PlainAnswer, StoreCondition, StoreItem, StoreWrite, Transaction,
+        },
     },
     bytes::Bytes,
     catkindeck::{ErrorKind, ServiceError, error::ExecutionOutcome, log_event},
@@ -82,18 +84,19 @@
             submitted_ms: spec.submitted_ms,
         };
         let transaction = self.acceptance(&spec, &record)?;
+        let lease = self.session.lease();
         let until = request.expires.min(request.arrived + ACCEPT_LIMIT);
         match self.write_acceptance(&transaction, until).await? {
             Acceptance::Own(revision) => {
-                self.own(spec, record, revision);
+                self.own(spec, record, revision, lease);
                 Ok(())
             }
-            Acceptance::Known(item) => self.meet_known(spec, &record, &item).await,
+            Acceptance::Known(item) => self.meet_known(spec, &record, &item),
         }
     }
 
     /// Handles a job that the store has already.
-    async fn meet_known(
+    fn meet_known(
         self: &Rc<Self>,
         spec: Rc<JobSpec>,
         own: &OpenRecord,
@@ -104,12 +107,18 @@
         let is_own = found.owner.incarnation == own.owner.incarnation;
         if is_own && self.owned(&spec.id).is_none() && found.submitted_ms == own.submitted_ms {
             // An earlier write of this very call took effect although its answer was lost.
-            self.own(spec, found, item.revision);
+            self.own(spec, found, item.revision, None);
         }
         Ok(())
     }
 
-    fn own(self: &Rc<Self>, spec: Rc<JobSpec>, record: OpenRecord, revision: u64) {
+    fn own(
+        self: &Rc<Self>,
+        spec: Rc<JobSpec>,
+        record: OpenRecord,
+        revision: u64,
+        lease: Option<LeaseId>,
+    ) {
         self.core
             .metrics
             .jobs
@@ -120,7 +129,7 @@
             "least_version" => spec.least_version.0, "revision" => revision);
         let job = OwnedJob::new(&self.core, spec, record, revision, Vec::new());
         self.reuse_texts(&job);
-        self.insert(job);
+        self.insert(job, lease);
     }
 
     fn acceptance(&self, spec: &JobSpec, record: &OpenRecord) -> Result<Transaction, ServiceError> {
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -215,7 +215,7 @@
                 progress,
             } => {
                 self.jobs
-                    .run_adopted(record, revision, &former, progress)
+                    .accept_hand_over(record, revision, &former, progress)
                     .await?;
                 Ok(PeerAnswer::Done)
             }
