--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     catkindeck::time::unix_ms,
     catkindeck_net::{HttpExchange, SendFault},
-    http::{HeaderMap, Request},
+    http::{HeaderMap, HeaderName, Request, header},
     std::{rc::Rc, time::Instant},
 };
 
@@ -13,6 +13,19 @@
 /// answer can be replaced by another upstream's.
 const HELD_BYTES: usize = 256 << 10;
 
+/// How long an upstream is passed over after it refused a request, in milliseconds; about the time
+/// in which a slot becomes free.
+pub const REFUSED_PAUSE_MS: u64 = 50;
+
+/// Headers of an answer that concern its connection only.
+const NOT_RETURNED: [HeaderName; 5] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::TRANSFER_ENCODING,
+    header::TRAILER,
+    HeaderName::from_static("keep-alive"),
+];
+
 /// An answer of an upstream, whole or with its beginning.
 pub struct UpstreamAnswer {
     /// The decoded head.
@@ -32,7 +45,7 @@
 /// How an attempt ended.
 pub enum AttemptOutcome {
     /// The upstream answered.
-    Answered(UpstreamAnswer),
+    Answered(Box<UpstreamAnswer>),
     /// It is proved that the upstream did not run the request.
     NotRun(String),
     /// The upstream may have run the request.
@@ -88,14 +101,14 @@
             Err(fault) => return failed(&used, &fault),
         }
         if body.len() >= HELD_BYTES {
-            return AttemptOutcome::Answered(UpstreamAnswer {
+            return AttemptOutcome::Answered(Box::new(UpstreamAnswer {
                 head,
                 headers,
                 body: body.freeze(),
                 rest: Some(exchange),
                 sent_ms,
                 used,
-            });
+            }));
         }
     }
     used.answered();
@@ -104,19 +117,24 @@
         .borrow_mut()
         .get_mut(used.key)
         .measure_latency(elapsed);
-    AttemptOutcome::Answered(UpstreamAnswer {
+    AttemptOutcome::Answered(Box::new(UpstreamAnswer {
         head,
         headers,
         body: body.freeze(),
         rest: None,
         sent_ms,
         used,
-    })
+    }))
 }
 
-/// How long an upstream is passed over after it refused a request, in milliseconds; about the time
-/// in which a slot becomes free.
-const REFUSED_PAUSE_MS: u64 = 50;
+/// Copies the headers of an upstream's answer that do not concern its connection only.
+pub fn copy_headers(from: &HeaderMap, to: &mut HeaderMap) {
+    for (name, value) in from {
+        if !NOT_RETURNED.contains(name) {
+            to.append(name.clone(), value.clone());
+        }
+    }
+}
 
 fn failed(used: &UpstreamUse, fault: &SendFault) -> AttemptOutcome {
     used.failed();
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -39,7 +39,7 @@
 /// How a request ended.
 pub enum CallEnd {
     /// An upstream answered.
-    Answered(UpstreamAnswer),
+    Answered(Box<UpstreamAnswer>),
     /// There is no answer; the error says whether the request can have run.
     Failed(ServiceError),
 }
@@ -68,7 +68,7 @@
     server_errors: u32,
     refused: Option<ServiceError>,
     unknown: Option<String>,
-    failure: Option<UpstreamAnswer>,
+    failure: Option<Box<UpstreamAnswer>>,
 }
 
 impl<'a> PlainCall<'a> {
--- a/crates/catkindeck-gateway/src/forward/mod.rs
+++ b/crates/catkindeck-gateway/src/forward/mod.rs
@@ -5,6 +5,6 @@
 pub mod stream;
 
 pub use {
-    attempt::{AttemptOutcome, UpstreamAnswer},
+    attempt::{AttemptOutcome, UpstreamAnswer, copy_headers},
     call::{CallEnd, CallReport, CallTerms, PlainCall},
 };
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -1,6 +1,7 @@
 //! A stream of events to a caller, continued at another upstream where the route allows it.
 
 use {
+    super::attempt::{REFUSED_PAUSE_MS, copy_headers},
     crate::{
         core::GatewayCore,
         events::ATTEMPT_FAILED,
@@ -12,7 +13,7 @@
     catkindeck::{ErrorKind, ServiceError, id::ObjectName, log_event, token::WeightVersion},
     catkindeck_net::{HttpExchange, ReplyBody, ReplySender, SendFault},
     catkindeck_policy::direct::{EngineQuery, UpstreamKey, UsageWindows},
-    http::{HeaderMap, HeaderName, Response, StatusCode, header},
+    http::{HeaderMap, Response, StatusCode},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, timeout},
 };
@@ -24,15 +25,6 @@
 /// The upstreams that may refuse a stream without running it, beyond the attempts that run it.
 const REFUSAL_LIMIT: u32 = 6;
 
-/// Headers of an upstream's answer that concern its connection only.
-const NOT_RETURNED: [HeaderName; 5] = [
-    header::CONNECTION,
-    header::CONTENT_LENGTH,
-    header::TRANSFER_ENCODING,
-    header::TRAILER,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// A stream that is being carried from upstreams to a caller.
 pub struct StreamCall {
     core: Rc<GatewayCore>,
@@ -88,11 +80,7 @@
         self.count_usage();
         let mut response = Response::new(ReplyBody::whole(Bytes::new()));
         *response.status_mut() = stream.head.status;
-        for (name, value) in &stream.headers {
-            if !NOT_RETURNED.contains(name) {
-                response.headers_mut().append(name.clone(), value.clone());
-            }
-        }
+        copy_headers(&stream.headers, response.headers_mut());
         let (sender, body) = ReplyBody::stream();
         *response.body_mut() = body;
         tokio::task::spawn_local(async move {
@@ -300,9 +288,6 @@
     }
 }
 
-/// How long an upstream is passed over after it refused a stream, in milliseconds.
-const REFUSED_PAUSE_MS: u64 = 50;
-
 fn refused_or_unknown(used: &UpstreamUse, fault: &SendFault) -> OpenOutcome {
     used.failed();
     match fault.maybe_received {
--- a/crates/catkindeck-gateway/src/front.rs
+++ b/crates/catkindeck-gateway/src/front.rs
@@ -4,7 +4,9 @@
     crate::{
         core::GatewayCore,
         events::{REQUEST_ANSWERED, REQUEST_REFUSED},
-        forward::{CallEnd, CallTerms, PlainCall, UpstreamAnswer, stream::StreamCall},
+        forward::{
+            CallEnd, CallTerms, PlainCall, UpstreamAnswer, copy_headers, stream::StreamCall,
+        },
         jobs::JobService,
         port::{CallerCall, PlainAnswer, RequestHead, UpstreamCall},
     },
@@ -18,7 +20,7 @@
     },
     catkindeck_net::{HttpHandler, LocalFuture, ReplyBody},
     catkindeck_policy::direct::{RouteMatch, UsageWindows},
-    http::{HeaderName, Request, Response, StatusCode, header},
+    http::{Request, Response, StatusCode},
     http_body_util::BodyExt,
     hyper::body::Incoming,
     std::{cell::Cell, rc::Rc, time::Duration},
@@ -42,15 +44,6 @@
 /// The part of the process's memory that request bodies may take, as its divisor.
 const BODY_MEMORY_SHARE: u64 = 4;
 
-/// Headers of an upstream's answer that concern its connection only.
-const NOT_RETURNED: [HeaderName; 5] = [
-    header::CONNECTION,
-    header::CONTENT_LENGTH,
-    header::TRANSFER_ENCODING,
-    header::TRAILER,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// Answers callers.
 pub struct CallerFront {
     core: Rc<GatewayCore>,
@@ -225,7 +218,7 @@
         match report.end {
             CallEnd::Answered(answer) => {
                 self.count_usage(request.customer.as_ref(), answer.sent_ms);
-                Ok(answer)
+                Ok(*answer)
             }
             CallEnd::Failed(error) => Err(error),
         }
@@ -273,11 +266,7 @@
         };
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
-        for (name, value) in &headers {
-            if !NOT_RETURNED.contains(name) {
-                response.headers_mut().append(name.clone(), value.clone());
-            }
-        }
+        copy_headers(&headers, response.headers_mut());
         response
     }
 
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -5,12 +5,14 @@
     crate::{
         core::GatewayCore,
         events::{ITEM_RUN_ENDED, ITEM_STARTED},
-        port::{StreamEvent, UpstreamCall},
+        port::{StreamEvent, UpstreamCall, UpstreamHead},
         upstream_use::UpstreamUse,
     },
-    catkindeck::{log_event, time::unix_ms, token::WeightVersion},
+    bytes::Bytes,
+    catkindeck::{ServiceError, log_event, time::unix_ms, token::WeightVersion},
     catkindeck_net::HttpExchange,
     catkindeck_policy::direct::{ItemKey, ItemOutcome},
+    http::Request,
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, timeout},
 };
@@ -89,25 +91,7 @@
 }
 
 async fn stream_item(core: &Rc<GatewayCore>, job: &OwnedJob, run: &ItemRun) -> RunEnd {
-    let (request, id) = {
-        let state = job.job.borrow();
-        let item = state.item(run.key);
-        let left_ms =
-            (job.spec.submitted_ms + state.limits().item_ttl_ms).saturating_sub(unix_ms());
-        let call = UpstreamCall {
-            upstream: &run.used.id,
-            customer: job.spec.customer.as_ref(),
-            deadline_ms: Some(left_ms),
-            urgency: Some(run.urgency),
-            last_event: state.progress(run.key).last_event,
-        };
-        let encoded = core
-            .ports
-            .upstreams
-            .encode_item(item, &job.spec.host, &call);
-        (encoded, item.id.clone())
-    };
-    let request = match request {
+    let request = match encode_run(core, job, run) {
         Ok(request) => request,
         Err(error) => return end(ItemOutcome::Impossible, &error.detail),
     };
@@ -120,58 +104,77 @@
         }
         Err(_) => {
             run.used.failed();
-            return end(
-                ItemOutcome::Interrupted,
-                "the upstream did not answer in time",
-            );
+            let detail = "the upstream did not answer in time";
+            return end(ItemOutcome::Interrupted, detail);
         }
     };
     let head = core
         .ports
         .upstreams
         .decode_head(exchange.status(), exchange.headers());
-    if head
-        .request
-        .as_ref()
-        .is_some_and(|answered| *answered != id)
-    {
+    if let Some(ended) = check_head(&head, run, &job.spec.items[run.key.0 as usize].id) {
         exchange.poison();
-        return end(
-            ItemOutcome::Interrupted,
-            "the answer belongs to another request",
-        );
+        return ended;
+    }
+    let mut reader = ItemReader {
+        core,
+        job,
+        run,
+        version: head.version,
+        last: None,
+        events: 0,
+        gap_us: 0,
+    };
+    reader.learn_version(head.version);
+    reader.read(&mut exchange).await
+}
+
+fn encode_run(
+    core: &GatewayCore,
+    job: &OwnedJob,
+    run: &ItemRun,
+) -> Result<Request<Bytes>, ServiceError> {
+    let state = job.job.borrow();
+    let item = state.item(run.key);
+    let gives_up_ms = job.spec.submitted_ms + state.limits().item_ttl_ms;
+    let call = UpstreamCall {
+        upstream: &run.used.id,
+        customer: job.spec.customer.as_ref(),
+        deadline_ms: Some(gives_up_ms.saturating_sub(unix_ms())),
+        urgency: Some(run.urgency),
+        last_event: state.progress(run.key).last_event,
+    };
+    let upstreams = &core.ports.upstreams;
+    upstreams.encode_item(item, &job.spec.host, &call)
+}
+
+/// Returns the end of a run whose answer is no stream of events.
+fn check_head(head: &UpstreamHead, run: &ItemRun, id: &str) -> Option<RunEnd> {
+    if head.request.as_ref().is_some_and(|answered| answered != id) {
+        let detail = "the answer belongs to another request";
+        return Some(end(ItemOutcome::Interrupted, detail));
     }
     if head.not_run {
         run.used.refused(REFUSED_PAUSE_MS);
         let detail = format!("the upstream refused with {}", head.status);
-        return end(ItemOutcome::Interrupted, &detail);
+        return Some(end(ItemOutcome::Interrupted, &detail));
     }
     match head.status.as_u16() {
-        200 => {}
+        200 => None,
         422 => {
-            return end(
-                ItemOutcome::Impossible,
-                "the upstream can never run the item",
-            );
+            let detail = "the upstream can never run the item";
+            Some(end(ItemOutcome::Impossible, detail))
         }
-        500 => return end(ItemOutcome::Failed, "the upstream failed to run the item"),
+        500 => Some(end(
+            ItemOutcome::Failed,
+            "the upstream failed to run the item",
+        )),
         _ => {
             run.used.failed();
             let detail = format!("the upstream answered {}", head.status);
-            return end(ItemOutcome::Interrupted, &detail);
+            Some(end(ItemOutcome::Interrupted, &detail))
         }
     }
-    let mut reader = ItemReader {
-        core,
-        job,
-        run,
-        version: head.version,
-        last: None,
-        events: 0,
-        gap_us: 0,
-    };
-    reader.learn_version(head.version);
-    reader.read(&mut exchange).await
 }
 
 struct ItemReader<'a> {
