Prefer upstreams to which a connection is open

Change: selection prefers an upstream with an open unused connection, and the rest of a refusal is read so that its connection is kept.

--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -85,6 +85,7 @@
     }
     if head.not_run {
         used.refused(REFUSED_PAUSE_MS);
+        exchange.finish_soon();
         return AttemptOutcome::NotRun(format!("the upstream refused with {}", head.status));
     }
     if head.status.is_success() && head.stamp.is_none() {
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -155,6 +155,7 @@
             part: self.request.head.part,
             excluded: &self.excluded,
             zone: &settings.zone,
+            connected: &|address| self.core.upstream_client.has_idle(address),
         };
         UpstreamUse::engine(&self.core, &query)
     }
@@ -190,6 +191,7 @@
         }
         if head.not_run {
             used.refused(REFUSED_PAUSE_MS);
+            exchange.finish_soon();
             let detail = format!("the upstream refused with {}", head.status);
             return Ok(OpenOutcome::NotRun(detail));
         }
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -112,8 +112,14 @@
         .ports
         .upstreams
         .decode_head(exchange.status(), exchange.headers());
-    if let Some(ended) = check_head(&head, run, &job.spec.items[run.key.0 as usize].id) {
+    let id = &job.spec.items[run.key.0 as usize].id;
+    if head.request.as_ref().is_some_and(|answered| answered != id) {
         exchange.poison();
+        let detail = "the answer belongs to another request";
+        return end(ItemOutcome::Interrupted, detail);
+    }
+    if let Some(ended) = check_head(&head, run) {
+        exchange.finish_soon();
         return ended;
     }
     let mut reader = ItemReader {
@@ -149,11 +155,7 @@
 }
 
 /// Returns the end of a run whose answer is no stream of events.
-fn check_head(head: &UpstreamHead, run: &ItemRun, id: &str) -> Option<RunEnd> {
-    if head.request.as_ref().is_some_and(|answered| answered != id) {
-        let detail = "the answer belongs to another request";
-        return Some(end(ItemOutcome::Interrupted, detail));
-    }
+fn check_head(head: &UpstreamHead, run: &ItemRun) -> Option<RunEnd> {
     if head.not_run {
         run.used.refused(REFUSED_PAUSE_MS);
         let detail = format!("the upstream refused with {}", head.status);
--- a/crates/catkindeck-gateway/src/jobs/runner.rs
+++ b/crates/catkindeck-gateway/src/jobs/runner.rs
@@ -100,6 +100,7 @@
             part: item.part,
             excluded: &[],
             zone: &settings.zone,
+            connected: &|address| self.core.upstream_client.has_idle(address),
         };
         let used = UpstreamUse::engine(&self.core, &query)?;
         if let Some(part) = item.part {
--- a/crates/catkindeck-gateway/src/upstream_use.rs
+++ b/crates/catkindeck-gateway/src/upstream_use.rs
@@ -34,6 +34,7 @@
             service,
             excluded,
             zone: &settings.zone,
+            connected: &|address| core.upstream_client.has_idle(address),
         };
         let limits = rate_limits(core, service);
         let key = core
--- a/crates/catkindeck-net/src/client.rs
+++ b/crates/catkindeck-net/src/client.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Tells whether an unused connection to an address is open.
+    pub fn has_idle(&self, address: SocketAddr) -> bool {
+        self.pool.has_idle(address, self.limits.idle)
+    }
+
     /// Closes the unused connections to an address.
     pub fn close(&self, address: SocketAddr) {
         self.pool.close(address);
--- a/crates/catkindeck-net/src/exchange.rs
+++ b/crates/catkindeck-net/src/exchange.rs
@@ -8,6 +8,7 @@
     hyper::body::Incoming,
     std::time::Duration,
     thiserror::Error,
+    tokio::time::timeout,
 };
 
 /// The part of a stated keep-alive time after which a connection is not used again, in percent.
@@ -15,6 +16,12 @@
 /// The other side counts from when it sent its answer, so the last part is left unused.
 const KEEPALIVE_PERCENT: u32 = 80;
 
+/// The longest time for the rest of an answer that is of no use.
+const FINISH_LIMIT: Duration = Duration::from_millis(200);
+
+/// The largest rest of an answer that is read to keep the connection, in bytes.
+const FINISH_BYTES: usize = 16 << 10;
+
 /// Why a request has no whole answer.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("{detail}")]
@@ -171,6 +178,14 @@
         })
     }
 
+    /// Reads the short rest of an answer that is of no use, so that the connection can be kept.
+    pub fn finish_soon(self) {
+        tokio::task::spawn_local(async move {
+            // A rest that does not come soon costs the connection.
+            let _ = timeout(FINISH_LIMIT, self.whole(FINISH_BYTES)).await;
+        });
+    }
+
     /// Keeps the connection out of the pool, for an answer that belongs to another request.
     pub fn poison(&mut self) {
         self.connection = None;
--- a/crates/catkindeck-net/src/pool.rs
+++ b/crates/catkindeck-net/src/pool.rs
@@ -83,6 +83,15 @@
         connections.pop()
     }
 
+    /// Tells whether an idle connection to an address can be used.
+    pub(crate) fn has_idle(&self, address: SocketAddr, idle_limit: Duration) -> bool {
+        let now = Instant::now();
+        let idle = self.idle.borrow();
+        let connections = idle.get(&address).into_iter().flatten();
+        let mut usable = connections.filter(|connection| connection.is_usable(now, idle_limit));
+        usable.next().is_some()
+    }
+
     /// Keeps a connection for the next exchange, unless `capacity` others are idle.
     pub(crate) fn put(&self, mut connection: OpenConnection, capacity: usize) {
         connection.reused = true;
--- a/crates/catkindeck-policy/src/direct/selection.rs
+++ b/crates/catkindeck-policy/src/direct/selection.rs
@@ -7,6 +7,7 @@
     },
     crate::hash,
     catkindeck::{Moment, id::ObjectName, token::WeightVersion},
+    std::net::SocketAddr,
 };
 
 /// What one more request of the same kind in progress adds to the cost of an upstream, in percent
@@ -16,11 +17,19 @@
 /// The advantage of an upstream that probably has the prompt in its cache, in percent.
 const CACHE_PERCENT: u64 = 15;
 
+/// The advantage of a plain upstream to which a connection is open, in percent. Opening one costs
+/// both sides more than the difference between two idle upstreams.
+const CONNECTED_PLAIN_PERCENT: u64 = 50;
+
+/// The advantage of an engine to which a connection is open, in percent. Less than what a few more
+/// requests in progress cost, because a long stream is worth a new connection.
+const CONNECTED_ENGINE_PERCENT: u64 = 10;
+
 /// The advantage of an upstream in the same availability zone, in percent.
 const ZONE_PERCENT: u64 = 5;
 
 /// What an engine is looked for.
-#[derive(Debug, Clone, Copy)]
+#[derive(Clone, Copy)]
 pub struct EngineQuery<'a> {
     /// The service.
     pub service: &'a ObjectName,
@@ -34,10 +43,12 @@
     pub excluded: &'a [UpstreamKey],
     /// The availability zone of this process.
     pub zone: &'a ObjectName,
+    /// Tells whether a connection to an address is open and unused.
+    pub connected: &'a dyn Fn(SocketAddr) -> bool,
 }
 
 /// What a plain upstream is looked for.
-#[derive(Debug, Clone, Copy)]
+#[derive(Clone, Copy)]
 pub struct PlainQuery<'a> {
     /// The service.
     pub service: &'a ObjectName,
@@ -45,6 +56,8 @@
     pub excluded: &'a [UpstreamKey],
     /// The availability zone of this process.
     pub zone: &'a ObjectName,
+    /// Tells whether a connection to an address is open and unused.
+    pub connected: &'a dyn Fn(SocketAddr) -> bool,
 }
 
 /// How many requests this process may send to one upstream within a second.
@@ -96,6 +109,8 @@
             let mut cost = loaded_cost(state, state.event_gap_us.max(fastest));
             cost = discount(cost, CACHE_PERCENT, cached);
             cost = discount(cost, ZONE_PERCENT, state.record.zone == *query.zone);
+            let connected = (query.connected)(state.record.address);
+            cost = discount(cost, CONNECTED_ENGINE_PERCENT, connected);
             (state.is_cold(now), cost)
         };
         usable
@@ -120,6 +135,8 @@
         let cost = |state: &UpstreamState| {
             let cost = loaded_cost(state, state.latency_us.max(fastest));
             let cost = discount(cost, ZONE_PERCENT, state.record.zone == *query.zone);
+            let connected = (query.connected)(state.record.address);
+            let cost = discount(cost, CONNECTED_PLAIN_PERCENT, connected);
             // An upstream that failed is better than none, but only then.
             (state.is_avoided(now), state.is_cold(now), cost)
         };
