Read the store by one process for all, and run a route's jobs at one standby

Cause: each of 30 processes read intents and upstreams every second, and each step's job started at another entry, which opened its own connections to every engine and scorer. Ruled out: sharing reads by zone first; one reader leaves fewer calls, and every process still reads for itself when it hears nothing. Change: the holder of the control work passes its reads on; followers date them by the moment before they asked. A job is owned from its acceptance by a process without callers in the accepting zone, chosen by route.

--- a/crates/catkindeck-gateway/src/control/janitor.rs
+++ b/crates/catkindeck-gateway/src/control/janitor.rs
@@ -71,7 +71,7 @@
                 revision: item.revision,
             })
             .collect();
-        let former = self.work.members.replace(members.clone());
+        let former = self.work.core.members.replace(members.clone());
         let left = former.iter().any(|member| !contains(&members, member));
         if left && missing_since.is_none() {
             *missing_since = Some(Instant::now());
--- a/crates/catkindeck-gateway/src/control/lead.rs
+++ b/crates/catkindeck-gateway/src/control/lead.rs
@@ -21,7 +21,7 @@
 };
 
 /// The longest time that a process waits for the holder's key to end before it reads it again.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+const WATCH_WAIT: Duration = Duration::from_secs(25);
 
 /// The pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -39,8 +39,6 @@
     pub core: Rc<GatewayCore>,
     /// The jobs of the process.
     pub jobs: Rc<JobService>,
-    /// The other processes, as last read.
-    pub members: RefCell<Vec<MemberRecord>>,
     session: Rc<MemberSession>,
     fence: RefCell<Option<u64>>,
 }
@@ -55,7 +53,6 @@
         Rc::new(Self {
             core,
             jobs,
-            members: RefCell::new(Vec::new()),
             session,
             fence: RefCell::new(None),
         })
@@ -104,6 +101,8 @@
         let store = &self.core.ports.store;
         let listing = store.list(CONTROL_KEY).await?;
         let found = listing.items.iter().find(|item| item.key == CONTROL_KEY);
+        let holder = found.and_then(|item| keys::decode_item::<MemberRecord>(item).ok());
+        *self.core.controller.borrow_mut() = holder;
         if let Some(item) = found
             && !self.is_former_self(item)
         {
@@ -145,6 +144,7 @@
     /// Does the work until the lease ends or the process leaves.
     async fn lead(self: &Rc<Self>, fence: u64) {
         *self.fence.borrow_mut() = Some(fence);
+        *self.core.controller.borrow_mut() = Some(self.session.record());
         log_event!(self.core.logger, CONTROL_HELD; "fence" => fence);
         let tasks = [
             tokio::task::spawn_local(WeightRollout::new(Rc::clone(self)).run()),
@@ -160,6 +160,7 @@
             task.abort();
         }
         *self.fence.borrow_mut() = None;
+        *self.core.controller.borrow_mut() = None;
         log_event!(self.core.logger, CONTROL_RELEASED; "fence" => fence);
     }
 
--- a/crates/catkindeck-gateway/src/control/usage.rs
+++ b/crates/catkindeck-gateway/src/control/usage.rs
@@ -154,7 +154,7 @@
             }
         };
         add(core.usage.borrow().window(window));
-        let members = self.work.members.borrow().clone();
+        let members = self.work.core.members.borrow().clone();
         for member in members {
             if member.incarnation == core.incarnation || !member.serves_callers {
                 continue;
--- a/crates/catkindeck-gateway/src/control/weights.rs
+++ b/crates/catkindeck-gateway/src/control/weights.rs
@@ -181,7 +181,7 @@
     fn announce(&self, notice: LoadNotice) {
         let core = &self.work.core;
         core.note_load(&notice);
-        for member in self.work.members.borrow().iter() {
+        for member in self.work.core.members.borrow().iter() {
             if member.incarnation == core.incarnation {
                 continue;
             }
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -2,7 +2,9 @@
 
 use {
     crate::{
+        feed::StoreFeed,
         intent::IntentView,
+        keys::MemberRecord,
         metrics::GatewayMetrics,
         port::{CallerDialect, DutyPort, IntentDecoder, MetadataStore, UpstreamDialect},
         settings::NodeSettings,
@@ -67,6 +69,12 @@
     pub capacity: Notify,
     /// Signals that operators or trainers changed something.
     pub intent_changed: Notify,
+    /// What this process read from the store, for others.
+    pub feed: StoreFeed,
+    /// The processes of the system, as last heard.
+    pub members: RefCell<Vec<MemberRecord>>,
+    /// The process that does the control work, as last heard.
+    pub controller: RefCell<Option<MemberRecord>>,
     /// Whether the process is leaving.
     pub leaving: Cell<bool>,
     /// The log.
@@ -97,6 +105,9 @@
             metrics,
             capacity: Notify::new(),
             intent_changed: Notify::new(),
+            feed: StoreFeed::default(),
+            members: RefCell::new(Vec::new()),
+            controller: RefCell::new(None),
             leaving: Cell::new(false),
             logger,
             clock: BootClock::new(),
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -31,6 +31,10 @@
     STORE_LOST = 8110, "store_lost", Warning, "store does not answer";
     /// The store answers again.
     STORE_REGAINED = 8111, "store_regained", Info, "store answers again";
+    /// Another process reads from the store for this one.
+    FEED_REGAINED = 8115, "feed_regained", Info, "another process reads from the store for this one";
+    /// No other process reads from the store for this one.
+    FEED_LOST = 8116, "feed_lost", Info, "process reads from the store itself";
     /// A record in the store cannot be read.
     INTENT_FAULT = 8112, "intent_fault", Warning, "record in the store cannot be read and is left out";
     /// A configuration is in use.
--- a/crates/catkindeck-gateway/src/follow.rs
+++ b/crates/catkindeck-gateway/src/follow.rs
@@ -4,13 +4,21 @@
     crate::{
         core::GatewayCore,
         events::{
-            CONFIG_IN_USE, INTENT_FAULT, STORE_LOST, STORE_REGAINED, UPSTREAM_APPEARED,
-            UPSTREAM_DRAINING, UPSTREAM_GONE, ZONES_CHANGED,
+            CONFIG_IN_USE, FEED_LOST, FEED_REGAINED, INTENT_FAULT, STORE_LOST, STORE_REGAINED,
+            UPSTREAM_APPEARED, UPSTREAM_DRAINING, UPSTREAM_GONE, ZONES_CHANGED,
         },
+        feed::{FEED_WAIT_MS, FeedQuery, FeedUpdate},
+        keys::MemberRecord,
+        peer::{PeerAnswer, PeerCall},
+        port::StoreItem,
     },
-    catkindeck::{ServiceError, log_event},
-    std::{cell::Cell, rc::Rc, time::Duration},
-    tokio::time::{Instant, sleep_until},
+    catkindeck::{ErrorKind, Moment, ServiceError, id::IncarnationId, log_event},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
+    tokio::time::{Instant, sleep, sleep_until},
 };
 
 /// The time from one read to the next. Changes must be in force two seconds after they were
@@ -20,28 +28,43 @@
 /// The time to the next read after one that failed.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The age of a feed's reads from which this process reads for itself, in milliseconds: one read of
+/// the other process may fail.
+const FEED_AGE_MS: u64 = 1_450;
+
+/// How long this process reads for itself after the feed failed, before it asks again.
+const FEED_PAUSE: Duration = Duration::from_millis(2_000);
+
 /// Keeps the view of intents and the roster up to date.
 pub struct StoreFollower {
     core: Rc<GatewayCore>,
-    is_lost: Cell<bool>,
+    is_store_lost: Cell<bool>,
+    /// Whether another process reads for this one.
+    is_fed: Cell<bool>,
+    known: RefCell<(Option<IncarnationId>, FeedQuery)>,
 }
 
 impl StoreFollower {
-    /// Starts both reads.
+    /// Starts the reads.
     pub fn start(core: &Rc<GatewayCore>) {
         let follower = Rc::new(Self {
             core: Rc::clone(core),
-            is_lost: Cell::new(false),
+            is_store_lost: Cell::new(false),
+            is_fed: Cell::new(false),
+            known: RefCell::new((None, FeedQuery::default())),
         });
         tokio::task::spawn_local(Rc::clone(&follower).follow_intents());
-        tokio::task::spawn_local(follower.follow_upstreams());
+        tokio::task::spawn_local(Rc::clone(&follower).follow_upstreams());
+        tokio::task::spawn_local(follower.follow_feed());
     }
 
     async fn follow_intents(self: Rc<Self>) {
         loop {
             let started = Instant::now();
-            let outcome = self.read_intents().await;
-            let next = started + self.settle(outcome);
+            let next = match self.is_fed.get() {
+                true => started + RETRY_INTERVAL,
+                false => started + self.settle(self.read_intents().await),
+            };
             tokio::select! {
                 () = sleep_until(next) => {}
                 // Another part of the process heard of a change.
@@ -53,23 +76,105 @@
     async fn follow_upstreams(self: Rc<Self>) {
         loop {
             let started = Instant::now();
-            let outcome = self.read_upstreams().await;
-            sleep_until(started + self.settle(outcome)).await;
+            let next = match self.is_fed.get() {
+                true => started + RETRY_INTERVAL,
+                false => started + self.settle(self.read_upstreams().await),
+            };
+            sleep_until(next).await;
+        }
+    }
+
+    /// Hears from the process that reads for all, for as long as that works.
+    async fn follow_feed(self: Rc<Self>) {
+        loop {
+            let Some(controller) = self.feeder() else {
+                self.set_fed(false, "nobody reads for others");
+                sleep(RETRY_INTERVAL).await;
+                continue;
+            };
+            match self.hear(&controller).await {
+                Ok(()) => self.set_fed(true, ""),
+                Err(error) => {
+                    self.set_fed(false, &error.detail);
+                    sleep(FEED_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Returns the process that reads for others, if it is another one.
+    fn feeder(&self) -> Option<MemberRecord> {
+        let controller = self.core.controller.borrow().clone()?;
+        (controller.incarnation != self.core.incarnation).then_some(controller)
+    }
+
+    async fn hear(&self, controller: &MemberRecord) -> Result<(), ServiceError> {
+        let query = {
+            let mut known = self.known.borrow_mut();
+            if known.0 != Some(controller.incarnation) {
+                *known = (Some(controller.incarnation), FeedQuery::default());
+            }
+            known.1.clone()
+        };
+        // The read behind the answer is at most as old as its age says when the answer was made,
+        // which was after this moment.
+        let sent = self.core.now();
+        let call = PeerCall::Feed(query);
+        let wait = Duration::from_millis(FEED_WAIT_MS);
+        let answer = self.core.call_peer(controller.peer, &call, wait).await?;
+        let PeerAnswer::Feed(update) = answer else {
+            let detail = "the process answered something else";
+            return Err(ServiceError::unknown(ErrorKind::PeerUnavailable, detail));
+        };
+        let oldest = update.intents.age_ms.max(update.upstreams.age_ms);
+        self.take_update(sent, *update);
+        match oldest > FEED_AGE_MS {
+            true => Err(ServiceError::not_run(
+                ErrorKind::StoreUnavailable,
+                "the process that reads for others does not reach the store",
+            )),
+            false => Ok(()),
+        }
+    }
+
+    fn take_update(&self, sent: Moment, update: FeedUpdate) {
+        let intents_at = sent - update.intents.age_ms;
+        let upstreams_at = sent - update.upstreams.age_ms;
+        let query = FeedQuery {
+            intents: update.intents.content,
+            upstreams: update.upstreams.content,
+            reads: update.reads,
+        };
+        self.known.borrow_mut().1 = query;
+        *self.core.members.borrow_mut() = update.members;
+        if let Some(items) = update.intents.items {
+            self.take_intents(intents_at, &items);
+        }
+        self.core.freshness.borrow_mut().prove(intents_at);
+        if let Some(items) = update.upstreams.items {
+            self.take_upstreams(upstreams_at, &items);
         }
     }
 
     async fn read_intents(&self) -> Result<(), ServiceError> {
         let core = &self.core;
-        let decoder = Rc::clone(&core.ports.intents);
         let sent = core.now();
-        let listing = core.ports.store.list(decoder.intent_prefix()).await?;
+        let prefix = core.ports.intents.intent_prefix();
+        let listing = core.ports.store.list(prefix).await?;
+        core.feed.put_intents(sent, &listing.items);
+        self.take_intents(sent, &listing.items);
+        core.freshness.borrow_mut().prove(sent);
+        Ok(())
+    }
+
+    fn take_intents(&self, sent: Moment, items: &[StoreItem]) {
+        let core = &self.core;
         let known = core.intent.borrow().store_revision();
-        let mut intent = decoder.decode_intent(&listing.items, known);
+        let mut intent = core.ports.intents.decode_intent(items, known);
         for fault in std::mem::take(&mut intent.faults) {
             log_event!(core.logger, INTENT_FAULT; "detail" => fault);
         }
         let changes = core.intent.borrow_mut().apply(intent);
-        core.freshness.borrow_mut().prove(sent);
         let view = core.intent.borrow();
         if changes.config {
             log_event!(core.logger, CONFIG_IN_USE;
@@ -86,15 +191,21 @@
         if changes.any() {
             core.capacity.notify_one();
         }
-        Ok(())
     }
 
     async fn read_upstreams(&self) -> Result<(), ServiceError> {
         let core = &self.core;
-        let decoder = Rc::clone(&core.ports.intents);
         let sent = core.now();
-        let listing = core.ports.store.list(decoder.upstream_prefix()).await?;
-        let (list, faults) = decoder.decode_upstreams(&listing.items);
+        let prefix = core.ports.intents.upstream_prefix();
+        let listing = core.ports.store.list(prefix).await?;
+        core.feed.put_upstreams(sent, &listing.items);
+        self.take_upstreams(sent, &listing.items);
+        Ok(())
+    }
+
+    fn take_upstreams(&self, sent: Moment, items: &[StoreItem]) {
+        let core = &self.core;
+        let (list, faults) = core.ports.intents.decode_upstreams(items);
         for fault in faults {
             log_event!(core.logger, INTENT_FAULT; "detail" => fault);
         }
@@ -117,20 +228,29 @@
         }
         drop(roster);
         core.capacity.notify_one();
-        Ok(())
+    }
+
+    fn set_fed(&self, fed: bool, detail: &str) {
+        if self.is_fed.replace(fed) == fed {
+            return;
+        }
+        match fed {
+            true => log_event!(self.core.logger, FEED_REGAINED),
+            false => log_event!(self.core.logger, FEED_LOST; "detail" => detail),
+        }
     }
 
     /// Notes whether the store answers and returns the time to the next read.
     fn settle(&self, outcome: Result<(), ServiceError>) -> Duration {
         match outcome {
             Ok(()) => {
-                if self.is_lost.replace(false) {
+                if self.is_store_lost.replace(false) {
                     log_event!(self.core.logger, STORE_REGAINED);
                 }
                 READ_INTERVAL
             }
             Err(error) => {
-                if !self.is_lost.replace(true) {
+                if !self.is_store_lost.replace(true) {
                     log_event!(self.core.logger, STORE_LOST; "detail" => error.detail);
                 }
                 RETRY_INTERVAL
--- a/crates/catkindeck-gateway/src/jobs/adopt.rs
+++ b/crates/catkindeck-gateway/src/jobs/adopt.rs
@@ -5,7 +5,7 @@
     crate::{
         events::{JOB_HANDED_OVER, JOB_TAKEN_OVER, JOBS_UNCONFIRMED},
         keys::{self, JobState, MemberRecord, OPEN_PREFIX, OpenRecord},
-        peer::{PeerAnswer, PeerCall},
+        peer::{JobHandOver, PeerAnswer, PeerCall},
         port::{CommitOutcome, LeaseId, StoreCondition, StoreItem},
     },
     catkindeck::{ErrorKind, ServiceError, log_event},
@@ -42,11 +42,16 @@
         };
         let mut transaction = record_change(&record, item.revision)?;
         transaction.conditions.extend(registration);
-        let lease = self.session.lease();
         match self.core.ports.store.commit(&transaction).await? {
             CommitOutcome::Committed(revision) => {
-                self.run_adopted(record, revision, &former, Vec::new(), lease)
-                    .await
+                self.run_adopted(JobHandOver {
+                    record,
+                    revision,
+                    former,
+                    spec: None,
+                    progress: Vec::new(),
+                })
+                .await
             }
             _ => Err(ServiceError::not_run(
                 ErrorKind::Conflict,
@@ -55,20 +60,27 @@
         }
     }
 
-    /// Runs a job that the store names this process as the owner of; `lease` was held before.
+    /// Runs a job that the store names this process as the owner of.
     ///
     /// # Errors
     ///
     /// Returns the store's error if the job cannot be loaded.
-    pub async fn run_adopted(
-        self: &Rc<Self>,
-        record: OpenRecord,
-        revision: u64,
-        former: &MemberRecord,
-        progress: Vec<(u32, ItemProgress)>,
-        lease: Option<LeaseId>,
-    ) -> Result<(), ServiceError> {
-        let job = self.load(record, revision).await?;
+    pub async fn run_adopted(self: &Rc<Self>, hand_over: JobHandOver) -> Result<(), ServiceError> {
+        let JobHandOver {
+            record,
+            revision,
+            former,
+            spec,
+            progress,
+        } = hand_over;
+        if record.owner.incarnation != self.core.incarnation {
+            let detail = "the job was handed to another run of this process";
+            return Err(ServiceError::not_run(ErrorKind::WrongIncarnation, detail));
+        }
+        let job = match spec {
+            Some(spec) => OwnedJob::new(&self.core, Rc::new(spec), record, revision, Vec::new()),
+            None => self.load(record, revision).await?,
+        };
         let now = self.core.now();
         for (index, progress) in progress {
             if (index as usize) < job.spec.items.len() {
@@ -84,31 +96,7 @@
         log_event!(self.core.logger, JOB_TAKEN_OVER;
             "job" => &job.spec.id, "from" => %former.host, "revision" => revision,
             "listed" => job.results.borrow().len(), "items" => job.spec.items.len());
-        self.insert(job, lease);
-        Ok(())
-    }
-
-    /// Runs a job that its former owner handed over.
-    ///
-    /// # Errors
-    ///
-    /// Returns the store's error if the job cannot be loaded.
-    pub async fn accept_hand_over(
-        self: &Rc<Self>,
-        record: OpenRecord,
-        revision: u64,
-        former: &MemberRecord,
-        progress: Vec<(u32, ItemProgress)>,
-    ) -> Result<(), ServiceError> {
-        self.run_adopted(record, revision, former, progress, None)
-            .await?;
-        let Some(lease) = self.session.lease() else {
-            return Ok(());
-        };
-        // Until it is confirmed under the lease, readers are answered from the store.
-        if let Err(error) = self.confirm_jobs(lease).await {
-            log_event!(self.core.logger, JOBS_UNCONFIRMED; "detail" => error.detail);
-        }
+        self.insert(job);
         Ok(())
     }
 
@@ -181,12 +169,13 @@
         let progress = progress
             .into_iter()
             .map(|(key, progress)| (key.0, progress));
-        let call = PeerCall::Adopt {
+        let call = PeerCall::Adopt(Box::new(JobHandOver {
             record: record.clone(),
             revision,
             former: former.owner,
+            spec: None,
             progress: progress.collect(),
-        };
+        }));
         self.remove(&job.spec.id);
         let adopted = self
             .core
--- a/crates/catkindeck-gateway/src/jobs/owned.rs
+++ b/crates/catkindeck-gateway/src/jobs/owned.rs
@@ -60,9 +60,10 @@
             spec,
             job: RefCell::new(job),
             revision: Cell::new(revision),
+            // The store named this process as the owner while it had this lease.
+            confirmed_under: Cell::new(record.owner.lease),
             record: RefCell::new(record),
             results: RefCell::new(results.into_iter().map(Rc::new).collect()),
-            confirmed_under: Cell::new(None),
             is_lost: Cell::new(false),
             listed: Notify::new(),
             tasks: RefCell::new(SortedMap::new()),
--- a/crates/catkindeck-gateway/src/jobs/service.rs
+++ b/crates/catkindeck-gateway/src/jobs/service.rs
@@ -5,7 +5,6 @@
     crate::{
         core::GatewayCore,
         keys::{JobState, MemberRecord, OpenRecord},
-        port::LeaseId,
         session::MemberSession,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, SortedMap, id::ObjectName},
@@ -61,9 +60,8 @@
         is_final || (lease.is_some() && job.confirmed_under.get() == lease)
     }
 
-    /// Takes a job into this process; `lease` was held before the store named this process as owner.
-    pub fn insert(&self, job: Rc<OwnedJob>, lease: Option<LeaseId>) {
-        job.confirmed_under.set(lease);
+    /// Takes a job into this process.
+    pub fn insert(&self, job: Rc<OwnedJob>) {
         let id = job.spec.id.clone();
         self.located.borrow_mut().remove(&id);
         self.owned.borrow_mut().insert(id, job);
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -3,16 +3,15 @@
 use {
     super::{owned::OwnedJob, service::JobService},
     crate::{
-        events::{JOB_ACCEPTED, JOB_REFUSED},
+        events::{JOB_ACCEPTED, JOB_LOST, JOB_REFUSED},
         front::AdmittedRequest,
-        keys::{self, JobState, OpenRecord},
-        port::{
-            CommitOutcome, LeaseId, PlainAnswer, StoreCondition, StoreItem, StoreWrite, Transaction,
-        },
+        keys::{self, JobState, MemberRecord, OpenRecord},
+        peer::{JobHandOver, PeerAnswer, PeerCall},
+        port::{CommitOutcome, PlainAnswer, StoreCondition, StoreItem, StoreWrite, Transaction},
     },
     bytes::Bytes,
     catkindeck::{ErrorKind, ServiceError, error::ExecutionOutcome, log_event},
-    catkindeck_policy::direct::JobSpec,
+    catkindeck_policy::direct::{JobSpec, rank},
     http::{Response, StatusCode},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep},
@@ -76,25 +75,84 @@
         let callers = &self.core.ports.callers;
         let spec = callers.decode_job(&request.head, &route.name, customer, body)?;
         let spec = Rc::new(spec);
+        let runner = self.choose_runner(&spec);
         let record = OpenRecord {
             job: spec.id.clone(),
-            owner: self.self_record(),
+            owner: runner.clone(),
             state: JobState::Running,
             customer: customer.cloned(),
             submitted_ms: spec.submitted_ms,
         };
         let transaction = self.acceptance(&spec, &record)?;
-        let lease = self.session.lease();
         let until = request.expires.min(request.arrived + ACCEPT_LIMIT);
         match self.write_acceptance(&transaction, until).await? {
+            Acceptance::Own(revision) if runner.incarnation == self.core.incarnation => {
+                self.own(spec, record, revision);
+                Ok(())
+            }
             Acceptance::Own(revision) => {
-                self.own(spec, record, revision, lease);
+                let service = Rc::clone(self);
+                tokio::task::spawn_local(async move {
+                    service.place_job(spec, record, revision).await;
+                });
                 Ok(())
             }
             Acceptance::Known(item) => self.meet_known(spec, &record, &item),
         }
     }
 
+    /// Chooses the process that runs a job.
+    ///
+    /// The jobs of a route run at one process without callers of this availability zone, if there is
+    /// one: it keeps its connections to the engines from step to step, and has the texts of items
+    /// that come again.
+    fn choose_runner(&self, spec: &JobSpec) -> MemberRecord {
+        let own = self.self_record();
+        let members = self.core.members.borrow();
+        let able = members
+            .iter()
+            .filter(|member| member.zone == own.zone && !member.serves_callers);
+        let chosen = able.max_by_key(|member| {
+            rank(&[
+                spec.route.as_str().as_bytes(),
+                member.host.as_str().as_bytes(),
+            ])
+        });
+        chosen.cloned().unwrap_or(own)
+    }
+
+    /// Passes an accepted job to the process that the store names as its owner, or takes it back.
+    async fn place_job(self: Rc<Self>, spec: Rc<JobSpec>, record: OpenRecord, revision: u64) {
+        let call = PeerCall::Adopt(Box::new(JobHandOver {
+            record: record.clone(),
+            revision,
+            former: self.self_record(),
+            spec: Some((*spec).clone()),
+            progress: Vec::new(),
+        }));
+        let runner = record.owner.clone();
+        let answer = self.core.call_peer(runner.peer, &call, Duration::ZERO);
+        if let Ok(PeerAnswer::Done) = answer.await {
+            log_event!(self.core.logger, JOB_ACCEPTED;
+                "job" => &spec.id, "route" => %spec.route, "items" => spec.items.len(),
+                "least_version" => spec.least_version.0, "revision" => revision,
+                "runner" => %runner.host);
+            self.locate(record);
+            return;
+        }
+        // The runner's writes fail from here on, whether or not it has the job.
+        let record = OpenRecord {
+            owner: self.self_record(),
+            ..record
+        };
+        match self.write_record(&record, revision).await {
+            Ok(CommitOutcome::Committed(revision)) => self.own(spec, record, revision),
+            // The runner, or whoever finds it missing, has the job.
+            outcome => log_event!(self.core.logger, JOB_LOST;
+                "job" => &spec.id, "owner" => %runner.host, "outcome" => format!("{outcome:?}")),
+        }
+    }
+
     /// Handles a job that the store has already.
     fn meet_known(
         self: &Rc<Self>,
@@ -107,18 +165,12 @@
         let is_own = found.owner.incarnation == own.owner.incarnation;
         if is_own && self.owned(&spec.id).is_none() && found.submitted_ms == own.submitted_ms {
             // An earlier write of this very call took effect although its answer was lost.
-            self.own(spec, found, item.revision, None);
+            self.own(spec, found, item.revision);
         }
         Ok(())
     }
 
-    fn own(
-        self: &Rc<Self>,
-        spec: Rc<JobSpec>,
-        record: OpenRecord,
-        revision: u64,
-        lease: Option<LeaseId>,
-    ) {
+    fn own(self: &Rc<Self>, spec: Rc<JobSpec>, record: OpenRecord, revision: u64) {
         self.core
             .metrics
             .jobs
@@ -129,7 +181,7 @@
             "least_version" => spec.least_version.0, "revision" => revision);
         let job = OwnedJob::new(&self.core, spec, record, revision, Vec::new());
         self.reuse_texts(&job);
-        self.insert(job, lease);
+        self.insert(job);
     }
 
     fn acceptance(&self, spec: &JobSpec, record: &OpenRecord) -> Result<Transaction, ServiceError> {
--- a/crates/catkindeck-gateway/src/keys.rs
+++ b/crates/catkindeck-gateway/src/keys.rs
@@ -1,7 +1,7 @@
 //! The keys of the product in the platform's store and their values.
 
 use {
-    crate::port::StoreItem,
+    crate::port::{LeaseId, StoreItem},
     catkindeck::{
         ErrorKind, ServiceError,
         id::{IncarnationId, ObjectName},
@@ -32,10 +32,14 @@
     pub host: ObjectName,
     /// The run of the process.
     pub incarnation: IncarnationId,
+    /// The availability zone.
+    pub zone: ObjectName,
     /// The address for other processes of the system.
     pub peer: SocketAddr,
     /// Whether it serves callers.
     pub serves_callers: bool,
+    /// The lease under which it was registered when this record was written, if it was.
+    pub lease: Option<LeaseId>,
 }
 
 /// Where a job stands.
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod core;
 pub mod daemon;
 pub mod events;
+pub mod feed;
 pub mod follow;
 pub mod forward;
 pub mod front;
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -7,6 +7,7 @@
     crate::{
         core::GatewayCore,
         events::PEER_FAILED,
+        feed::{FeedQuery, FeedUpdate},
         jobs::JobService,
         keys::{self, MemberRecord, OpenRecord},
         port::WeightOrder,
@@ -16,7 +17,7 @@
         ErrorKind, ServiceError, id::ObjectName, log_event, message, token::WeightVersion,
     },
     catkindeck_net::{HttpHandler, LocalFuture, ReplyBody},
-    catkindeck_policy::direct::{ItemProgress, JobResult},
+    catkindeck_policy::direct::{ItemProgress, JobResult, JobSpec},
     http::{Method, Request, Response, StatusCode},
     http_body_util::BodyExt,
     hyper::body::Incoming,
@@ -62,16 +63,7 @@
         customer: Option<ObjectName>,
     },
     /// Hands a job over, after the store names the receiver as its owner.
-    Adopt {
-        /// What the store holds.
-        record: OpenRecord,
-        /// The store's revision of it.
-        revision: u64,
-        /// The process that ran the job.
-        former: MemberRecord,
-        /// What unlisted items have so far, by index.
-        progress: Vec<(u32, ItemProgress)>,
-    },
+    Adopt(Box<JobHandOver>),
     /// Asks for the requests of each customer in a usage window.
     Usage {
         /// The window.
@@ -79,6 +71,23 @@
     },
     /// Tells that upstreams load weights.
     Loads(Vec<LoadNotice>),
+    /// Asks for what the receiver read from the store.
+    Feed(FeedQuery),
+}
+
+/// A job with what its new owner needs to go on.
+#[message]
+pub struct JobHandOver {
+    /// What the store holds.
+    pub record: OpenRecord,
+    /// The store's revision of it.
+    pub revision: u64,
+    /// The process that ran or accepted the job.
+    pub former: MemberRecord,
+    /// The submission, if nothing is listed yet; otherwise the job is loaded.
+    pub spec: Option<JobSpec>,
+    /// What unlisted items have so far, by index.
+    pub progress: Vec<(u32, ItemProgress)>,
 }
 
 /// An upstream that loads weights.
@@ -109,6 +118,8 @@
     Refused(ServiceError),
     /// The requests of each customer.
     Usage(Vec<(ObjectName, u64)>),
+    /// What was read from the store.
+    Feed(Box<FeedUpdate>),
 }
 
 /// Results of a job.
@@ -208,20 +219,17 @@
                 }
                 None => Ok(PeerAnswer::NotOwner),
             },
-            PeerCall::Adopt {
-                record,
-                revision,
-                former,
-                progress,
-            } => {
-                self.jobs
-                    .accept_hand_over(record, revision, &former, progress)
-                    .await?;
+            PeerCall::Adopt(hand_over) => {
+                self.jobs.run_adopted(*hand_over).await?;
                 Ok(PeerAnswer::Done)
             }
             PeerCall::Usage { window } => {
                 Ok(PeerAnswer::Usage(self.core.usage.borrow().window(window)))
             }
+            PeerCall::Feed(query) => {
+                let update = self.core.feed.answer(&self.core, &query).await?;
+                Ok(PeerAnswer::Feed(Box::new(update)))
+            }
             PeerCall::Loads(notices) => {
                 for notice in notices {
                     self.core.note_load(&notice);
--- a/crates/catkindeck-gateway/src/session.rs
+++ b/crates/catkindeck-gateway/src/session.rs
@@ -46,10 +46,16 @@
         })
     }
 
-    /// Returns how other processes know this one.
+    /// Returns how other processes know this one now.
     pub fn record(&self) -> MemberRecord {
+        self.record_under(self.lease())
+    }
+
+    fn record_under(&self, lease: Option<LeaseId>) -> MemberRecord {
         let settings = self.core.settings();
         MemberRecord {
+            zone: settings.zone.clone(),
+            lease,
             host: settings.host.clone(),
             incarnation: self.core.incarnation,
             peer: settings.peer_listen,
@@ -120,7 +126,7 @@
     }
 
     async fn register(&self, lease: LeaseId) -> Result<(), ServiceError> {
-        let record = self.record();
+        let record = self.record_under(Some(lease));
         let transaction = Transaction {
             writes: vec![StoreWrite {
                 key: keys::member_key(&record.host),
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -21,7 +21,7 @@
     outcome::{ItemOutcome, ResultState},
     roster::{RosterChanges, UpstreamRoster},
     routes::{RouteMatch, RouteTable, choose_service},
-    selection::{EngineQuery, PlainQuery, RateLimits, part_digest},
+    selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rank},
     upstream::{DiscoveredUpstream, ModelWeights, UpstreamKey, UpstreamState},
     weights::{LoadPlanner, LoadTask, NamedVersion},
     windows::UsageWindows,
--- a/crates/catkindeck-policy/src/direct/selection.rs
+++ b/crates/catkindeck-policy/src/direct/selection.rs
@@ -176,6 +176,11 @@
     hash::rank(&[parts.as_bytes()])
 }
 
+/// Ranks a choice for a subject, so that all processes choose alike (rendezvous hashing).
+pub fn rank(parts: &[&[u8]]) -> u64 {
+    hash::rank(parts)
+}
+
 fn loaded_cost(state: &UpstreamState, base: u64) -> u64 {
     let slots = u64::from(state.record.slots.max(1));
     let load = u64::from(state.in_flight) * LOAD_PERCENT / slots;
