List the events of the gateway in the catalogue

Cause: the test of the catalogue had no range for the two new crates. Change: 7000 is HTTP on one event loop, 8000 the gateway. Before and after: pages.rs failed on the catalogue and passes.

--- a/crates/catkindeck-cli/tests/pages.rs
+++ b/crates/catkindeck-cli/tests/pages.rs
@@ -133,6 +133,8 @@
         ("catkindeck-control", 4),
         ("catkindeck-wire", 5),
         ("catkindeck-health", 6),
+        ("catkindeck-net", 7),
+        ("catkindeck-gateway", 8),
     ];
     let mut in_code = Vec::new();
     let mut crates_with_events = BTreeSet::new();
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -1,4 +1,4 @@
-//! Log events 8100 to 8999, see `docs/events.md`.
+//! Log events 8000 to 8999, see `docs/events.md`.
 
 use {catkindeck::log::LogEvent, slog::Level};
 
