Reach the store through peers, and run a service's jobs at one process

Cause: hosts that the store turned away or that were cut off from it went stale or refused jobs while others reached it; two runners sent more items to an engine than it has slots, because neither knew of the other's; a submission during a short outage was refused although the trainer had seconds left. Change: a call to the store that fails is made by a peer; all jobs of a service run at one process without callers; an acceptance is tried for five seconds while no process reaches the store, and until the route's time is over while it is in doubt. A job whose owner does not know it is found.

--- a/crates/catkindeck-gateway/src/control/janitor.rs
+++ b/crates/catkindeck-gateway/src/control/janitor.rs
@@ -5,6 +5,7 @@
     crate::{
         events::CONTROL_FAILED,
         keys::{self, JobState, MEMBER_PREFIX, MemberRecord, OPEN_PREFIX, OpenRecord},
+        peer::{PeerAnswer, PeerCall},
         port::{StoreCondition, StoreItem, Transaction},
     },
     catkindeck::{ServiceError, log_event, time::unix_ms},
@@ -16,7 +17,10 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// The longest time between two reads of all jobs.
-const JOBS_INTERVAL: Duration = Duration::from_secs(5);
+const JOBS_INTERVAL: Duration = Duration::from_millis(2_500);
+
+/// The time after its submission within which a job reaches its owner, in milliseconds.
+const PLACING_MS: u64 = 1_500;
 
 /// How long a process must be missing before its jobs are taken over. Leases that ended while the
 /// store was away come back within this time.
@@ -107,12 +111,11 @@
         {
             return self.remove(item, &record).await;
         }
-        if record.state != JobState::Running || contains(members, &record.owner) {
+        if record.state != JobState::Running {
             return Ok(());
         }
-        // This process may be the owner while its registration is renewed.
-        if record.owner.incarnation == core.incarnation {
-            return Ok(());
+        if record.owner.incarnation == core.incarnation || contains(members, &record.owner) {
+            return self.check_owner(item, record).await;
         }
         let key = keys::member_key(&record.owner.host);
         let known = registrations.iter().find(|known| known.key == key);
@@ -127,6 +130,28 @@
         Ok(())
     }
 
+    /// Takes over a job whose owner lives and does not know of it, because the process that accepted
+    /// the job ended before it told the owner.
+    async fn check_owner(&self, item: &StoreItem, record: OpenRecord) -> Result<(), ServiceError> {
+        let core = &self.work.core;
+        let is_new = record.submitted_ms.saturating_add(PLACING_MS) > unix_ms();
+        if is_new || self.work.jobs.owned(&record.job).is_some() {
+            return Ok(());
+        }
+        if record.owner.incarnation != core.incarnation {
+            let call = PeerCall::Knows {
+                job: record.job.clone(),
+            };
+            let answer = core
+                .call_peer(record.owner.peer, &call, Duration::ZERO)
+                .await;
+            if !matches!(answer, Ok(PeerAnswer::NotOwner)) {
+                return Ok(());
+            }
+        }
+        self.work.jobs.take_over(item, None).await
+    }
+
     /// Removes a job with everything that is stored of it.
     async fn remove(&self, item: &StoreItem, record: &OpenRecord) -> Result<(), ServiceError> {
         let store = &self.work.core.ports.store;
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -7,6 +7,7 @@
         keys::MemberRecord,
         metrics::GatewayMetrics,
         port::{CallerDialect, DutyPort, IntentDecoder, MetadataStore, UpstreamDialect},
+        relay::RelayedStore,
         settings::NodeSettings,
     },
     catkindeck::{Clock, Moment, id::IncarnationId, time::BootClock},
@@ -69,6 +70,8 @@
     pub capacity: Notify,
     /// Signals that operators or trainers changed something.
     pub intent_changed: Notify,
+    /// The store as this process reaches it, for peers that do not.
+    pub relay: Rc<RelayedStore>,
     /// What this process read from the store, for others.
     pub feed: StoreFeed,
     /// The processes of the system, as last heard.
@@ -92,7 +95,13 @@
         logger: Logger,
     ) -> Rc<Self> {
         let bound_ms = settings.bounds.revocation_ms * FRESHNESS_PERCENT / 100;
-        Rc::new(Self {
+        let relay = RelayedStore::new(ports.store);
+        let ports = GatewayPorts {
+            store: Rc::clone(&relay) as Rc<dyn MetadataStore>,
+            ..ports
+        };
+        let core = Rc::new(Self {
+            relay: Rc::clone(&relay),
             settings: RefCell::new(Rc::new(settings)),
             incarnation: IncarnationId::random(),
             ports,
@@ -111,7 +120,9 @@
             leaving: Cell::new(false),
             logger,
             clock: BootClock::new(),
-        })
+        });
+        relay.attach(&core);
+        core
     }
 
     /// Returns the present.
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -31,6 +31,8 @@
     STORE_LOST = 8110, "store_lost", Warning, "store does not answer";
     /// The store answers again.
     STORE_REGAINED = 8111, "store_regained", Info, "store answers again";
+    /// Calls to the store are made by peers.
+    STORE_RELAYED = 8117, "store_relayed", Warning, "store does not answer this process, peers make its calls";
     /// Another process reads from the store for this one.
     FEED_REGAINED = 8115, "feed_regained", Info, "another process reads from the store for this one";
     /// No other process reads from the store for this one.
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -1,7 +1,10 @@
 //! The acceptance of a job.
 
 use {
-    super::{owned::OwnedJob, service::JobService},
+    super::{
+        owned::OwnedJob,
+        service::{JobService, check_customer},
+    },
     crate::{
         events::{JOB_ACCEPTED, JOB_LOST, JOB_REFUSED},
         front::AdmittedRequest,
@@ -10,7 +13,7 @@
         port::{CommitOutcome, PlainAnswer, StoreCondition, StoreItem, StoreWrite, Transaction},
     },
     bytes::Bytes,
-    catkindeck::{ErrorKind, ServiceError, error::ExecutionOutcome, log_event},
+    catkindeck::{ErrorKind, ServiceError, error::ExecutionOutcome, id::ObjectName, log_event},
     catkindeck_policy::direct::{JobSpec, rank},
     http::{Response, StatusCode},
     std::{rc::Rc, time::Duration},
@@ -20,11 +23,13 @@
 /// The writes of one transaction, less the one that says who runs the job.
 const PART_LIMIT: usize = 30;
 
-/// The pause before a write whose outcome is unknown is tried again.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// The pause before a write is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// The longest time that an acceptance is tried; the caller then tries another process.
-const ACCEPT_LIMIT: Duration = Duration::from_millis(3_500);
+/// The longest time that an acceptance is tried while no process reaches the store. Outages of a few
+/// seconds are common, and a job that is refused twice is a lost step; beyond this a step could not
+/// be whole in time anyway.
+const ACCEPT_PATIENCE: Duration = Duration::from_millis(5_000);
 
 impl JobService {
     /// Accepts a job once, however often and wherever it is submitted.
@@ -66,7 +71,7 @@
         let route = &request.matched.route;
         keys::check_job_id(&request.head.id)?;
         if let Some(known) = self.owned(&request.head.id) {
-            return super::service::check_customer(known.spec.customer.as_ref(), customer);
+            return check_customer(known.spec.customer.as_ref(), customer);
         }
         if self.core.leaving.get() {
             let detail = "this process is leaving";
@@ -75,7 +80,7 @@
         let callers = &self.core.ports.callers;
         let spec = callers.decode_job(&request.head, &route.name, customer, body)?;
         let spec = Rc::new(spec);
-        let runner = self.choose_runner(&spec);
+        let runner = self.choose_runner(&route.service);
         let record = OpenRecord {
             job: spec.id.clone(),
             owner: runner.clone(),
@@ -84,39 +89,49 @@
             submitted_ms: spec.submitted_ms,
         };
         let transaction = self.acceptance(&spec, &record)?;
-        let until = request.expires.min(request.arrived + ACCEPT_LIMIT);
-        match self.write_acceptance(&transaction, until).await? {
-            Acceptance::Own(revision) if runner.incarnation == self.core.incarnation => {
-                self.own(spec, record, revision);
-                Ok(())
-            }
-            Acceptance::Own(revision) => {
-                let service = Rc::clone(self);
-                tokio::task::spawn_local(async move {
-                    service.place_job(spec, record, revision).await;
-                });
-                Ok(())
+        let accepted = self
+            .write_acceptance(&transaction, (request.arrived, request.expires))
+            .await?;
+        let revision = match accepted {
+            Acceptance::Own(revision) => revision,
+            Acceptance::Known(item) => {
+                let found: OpenRecord = keys::decode_item(&item)?;
+                check_customer(found.customer.as_ref(), customer)?;
+                // An earlier try of this very call may have taken effect although its answer was lost.
+                if found != record {
+                    return Ok(());
+                }
+                item.revision
             }
-            Acceptance::Known(item) => self.meet_known(spec, &record, &item),
+        };
+        if runner.incarnation == self.core.incarnation {
+            self.own(spec, record, revision);
+        } else {
+            tokio::task::spawn_local(Rc::clone(self).place_job(spec, record, revision));
         }
+        Ok(())
     }
 
     /// Chooses the process that runs a job.
     ///
-    /// The jobs of a route run at one process without callers of this availability zone, if there is
-    /// one: it keeps its connections to the engines from step to step, and has the texts of items
-    /// that come again.
-    fn choose_runner(&self, spec: &JobSpec) -> MemberRecord {
+    /// The jobs of a service run at one process without callers, if there is one: it alone knows how
+    /// many items are in progress at each engine, keeps its connections from step to step, and has
+    /// the texts of items that come again. The process with the control work is spared if it can be.
+    fn choose_runner(&self, service: &ObjectName) -> MemberRecord {
         let own = self.self_record();
         let members = self.core.members.borrow();
-        let able = members
-            .iter()
-            .filter(|member| member.zone == own.zone && !member.serves_callers);
+        let controller = self.core.controller.borrow();
+        let controls = |member: &MemberRecord| {
+            let controller = controller.as_ref();
+            controller.is_some_and(|controller| controller.host == member.host)
+        };
+        let able = members.iter().filter(|member| !member.serves_callers);
         let chosen = able.max_by_key(|member| {
-            rank(&[
-                spec.route.as_str().as_bytes(),
-                member.host.as_str().as_bytes(),
-            ])
+            let host = member.host.as_str().as_bytes();
+            (
+                !controls(member),
+                rank(&[service.as_str().as_bytes(), host]),
+            )
         });
         chosen.cloned().unwrap_or(own)
     }
@@ -153,23 +168,6 @@
         }
     }
 
-    /// Handles a job that the store has already.
-    fn meet_known(
-        self: &Rc<Self>,
-        spec: Rc<JobSpec>,
-        own: &OpenRecord,
-        item: &StoreItem,
-    ) -> Result<(), ServiceError> {
-        let found: OpenRecord = keys::decode_item(item)?;
-        super::service::check_customer(found.customer.as_ref(), own.customer.as_ref())?;
-        let is_own = found.owner.incarnation == own.owner.incarnation;
-        if is_own && self.owned(&spec.id).is_none() && found.submitted_ms == own.submitted_ms {
-            // An earlier write of this very call took effect although its answer was lost.
-            self.own(spec, found, item.revision);
-        }
-        Ok(())
-    }
-
     fn own(self: &Rc<Self>, spec: Rc<JobSpec>, record: OpenRecord, revision: u64) {
         self.core
             .metrics
@@ -220,7 +218,7 @@
     async fn write_acceptance(
         &self,
         transaction: &Transaction,
-        until: Instant,
+        (arrived, expires): (Instant, Instant),
     ) -> Result<Acceptance, ServiceError> {
         let mut in_doubt = false;
         loop {
@@ -237,19 +235,17 @@
                 Err(error) => error,
             };
             in_doubt |= error.execution != ExecutionOutcome::NotRun;
-            // Without doubt another process may have a better way to the store, so it is refused at
-            // once; a doubt can only be resolved here.
-            if !in_doubt {
-                return Err(ServiceError::not_run(
-                    ErrorKind::StoreUnavailable,
-                    error.detail,
-                ));
-            }
+            // Every process reaches the store through its peers, so if this one does not, none does.
+            // A doubt can only be resolved here, because the write may take effect later.
+            let until = match in_doubt {
+                true => expires,
+                false => expires.min(arrived + ACCEPT_PATIENCE),
+            };
             if Instant::now() + RETRY_PAUSE >= until {
-                return Err(ServiceError::unknown(
-                    ErrorKind::OutcomeUnknown,
-                    error.detail,
-                ));
+                return Err(match in_doubt {
+                    true => ServiceError::unknown(ErrorKind::OutcomeUnknown, error.detail),
+                    false => ServiceError::not_run(ErrorKind::StoreUnavailable, error.detail),
+                });
             }
             sleep(RETRY_PAUSE).await;
         }
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod peer;
 pub mod port;
+pub mod relay;
 pub mod session;
 pub mod settings;
 pub mod upstream_use;
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -11,6 +11,7 @@
         jobs::JobService,
         keys::{self, MemberRecord, OpenRecord},
         port::WeightOrder,
+        relay::{StoreCall, StoreReply},
     },
     bytes::Bytes,
     catkindeck::{
@@ -62,6 +63,11 @@
         /// The customer who asks.
         customer: Option<ObjectName>,
     },
+    /// Asks whether the receiver runs a job.
+    Knows {
+        /// The job.
+        job: String,
+    },
     /// Hands a job over, after the store names the receiver as its owner.
     Adopt(Box<JobHandOver>),
     /// Asks for the requests of each customer in a usage window.
@@ -73,6 +79,8 @@
     Loads(Vec<LoadNotice>),
     /// Asks for what the receiver read from the store.
     Feed(FeedQuery),
+    /// Asks the receiver to make a call to the store.
+    Store(Box<StoreCall>),
 }
 
 /// A job with what its new owner needs to go on.
@@ -120,6 +128,8 @@
     Usage(Vec<(ObjectName, u64)>),
     /// What was read from the store.
     Feed(Box<FeedUpdate>),
+    /// What the store answered.
+    Store(Box<StoreReply>),
 }
 
 /// Results of a job.
@@ -219,6 +229,10 @@
                 }
                 None => Ok(PeerAnswer::NotOwner),
             },
+            PeerCall::Knows { job } => Ok(match self.jobs.owned(&job) {
+                Some(_) => PeerAnswer::Done,
+                None => PeerAnswer::NotOwner,
+            }),
             PeerCall::Adopt(hand_over) => {
                 self.jobs.run_adopted(*hand_over).await?;
                 Ok(PeerAnswer::Done)
@@ -226,6 +240,10 @@
             PeerCall::Usage { window } => {
                 Ok(PeerAnswer::Usage(self.core.usage.borrow().window(window)))
             }
+            PeerCall::Store(call) => {
+                let reply = self.core.relay.answer(&call).await?;
+                Ok(PeerAnswer::Store(Box::new(reply)))
+            }
             PeerCall::Feed(query) => {
                 let update = self.core.feed.answer(&self.core, &query).await?;
                 Ok(PeerAnswer::Feed(Box::new(update)))
--- a/crates/catkindeck-gateway/src/port/store.rs
+++ b/crates/catkindeck-gateway/src/port/store.rs
@@ -18,14 +18,14 @@
 }
 
 /// The answer to a read of one key.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[message]
 pub struct StoreReading {
     /// The value, or `None` if the key does not exist.
     pub item: Option<StoreItem>,
 }
 
 /// The answer to a read of all keys with a prefix.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[message]
 pub struct StoreListing {
     /// The values in order of keys.
     pub items: Vec<StoreItem>,
@@ -84,7 +84,7 @@
 }
 
 /// The outcome of a transaction.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[message]
 pub enum CommitOutcome {
     /// The changes took effect and have this revision.
     Committed(u64),
--- /dev/null
+++ b/crates/catkindeck-gateway/src/relay.rs
@@ -0,0 +1,309 @@
+//! The platform's store as a process reaches it: directly, or through another process.
+//!
+//! The store may turn some hosts away, or be cut off from them, while it serves the others. Each
+//! call that fails directly is then made by a peer, so that such a host goes on serving.
+
+use {
+    crate::{
+        core::GatewayCore,
+        events::{STORE_REGAINED, STORE_RELAYED},
+        keys::MemberRecord,
+        peer::{PeerAnswer, PeerCall},
+        port::{
+            CommitOutcome, LeaseId, MetadataStore, StoreListing, StoreReading, Transaction,
+            WatchOutcome,
+        },
+    },
+    catkindeck::{ErrorKind, ServiceError, error::ExecutionOutcome, log_event, message},
+    catkindeck_net::LocalFuture,
+    std::{
+        cell::{Cell, RefCell},
+        rc::{Rc, Weak},
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// How long the direct way is not tried after it failed, while a peer has one.
+const DIRECT_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// The peers that are asked for one call.
+const PEER_LIMIT: usize = 2;
+
+/// The time for a peer's own call to the store, on top of the time that any answer takes.
+const PEER_WAIT: Duration = Duration::from_millis(500);
+
+/// A call to the store that a peer makes.
+#[message]
+pub enum StoreCall {
+    /// Reads a key.
+    Read(String),
+    /// Reads all keys with a prefix.
+    List(String),
+    /// Makes changes.
+    Commit(Transaction),
+    /// Asks for a lease of so many milliseconds.
+    Grant(u64),
+    /// Renews a lease.
+    Keep(LeaseId),
+    /// Ends a lease.
+    End(LeaseId),
+}
+
+/// The store's answer to a call that a peer made.
+#[message]
+pub enum StoreReply {
+    /// A key.
+    Reading(StoreReading),
+    /// All keys with a prefix.
+    Listing(StoreListing),
+    /// The outcome of changes.
+    Commit(CommitOutcome),
+    /// A lease with its time to live, in milliseconds.
+    Lease(LeaseId, u64),
+    /// The time to live of a renewed lease, in milliseconds, or `None` if it has ended.
+    Kept(Option<u64>),
+    /// The lease has ended.
+    Ended,
+}
+
+/// The store, directly or through a peer.
+pub struct RelayedStore {
+    direct: Rc<dyn MetadataStore>,
+    core: RefCell<Weak<GatewayCore>>,
+    /// Until when the direct way is not tried.
+    closed_until: Cell<Option<Instant>>,
+    /// The peer that answered last.
+    last_peer: RefCell<Option<MemberRecord>>,
+}
+
+impl RelayedStore {
+    /// Makes a store that has only the direct way until the process is known.
+    pub fn new(direct: Rc<dyn MetadataStore>) -> Rc<Self> {
+        Rc::new(Self {
+            direct,
+            core: RefCell::new(Weak::new()),
+            closed_until: Cell::new(None),
+            last_peer: RefCell::new(None),
+        })
+    }
+
+    /// Learns the process whose peers can be asked.
+    pub fn attach(&self, core: &Rc<GatewayCore>) {
+        *self.core.borrow_mut() = Rc::downgrade(core);
+    }
+
+    /// Makes a call for a peer, by the direct way only.
+    ///
+    /// # Errors
+    ///
+    /// As the call; at once if the direct way failed a moment ago.
+    pub async fn answer(&self, call: &StoreCall) -> Result<StoreReply, ServiceError> {
+        if self.is_closed() {
+            return Err(ServiceError::not_run(
+                ErrorKind::StoreUnavailable,
+                "this process does not reach the store either",
+            ));
+        }
+        let outcome = self.call_direct(call).await;
+        self.note(&outcome);
+        outcome
+    }
+
+    async fn call(&self, call: StoreCall) -> Result<StoreReply, ServiceError> {
+        let mut in_doubt = false;
+        let mut failure = None;
+        if !self.is_closed() {
+            let outcome = self.call_direct(&call).await;
+            self.note(&outcome);
+            match outcome {
+                Ok(reply) => return Ok(reply),
+                Err(error) if error.kind != ErrorKind::StoreUnavailable => return Err(error),
+                Err(error) => {
+                    in_doubt = error.execution != ExecutionOutcome::NotRun;
+                    failure = Some(error);
+                }
+            }
+        }
+        for peer in self.peers() {
+            match self.call_peer(&peer, &call).await {
+                Ok(reply) => {
+                    *self.last_peer.borrow_mut() = Some(peer);
+                    return Ok(reply);
+                }
+                Err(error) => {
+                    in_doubt |= error.execution != ExecutionOutcome::NotRun;
+                    failure = Some(error);
+                }
+            }
+        }
+        let detail = failure.map_or_else(
+            || "no process reaches the store".to_owned(),
+            |error| error.detail,
+        );
+        // Without any peer the direct way is the only one, so it is tried again at once.
+        self.closed_until.set(None);
+        Err(match in_doubt && matches!(call, StoreCall::Commit(_)) {
+            true => ServiceError::unknown(ErrorKind::StoreUnavailable, detail),
+            false => ServiceError::not_run(ErrorKind::StoreUnavailable, detail),
+        })
+    }
+
+    async fn call_direct(&self, call: &StoreCall) -> Result<StoreReply, ServiceError> {
+        let store = &self.direct;
+        Ok(match call {
+            StoreCall::Read(key) => StoreReply::Reading(store.read(key).await?),
+            StoreCall::List(prefix) => StoreReply::Listing(store.list(prefix).await?),
+            StoreCall::Commit(transaction) => StoreReply::Commit(store.commit(transaction).await?),
+            StoreCall::Grant(ttl_ms) => {
+                let (lease, ttl_ms) = store.grant(*ttl_ms).await?;
+                StoreReply::Lease(lease, ttl_ms)
+            }
+            StoreCall::Keep(lease) => StoreReply::Kept(store.keep(*lease).await?),
+            StoreCall::End(lease) => {
+                store.end(*lease).await?;
+                StoreReply::Ended
+            }
+        })
+    }
+
+    async fn call_peer(
+        &self,
+        peer: &MemberRecord,
+        call: &StoreCall,
+    ) -> Result<StoreReply, ServiceError> {
+        let Some(core) = self.core.borrow().upgrade() else {
+            return Err(unexpected());
+        };
+        let call = PeerCall::Store(Box::new(call.clone()));
+        match core.call_peer(peer.peer, &call, PEER_WAIT).await? {
+            PeerAnswer::Store(reply) => Ok(*reply),
+            _ => Err(unexpected()),
+        }
+    }
+
+    /// Returns the peers to ask: the one that answered last, then the one with the control work.
+    fn peers(&self) -> Vec<MemberRecord> {
+        let Some(core) = self.core.borrow().upgrade() else {
+            return Vec::new();
+        };
+        let last = self.last_peer.borrow().clone();
+        let controller = core.controller.borrow().clone();
+        let members = core.members.borrow();
+        // The order differs by process, so that one peer is not asked by all.
+        let offset = usize::from(core.incarnation.0[0]);
+        let start = offset.checked_rem(members.len()).unwrap_or(0);
+        let others = members.iter().cycle().skip(start).take(members.len());
+        let mut peers: Vec<MemberRecord> = Vec::new();
+        for peer in last.iter().chain(&controller).chain(others) {
+            let known = peers.iter().any(|known| known.host == peer.host);
+            if peer.incarnation != core.incarnation && !known && peers.len() < PEER_LIMIT {
+                peers.push(peer.clone());
+            }
+        }
+        peers
+    }
+
+    fn is_closed(&self) -> bool {
+        let until = self.closed_until.get();
+        until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Notes whether the direct way works.
+    fn note(&self, outcome: &Result<StoreReply, ServiceError>) {
+        let failed = matches!(outcome, Err(error) if error.kind == ErrorKind::StoreUnavailable);
+        let was_closed = self.closed_until.get().is_some();
+        self.closed_until
+            .set(failed.then(|| Instant::now() + DIRECT_PAUSE));
+        let Some(core) = self.core.borrow().upgrade() else {
+            return;
+        };
+        match (failed, was_closed, outcome) {
+            (true, false, Err(error)) => {
+                log_event!(core.logger, STORE_RELAYED; "detail" => &error.detail);
+            }
+            (false, true, _) => log_event!(core.logger, STORE_REGAINED),
+            _ => {}
+        }
+    }
+}
+
+impl MetadataStore for RelayedStore {
+    fn read<'a>(&'a self, key: &'a str) -> LocalFuture<'a, Result<StoreReading, ServiceError>> {
+        Box::pin(async move {
+            match self.call(StoreCall::Read(key.to_owned())).await? {
+                StoreReply::Reading(reading) => Ok(reading),
+                _ => Err(unexpected()),
+            }
+        })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<StoreListing, ServiceError>> {
+        Box::pin(async move {
+            match self.call(StoreCall::List(prefix.to_owned())).await? {
+                StoreReply::Listing(listing) => Ok(listing),
+                _ => Err(unexpected()),
+            }
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> LocalFuture<'a, Result<WatchOutcome, ServiceError>> {
+        // A watch only makes a process quicker, so it is not worth a peer's time.
+        self.direct.watch(prefix, after, wait)
+    }
+
+    fn commit<'a>(
+        &'a self,
+        transaction: &'a Transaction,
+    ) -> LocalFuture<'a, Result<CommitOutcome, ServiceError>> {
+        Box::pin(async move {
+            match self.call(StoreCall::Commit(transaction.clone())).await? {
+                StoreReply::Commit(outcome) => Ok(outcome),
+                _ => Err(unexpected()),
+            }
+        })
+    }
+
+    fn grant(&self, ttl_ms: u64) -> LocalFuture<'_, Result<(LeaseId, u64), ServiceError>> {
+        Box::pin(async move {
+            match self.call(StoreCall::Grant(ttl_ms)).await? {
+                StoreReply::Lease(lease, ttl_ms) => Ok((lease, ttl_ms)),
+                _ => Err(unexpected()),
+            }
+        })
+    }
+
+    fn keep(&self, lease: LeaseId) -> LocalFuture<'_, Result<Option<u64>, ServiceError>> {
+        Box::pin(async move {
+            match self.call(StoreCall::Keep(lease)).await? {
+                StoreReply::Kept(ttl_ms) => Ok(ttl_ms),
+                _ => Err(unexpected()),
+            }
+        })
+    }
+
+    fn end(&self, lease: LeaseId) -> LocalFuture<'_, Result<(), ServiceError>> {
+        Box::pin(async move {
+            match self.call(StoreCall::End(lease)).await? {
+                StoreReply::Ended => Ok(()),
+                _ => Err(unexpected()),
+            }
+        })
+    }
+
+    fn calls(&self) -> u64 {
+        self.direct.calls()
+    }
+}
+
+fn unexpected() -> ServiceError {
+    ServiceError::unknown(
+        ErrorKind::StoreUnavailable,
+        "a peer answered something else than was asked",
+    )
+}
