Make fewer calls to the store

Change: both lists are read in one turn and passed on together; the process that runs new jobs is asked before the store; the last result of a group waits 100 ms for others; the lease of an entry lasts twice as long.

--- a/crates/catkindeck-gateway/src/feed.rs
+++ b/crates/catkindeck-gateway/src/feed.rs
@@ -77,15 +77,10 @@
 }
 
 impl StoreFeed {
-    /// Keeps the intents of a read that was sent at `sent`.
-    pub fn put_intents(&self, sent: Moment, items: &[StoreItem]) {
-        self.intents.put(sent, items);
-        self.changed.notify_waiters();
-    }
-
-    /// Keeps the upstreams of a read that was sent at `sent`.
-    pub fn put_upstreams(&self, sent: Moment, items: &[StoreItem]) {
-        self.upstreams.put(sent, items);
+    /// Keeps what was read, with the moments before the reads were sent.
+    pub fn put(&self, intents: (Moment, &[StoreItem]), upstreams: (Moment, &[StoreItem])) {
+        self.intents.put(intents);
+        self.upstreams.put(upstreams);
         self.changed.notify_waiters();
     }
 
@@ -102,8 +97,7 @@
         let until = Instant::now() + Duration::from_millis(FEED_WAIT_MS);
         loop {
             let changed = self.changed.notified();
-            let has_news = self.intents.content.get() != query.intents
-                || self.upstreams.reads.get() != query.reads;
+            let has_news = self.upstreams.reads.get() != query.reads;
             if has_news || timeout_at(until, changed).await.is_err() {
                 break;
             }
@@ -128,7 +122,7 @@
 }
 
 impl FeedPart {
-    fn put(&self, sent: Moment, items: &[StoreItem]) {
+    fn put(&self, (sent, items): (Moment, &[StoreItem])) {
         let is_same = self.items.borrow().as_slice() == items;
         if !is_same || self.content.get() == 0 {
             *self.items.borrow_mut() = Rc::new(items.to_vec());
--- a/crates/catkindeck-gateway/src/follow.rs
+++ b/crates/catkindeck-gateway/src/follow.rs
@@ -45,10 +45,8 @@
     /// Whether another process reads for this one.
     is_fed: Cell<bool>,
     known: RefCell<(Option<IncarnationId>, FeedQuery)>,
-    /// When the intents that were heard last were read, as far as their age says.
-    intents_heard: Cell<Moment>,
-    /// When the upstreams that were heard last were read, as far as their age says.
-    upstreams_heard: Cell<Moment>,
+    /// When what was heard last was read, as far as its age says.
+    heard: Cell<Moment>,
 }
 
 impl StoreFollower {
@@ -59,21 +57,20 @@
             is_store_lost: Cell::new(false),
             is_fed: Cell::new(false),
             known: RefCell::new((None, FeedQuery::default())),
-            intents_heard: Cell::new(Moment(0)),
-            upstreams_heard: Cell::new(Moment(0)),
+            heard: Cell::new(Moment(0)),
         });
-        tokio::task::spawn_local(Rc::clone(&follower).follow_intents());
-        tokio::task::spawn_local(Rc::clone(&follower).follow_upstreams());
+        tokio::task::spawn_local(Rc::clone(&follower).follow_store());
         tokio::task::spawn_local(follower.follow_feed());
     }
 
-    async fn follow_intents(self: Rc<Self>) {
+    /// Reads while nobody else does.
+    async fn follow_store(self: Rc<Self>) {
         loop {
-            if self.is_recent(self.intents_heard.get()) {
+            if self.is_recent(self.heard.get()) {
                 sleep(WATCH_INTERVAL).await;
                 continue;
             }
-            let next = Instant::now() + self.settle(self.read_intents().await);
+            let next = Instant::now() + self.settle(self.read().await);
             tokio::select! {
                 () = sleep_until(next) => {}
                 // Another part of the process heard of a change.
@@ -82,17 +79,6 @@
         }
     }
 
-    async fn follow_upstreams(self: Rc<Self>) {
-        loop {
-            if self.is_recent(self.upstreams_heard.get()) {
-                sleep(WATCH_INTERVAL).await;
-                continue;
-            }
-            let next = Instant::now() + self.settle(self.read_upstreams().await);
-            sleep_until(next).await;
-        }
-    }
-
     /// Tells whether what another process read is recent enough to do without an own read.
     fn is_recent(&self, heard: Moment) -> bool {
         self.is_fed.get() && self.core.now().since(heard) < HEARD_AGE_MS
@@ -136,14 +122,17 @@
         let call = PeerCall::Feed(query);
         let wait = Duration::from_millis(FEED_WAIT_MS);
         let answer = self.core.call_peer(controller.peer, &call, wait).await?;
-        let PeerAnswer::Feed(update) = answer else {
-            let detail = "the process answered something else";
-            return Err(ServiceError::unknown(ErrorKind::PeerUnavailable, detail));
+        let update = match answer {
+            PeerAnswer::Feed(update) => update,
+            PeerAnswer::Refused(error) => return Err(error),
+            _ => {
+                let detail = "the process answered something else";
+                return Err(ServiceError::unknown(ErrorKind::PeerUnavailable, detail));
+            }
         };
         let oldest = update.intents.age_ms.max(update.upstreams.age_ms);
         let now = self.core.now();
-        self.intents_heard.set(now - update.intents.age_ms);
-        self.upstreams_heard.set(now - update.upstreams.age_ms);
+        self.heard.set(now - oldest);
         self.take_update(sent, *update);
         match oldest > HEARD_AGE_MS {
             true => Err(ServiceError::not_run(
@@ -173,14 +162,22 @@
         }
     }
 
-    async fn read_intents(&self) -> Result<(), ServiceError> {
+    /// Reads both parts, so that those who hear of them get both at the same age.
+    async fn read(&self) -> Result<(), ServiceError> {
         let core = &self.core;
-        let sent = core.now();
+        let intents_at = core.now();
         let prefix = core.ports.intents.intent_prefix();
-        let listing = core.ports.store.list(prefix).await?;
-        core.feed.put_intents(sent, &listing.items);
-        self.take_intents(sent, &listing.items);
-        core.freshness.borrow_mut().prove(sent);
+        let intents = core.ports.store.list(prefix).await?;
+        self.take_intents(intents_at, &intents.items);
+        core.freshness.borrow_mut().prove(intents_at);
+        let upstreams_at = core.now();
+        let prefix = core.ports.intents.upstream_prefix();
+        let upstreams = core.ports.store.list(prefix).await?;
+        self.take_upstreams(upstreams_at, &upstreams.items);
+        core.feed.put(
+            (intents_at, &intents.items),
+            (upstreams_at, &upstreams.items),
+        );
         Ok(())
     }
 
@@ -210,16 +207,6 @@
         }
     }
 
-    async fn read_upstreams(&self) -> Result<(), ServiceError> {
-        let core = &self.core;
-        let sent = core.now();
-        let prefix = core.ports.intents.upstream_prefix();
-        let listing = core.ports.store.list(prefix).await?;
-        core.feed.put_upstreams(sent, &listing.items);
-        self.take_upstreams(sent, &listing.items);
-        Ok(())
-    }
-
     fn take_upstreams(&self, sent: Moment, items: &[StoreItem]) {
         let core = &self.core;
         let (list, faults) = core.ports.intents.decode_upstreams(items);
--- a/crates/catkindeck-gateway/src/jobs/adopt.rs
+++ b/crates/catkindeck-gateway/src/jobs/adopt.rs
@@ -185,7 +185,7 @@
         log_event!(self.core.logger, JOB_HANDED_OVER;
             "job" => &job.spec.id, "to" => %target.host, "revision" => revision,
             "answered" => matches!(adopted, Ok(PeerAnswer::Done)));
-        self.locate(record);
+        self.locate(&job.spec.id, record.owner);
     }
 
     /// Goes on from the texts that an earlier job of the same customer has for the same items.
--- a/crates/catkindeck-gateway/src/jobs/end.rs
+++ b/crates/catkindeck-gateway/src/jobs/end.rs
@@ -40,17 +40,12 @@
         if let Some(owned) = self.owned(job) {
             return self.end_own(&owned, customer).await;
         }
-        let record = self.find(job).await?.ok_or_else(not_found)?;
-        check_customer(record.customer.as_ref(), customer)?;
-        if record.state == JobState::Ended {
-            return Ok(());
-        }
         let call = PeerCall::EndJob {
             job: job.to_owned(),
             customer: customer.cloned(),
         };
-        match self.ask_owner(&record, &call, END_LIMIT).await {
-            Ok(PeerAnswer::Done) => Ok(()),
+        match self.ask_owner(job, &call, END_LIMIT).await? {
+            Some(PeerAnswer::Done) => Ok(()),
             _ => self.end_stored(job, customer).await,
         }
     }
@@ -128,7 +123,7 @@
             if let Ok(CommitOutcome::Committed(_)) = self.write_record(&ended, item.revision).await
             {
                 log_event!(self.core.logger, JOB_ENDED; "job" => job, "by" => "caller, owner silent");
-                self.locate(ended);
+                self.forget_location(job);
                 return Ok(());
             }
             if Instant::now() >= until {
--- a/crates/catkindeck-gateway/src/jobs/read.rs
+++ b/crates/catkindeck-gateway/src/jobs/read.rs
@@ -6,7 +6,7 @@
         service::{JobService, check_customer, not_found},
     },
     crate::{
-        keys::{self, JobState, OpenRecord},
+        keys::{self, JobState, MemberRecord, OpenRecord},
         peer::{PeerAnswer, PeerCall, PeerResults},
         port::{JobRead, PlainAnswer},
     },
@@ -66,14 +66,12 @@
         if let Some(owned) = self.owned(job) {
             return own_body(&owned, item, customer);
         }
-        let record = self.find(job).await?.ok_or_else(not_found)?;
-        check_customer(record.customer.as_ref(), customer)?;
         let call = PeerCall::ItemBody {
             job: job.to_owned(),
             item: item.to_owned(),
             customer: customer.cloned(),
         };
-        if let Ok(PeerAnswer::Body(body)) = self.ask_owner(&record, &call, Duration::ZERO).await {
+        if let Some(PeerAnswer::Body(body)) = self.ask_owner(job, &call, Duration::ZERO).await? {
             return Ok(body.into());
         }
         let stored = self.load_stored(job).await?;
@@ -126,15 +124,14 @@
         if let Some(archived) = self.archived(&read.job) {
             return own_results(&archived, customer, read.after, wait).await;
         }
-        let record = self.find(&read.job).await?.ok_or_else(not_found)?;
-        check_customer(record.customer.as_ref(), customer)?;
         let call = PeerCall::Results {
             job: read.job.clone(),
             after: read.after,
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
             customer: customer.cloned(),
         };
-        if let Ok(PeerAnswer::Results(found)) = self.ask_owner(&record, &call, wait).await {
+        let answer = self.ask_owner(&read.job, &call, wait).await?;
+        if let Some(PeerAnswer::Results(found)) = answer {
             return Ok(FoundResults {
                 total: found.total,
                 next: found.next,
@@ -154,36 +151,72 @@
         own_results(&stored, customer, read.after, Duration::ZERO).await
     }
 
-    /// Finds out who runs a job, or `None` if there is no such job.
-    pub(super) async fn find(&self, job: &str) -> Result<Option<OpenRecord>, ServiceError> {
-        if let Some(record) = self.located(job) {
-            return Ok(Some(record));
+    /// Asks the process that runs a job; `None` if no process that may run it answers.
+    ///
+    /// The process that runs new jobs is asked first, because it has most of them, and then the one
+    /// that the store names.
+    ///
+    /// # Errors
+    ///
+    /// Returns `not_found` if there is no such job, and `store_unavailable` if that is not certain.
+    pub(super) async fn ask_owner(
+        &self,
+        job: &str,
+        call: &PeerCall,
+        wait: Duration,
+    ) -> Result<Option<PeerAnswer>, ServiceError> {
+        let likely = match self.located(job) {
+            Some(owner) => vec![owner],
+            None => self.usual_runners(),
+        };
+        for owner in likely {
+            if let Some(answer) = self.ask(job, owner, call, wait).await? {
+                return Ok(Some(answer));
+            }
         }
         let reading = self.core.ports.store.read(&keys::open_key(job)).await?;
-        let Some(item) = reading.item else {
-            return Ok(None);
-        };
+        let item = reading.item.ok_or_else(not_found)?;
         let record: OpenRecord = keys::decode_item(&item)?;
-        self.locate(record.clone());
-        Ok(Some(record))
+        self.ask(job, record.owner, call, wait).await
     }
 
-    /// Asks the process that runs a job.
-    pub(super) async fn ask_owner(
+    async fn ask(
         &self,
-        record: &OpenRecord,
+        job: &str,
+        owner: MemberRecord,
         call: &PeerCall,
         wait: Duration,
-    ) -> Result<PeerAnswer, ServiceError> {
-        if record.owner.incarnation == self.core.incarnation {
-            self.forget_location(&record.job);
-            return Ok(PeerAnswer::NotOwner);
+    ) -> Result<Option<PeerAnswer>, ServiceError> {
+        if owner.incarnation == self.core.incarnation {
+            return Ok(None);
         }
-        let answer = self.core.call_peer(record.owner.peer, call, wait).await;
-        if !matches!(&answer, Ok(answer) if !matches!(answer, PeerAnswer::NotOwner)) {
-            self.forget_location(&record.job);
+        match self.core.call_peer(owner.peer, call, wait).await {
+            Ok(PeerAnswer::NotOwner) | Err(_) => {
+                self.forget_location(job);
+                Ok(None)
+            }
+            Ok(PeerAnswer::Refused(error)) => Err(error),
+            Ok(answer) => {
+                self.locate(job, owner);
+                Ok(Some(answer))
+            }
         }
-        answer
+    }
+
+    /// Returns the processes that run new jobs.
+    fn usual_runners(&self) -> Vec<MemberRecord> {
+        let mut services: Vec<ObjectName> = {
+            let view = self.core.intent.borrow();
+            let routes = view.routes().iter();
+            let takes_jobs = routes.filter(|route| route.terms.job.is_some());
+            takes_jobs.map(|route| route.service.clone()).collect()
+        };
+        services.sort();
+        services.dedup();
+        let runners = services.iter().map(|service| self.choose_runner(service));
+        let mut runners: Vec<MemberRecord> = runners.collect();
+        runners.dedup();
+        runners
     }
 
     /// Loads a job from the store for reading; one that changes no more is kept.
--- a/crates/catkindeck-gateway/src/jobs/runner.rs
+++ b/crates/catkindeck-gateway/src/jobs/runner.rs
@@ -28,6 +28,7 @@
                 true => TICK,
                 false => IDLE_TICK,
             };
+            let tick = tick.min(self.time_to_commit());
             tokio::select! {
                 () = self.core.capacity.notified() => {}
                 () = sleep(tick) => {}
@@ -35,6 +36,19 @@
         }
     }
 
+    /// Returns the time until results are due to be stored.
+    fn time_to_commit(&self) -> Duration {
+        let now = self.core.now();
+        let due = self
+            .all()
+            .iter()
+            .filter_map(|job| job.job.borrow().commit_at())
+            .min();
+        due.map_or(IDLE_TICK, |due| {
+            Duration::from_millis(due.since(now).max(1))
+        })
+    }
+
     /// Starts what can start, and tells whether items wait.
     fn dispatch(self: &Rc<Self>) -> bool {
         let mut jobs: Vec<(u8, Rc<OwnedJob>)> = self
--- a/crates/catkindeck-gateway/src/jobs/service.rs
+++ b/crates/catkindeck-gateway/src/jobs/service.rs
@@ -4,7 +4,7 @@
     super::owned::OwnedJob,
     crate::{
         core::GatewayCore,
-        keys::{JobState, MemberRecord, OpenRecord},
+        keys::{JobState, MemberRecord},
         session::MemberSession,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, SortedMap, id::ObjectName},
@@ -21,7 +21,7 @@
     pub(super) session: Rc<MemberSession>,
     owned: RefCell<SortedMap<String, Rc<OwnedJob>>>,
     archived: RefCell<SortedMap<String, Rc<OwnedJob>>>,
-    located: RefCell<SortedMap<String, (OpenRecord, Moment)>>,
+    located: RefCell<SortedMap<String, (MemberRecord, Moment)>>,
 }
 
 impl JobService {
@@ -106,19 +106,19 @@
     }
 
     /// Returns who runs a job, as remembered.
-    pub(super) fn located(&self, job: &str) -> Option<OpenRecord> {
+    pub(super) fn located(&self, job: &str) -> Option<MemberRecord> {
         let now = self.core.now();
         let located = self.located.borrow();
-        let (record, at) = located.get(&job.to_owned())?;
-        (now.since(*at) < LOCATION_LIFETIME_MS).then(|| record.clone())
+        let (owner, at) = located.get(&job.to_owned())?;
+        (now.since(*at) < LOCATION_LIFETIME_MS).then(|| owner.clone())
     }
 
     /// Remembers who runs a job.
-    pub(super) fn locate(&self, record: OpenRecord) {
+    pub(super) fn locate(&self, job: &str, owner: MemberRecord) {
         let now = self.core.now();
         let mut located = self.located.borrow_mut();
         located.retain(|_, (_, at)| now.since(*at) < LOCATION_LIFETIME_MS);
-        located.insert(record.job.clone(), (record, now));
+        located.insert(job.to_owned(), (owner, now));
     }
 
     /// Forgets who runs a job, after that process did not answer or refused.
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -117,7 +117,7 @@
     /// The jobs of a service run at one process without callers, if there is one: it alone knows how
     /// many items are in progress at each engine, keeps its connections from step to step, and has
     /// the texts of items that come again. The process with the control work is spared if it can be.
-    fn choose_runner(&self, service: &ObjectName) -> MemberRecord {
+    pub(super) fn choose_runner(&self, service: &ObjectName) -> MemberRecord {
         let own = self.self_record();
         let members = self.core.members.borrow();
         let controller = self.core.controller.borrow();
@@ -152,7 +152,7 @@
                 "job" => &spec.id, "route" => %spec.route, "items" => spec.items.len(),
                 "least_version" => spec.least_version.0, "revision" => revision,
                 "runner" => %runner.host);
-            self.locate(record);
+            self.locate(&spec.id, record.owner);
             return;
         }
         // The runner's writes fail from here on, whether or not it has the job.
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -148,7 +148,7 @@
     ///
     /// # Errors
     ///
-    /// Returns `peer_unavailable` if there is no answer in time, or the reason of a refusal.
+    /// Returns `peer_unavailable` if there is no answer in time; a refusal is an answer.
     pub async fn call_peer(
         &self,
         address: SocketAddr,
@@ -167,10 +167,7 @@
             log_event!(self.logger, PEER_FAILED; "peer" => %address, "detail" => fault.to_string());
             ServiceError::unknown(ErrorKind::PeerUnavailable, fault.detail)
         })?;
-        match keys::decode(&answer.body)? {
-            PeerAnswer::Refused(error) => Err(error),
-            answer => Ok(answer),
-        }
+        keys::decode(&answer.body)
     }
 }
 
--- a/crates/catkindeck-gateway/src/relay.rs
+++ b/crates/catkindeck-gateway/src/relay.rs
@@ -178,6 +178,7 @@
         let call = PeerCall::Store(Box::new(call.clone()));
         match core.call_peer(peer.peer, &call, PEER_WAIT).await? {
             PeerAnswer::Store(reply) => Ok(*reply),
+            PeerAnswer::Refused(error) => Err(error),
             _ => Err(unexpected()),
         }
     }
--- a/crates/catkindeck-gateway/src/session.rs
+++ b/crates/catkindeck-gateway/src/session.rs
@@ -17,6 +17,9 @@
 /// round trips to the platform.
 const MARGIN_MS: u64 = 400;
 
+/// The time to live of the lease of an entry, in that of other processes.
+const ENTRY_TTL_FACTOR: u64 = 2;
+
 /// The longest time that an order takes to arrive, in milliseconds.
 const ORDER_MS: u64 = 1_500;
 
@@ -38,6 +41,11 @@
         let settings = core.settings();
         // A holder must not come back within the time in which others could have acted.
         let ttl_ms = settings.bounds.lease_ms.max(settings.least_ttl_ms);
+        // Entries run jobs only where there is nobody else, so their end may be noticed later.
+        let ttl_ms = match settings.entry {
+            Some(_) => ttl_ms * ENTRY_TTL_FACTOR,
+            None => ttl_ms,
+        };
         Rc::new(Self {
             core,
             state: RefCell::new(LeaseState::new(ttl_ms, MARGIN_MS, ORDER_MS)),
--- a/crates/catkindeck-policy/src/direct/job.rs
+++ b/crates/catkindeck-policy/src/direct/job.rs
@@ -20,6 +20,10 @@
 /// unfinished group waits, because every write to the store is paid for.
 pub const RESULT_LINGER_MS: u64 = 1_000;
 
+/// The time that the last result of a group waits for other groups, in milliseconds; short against
+/// the half second between two reads of a trainer.
+pub const GROUP_GATHER_MS: u64 = 100;
+
 /// The responses after which an item that fails everywhere is given up, on top of the route's own
 /// limit on attempts.
 const REJECTION_LIMIT: u32 = 1;
@@ -497,18 +501,10 @@
         if self.storing {
             return None;
         }
-        let finished: Vec<ItemKey> = self
-            .items
-            .iter()
-            .filter(|(_, state)| matches!(state.phase, ItemPhase::Finished(_)))
-            .map(|(key, _)| key)
-            .collect();
-        if !finished
-            .iter()
-            .any(|key| self.is_due(now, *key, finished.len()))
-        {
+        if self.commit_at().is_none_or(|due| due > now) {
             return None;
         }
+        let finished = self.finished();
         let mut commit = ResultCommit {
             first: u32::try_from(self.listed.len()).unwrap_or(u32::MAX),
             items: Vec::new(),
@@ -545,10 +541,13 @@
 
     /// Returns when [`Self::next_commit`] has something to do without further events.
     pub fn commit_at(&self) -> Option<Moment> {
-        let finished = self.items.iter().filter_map(|(_, state)| {
-            matches!(state.phase, ItemPhase::Finished(_)).then_some(state.finished_at)
-        });
-        finished.min().map(|finished| finished + RESULT_LINGER_MS)
+        if self.storing {
+            return None;
+        }
+        let finished = self.finished();
+        let count = finished.len();
+        let due = finished.iter().map(|key| self.due_at(*key, count));
+        due.min()
     }
 
     /// Returns what every unlisted item has so far, for a new owner.
@@ -561,13 +560,22 @@
             .collect()
     }
 
-    /// Tells whether a result waits no longer: its group is complete, it is old, or nothing runs
-    /// that could still join it.
-    fn is_due(&self, now: Moment, key: ItemKey, finished: usize) -> bool {
+    fn finished(&self) -> Vec<ItemKey> {
+        let finished = |state: &ItemState| matches!(state.phase, ItemPhase::Finished(_));
+        let items = self.items.iter().filter(|(_, state)| finished(state));
+        items.map(|(key, _)| key).collect()
+    }
+
+    /// Returns when a result waits no longer for others that could be stored with it.
+    fn due_at(&self, key: ItemKey, finished: usize) -> Moment {
         let state = self.state(key);
         let group_done = self.groups[state.group].open == 0;
         let all_done = self.listed.len() + finished == self.items.len();
-        group_done || all_done || now.since(state.finished_at) >= RESULT_LINGER_MS
+        match (all_done, group_done) {
+            (true, _) => state.finished_at,
+            (false, true) => state.finished_at + GROUP_GATHER_MS,
+            (false, false) => state.finished_at + RESULT_LINGER_MS,
+        }
     }
 
     fn finish(&mut self, now: Moment, key: ItemKey, result: ResultState) {
