Notice lost processes sooner

Change: leases last two seconds (four for entries); the holder of the control work watches the registrations; grace is given only after an outage of the store. A process that held the control work waits the lease bound before it claims it again, because its lease is now shorter than that bound.

--- a/crates/catkindeck-gateway/src/control/janitor.rs
+++ b/crates/catkindeck-gateway/src/control/janitor.rs
@@ -10,21 +10,21 @@
     },
     catkindeck::{ServiceError, log_event, time::unix_ms},
     std::{rc::Rc, time::Duration},
-    tokio::time::{Instant, sleep},
+    tokio::time::{Instant, sleep, sleep_until},
 };
 
-/// How often the processes of the system are read.
-const LOOK_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The longest time between two looks at all jobs.
+const LOOK_INTERVAL: Duration = Duration::from_millis(2_500);
 
-/// The longest time between two reads of all jobs.
-const JOBS_INTERVAL: Duration = Duration::from_millis(2_500);
+/// The pause after a look that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
 /// The time after its submission within which a job reaches its owner, in milliseconds.
 const PLACING_MS: u64 = 1_500;
 
-/// How long a process must be missing before its jobs are taken over. Leases that ended while the
-/// store was away come back within this time.
-const MISSING_LIMIT: Duration = Duration::from_millis(900);
+/// How long after an outage of the store no process counts as gone; leases that ended meanwhile are
+/// obtained again within this time.
+const RETURN_GRACE: Duration = Duration::from_millis(1_200);
 
 /// The keys that one transaction removes.
 const REMOVAL_LIMIT: usize = 30;
@@ -42,26 +42,35 @@
 
     /// Cares for jobs until the task is ended.
     pub async fn run(self: Rc<Self>) {
-        let mut missing_since: Option<Instant> = Some(Instant::now());
-        let mut jobs_read: Option<Instant> = None;
+        let mut grace_until = Instant::now();
         loop {
-            if let Err(error) = self.look(&mut missing_since, &mut jobs_read).await {
-                log_event!(self.work.core.logger, CONTROL_FAILED;
-                    "work" => "jobs", "detail" => error.detail);
-                // After an outage every process may have to register again.
-                missing_since = Some(Instant::now() + LOOK_INTERVAL);
+            match self.look(Instant::now() >= grace_until).await {
+                Ok(revision) => self.wait_for_change(revision).await,
+                Err(error) => {
+                    log_event!(self.work.core.logger, CONTROL_FAILED;
+                        "work" => "jobs", "detail" => error.detail);
+                    grace_until = Instant::now() + RETURN_GRACE;
+                    sleep(RETRY_PAUSE).await;
+                }
             }
-            sleep(LOOK_INTERVAL).await;
         }
     }
 
-    async fn look(
-        &self,
-        missing_since: &mut Option<Instant>,
-        jobs_read: &mut Option<Instant>,
-    ) -> Result<(), ServiceError> {
+    /// Waits until a process comes or goes, or until it is time for the next look.
+    async fn wait_for_change(&self, revision: u64) {
+        let next = Instant::now() + LOOK_INTERVAL;
+        let store = &self.work.core.ports.store;
+        let watched = store.watch(MEMBER_PREFIX, revision, LOOK_INTERVAL).await;
+        if watched.is_err() {
+            sleep_until(next).await;
+        }
+    }
+
+    /// Looks at all jobs and returns the store's revision of the list of processes.
+    async fn look(&self, may_take_over: bool) -> Result<u64, ServiceError> {
         let core = &self.work.core;
         let listing = core.ports.store.list(MEMBER_PREFIX).await?;
+        let revision = listing.revision;
         let members: Vec<MemberRecord> = listing
             .items
             .iter()
@@ -75,26 +84,15 @@
                 revision: item.revision,
             })
             .collect();
-        let former = self.work.core.members.replace(members.clone());
-        let left = former.iter().any(|member| !contains(&members, member));
-        if left && missing_since.is_none() {
-            *missing_since = Some(Instant::now());
-        }
-        let missing = missing_since.is_some_and(|since| since.elapsed() >= MISSING_LIMIT);
-        let old = jobs_read.is_none_or(|read| read.elapsed() >= JOBS_INTERVAL);
-        if !missing && !old {
-            return Ok(());
-        }
-        let listing = core.ports.store.list(OPEN_PREFIX).await?;
-        *jobs_read = Some(Instant::now());
-        for item in &listing.items {
-            self.care(item, &members, &registrations).await?;
-        }
-        if missing {
-            *missing_since = None;
+        *core.members.borrow_mut() = members.clone();
+        if may_take_over {
+            let listing = core.ports.store.list(OPEN_PREFIX).await?;
+            for item in &listing.items {
+                self.care(item, &members, &registrations).await?;
+            }
         }
         self.work.jobs.forget_old(unix_ms());
-        Ok(())
+        Ok(revision)
     }
 
     async fn care(
--- a/crates/catkindeck-gateway/src/control/lead.rs
+++ b/crates/catkindeck-gateway/src/control/lead.rs
@@ -15,8 +15,12 @@
         },
         session::MemberSession,
     },
-    catkindeck::{ErrorKind, ServiceError, log_event},
-    std::{cell::RefCell, rc::Rc, time::Duration},
+    catkindeck::{ErrorKind, Moment, ServiceError, log_event},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -41,6 +45,8 @@
     pub jobs: Rc<JobService>,
     session: Rc<MemberSession>,
     fence: RefCell<Option<u64>>,
+    /// When this process last ceased to do the work.
+    released_at: Cell<Option<Moment>>,
 }
 
 impl ControlWork {
@@ -55,6 +61,7 @@
             jobs,
             session,
             fence: RefCell::new(None),
+            released_at: Cell::new(None),
         })
     }
 
@@ -94,7 +101,8 @@
 
     /// Tries to claim the work and returns the fencing token, or waits while another holds it.
     async fn claim(&self) -> Result<Option<u64>, ServiceError> {
-        let Some(lease) = self.session.lease().filter(|_| !self.core.leaving.get()) else {
+        let lease = self.session.lease().filter(|_| self.may_claim());
+        let Some(lease) = lease else {
             sleep(RETRY_PAUSE).await;
             return Ok(None);
         };
@@ -134,6 +142,17 @@
         }
     }
 
+    /// Tells whether this process may claim the work.
+    ///
+    /// Another process may have acted since this one ceased to, so it must not act again within the
+    /// time in which turns count as two processes in charge.
+    fn may_claim(&self) -> bool {
+        let lease_ms = self.core.settings().bounds.lease_ms;
+        let now = self.core.now();
+        let released = self.released_at.get();
+        !self.core.leaving.get() && released.is_none_or(|at| now.since(at) > lease_ms)
+    }
+
     /// Tells whether a key was written by an earlier run of the process on this host, which is gone.
     fn is_former_self(&self, item: &StoreItem) -> bool {
         let record: Result<MemberRecord, ServiceError> = keys::decode_item(item);
@@ -160,6 +179,7 @@
             task.abort();
         }
         *self.fence.borrow_mut() = None;
+        self.released_at.set(Some(self.core.now()));
         *self.core.controller.borrow_mut() = None;
         log_event!(self.core.logger, CONTROL_RELEASED; "fence" => fence);
     }
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -4,7 +4,7 @@
     crate::{
         control::ControlWork,
         core::{GatewayCore, GatewayPorts},
-        events::{GATEWAY_LEAVING, GATEWAY_STARTED, GATEWAY_STOPPED},
+        events::{GATEWAY_LEAVING, GATEWAY_STARTED, GATEWAY_STOPPED, HAND_OVER_CUT},
         follow::StoreFollower,
         front::CallerFront,
         jobs::JobService,
@@ -19,7 +19,7 @@
     prometheus::Registry,
     slog::Logger,
     std::{io, rc::Rc, time::Duration},
-    tokio::time::{Instant, sleep},
+    tokio::time::{Instant, sleep, timeout},
 };
 
 /// The limits of the client for upstreams. Hosts are a millisecond apart, so a connection that is
@@ -51,6 +51,9 @@
 /// The time before the platform kills a leaving process at which it ends on its own.
 const KILL_MARGIN: Duration = Duration::from_millis(500);
 
+/// The longest time for handing jobs over; what is left is taken over when the lease has ended.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(2_500);
+
 /// How often a leaving process looks whether it may end.
 const LEAVE_TICK: Duration = Duration::from_millis(50);
 
@@ -126,9 +129,14 @@
         self.callers.leave();
         log_event!(self.core.logger, GATEWAY_LEAVING;
             "requests" => self.callers.requests(), "jobs" => self.jobs.all().len());
-        let targets = self.hand_over_targets().await;
-        self.jobs.hand_over(&targets).await;
-        self.session.end().await;
+        let hand_over = async {
+            let targets = self.hand_over_targets().await;
+            self.jobs.hand_over(&targets).await;
+            self.session.end().await;
+        };
+        if timeout(HAND_OVER_LIMIT, hand_over).await.is_err() {
+            log_event!(self.core.logger, HAND_OVER_CUT; "jobs" => self.jobs.all().len());
+        }
         loop {
             let served = self.callers.requests() == 0;
             let noticed = started.elapsed() >= LEAVE_NOTICE || self.callers.connections() == 0;
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -23,6 +23,8 @@
     GATEWAY_LEAVING = 8102, "gateway_leaving", Info, "gateway leaves and finishes what it has";
     /// The process ends.
     GATEWAY_STOPPED = 8103, "gateway_stopped", Info, "gateway stopped";
+    /// Jobs could not be handed over in time.
+    HAND_OVER_CUT = 8106, "hand_over_cut", Warning, "jobs could not be handed over in time";
     /// The settings were read again.
     SETTINGS_RELOADED = 8104, "settings_reloaded", Info, "settings were read again";
     /// The settings cannot be used.
--- a/crates/catkindeck-gateway/src/session.rs
+++ b/crates/catkindeck-gateway/src/session.rs
@@ -17,6 +17,10 @@
 /// round trips to the platform.
 const MARGIN_MS: u64 = 400;
 
+/// The time to live of a process's lease, in milliseconds. After it the jobs and the control work of
+/// a process that is lost go on elsewhere; it covers three renewals.
+const SESSION_TTL_MS: u64 = 2_000;
+
 /// The time to live of the lease of an entry, in that of other processes.
 const ENTRY_TTL_FACTOR: u64 = 2;
 
@@ -39,8 +43,7 @@
     /// Makes a session that is not registered yet.
     pub fn new(core: Rc<GatewayCore>) -> Rc<Self> {
         let settings = core.settings();
-        // A holder must not come back within the time in which others could have acted.
-        let ttl_ms = settings.bounds.lease_ms.max(settings.least_ttl_ms);
+        let ttl_ms = SESSION_TTL_MS.max(settings.least_ttl_ms);
         // Entries run jobs only where there is nobody else, so their end may be noticed later.
         let ttl_ms = match settings.entry {
             Some(_) => ttl_ms * ENTRY_TTL_FACTOR,
