Take an unchanged list of upstreams for a read, not for an outage

An unchanged entry also prolonged the time for which an upstream counted as cold, with each read. Change: a follower applies the list it has when it hears that it is unchanged; a cold time counts from the change of its entry. Conclusion: traced and closed.

--- a/crates/catkindeck-gateway/src/follow.rs
+++ b/crates/catkindeck-gateway/src/follow.rs
@@ -13,6 +13,7 @@
         port::StoreItem,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, id::IncarnationId, log_event},
+    catkindeck_policy::direct::DiscoveredUpstream,
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -47,6 +48,8 @@
     known: RefCell<(Option<IncarnationId>, FeedQuery)>,
     /// When what was heard last was read, as far as its age says.
     heard: Cell<Moment>,
+    /// The upstreams that were heard last.
+    upstreams: RefCell<Vec<DiscoveredUpstream>>,
 }
 
 impl StoreFollower {
@@ -58,6 +61,7 @@
             is_fed: Cell::new(false),
             known: RefCell::new((None, FeedQuery::default())),
             heard: Cell::new(Moment(0)),
+            upstreams: RefCell::new(Vec::new()),
         });
         tokio::task::spawn_local(Rc::clone(&follower).follow_store());
         tokio::task::spawn_local(follower.follow_feed());
@@ -157,8 +161,11 @@
             self.take_intents(intents_at, &items);
         }
         self.core.freshness.borrow_mut().prove(intents_at);
-        if let Some(items) = update.upstreams.items {
-            self.take_upstreams(upstreams_at, &items);
+        match update.upstreams.items {
+            Some(items) => self.take_upstreams(upstreams_at, &items),
+            // The same list again shows that nothing lapsed unseen, and ends the grace after an
+            // outage.
+            None => self.apply_upstreams(upstreams_at),
         }
     }
 
@@ -213,8 +220,14 @@
         for fault in faults {
             log_event!(core.logger, INTENT_FAULT; "detail" => fault);
         }
+        *self.upstreams.borrow_mut() = list;
+        self.apply_upstreams(sent);
+    }
+
+    fn apply_upstreams(&self, sent: Moment) {
+        let core = &self.core;
         let mut roster = core.roster.borrow_mut();
-        let changes = roster.apply(sent, list);
+        let changes = roster.apply(sent, self.upstreams.borrow().clone());
         for key in &changes.appeared {
             let record = &roster.get(*key).record;
             log_event!(core.logger, UPSTREAM_APPEARED;
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -107,7 +107,8 @@
 
     /// Takes a newer heartbeat of the same run.
     pub fn update(&mut self, now: Moment, record: DiscoveredUpstream) {
-        if record.cold_ms > 0 {
+        // An entry that did not change was written before and its time goes on from then.
+        if record.cold_ms > 0 && record != self.record {
             self.cold_until = self.cold_until.max(now + record.cold_ms);
         }
         self.record = record;
--- /dev/null
+++ b/crates/catkindeck-policy/tests/roster.rs
@@ -0,0 +1,153 @@
+//! The upstreams that take work, from lists that are late, old or incomplete.
+
+use {
+    catkindeck::{Moment, id::ObjectName, token::WeightVersion},
+    catkindeck_policy::direct::{DiscoveredUpstream, ModelWeights, UpstreamRoster},
+    proptest::prelude::*,
+};
+
+fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).expect("the name is valid")
+}
+
+fn upstream(id: &str, born_ms: u64, heartbeat: u64) -> DiscoveredUpstream {
+    DiscoveredUpstream {
+        id: name(id),
+        service: name("engines"),
+        zone: name("zone-a"),
+        address: "127.0.0.1:7000".parse().expect("the address is valid"),
+        slots: 4,
+        draining: false,
+        cold_ms: 0,
+        heartbeat,
+        born_ms,
+        weights: vec![ModelWeights {
+            model: name("model-a"),
+            version: WeightVersion(1),
+        }],
+    }
+}
+
+/// Guards against a gone upstream that gets work because an unchanged list was taken for an outage
+/// (DRAIN in hunt day hunt-d458-23 of ksrrd-vault).
+#[test]
+fn an_unchanged_list_is_no_outage() {
+    let mut roster = UpstreamRoster::new();
+    let list = vec![upstream("one", 1, 1), upstream("two", 1, 1)];
+    for second in 0..8 {
+        roster.apply(Moment(second * 1_000), list.clone());
+    }
+
+    let changes = roster.apply(Moment(8_000), vec![upstream("two", 1, 1)]);
+
+    assert_eq!(changes.gone.len(), 1);
+    assert!(roster.current(&name("one")).is_none());
+}
+
+/// Guards against upstreams that are dropped because their entries lapsed while the store was away.
+#[test]
+fn after_an_outage_missing_entries_have_time_to_come_back() {
+    let mut roster = UpstreamRoster::new();
+    let both = vec![upstream("one", 1, 1), upstream("two", 1, 1)];
+    roster.apply(Moment(1_000), both.clone());
+
+    roster.apply(Moment(7_000), vec![upstream("two", 1, 2)]);
+    let key = roster.current(&name("one")).expect("it may come back");
+    assert!(roster.takes_work(key));
+    roster.apply(Moment(8_000), both);
+    roster.apply(Moment(9_500), vec![upstream("two", 1, 2)]);
+
+    assert!(roster.current(&name("one")).is_none(), "the grace is over");
+}
+
+/// Guards against an upstream that stays cold for as long as its entry is read again unchanged.
+#[test]
+fn an_unchanged_entry_does_not_prolong_the_cold_time() {
+    let mut roster = UpstreamRoster::new();
+    let cold = DiscoveredUpstream {
+        cold_ms: 2_000,
+        ..upstream("one", 1, 1)
+    };
+    for step in 0..10 {
+        roster.apply(Moment(step * 500), vec![cold.clone()]);
+    }
+    let key = roster.current(&name("one")).expect("it is listed");
+    assert!(roster.get(key).is_cold(Moment(1_999)));
+    assert!(!roster.get(key).is_cold(Moment(2_000)));
+}
+
+/// Guards against knowledge of an earlier run that is used for a new one under the same identity.
+#[test]
+fn a_restart_under_the_same_identity_is_a_new_run() {
+    let mut roster = UpstreamRoster::new();
+    roster.apply(Moment(0), vec![upstream("one", 1, 9)]);
+    let first = roster.current(&name("one")).expect("it is listed");
+    roster
+        .get_mut(first)
+        .learn_version(&name("model-a"), WeightVersion(7));
+
+    let changes = roster.apply(Moment(1_000), vec![upstream("one", 2, 1)]);
+
+    let second = roster.current(&name("one")).expect("it is listed");
+    assert_ne!(first, second);
+    assert_eq!((changes.appeared.len(), changes.gone.len()), (1, 1));
+    let version = roster.get(second).version(&name("model-a"));
+    assert_eq!(version, Some(WeightVersion(1)));
+    assert!(!roster.takes_work(first));
+}
+
+/// Guards against a late write of an earlier heartbeat that brings back an earlier state.
+#[test]
+fn an_old_heartbeat_changes_nothing() {
+    let mut roster = UpstreamRoster::new();
+    let draining = DiscoveredUpstream {
+        draining: true,
+        ..upstream("one", 2, 5)
+    };
+    roster.apply(Moment(0), vec![draining]);
+
+    roster.apply(Moment(500), vec![upstream("one", 2, 4)]);
+    roster.apply(Moment(900), vec![upstream("one", 1, 99)]);
+
+    let key = roster.current(&name("one")).expect("it is listed");
+    assert!(!roster.takes_work(key));
+}
+
+proptest! {
+    /// Guards against work for an upstream that no list of the last outage and grace names, whatever
+    /// lists come in whatever order.
+    #[test]
+    fn only_listed_upstreams_take_work(
+        steps in prop::collection::vec((1u64..4_000, prop::bits::u8::ANY, 1u64..4, 0u64..9), 1..40),
+    ) {
+        let mut roster = UpstreamRoster::new();
+        let mut now = Moment(0);
+        // The moment of the last list that named each of eight upstreams.
+        let mut last_listed: [Option<Moment>; 8] = [None; 8];
+        let mut last_read: Option<Moment> = None;
+        let mut outage_ended: Option<Moment> = None;
+        for (pause, mask, born, heartbeat) in steps {
+            now = now + pause;
+            if last_read.is_some_and(|last| now.since(last) > 3_000) {
+                outage_ended = Some(now);
+            }
+            last_read = Some(now);
+            let mut list = Vec::new();
+            for index in 0..8u8 {
+                if mask & (1 << index) != 0 {
+                    last_listed[usize::from(index)] = Some(now);
+                    list.push(upstream(&format!("u{index}"), born, heartbeat));
+                }
+            }
+            roster.apply(now, list);
+            for (index, listed) in last_listed.iter().enumerate() {
+                let key = roster.current(&name(&format!("u{index}")));
+                let takes_work = key.is_some_and(|key| roster.takes_work(key));
+                let in_grace = outage_ended.is_some_and(|ended| now.since(ended) < 2_300);
+                let is_listed = *listed == Some(now);
+                prop_assert!(!takes_work || is_listed || in_grace);
+                prop_assert!(takes_work || !is_listed, "a listed upstream takes work");
+            }
+        }
+    }
+}
