Keep copies of running texts at another process

Cause: after a runner was lost its jobs took ten to thirteen seconds: every unlisted text began anew, and a step is due within the time of its longest.

--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -4,6 +4,7 @@
     crate::{
         feed::StoreFeed,
         intent::IntentView,
+        jobs::backup::CopyShelf,
         keys::MemberRecord,
         metrics::GatewayMetrics,
         port::{CallerDialect, DutyPort, IntentDecoder, MetadataStore, UpstreamDialect},
@@ -74,6 +75,8 @@
     pub relay: Rc<RelayedStore>,
     /// What this process read from the store, for others.
     pub feed: StoreFeed,
+    /// What this process keeps of the running jobs of others.
+    pub shelf: CopyShelf,
     /// The processes of the system, as last heard.
     pub members: RefCell<Vec<MemberRecord>>,
     /// The process that does the control work, as last heard.
@@ -115,6 +118,7 @@
             capacity: Notify::new(),
             intent_changed: Notify::new(),
             feed: StoreFeed::default(),
+            shelf: CopyShelf::default(),
             members: RefCell::new(Vec::new()),
             controller: RefCell::new(None),
             leaving: Cell::new(false),
--- a/crates/catkindeck-gateway/src/jobs/adopt.rs
+++ b/crates/catkindeck-gateway/src/jobs/adopt.rs
@@ -44,12 +44,13 @@
         transaction.conditions.extend(registration);
         match self.core.ports.store.commit(&transaction).await? {
             CommitOutcome::Committed(revision) => {
+                let progress = self.fetch_copy(&record.job).await;
                 self.run_adopted(JobHandOver {
                     record,
                     revision,
                     former,
                     spec: None,
-                    progress: Vec::new(),
+                    progress,
                 })
                 .await
             }
@@ -82,6 +83,7 @@
             None => self.load(record, revision).await?,
         };
         let now = self.core.now();
+        let copied = progress.len();
         for (index, progress) in progress {
             if (index as usize) < job.spec.items.len() {
                 job.job.borrow_mut().adopt(now, ItemKey(index), progress);
@@ -95,7 +97,8 @@
             .inc();
         log_event!(self.core.logger, JOB_TAKEN_OVER;
             "job" => &job.spec.id, "from" => %former.host, "revision" => revision,
-            "listed" => job.results.borrow().len(), "items" => job.spec.items.len());
+            "listed" => job.results.borrow().len(), "items" => job.spec.items.len(),
+            "copied" => copied);
         self.insert(job);
         Ok(())
     }
@@ -165,16 +168,19 @@
         let Ok(CommitOutcome::Committed(revision)) = written else {
             return;
         };
-        let progress = job.job.borrow().unlisted_progress();
-        let progress = progress
-            .into_iter()
-            .map(|(key, progress)| (key.0, progress));
+        let progress: Vec<(u32, ItemProgress)> = {
+            let state = job.job.borrow();
+            let texts = state.unlisted_texts();
+            texts
+                .map(|(key, progress)| (key.0, progress.clone()))
+                .collect()
+        };
         let call = PeerCall::Adopt(Box::new(JobHandOver {
             record: record.clone(),
             revision,
             former: former.owner,
             spec: None,
-            progress: progress.collect(),
+            progress,
         }));
         self.remove(&job.spec.id);
         let adopted = self
--- a/crates/catkindeck-gateway/src/jobs/mod.rs
+++ b/crates/catkindeck-gateway/src/jobs/mod.rs
@@ -5,6 +5,7 @@
 //! that key, so results of a former owner have no effect (`docs/platform.md`).
 
 pub mod adopt;
+pub mod backup;
 pub mod commit;
 pub mod end;
 pub mod item;
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -8,14 +8,17 @@
         core::GatewayCore,
         events::PEER_FAILED,
         feed::{FeedQuery, FeedUpdate},
-        jobs::JobService,
+        jobs::{JobService, backup::JobCopy},
         keys::{self, MemberRecord, OpenRecord},
         port::WeightOrder,
         relay::{StoreCall, StoreReply},
     },
     bytes::Bytes,
     catkindeck::{
-        ErrorKind, ServiceError, id::ObjectName, log_event, message, token::WeightVersion,
+        ErrorKind, ServiceError,
+        id::{IncarnationId, ObjectName},
+        log_event, message,
+        token::WeightVersion,
     },
     catkindeck_net::{HttpHandler, LocalFuture, ReplyBody},
     catkindeck_policy::direct::{ItemProgress, JobResult, JobSpec},
@@ -77,6 +80,18 @@
     },
     /// Tells that upstreams load weights.
     Loads(Vec<LoadNotice>),
+    /// Copies what is new of the sender's running jobs.
+    Copy {
+        /// The run of the sender.
+        runner: IncarnationId,
+        /// What is new.
+        copies: Vec<JobCopy>,
+    },
+    /// Takes the copy of a job whose runner is gone.
+    TakeCopy {
+        /// The job.
+        job: String,
+    },
     /// Asks for what the receiver read from the store.
     Feed(FeedQuery),
     /// Asks the receiver to make a call to the store.
@@ -126,6 +141,8 @@
     Refused(ServiceError),
     /// The requests of each customer.
     Usage(Vec<(ObjectName, u64)>),
+    /// What is kept of a job's items, by index.
+    Copy(Vec<(u32, ItemProgress)>),
     /// What was read from the store.
     Feed(Box<FeedUpdate>),
     /// What the store answered.
@@ -237,6 +254,11 @@
             PeerCall::Usage { window } => {
                 Ok(PeerAnswer::Usage(self.core.usage.borrow().window(window)))
             }
+            PeerCall::Copy { runner, copies } => {
+                self.core.shelf.put(self.core.now(), runner, copies);
+                Ok(PeerAnswer::Done)
+            }
+            PeerCall::TakeCopy { job } => Ok(PeerAnswer::Copy(self.core.shelf.take(&job))),
             PeerCall::Store(call) => {
                 let reply = self.core.relay.answer(&call).await?;
                 Ok(PeerAnswer::Store(Box::new(reply)))
--- a/crates/catkindeck-policy/src/direct/job.rs
+++ b/crates/catkindeck-policy/src/direct/job.rs
@@ -116,12 +116,63 @@
     pub failures: u32,
     /// The responses that the item can never be done.
     pub rejections: u32,
+    /// How often the text was begun anew.
+    pub restarts: u32,
     /// Whether the text is whole.
     pub complete: bool,
     /// The scorer's stamp, once it is known.
     pub score: Option<String>,
 }
 
+/// What was added to an item's text since an earlier state.
+#[message]
+pub struct TextPart {
+    /// The bytes of text that came before.
+    pub offset: u64,
+    /// The state now, with only the added text.
+    pub progress: ItemProgress,
+}
+
+impl ItemProgress {
+    /// Tells whether the text is whole and its score known.
+    pub fn is_scored(&self) -> bool {
+        self.complete && self.score.is_some()
+    }
+
+    /// Returns what was added after `offset` bytes, or everything if the text is shorter now.
+    pub fn part_from(&self, offset: usize) -> TextPart {
+        let offset = match self.text.is_char_boundary(offset) {
+            true => offset,
+            false => 0,
+        };
+        TextPart {
+            offset: offset as u64,
+            progress: Self {
+                text: self.text[offset..].to_owned(),
+                ..self.clone()
+            },
+        }
+    }
+
+    /// Adds a part; one that does not follow is left out, because the text would have a gap.
+    pub fn extend(&mut self, part: &TextPart) {
+        let mut text = match part.offset {
+            0 => String::new(),
+            _ => std::mem::take(&mut self.text),
+        };
+        let continues = part.offset == 0 || part.progress.restarts == self.restarts;
+        if text.len() as u64 != part.offset || !continues {
+            *self = Self::default();
+            return;
+        }
+        text.push_str(&part.progress.text);
+        *self = Self {
+            text,
+            ..part.progress.clone()
+        };
+    }
+}
+
 /// Where an item stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ItemPhase {
@@ -357,6 +408,7 @@
         progress.text.clear();
         progress.last_event = None;
         progress.versions.clear();
+        progress.restarts += 1;
     }
 
     /// Tells whether a run under `version` may go on from the item's text so far.
@@ -550,14 +602,12 @@
         due.min()
     }
 
-    /// Returns what every unlisted item has so far, for a new owner.
-    pub fn unlisted_progress(&self) -> Vec<(ItemKey, ItemProgress)> {
+    /// Returns what every unlisted item with text has so far, for a new owner.
+    pub fn unlisted_texts(&self) -> impl Iterator<Item = (ItemKey, &ItemProgress)> {
         let unlisted = self.items.iter().filter(|(_, state)| {
             !matches!(state.phase, ItemPhase::Listed(_)) && state.progress.last_event.is_some()
         });
-        unlisted
-            .map(|(key, state)| (key, state.progress.clone()))
-            .collect()
+        unlisted.map(|(key, state)| (key, &state.progress))
     }
 
     fn finished(&self) -> Vec<ItemKey> {
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -18,7 +18,7 @@
     freshness::FreshnessGate,
     job::{
         ItemKey, ItemPhase, ItemProgress, JobItem, JobLimits, JobResult, JobSpec, ResultCommit,
-        RolloutJob, ScorerCall,
+        RolloutJob, ScorerCall, TextPart,
     },
     outcome::{ItemOutcome, ResultState},
     roster::{RosterChanges, UpstreamRoster},
