Ignore lists and intents that were read before those in use

Change: the roster and the view of intents ignore what was read before what they have; intents that were left out are asked for again. Conclusion: traced and closed.

--- a/crates/catkindeck-gateway/src/follow.rs
+++ b/crates/catkindeck-gateway/src/follow.rs
@@ -46,6 +46,8 @@
     /// Whether another process reads for this one.
     is_fed: Cell<bool>,
     known: RefCell<(Option<IncarnationId>, FeedQuery)>,
+    /// When the intents in use were read.
+    intents_at: Cell<Moment>,
     /// When what was heard last was read, as far as its age says.
     heard: Cell<Moment>,
     /// The upstreams that were heard last.
@@ -60,6 +62,7 @@
             is_store_lost: Cell::new(false),
             is_fed: Cell::new(false),
             known: RefCell::new((None, FeedQuery::default())),
+            intents_at: Cell::new(Moment(0)),
             heard: Cell::new(Moment(0)),
             upstreams: RefCell::new(Vec::new()),
         });
@@ -150,16 +153,21 @@
     fn take_update(&self, sent: Moment, update: FeedUpdate) {
         let intents_at = sent - update.intents.age_ms;
         let upstreams_at = sent - update.upstreams.age_ms;
-        let query = FeedQuery {
-            intents: update.intents.content,
+        *self.core.members.borrow_mut() = update.members;
+        let is_taken = match update.intents.items {
+            Some(items) => self.take_intents(intents_at, &items),
+            None => true,
+        };
+        // Intents that were left out must come again, so they do not count as known.
+        let known_intents = match is_taken {
+            true => update.intents.content,
+            false => 0,
+        };
+        self.known.borrow_mut().1 = FeedQuery {
+            intents: known_intents,
             upstreams: update.upstreams.content,
             reads: update.reads,
         };
-        self.known.borrow_mut().1 = query;
-        *self.core.members.borrow_mut() = update.members;
-        if let Some(items) = update.intents.items {
-            self.take_intents(intents_at, &items);
-        }
         self.core.freshness.borrow_mut().prove(intents_at);
         match update.upstreams.items {
             Some(items) => self.take_upstreams(upstreams_at, &items),
@@ -188,7 +196,13 @@
         Ok(())
     }
 
-    fn take_intents(&self, sent: Moment, items: &[StoreItem]) {
+    /// Takes intents that were read at `sent`, and tells whether they are in use now.
+    fn take_intents(&self, sent: Moment, items: &[StoreItem]) -> bool {
+        // Intents come by several ways, and an older state must not replace a newer one.
+        if sent < self.intents_at.get() {
+            return false;
+        }
+        self.intents_at.set(sent);
         let core = &self.core;
         let known = core.intent.borrow().store_revision();
         let mut intent = core.ports.intents.decode_intent(items, known);
@@ -212,6 +226,7 @@
         if changes.any() {
             core.capacity.notify_one();
         }
+        true
     }
 
     fn take_upstreams(&self, sent: Moment, items: &[StoreItem]) {
--- a/crates/catkindeck-policy/src/direct/roster.rs
+++ b/crates/catkindeck-policy/src/direct/roster.rs
@@ -44,8 +44,13 @@
     }
 
     /// Takes the list of a linearizable read that was sent at `sent`.
+    ///
+    /// A list that was read before the one in use is ignored: lists come by several ways.
     pub fn apply(&mut self, sent: Moment, list: Vec<DiscoveredUpstream>) -> RosterChanges {
         let mut changes = RosterChanges::default();
+        if self.last_read.is_some_and(|last| sent < last) {
+            return changes;
+        }
         if self
             .last_read
             .is_some_and(|last| sent.since(last) > OUTAGE_MS)
--- a/crates/catkindeck-policy/tests/roster.rs
+++ b/crates/catkindeck-policy/tests/roster.rs
@@ -44,6 +44,22 @@
     assert!(roster.current(&name("one")).is_none());
 }
 
+/// Guards against an older list, heard from another process after an own read, that brings a gone
+/// upstream back or makes the next read look like the first after an outage (DRAIN on trouble-3 of
+/// listkovnica-hq).
+#[test]
+fn an_older_list_is_ignored() {
+    let mut roster = UpstreamRoster::new();
+    let both = vec![upstream("one", 1, 1), upstream("two", 1, 1)];
+    roster.apply(Moment(10_000), both.clone());
+    roster.apply(Moment(11_500), both.clone());
+
+    roster.apply(Moment(9_000), both);
+    roster.apply(Moment(12_200), vec![upstream("two", 1, 1)]);
+
+    assert!(roster.current(&name("one")).is_none());
+}
+
 /// Guards against upstreams that are dropped because their entries lapsed while the store was away.
 #[test]
 fn after_an_outage_missing_entries_have_time_to_come_back() {
