Accept configuration files without the parts for gateways

Cause: the new parts of routes, services and customers were required in configuration files that agents' deployments have. Change: they default. Before and after: tests/settings.rs of the entry failed and passes.

--- a/crates/catkindeck/src/config.rs
+++ b/crates/catkindeck/src/config.rs
@@ -35,6 +35,7 @@
     /// The training runs.
     pub runs: Vec<RunRecord>,
     /// What callers may send.
+    #[serde(default)]
     pub limits: CallerLimits,
 }
 
@@ -48,6 +49,7 @@
     /// Retries allowed for each 100 first attempts.
     pub retry_percent: u32,
     /// The rank of the customer's requests, which goes before that of their routes; 0 is first.
+    #[serde(default)]
     pub priority: Option<u8>,
 }
 
@@ -88,6 +90,7 @@
     /// Whether the upstreams refuse orders with an old fencing number.
     pub checks_fence: bool,
     /// What a gateway must know of the upstreams.
+    #[serde(default)]
     pub direct: DirectService,
 }
 
@@ -105,6 +108,7 @@
     /// The longest time a request may take, in milliseconds.
     pub timeout_ms: u64,
     /// How callers address the route and what they may expect of it.
+    #[serde(default)]
     pub terms: RouteTerms,
 }
 
