Keep usage that is not sealed yet in the store

Ruled out: an estimate from the windows around it; usage is billed. Change: entries tell the holder of the duty what they count, 50 ms after a request; the holder stores what is not sealed every 250 ms; a new holder reads it first. Counts are kept by run of a process, so what comes late or twice changes nothing.

--- a/crates/catkindeck-gateway/src/control/lead.rs
+++ b/crates/catkindeck-gateway/src/control/lead.rs
@@ -161,9 +161,11 @@
         *self.fence.borrow_mut() = Some(fence);
         *self.core.controller.borrow_mut() = Some(self.session.record());
         log_event!(self.core.logger, CONTROL_HELD; "fence" => fence);
+        let usage = UsageDuty::new(Rc::clone(self));
         let tasks = [
             tokio::task::spawn_local(WeightRollout::new(Rc::clone(self)).run()),
-            tokio::task::spawn_local(UsageDuty::new(Rc::clone(self)).run()),
+            tokio::task::spawn_local(Rc::clone(&usage).run()),
+            tokio::task::spawn_local(usage.keep_open()),
             tokio::task::spawn_local(HostRetirement::new(Rc::clone(self)).run()),
             tokio::task::spawn_local(JobJanitor::new(Rc::clone(self)).run()),
             tokio::task::spawn_local(Rc::clone(self).watch_intents()),
--- a/crates/catkindeck-gateway/src/control/usage.rs
+++ b/crates/catkindeck-gateway/src/control/usage.rs
@@ -3,13 +3,14 @@
 use {
     super::lead::ControlWork,
     crate::{
+        core::GatewayCore,
         events::{USAGE_FAILED, USAGE_REPORTED, USAGE_SEALED},
-        keys::{self, USAGE_PREFIX},
+        keys::{self, OPEN_USAGE_KEY, USAGE_PREFIX},
         peer::{PeerAnswer, PeerCall},
         port::{CommitOutcome, StoreCondition, StoreWrite, Transaction, UsageReport},
     },
-    catkindeck::{ErrorKind, ServiceError, SortedMap, id::ObjectName, log_event, time::unix_ms},
-    catkindeck_policy::direct::UsageWindows,
+    catkindeck::{ErrorKind, ServiceError, id::IncarnationId, log_event, time::unix_ms},
+    catkindeck_policy::direct::{UsageCount, UsageWindows},
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -25,6 +26,16 @@
 /// nothing, and the former holder may have sealed a window without reporting it.
 const REPEATED_WINDOWS: u64 = 2;
 
+/// The shortest time between two writes of counts that are not sealed yet; a twentieth of a window,
+/// by which its usage may be off.
+const OPEN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The windows before the present one that may not be sealed yet.
+const OPEN_WINDOWS: u64 = 4;
+
+/// The time for which a process gathers counts before it tells them.
+const TELL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The pause before a failed report is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -46,6 +57,8 @@
             return;
         }
         let length_ms = settings.bounds.usage_window_ms;
+        // What earlier processes counted must be known before a window is sealed.
+        self.load_open().await;
         let mut next = self.first_window(length_ms).await;
         loop {
             let over_at = (next + 1) * length_ms + SETTLE_MS;
@@ -109,9 +122,10 @@
         if let Some(item) = store.read(&key).await?.item {
             return keys::decode_item(&item);
         }
+        self.collect(can_wait).await?;
         let report = UsageReport {
             window,
-            counts: self.collect(window, can_wait).await?,
+            counts: self.work.core.ledger.borrow().window(window),
         };
         let transaction = Transaction {
             conditions: vec![StoreCondition {
@@ -139,38 +153,131 @@
         }
     }
 
-    /// Adds up the counts of all processes.
-    async fn collect(
-        &self,
-        window: u64,
-        can_wait: bool,
-    ) -> Result<Vec<(ObjectName, u64)>, ServiceError> {
+    /// Asks all processes for what they counted.
+    async fn collect(&self, can_wait: bool) -> Result<(), ServiceError> {
         let core = &self.work.core;
-        let mut sums: SortedMap<ObjectName, u64> = SortedMap::new();
-        let mut add = |counts: Vec<(ObjectName, u64)>| {
-            for (customer, count) in counts {
-                *sums.get_or_insert_with(customer, || 0) += count;
-            }
-        };
-        add(core.usage.borrow().window(window));
-        let members = self.work.core.members.borrow().clone();
+        core.learn_own_usage();
+        let members = core.members.borrow().clone();
         for member in members {
             if member.incarnation == core.incarnation || !member.serves_callers {
                 continue;
             }
-            let call = PeerCall::Usage { window };
+            let call = PeerCall::Usage;
             match core.call_peer(member.peer, &call, Duration::ZERO).await {
-                Ok(PeerAnswer::Usage(counts)) => add(counts),
+                Ok(PeerAnswer::Usage(counts)) => {
+                    let mut ledger = core.ledger.borrow_mut();
+                    ledger.learn(member.incarnation, &counts);
+                }
                 _ if can_wait => {
                     let detail = format!("{} does not tell its usage", member.host);
                     return Err(ServiceError::not_run(ErrorKind::PeerUnavailable, detail));
                 }
+                // What the process told before stands in the ledger.
                 _ => {}
             }
         }
-        Ok(sums
-            .iter()
-            .map(|(customer, count)| (customer.clone(), *count))
-            .collect())
+        Ok(())
+    }
+
+    /// Stores what is counted and not sealed, until the task is ended.
+    ///
+    /// After all processes were killed only the store knows what they counted.
+    pub async fn keep_open(self: Rc<Self>) {
+        let core = &self.work.core;
+        let mut known = self.load_open().await;
+        let mut stored = core.ledger.borrow().revision();
+        loop {
+            sleep(OPEN_INTERVAL).await;
+            core.learn_own_usage();
+            let revision = core.ledger.borrow().revision();
+            if revision == stored {
+                continue;
+            }
+            match self.store_open(known).await {
+                Ok(CommitOutcome::Committed(written)) => {
+                    known = written;
+                    stored = revision;
+                }
+                // An earlier holder's late write, or this one's with a lost answer: what it holds is
+                // learned and written again.
+                Ok(_) => known = self.load_open().await,
+                Err(error) => {
+                    log_event!(core.logger, USAGE_FAILED; "detail" => error.detail);
+                    sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Learns the stored counts and returns the revision of their key, zero if there is none.
+    async fn load_open(&self) -> u64 {
+        let core = &self.work.core;
+        loop {
+            match core.ports.store.read(OPEN_USAGE_KEY).await {
+                Ok(reading) => {
+                    let Some(item) = reading.item else { return 0 };
+                    let counts: Vec<(IncarnationId, UsageCount)> =
+                        keys::decode_item(&item).unwrap_or_default();
+                    let mut ledger = core.ledger.borrow_mut();
+                    for (run, count) in &counts {
+                        ledger.learn(*run, std::slice::from_ref(count));
+                    }
+                    return item.revision;
+                }
+                Err(error) => {
+                    log_event!(core.logger, USAGE_FAILED; "detail" => error.detail);
+                    sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn store_open(&self, known: u64) -> Result<CommitOutcome, ServiceError> {
+        let core = &self.work.core;
+        let length_ms = core.settings().bounds.usage_window_ms;
+        let present = UsageWindows::window_at(unix_ms(), length_ms);
+        let open = core
+            .ledger
+            .borrow()
+            .unsealed(present.saturating_sub(OPEN_WINDOWS));
+        let transaction = Transaction {
+            conditions: vec![StoreCondition {
+                key: OPEN_USAGE_KEY.to_owned(),
+                revision: known,
+            }],
+            writes: vec![StoreWrite {
+                key: OPEN_USAGE_KEY.to_owned(),
+                value: keys::encode(&open)?,
+                lease: None,
+            }],
+            removals: Vec::new(),
+        };
+        core.ports.store.commit(&transaction).await
+    }
+}
+
+impl GatewayCore {
+    /// Takes what this process counted itself into its ledger.
+    fn learn_own_usage(&self) {
+        let counts = self.usage.borrow().counts();
+        self.ledger.borrow_mut().learn(self.incarnation, &counts);
+    }
+
+    /// Tells the holder of the duty what this process counts, soon after each request, so that little
+    /// is lost with the process.
+    pub async fn tell_usage(self: Rc<Self>) {
+        loop {
+            self.usage_counted.notified().await;
+            sleep(TELL_INTERVAL).await;
+            let controller = self.controller.borrow().clone();
+            let other = controller.filter(|holder| holder.incarnation != self.incarnation);
+            let Some(holder) = other else { continue };
+            let call = PeerCall::UsageNews {
+                run: self.incarnation,
+                counts: self.usage.borrow().counts(),
+            };
+            // The holder asks for what it missed before it seals a window.
+            let _ = self.call_peer(holder.peer, &call, Duration::ZERO).await;
+        }
     }
 }
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -11,9 +11,13 @@
         relay::RelayedStore,
         settings::NodeSettings,
     },
-    catkindeck::{Clock, Moment, id::IncarnationId, time::BootClock},
+    catkindeck::{
+        Clock, Moment,
+        id::{IncarnationId, ObjectName},
+        time::BootClock,
+    },
     catkindeck_net::HttpClient,
-    catkindeck_policy::direct::{FreshnessGate, UpstreamRoster, UsageWindows},
+    catkindeck_policy::direct::{FreshnessGate, UpstreamRoster, UsageLedger, UsageWindows},
     slog::Logger,
     std::{
         cell::{Cell, RefCell},
@@ -63,8 +67,12 @@
     pub freshness: RefCell<FreshnessGate>,
     /// The upstreams.
     pub roster: RefCell<UpstreamRoster>,
-    /// The requests by usage window.
+    /// The requests that this process counted.
     pub usage: RefCell<UsageWindows>,
+    /// The requests of all processes, as far as this one heard.
+    pub ledger: RefCell<UsageLedger>,
+    /// Signals that a request was counted.
+    pub usage_counted: Notify,
     /// The counters and histograms.
     pub metrics: GatewayMetrics,
     /// Signals that upstreams or slots may have become free.
@@ -114,6 +122,8 @@
             freshness: RefCell::new(FreshnessGate::new(bound_ms)),
             roster: RefCell::new(UpstreamRoster::new()),
             usage: RefCell::new(UsageWindows::new()),
+            ledger: RefCell::new(UsageLedger::new()),
+            usage_counted: Notify::new(),
             metrics,
             capacity: Notify::new(),
             intent_changed: Notify::new(),
@@ -139,6 +149,15 @@
         Rc::clone(&self.settings.borrow())
     }
 
+    /// Counts a request that an upstream began at `sent_ms`, in milliseconds since the Unix epoch.
+    pub fn count_usage(&self, customer: Option<&ObjectName>, sent_ms: u64) {
+        let Some(customer) = customer else { return };
+        let length_ms = self.settings().bounds.usage_window_ms;
+        let window = UsageWindows::window_at(sent_ms, length_ms);
+        self.usage.borrow_mut().count(window, customer);
+        self.usage_counted.notify_one();
+    }
+
     /// Tells whether callers with keys may be served.
     pub fn is_fresh(&self) -> bool {
         self.freshness.borrow().is_fresh(self.now())
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -187,6 +187,7 @@
             Rc::clone(&self.session),
         );
         tokio::task::spawn_local(control.run());
+        tokio::task::spawn_local(Rc::clone(&self.core).tell_usage());
         tokio::task::spawn_local(reclaim(Rc::clone(&self.core), Rc::clone(&self.jobs)));
         tokio::task::spawn_local(keep_up(
             Rc::clone(&self.core),
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -10,9 +10,11 @@
         upstream_use::UpstreamUse,
     },
     bytes::Bytes,
-    catkindeck::{ErrorKind, ServiceError, id::ObjectName, log_event, token::WeightVersion},
+    catkindeck::{
+        ErrorKind, ServiceError, id::ObjectName, log_event, time::unix_ms, token::WeightVersion,
+    },
     catkindeck_net::{HttpExchange, ReplyBody, ReplySender, SendFault},
-    catkindeck_policy::direct::{EngineQuery, UpstreamKey, UsageWindows},
+    catkindeck_policy::direct::{EngineQuery, UpstreamKey},
     http::{HeaderMap, Response, StatusCode},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, timeout},
@@ -77,7 +79,8 @@
     /// Returns the reason if no upstream answered; it says whether the request can have run.
     pub async fn run(mut self) -> Result<Response<ReplyBody>, ServiceError> {
         let stream = self.open().await?;
-        self.count_usage();
+        self.core
+            .count_usage(self.request.customer.as_ref(), unix_ms());
         let mut response = Response::new(ReplyBody::whole(Bytes::new()));
         *response.status_mut() = stream.head.status;
         copy_headers(&stream.headers, response.headers_mut());
@@ -273,15 +276,6 @@
         }
     }
 
-    fn count_usage(&self) {
-        let Some(customer) = &self.request.customer else {
-            return;
-        };
-        let length_ms = self.core.settings().bounds.usage_window_ms;
-        let window = UsageWindows::window_at(catkindeck::time::unix_ms(), length_ms);
-        self.core.usage.borrow_mut().count(window, customer);
-    }
-
     fn note_failure(&self, detail: &str, outcome: &str) {
         self.core.metrics.attempt_failures.inc();
         log_event!(self.core.logger, ATTEMPT_FAILED;
--- a/crates/catkindeck-gateway/src/front.rs
+++ b/crates/catkindeck-gateway/src/front.rs
@@ -19,7 +19,7 @@
         log_event,
     },
     catkindeck_net::{HttpHandler, LocalFuture, ReplyBody},
-    catkindeck_policy::direct::{RouteMatch, UsageWindows},
+    catkindeck_policy::direct::RouteMatch,
     http::{Request, Response, StatusCode},
     http_body_util::BodyExt,
     hyper::body::Incoming,
@@ -217,20 +217,14 @@
         let report = PlainCall::new(&self.core, terms, &maker).run().await;
         match report.end {
             CallEnd::Answered(answer) => {
-                self.count_usage(request.customer.as_ref(), answer.sent_ms);
+                self.core
+                    .count_usage(request.customer.as_ref(), answer.sent_ms);
                 Ok(*answer)
             }
             CallEnd::Failed(error) => Err(error),
         }
     }
 
-    fn count_usage(&self, customer: Option<&ObjectName>, sent_ms: u64) {
-        let Some(customer) = customer else { return };
-        let length_ms = self.core.settings().bounds.usage_window_ms;
-        let window = UsageWindows::window_at(sent_ms, length_ms);
-        self.core.usage.borrow_mut().count(window, customer);
-    }
-
     fn pass_on(&self, answer: UpstreamAnswer) -> Response<ReplyBody> {
         let UpstreamAnswer {
             head,
--- a/crates/catkindeck-gateway/src/keys.rs
+++ b/crates/catkindeck-gateway/src/keys.rs
@@ -19,6 +19,8 @@
 pub const OPEN_PREFIX: &str = "ckd/open/";
 /// The submissions and results of jobs.
 const JOB_PREFIX: &str = "ckd/jobs/";
+/// The counts of usage windows that are not sealed yet.
+pub const OPEN_USAGE_KEY: &str = "ckd/open-usage";
 /// The sealed usage windows, a key each.
 pub const USAGE_PREFIX: &str = "ckd/usage/";
 
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -21,7 +21,7 @@
         token::WeightVersion,
     },
     catkindeck_net::{HttpHandler, LocalFuture, ReplyBody},
-    catkindeck_policy::direct::{ItemProgress, JobResult, JobSpec},
+    catkindeck_policy::direct::{ItemProgress, JobResult, JobSpec, UsageCount},
     http::{Method, Request, Response, StatusCode},
     http_body_util::BodyExt,
     hyper::body::Incoming,
@@ -73,10 +73,14 @@
     },
     /// Hands a job over, after the store names the receiver as its owner.
     Adopt(Box<JobHandOver>),
-    /// Asks for the requests of each customer in a usage window.
-    Usage {
-        /// The window.
-        window: u64,
+    /// Asks for the usage that the receiver counted.
+    Usage,
+    /// Tells the usage that the sender counted.
+    UsageNews {
+        /// The run of the sender.
+        run: IncarnationId,
+        /// The counts so far.
+        counts: Vec<UsageCount>,
     },
     /// Tells that upstreams load weights.
     Loads(Vec<LoadNotice>),
@@ -139,8 +143,8 @@
     NotOwner,
     /// The call was refused.
     Refused(ServiceError),
-    /// The requests of each customer.
-    Usage(Vec<(ObjectName, u64)>),
+    /// The usage that was counted so far.
+    Usage(Vec<UsageCount>),
     /// What is kept of a job's items, by index.
     Copy(Vec<(u32, ItemProgress)>),
     /// What was read from the store.
@@ -251,8 +255,10 @@
                 self.jobs.run_adopted(*hand_over).await?;
                 Ok(PeerAnswer::Done)
             }
-            PeerCall::Usage { window } => {
-                Ok(PeerAnswer::Usage(self.core.usage.borrow().window(window)))
+            PeerCall::Usage => Ok(PeerAnswer::Usage(self.core.usage.borrow().counts())),
+            PeerCall::UsageNews { run, counts } => {
+                self.core.ledger.borrow_mut().learn(run, &counts);
+                Ok(PeerAnswer::Done)
             }
             PeerCall::Copy { runner, copies } => {
                 self.core.shelf.put(self.core.now(), runner, copies);
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -26,5 +26,5 @@
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rank},
     upstream::{DiscoveredUpstream, ModelWeights, UpstreamKey, UpstreamState},
     weights::{LoadPlanner, LoadTask, NamedVersion},
-    windows::UsageWindows,
+    windows::{UsageCount, UsageLedger, UsageWindows},
 };
--- a/crates/catkindeck-policy/src/direct/windows.rs
+++ b/crates/catkindeck-policy/src/direct/windows.rs
@@ -1,11 +1,26 @@
 //! Requests of each customer by usage window.
 
-use catkindeck::{SortedMap, id::ObjectName};
+use catkindeck::{
+    SortedMap,
+    id::{IncarnationId, ObjectName},
+    message,
+};
 
 /// The number of windows kept; older ones were reported or can no longer be.
-const KEPT_WINDOWS: u64 = 64;
+const KEPT_WINDOWS: u64 = 12;
 
-/// The requests that upstreams began for each customer, by window of the wall clock.
+/// The requests of one customer in one window.
+#[message]
+pub struct UsageCount {
+    /// The window.
+    pub window: u64,
+    /// The customer.
+    pub customer: ObjectName,
+    /// The requests that upstreams began.
+    pub requests: u64,
+}
+
+/// The requests that upstreams began for each customer, as one process counted them.
 #[derive(Debug, Clone, Default)]
 pub struct UsageWindows {
     counts: SortedMap<(u64, ObjectName), u64>,
@@ -24,35 +39,90 @@
 
     /// Counts one request.
     pub fn count(&mut self, window: u64, customer: &ObjectName) {
-        self.add(window, customer, 1);
+        let key = (window, customer.clone());
+        *self.counts.get_or_insert_with(key, || 0) += 1;
+        let newest = self.counts.keys().next_back().map_or(0, |key| key.0);
+        self.counts
+            .retain(|(window, _), _| window + KEPT_WINDOWS > newest);
     }
 
-    /// Adds requests that were counted elsewhere.
-    pub fn add(&mut self, window: u64, customer: &ObjectName, requests: u64) {
-        let key = (window, customer.clone());
-        *self.counts.get_or_insert_with(key, || 0) += requests;
-        let newest = self
-            .counts
-            .keys()
-            .next_back()
-            .map_or(0, |(newest, _)| *newest);
-        if self
-            .counts
-            .keys()
-            .next()
-            .is_some_and(|(oldest, _)| oldest + KEPT_WINDOWS < newest)
-        {
-            self.counts
-                .retain(|(window, _), _| window + KEPT_WINDOWS >= newest);
+    /// Returns all counts, oldest window first.
+    pub fn counts(&self) -> Vec<UsageCount> {
+        let counts = self.counts.iter();
+        counts
+            .map(|((window, customer), requests)| UsageCount {
+                window: *window,
+                customer: customer.clone(),
+                requests: *requests,
+            })
+            .collect()
+    }
+}
+
+/// The counts of all processes, as the holder of the duty knows them.
+///
+/// Each run of a process counts upward only, so of two counts of the same run the larger is the newer
+/// one, by whatever way they came: from the process itself, from the store, or late.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct UsageLedger {
+    counts: SortedMap<(u64, ObjectName, IncarnationId), u64>,
+    revision: u64,
+}
+
+impl UsageLedger {
+    /// Makes an empty ledger.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes what a run of a process counted so far.
+    pub fn learn(&mut self, run: IncarnationId, counts: &[UsageCount]) {
+        for count in counts {
+            let key = (count.window, count.customer.clone(), run);
+            let known = self.counts.get_or_insert_with(key, || 0);
+            if count.requests > *known {
+                *known = count.requests;
+                self.revision += 1;
+            }
         }
+        let newest = self.counts.keys().next_back().map_or(0, |key| key.0);
+        self.counts
+            .retain(|(window, _, _), _| window + KEPT_WINDOWS > newest);
+    }
+
+    /// Returns a number that grows with each count that is news.
+    pub fn revision(&self) -> u64 {
+        self.revision
     }
 
-    /// Returns the counts of one window in order of customers.
+    /// Returns the sums of one window in order of customers.
     pub fn window(&self, window: u64) -> Vec<(ObjectName, u64)> {
-        self.counts
+        let mut sums: SortedMap<ObjectName, u64> = SortedMap::new();
+        for ((other, customer, _), requests) in self.counts.iter() {
+            if *other == window {
+                *sums.get_or_insert_with(customer.clone(), || 0) += requests;
+            }
+        }
+        sums.iter()
+            .map(|(customer, requests)| (customer.clone(), *requests))
+            .collect()
+    }
+
+    /// Returns the counts from a window on, by run, for the store.
+    pub fn unsealed(&self, first: u64) -> Vec<(IncarnationId, UsageCount)> {
+        let unsealed = self
+            .counts
             .iter()
-            .filter(|((other, _), _)| *other == window)
-            .map(|((_, customer), count)| (customer.clone(), *count))
+            .filter(|((window, _, _), _)| *window >= first);
+        unsealed
+            .map(|((window, customer, run), requests)| {
+                let count = UsageCount {
+                    window: *window,
+                    customer: customer.clone(),
+                    requests: *requests,
+                };
+                (*run, count)
+            })
             .collect()
     }
 }
--- /dev/null
+++ b/crates/catkindeck-policy/tests/usage_ledger.rs
@@ -0,0 +1,88 @@
+//! Usage that survives the processes that counted it.
+
+use {
+    catkindeck::id::{IncarnationId, ObjectName},
+    catkindeck_policy::direct::{UsageCount, UsageLedger, UsageWindows},
+    proptest::prelude::*,
+};
+
+fn customer(index: u8) -> ObjectName {
+    ObjectName::try_from(format!("customer-{index}")).expect("the name is valid")
+}
+
+fn count(window: u64, index: u8, requests: u64) -> UsageCount {
+    UsageCount {
+        window,
+        customer: customer(index),
+        requests,
+    }
+}
+
+/// Guards against usage that is lost with the process that counted it, as after all processes were
+/// killed (incident inc-2b2e of ksrrd-vault: a window off by 27 of 27 requests).
+#[test]
+fn a_new_holder_adds_what_was_stored_to_what_runs_now() {
+    let (first, second) = (IncarnationId([1; 16]), IncarnationId([2; 16]));
+    let mut ledger = UsageLedger::new();
+    ledger.learn(first, &[count(7, 0, 20), count(8, 0, 3)]);
+    let stored = ledger.unsealed(7);
+
+    let mut next = UsageLedger::new();
+    for (run, count) in &stored {
+        next.learn(*run, std::slice::from_ref(count));
+    }
+    next.learn(second, &[count(8, 0, 4)]);
+
+    assert_eq!(next.window(7), vec![(customer(0), 20)]);
+    assert_eq!(next.window(8), vec![(customer(0), 7)]);
+}
+
+/// Guards against a count that is added twice or goes back because it came late or by two ways.
+#[test]
+fn late_and_repeated_counts_change_nothing() {
+    let run = IncarnationId([1; 16]);
+    let mut ledger = UsageLedger::new();
+    ledger.learn(run, &[count(3, 0, 5)]);
+    let revision = ledger.revision();
+    ledger.learn(run, &[count(3, 0, 5)]);
+    ledger.learn(run, &[count(3, 0, 2)]);
+
+    assert_eq!(ledger.window(3), vec![(customer(0), 5)]);
+    assert_eq!(ledger.revision(), revision);
+}
+
+proptest! {
+    /// Guards against sums that differ from what the processes counted, whatever part of their
+    /// messages arrives in whatever order, as long as the last one of each does.
+    #[test]
+    fn the_ledger_sums_what_was_counted(
+        requests in prop::collection::vec((0u8..3, 0u8..3, 5u64..9), 0..80),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 0..60),
+    ) {
+        let mut counters = vec![UsageWindows::new(); 3];
+        let mut messages = Vec::new();
+        let mut truth = vec![[0u64; 3]; 16];
+        for (process, index, window) in requests {
+            counters[usize::from(process)].count(window, &customer(index));
+            truth[window as usize][usize::from(index)] += 1;
+            messages.push((process, counters[usize::from(process)].counts()));
+        }
+        let mut ledger = UsageLedger::new();
+        for index in &order {
+            if let Some((process, counts)) = messages.get(index.index(messages.len().max(1))) {
+                ledger.learn(IncarnationId([*process; 16]), counts);
+            }
+        }
+        for (process, counter) in counters.iter().enumerate() {
+            let run = IncarnationId([u8::try_from(process).expect("small"); 16]);
+            ledger.learn(run, &counter.counts());
+        }
+        for (window, sums) in truth.iter().enumerate() {
+            let expected: Vec<(ObjectName, u64)> = (0..3u8)
+                .filter(|index| sums[usize::from(*index)] > 0)
+                .map(|index| (customer(index), sums[usize::from(index)]))
+                .collect();
+            prop_assert_eq!(ledger.window(window as u64), expected);
+        }
+    }
+}
