Tell the owner of a job of an end that was stored without it

Change: who stores an end tells the owner; each runner reads every 1.5 s whether it still owns its running jobs.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -180,6 +180,7 @@
         tokio::task::spawn_local(Rc::clone(&self.session).run());
         tokio::task::spawn_local(Rc::clone(&self.jobs).run());
         tokio::task::spawn_local(Rc::clone(&self.jobs).follow_session());
+        tokio::task::spawn_local(Rc::clone(&self.jobs).watch_ownership());
         tokio::task::spawn_local(Rc::clone(&self.jobs).keep_copies());
         let control = ControlWork::new(
             Rc::clone(&self.core),
--- a/crates/catkindeck-gateway/src/jobs/adopt.rs
+++ b/crates/catkindeck-gateway/src/jobs/adopt.rs
@@ -14,6 +14,10 @@
     tokio::time::sleep,
 };
 
+/// How often a process reads whether it still owns its running jobs. Runs of an ended job must cease
+/// within three seconds.
+const OWNERSHIP_INTERVAL: Duration = Duration::from_millis(1_500);
+
 /// The pause before jobs are confirmed again.
 const CONFIRM_PAUSE: Duration = Duration::from_millis(200);
 
@@ -119,6 +123,23 @@
         }
     }
 
+    /// Learns in time that a job was ended or taken over, where nobody can tell this process.
+    pub async fn watch_ownership(self: Rc<Self>) {
+        loop {
+            sleep(OWNERSHIP_INTERVAL).await;
+            let running = |job: &Rc<OwnedJob>| job.record.borrow().state == JobState::Running;
+            let Some(lease) = self.session.lease() else {
+                continue;
+            };
+            if !self.all().iter().any(running) {
+                continue;
+            }
+            if let Err(error) = self.confirm_jobs(lease).await {
+                log_event!(self.core.logger, JOBS_UNCONFIRMED; "detail" => error.detail);
+            }
+        }
+    }
+
     async fn confirm_jobs(&self, lease: LeaseId) -> Result<(), ServiceError> {
         let jobs = self.all();
         if jobs.is_empty() {
--- a/crates/catkindeck-gateway/src/jobs/end.rs
+++ b/crates/catkindeck-gateway/src/jobs/end.rs
@@ -19,6 +19,12 @@
 /// The longest time for which an end is tried; callers repeat it.
 const END_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// How long another process may take to end a job that it runs.
+const OWNER_WAIT: Duration = Duration::from_millis(400);
+
+/// How often the owner of a job is told of its end; after that it learns it from the store.
+const TELL_TRIES: u32 = 3;
+
 /// The pause between two tries.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -44,7 +50,7 @@
             job: job.to_owned(),
             customer: customer.cloned(),
         };
-        match self.ask_owner(job, &call, END_LIMIT).await? {
+        match self.ask_owner(job, &call, OWNER_WAIT).await? {
             Some(PeerAnswer::Done) => Ok(()),
             _ => self.end_stored(job, customer).await,
         }
@@ -101,9 +107,9 @@
         }
     }
 
-    /// Ends a job whose owner does not answer: its next write fails and shows it the end.
+    /// Ends a job whose owner does not answer, in the store and at whoever owns it by then.
     async fn end_stored(
-        &self,
+        self: &Rc<Self>,
         job: &str,
         customer: Option<&ObjectName>,
     ) -> Result<(), ServiceError> {
@@ -120,10 +126,12 @@
                 state: JobState::Ended,
                 ..record
             };
-            if let Ok(CommitOutcome::Committed(_)) = self.write_record(&ended, item.revision).await
-            {
-                log_event!(self.core.logger, JOB_ENDED; "job" => job, "by" => "caller, owner silent");
+            let written = self.write_record(&ended, item.revision).await;
+            if let Ok(CommitOutcome::Committed(_)) = written {
+                log_event!(self.core.logger, JOB_ENDED;
+                    "job" => job, "by" => "caller, owner silent", "owner" => %ended.owner.host);
                 self.forget_location(job);
+                tokio::task::spawn_local(Rc::clone(self).tell_end(ended));
                 return Ok(());
             }
             if Instant::now() >= until {
@@ -133,6 +141,24 @@
         }
     }
 
+    /// Tells the owner of a job that it was ended. The owner may be new, or only have been silent.
+    async fn tell_end(self: Rc<Self>, record: OpenRecord) {
+        let call = PeerCall::EndJob {
+            job: record.job.clone(),
+            customer: record.customer.clone(),
+        };
+        for _ in 0..TELL_TRIES {
+            let answer = self
+                .core
+                .call_peer(record.owner.peer, &call, Duration::ZERO)
+                .await;
+            if matches!(answer, Ok(PeerAnswer::Done | PeerAnswer::NotOwner)) {
+                return;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
     /// Changes the key that says who runs a job.
     pub(super) async fn write_record(
         &self,
