--- a/crates/catkindeck-gateway/src/jobs/backup.rs
+++ b/crates/catkindeck-gateway/src/jobs/backup.rs
@@ -11,7 +11,7 @@
         peer::{PeerAnswer, PeerCall},
     },
     catkindeck::{Moment, SortedMap, id::IncarnationId, message},
-    catkindeck_policy::direct::{ItemKey, ItemProgress, TextPart},
+    catkindeck_policy::direct::{ItemKey, ItemProgress, TextPart, rank},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -154,18 +154,21 @@
         }
     }
 
-    /// Returns the process that keeps copies: the one that takes over lost jobs, or another one
-    /// without callers if this is it.
+    /// Returns the process that keeps copies.
+    ///
+    /// It serves callers if any does: the hosts of the others fail together more often, and the
+    /// process that takes lost jobs over asks it. All processes choose alike.
     fn keeper(&self) -> Option<MemberRecord> {
         let core: &GatewayCore = &self.core;
-        let controller = core.controller.borrow().clone();
-        let other = |member: &MemberRecord| member.incarnation != core.incarnation;
-        if let Some(controller) = controller.filter(|controller| other(controller)) {
-            return Some(controller);
-        }
         let members = core.members.borrow();
-        let mut able = members.iter().filter(|member| !member.serves_callers);
-        able.find(|member| other(member)).cloned()
+        let others = members
+            .iter()
+            .filter(|member| member.incarnation != core.incarnation);
+        let chosen = others.max_by_key(|member| {
+            let host = member.host.as_str().as_bytes();
+            (member.serves_callers, member.processor, rank(&[host]))
+        });
+        chosen.cloned()
     }
 }
 
--- a/crates/catkindeck-gateway/src/keys.rs
+++ b/crates/catkindeck-gateway/src/keys.rs
@@ -40,6 +40,8 @@
     pub peer: SocketAddr,
     /// Whether it serves callers.
     pub serves_callers: bool,
+    /// The processor time that it may use, in thousandths of a core.
+    pub processor: u32,
     /// The lease under which it was registered when this record was written, if it was.
     pub lease: Option<LeaseId>,
 }
--- a/crates/catkindeck-gateway/src/session.rs
+++ b/crates/catkindeck-gateway/src/session.rs
@@ -71,6 +71,7 @@
             incarnation: self.core.incarnation,
             peer: settings.peer_listen,
             serves_callers: settings.entry.is_some(),
+            processor: settings.processor,
         }
     }
 
--- a/crates/catkindeck-gateway/src/settings.rs
+++ b/crates/catkindeck-gateway/src/settings.rs
@@ -58,6 +58,8 @@
     pub reports_usage: bool,
     /// Whether upstreams are ordered from the platform.
     pub orders_upstreams: bool,
+    /// The processor time that the process may use, in thousandths of a core.
+    pub processor: u32,
     /// The memory that the process may use, in bytes.
     pub memory_bytes: u64,
     /// The descriptors that the process may open.
