Ask several processes for the copy of a lost job

Cause: while entries restart one after the other, the one that a new runner chose was not the one the lost runner had chosen. Change: up to four are asked.

--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -87,6 +87,10 @@
     SCORER_FAILED = 8152, "scorer_failed", Info, "scorer call failed";
     /// Jobs could not be confirmed.
     JOBS_UNCONFIRMED = 8153, "jobs_unconfirmed", Warning, "it could not be confirmed that jobs are still owned, and is tried again";
+    /// Copies of texts were not stored, or are again.
+    COPIES_SENT = 8154, "copies_sent", Info, "copies of running texts were sent after a failure, or failed";
+    /// A copy of a job's texts was fetched.
+    COPY_FETCHED = 8155, "copy_fetched", Info, "copy of a job's texts was fetched";
     /// The session lease is held.
     SESSION_STARTED = 8160, "session_started", Info, "process is registered under a lease";
     /// The session lease is lost.
--- a/crates/catkindeck-gateway/src/jobs/backup.rs
+++ b/crates/catkindeck-gateway/src/jobs/backup.rs
@@ -7,13 +7,15 @@
     super::{owned::OwnedJob, service::JobService},
     crate::{
         core::GatewayCore,
+        events::{COPIES_SENT, COPY_FETCHED},
         keys::{JobState, MemberRecord},
         peer::{PeerAnswer, PeerCall},
     },
-    catkindeck::{Moment, SortedMap, id::IncarnationId, message},
+    catkindeck::{Moment, SortedMap, id::IncarnationId, log_event, message},
     catkindeck_policy::direct::{ItemKey, ItemProgress, TextPart, rank},
     std::{
         cell::{Cell, RefCell},
+        cmp::Reverse,
         rc::Rc,
         time::Duration,
     },
@@ -26,6 +28,9 @@
 /// How long a copy is kept without news, in milliseconds; a lost runner is noticed much sooner.
 const COPY_LIFETIME_MS: u64 = 30_000;
 
+/// The processes that are asked for a copy.
+const KEEPER_LIMIT: usize = 4;
+
 /// What is new of one job.
 #[message]
 pub struct JobCopy {
@@ -106,7 +111,7 @@
         let sender = CopySender::default();
         loop {
             sleep(COPY_INTERVAL).await;
-            let Some(keeper) = self.keeper() else {
+            let Some(keeper) = self.keepers().into_iter().next() else {
                 continue;
             };
             sender.face(&keeper);
@@ -128,47 +133,59 @@
                 .call_peer(keeper.peer, &call, Duration::ZERO)
                 .await;
             // A keeper that missed a part gets everything again.
-            sender
-                .is_behind
-                .set(!matches!(answer, Ok(PeerAnswer::Done)));
+            let is_done = matches!(answer, Ok(PeerAnswer::Done));
+            if !is_done || sender.is_behind.get() {
+                log_event!(self.core.logger, COPIES_SENT;
+                    "keeper" => %keeper.host, "stored" => is_done);
+            }
+            sender.is_behind.set(!is_done);
         }
     }
 
-    /// Returns what is kept of a job whose runner is gone, here or at the process that keeps copies.
+    /// Returns what is kept of a job whose runner is gone, here or at a process that keeps copies.
     pub(super) async fn fetch_copy(&self, job: &str) -> Vec<(u32, ItemProgress)> {
         let own = self.core.shelf.take(job);
-        let Some(keeper) = self.keeper().filter(|_| own.is_empty()) else {
+        if !own.is_empty() {
             return own;
-        };
+        }
         let call = PeerCall::TakeCopy {
             job: job.to_owned(),
         };
-        match self
-            .core
-            .call_peer(keeper.peer, &call, Duration::ZERO)
-            .await
-        {
-            Ok(PeerAnswer::Copy(items)) => items,
-            // Without a copy the items start from the beginning.
-            _ => Vec::new(),
+        // The runner may have chosen among other processes than run now.
+        for keeper in self.keepers().into_iter().take(KEEPER_LIMIT) {
+            let answer = self
+                .core
+                .call_peer(keeper.peer, &call, Duration::ZERO)
+                .await;
+            if let Ok(PeerAnswer::Copy(items)) = answer
+                && !items.is_empty()
+            {
+                log_event!(self.core.logger, COPY_FETCHED;
+                    "job" => job, "keeper" => %keeper.host, "items" => items.len());
+                return items;
+            }
         }
+        // Without a copy the items start from the beginning.
+        log_event!(self.core.logger, COPY_FETCHED; "job" => job, "items" => 0);
+        Vec::new()
     }
 
-    /// Returns the process that keeps copies.
+    /// Returns the processes that may keep copies, the first choice first.
     ///
-    /// It serves callers if any does: the hosts of the others fail together more often, and the
-    /// process that takes lost jobs over asks it. All processes choose alike.
-    fn keeper(&self) -> Option<MemberRecord> {
+    /// They serve callers if any does: the hosts of the others fail together more often. All
+    /// processes choose alike.
+    fn keepers(&self) -> Vec<MemberRecord> {
         let core: &GatewayCore = &self.core;
         let members = core.members.borrow();
         let others = members
             .iter()
             .filter(|member| member.incarnation != core.incarnation);
-        let chosen = others.max_by_key(|member| {
+        let mut keepers: Vec<MemberRecord> = others.cloned().collect();
+        keepers.sort_by_key(|member| {
             let host = member.host.as_str().as_bytes();
-            (member.serves_callers, member.processor, rank(&[host]))
+            Reverse((member.serves_callers, member.processor, rank(&[host])))
         });
-        chosen.cloned()
+        keepers
     }
 }
 
