Pass over keepers of copies that do not answer

Ruled out: copies that expire (30 s, the jobs ran for 8 s); a new controller without a list of processes (it asked four, which had nothing).

The new runner asks eight at once and takes the longest copy.

Conclusion: a copy must not depend on one way through the network.

--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -87,8 +87,8 @@
     SCORER_FAILED = 8152, "scorer_failed", Info, "scorer call failed";
     /// Jobs could not be confirmed.
     JOBS_UNCONFIRMED = 8153, "jobs_unconfirmed", Warning, "it could not be confirmed that jobs are still owned, and is tried again";
-    /// Copies of texts were not stored, or are again.
-    COPIES_SENT = 8154, "copies_sent", Info, "copies of running texts were sent after a failure, or failed";
+    /// Copies of texts could not be sent.
+    COPIES_UNSENT = 8154, "copies_unsent", Info, "copies of running texts could not be sent";
     /// A copy of a job's texts was fetched.
     COPY_FETCHED = 8155, "copy_fetched", Info, "copy of a job's texts was fetched";
     /// The session lease is held.
--- a/crates/catkindeck-gateway/src/jobs/backup.rs
+++ b/crates/catkindeck-gateway/src/jobs/backup.rs
@@ -7,12 +7,13 @@
     super::{owned::OwnedJob, service::JobService},
     crate::{
         core::GatewayCore,
-        events::{COPIES_SENT, COPY_FETCHED},
+        events::{COPIES_UNSENT, COPY_FETCHED},
         keys::{JobState, MemberRecord},
         peer::{PeerAnswer, PeerCall},
     },
     catkindeck::{Moment, SortedMap, id::IncarnationId, log_event, message},
-    catkindeck_policy::direct::{ItemKey, ItemProgress, TextPart, rank},
+    catkindeck_policy::direct::{ItemKey, ItemProgress, KeeperChoice, TextPart, rank},
+    futures_util::future::join_all,
     std::{
         cell::{Cell, RefCell},
         cmp::Reverse,
@@ -28,8 +29,8 @@
 /// How long a copy is kept without news, in milliseconds; a lost runner is noticed much sooner.
 const COPY_LIFETIME_MS: u64 = 30_000;
 
-/// The processes that are asked for a copy.
-const KEEPER_LIMIT: usize = 4;
+/// The processes that are asked for a copy. The runner passes over those that it does not reach.
+const KEEPER_LIMIT: usize = 8;
 
 /// What is new of one job.
 #[message]
@@ -56,10 +57,10 @@
 /// What the keeper of copies has of this process's jobs.
 #[derive(Debug, Default)]
 pub struct CopySender {
-    keeper: RefCell<Option<IncarnationId>>,
+    choice: RefCell<KeeperChoice>,
+    keeper: Cell<Option<IncarnationId>>,
     /// What was sent of each item.
     sent: RefCell<SortedMap<(String, ItemKey), SentText>>,
-    is_behind: Cell<bool>,
 }
 
 /// What was sent of one text.
@@ -111,37 +112,40 @@
         let sender = CopySender::default();
         loop {
             sleep(COPY_INTERVAL).await;
-            let Some(keeper) = self.keepers().into_iter().next() else {
-                continue;
-            };
-            sender.face(&keeper);
-            let jobs = self.all();
-            let running = jobs
-                .iter()
-                .filter(|job| job.record.borrow().state == JobState::Running);
-            let copies: Vec<JobCopy> = running.filter_map(|job| sender.news(job)).collect();
-            sender.forget_others(&jobs);
-            if copies.is_empty() {
-                continue;
-            }
-            let call = PeerCall::Copy {
-                runner: self.core.incarnation,
-                copies,
-            };
-            let answer = self
-                .core
-                .call_peer(keeper.peer, &call, Duration::ZERO)
-                .await;
-            // A keeper that missed a part gets everything again.
-            let is_done = matches!(answer, Ok(PeerAnswer::Done));
-            if !is_done || sender.is_behind.get() {
-                log_event!(self.core.logger, COPIES_SENT;
-                    "keeper" => %keeper.host, "stored" => is_done);
-            }
-            sender.is_behind.set(!is_done);
+            while !self.send_copies(&sender).await {}
         }
     }
 
+    /// Sends what is new to the first process in reach. Returns whether there is nothing to repeat.
+    async fn send_copies(&self, sender: &CopySender) -> bool {
+        let Some(keeper) = sender.choose(self.core.now(), self.keepers()) else {
+            return true;
+        };
+        let jobs = self.all();
+        let running = jobs
+            .iter()
+            .filter(|job| job.record.borrow().state == JobState::Running);
+        let copies: Vec<JobCopy> = running.filter_map(|job| sender.news(job)).collect();
+        sender.forget_others(&jobs);
+        if copies.is_empty() {
+            return true;
+        }
+        let call = PeerCall::Copy {
+            runner: self.core.incarnation,
+            copies,
+        };
+        let answer = self
+            .core
+            .call_peer(keeper.peer, &call, Duration::ZERO)
+            .await;
+        if matches!(answer, Ok(PeerAnswer::Done)) {
+            return true;
+        }
+        log_event!(self.core.logger, COPIES_UNSENT; "keeper" => %keeper.host);
+        sender.give_up(self.core.now(), &keeper);
+        false
+    }
+
     /// Returns what is kept of a job whose runner is gone, here or at a process that keeps copies.
     pub(super) async fn fetch_copy(&self, job: &str) -> Vec<(u32, ItemProgress)> {
         let own = self.core.shelf.take(job);
@@ -152,22 +156,22 @@
             job: job.to_owned(),
         };
         // The runner may have chosen among other processes than run now.
-        for keeper in self.keepers().into_iter().take(KEEPER_LIMIT) {
-            let answer = self
-                .core
-                .call_peer(keeper.peer, &call, Duration::ZERO)
-                .await;
+        let keepers: Vec<MemberRecord> = self.keepers().into_iter().take(KEEPER_LIMIT).collect();
+        let calls = keepers
+            .iter()
+            .map(|keeper| self.core.call_peer(keeper.peer, &call, Duration::ZERO));
+        let mut best: Vec<(u32, ItemProgress)> = Vec::new();
+        for answer in join_all(calls).await {
             if let Ok(PeerAnswer::Copy(items)) = answer
-                && !items.is_empty()
+                && text_bytes(&items) > text_bytes(&best)
             {
-                log_event!(self.core.logger, COPY_FETCHED;
-                    "job" => job, "keeper" => %keeper.host, "items" => items.len());
-                return items;
+                best = items;
             }
         }
         // Without a copy the items start from the beginning.
-        log_event!(self.core.logger, COPY_FETCHED; "job" => job, "items" => 0);
-        Vec::new()
+        log_event!(self.core.logger, COPY_FETCHED;
+            "job" => job, "items" => best.len(), "asked" => keepers.len());
+        best
     }
 
     /// Returns the processes that may keep copies, the first choice first.
@@ -189,13 +193,28 @@
     }
 }
 
+/// Returns the length of all texts of a copy. A keeper that was passed over has a shorter one.
+fn text_bytes(items: &[(u32, ItemProgress)]) -> usize {
+    items.iter().map(|(_, progress)| progress.text.len()).sum()
+}
+
 impl CopySender {
-    /// Starts anew if another process keeps the copies now, or if it missed a part.
-    fn face(&self, keeper: &MemberRecord) {
-        let known = self.keeper.replace(Some(keeper.incarnation));
-        if known != Some(keeper.incarnation) || self.is_behind.replace(false) {
+    /// Returns the process that keeps the copies. Another one than before gets everything.
+    fn choose(&self, now: Moment, keepers: Vec<MemberRecord>) -> Option<MemberRecord> {
+        let ranked: Vec<IncarnationId> = keepers.iter().map(|keeper| keeper.incarnation).collect();
+        let chosen = self.choice.borrow_mut().choose(now, &ranked);
+        if self.keeper.replace(chosen) != chosen {
             self.sent.borrow_mut().clear();
         }
+        keepers
+            .into_iter()
+            .find(|keeper| Some(keeper.incarnation) == chosen)
+    }
+
+    /// Passes over a process that did not answer, which may have missed a part.
+    fn give_up(&self, now: Moment, keeper: &MemberRecord) {
+        self.choice.borrow_mut().failed(now, keeper.incarnation);
+        self.keeper.set(None);
     }
 
     /// Forgets what was sent of jobs that do not run here any more.
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -4,6 +4,7 @@
 pub mod cold;
 pub mod freshness;
 pub mod job;
+pub mod keeper;
 pub mod outcome;
 pub mod roster;
 pub mod routes;
@@ -20,6 +21,7 @@
         ItemKey, ItemPhase, ItemProgress, JobItem, JobLimits, JobResult, JobSpec, ResultCommit,
         RolloutJob, ScorerCall, TextPart,
     },
+    keeper::KeeperChoice,
     outcome::{ItemOutcome, ResultState},
     roster::{RosterChanges, UpstreamRoster},
     routes::{RouteMatch, RouteTable, choose_service},
