Serve metrics, and bound the lines of each event

Cause: the settings of a gateway named an address for metrics that nobody served, and a storm of one event could fill the log (only the queue of the writer was bounded).

Change: MetricsFront answers /metrics, /healthz and /readyz on the same event loop; calls to the store are counted by kind.

Conclusion: an address for metrics that is taken does not keep a process from serving callers.

--- a/crates/catkindeck-cli/tests/pages.rs
+++ b/crates/catkindeck-cli/tests/pages.rs
@@ -127,6 +127,7 @@
     let page = read("docs/events.md");
     // Each section gives the range of numbers of one crate.
     let ranges = [
+        ("catkindeck", 0),
         ("catkindeck-entry", 1),
         ("catkindeck-agent", 2),
         ("catkindeck-store", 3),
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -4,12 +4,15 @@
     crate::{
         control::ControlWork,
         core::{GatewayCore, GatewayPorts},
-        events::{GATEWAY_LEAVING, GATEWAY_STARTED, GATEWAY_STOPPED, HAND_OVER_CUT},
+        events::{
+            GATEWAY_LEAVING, GATEWAY_STARTED, GATEWAY_STOPPED, HAND_OVER_CUT, METRICS_UNSERVED,
+        },
         follow::StoreFollower,
         front::CallerFront,
         jobs::JobService,
         keys::{self, MEMBER_PREFIX, MemberRecord, OPEN_PREFIX, OpenRecord},
         metrics::GatewayMetrics,
+        observe::MetricsFront,
         peer::PeerFront,
         session::MemberSession,
         settings::NodeSettings,
@@ -106,6 +109,7 @@
             callers,
         };
         daemon.serve(limits)?;
+        daemon.serve_metrics(limits, registry);
         daemon.start_tasks();
         let settings = daemon.core.settings();
         log_event!(daemon.core.logger, GATEWAY_STARTED;
@@ -175,6 +179,20 @@
         Ok(())
     }
 
+    /// Serves metrics. Callers are served without them if their address cannot be opened.
+    fn serve_metrics(&self, limits: ServerLimits, registry: &Registry) {
+        let Some(address) = self.core.settings().metrics_listen else {
+            return;
+        };
+        let front = MetricsFront::new(Rc::clone(&self.core), registry.clone());
+        let control = ServerControl::new(limits);
+        let logger = &self.core.logger;
+        if let Err(error) = HttpServer::start(address, control, front, logger.clone()) {
+            log_event!(logger, METRICS_UNSERVED;
+                "address" => %address, "error" => error.to_string());
+        }
+    }
+
     fn start_tasks(&self) {
         StoreFollower::start(&self.core);
         tokio::task::spawn_local(Rc::clone(&self.session).run());
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -25,6 +25,8 @@
     GATEWAY_STOPPED = 8103, "gateway_stopped", Info, "gateway stopped";
     /// Jobs could not be handed over in time.
     HAND_OVER_CUT = 8106, "hand_over_cut", Warning, "jobs could not be handed over in time";
+    /// The address for metrics cannot be opened.
+    METRICS_UNSERVED = 8107, "metrics_unserved", Error, "address for metrics cannot be opened";
     /// The settings were read again.
     SETTINGS_RELOADED = 8104, "settings_reloaded", Info, "settings were read again";
     /// The settings cannot be used.
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod jobs;
 pub mod keys;
 pub mod metrics;
+pub mod observe;
 pub mod peer;
 pub mod port;
 pub mod relay;
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub roster_age_ms: IntGauge,
     /// The remaining time of the session lease, in milliseconds.
     pub lease_ms: IntGauge,
+    /// Calls of this process to the store, by kind.
+    pub store_calls: IntCounterVec,
     /// The items in progress.
     pub items_running: IntGauge,
 }
@@ -108,6 +110,11 @@
                 "catkindeck_gateway_lease_ms",
                 "The remaining time of the process's lease.",
             )?,
+            store_calls: counters(
+                "catkindeck_gateway_store_calls_total",
+                "Calls of this process to the store.",
+                "call",
+            )?,
             items_running: gauge("catkindeck_gateway_items_running", "The items in progress.")?,
         })
     }
--- /dev/null
+++ b/crates/catkindeck-gateway/src/observe.rs
@@ -0,0 +1,69 @@
+//! Health and metrics, on an address of their own.
+
+use {
+    crate::core::GatewayCore,
+    catkindeck_net::{HttpHandler, LocalFuture, ReplyBody},
+    http::{HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE},
+    hyper::body::Incoming,
+    prometheus::{Registry, TextEncoder},
+    std::rc::Rc,
+};
+
+/// Answers collectors of metrics and operators.
+pub struct MetricsFront {
+    core: Rc<GatewayCore>,
+    registry: Registry,
+}
+
+impl MetricsFront {
+    /// Makes the front.
+    pub fn new(core: Rc<GatewayCore>, registry: Registry) -> Rc<Self> {
+        Rc::new(Self { core, registry })
+    }
+
+    fn answer(&self, request: &Request<Incoming>) -> (StatusCode, String) {
+        if request.method() != Method::GET {
+            return (StatusCode::METHOD_NOT_ALLOWED, "expected GET\n".to_owned());
+        }
+        match request.uri().path() {
+            "/healthz" => (StatusCode::OK, "ok\n".to_owned()),
+            "/readyz" if self.core.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
+            "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, self.unready_reason()),
+            "/metrics" => match TextEncoder::new().encode_to_string(&self.registry.gather()) {
+                Ok(metrics) => (StatusCode::OK, metrics),
+                Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+            },
+            _ => (
+                StatusCode::NOT_FOUND,
+                "known: /healthz, /readyz, /metrics\n".to_owned(),
+            ),
+        }
+    }
+
+    fn unready_reason(&self) -> String {
+        let age_ms = self.core.freshness.borrow().age(self.core.now());
+        format!(
+            "leaving: {}, configuration known: {}, its age in ms: {}, upstreams known: {}\n",
+            self.core.leaving.get(),
+            self.core.intent.borrow().is_known(),
+            age_ms.map_or_else(|| "never read".to_owned(), |age| age.to_string()),
+            !self.core.roster.borrow().is_empty(),
+        )
+    }
+}
+
+impl HttpHandler for MetricsFront {
+    fn handle(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> LocalFuture<'static, Response<ReplyBody>> {
+        Box::pin(async move {
+            let (status, text) = self.answer(&request);
+            let mut response = Response::new(ReplyBody::whole(text));
+            *response.status_mut() = status;
+            let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+            response.headers_mut().insert(CONTENT_TYPE, plain);
+            response
+        })
+    }
+}
--- a/crates/catkindeck-gateway/src/relay.rs
+++ b/crates/catkindeck-gateway/src/relay.rs
@@ -54,6 +54,20 @@
     End(LeaseId),
 }
 
+impl StoreCall {
+    /// Returns the name of the call in metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Read(_) => "read",
+            Self::List(_) => "list",
+            Self::Commit(_) => "commit",
+            Self::Grant(_) => "lease_grant",
+            Self::Keep(_) => "lease_keep",
+            Self::End(_) => "lease_end",
+        }
+    }
+}
+
 /// The store's answer to a call that a peer made.
 #[message]
 pub enum StoreReply {
@@ -165,6 +179,7 @@
     }
 
     async fn call_direct(&self, call: &StoreCall) -> Result<StoreReply, ServiceError> {
+        self.count(call.name());
         let store = &self.direct;
         Ok(match call {
             StoreCall::Read(key) => StoreReply::Reading(store.read(key).await?),
@@ -220,6 +235,12 @@
         peers
     }
 
+    fn count(&self, call: &str) {
+        if let Some(core) = self.core.borrow().upgrade() {
+            core.metrics.store_calls.with_label_values(&[call]).inc();
+        }
+    }
+
     fn is_closed(&self) -> bool {
         let until = self.closed_until.get();
         until.is_some_and(|until| Instant::now() < until)
@@ -269,6 +290,7 @@
         after: u64,
         wait: Duration,
     ) -> LocalFuture<'a, Result<WatchOutcome, ServiceError>> {
+        self.count("watch");
         // A watch only makes a process quicker, so it is not worth a peer's time.
         self.direct.watch(prefix, after, wait)
     }
--- a/crates/catkindeck/src/lib.rs
+++ b/crates/catkindeck/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod direct;
 pub mod error;
+pub mod events;
 pub mod headers;
 pub mod id;
 pub mod kernel;
--- a/crates/catkindeck/src/log.rs
+++ b/crates/catkindeck/src/log/mod.rs
@@ -1,10 +1,18 @@
 //! Structured logs with numbered events.
 
+mod budget;
+
+pub use budget::{BudgetDrain, LineBudget, LineVerdict};
+
 use {
     slog::{Drain, Level, Logger},
     std::{io, sync::Mutex},
 };
 
+/// The lines that wait to be written while the reader of standard output is slow; more are dropped and
+/// counted. A line takes about half a kilobyte.
+const QUEUED_LINES: usize = 4_096;
+
 /// An event of the catalogue in `docs/events.md`.
 ///
 /// Each crate declares its events as constants in a file `events.rs`, in the range of numbers that
@@ -39,14 +47,14 @@
             Box::new(slog_term::FullFormat::new(decorator).build().fuse())
         }
     };
-    let filter = drain.filter_level(level).fuse();
     // Serving threads never wait for a slow reader of standard output.
-    let queue = slog_async::Async::new(filter)
-        .chan_size(4096)
+    let queue = slog_async::Async::new(drain)
+        .chan_size(QUEUED_LINES)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build()
         .fuse();
-    Logger::root(queue, slog::o!())
+    let budget = BudgetDrain::new(queue).filter_level(level).fuse();
+    Logger::root(budget, slog::o!())
 }
 
 /// Makes a logger that drops everything, for tests.
