Continue streams at engines that failed, name upstreams in the log, explain failures by test

Cause: the new stream tests found that a resumable stream was given up when each engine had broken once: the choice of an engine passed over all that failed lately, although nothing else was left. The first test of the way from a failed request to its cause found that lines of failed attempts did not name the upstream, and that an item's line did not give the status.

Change: callers' streams take a failed engine as the last resort, jobs still wait; attempts, answers and ends of streams are logged with upstream and service; aborted items get a line; `copied` counts what was taken; several copies are merged item by item.

--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -57,6 +57,8 @@
     REQUEST_ANSWERED = 8130, "request_done", Info, "request was answered";
     /// A request was refused or failed.
     REQUEST_REFUSED = 8131, "request_refused", Info, "request was refused or failed";
+    /// A stream ended.
+    STREAM_ENDED = 8134, "stream_ended", Info, "stream ended";
     /// An attempt failed.
     ATTEMPT_FAILED = 8132, "upstream_attempt_failed", Info, "attempt at an upstream failed";
     /// A slow request was also sent to another upstream.
@@ -79,6 +81,8 @@
     ITEM_RUN_ENDED = 8147, "item_run_ended", Info, "run of an item ended";
     /// Results were listed.
     RESULTS_LISTED = 8148, "results_listed", Info, "results were stored and are listed";
+    /// An item was given up.
+    ITEM_GIVEN_UP = 8156, "item_given_up", Info, "item was given up and is listed as aborted";
     /// Results could not be stored.
     RESULTS_UNSTORED = 8149, "results_unstored", Warning, "results could not be stored and are tried again";
     /// A job was handed over.
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -1,7 +1,7 @@
 //! A request with all its attempts.
 
 use {
-    super::attempt::{AttemptOutcome, UpstreamAnswer, attempt},
+    super::attempt::{AttemptEnd, AttemptOutcome, UpstreamAnswer, attempt},
     crate::{
         core::GatewayCore,
         events::{ATTEMPT_FAILED, ATTEMPT_HEDGED},
@@ -62,7 +62,7 @@
     terms: CallTerms,
     maker: RequestMaker<'a>,
     excluded: Vec<UpstreamKey>,
-    running: Vec<LocalFuture<'static, AttemptOutcome>>,
+    running: Vec<LocalFuture<'static, AttemptEnd>>,
     started: u32,
     refusals: usize,
     server_errors: u32,
@@ -108,8 +108,8 @@
             }
             let expires = self.terms.expires;
             let hedge = hedge_at.unwrap_or(expires + Duration::from_secs(1));
-            let outcome = tokio::select! {
-                outcome = next_outcome(&mut self.running) => outcome,
+            let ended = tokio::select! {
+                ended = next_end(&mut self.running) => ended,
                 () = sleep_until(expires) => return self.expired(),
                 () = sleep_until(hedge) => {
                     hedge_at = None;
@@ -117,7 +117,7 @@
                     continue;
                 }
             };
-            if let Some(end) = self.settle(outcome) {
+            if let Some(end) = self.settle(ended) {
                 return end;
             }
         }
@@ -173,8 +173,9 @@
     }
 
     /// Takes the end of one attempt and returns the end of the request, if this is it.
-    fn settle(&mut self, outcome: AttemptOutcome) -> Option<CallEnd> {
-        match outcome {
+    fn settle(&mut self, ended: AttemptEnd) -> Option<CallEnd> {
+        let upstream = &ended.upstream;
+        match ended.outcome {
             AttemptOutcome::Answered(answer) => {
                 let failed = answer.head.status.is_server_error();
                 if !failed || !self.terms.idempotent {
@@ -183,27 +184,27 @@
                 // The upstream's own failure is passed on only if no other upstream does better.
                 answer.used.refused(0);
                 self.server_errors += 1;
-                self.note_failure(answer.head.status.as_str(), "failed");
+                self.note_failure(upstream, answer.head.status.as_str(), "failed");
                 self.failure = Some(answer);
             }
             AttemptOutcome::NotRun(detail) => {
-                self.note_failure(&detail, "not_run");
+                self.note_failure(upstream, &detail, "not_run");
                 self.refusals += 1;
                 self.started -= 1;
             }
             AttemptOutcome::Unknown(detail) => {
-                self.note_failure(&detail, "unknown");
+                self.note_failure(upstream, &detail, "unknown");
                 self.unknown = Some(detail);
             }
         }
         None
     }
 
-    fn note_failure(&self, detail: &str, outcome: &str) {
+    fn note_failure(&self, upstream: &ObjectName, detail: &str, outcome: &str) {
         self.core.metrics.attempt_failures.inc();
         log_event!(self.core.logger, ATTEMPT_FAILED;
             "request" => &self.terms.id, "service" => %self.terms.service,
-            "outcome" => outcome, "detail" => detail, "attempts" => self.started);
+            "upstream" => %upstream, "outcome" => outcome, "detail" => detail, "attempts" => self.started);
     }
 
     fn exhausted(&mut self) -> CallEnd {
@@ -230,12 +231,12 @@
 }
 
 /// Waits for the first of several attempts and takes it out.
-async fn next_outcome(running: &mut Vec<LocalFuture<'static, AttemptOutcome>>) -> AttemptOutcome {
+async fn next_end(running: &mut Vec<LocalFuture<'static, AttemptEnd>>) -> AttemptEnd {
     poll_fn(|context| {
         for index in 0..running.len() {
-            if let Poll::Ready(outcome) = running[index].as_mut().poll(context) {
+            if let Poll::Ready(ended) = running[index].as_mut().poll(context) {
                 drop(running.swap_remove(index));
-                return Poll::Ready(outcome);
+                return Poll::Ready(ended);
             }
         }
         Poll::Pending
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -4,8 +4,8 @@
     super::attempt::{REFUSED_PAUSE_MS, copy_headers},
     crate::{
         core::GatewayCore,
-        events::ATTEMPT_FAILED,
-        front::{AdmittedRequest, check_key},
+        events::{ATTEMPT_FAILED, STREAM_ENDED},
+        front::{AdmittedRequest, AnswerSource, check_key},
         port::{EventDecoder, UpstreamCall, UpstreamHead},
         upstream_use::UpstreamUse,
     },
@@ -82,6 +82,10 @@
         self.core
             .count_usage(self.request.customer.as_ref(), unix_ms());
         let mut response = Response::new(ReplyBody::whole(Bytes::new()));
+        response.extensions_mut().insert(AnswerSource {
+            service: self.request.matched.service.clone(),
+            upstream: stream.used.id.clone(),
+        });
         *response.status_mut() = stream.head.status;
         copy_headers(&stream.headers, response.headers_mut());
         let (sender, body) = ReplyBody::stream();
@@ -90,7 +94,7 @@
             let gone = sender.clone();
             tokio::select! {
                 () = self.pump(stream, &sender) => {}
-                () = gone.closed() => {}
+                () = gone.closed() => self.note_end("caller_gone", ""),
             }
         });
         Ok(response)
@@ -115,10 +119,11 @@
             };
             self.excluded.push(used.key);
             self.attempts += 1;
+            let upstream = used.id.clone();
             match timeout(left, self.send(used, left)).await {
                 Ok(Ok(OpenOutcome::Open(stream))) => return Ok(stream),
                 Ok(Ok(OpenOutcome::NotRun(detail))) => {
-                    self.note_failure(&detail, "not_run");
+                    self.note_failure(&upstream, &detail, "not_run");
                     self.refusals += 1;
                     self.attempts -= 1;
                     if self.refusals > REFUSAL_LIMIT {
@@ -126,7 +131,7 @@
                     }
                 }
                 Ok(Ok(OpenOutcome::Unknown(detail))) => {
-                    self.note_failure(&detail, "unknown");
+                    self.note_failure(&upstream, &detail, "unknown");
                     unknown = Some(detail);
                 }
                 Ok(Err(error)) => return Err(error),
@@ -158,6 +163,7 @@
             part: self.request.head.part,
             excluded: &self.excluded,
             zone: &settings.zone,
+            last_resort: true,
             connected: &|address| self.core.upstream_client.has_idle(address),
         };
         UpstreamUse::engine(&self.core, &query)
@@ -208,28 +214,35 @@
     }
 
     /// Passes events on until the stream is complete, continuing it where it breaks.
-    async fn pump(mut self, stream: Box<OpenStream>, sender: &ReplySender) {
+    async fn pump(&mut self, stream: Box<OpenStream>, sender: &ReplySender) {
         let mut stream = stream;
         loop {
             let is_stream = stream.head.status.is_success();
             let end = self.pump_one(&mut stream, sender, is_stream).await;
             let detail = match end {
-                PumpEnd::Complete | PumpEnd::CallerGone => return,
+                PumpEnd::Complete => return self.note_end("complete", ""),
+                PumpEnd::CallerGone => return self.note_end("caller_gone", ""),
                 PumpEnd::Broken(detail) => detail,
             };
             stream.used.failed();
-            self.note_failure(&detail, "broken");
+            self.note_failure(&stream.used.id, &detail, "broken");
             // The stream at the former upstream ends with its connection.
             drop(stream);
             if !self.request.matched.route.terms.resumable || !is_stream {
+                self.note_end("broken", &detail);
                 return sender.abort(&detail).await;
             }
             self.excluded.clear();
-            match self.open().await {
-                Ok(next) if next.head.status == StatusCode::OK => stream = next,
-                Ok(_) => return sender.abort("the stream could not be continued").await,
-                Err(error) => return sender.abort(&error.detail).await,
-            }
+            let detail = match self.open().await {
+                Ok(next) if next.head.status == StatusCode::OK => {
+                    stream = next;
+                    continue;
+                }
+                Ok(next) => format!("the next upstream answered {}", next.head.status),
+                Err(error) => error.detail,
+            };
+            self.note_end("broken", &detail);
+            return sender.abort(&detail).await;
         }
     }
 
@@ -276,11 +289,20 @@
         }
     }
 
-    fn note_failure(&self, detail: &str, outcome: &str) {
+    fn note_end(&self, outcome: &str, detail: &str) {
+        log_event!(self.core.logger, STREAM_ENDED;
+            "request" => &self.request.head.id, "outcome" => outcome, "detail" => detail,
+            "last_event" => self.last_event,
+            "elapsed_ms" => u64::try_from(self.request.arrived.elapsed().as_millis())
+                .unwrap_or(u64::MAX));
+    }
+
+    fn note_failure(&self, upstream: &ObjectName, detail: &str, outcome: &str) {
         self.core.metrics.attempt_failures.inc();
         log_event!(self.core.logger, ATTEMPT_FAILED;
             "request" => &self.request.head.id, "service" => %self.request.matched.service,
-            "outcome" => outcome, "detail" => detail, "attempts" => self.attempts);
+            "upstream" => %upstream, "outcome" => outcome, "detail" => detail,
+            "last_event" => self.last_event, "attempts" => self.attempts);
     }
 }
 
--- a/crates/catkindeck-gateway/src/front.rs
+++ b/crates/catkindeck-gateway/src/front.rs
@@ -65,6 +65,15 @@
     pub expires: Instant,
 }
 
+/// Where an answer comes from, for the log.
+#[derive(Debug, Clone)]
+pub struct AnswerSource {
+    /// The service.
+    pub service: ObjectName,
+    /// The upstream.
+    pub upstream: ObjectName,
+}
+
 impl CallerFront {
     /// Makes the front.
     pub fn new(core: Rc<GatewayCore>, jobs: Rc<JobService>) -> Rc<Self> {
@@ -114,7 +123,7 @@
         };
         match outcome {
             Ok(response) => {
-                self.note_answer(&head, response.status(), arrived);
+                self.note_answer(&head, &response, arrived);
                 response
             }
             Err(error) => self.refuse(&head.id, &error, arrived),
@@ -136,7 +145,13 @@
             return StreamCall::new(&self.core, request, body).run().await;
         }
         let answer = self.forward(&request, body).await?;
-        Ok(self.pass_on(answer))
+        let source = AnswerSource {
+            service: request.matched.service,
+            upstream: answer.used.id.clone(),
+        };
+        let mut response = self.pass_on(answer);
+        response.extensions_mut().insert(source);
+        Ok(response)
     }
 
     /// Finds route, service and customer of a request.
@@ -329,7 +344,9 @@
         whole(self.core.ports.callers.encode_error(id, error, retry_ms))
     }
 
-    fn note_answer(&self, head: &RequestHead, status: StatusCode, arrived: Instant) {
+    fn note_answer(&self, head: &RequestHead, response: &Response<ReplyBody>, arrived: Instant) {
+        let status = response.status();
+        let source = response.extensions().get::<AnswerSource>();
         let outcome = match status.is_success() {
             true => "ok",
             false => "upstream_status",
@@ -346,6 +363,9 @@
             .observe(elapsed.as_secs_f64());
         log_event!(self.core.logger, REQUEST_ANSWERED;
             "request" => &head.id, "path" => &head.path, "status" => status.as_u16(),
+            "service" => source.map(|source| source.service.to_string()),
+            "upstream" => source.map(|source| source.upstream.to_string()),
+            "config_age_ms" => self.core.freshness.borrow().age(self.core.now()),
             "elapsed_ms" => milliseconds(elapsed));
     }
 }
--- a/crates/catkindeck-gateway/src/jobs/adopt.rs
+++ b/crates/catkindeck-gateway/src/jobs/adopt.rs
@@ -87,10 +87,11 @@
             None => self.load(record, revision).await?,
         };
         let now = self.core.now();
-        let copied = progress.len();
+        let mut copied = 0;
         for (index, progress) in progress {
             if (index as usize) < job.spec.items.len() {
-                job.job.borrow_mut().adopt(now, ItemKey(index), progress);
+                let is_taken = job.job.borrow_mut().adopt(now, ItemKey(index), progress);
+                copied += usize::from(is_taken);
             }
         }
         self.reuse_texts(&job);
--- a/crates/catkindeck-gateway/src/jobs/backup.rs
+++ b/crates/catkindeck-gateway/src/jobs/backup.rs
@@ -160,18 +160,27 @@
         let calls = keepers
             .iter()
             .map(|keeper| self.core.call_peer(keeper.peer, &call, Duration::ZERO));
-        let mut best: Vec<(u32, ItemProgress)> = Vec::new();
+        // A keeper that the runner passed over has an older copy.
+        let mut best: SortedMap<u32, ItemProgress> = SortedMap::new();
         for answer in join_all(calls).await {
-            if let Ok(PeerAnswer::Copy(items)) = answer
-                && text_bytes(&items) > text_bytes(&best)
-            {
-                best = items;
+            let Ok(PeerAnswer::Copy(items)) = answer else {
+                continue;
+            };
+            for (index, progress) in items {
+                if best
+                    .get(&index)
+                    .is_none_or(|known| progress.is_ahead_of(known))
+                {
+                    best.insert(index, progress);
+                }
             }
         }
         // Without a copy the items start from the beginning.
         log_event!(self.core.logger, COPY_FETCHED;
             "job" => job, "items" => best.len(), "asked" => keepers.len());
-        best
+        let best = best.iter();
+        best.map(|(index, progress)| (*index, progress.clone()))
+            .collect()
     }
 
     /// Returns the processes that may keep copies, the first choice first.
@@ -193,11 +202,6 @@
     }
 }
 
-/// Returns the length of all texts of a copy. A keeper that was passed over has a shorter one.
-fn text_bytes(items: &[(u32, ItemProgress)]) -> usize {
-    items.iter().map(|(_, progress)| progress.text.len()).sum()
-}
-
 impl CopySender {
     /// Returns the process that keeps the copies. Another one than before gets everything.
     fn choose(&self, now: Moment, keepers: Vec<MemberRecord>) -> Option<MemberRecord> {
--- a/crates/catkindeck-gateway/src/jobs/commit.rs
+++ b/crates/catkindeck-gateway/src/jobs/commit.rs
@@ -3,12 +3,12 @@
 use {
     super::{owned::OwnedJob, service::JobService},
     crate::{
-        events::{JOB_ENDED, JOB_LOST, JOB_WHOLE, RESULTS_LISTED, RESULTS_UNSTORED},
+        events::{ITEM_GIVEN_UP, JOB_ENDED, JOB_LOST, JOB_WHOLE, RESULTS_LISTED, RESULTS_UNSTORED},
         keys::{self, JobState, OpenRecord},
         port::{CommitOutcome, StoreCondition, StoreItem, StoreWrite, Transaction},
     },
     catkindeck::{ServiceError, log_event},
-    catkindeck_policy::direct::ResultCommit,
+    catkindeck_policy::direct::{ResultCommit, ResultState},
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -153,6 +153,13 @@
 
     fn note_stored(&self, job: &OwnedJob, commit: &ResultCommit) {
         job.job.borrow_mut().stored(commit);
+        let given_up = commit.results.iter();
+        for result in given_up.filter(|result| result.state == ResultState::Aborted) {
+            log_event!(self.core.logger, ITEM_GIVEN_UP;
+                "job" => &job.spec.id, "item" => &result.id,
+                "attempts_allowed" => job.job.borrow().limits().attempts,
+                "bytes" => result.text.len());
+        }
         let results = commit.results.iter().cloned().map(Rc::new);
         job.results.borrow_mut().extend(results);
         job.listed.notify_waiters();
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -164,12 +164,12 @@
     match head.status.as_u16() {
         200 => None,
         422 => {
-            let detail = "the upstream can never run the item";
+            let detail = "the upstream answered 422, it can never run the item";
             Some(end(ItemOutcome::Impossible, detail))
         }
         500 => Some(end(
             ItemOutcome::Failed,
-            "the upstream failed to run the item",
+            "the upstream answered 500, the run failed",
         )),
         _ => {
             run.used.failed();
--- a/crates/catkindeck-gateway/src/jobs/runner.rs
+++ b/crates/catkindeck-gateway/src/jobs/runner.rs
@@ -114,6 +114,7 @@
             part: item.part,
             excluded: &[],
             zone: &settings.zone,
+            last_resort: false,
             connected: &|address| self.core.upstream_client.has_idle(address),
         };
         let used = UpstreamUse::engine(&self.core, &query)?;
--- a/crates/catkindeck-policy/src/direct/job.rs
+++ b/crates/catkindeck-policy/src/direct/job.rs
@@ -171,6 +171,12 @@
             ..part.progress.clone()
         };
     }
+
+    /// Tells whether this is more recent than another copy of the same item.
+    pub fn is_ahead_of(&self, other: &Self) -> bool {
+        let rank = |progress: &Self| (progress.restarts, progress.last_event, progress.is_scored());
+        rank(self) > rank(other)
+    }
 }
 
 /// Where an item stands.
@@ -296,24 +302,24 @@
 
     /// Takes over what a former owner or an earlier job has of an unlisted item.
     ///
-    /// Text of versions that this job does not allow is dropped.
-    pub fn adopt(&mut self, now: Moment, key: ItemKey, progress: ItemProgress) {
+    /// Text of versions that this job does not allow is dropped. Returns whether it was taken.
+    pub fn adopt(&mut self, now: Moment, key: ItemKey, progress: ItemProgress) -> bool {
         let least = self.spec.least_version;
         let too_old = progress.versions.iter().any(|version| *version < least);
         let mixed = self.limits.single_version && progress.versions.len() > 1;
         let needs_score = self.item(key).scorer.is_some();
         let state = self.state_mut(key);
         if too_old || mixed || state.phase != ItemPhase::Waiting {
-            return;
+            return false;
         }
         state.progress = progress;
-        if !state.progress.complete {
-            return;
-        }
-        match needs_score && state.progress.score.is_none() {
-            true => state.phase = ItemPhase::Scoring,
-            false => self.finish(now, key, ResultState::Completed),
+        if state.progress.complete {
+            match needs_score && state.progress.score.is_none() {
+                true => state.phase = ItemPhase::Scoring,
+                false => self.finish(now, key, ResultState::Completed),
+            }
         }
+        true
     }
 
     /// Returns the submission.
--- a/crates/catkindeck-policy/src/direct/selection.rs
+++ b/crates/catkindeck-policy/src/direct/selection.rs
@@ -43,6 +43,8 @@
     pub excluded: &'a [UpstreamKey],
     /// The availability zone of this process.
     pub zone: &'a ObjectName,
+    /// Whether an engine that failed a moment ago is better than none: the request cannot wait.
+    pub last_resort: bool,
     /// Tells whether a connection to an address is open and unused.
     pub connected: &'a dyn Fn(SocketAddr) -> bool,
 }
@@ -97,7 +99,7 @@
             state.record.service == *query.service
                 && self.takes_work(*key)
                 && !query.excluded.contains(key)
-                && !state.is_avoided(now)
+                && (query.last_resort || !state.is_avoided(now))
                 && !state.is_loading(now, query.model)
                 && state.version(query.model) >= Some(query.least_version)
                 && state.in_flight < state.record.slots
@@ -111,7 +113,7 @@
             cost = discount(cost, ZONE_PERCENT, state.record.zone == *query.zone);
             let connected = (query.connected)(state.record.address);
             cost = discount(cost, CONNECTED_ENGINE_PERCENT, connected);
-            (state.is_cold(now), cost)
+            (state.is_avoided(now), state.is_cold(now), cost)
         };
         usable
             .min_by_key(|(key, state)| (cost(state), *key))
