Log the attempts that run when a request's time is over

Cause: a request refused with "no answer in time" had no line that names the upstream it waited for. Change: each running attempt keeps its upstream, and its end at the deadline is logged as unknown. Before: only request_refused. After: upstream_attempt_failed with upstream and outcome precedes it. Conclusion: the way from a late request's id to the upstream is complete.

--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -3,7 +3,7 @@
 use {
     crate::{core::GatewayCore, port::UpstreamHead, upstream_use::UpstreamUse},
     bytes::Bytes,
-    catkindeck::{id::ObjectName, time::unix_ms},
+    catkindeck::time::unix_ms,
     catkindeck_net::{HttpExchange, SendFault},
     http::{HeaderMap, HeaderName, Request, header},
     std::{rc::Rc, time::Instant},
@@ -52,14 +52,6 @@
     Unknown(String),
 }
 
-/// An attempt that has ended.
-pub struct AttemptEnd {
-    /// The upstream.
-    pub upstream: ObjectName,
-    /// How it ended.
-    pub outcome: AttemptOutcome,
-}
-
 /// Sends a request to an upstream and reads its answer.
 pub async fn attempt(
     core: Rc<GatewayCore>,
@@ -67,19 +59,6 @@
     request: Request<Bytes>,
     id: String,
     fresh: bool,
-) -> AttemptEnd {
-    AttemptEnd {
-        upstream: used.id.clone(),
-        outcome: exchange(core, used, request, id, fresh).await,
-    }
-}
-
-async fn exchange(
-    core: Rc<GatewayCore>,
-    used: UpstreamUse,
-    request: Request<Bytes>,
-    id: String,
-    fresh: bool,
 ) -> AttemptOutcome {
     let started = Instant::now();
     let sent_ms = unix_ms();
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -1,7 +1,7 @@
 //! A request with all its attempts.
 
 use {
-    super::attempt::{AttemptEnd, AttemptOutcome, UpstreamAnswer, attempt},
+    super::attempt::{AttemptOutcome, UpstreamAnswer, attempt},
     crate::{
         core::GatewayCore,
         events::{ATTEMPT_FAILED, ATTEMPT_HEDGED},
@@ -56,13 +56,19 @@
 pub type RequestMaker<'a> =
     &'a dyn Fn(&ObjectName, Duration) -> Result<Request<Bytes>, ServiceError>;
 
+/// An attempt that has not ended.
+struct RunningAttempt {
+    upstream: ObjectName,
+    end: LocalFuture<'static, AttemptOutcome>,
+}
+
 /// A request that is being carried to upstreams.
 pub struct PlainCall<'a> {
     core: &'a Rc<GatewayCore>,
     terms: CallTerms,
     maker: RequestMaker<'a>,
     excluded: Vec<UpstreamKey>,
-    running: Vec<LocalFuture<'static, AttemptEnd>>,
+    running: Vec<RunningAttempt>,
     started: u32,
     refusals: usize,
     server_errors: u32,
@@ -154,8 +160,9 @@
         // A kept connection that the upstream just closed would leave a request that must not be
         // repeated in doubt.
         let fresh = !self.terms.idempotent;
-        self.running
-            .push(Box::pin(attempt(core, used, request, id, fresh)));
+        let upstream = used.id.clone();
+        let end = Box::pin(attempt(core, used, request, id, fresh));
+        self.running.push(RunningAttempt { upstream, end });
         true
     }
 
@@ -173,9 +180,8 @@
     }
 
     /// Takes the end of one attempt and returns the end of the request, if this is it.
-    fn settle(&mut self, ended: AttemptEnd) -> Option<CallEnd> {
-        let upstream = &ended.upstream;
-        match ended.outcome {
+    fn settle(&mut self, (upstream, outcome): (ObjectName, AttemptOutcome)) -> Option<CallEnd> {
+        match outcome {
             AttemptOutcome::Answered(answer) => {
                 let failed = answer.head.status.is_server_error();
                 if !failed || !self.terms.idempotent {
@@ -184,16 +190,16 @@
                 // The upstream's own failure is passed on only if no other upstream does better.
                 answer.used.refused(0);
                 self.server_errors += 1;
-                self.note_failure(upstream, answer.head.status.as_str(), "failed");
+                self.note_failure(&upstream, answer.head.status.as_str(), "failed");
                 self.failure = Some(answer);
             }
             AttemptOutcome::NotRun(detail) => {
-                self.note_failure(upstream, &detail, "not_run");
+                self.note_failure(&upstream, &detail, "not_run");
                 self.refusals += 1;
                 self.started -= 1;
             }
             AttemptOutcome::Unknown(detail) => {
-                self.note_failure(upstream, &detail, "unknown");
+                self.note_failure(&upstream, &detail, "unknown");
                 self.unknown = Some(detail);
             }
         }
@@ -222,6 +228,9 @@
     }
 
     fn expired(&mut self) -> CallEnd {
+        for attempt in &self.running {
+            self.note_failure(&attempt.upstream, "no answer in time", "unknown");
+        }
         if let Some(answer) = self.failure.take() {
             return CallEnd::Answered(answer);
         }
@@ -231,12 +240,12 @@
 }
 
 /// Waits for the first of several attempts and takes it out.
-async fn next_end(running: &mut Vec<LocalFuture<'static, AttemptEnd>>) -> AttemptEnd {
+async fn next_end(running: &mut Vec<RunningAttempt>) -> (ObjectName, AttemptOutcome) {
     poll_fn(|context| {
         for index in 0..running.len() {
-            if let Poll::Ready(ended) = running[index].as_mut().poll(context) {
-                drop(running.swap_remove(index));
-                return Poll::Ready(ended);
+            if let Poll::Ready(outcome) = running[index].end.as_mut().poll(context) {
+                let attempt = running.swap_remove(index);
+                return Poll::Ready((attempt.upstream, outcome));
             }
         }
         Poll::Pending
