Let a restarted runner go on from the copies of its texts

Cause: a runner that came back before its lease ended took its jobs back before it had read who keeps the copies, asked nobody (asked 0) and started all texts again. Ruled out: lost copies; the keepers still had them, and a takeover by another process adopted them. Change: reclaim reads the members before the open jobs; the janitor uses the same function. Before: a_runner_that_restarts_goes_on_from_the_copies red with copied 0. After: green with copied 2; jobs 11 of 11.

--- a/crates/catkindeck-gateway/src/control/janitor.rs
+++ b/crates/catkindeck-gateway/src/control/janitor.rs
@@ -71,11 +71,8 @@
         let core = &self.work.core;
         let listing = core.ports.store.list(MEMBER_PREFIX).await?;
         let revision = listing.revision;
-        let members: Vec<MemberRecord> = listing
-            .items
-            .iter()
-            .filter_map(|item| keys::decode_item(item).ok())
-            .collect();
+        core.learn_members(&listing.items);
+        let members = core.members.borrow().clone();
         let registrations: Vec<StoreCondition> = listing
             .items
             .into_iter()
@@ -84,7 +81,6 @@
                 revision: item.revision,
             })
             .collect();
-        *core.members.borrow_mut() = members.clone();
         if may_take_over {
             let listing = core.ports.store.list(OPEN_PREFIX).await?;
             for item in &listing.items {
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -5,9 +5,9 @@
         feed::StoreFeed,
         intent::IntentView,
         jobs::backup::CopyShelf,
-        keys::MemberRecord,
+        keys::{self, MemberRecord},
         metrics::GatewayMetrics,
-        port::{CallerDialect, DutyPort, IntentDecoder, MetadataStore, UpstreamDialect},
+        port::{CallerDialect, DutyPort, IntentDecoder, MetadataStore, StoreItem, UpstreamDialect},
         relay::RelayedStore,
         settings::NodeSettings,
     },
@@ -158,6 +158,12 @@
         self.usage_counted.notify_one();
     }
 
+    /// Takes the list of processes as the store holds it.
+    pub fn learn_members(&self, items: &[StoreItem]) {
+        let members = items.iter().filter_map(|item| keys::decode_item(item).ok());
+        *self.members.borrow_mut() = members.collect();
+    }
+
     /// Tells whether callers with keys may be served.
     pub fn is_fresh(&self) -> bool {
         self.freshness.borrow().is_fresh(self.now())
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -14,6 +14,7 @@
         metrics::GatewayMetrics,
         observe::MetricsFront,
         peer::PeerFront,
+        port::StoreListing,
         session::MemberSession,
         settings::NodeSettings,
     },
@@ -235,12 +236,10 @@
 /// Takes back the jobs that an earlier run of the process on this host had, which is gone.
 async fn reclaim(core: Rc<GatewayCore>, jobs: Rc<JobService>) {
     let own = jobs.self_record();
-    let listing = loop {
-        match core.ports.store.list(OPEN_PREFIX).await {
-            Ok(listing) => break listing,
-            Err(_) => sleep(UPKEEP_INTERVAL).await,
-        }
-    };
+    // The processes are known before a job is taken, because they keep the copies of its texts.
+    let members = read_patiently(&core, MEMBER_PREFIX).await;
+    core.learn_members(&members.items);
+    let listing = read_patiently(&core, OPEN_PREFIX).await;
     for item in &listing.items {
         let Ok(record) = keys::decode_item::<OpenRecord>(item) else {
             continue;
@@ -253,6 +252,16 @@
     }
 }
 
+/// Reads all keys with a prefix, once the store answers.
+async fn read_patiently(core: &GatewayCore, prefix: &str) -> StoreListing {
+    loop {
+        match core.ports.store.list(prefix).await {
+            Ok(listing) => return listing,
+            Err(_) => sleep(UPKEEP_INTERVAL).await,
+        }
+    }
+}
+
 async fn keep_up(core: Rc<GatewayCore>, jobs: Rc<JobService>, callers: Rc<ServerControl>) {
     loop {
         sleep(UPKEEP_INTERVAL).await;
