Report usage in time while a process is cut off

The holder waited for an entry that was cut off (node_cut) until the report was due, and only then sealed; and it asked the entries one after the other, 0.8 s for each that was silent. Ruled out: the holder's election (held from 8.0 s); the platform's interface (reports took 15 ms). Change: ReportTerms decides when to ask, and when to seal with what is known, 3.5 s before the report is due; all entries are asked at once. Conclusion: what the cut-off entry counted after its last word is missing from the report, as before.

--- a/crates/catkindeck-gateway/src/control/usage.rs
+++ b/crates/catkindeck-gateway/src/control/usage.rs
@@ -5,12 +5,13 @@
     crate::{
         core::GatewayCore,
         events::{USAGE_FAILED, USAGE_REPORTED, USAGE_SEALED},
-        keys::{self, OPEN_USAGE_KEY, USAGE_PREFIX},
+        keys::{self, MemberRecord, OPEN_USAGE_KEY, USAGE_PREFIX},
         peer::{PeerAnswer, PeerCall},
         port::{CommitOutcome, StoreCondition, StoreWrite, Transaction, UsageReport},
     },
     catkindeck::{ErrorKind, ServiceError, id::IncarnationId, log_event, time::unix_ms},
-    catkindeck_policy::direct::{UsageCount, UsageWindows},
+    catkindeck_policy::direct::{ReportStep, ReportTerms, UsageCount, UsageWindows},
+    futures_util::future::join_all,
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -18,10 +19,6 @@
 /// How often it is looked whether a window is over.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The time after its end at which a window is collected, in milliseconds: clocks of hosts differ a
-/// little, and a request is counted when it is answered.
-const SETTLE_MS: u64 = 2_000;
-
 /// The windows before the one that is due next that a new holder reports. An exact repetition changes
 /// nothing, and the former holder may have sealed a window without reporting it.
 const REPEATED_WINDOWS: u64 = 2;
@@ -57,17 +54,20 @@
             return;
         }
         let length_ms = settings.bounds.usage_window_ms;
+        let terms = ReportTerms {
+            length_ms,
+            late_ms: settings.bounds.usage_late_ms,
+        };
         // What earlier processes counted must be known before a window is sealed.
         self.load_open().await;
         let mut next = self.first_window(length_ms).await;
         loop {
-            let over_at = (next + 1) * length_ms + SETTLE_MS;
-            if unix_ms() < over_at {
+            let step = terms.step(next, unix_ms());
+            if step == ReportStep::Settle {
                 sleep(LOOK_INTERVAL).await;
                 continue;
             }
-            let late_at = (next + 1) * length_ms + settings.bounds.usage_late_ms;
-            match self.report(next, unix_ms() < late_at).await {
+            match self.report(next, step == ReportStep::AskAll).await {
                 Ok(()) => next += 1,
                 Err(error) => {
                     log_event!(self.work.core.logger, USAGE_FAILED;
@@ -153,30 +153,37 @@
         }
     }
 
-    /// Asks all processes for what they counted.
+    /// Asks all processes for what they counted; `can_wait` makes a missing answer an error.
     async fn collect(&self, can_wait: bool) -> Result<(), ServiceError> {
         let core = &self.work.core;
         core.learn_own_usage();
         let members = core.members.borrow().clone();
-        for member in members {
-            if member.incarnation == core.incarnation || !member.serves_callers {
-                continue;
-            }
-            let call = PeerCall::Usage;
-            match core.call_peer(member.peer, &call, Duration::ZERO).await {
+        let others: Vec<MemberRecord> = members
+            .into_iter()
+            .filter(|member| member.incarnation != core.incarnation && member.serves_callers)
+            .collect();
+        // All at once, because each process that does not answer takes the whole time for an answer.
+        let calls = others
+            .iter()
+            .map(|member| core.call_peer(member.peer, &PeerCall::Usage, Duration::ZERO));
+        let mut silent = None;
+        for (member, answer) in others.iter().zip(join_all(calls).await) {
+            match answer {
                 Ok(PeerAnswer::Usage(counts)) => {
                     let mut ledger = core.ledger.borrow_mut();
                     ledger.learn(member.incarnation, &counts);
                 }
-                _ if can_wait => {
-                    let detail = format!("{} does not tell its usage", member.host);
-                    return Err(ServiceError::not_run(ErrorKind::PeerUnavailable, detail));
-                }
-                // What the process told before stands in the ledger.
-                _ => {}
+                _ => silent = Some(&member.host),
             }
         }
-        Ok(())
+        match silent {
+            Some(host) if can_wait => {
+                let detail = format!("{host} does not tell its usage");
+                Err(ServiceError::not_run(ErrorKind::PeerUnavailable, detail))
+            }
+            // What the process told before stands in the ledger.
+            _ => Ok(()),
+        }
     }
 
     /// Stores what is counted and not sealed, until the task is ended.
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -28,5 +28,5 @@
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rank},
     upstream::{DiscoveredUpstream, ModelWeights, UpstreamKey, UpstreamState},
     weights::{LoadPlanner, LoadTask, NamedVersion},
-    windows::{UsageCount, UsageLedger, UsageWindows},
+    windows::{ReportStep, ReportTerms, UsageCount, UsageLedger, UsageWindows},
 };
--- a/crates/catkindeck-policy/src/direct/windows.rs
+++ b/crates/catkindeck-policy/src/direct/windows.rs
@@ -9,6 +9,49 @@
 /// The number of windows kept; older ones were reported or can no longer be.
 const KEPT_WINDOWS: u64 = 12;
 
+/// The time after its end at which a window is collected, in milliseconds: clocks of hosts differ a
+/// little, and a request is counted when it is answered.
+const SETTLE_MS: u64 = 2_000;
+
+/// The time before a report is due at which no process is waited for any more, in milliseconds: a
+/// round of questions (0.8 s) that began just before and its pause (0.4 s), a last round, and two calls
+/// to the store and the report while the platform is slow (0.5 s each).
+const REPORT_MARGIN_MS: u64 = 3_500;
+
+/// When the usage of windows is collected and due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportTerms {
+    /// The length of a window, in milliseconds.
+    pub length_ms: u64,
+    /// The time after a window's end by which its usage is due, in milliseconds.
+    pub late_ms: u64,
+}
+
+/// What to do about the usage of a window.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportStep {
+    /// Requests may still be counted in it.
+    Settle,
+    /// All processes are asked, and those that do not answer are waited for.
+    AskAll,
+    /// The report goes out with what is known, because it would be late otherwise.
+    Seal,
+}
+
+impl ReportTerms {
+    /// Returns what to do about a window at a time in milliseconds since the Unix epoch.
+    pub fn step(self, window: u64, unix_ms: u64) -> ReportStep {
+        let end = (window + 1).saturating_mul(self.length_ms);
+        if unix_ms < end + SETTLE_MS {
+            return ReportStep::Settle;
+        }
+        match unix_ms + REPORT_MARGIN_MS < end + self.late_ms {
+            true => ReportStep::AskAll,
+            false => ReportStep::Seal,
+        }
+    }
+}
+
 /// The requests of one customer in one window.
 #[message]
 pub struct UsageCount {
--- /dev/null
+++ b/crates/catkindeck-policy/tests/usage_report.rs
@@ -0,0 +1,64 @@
+//! When the usage of a window is collected, sealed and due.
+
+use catkindeck_policy::direct::{ReportStep, ReportTerms};
+
+const TERMS: ReportTerms = ReportTerms {
+    length_ms: 2_000,
+    late_ms: 8_000,
+};
+
+/// The time for one round of questions to processes of which some do not answer, in milliseconds.
+const ROUND_MS: u64 = 800;
+
+/// The pause after a round that some did not answer, in milliseconds.
+const PAUSE_MS: u64 = 400;
+
+/// The time for two calls to a slow store and the report, in milliseconds.
+const REPORT_MS: u64 = 1_500;
+
+/// Guards against a report that waits for a process that was cut off until it is due, and goes out too
+/// late (trouble-3 of the grown listkovnica-hq: window 357129034, due at 16.0 s, reported at 16.4 s).
+#[test]
+fn a_report_waits_for_a_silent_process_and_is_in_time() {
+    let window = 10;
+    let end = (window + 1) * TERMS.length_ms;
+    for start in (end..end + 4_000).step_by(50) {
+        let mut now = start;
+        let mut rounds = 0;
+        loop {
+            match TERMS.step(window, now) {
+                ReportStep::Settle => now += 500,
+                ReportStep::AskAll => {
+                    rounds += 1;
+                    now += ROUND_MS + PAUSE_MS;
+                }
+                ReportStep::Seal => break,
+            }
+        }
+        let reported = now + ROUND_MS + REPORT_MS;
+        assert!(reported <= end + TERMS.late_ms, "{start}: {reported}");
+        assert!(
+            rounds >= 1 || start + 1_000 > end + 4_000,
+            "{start}: asked once at least"
+        );
+    }
+}
+
+/// Guards against windows that are sealed while requests are still counted in them.
+#[test]
+fn a_window_settles_before_it_is_collected() {
+    let end = 11 * TERMS.length_ms;
+    assert_eq!(TERMS.step(10, end + 1_999), ReportStep::Settle);
+    assert_eq!(TERMS.step(10, end + 2_000), ReportStep::AskAll);
+}
+
+/// Guards against a settings file whose usage is due sooner than the margin: the report goes out as
+/// soon as the window has settled.
+#[test]
+fn a_short_limit_leaves_no_time_to_wait() {
+    let terms = ReportTerms {
+        length_ms: 2_000,
+        late_ms: 2_500,
+    };
+    assert_eq!(terms.step(10, 22_000 + 2_000), ReportStep::Seal);
+}
