Store all results of an outage with the first write after it

Cause: a write of results that the store refused was repeated as it was. Change: after a refusal that proves that nothing was written, the results are put together anew. A write in doubt is still repeated as it was, so that it is recognised by its value. Before: all_results_of_an_outage_are_stored_at_once red with two writes. After: green, jobs 12 of 12.

--- a/crates/catkindeck-gateway/src/jobs/commit.rs
+++ b/crates/catkindeck-gateway/src/jobs/commit.rs
@@ -7,7 +7,7 @@
         keys::{self, JobState, OpenRecord},
         port::{CommitOutcome, StoreCondition, StoreItem, StoreWrite, Transaction},
     },
-    catkindeck::{ServiceError, log_event},
+    catkindeck::{ExecutionOutcome, ServiceError, log_event},
     catkindeck_policy::direct::{ResultCommit, ResultState},
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
@@ -41,7 +41,8 @@
         tokio::task::spawn_local(async move { service.store_results(&job, commit).await });
     }
 
-    async fn store_results(self: &Rc<Self>, job: &Rc<OwnedJob>, commit: ResultCommit) {
+    async fn store_results(self: &Rc<Self>, job: &Rc<OwnedJob>, mut commit: ResultCommit) {
+        let mut in_doubt = false;
         loop {
             let outcome = match self.results_transaction(job, &commit) {
                 Ok(transaction) => self.write_results(job, &transaction).await,
@@ -61,16 +62,33 @@
                 }
                 Err(error) => {
                     log_event!(self.core.logger, RESULTS_UNSTORED;
-                        "job" => &job.spec.id, "first" => commit.first, "detail" => error.detail);
+                        "job" => &job.spec.id, "first" => commit.first,
+                        "count" => commit.items.len(), "detail" => error.detail);
+                    in_doubt |= error.execution != ExecutionOutcome::NotRun;
                     sleep(RETRY_PAUSE).await;
                 }
             }
             if job.is_lost.get() {
                 return;
             }
+            // A write that may have taken effect is repeated as it was, to recognise it by its value.
+            if !in_doubt {
+                match self.regroup(job) {
+                    Some(larger) => commit = larger,
+                    None => return,
+                }
+            }
         }
     }
 
+    /// Takes along what finished since a write that did not take effect was put together.
+    fn regroup(&self, job: &OwnedJob) -> Option<ResultCommit> {
+        let part_bytes = self.part_bytes();
+        let mut state = job.job.borrow_mut();
+        state.not_stored();
+        state.next_commit(self.core.now(), part_bytes)
+    }
+
     fn results_transaction(
         &self,
         job: &OwnedJob,
