--- a/crates/catkindeck-gateway/src/settings.rs
+++ b/crates/catkindeck-gateway/src/settings.rs
@@ -71,3 +71,43 @@
     /// The deployment's bounds.
     pub bounds: NodeBounds,
 }
+
+impl NodeSettings {
+    /// Keeps what a running process cannot change as it is in `running`, and returns the names of the
+    /// settings that therefore take effect only after a restart.
+    pub fn keep_fixed(&mut self, running: &Self) -> Vec<&'static str> {
+        let mut kept = Vec::new();
+        keep(&mut kept, "host", &mut self.host, &running.host);
+        keep(&mut kept, "zone", &mut self.zone, &running.zone);
+        keep(&mut kept, "entry", &mut self.entry, &running.entry);
+        keep(
+            &mut kept,
+            "peer_listen",
+            &mut self.peer_listen,
+            &running.peer_listen,
+        );
+        keep(
+            &mut kept,
+            "metrics_listen",
+            &mut self.metrics_listen,
+            &running.metrics_listen,
+        );
+        if self.duties.is_some() != running.duties.is_some() {
+            kept.push("duties");
+            self.duties = running.duties;
+        }
+        kept
+    }
+}
+
+fn keep<T: Clone + PartialEq>(
+    kept: &mut Vec<&'static str>,
+    name: &'static str,
+    setting: &mut T,
+    running: &T,
+) {
+    if setting != running {
+        kept.push(name);
+        setting.clone_from(running);
+    }
+}
