Store the texts of running items, so that they outlive all processes

Ruled out: the time to come back (jobs ran 1 s after the start); a second set of keepers (all are lost). Change: the runner writes the texts of jobs older than 1.5 s into ckd/jobs/JOB/texts once a second, in one transaction, the longest first within half a value; the next owner takes the later of this and the copies of entries. An unreadable value is left out with a line.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -201,6 +201,7 @@
         tokio::task::spawn_local(Rc::clone(&self.jobs).follow_session());
         tokio::task::spawn_local(Rc::clone(&self.jobs).watch_ownership());
         tokio::task::spawn_local(Rc::clone(&self.jobs).keep_copies());
+        tokio::task::spawn_local(Rc::clone(&self.jobs).store_texts());
         let control = ControlWork::new(
             Rc::clone(&self.core),
             Rc::clone(&self.jobs),
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -83,6 +83,8 @@
     COPIES_UNSENT = 8154, "copies_unsent", Info, "copies of running texts could not be sent";
     /// A copy of a job's texts was fetched.
     COPY_FETCHED = 8155, "copy_fetched", Info, "copy of a job's texts was fetched";
+    /// Texts could not be stored.
+    TEXTS_UNSTORED = 8157, "texts_unstored", Info, "texts of running items could not be stored";
     /// The session lease is held.
     SESSION_STARTED = 8160, "session_started", Info, "process is registered under a lease";
     /// The session lease is lost.
--- a/crates/catkindeck-gateway/src/jobs/adopt.rs
+++ b/crates/catkindeck-gateway/src/jobs/adopt.rs
@@ -1,14 +1,19 @@
 //! Jobs that come from another process, and texts that come from another job.
 
 use {
-    super::{end::record_change, owned::OwnedJob, service::JobService},
+    super::{
+        backup::{ItemTexts, keep_ahead},
+        end::record_change,
+        owned::OwnedJob,
+        service::JobService,
+    },
     crate::{
         events::{JOB_HANDED_OVER, JOB_TAKEN_OVER, JOBS_UNCONFIRMED},
         keys::{self, JobState, MemberRecord, OPEN_PREFIX, OpenRecord},
         peer::{JobHandOver, PeerAnswer, PeerCall},
         port::{CommitOutcome, LeaseId, StoreCondition, StoreItem},
     },
-    catkindeck::{ErrorKind, ServiceError, log_event},
+    catkindeck::{ErrorKind, ServiceError, SortedMap, log_event},
     catkindeck_policy::direct::{ItemKey, ItemProgress, ResultState},
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
@@ -82,15 +87,22 @@
             let detail = "the job was handed to another run of this process";
             return Err(ServiceError::not_run(ErrorKind::WrongIncarnation, detail));
         }
-        let job = match spec {
-            Some(spec) => OwnedJob::new(&self.core, Rc::new(spec), record, revision, Vec::new()),
+        let (job, stored) = match spec {
+            Some(spec) => {
+                let job = OwnedJob::new(&self.core, Rc::new(spec), record, revision, Vec::new());
+                (job, ItemTexts::new())
+            }
             None => self.load(record, revision).await?,
         };
         let now = self.core.now();
+        let mut texts = SortedMap::new();
+        keep_ahead(&mut texts, progress);
+        let from_store = keep_ahead(&mut texts, stored);
         let mut copied = 0;
-        for (index, progress) in progress {
-            if (index as usize) < job.spec.items.len() {
-                let is_taken = job.job.borrow_mut().adopt(now, ItemKey(index), progress);
+        for (index, progress) in texts.iter() {
+            if (*index as usize) < job.spec.items.len() {
+                let key = ItemKey(*index);
+                let is_taken = job.job.borrow_mut().adopt(now, key, progress.clone());
                 copied += usize::from(is_taken);
             }
         }
@@ -103,7 +115,7 @@
         log_event!(self.core.logger, JOB_TAKEN_OVER;
             "job" => &job.spec.id, "from" => %former.host, "revision" => revision,
             "listed" => job.results.borrow().len(), "items" => job.spec.items.len(),
-            "copied" => copied);
+            "copied" => copied, "from_store" => from_store);
         self.insert(job);
         Ok(())
     }
--- a/crates/catkindeck-gateway/src/jobs/backup.rs
+++ b/crates/catkindeck-gateway/src/jobs/backup.rs
@@ -7,11 +7,12 @@
     super::{owned::OwnedJob, service::JobService},
     crate::{
         core::GatewayCore,
-        events::{COPIES_UNSENT, COPY_FETCHED},
-        keys::{JobState, MemberRecord},
+        events::{COPIES_UNSENT, COPY_FETCHED, TEXTS_UNSTORED},
+        keys::{self, JobState, MemberRecord},
         peer::{PeerAnswer, PeerCall},
+        port::{StoreWrite, Transaction},
     },
-    catkindeck::{Moment, SortedMap, id::IncarnationId, log_event, message},
+    catkindeck::{Moment, SortedMap, id::IncarnationId, log_event, message, time::unix_ms},
     catkindeck_policy::direct::{ItemKey, ItemProgress, KeeperChoice, TextPart, rank},
     futures_util::future::join_all,
     std::{
@@ -32,6 +33,24 @@
 /// The processes that are asked for a copy. The runner passes over those that it does not reach.
 const KEEPER_LIMIT: usize = 8;
 
+/// How often texts are stored. Only the loss of all processes costs as much of a text, and every call
+/// to the store is paid for.
+const STORE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// The time from its submission after which a job's texts are stored, in milliseconds. Most texts take
+/// no longer than a second or two, and those are listed then.
+const STORE_AGE_MS: u64 = 1_500;
+
+/// How much of a job's texts is stored.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct TextVolume {
+    texts: usize,
+    bytes: usize,
+}
+
+/// Texts of items that are not listed.
+pub type ItemTexts = Vec<(u32, ItemProgress)>;
+
 /// What is new of one job.
 #[message]
 pub struct JobCopy {
@@ -146,6 +165,72 @@
         false
     }
 
+    /// Stores the texts of the jobs that have run for a while, for the life of this process.
+    ///
+    /// They outlive the loss of all processes at once, of which no copy does.
+    pub async fn store_texts(self: Rc<Self>) {
+        let mut stored: SortedMap<String, TextVolume> = SortedMap::new();
+        loop {
+            sleep(STORE_INTERVAL).await;
+            // Without its lease the process may not be the owner any more.
+            if self.session.lease().is_none() {
+                continue;
+            }
+            let news = self.changed_texts(&mut stored);
+            if news.is_empty() {
+                continue;
+            }
+            let jobs = news.len();
+            let transaction = Transaction {
+                writes: news,
+                ..Transaction::default()
+            };
+            if let Err(error) = self.core.ports.store.commit(&transaction).await {
+                log_event!(self.core.logger, TEXTS_UNSTORED;
+                    "jobs" => jobs, "detail" => error.detail);
+                // All are written again, because it is not known what the store has.
+                stored = SortedMap::new();
+            }
+        }
+    }
+
+    /// Returns the texts to store, of each job that has more than `stored` says, and takes them for
+    /// stored.
+    fn changed_texts(&self, stored: &mut SortedMap<String, TextVolume>) -> Vec<StoreWrite> {
+        let jobs = self.all();
+        let present = unix_ms();
+        stored.retain(|id, _| jobs.iter().any(|job| job.spec.id == *id));
+        let mut writes = Vec::new();
+        for job in &jobs {
+            let is_running = job.record.borrow().state == JobState::Running;
+            let age_ms = present.saturating_sub(job.spec.submitted_ms);
+            if !is_running || age_ms < STORE_AGE_MS {
+                continue;
+            }
+            let texts = bounded_texts(job, self.core.settings().value_bytes);
+            let volume = TextVolume {
+                texts: texts.len(),
+                bytes: texts.iter().map(|(_, progress)| progress.text.len()).sum(),
+            };
+            if stored.get(&job.spec.id).copied().unwrap_or_default() == volume {
+                continue;
+            }
+            match keys::encode(&texts) {
+                Ok(value) => {
+                    stored.insert(job.spec.id.clone(), volume);
+                    writes.push(StoreWrite {
+                        key: keys::texts_key(&job.spec.id),
+                        value,
+                        lease: None,
+                    });
+                }
+                Err(error) => log_event!(self.core.logger, TEXTS_UNSTORED;
+                    "job" => &job.spec.id, "detail" => error.detail),
+            }
+        }
+        writes
+    }
+
     /// Returns what is kept of a job whose runner is gone, here or at a process that keeps copies.
     pub(super) async fn fetch_copy(&self, job: &str) -> Vec<(u32, ItemProgress)> {
         let own = self.core.shelf.take(job);
@@ -161,18 +246,10 @@
             .iter()
             .map(|keeper| self.core.call_peer(keeper.peer, &call, Duration::ZERO));
         // A keeper that the runner passed over has an older copy.
-        let mut best: SortedMap<u32, ItemProgress> = SortedMap::new();
+        let mut best = SortedMap::new();
         for answer in join_all(calls).await {
-            let Ok(PeerAnswer::Copy(items)) = answer else {
-                continue;
-            };
-            for (index, progress) in items {
-                if best
-                    .get(&index)
-                    .is_none_or(|known| progress.is_ahead_of(known))
-                {
-                    best.insert(index, progress);
-                }
+            if let Ok(PeerAnswer::Copy(items)) = answer {
+                keep_ahead(&mut best, items);
             }
         }
         // Without a copy the items start from the beginning.
@@ -202,6 +279,39 @@
     }
 }
 
+/// Keeps the later of two copies of each text, and returns how many of `texts` are kept.
+pub(super) fn keep_ahead(best: &mut SortedMap<u32, ItemProgress>, texts: ItemTexts) -> usize {
+    let mut kept = 0;
+    for (index, progress) in texts {
+        let known = best.get(&index);
+        if known.is_none_or(|known| progress.is_ahead_of(known)) {
+            best.insert(index, progress);
+            kept += 1;
+        }
+    }
+    kept
+}
+
+/// Returns the unlisted texts of a job that fit into half a value, the longest first: those cost most to
+/// generate again. The encoding takes less than the other half.
+fn bounded_texts(job: &OwnedJob, value_bytes: usize) -> ItemTexts {
+    let state = job.job.borrow();
+    let mut texts: Vec<(ItemKey, &ItemProgress)> = state.unlisted_texts().collect();
+    texts.sort_by_key(|(key, progress)| (Reverse(progress.text.len()), *key));
+    let mut room = value_bytes / 2;
+    texts.retain(|(_, progress)| {
+        let fits = progress.text.len() <= room;
+        if fits {
+            room -= progress.text.len();
+        }
+        fits
+    });
+    texts
+        .into_iter()
+        .map(|(key, progress)| (key.0, progress.clone()))
+        .collect()
+}
+
 impl CopySender {
     /// Returns the process that keeps the copies. Another one than before gets everything.
     fn choose(&self, now: Moment, keepers: Vec<MemberRecord>) -> Option<MemberRecord> {
--- a/crates/catkindeck-gateway/src/jobs/read.rs
+++ b/crates/catkindeck-gateway/src/jobs/read.rs
@@ -2,16 +2,18 @@
 
 use {
     super::{
+        backup::ItemTexts,
         owned::OwnedJob,
         service::{JobService, check_customer, not_found},
     },
     crate::{
-        keys::{self, JobState, MemberRecord, OpenRecord},
+        events::INTENT_FAULT,
+        keys::{self, JobKeyKind, JobState, MemberRecord, OpenRecord},
         peer::{PeerAnswer, PeerCall, PeerResults},
-        port::{JobRead, PlainAnswer},
+        port::{JobRead, PlainAnswer, StoreItem},
     },
     bytes::Bytes,
-    catkindeck::{ErrorKind, ServiceError, id::ObjectName},
+    catkindeck::{ErrorKind, ServiceError, id::ObjectName, log_event},
     catkindeck_policy::direct::JobResult,
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, timeout_at},
@@ -225,32 +227,44 @@
         let item = reading.item.ok_or_else(not_found)?;
         let record: OpenRecord = keys::decode_item(&item)?;
         let is_final = record.state != JobState::Running;
-        let stored = self.load(record, item.revision).await?;
+        let (stored, _) = self.load(record, item.revision).await?;
         if is_final {
             self.archive(Rc::clone(&stored));
         }
         Ok(stored)
     }
 
-    /// Loads the submission and the results of a job from the store.
+    /// Decodes stored texts; without them the items start from the beginning.
+    fn decode_texts(&self, item: &StoreItem) -> ItemTexts {
+        keys::decode_item(item).unwrap_or_else(|error| {
+            log_event!(self.core.logger, INTENT_FAULT;
+                "key" => &item.key, "detail" => error.detail);
+            ItemTexts::new()
+        })
+    }
+
+    /// Loads the submission and the results of a job from the store, and the texts of other items.
     pub(super) async fn load(
         &self,
         record: OpenRecord,
         revision: u64,
-    ) -> Result<Rc<OwnedJob>, ServiceError> {
+    ) -> Result<(Rc<OwnedJob>, ItemTexts), ServiceError> {
         let prefix = keys::job_prefix(&record.job);
         let listing = self.core.ports.store.list(&prefix).await?;
         let mut spec = Vec::new();
         let mut results: Vec<JobResult> = Vec::new();
+        let mut texts = ItemTexts::new();
         // The keys sort by part and by position.
         for item in &listing.items {
-            match keys::is_spec_key(&item.key) {
-                true => spec.extend_from_slice(&item.value),
-                false => results.extend(keys::decode_item::<Vec<JobResult>>(item)?),
+            match keys::job_key_kind(&item.key) {
+                JobKeyKind::Spec => spec.extend_from_slice(&item.value),
+                JobKeyKind::Results => results.extend(keys::decode_item::<Vec<JobResult>>(item)?),
+                JobKeyKind::Texts => texts = self.decode_texts(item),
             }
         }
         let spec = Rc::new(keys::decode(&spec)?);
-        Ok(OwnedJob::new(&self.core, spec, record, revision, results))
+        let job = OwnedJob::new(&self.core, spec, record, revision, results);
+        Ok((job, texts))
     }
 }
 
--- a/crates/catkindeck-gateway/src/keys.rs
+++ b/crates/catkindeck-gateway/src/keys.rs
@@ -113,9 +113,29 @@
     format!("{JOB_PREFIX}{job}/results/{first:06}")
 }
 
-/// Tells whether a key holds a part of a submission.
-pub fn is_spec_key(key: &str) -> bool {
-    key.contains("/spec/")
+/// Returns the key of the texts that a job's runner has so far.
+pub fn texts_key(job: &str) -> String {
+    format!("{JOB_PREFIX}{job}/texts")
+}
+
+/// What a key under the prefix of a job holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobKeyKind {
+    /// A part of the submission.
+    Spec,
+    /// Results from a position onward.
+    Results,
+    /// Texts of items that are not listed.
+    Texts,
+}
+
+/// Returns what a key under the prefix of a job holds.
+pub fn job_key_kind(key: &str) -> JobKeyKind {
+    match () {
+        () if key.contains("/spec/") => JobKeyKind::Spec,
+        () if key.ends_with("/texts") => JobKeyKind::Texts,
+        () => JobKeyKind::Results,
+    }
 }
 
 /// Returns the key of a sealed usage window.
