Take over all jobs of a lost runner at once, past silent keepers

Change: jobs are cared for 16 at a time, a restarted process takes all of its jobs back at once, and once a keeper has a copy the others are waited for 0.1 s. A failed reclaim is logged.

--- a/crates/catkindeck-gateway/src/control/janitor.rs
+++ b/crates/catkindeck-gateway/src/control/janitor.rs
@@ -9,6 +9,7 @@
         port::{StoreCondition, StoreItem, Transaction},
     },
     catkindeck::{ServiceError, log_event, time::unix_ms},
+    futures_util::stream::{self, StreamExt},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep, sleep_until},
 };
@@ -26,6 +27,9 @@
 /// obtained again within this time.
 const RETURN_GRACE: Duration = Duration::from_millis(1_200);
 
+/// The jobs that are cared for at once; each takes a connection or two.
+const CARE_LIMIT: usize = 16;
+
 /// The keys that one transaction removes.
 const REMOVAL_LIMIT: usize = 30;
 
@@ -83,8 +87,12 @@
             .collect();
         if may_take_over {
             let listing = core.ports.store.list(OPEN_PREFIX).await?;
-            for item in &listing.items {
-                self.care(item, &members, &registrations).await?;
+            // A lost runner's jobs all wait for their new owner.
+            let cares = listing.items.iter();
+            let cares = cares.map(|item| self.care(item, &members, &registrations));
+            let mut cares = stream::iter(cares).buffer_unordered(CARE_LIMIT);
+            while let Some(cared) = cares.next().await {
+                cared?;
             }
         }
         self.work.jobs.forget_old(unix_ms());
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -5,7 +5,8 @@
         control::ControlWork,
         core::{GatewayCore, GatewayPorts},
         events::{
-            GATEWAY_LEAVING, GATEWAY_STARTED, GATEWAY_STOPPED, HAND_OVER_CUT, METRICS_UNSERVED,
+            CONTROL_FAILED, GATEWAY_LEAVING, GATEWAY_STARTED, GATEWAY_STOPPED, HAND_OVER_CUT,
+            METRICS_UNSERVED,
         },
         follow::StoreFollower,
         front::CallerFront,
@@ -20,6 +21,7 @@
     },
     catkindeck::{ErrorKind, ServiceError, log_event, time::unix_ms},
     catkindeck_net::{ClientLimits, HttpClient, HttpServer, ServerControl, ServerLimits},
+    futures_util::future::join_all,
     prometheus::Registry,
     slog::Logger,
     std::{io, rc::Rc, time::Duration},
@@ -241,16 +243,24 @@
     let members = read_patiently(&core, MEMBER_PREFIX).await;
     core.learn_members(&members.items);
     let listing = read_patiently(&core, OPEN_PREFIX).await;
+    let mut taken = Vec::new();
     for item in &listing.items {
         let Ok(record) = keys::decode_item::<OpenRecord>(item) else {
             continue;
         };
         let former = record.owner.host == own.host && record.owner.incarnation != own.incarnation;
         if former && record.state == keys::JobState::Running {
-            // Another process that was faster runs the job now.
-            let _ = jobs.take_over(item, None).await;
+            taken.push(async {
+                // A process that was faster runs a job that could not be taken.
+                if let Err(error) = jobs.take_over(item, None).await {
+                    log_event!(core.logger, CONTROL_FAILED;
+                        "work" => "reclaim", "key" => &item.key, "detail" => error.detail);
+                }
+            });
         }
     }
+    // All of them wait for their new owner.
+    join_all(taken).await;
 }
 
 /// Reads all keys with a prefix, once the store answers.
--- a/crates/catkindeck-gateway/src/jobs/backup.rs
+++ b/crates/catkindeck-gateway/src/jobs/backup.rs
@@ -13,15 +13,16 @@
         port::{StoreWrite, Transaction},
     },
     catkindeck::{Moment, SortedMap, id::IncarnationId, log_event, message, time::unix_ms},
+    catkindeck_net::LocalFuture,
     catkindeck_policy::direct::{ItemKey, ItemProgress, KeeperChoice, TextPart, rank},
-    futures_util::future::join_all,
+    futures_util::stream::{FuturesUnordered, StreamExt},
     std::{
         cell::{Cell, RefCell},
         cmp::Reverse,
         rc::Rc,
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::time::{Instant, sleep, timeout_at},
 };
 
 /// How often what is new is copied. A new runner repeats at most this much of each text.
@@ -30,6 +31,10 @@
 /// How long a copy is kept without news, in milliseconds; a lost runner is noticed much sooner.
 const COPY_LIFETIME_MS: u64 = 30_000;
 
+/// How long other keepers are waited for once one has a copy. Hosts are a millisecond apart; the rest is
+/// for a busy processor.
+const OTHERS_WAIT: Duration = Duration::from_millis(100);
+
 /// The processes that are asked for a copy. The runner passes over those that it does not reach.
 const KEEPER_LIMIT: usize = 8;
 
@@ -242,16 +247,18 @@
         };
         // The runner may have chosen among other processes than run now.
         let keepers: Vec<MemberRecord> = self.keepers().into_iter().take(KEEPER_LIMIT).collect();
-        let calls = keepers
-            .iter()
-            .map(|keeper| self.core.call_peer(keeper.peer, &call, Duration::ZERO));
-        // A keeper that the runner passed over has an older copy.
-        let mut best = SortedMap::new();
-        for answer in join_all(calls).await {
-            if let Ok(PeerAnswer::Copy(items)) = answer {
-                keep_ahead(&mut best, items);
+        let calls = keepers.iter().map(async |keeper| {
+            match self
+                .core
+                .call_peer(keeper.peer, &call, Duration::ZERO)
+                .await
+            {
+                Ok(PeerAnswer::Copy(items)) => items,
+                _ => ItemTexts::new(),
             }
-        }
+        });
+        let best =
+            gather_copies(calls.map(|call| Box::pin(call) as LocalFuture<_>).collect()).await;
         // Without a copy the items start from the beginning.
         log_event!(self.core.logger, COPY_FETCHED;
             "job" => job, "items" => best.len(), "asked" => keepers.len());
@@ -279,6 +286,27 @@
     }
 }
 
+/// Gathers the copies that several processes have, the later one of each text.
+///
+/// A keeper that the runner passed over has an older copy, so all are asked; but once one has a copy,
+/// the others are not waited for longer than it takes a living process to answer.
+pub async fn gather_copies(calls: Vec<LocalFuture<'_, ItemTexts>>) -> SortedMap<u32, ItemProgress> {
+    let mut calls: FuturesUnordered<_> = calls.into_iter().collect();
+    let mut best = SortedMap::new();
+    let mut last = None;
+    loop {
+        let next = match last {
+            Some(last) => timeout_at(last, calls.next()).await.ok().flatten(),
+            None => calls.next().await,
+        };
+        let Some(texts) = next else { return best };
+        if !texts.is_empty() {
+            last = last.or_else(|| Some(Instant::now() + OTHERS_WAIT));
+        }
+        keep_ahead(&mut best, texts);
+    }
+}
+
 /// Keeps the later of two copies of each text, and returns how many of `texts` are kept.
 pub(super) fn keep_ahead(best: &mut SortedMap<u32, ItemProgress>, texts: ItemTexts) -> usize {
     let mut kept = 0;
