Care for each job apart from others, adopt a job once in a process

Cause: the look at all jobs ended at the first that could not be cared for. Since takeovers run at once this also cancelled those in progress, after the store named their new owner and before it ran them; the next look began them again. An unreadable record under ckd/open kept all jobs from their new owner. Ruled out: repeated writes of results (200 ms apart), stored texts (one call a second). Change: errors are logged a job, the look goes on; a job is adopted by one task of a process at a time; a run that is replaced is stopped; a runner that finds other results at its next position gives the job up to be loaded anew, where it tried again without a pause. Before: an_unreadable_record_keeps_no_job_from_its_new_owner red (no job whole in 30 s). After: green, jobs 14 of 14.

--- a/crates/catkindeck-gateway/src/control/janitor.rs
+++ b/crates/catkindeck-gateway/src/control/janitor.rs
@@ -8,7 +8,7 @@
         peer::{PeerAnswer, PeerCall},
         port::{StoreCondition, StoreItem, Transaction},
     },
-    catkindeck::{ServiceError, log_event, time::unix_ms},
+    catkindeck::{ErrorKind, ServiceError, log_event, time::unix_ms},
     futures_util::stream::{self, StreamExt},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep, sleep_until},
@@ -87,12 +87,22 @@
             .collect();
         if may_take_over {
             let listing = core.ports.store.list(OPEN_PREFIX).await?;
-            // A lost runner's jobs all wait for their new owner.
-            let cares = listing.items.iter();
-            let cares = cares.map(|item| self.care(item, &members, &registrations));
-            let mut cares = stream::iter(cares).buffer_unordered(CARE_LIMIT);
-            while let Some(cared) = cares.next().await {
-                cared?;
+            // A lost runner's jobs all wait for their new owner, so a failure of one ends no other.
+            let cares = listing.items.iter().map(async |item| {
+                let cared = self.care(item, &members, &registrations).await;
+                cared.map_err(|error| {
+                    log_event!(core.logger, CONTROL_FAILED;
+                        "work" => "care", "key" => &item.key, "detail" => &error.detail);
+                    error.kind
+                })
+            });
+            let cared: Vec<Result<(), ErrorKind>> = stream::iter(cares)
+                .buffer_unordered(CARE_LIMIT)
+                .collect()
+                .await;
+            if cared.contains(&Err(ErrorKind::StoreUnavailable)) {
+                let detail = "not all jobs could be cared for";
+                return Err(ServiceError::not_run(ErrorKind::StoreUnavailable, detail));
             }
         }
         self.work.jobs.forget_old(unix_ms());
@@ -124,12 +134,7 @@
         let registration = known
             .cloned()
             .unwrap_or(StoreCondition { key, revision: 0 });
-        let taken = self.work.jobs.take_over(item, Some(registration)).await;
-        if let Err(error) = taken {
-            log_event!(core.logger, CONTROL_FAILED;
-                "work" => "take over", "job" => &record.job, "detail" => error.detail);
-        }
-        Ok(())
+        self.work.jobs.take_over(item, Some(registration)).await
     }
 
     /// Takes over a job whose owner lives and does not know of it, because the process that accepted
--- a/crates/catkindeck-gateway/src/jobs/adopt.rs
+++ b/crates/catkindeck-gateway/src/jobs/adopt.rs
@@ -44,6 +44,9 @@
         registration: Option<StoreCondition>,
     ) -> Result<(), ServiceError> {
         let found: OpenRecord = keys::decode_item(item)?;
+        let Some(_guard) = self.begin_adoption(&found.job) else {
+            return Ok(());
+        };
         let former = found.owner.clone();
         let record = OpenRecord {
             owner: self.self_record(),
@@ -54,7 +57,7 @@
         match self.core.ports.store.commit(&transaction).await? {
             CommitOutcome::Committed(revision) => {
                 let progress = self.fetch_copy(&record.job).await;
-                self.run_adopted(JobHandOver {
+                self.run_loaded(JobHandOver {
                     record,
                     revision,
                     former,
@@ -76,6 +79,13 @@
     ///
     /// Returns the store's error if the job cannot be loaded.
     pub async fn run_adopted(self: &Rc<Self>, hand_over: JobHandOver) -> Result<(), ServiceError> {
+        match self.begin_adoption(&hand_over.record.job) {
+            Some(_guard) => self.run_loaded(hand_over).await,
+            None => Ok(()),
+        }
+    }
+
+    async fn run_loaded(self: &Rc<Self>, hand_over: JobHandOver) -> Result<(), ServiceError> {
         let JobHandOver {
             record,
             revision,
--- a/crates/catkindeck-gateway/src/jobs/commit.rs
+++ b/crates/catkindeck-gateway/src/jobs/commit.rs
@@ -21,6 +21,8 @@
     Stored,
     /// The key that says who runs the job was changed by another process.
     Changed(Option<StoreItem>),
+    /// Other results stand at the next position, so this process does not know all that is listed.
+    Overtaken,
 }
 
 impl JobService {
@@ -57,7 +59,16 @@
                 Ok(CommitEnd::Changed(item)) => {
                     job.job.borrow_mut().not_stored();
                     self.meet_change(job, item);
-                    self.commit(job);
+                    // The runner's next look stores what is due, if the job is still here.
+                    self.core.capacity.notify_one();
+                    return;
+                }
+                Ok(CommitEnd::Overtaken) => {
+                    log_event!(self.core.logger, JOB_LOST;
+                        "job" => &job.spec.id, "first" => commit.first,
+                        "detail" => "other results stand at the next position");
+                    // The holder of the control work finds it without a runner and has it loaded.
+                    self.remove(&job.spec.id);
                     return;
                 }
                 Err(error) => {
@@ -157,14 +168,15 @@
         // The answer to an earlier try was lost if the very same results stand there. Another owner's
         // results may stand there too, after this process was cut off for long.
         let is_same = stored.is_some_and(|stored| stored.value == transaction.writes[0].value);
-        match (is_owner && is_same, current) {
-            (true, Some(current)) => {
+        match (is_owner, current) {
+            (true, Some(current)) if is_same => {
                 job.revision.set(current.revision);
                 if let Ok(record) = keys::decode_item::<OpenRecord>(current) {
                     *job.record.borrow_mut() = record;
                 }
                 Ok(CommitEnd::Stored)
             }
+            (true, Some(_)) if stored.is_some() => Ok(CommitEnd::Overtaken),
             (_, current) => Ok(CommitEnd::Changed(current.cloned())),
         }
     }
--- a/crates/catkindeck-gateway/src/jobs/service.rs
+++ b/crates/catkindeck-gateway/src/jobs/service.rs
@@ -21,6 +21,8 @@
     pub(super) session: Rc<MemberSession>,
     owned: RefCell<SortedMap<String, Rc<OwnedJob>>>,
     archived: RefCell<SortedMap<String, Rc<OwnedJob>>>,
+    /// The jobs that this process is about to run.
+    adopting: RefCell<SortedMap<String, ()>>,
     located: RefCell<SortedMap<String, (MemberRecord, Moment)>>,
 }
 
@@ -32,6 +34,7 @@
             session,
             owned: RefCell::new(SortedMap::new()),
             archived: RefCell::new(SortedMap::new()),
+            adopting: RefCell::new(SortedMap::new()),
             located: RefCell::new(SortedMap::new()),
         })
     }
@@ -60,11 +63,32 @@
         is_final || (lease.is_some() && job.confirmed_under.get() == lease)
     }
 
+    /// Claims the adoption of a job for one task of this process, until the guard is dropped.
+    ///
+    /// Two tasks may find the same job without a runner, and a job that runs twice in one process lists
+    /// nothing, because each run takes the other's positions.
+    pub(super) fn begin_adoption(self: &Rc<Self>, job: &str) -> Option<AdoptionGuard> {
+        let job = job.to_owned();
+        let mut adopting = self.adopting.borrow_mut();
+        if adopting.get(&job).is_some() || self.owned(&job).is_some() {
+            return None;
+        }
+        adopting.insert(job.clone(), ());
+        Some(AdoptionGuard {
+            service: Rc::clone(self),
+            job,
+        })
+    }
+
     /// Takes a job into this process.
     pub fn insert(&self, job: Rc<OwnedJob>) {
         let id = job.spec.id.clone();
         self.located.borrow_mut().remove(&id);
-        self.owned.borrow_mut().insert(id, job);
+        let replaced = self.owned.borrow_mut().insert(id, job);
+        if let Some(replaced) = replaced {
+            replaced.is_lost.set(true);
+            replaced.stop();
+        }
         self.core.capacity.notify_one();
     }
 
@@ -127,6 +151,18 @@
     }
 }
 
+/// Holds the adoption of a job.
+pub(super) struct AdoptionGuard {
+    service: Rc<JobService>,
+    job: String,
+}
+
+impl Drop for AdoptionGuard {
+    fn drop(&mut self) {
+        self.service.adopting.borrow_mut().remove(&self.job);
+    }
+}
+
 /// Makes the error for a job that does not exist, or that another customer submitted.
 pub(super) fn not_found() -> ServiceError {
     ServiceError::not_run(ErrorKind::NotFound, "no such job")
