--- a/crates/catkindeck-gateway/src/jobs/adopt.rs
+++ b/crates/catkindeck-gateway/src/jobs/adopt.rs
@@ -56,15 +56,10 @@
         transaction.conditions.extend(registration);
         match self.core.ports.store.commit(&transaction).await? {
             CommitOutcome::Committed(revision) => {
-                let progress = self.fetch_copy(&record.job).await;
-                self.run_loaded(JobHandOver {
-                    record,
-                    revision,
-                    former,
-                    spec: None,
-                    progress,
-                })
-                .await
+                let (job, stored) = self.load(record, revision).await?;
+                let copies = self.fetch_copy(&job).await;
+                self.run_loaded(job, &former, copies, stored);
+                Ok(())
             }
             _ => Err(ServiceError::not_run(
                 ErrorKind::Conflict,
@@ -79,13 +74,9 @@
     ///
     /// Returns the store's error if the job cannot be loaded.
     pub async fn run_adopted(self: &Rc<Self>, hand_over: JobHandOver) -> Result<(), ServiceError> {
-        match self.begin_adoption(&hand_over.record.job) {
-            Some(_guard) => self.run_loaded(hand_over).await,
-            None => Ok(()),
-        }
-    }
-
-    async fn run_loaded(self: &Rc<Self>, hand_over: JobHandOver) -> Result<(), ServiceError> {
+        let Some(_guard) = self.begin_adoption(&hand_over.record.job) else {
+            return Ok(());
+        };
         let JobHandOver {
             record,
             revision,
@@ -104,9 +95,21 @@
             }
             None => self.load(record, revision).await?,
         };
+        self.run_loaded(job, &former, progress, stored);
+        Ok(())
+    }
+
+    /// Goes on with a job from the later one of each text that was copied and that was stored.
+    fn run_loaded(
+        &self,
+        job: Rc<OwnedJob>,
+        former: &MemberRecord,
+        copies: ItemTexts,
+        stored: ItemTexts,
+    ) {
         let now = self.core.now();
         let mut texts = SortedMap::new();
-        keep_ahead(&mut texts, progress);
+        keep_ahead(&mut texts, copies);
         let from_store = keep_ahead(&mut texts, stored);
         let mut copied = 0;
         for (index, progress) in texts.iter() {
@@ -123,11 +126,10 @@
             .with_label_values(&["taken_over"])
             .inc();
         log_event!(self.core.logger, JOB_TAKEN_OVER;
-            "job" => &job.spec.id, "from" => %former.host, "revision" => revision,
+            "job" => &job.spec.id, "from" => %former.host, "revision" => job.revision.get(),
             "listed" => job.results.borrow().len(), "items" => job.spec.items.len(),
             "copied" => copied, "from_store" => from_store);
         self.insert(job);
-        Ok(())
     }
 
     /// Confirms after each new registration that this process still owns its jobs.
--- a/crates/catkindeck-gateway/src/jobs/backup.rs
+++ b/crates/catkindeck-gateway/src/jobs/backup.rs
@@ -118,15 +118,16 @@
         }
     }
 
-    /// Takes the copy of a job out.
-    pub fn take(&self, job: &str) -> Vec<(u32, ItemProgress)> {
+    /// Takes the copy of a job out and returns the texts of these items, in ascending order.
+    pub fn take(&self, job: &str, items: &[u32]) -> ItemTexts {
         let entry = self.jobs.borrow_mut().remove(&job.to_owned());
-        entry.map_or_else(Vec::new, |entry| {
-            let items = entry.items.iter();
-            items
-                .map(|(index, progress)| (*index, progress.clone()))
-                .collect()
-        })
+        let Some(entry) = entry else {
+            return ItemTexts::new();
+        };
+        let wanted = items.iter().copied();
+        wanted
+            .filter_map(|index| Some((index, entry.items.get(&index)?.clone())))
+            .collect()
     }
 }
 
@@ -237,13 +238,19 @@
     }
 
     /// Returns what is kept of a job whose runner is gone, here or at a process that keeps copies.
-    pub(super) async fn fetch_copy(&self, job: &str) -> Vec<(u32, ItemProgress)> {
-        let own = self.core.shelf.take(job);
+    ///
+    /// Only the texts of items that are not listed are asked for: hosts have slow links, and a job's
+    /// whole texts take as long as its items run.
+    pub(super) async fn fetch_copy(&self, job: &OwnedJob) -> ItemTexts {
+        let items = job.job.borrow().unlisted();
+        let id = &job.spec.id;
+        let own = self.core.shelf.take(id, &items);
         if !own.is_empty() {
             return own;
         }
         let call = PeerCall::TakeCopy {
-            job: job.to_owned(),
+            job: id.clone(),
+            items,
         };
         // The runner may have chosen among other processes than run now.
         let keepers: Vec<MemberRecord> = self.keepers().into_iter().take(KEEPER_LIMIT).collect();
@@ -261,7 +268,7 @@
             gather_copies(calls.map(|call| Box::pin(call) as LocalFuture<_>).collect()).await;
         // Without a copy the items start from the beginning.
         log_event!(self.core.logger, COPY_FETCHED;
-            "job" => job, "items" => best.len(), "asked" => keepers.len());
+            "job" => id, "items" => best.len(), "asked" => keepers.len());
         let best = best.iter();
         best.map(|(index, progress)| (*index, progress.clone()))
             .collect()
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -95,6 +95,8 @@
     TakeCopy {
         /// The job.
         job: String,
+        /// The indices of the items whose texts are wanted, in ascending order.
+        items: Vec<u32>,
     },
     /// Asks for what the receiver read from the store.
     Feed(FeedQuery),
@@ -264,7 +266,9 @@
                 self.core.shelf.put(self.core.now(), runner, copies);
                 Ok(PeerAnswer::Done)
             }
-            PeerCall::TakeCopy { job } => Ok(PeerAnswer::Copy(self.core.shelf.take(&job))),
+            PeerCall::TakeCopy { job, items } => {
+                Ok(PeerAnswer::Copy(self.core.shelf.take(&job, &items)))
+            }
             PeerCall::Store(call) => {
                 let reply = self.core.relay.answer(&call).await?;
                 Ok(PeerAnswer::Store(Box::new(reply)))
