Bound the stored texts of all jobs together, log unreadable processes

Cause: read as a newcomer: a write of texts could hold half a value for each of many jobs, more than a store or a peer takes at once; an unreadable record of a process was left out without a line. Change: the texts of one write take half a value in all, the oldest jobs first; the record gets a line.

--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        events::INTENT_FAULT,
         feed::StoreFeed,
         intent::IntentView,
         jobs::backup::CopyShelf,
@@ -14,6 +15,7 @@
     catkindeck::{
         Clock, Moment,
         id::{IncarnationId, ObjectName},
+        log_event,
         time::BootClock,
     },
     catkindeck_net::HttpClient,
@@ -160,7 +162,13 @@
 
     /// Takes the list of processes as the store holds it.
     pub fn learn_members(&self, items: &[StoreItem]) {
-        let members = items.iter().filter_map(|item| keys::decode_item(item).ok());
+        let members = items.iter().filter_map(|item| match keys::decode_item(item) {
+            Ok(member) => Some(member),
+            Err(error) => {
+                log_event!(self.logger, INTENT_FAULT; "key" => &item.key, "detail" => error.detail);
+                None
+            }
+        });
         *self.members.borrow_mut() = members.collect();
     }
 
--- a/crates/catkindeck-gateway/src/jobs/backup.rs
+++ b/crates/catkindeck-gateway/src/jobs/backup.rs
@@ -202,8 +202,13 @@
 
     /// Returns the texts to store, of each job that has more than `stored` says, and takes them for
     /// stored.
+    ///
+    /// All of them together take no more than one value, the oldest jobs first.
     fn changed_texts(&self, stored: &mut SortedMap<String, TextVolume>) -> Vec<StoreWrite> {
-        let jobs = self.all();
+        let mut jobs = self.all();
+        jobs.sort_by_key(|job| job.spec.submitted_ms);
+        // The encoding takes no more than the text itself.
+        let mut room = self.core.settings().value_bytes / 2;
         let present = unix_ms();
         stored.retain(|id, _| jobs.iter().any(|job| job.spec.id == *id));
         let mut writes = Vec::new();
@@ -213,7 +218,7 @@
             if !is_running || age_ms < STORE_AGE_MS {
                 continue;
             }
-            let texts = bounded_texts(job, self.core.settings().value_bytes);
+            let texts = bounded_texts(job, room);
             let volume = TextVolume {
                 texts: texts.len(),
                 bytes: texts.iter().map(|(_, progress)| progress.text.len()).sum(),
@@ -223,6 +228,7 @@
             }
             match keys::encode(&texts) {
                 Ok(value) => {
+                    room = room.saturating_sub(volume.bytes);
                     stored.insert(job.spec.id.clone(), volume);
                     writes.push(StoreWrite {
                         key: keys::texts_key(&job.spec.id),
@@ -327,13 +333,12 @@
     kept
 }
 
-/// Returns the unlisted texts of a job that fit into half a value, the longest first: those cost most to
-/// generate again. The encoding takes less than the other half.
-fn bounded_texts(job: &OwnedJob, value_bytes: usize) -> ItemTexts {
+/// Returns the unlisted texts of a job that fit into `room` bytes, the longest first: those cost most to
+/// generate again.
+fn bounded_texts(job: &OwnedJob, mut room: usize) -> ItemTexts {
     let state = job.job.borrow();
     let mut texts: Vec<(ItemKey, &ItemProgress)> = state.unlisted_texts().collect();
     texts.sort_by_key(|(key, progress)| (Reverse(progress.text.len()), *key));
-    let mut room = value_bytes / 2;
     texts.retain(|(_, progress)| {
         let fits = progress.text.len() <= room;
         if fits {
