Write the operator key of tests at once

Each command of the test harness emptied and wrote the key file, and of two commands at the same time one could read it empty. The program was never at fault. Ruled out: the spread of the winner's configuration (operator keys are settings); load (it failed on an idle machine). Change: the file is written aside and put in place. The assertion is unchanged; its message shows what both commands printed.

--- a/tests/system/src/platform.rs
+++ b/tests/system/src/platform.rs
@@ -8,7 +8,8 @@
     },
     catkindeck::config::{ConfigSnapshot, ServiceKind, ZoneState},
     serde_json::{Value, json},
-    std::{fmt::Write, fs, net::SocketAddr, path::Path, process::Command},
+    std::{fmt::Write, io::Write as _, net::SocketAddr, path::Path, process::Command},
+    tempfile::NamedTempFile,
 };
 
 /// The modes of the stand-ins, in the order of [`TestPlatform`]'s addresses.
@@ -103,7 +104,12 @@
 /// Panics if the command cannot be started.
 pub fn run_command(directory: &Path, admin: &str, arguments: &[&str]) -> CommandResult {
     let key = directory.join("operator.key");
-    fs::write(&key, OPERATOR_KEY).expect("the operator's key is written");
+    // Commands run at the same time, so none may find the file while another has emptied it.
+    let mut fresh = NamedTempFile::new_in(directory).expect("a file is made");
+    fresh
+        .write_all(OPERATOR_KEY.as_bytes())
+        .expect("the operator's key is written");
+    fresh.persist(&key).expect("the operator's key is in place");
     let output = Command::new(binary_path("catkindeck"))
         .args(["--admin", admin, "--operator-key-file"])
         .arg(&key)
--- a/tests/system/tests/platform.rs
+++ b/tests/system/tests/platform.rs
@@ -112,7 +112,7 @@
         );
     }
     let plans = files.map(|file| plan_id(&deployment, file));
-    let codes = thread::scope(|scope| {
+    let results = thread::scope(|scope| {
         let operators: Vec<_> = files
             .iter()
             .zip(&plans)
@@ -124,11 +124,12 @@
         let results = operators
             .into_iter()
             .map(|operator| operator.join().expect("it ends"));
-        results.map(|result| result.code).collect::<Vec<_>>()
+        results.collect::<Vec<_>>()
     });
+    let codes: Vec<Option<i32>> = results.iter().map(|result| result.code).collect();
     let winners = codes.iter().filter(|code| **code == Some(0)).count();
     let losers = codes.iter().filter(|code| **code == CONFLICT).count();
-    assert_eq!((winners, losers), (1, 1), "{codes:?}");
+    assert_eq!((winners, losers), (1, 1), "{results:?}");
     // The winner's plan may be confirmed again, the loser's may not.
     for (code, (file, plan)) in codes.iter().zip(files.iter().zip(&plans)) {
         let again = deployment.command(&["apply", "--plan", plan, file]);
