Hand jobs over before a host is stated to be empty

Cause: the holder of the control work stated at once that a host was empty, since nothing lasts on it. A holder on the host itself left the control work to its lease too.

Jobs of one service go to one process, which goes on from their common texts; a leaving process uses the same way. Reads that fail while jobs are taken back are logged.

--- a/crates/catkindeck-gateway/src/control/lead.rs
+++ b/crates/catkindeck-gateway/src/control/lead.rs
@@ -100,7 +100,9 @@
     /// Tries to claim the work and returns the fencing token, or waits while another holds it.
     async fn claim(&self) -> Result<Option<u64>, ServiceError> {
         let lease = self.session.lease();
-        let Some(lease) = lease.filter(|_| !self.core.leaving.get()) else {
+        let host = &self.core.settings().host;
+        let is_staying = !self.core.leaving.get() && !self.core.intent.borrow().is_retiring(host);
+        let Some(lease) = lease.filter(|_| is_staying) else {
             sleep(RETRY_PAUSE).await;
             return Ok(None);
         };
@@ -176,10 +178,35 @@
         for task in &tasks {
             task.abort();
         }
-        *self.fence.borrow_mut() = None;
+        let resigned = self.fence.borrow_mut().take().is_none();
         self.released_at.set(Some(self.core.now()));
         *self.core.controller.borrow_mut() = None;
         log_event!(self.core.logger, CONTROL_RELEASED; "fence" => fence);
+        if resigned {
+            self.free_control(fence).await;
+        }
+    }
+
+    /// Ceases to do the work, so that another process does it before this host is taken away.
+    pub fn resign(&self) {
+        *self.fence.borrow_mut() = None;
+    }
+
+    /// Removes the key of the work, after all calls of this holder have ended.
+    async fn free_control(&self, fence: u64) {
+        let transaction = Transaction {
+            conditions: vec![StoreCondition {
+                key: CONTROL_KEY.to_owned(),
+                revision: fence,
+            }],
+            writes: Vec::new(),
+            removals: vec![CONTROL_KEY.to_owned()],
+        };
+        // If the call fails, the key ends with the lease.
+        if let Err(error) = self.core.ports.store.commit(&transaction).await {
+            log_event!(self.core.logger, CONTROL_FAILED;
+                "work" => "resign", "detail" => error.detail);
+        }
     }
 
     /// Has changes of operators and trainers read as soon as they are made.
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -14,7 +14,7 @@
             JobService,
             adopt::{TAKE_OVER_LIMIT, oldest_first},
         },
-        keys::{self, MEMBER_PREFIX, MemberRecord, OPEN_PREFIX, OpenRecord},
+        keys::{self, MEMBER_PREFIX, OPEN_PREFIX, OpenRecord},
         metrics::GatewayMetrics,
         observe::MetricsFront,
         peer::PeerFront,
@@ -143,8 +143,10 @@
         log_event!(self.core.logger, GATEWAY_LEAVING;
             "requests" => self.callers.requests(), "jobs" => self.jobs.all().len());
         let hand_over = async {
-            let targets = self.hand_over_targets().await;
-            self.jobs.hand_over(&targets).await;
+            if let Err(error) = self.jobs.hand_over().await {
+                log_event!(self.core.logger, HAND_OVER_CUT;
+                    "jobs" => self.jobs.all().len(), "detail" => error.detail);
+            }
             self.session.end().await;
         };
         if timeout(HAND_OVER_LIMIT, hand_over).await.is_err() {
@@ -229,22 +231,6 @@
             Rc::clone(&self.callers),
         ));
     }
-
-    /// Returns the processes that can take jobs over, in an order that differs by host.
-    async fn hand_over_targets(&self) -> Vec<MemberRecord> {
-        let Ok(listing) = self.core.ports.store.list(MEMBER_PREFIX).await else {
-            return Vec::new();
-        };
-        let own = self.session.record();
-        let members = listing.items.iter().filter_map(|item| {
-            let member: MemberRecord = keys::decode_item(item).ok()?;
-            (member.host != own.host).then_some(member)
-        });
-        let mut members: Vec<MemberRecord> = members.collect();
-        // Processes without callers are not stopped along with the entries.
-        members.sort_by_key(|member| member.serves_callers);
-        members
-    }
 }
 
 /// Takes back the jobs that an earlier run of the process on this host had, which is gone.
@@ -260,8 +246,13 @@
     let listing = read_patiently(&core, OPEN_PREFIX).await;
     let mut taken = Vec::new();
     for item in oldest_first(&listing.items) {
-        let Ok(record) = keys::decode_item::<OpenRecord>(item) else {
-            continue;
+        let record = match keys::decode_item::<OpenRecord>(item) {
+            Ok(record) => record,
+            Err(error) => {
+                log_event!(core.logger, CONTROL_FAILED;
+                    "work" => "reclaim", "key" => &item.key, "detail" => error.detail);
+                continue;
+            }
         };
         let former = record.owner.host == own.host && record.owner.incarnation != own.incarnation;
         if former && record.state == keys::JobState::Running {
@@ -284,7 +275,11 @@
     loop {
         match core.ports.store.list(prefix).await {
             Ok(listing) => return listing,
-            Err(_) => sleep(UPKEEP_INTERVAL).await,
+            Err(error) => {
+                log_event!(core.logger, CONTROL_FAILED;
+                    "work" => "reclaim", "key" => prefix, "detail" => error.detail);
+                sleep(UPKEEP_INTERVAL).await;
+            }
         }
     }
 }
--- a/crates/catkindeck-gateway/src/intent.rs
+++ b/crates/catkindeck-gateway/src/intent.rs
@@ -104,6 +104,11 @@
     pub fn retiring_hosts(&self) -> &[ObjectName] {
         &self.retiring_hosts
     }
+
+    /// Tells whether a host is to be emptied.
+    pub fn is_retiring(&self, host: &ObjectName) -> bool {
+        self.retiring_hosts.contains(host)
+    }
 }
 
 fn replace<T: PartialEq>(current: &mut Vec<T>, next: Vec<T>) -> bool {
--- a/crates/catkindeck-gateway/src/jobs/adopt.rs
+++ b/crates/catkindeck-gateway/src/jobs/adopt.rs
@@ -4,12 +4,12 @@
     super::{
         backup::{ItemTexts, keep_ahead},
         end::record_change,
-        owned::OwnedJob,
+        owned::{OwnedJob, route_of},
         service::JobService,
     },
     crate::{
         events::{JOB_HANDED_OVER, JOB_TAKEN_OVER, JOBS_UNCONFIRMED},
-        keys::{self, JobState, MemberRecord, OPEN_PREFIX, OpenRecord},
+        keys::{self, JobState, MEMBER_PREFIX, MemberRecord, OPEN_PREFIX, OpenRecord},
         peer::{JobHandOver, PeerAnswer, PeerCall},
         port::{CommitOutcome, LeaseId, StoreCondition, StoreItem},
     },
@@ -92,6 +92,11 @@
             let detail = "the job was handed to another run of this process";
             return Err(ServiceError::not_run(ErrorKind::WrongIncarnation, detail));
         }
+        let host = &self.core.settings().host;
+        if self.core.leaving.get() || self.core.intent.borrow().is_retiring(host) {
+            let detail = "this host takes no jobs any more";
+            return Err(ServiceError::not_run(ErrorKind::ShuttingDown, detail));
+        }
         let (job, stored) = match spec {
             Some(spec) => {
                 let job = OwnedJob::new(&self.core, Rc::new(spec), record, revision, Vec::new());
@@ -156,11 +161,10 @@
     pub async fn watch_ownership(self: Rc<Self>) {
         loop {
             sleep(OWNERSHIP_INTERVAL).await;
-            let running = |job: &Rc<OwnedJob>| job.record.borrow().state == JobState::Running;
             let Some(lease) = self.session.lease() else {
                 continue;
             };
-            if !self.all().iter().any(running) {
+            if self.running().is_empty() {
                 continue;
             }
             if let Err(error) = self.confirm_jobs(lease).await {
@@ -190,20 +194,42 @@
         Ok(())
     }
 
-    /// Hands all running jobs over to other processes, before this one ends.
-    pub async fn hand_over(self: &Rc<Self>, targets: &[MemberRecord]) {
-        let running: Vec<Rc<OwnedJob>> = self
-            .all()
-            .into_iter()
-            .filter(|job| job.record.borrow().state == JobState::Running)
-            .collect();
-        for (index, job) in running.iter().enumerate() {
-            if targets.is_empty() {
-                return;
+    /// Hands the running jobs over to other processes.
+    ///
+    /// The jobs of a service go to one process, which goes on from the texts that they have in common.
+    ///
+    /// # Errors
+    ///
+    /// Returns `conflict` if jobs are left, because no process could take them.
+    pub async fn hand_over(self: &Rc<Self>) -> Result<(), ServiceError> {
+        match self.core.ports.store.list(MEMBER_PREFIX).await {
+            Ok(listing) => self.core.learn_members(&listing.items),
+            // The list as last heard serves as well, unless a process left since.
+            Err(error) => log_event!(self.core.logger, JOBS_UNCONFIRMED; "detail" => error.detail),
+        }
+        for job in self.running() {
+            let service = match route_of(&self.core, &job.spec) {
+                Some(route) => route.service.clone(),
+                None => job.spec.route.clone(),
+            };
+            if let Some(successor) = self.choose_successor(&service) {
+                self.hand_over_one(&job, &successor).await;
             }
-            self.hand_over_one(job, &targets[index % targets.len()])
-                .await;
         }
+        match self.running().len() {
+            0 => Ok(()),
+            left => Err(ServiceError::not_run(
+                ErrorKind::Conflict,
+                format!("{left} jobs could not be handed over"),
+            )),
+        }
+    }
+
+    /// Returns the jobs that are not whole and were not ended.
+    fn running(&self) -> Vec<Rc<OwnedJob>> {
+        let mut jobs = self.all();
+        jobs.retain(|job| job.record.borrow().state == JobState::Running);
+        jobs
     }
 
     async fn hand_over_one(self: &Rc<Self>, job: &Rc<OwnedJob>, target: &MemberRecord) {
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -118,22 +118,41 @@
     /// many items are in progress at each engine, keeps its connections from step to step, and has
     /// the texts of items that come again. The process with the control work is spared if it can be.
     pub(super) fn choose_runner(&self, service: &ObjectName) -> MemberRecord {
-        let own = self.self_record();
+        let runner = self.best_runner(service, |member| !member.serves_callers);
+        runner.unwrap_or_else(|| self.self_record())
+    }
+
+    /// Chooses the process that a job of this one goes to, or `None` if there is no other.
+    pub(super) fn choose_successor(&self, service: &ObjectName) -> Option<MemberRecord> {
+        let host = &self.core.settings().host;
+        self.best_runner(service, |member| member.host != *host)
+    }
+
+    /// Returns the process that suits the jobs of a service best. Hosts that are to be emptied run none.
+    fn best_runner(
+        &self,
+        service: &ObjectName,
+        is_able: impl Fn(&MemberRecord) -> bool,
+    ) -> Option<MemberRecord> {
         let members = self.core.members.borrow();
         let controller = self.core.controller.borrow();
+        let intent = self.core.intent.borrow();
         let controls = |member: &MemberRecord| {
             let controller = controller.as_ref();
             controller.is_some_and(|controller| controller.host == member.host)
         };
-        let able = members.iter().filter(|member| !member.serves_callers);
+        let able = members
+            .iter()
+            .filter(|member| is_able(member) && !intent.is_retiring(&member.host));
         let chosen = able.max_by_key(|member| {
             let host = member.host.as_str().as_bytes();
             (
+                !member.serves_callers,
                 !controls(member),
                 rank(&[service.as_str().as_bytes(), host]),
             )
         });
-        chosen.cloned().unwrap_or(own)
+        chosen.cloned()
     }
 
     /// Passes an accepted job to the process that the store names as its owner, or takes it back.
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -73,6 +73,8 @@
     },
     /// Hands a job over, after the store names the receiver as its owner.
     Adopt(Box<JobHandOver>),
+    /// Has the receiver hand its running jobs over, because its host is to be emptied.
+    Vacate,
     /// Asks for the usage that the receiver counted.
     Usage,
     /// Tells the usage that the sender counted.
@@ -257,6 +259,10 @@
                 self.jobs.run_adopted(*hand_over).await?;
                 Ok(PeerAnswer::Done)
             }
+            PeerCall::Vacate => {
+                self.jobs.hand_over().await?;
+                Ok(PeerAnswer::Done)
+            }
             PeerCall::Usage => Ok(PeerAnswer::Usage(self.core.usage.borrow().counts())),
             PeerCall::UsageNews { run, counts } => {
                 self.core.ledger.borrow_mut().learn(run, &counts);
