Reach the owner of a job through a third process

Cause: entries that are cut off from the hosts with disks (node_cut, nine of 25 for 12 s) could not hand an accepted job to its runner, took it back and ran it with a tenth of a core; reads and ends of jobs at them timed out.

Ruled out: slow upstreams and changes of versions (steps of the other trainers took their usual time), the store (calls were made by peers).

Change: what is asked of a job's owner goes through an entry that reaches it if the direct way fails; the failed way is passed over for five seconds.

--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -19,7 +19,9 @@
         time::BootClock,
     },
     catkindeck_net::HttpClient,
-    catkindeck_policy::direct::{FreshnessGate, UpstreamRoster, UsageLedger, UsageWindows},
+    catkindeck_policy::direct::{
+        FreshnessGate, PeerReach, UpstreamRoster, UsageLedger, UsageWindows,
+    },
     slog::Logger,
     std::{
         cell::{Cell, RefCell},
@@ -85,6 +87,8 @@
     pub relay: Rc<RelayedStore>,
     /// What this process read from the store, for others.
     pub feed: StoreFeed,
+    /// The processes that this one does not reach.
+    pub reach: RefCell<PeerReach>,
     /// What this process keeps of the running jobs of others.
     pub shelf: CopyShelf,
     /// The processes of the system, as last heard.
@@ -130,6 +134,7 @@
             capacity: Notify::new(),
             intent_changed: Notify::new(),
             feed: StoreFeed::default(),
+            reach: RefCell::default(),
             shelf: CopyShelf::default(),
             members: RefCell::new(Vec::new()),
             controller: RefCell::new(None),
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -111,4 +111,6 @@
     CONTROL_FAILED = 8176, "control_work_failed", Warning, "control work failed and is tried again";
     /// A peer does not answer.
     PEER_FAILED = 8180, "peer_failed", Info, "another process of the system does not answer";
+    /// A peer was reached through another one.
+    PEER_RELAYED = 8181, "peer_relayed", Info, "another process of the system was reached through a third one";
 }
--- a/crates/catkindeck-gateway/src/jobs/adopt.rs
+++ b/crates/catkindeck-gateway/src/jobs/adopt.rs
@@ -259,10 +259,7 @@
             progress,
         }));
         self.remove(&job.spec.id);
-        let adopted = self
-            .core
-            .call_peer(target.peer, &call, HAND_OVER_LIMIT)
-            .await;
+        let adopted = self.core.reach_peer(target, &call, HAND_OVER_LIMIT).await;
         // Without an answer the job is taken over once its new owner is found not to run it.
         log_event!(self.core.logger, JOB_HANDED_OVER;
             "job" => &job.spec.id, "to" => %target.host, "revision" => revision,
--- a/crates/catkindeck-gateway/src/jobs/backup.rs
+++ b/crates/catkindeck-gateway/src/jobs/backup.rs
@@ -14,7 +14,7 @@
     },
     catkindeck::{Moment, SortedMap, id::IncarnationId, log_event, message, time::unix_ms},
     catkindeck_net::LocalFuture,
-    catkindeck_policy::direct::{ItemKey, ItemProgress, KeeperChoice, TextPart, rank},
+    catkindeck_policy::direct::{ItemKey, ItemProgress, PeerReach, TextPart, rank},
     futures_util::stream::{FuturesUnordered, StreamExt},
     std::{
         cell::{Cell, RefCell},
@@ -81,7 +81,7 @@
 /// What the keeper of copies has of this process's jobs.
 #[derive(Debug, Default)]
 pub struct CopySender {
-    choice: RefCell<KeeperChoice>,
+    choice: RefCell<PeerReach>,
     keeper: Cell<Option<IncarnationId>>,
     /// What was sent of each item.
     sent: RefCell<SortedMap<(String, ItemKey), SentText>>,
--- a/crates/catkindeck-gateway/src/jobs/end.rs
+++ b/crates/catkindeck-gateway/src/jobs/end.rs
@@ -150,7 +150,7 @@
         for _ in 0..TELL_TRIES {
             let answer = self
                 .core
-                .call_peer(record.owner.peer, &call, Duration::ZERO)
+                .reach_peer(&record.owner, &call, Duration::ZERO)
                 .await;
             if matches!(answer, Ok(PeerAnswer::Done | PeerAnswer::NotOwner)) {
                 return;
--- a/crates/catkindeck-gateway/src/jobs/read.rs
+++ b/crates/catkindeck-gateway/src/jobs/read.rs
@@ -192,7 +192,7 @@
         if owner.incarnation == self.core.incarnation {
             return Ok(None);
         }
-        match self.core.call_peer(owner.peer, call, wait).await {
+        match self.core.reach_peer(&owner, call, wait).await {
             Ok(PeerAnswer::NotOwner) | Err(_) => {
                 self.forget_location(job);
                 Ok(None)
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -165,7 +165,7 @@
             progress: Vec::new(),
         }));
         let runner = record.owner.clone();
-        let answer = self.core.call_peer(runner.peer, &call, Duration::ZERO);
+        let answer = self.core.reach_peer(&runner, &call, Duration::ZERO);
         if let Ok(PeerAnswer::Done) = answer.await {
             log_event!(self.core.logger, JOB_ACCEPTED;
                 "job" => &spec.id, "route" => %spec.route, "items" => spec.items.len(),
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod observe;
 pub mod peer;
+pub mod peer_path;
 pub mod port;
 pub mod relay;
 pub mod session;
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -104,6 +104,19 @@
     Feed(FeedQuery),
     /// Asks the receiver to make a call to the store.
     Store(Box<StoreCall>),
+    /// Asks the receiver to pass a call on to a process that the sender does not reach.
+    Forward(Box<ForwardedCall>),
+}
+
+/// A call that another process passes on.
+#[message]
+pub struct ForwardedCall {
+    /// The process that shall answer.
+    pub target: MemberRecord,
+    /// The time that it may keep the call, in milliseconds.
+    pub wait_ms: u64,
+    /// The call.
+    pub call: PeerCall,
 }
 
 /// A job with what its new owner needs to go on.
@@ -145,6 +158,8 @@
     Done,
     /// The process does not run the job.
     NotOwner,
+    /// The process does not reach the one that a call is for.
+    Unreached,
     /// The call was refused.
     Refused(ServiceError),
     /// The usage that was counted so far.
@@ -279,6 +294,7 @@
                 let reply = self.core.relay.answer(&call).await?;
                 Ok(PeerAnswer::Store(Box::new(reply)))
             }
+            PeerCall::Forward(forwarded) => Ok(self.core.pass_on(&forwarded).await),
             PeerCall::Feed(query) => {
                 let update = self.core.feed.answer(&self.core, &query).await?;
                 Ok(PeerAnswer::Feed(Box::new(update)))
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -4,8 +4,8 @@
 pub mod cold;
 pub mod freshness;
 pub mod job;
-pub mod keeper;
 pub mod outcome;
+pub mod reach;
 pub mod roster;
 pub mod routes;
 pub mod selection;
@@ -21,8 +21,8 @@
         ItemKey, ItemPhase, ItemProgress, JobItem, JobLimits, JobResult, JobSpec, ResultCommit,
         RolloutJob, ScorerCall, StartRank, TextPart,
     },
-    keeper::KeeperChoice,
     outcome::{ItemOutcome, ResultState},
+    reach::PeerReach,
     roster::{RosterChanges, UpstreamRoster},
     routes::{RouteMatch, RouteTable, choose_service},
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rank},
--- /dev/null
+++ b/crates/catkindeck-policy/src/direct/reach.rs
@@ -0,0 +1,64 @@
+//! Which other processes are in reach of this one.
+
+use catkindeck::{Moment, SortedMap, id::IncarnationId};
+
+/// How long a process that did not answer is passed over, in milliseconds. A lost process leaves the
+/// list within this time; one that is cut off from this process alone does not.
+const AVOID_MS: u64 = 5_000;
+
+/// The processes that are asked to pass one call on.
+const HELPER_LIMIT: usize = 2;
+
+/// The processes that did not answer lately.
+#[derive(Debug, Default)]
+pub struct PeerReach {
+    failed: SortedMap<IncarnationId, Moment>,
+    /// The process that passed a call on last.
+    helper: Option<IncarnationId>,
+}
+
+impl PeerReach {
+    /// Tells whether a process did not answer lately.
+    pub fn is_avoided(&mut self, now: Moment, peer: IncarnationId) -> bool {
+        self.failed.retain(|_, at| now.since(*at) < AVOID_MS);
+        self.failed.get(&peer).is_some()
+    }
+
+    /// Returns the first of `ranked` that is not known to be out of reach.
+    ///
+    /// A copy that goes nowhere is worth nothing, so a worse rank that answers goes before a better
+    /// one that does not.
+    pub fn choose(&mut self, now: Moment, ranked: &[IncarnationId]) -> Option<IncarnationId> {
+        let mut ranked = ranked.iter().copied();
+        ranked.find(|peer| !self.is_avoided(now, *peer))
+    }
+
+    /// Returns the processes to ask for passing a call on to `target`: the one that did so last, then
+    /// others of `ranked` in reach.
+    pub fn helpers(
+        &mut self,
+        now: Moment,
+        target: IncarnationId,
+        ranked: &[IncarnationId],
+    ) -> Vec<IncarnationId> {
+        let last = self.helper.filter(|helper| ranked.contains(helper));
+        let mut helpers: Vec<IncarnationId> = Vec::new();
+        for peer in last.into_iter().chain(ranked.iter().copied()) {
+            let is_new = peer != target && !helpers.contains(&peer);
+            if is_new && helpers.len() < HELPER_LIMIT && !self.is_avoided(now, peer) {
+                helpers.push(peer);
+            }
+        }
+        helpers
+    }
+
+    /// Notes that a process passed a call on.
+    pub fn helped(&mut self, helper: IncarnationId) {
+        self.helper = Some(helper);
+    }
+
+    /// Notes that a process did not answer.
+    pub fn failed(&mut self, now: Moment, peer: IncarnationId) {
+        self.failed.insert(peer, now);
+    }
+}
