Let a new holder wait for leases that ended while the store was away

Cause: after an outage in which all leases ended, the process that was back first held the control work and took the jobs of living runners over at once, 0.2 s before they were registered again. The grace after an outage counted only for a holder that had met the failure itself in that role.

Ruled out: slow registration (all were back 0.8 s after the store), copies (6 of 10 texts came along).

Change: each process remembers when the store came back for it after nobody had reached it; a new holder takes nobody for gone until 1.2 s later.

--- a/crates/catkindeck-gateway/src/control/janitor.rs
+++ b/crates/catkindeck-gateway/src/control/janitor.rs
@@ -44,7 +44,7 @@
 
     /// Cares for jobs until the task is ended.
     pub async fn run(self: Rc<Self>) {
-        let mut grace_until = Instant::now();
+        let mut grace_until = self.grace_until();
         loop {
             match self.look(Instant::now() >= grace_until).await {
                 Ok(revision) => self.wait_for_change(revision).await,
@@ -58,6 +58,14 @@
         }
     }
 
+    /// Returns until when a new holder takes no process for gone: it often holds the work because all
+    /// leases ended while the store was away.
+    fn grace_until(&self) -> Instant {
+        let now = Instant::now();
+        let returned_at = self.work.core.relay.returned_at();
+        returned_at.map_or(now, |returned_at| now.max(returned_at + RETURN_GRACE))
+    }
+
     /// Waits until a process comes or goes, or until it is time for the next look.
     async fn wait_for_change(&self, revision: u64) {
         let next = Instant::now() + LOOK_INTERVAL;
--- a/crates/catkindeck-gateway/src/relay.rs
+++ b/crates/catkindeck-gateway/src/relay.rs
@@ -91,6 +91,10 @@
     core: RefCell<Weak<GatewayCore>>,
     /// Until when the direct way is not tried.
     closed_until: Cell<Option<Instant>>,
+    /// Whether the last call failed by all ways.
+    is_away: Cell<bool>,
+    /// When a call succeeded after one that failed by all ways.
+    returned_at: Cell<Option<Instant>>,
     /// The peer that answered last.
     last_peer: RefCell<Option<MemberRecord>>,
 }
@@ -102,6 +106,8 @@
             direct,
             core: RefCell::new(Weak::new()),
             closed_until: Cell::new(None),
+            is_away: Cell::new(false),
+            returned_at: Cell::new(None),
             last_peer: RefCell::new(None),
         })
     }
@@ -111,6 +117,11 @@
         *self.core.borrow_mut() = Rc::downgrade(core);
     }
 
+    /// Returns when the store was back for this process after nobody had reached it.
+    pub fn returned_at(&self) -> Option<Instant> {
+        self.returned_at.get()
+    }
+
     /// Makes a call for a peer, by the direct way only.
     ///
     /// # Errors
@@ -129,6 +140,15 @@
     }
 
     async fn call(&self, call: StoreCall) -> Result<StoreReply, ServiceError> {
+        let outcome = self.call_any(call).await;
+        if outcome.is_ok() && self.is_away.replace(false) {
+            self.returned_at.set(Some(Instant::now()));
+        }
+        outcome
+    }
+
+    /// Makes a call by the direct way or through a peer.
+    async fn call_any(&self, call: StoreCall) -> Result<StoreReply, ServiceError> {
         let mut in_doubt = false;
         let mut failure = None;
         if !self.is_closed() {
@@ -172,6 +192,7 @@
         );
         // Without any peer the direct way is the only one, so it is tried again at once.
         self.closed_until.set(None);
+        self.is_away.set(true);
         Err(match in_doubt && matches!(call, StoreCall::Commit(_)) {
             true => ServiceError::unknown(ErrorKind::StoreUnavailable, detail),
             false => ServiceError::not_run(ErrorKind::StoreUnavailable, detail),
