--- a/crates/catkindeck/src/log/mod.rs
+++ b/crates/catkindeck/src/log/mod.rs
@@ -58,6 +58,23 @@
     Terminal,
 }
 
+/// Reads the least level of the lines that a process writes.
+///
+/// # Errors
+///
+/// Returns the levels that there are, for an unknown one.
+pub fn parse_level(text: &str) -> Result<Level, String> {
+    match text {
+        "error" => Ok(Level::Error),
+        "warning" => Ok(Level::Warning),
+        "info" => Ok(Level::Info),
+        "debug" => Ok(Level::Debug),
+        other => Err(format!(
+            "expected `error`, `warning`, `info` or `debug`, got `{other}`"
+        )),
+    }
+}
+
 /// Makes the process's logger, which writes to standard output from a thread of its own.
 pub fn build_logger(format: LogFormat, level: Level) -> Logger {
     let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> = match format {
--- a/crates/catkindeck/src/process.rs
+++ b/crates/catkindeck/src/process.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         id::ObjectName,
-        log::LogFormat,
+        log::{LogFormat, parse_level},
         settings::{SettingsError, SettingsText},
     },
     serde::Deserialize,
@@ -92,17 +92,8 @@
                 return Err(text.fault("log.format", expected));
             }
         };
-        let log_level = match raw.log.level.as_str() {
-            "error" => Level::Error,
-            "warning" => Level::Warning,
-            "info" => Level::Info,
-            "debug" => Level::Debug,
-            other => {
-                let expected =
-                    format!("expected `error`, `warning`, `info` or `debug`, got `{other}`");
-                return Err(text.fault("log.level", expected));
-            }
-        };
+        let log_level =
+            parse_level(&raw.log.level).map_err(|expected| text.fault("log.level", expected))?;
         Ok(Self {
             host: parse_name(text, "host", &raw.host)?,
             zone: parse_name(text, "zone", &raw.zone)?,
