One rotated list of peers, one check whether a host takes work

Change: GatewayCore::peers and GatewayCore::is_staying serve both places each. Order and conditions are as before.

--- a/crates/catkindeck-gateway/src/control/lead.rs
+++ b/crates/catkindeck-gateway/src/control/lead.rs
@@ -100,9 +100,7 @@
     /// Tries to claim the work and returns the fencing token, or waits while another holds it.
     async fn claim(&self) -> Result<Option<u64>, ServiceError> {
         let lease = self.session.lease();
-        let host = &self.core.settings().host;
-        let is_staying = !self.core.leaving.get() && !self.core.intent.borrow().is_retiring(host);
-        let Some(lease) = lease.filter(|_| is_staying) else {
+        let Some(lease) = lease.filter(|_| self.core.is_staying()) else {
             sleep(RETRY_PAUSE).await;
             return Ok(None);
         };
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -177,6 +177,23 @@
         *self.members.borrow_mut() = members.collect();
     }
 
+    /// Returns the other processes in an order that differs by process, so that one peer is not asked by
+    /// all.
+    pub fn peers(&self) -> Vec<MemberRecord> {
+        let mut peers = self.members.borrow().clone();
+        let offset = usize::from(self.incarnation.0[0]);
+        let start = offset.checked_rem(peers.len()).unwrap_or(0);
+        peers.rotate_left(start);
+        peers.retain(|peer| peer.incarnation != self.incarnation);
+        peers
+    }
+
+    /// Tells whether this host takes work on: the process does not leave, and its host is not emptied.
+    pub fn is_staying(&self) -> bool {
+        let host = &self.settings().host;
+        !self.leaving.get() && !self.intent.borrow().is_retiring(host)
+    }
+
     /// Tells whether callers with keys may be served.
     pub fn is_fresh(&self) -> bool {
         self.freshness.borrow().is_fresh(self.now())
--- a/crates/catkindeck-gateway/src/jobs/adopt.rs
+++ b/crates/catkindeck-gateway/src/jobs/adopt.rs
@@ -92,8 +92,7 @@
             let detail = "the job was handed to another run of this process";
             return Err(ServiceError::not_run(ErrorKind::WrongIncarnation, detail));
         }
-        let host = &self.core.settings().host;
-        if self.core.leaving.get() || self.core.intent.borrow().is_retiring(host) {
+        if !self.core.is_staying() {
             let detail = "this host takes no jobs any more";
             return Err(ServiceError::not_run(ErrorKind::ShuttingDown, detail));
         }
--- a/crates/catkindeck-gateway/src/peer_path.rs
+++ b/crates/catkindeck-gateway/src/peer_path.rs
@@ -97,25 +97,11 @@
     /// Returns the processes that may reach `target`. Entries are first, because what cuts one off from
     /// a process without callers often cuts it off from the others too.
     fn helpers(&self, target: IncarnationId) -> Vec<MemberRecord> {
-        let members = self.members.borrow();
-        // The order differs by process, so that one helper is not asked by all.
-        let offset = usize::from(self.incarnation.0[0]);
-        let start = offset.checked_rem(members.len()).unwrap_or(0);
-        let mut others: Vec<&MemberRecord> = members
-            .iter()
-            .cycle()
-            .skip(start)
-            .take(members.len())
-            .collect();
-        others.retain(|member| member.incarnation != self.incarnation);
+        let mut others = self.peers();
         others.sort_by_key(|member| !member.serves_callers);
         let ranked: Vec<IncarnationId> = others.iter().map(|member| member.incarnation).collect();
         let chosen = self.reach.borrow_mut().helpers(self.now(), target, &ranked);
         let known = |id: &IncarnationId| others.iter().find(|member| member.incarnation == *id);
-        chosen
-            .iter()
-            .filter_map(known)
-            .map(|member| (*member).clone())
-            .collect()
+        chosen.iter().filter_map(known).cloned().collect()
     }
 }
--- a/crates/catkindeck-gateway/src/relay.rs
+++ b/crates/catkindeck-gateway/src/relay.rs
@@ -241,13 +241,9 @@
         };
         let last = self.last_peer.borrow().clone();
         let controller = core.controller.borrow().clone();
-        let members = core.members.borrow();
-        // The order differs by process, so that one peer is not asked by all.
-        let offset = usize::from(core.incarnation.0[0]);
-        let start = offset.checked_rem(members.len()).unwrap_or(0);
-        let others = members.iter().cycle().skip(start).take(members.len());
+        let others = core.peers();
         let mut peers: Vec<MemberRecord> = Vec::new();
-        for peer in last.iter().chain(&controller).chain(others) {
+        for peer in last.iter().chain(&controller).chain(&others) {
             let known = peers.iter().any(|known| known.host == peer.host);
             if peer.incarnation != core.incarnation && !known && peers.len() < PEER_LIMIT {
                 peers.push(peer.clone());
