Give an item up only after failures that upstreams state themselves

Cause: HedgedCall counted each 5xx of a scorer as a failure. Ruled out: the item's own runs count only 500 and 422; a takeover resets the count of the scorer and therefore only delays an abort. Change: the rule is FailureEvidence::justifies_abort, asked at the one place that finishes an item as aborted. A job's age allows for clocks that differ.

--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -11,7 +11,7 @@
     catkindeck::{ErrorKind, ServiceError, id::ObjectName, log_event},
     catkindeck_net::LocalFuture,
     catkindeck_policy::direct::UpstreamKey,
-    http::Request,
+    http::{Request, StatusCode},
     std::{future::poll_fn, rc::Rc, task::Poll, time::Duration},
     tokio::time::{Instant, sleep_until},
 };
@@ -42,8 +42,9 @@
 
 pub struct CallReport {
     pub outcome: CallOutcome,
-    /// The number of responses with a server error.
-    pub server_errors: u32,
+    /// The number of responses in which an upstream states a failure of its own. Responses of
+    /// upstreams that ran out of time do not count.
+    pub failures: u32,
 }
 
 /// Builds the request for one attempt from the upstream and the remaining time.
@@ -64,7 +65,7 @@
     running: Vec<RunningAttempt>,
     started: u32,
     refusals: usize,
-    server_errors: u32,
+    failures: u32,
     refused: Option<ServiceError>,
     unknown: Option<String>,
     failure: Option<Box<UpstreamResponse>>,
@@ -84,7 +85,7 @@
             running: Vec::new(),
             started: 0,
             refusals: 0,
-            server_errors: 0,
+            failures: 0,
             refused: None,
             unknown: None,
             failure: None,
@@ -96,7 +97,7 @@
         let outcome = self.run_attempts().await;
         CallReport {
             outcome,
-            server_errors: self.server_errors,
+            failures: self.failures,
         }
     }
 
@@ -189,7 +190,8 @@
                 }
                 // A server error is passed on only if no other upstream responds without one.
                 response.guard.record_refusal(0);
-                self.server_errors += 1;
+                let is_failure = response.head.status == StatusCode::INTERNAL_SERVER_ERROR;
+                self.failures += u32::from(is_failure);
                 self.log_failure(&upstream, response.head.status.as_str(), "failed");
                 self.failure = Some(response);
             }
--- a/crates/catkindeck-gateway/src/jobs/scheduler.rs
+++ b/crates/catkindeck-gateway/src/jobs/scheduler.rs
@@ -21,6 +21,10 @@
 /// expire with time.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The difference between the clocks of two hosts for which a job's age allows, in milliseconds. An item that is
+/// given up too early is lost; one that is given up late costs a few runs.
+const CLOCK_TOLERANCE_MS: u64 = 5_000;
+
 impl JobService {
     /// Starts items whenever slots, upstreams or jobs become available, for the life of the process.
     pub async fn schedule_items(self: Rc<Self>) {
@@ -59,7 +63,8 @@
             .map(|job| (job_urgency(&self.core, &job), job))
             .collect();
         for (_, job) in &jobs {
-            job.job.borrow_mut().expire(self.core.now(), unix_ms());
+            let age_ms = unix_ms().saturating_sub(job.spec.submitted_ms + CLOCK_TOLERANCE_MS);
+            job.job.borrow_mut().expire(self.core.now(), age_ms);
         }
         let mut starts: Vec<(u8, StartPriority, &Rc<OwnedJob>)> = Vec::new();
         for (urgency, job) in &jobs {
--- a/crates/catkindeck-gateway/src/jobs/score.rs
+++ b/crates/catkindeck-gateway/src/jobs/score.rs
@@ -25,6 +25,13 @@
 /// The same time as a share of the route's target latency, in percent.
 const HEDGE_PERCENT: u64 = 50;
 
+/// A round of scorer calls without a result.
+struct ScorerFailure {
+    /// The number of calls that the scorer answered with a failure of its own.
+    count: u32,
+    detail: String,
+}
+
 impl JobService {
     /// Starts the scorer calls of texts that are complete and not scored yet.
     pub(super) fn score_items(self: &Rc<Self>, job: &Rc<OwnedJob>) {
@@ -38,66 +45,66 @@
         }
     }
 
+    /// Calls the scorer of an item until it answers, or until its failures justify giving the item up.
     async fn score(self: Rc<Self>, job: Rc<OwnedJob>, key: ItemKey) {
-        let scorer = job.spec.items[key.0 as usize].scorer.clone();
-        let score = match &scorer {
-            Some(scorer) => self.call_scorer(&job, key, scorer).await,
-            None => return,
-        };
-        log_event!(self.core.logger, ITEM_SCORED;
-            "job" => &job.spec.id, "item" => &job.spec.items[key.0 as usize].id,
-            "scored" => score.is_some());
-        job.job
-            .borrow_mut()
-            .record_score(self.core.now(), key, score);
-        self.commit(&job);
-    }
-
-    /// Calls the scorer until it answers, or until its failures reach the limit of its route.
-    async fn call_scorer(
-        &self,
-        job: &OwnedJob,
-        key: ItemKey,
-        scorer: &ScorerCall,
-    ) -> Option<String> {
-        let mut server_errors = 0;
-        loop {
-            if job.job.borrow().phase(key) != ItemPhase::Scoring {
-                return None;
-            }
+        let item = &job.spec.items[key.0 as usize];
+        let Some(scorer) = &item.scorer else { return };
+        while job.job.borrow().phase(key) == ItemPhase::Scoring {
             let Some((options, limit)) = self.scorer_options(scorer) else {
                 sleep(ROUND_PAUSE).await;
                 continue;
             };
-            let builder = |upstream: &ObjectName, left: Duration| {
-                let call = UpstreamCall {
-                    upstream,
-                    customer: None,
-                    deadline_ms: Some(u64::try_from(left.as_millis()).unwrap_or(u64::MAX)),
-                    urgency: None,
-                    last_event: None,
-                };
-                self.core.ports.upstreams.encode_scorer(scorer, &call)
-            };
-            let report = HedgedCall::new(&self.core, options, &builder).run().await;
-            server_errors += report.server_errors;
-            let fault = match report.outcome {
-                CallOutcome::Answered(response) if response.head.status.is_success() => {
-                    return response.head.stamp;
+            match self.call_scorer(scorer, options).await {
+                Ok(score) => {
+                    let now = self.core.now();
+                    job.job.borrow_mut().record_score(now, key, score);
                 }
-                CallOutcome::Answered(response) => {
-                    format!("the scorer responded with status {}", response.head.status)
+                Err(failure) => {
+                    log_event!(self.core.logger, SCORER_FAILED;
+                        "job" => &job.spec.id, "scorer" => &scorer.id, "detail" => failure.detail,
+                        "server_errors" => failure.count, "limit" => limit);
+                    let now = self.core.now();
+                    job.job
+                        .borrow_mut()
+                        .record_scorer_failures(now, key, failure.count, limit);
+                    sleep(ROUND_PAUSE).await;
                 }
-                CallOutcome::Failed(ServiceError { detail, .. }) => detail,
-            };
-            log_event!(self.core.logger, SCORER_FAILED;
-                "job" => &job.spec.id, "scorer" => &scorer.id, "detail" => fault,
-                "server_errors" => server_errors, "limit" => limit);
-            if server_errors >= limit {
-                return None;
             }
-            sleep(ROUND_PAUSE).await;
         }
+        log_event!(self.core.logger, ITEM_SCORED;
+            "job" => &job.spec.id, "item" => &item.id,
+            "scored" => job.job.borrow().progress(key).score.is_some());
+        self.commit(&job);
+    }
+
+    /// Makes one round of attempts and returns the scorer's result.
+    async fn call_scorer(
+        &self,
+        scorer: &ScorerCall,
+        options: CallOptions,
+    ) -> Result<String, ScorerFailure> {
+        let builder = |upstream: &ObjectName, left: Duration| {
+            let call = UpstreamCall {
+                upstream,
+                customer: None,
+                deadline_ms: Some(u64::try_from(left.as_millis()).unwrap_or(u64::MAX)),
+                urgency: None,
+                last_event: None,
+            };
+            self.core.ports.upstreams.encode_scorer(scorer, &call)
+        };
+        let report = HedgedCall::new(&self.core, options, &builder).run().await;
+        let detail = match report.outcome {
+            CallOutcome::Answered(response) => match response.head.stamp {
+                Some(stamp) if response.head.status.is_success() => return Ok(stamp),
+                _ => format!("the scorer responded with status {}", response.head.status),
+            },
+            CallOutcome::Failed(ServiceError { detail, .. }) => detail,
+        };
+        Err(ScorerFailure {
+            count: report.failures,
+            detail,
+        })
     }
 
     /// Returns the options of one round, and the number of failures after which the scorer is given up. Returns
--- a/crates/catkindeck-policy/src/direct/job.rs
+++ b/crates/catkindeck-policy/src/direct/job.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        give_up::FailureEvidence,
         outcome::{ItemOutcome, ResultState},
         upstream::UpstreamKey,
     },
@@ -25,10 +26,6 @@
 /// short compared with the 500 ms between two reads of a trainer.
 pub const GROUP_COMMIT_DELAY_MS: u64 = 100;
 
-/// The number of responses stating that an item can never succeed after which it is given up. The
-/// route's limit on attempts applies independently.
-const REJECTION_LIMIT: u32 = 1;
-
 /// A job as submitted.
 #[message]
 pub struct JobSpec {
@@ -197,6 +194,11 @@
     finished_at: Moment,
     not_before: Moment,
     scorer_called: bool,
+    /// The number of calls that the scorer answered with a server failure. It is not copied to a new
+    /// owner, which therefore calls the scorer at least as often as the route allows.
+    scorer_failures: u32,
+    /// The number of scorer failures that the scorer's route allows.
+    scorer_limit: u32,
     group: usize,
 }
 
@@ -287,6 +289,8 @@
                 finished_at: Moment(0),
                 not_before: Moment(0),
                 scorer_called: false,
+                scorer_failures: 0,
+                scorer_limit: 0,
                 group,
             });
         }
@@ -494,7 +498,6 @@
 
     /// Records how a run ended.
     pub fn record_run_end(&mut self, now: Moment, key: ItemKey, outcome: ItemOutcome) {
-        let attempts = self.limits.attempts.max(1);
         let has_scorer = self.item(key).scorer.is_some();
         let state = self.state_mut(key);
         if !matches!(state.phase, ItemPhase::Running(_)) {
@@ -512,15 +515,11 @@
             ItemOutcome::Interrupted | ItemOutcome::Stale => {}
             ItemOutcome::Failed => {
                 state.progress.failures += 1;
-                if state.progress.failures >= attempts {
-                    self.finish(now, key, ResultState::Aborted);
-                }
+                self.give_up_if_justified(now, key, 0);
             }
             ItemOutcome::Impossible => {
                 state.progress.rejections += 1;
-                if state.progress.rejections >= REJECTION_LIMIT {
-                    self.finish(now, key, ResultState::Aborted);
-                }
+                self.give_up_if_justified(now, key, 0);
             }
         }
     }
@@ -530,38 +529,62 @@
         self.state_mut(key).not_before = until;
     }
 
-    /// Records the score of an item, or that the scorer failed too often to give one.
-    pub fn record_score(&mut self, now: Moment, key: ItemKey, score: Option<String>) {
+    /// Records the score of an item.
+    pub fn record_score(&mut self, now: Moment, key: ItemKey, score: String) {
         if self.phase(key) != ItemPhase::Scoring {
             return;
         }
-        let state = match score {
-            Some(_) => ResultState::Completed,
-            None => ResultState::Aborted,
-        };
-        self.state_mut(key).progress.score = score;
-        self.finish(now, key, state);
+        self.state_mut(key).progress.score = Some(score);
+        self.finish(now, key, ResultState::Completed);
+    }
+
+    /// Records that the scorer answered `failures` calls with a server failure; its route allows
+    /// `limit`. Gives the item up if that is enough.
+    pub fn record_scorer_failures(&mut self, now: Moment, key: ItemKey, failures: u32, limit: u32) {
+        if self.phase(key) != ItemPhase::Scoring {
+            return;
+        }
+        let state = self.state_mut(key);
+        state.scorer_failures += failures;
+        state.scorer_limit = limit;
+        self.give_up_if_justified(now, key, 0);
+    }
+
+    /// Makes [`Self::take_unscored`] return an item again, after its scorer call ended without a
+    /// result.
+    pub fn retry_score(&mut self, key: ItemKey) {
+        self.state_mut(key).scorer_called = false;
     }
 
     /// Gives up the unfinished items that are not running if the job's time to live has passed;
-    /// `unix_ms` is the current time.
-    pub fn expire(&mut self, now: Moment, unix_ms: u64) {
-        if unix_ms
-            < self
-                .spec
-                .submitted_ms
-                .saturating_add(self.limits.item_ttl_ms)
-        {
+    /// `age_ms` is the time since its submission.
+    pub fn expire(&mut self, now: Moment, age_ms: u64) {
+        if age_ms < self.limits.item_ttl_ms {
             return;
         }
         let keys: Vec<ItemKey> = self.items.iter().map(|(key, _)| key).collect();
         for key in keys {
             if matches!(self.phase(key), ItemPhase::Waiting | ItemPhase::Scoring) {
-                self.finish(now, key, ResultState::Aborted);
+                self.give_up_if_justified(now, key, age_ms);
             }
         }
     }
 
+    /// Finishes an item as aborted, if the evidence against it justifies that.
+    fn give_up_if_justified(&mut self, now: Moment, key: ItemKey, age_ms: u64) {
+        let state = self.state(key);
+        let evidence = FailureEvidence {
+            failures: state.progress.failures,
+            rejections: state.progress.rejections,
+            scorer_failures: state.scorer_failures,
+            scorer_limit: state.scorer_limit,
+            age_ms,
+        };
+        if evidence.justifies_abort(&self.limits) {
+            self.finish(now, key, ResultState::Aborted);
+        }
+    }
+
     /// Ends the job: nothing else starts, and unstored results are not listed.
     pub fn end(&mut self) {
         self.ended = true;
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod claim;
 pub mod freshness;
+pub mod give_up;
 pub mod job;
 pub mod outcome;
 pub mod peer_reachability;
@@ -17,6 +18,7 @@
 pub use {
     claim::{ClaimDecision, decide_claim},
     freshness::FreshnessGate,
+    give_up::FailureEvidence,
     job::{
         ItemKey, ItemPhase, ItemProgress, JobItem, JobLimits, JobResult, JobSpec, ResultCommit,
         RolloutJob, ScorerCall, StartPriority, TextPart,
