Match responses to requests, bound what servers send, and finish what was accepted before a stop

Cause: read through the HTTP layer for what went wrong at other operators. - A response without an identifier was taken for the expected one, a late second copy of a failure could answer the next attempt of the same item or scorer call, and orders shared connections with requests. - A stop closed the listener with connections in its queue, closed accepted connections whose request was on its way, and did not wait for streams: the count of requests ended with the head of a response. - Limits of streams counted from the last bytes, so a stalled stream that sends a byte now and then never ended, and streams that cannot be resumed were cut after 1.2 s of silence. - Responses were read without limit, and a panic ended the connection. - The lease was checked before the connection for an order was opened. Change: upstreams must return the identifier; connections are closed after a failure and orders have their own; progress is counted in events, and a stream that cannot be resumed ends only at its deadline; bodies, heads and uploads have limits; a handler that panics answers 500; a permit is asked directly before a request is written; a stopped server serves its queue and lingers for 300 ms.

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -25,7 +25,7 @@
     http_body_util::BodyExt,
     hyper::body::Incoming,
     std::{cell::Cell, rc::Rc, time::Duration},
-    tokio::time::Instant,
+    tokio::time::{Instant, timeout, timeout_at},
 };
 
 /// How long before the caller's deadline the final response is sent, so that it arrives in time.
@@ -90,7 +90,15 @@
         let decoded = codec.decode_head(&parts);
         // The body is always read first: closing a connection with unread data resets it, and the caller would
         // not receive the response.
-        let body = self.read_body(body).await;
+        let deadline_ms = decoded.as_ref().ok().and_then(|(head, _)| head.deadline_ms);
+        let limit = Duration::from_millis(deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS));
+        let body = match timeout(limit, self.read_body(body)).await {
+            Ok(body) => body,
+            Err(_) => Err(ServiceError::not_run(
+                ErrorKind::BadRequest,
+                format!("the body of the request was not complete within {limit:?}"),
+            )),
+        };
         let (head, operation, body) = match (decoded, body) {
             (Ok((head, operation)), Ok(body)) => (head, operation, body),
             (Ok((head, _)), Err(error)) => return self.refuse(&head.id, &error, arrived),
@@ -145,7 +153,7 @@
             service: request.matched.service,
             upstream: response.guard.id.clone(),
         };
-        let mut response = self.forward_response(response);
+        let mut response = self.forward_response(response, request.expires);
         response.extensions_mut().insert(source);
         Ok(response)
     }
@@ -237,7 +245,13 @@
         }
     }
 
-    fn forward_response(&self, response: UpstreamResponse) -> Response<ResponseBody> {
+    /// Forwards a response. The rest of a body that is not complete yet is forwarded until `expires`, because an
+    /// upstream may send bytes without end.
+    fn forward_response(
+        &self,
+        response: UpstreamResponse,
+        expires: Instant,
+    ) -> Response<ResponseBody> {
         let UpstreamResponse {
             head,
             headers,
@@ -256,14 +270,18 @@
                         return;
                     }
                     loop {
-                        match exchange.chunk().await {
-                            Ok(Some(chunk)) => {
+                        match timeout_at(expires, exchange.chunk()).await {
+                            Ok(Ok(Some(chunk))) => {
                                 if !sender.send(chunk).await {
                                     return;
                                 }
                             }
-                            Ok(None) => return,
-                            Err(fault) => return sender.abort(&fault.detail).await,
+                            Ok(Ok(None)) => return,
+                            Ok(Err(fault)) => return sender.abort(&fault.detail).await,
+                            Err(_) => {
+                                let reason = "the response was not complete before the deadline";
+                                return sender.abort(reason).await;
+                            }
                         }
                     }
                 });
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -49,6 +49,16 @@
     pub cloud_api: Option<Rc<dyn CloudApi>>,
 }
 
+/// The HTTP clients of a gateway.
+pub struct GatewayClients {
+    /// For requests to upstreams.
+    pub upstreams: HttpClient,
+    /// For orders to upstreams and for their reports.
+    pub orders: HttpClient,
+    /// For calls to other gateway processes.
+    pub peers: HttpClient,
+}
+
 /// The state that the parts of a gateway share on its single thread.
 ///
 /// No `RefCell` borrow is held across an await point.
@@ -59,6 +69,9 @@
     pub incarnation: IncarnationId,
     pub ports: GatewayPorts,
     pub upstream_client: HttpClient,
+    /// The client for orders to upstreams and for their reports. These carry no identifier, so they do not share
+    /// connections with requests, of which a second response may arrive late.
+    pub order_client: HttpClient,
     /// The client for calls to other gateway processes.
     pub peer_client: HttpClient,
     /// The desired state that operators and trainers have set.
@@ -98,7 +111,7 @@
     pub fn new(
         settings: NodeSettings,
         ports: GatewayPorts,
-        clients: (HttpClient, HttpClient),
+        clients: GatewayClients,
         metrics: GatewayMetrics,
         logger: Logger,
     ) -> Rc<Self> {
@@ -113,8 +126,9 @@
             settings: RefCell::new(Rc::new(settings)),
             incarnation: IncarnationId::random(),
             ports,
-            upstream_client: clients.0,
-            peer_client: clients.1,
+            upstream_client: clients.upstreams,
+            order_client: clients.orders,
+            peer_client: clients.peers,
             intent: RefCell::new(IntentView::default()),
             freshness: RefCell::new(FreshnessGate::new(bound_ms)),
             roster: RefCell::new(UpstreamTable::new()),
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         caller_handler::CallerHandler,
-        core::{GatewayCore, GatewayPorts},
+        core::{GatewayClients, GatewayCore, GatewayPorts},
         events::{
             GATEWAY_DRAINING, GATEWAY_STARTED, GATEWAY_STOPPED, HAND_OVER_CUT, MAINTENANCE_FAILED,
             METRICS_UNSERVED,
@@ -37,13 +37,21 @@
     connect: Duration::from_millis(400),
     idle: Duration::from_secs(30),
     idle_connections: 32,
+    response_bytes: 256 << 10,
 };
 
-/// The limits of the HTTP client for other gateway processes.
+/// The limits of the HTTP client for orders to upstreams and for their reports. Reports have a few hundred bytes.
+pub const ORDER_LIMITS: ClientLimits = ClientLimits {
+    idle_connections: 1,
+    ..UPSTREAM_LIMITS
+};
+
+/// The limits of the HTTP client for other gateway processes. The largest responses are copies of all texts.
 pub const PEER_LIMITS: ClientLimits = ClientLimits {
     connect: Duration::from_millis(400),
     idle: Duration::from_secs(10),
     idle_connections: 4,
+    response_bytes: 32 << 20,
 };
 
 /// Callers' connections may use the number of file descriptors divided by this. The rest is reserved for
@@ -103,10 +111,11 @@
         logger: Logger,
     ) -> Result<Self, ServiceError> {
         let metrics = GatewayMetrics::new(registry)?;
-        let clients = (
-            HttpClient::new(UPSTREAM_LIMITS),
-            HttpClient::new(PEER_LIMITS),
-        );
+        let clients = GatewayClients {
+            upstreams: HttpClient::new(UPSTREAM_LIMITS),
+            orders: HttpClient::new(ORDER_LIMITS),
+            peers: HttpClient::new(PEER_LIMITS),
+        };
         let core = GatewayCore::new(settings, ports, clients, metrics, logger);
         let session = MemberSession::new(Rc::clone(&core));
         let jobs = JobService::new(Rc::clone(&core), Rc::clone(&session));
@@ -163,10 +172,13 @@
             }
             sleep(DRAIN_POLL_INTERVAL).await;
         }
-        let remaining = self.callers.requests();
         self.callers.stop();
+        while self.callers.connections() > 0 && Instant::now() < deadline {
+            sleep(DRAIN_POLL_INTERVAL).await;
+        }
+        let remaining = self.callers.connections();
         log_event!(self.core.logger, GATEWAY_STOPPED;
-            "requests" => remaining,
+            "connections" => remaining,
             "elapsed_ms" => u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX));
         match remaining {
             0 => GatewayExit::Drained,
@@ -298,6 +310,7 @@
     loop {
         sleep(HOUSEKEEPING_INTERVAL).await;
         core.upstream_client.sweep();
+        core.order_client.sweep();
         core.peer_client.sweep();
         jobs.drop_expired(unix_ms());
         callers.set_limits(server_limits(&core));
--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -74,14 +74,13 @@
         .ports
         .upstreams
         .decode_head(exchange.status(), exchange.headers());
-    // On a reused connection, a late response to an earlier request may arrive in place of the expected one.
-    if head
-        .request
-        .as_ref()
-        .is_some_and(|answered| *answered != id)
-    {
+    if let Some(detail) = foreign_response(&head, &id) {
         exchange.discard_connection();
-        return AttemptOutcome::Unknown(format!("the response is for a request other than {id}"));
+        guard.record_failure();
+        return AttemptOutcome::Unknown(detail);
+    }
+    if head.status.is_server_error() {
+        exchange.prevent_reuse();
     }
     if head.not_run {
         guard.record_refusal(REFUSAL_PAUSE_MS);
@@ -134,6 +133,21 @@
     }))
 }
 
+/// Returns a description of a response that does not prove that it answers the request `id`.
+///
+/// On a reused connection, a second response to an earlier request may arrive in place of the expected one, and a
+/// faulty upstream may send bytes that belong to no request. Upstreams return the identifier of the request.
+pub fn foreign_response(head: &UpstreamHead, id: &str) -> Option<String> {
+    match &head.request {
+        Some(answered) if answered == id => None,
+        Some(answered) => Some(format!("the response is for request {answered}, not {id}")),
+        None => Some(format!(
+            "the response with status {} does not name the request {id}",
+            head.status
+        )),
+    }
+}
+
 /// Copies an upstream's response headers, except those of its connection.
 pub fn copy_headers(from: &HeaderMap, to: &mut HeaderMap) {
     for (name, value) in from {
--- a/crates/catkindeck-gateway/src/forward/mod.rs
+++ b/crates/catkindeck-gateway/src/forward/mod.rs
@@ -5,6 +5,6 @@
 pub mod stream;
 
 pub use {
-    attempt::{AttemptOutcome, UpstreamResponse, copy_headers},
+    attempt::{AttemptOutcome, UpstreamResponse, copy_headers, foreign_response},
     call::{CallOptions, CallOutcome, CallReport, HedgedCall},
 };
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -1,7 +1,7 @@
 //! Streams events to a caller, and resumes the stream at another upstream where the route allows it.
 
 use {
-    super::attempt::{REFUSAL_PAUSE_MS, copy_headers},
+    super::attempt::{REFUSAL_PAUSE_MS, copy_headers, foreign_response},
     crate::{
         caller_handler::{AdmittedRequest, ResponseSource, check_key},
         core::GatewayCore,
@@ -17,11 +17,12 @@
     catkindeck_policy::direct::{EngineQuery, UpstreamKey},
     http::{HeaderMap, Response, StatusCode},
     std::{rc::Rc, time::Duration},
-    tokio::time::{Instant, timeout},
+    tokio::time::{Instant, timeout, timeout_at},
 };
 
-/// How long a stream may be without data before it is resumed at another upstream. Callers give up after two
-/// seconds, and a slow engine generates an event within a few hundred milliseconds.
+/// How long a resumable stream may be without an event before it is resumed at another upstream. Callers give up
+/// after two seconds, and a slow engine generates an event within a few hundred milliseconds. A stream that cannot
+/// be resumed is not cut before its deadline, because it may be slow but sound.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// The number of upstreams that may refuse a stream without running it; these do not count as attempts.
@@ -196,11 +197,14 @@
         };
         let head = codec.decode_head(exchange.status(), exchange.headers());
         let id = &self.request.head.id;
-        if head.request.as_ref().is_some_and(|answered| answered != id) {
+        if let Some(detail) = foreign_response(&head, id) {
             exchange.discard_connection();
-            let detail = format!("the response is for a request other than {id}");
+            guard.record_failure();
             return Ok(OpenOutcome::Unknown(detail));
         }
+        if head.status.is_server_error() {
+            exchange.prevent_reuse();
+        }
         if head.not_run {
             guard.record_refusal(REFUSAL_PAUSE_MS);
             exchange.drain_in_background();
@@ -262,15 +266,18 @@
         is_stream: bool,
     ) -> ForwardOutcome {
         let mut decoder: Box<dyn EventDecoder> = self.core.ports.upstreams.event_decoder();
+        let resumable = is_stream && self.request.matched.route.terms.resumable;
+        // Bytes that complete no event are no progress.
+        let mut last_event_at = Instant::now();
         loop {
-            let left = self
-                .request
-                .expires
-                .saturating_duration_since(Instant::now());
-            let chunk = match timeout(left.min(EVENT_TIMEOUT), stream.exchange.chunk()).await {
+            let limit = match resumable {
+                true => self.request.expires.min(last_event_at + EVENT_TIMEOUT),
+                false => self.request.expires,
+            };
+            let chunk = match timeout_at(limit, stream.exchange.chunk()).await {
                 Err(_) => {
                     return ForwardOutcome::Broken(format!(
-                        "no data from the upstream within {EVENT_TIMEOUT:?} or before the deadline"
+                        "no event from the upstream within {EVENT_TIMEOUT:?} or before the deadline"
                     ));
                 }
                 Ok(Err(fault)) => return ForwardOutcome::Broken(fault.detail),
@@ -301,6 +308,7 @@
                     ));
                 }
                 self.last_event = Some(event.number);
+                last_event_at = Instant::now();
                 if !sender.send(event.raw).await {
                     return ForwardOutcome::CallerGone;
                 }
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -5,6 +5,7 @@
     crate::{
         core::GatewayCore,
         events::{ITEM_RUN_ENDED, ITEM_STARTED},
+        forward::foreign_response,
         port::{StreamEvent, UpstreamCall, UpstreamHead},
         upstream_guard::UpstreamGuard,
     },
@@ -14,14 +15,15 @@
     catkindeck_policy::direct::{ItemKey, ItemOutcome},
     http::Request,
     std::{rc::Rc, time::Duration},
-    tokio::time::{Instant, timeout},
+    tokio::time::{Instant, timeout, timeout_at},
 };
 
 /// The longest time to the first event. A full engine queues a request until a slot is free, and loading new
 /// weights takes about a second.
 const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// The longest time between two chunks of a stream before the run ends and the item is assigned again.
+/// The longest time between two events of a stream before the run ends and the item is assigned again. Bytes that
+/// complete no event do not extend it.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// How long an engine is not selected after it refused an item, in milliseconds.
@@ -113,12 +115,16 @@
         .upstreams
         .decode_head(exchange.status(), exchange.headers());
     let id = &job.spec.items[run.key.0 as usize].id;
-    if head.request.as_ref().is_some_and(|answered| answered != id) {
+    if let Some(detail) = foreign_response(&head, id) {
         exchange.discard_connection();
-        let detail = format!("the response is for a request other than {id}");
+        run.guard.record_failure();
         return run_outcome(ItemOutcome::Interrupted, &detail);
     }
     if let Some(ended) = check_head(&head, run) {
+        if !head.not_run {
+            // The item may be sent again, and a second copy of this response would count as another failure.
+            exchange.prevent_reuse();
+        }
         exchange.drain_in_background();
         return ended;
     }
@@ -202,15 +208,16 @@
             );
         }
         let mut decoder = self.core.ports.upstreams.event_decoder();
+        let answered_at = Instant::now();
         loop {
-            let limit = match self.last_event_at {
-                None => FIRST_EVENT_TIMEOUT,
-                Some(_) => EVENT_TIMEOUT,
+            let (since, limit) = match self.last_event_at {
+                None => (answered_at, FIRST_EVENT_TIMEOUT),
+                Some(last_event_at) => (last_event_at, EVENT_TIMEOUT),
             };
-            let chunk = match timeout(limit, exchange.chunk()).await {
+            let chunk = match timeout_at(since + limit, exchange.chunk()).await {
                 Err(_) => {
                     self.run.guard.record_failure();
-                    let detail = format!("no data from the upstream within {limit:?}");
+                    let detail = format!("no event from the upstream within {limit:?}");
                     return run_outcome(ItemOutcome::Interrupted, &detail);
                 }
                 Ok(Err(fault)) => {
--- a/crates/catkindeck-gateway/src/leader/election.rs
+++ b/crates/catkindeck-gateway/src/leader/election.rs
@@ -94,6 +94,12 @@
         }
     }
 
+    /// Returns whether this process is still the leader with a fencing token. Asked directly before each call to the
+    /// platform is written, because the platform may not check the token itself.
+    pub fn may_act(&self, fence: u64) -> bool {
+        self.proof().is_ok_and(|proof| proof.fence == fence)
+    }
+
     /// Claims leadership and returns the fencing token, or waits while another process is the leader.
     async fn claim(&self) -> Result<Option<u64>, ServiceError> {
         let lease = self.session.lease();
--- a/crates/catkindeck-gateway/src/leader/usage.rs
+++ b/crates/catkindeck-gateway/src/leader/usage.rs
@@ -107,7 +107,8 @@
             return Ok(());
         };
         let proof = self.election.proof()?;
-        cloud_api.report_usage(&proof, &report).await?;
+        let permit = || self.election.may_act(proof.fence);
+        cloud_api.report_usage(&proof, &report, &permit).await?;
         log_event!(self.election.core.logger, USAGE_REPORTED;
             "window" => window, "fence" => proof.fence,
             "requests" => report.counts.iter().map(|(_, count)| count).sum::<u64>());
--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -98,7 +98,11 @@
             accepted: Some(accepted),
         };
         let request = core.ports.upstreams.encode_order(&order);
-        let response = core.upstream_client.call(address, request, ORDER_TIMEOUT);
+        // The connection may have to be opened first, and the lease may end meanwhile.
+        let permit = || self.election.may_act(order.fence);
+        let response = core
+            .order_client
+            .call_if(address, request, ORDER_TIMEOUT, &permit);
         let outcome = match response.await {
             Ok(response) => core.ports.upstreams.decode_order(response.status),
             Err(fault) => {
@@ -157,7 +161,7 @@
         };
         let request = core.ports.upstreams.encode_report(&id);
         let response = core
-            .upstream_client
+            .order_client
             .call(address, request, ORDER_TIMEOUT)
             .await;
         let report = match response {
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -23,7 +23,7 @@
     catkindeck_net::{HttpHandler, LocalFuture, ResponseBody},
     catkindeck_policy::direct::{ItemProgress, JobResult, JobSpec, UsageCount},
     http::{Method, Request, Response, StatusCode},
-    http_body_util::BodyExt,
+    http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::time::sleep,
@@ -31,6 +31,9 @@
 
 const PEER_PATH: &str = "/peer";
 
+/// The maximum size of the body of a call, in bytes. The largest calls hand over a job with its texts.
+const MAX_CALL_BYTES: usize = 64 << 20;
+
 /// The time for a response in addition to the wait time that a call requests. The network delay between hosts
 /// is about a millisecond; the rest allows for a busy CPU.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -225,7 +228,8 @@
     }
 
     async fn answer_call(&self, request: Request<Incoming>) -> Result<PeerResponse, ServiceError> {
-        let body = request.into_body().collect().await.map_err(|error| {
+        let body = Limited::new(request.into_body(), MAX_CALL_BYTES).collect();
+        let body = body.await.map_err(|error| {
             ServiceError::not_run(
                 ErrorKind::BadRequest,
                 format!("cannot read the body of the peer call: {error}"),
--- a/crates/catkindeck-gateway/src/port/cloud_api.rs
+++ b/crates/catkindeck-gateway/src/port/cloud_api.rs
@@ -2,7 +2,7 @@
 
 use {
     catkindeck::{ServiceError, id::ObjectName, message},
-    catkindeck_net::LocalFuture,
+    catkindeck_net::{LocalFuture, SendPermit},
 };
 
 /// Identifies the leader in calls to the platform.
@@ -33,13 +33,14 @@
 /// The platform's API for usage reports and for scaling.
 ///
 /// All methods return `fenced` if the platform has seen a higher fencing token, and `peer_unavailable`
-/// otherwise. The execution outcome `unknown` means that the call may have taken effect or may still do so.
+/// otherwise. A call is sent only if its permit says so directly before it is written. The execution outcome `unknown` means that the call may have taken effect or may still do so.
 pub trait CloudApi {
     /// Reports the usage of a window. Repeating an identical report has no effect.
     fn report_usage<'a>(
         &'a self,
         proof: &'a LeaderProof,
         report: &'a UsageReport,
+        permit: SendPermit<'a>,
     ) -> LocalFuture<'a, Result<(), ServiceError>>;
 
     /// Sets the desired number of upstreams.
@@ -47,5 +48,6 @@
         &'a self,
         proof: &'a LeaderProof,
         target: &'a ScalingTarget,
+        permit: SendPermit<'a>,
     ) -> LocalFuture<'a, Result<(), ServiceError>>;
 }
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -258,6 +258,7 @@
         for key in &changes.gone {
             let record = &roster.get(*key).record;
             core.upstream_client.close(record.address);
+            core.order_client.close(record.address);
             log_event!(core.logger, UPSTREAM_REMOVED; "upstream" => %record.id);
         }
         drop(roster);
--- a/crates/catkindeck-net/src/client.rs
+++ b/crates/catkindeck-net/src/client.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        exchange::{CompleteResponse, HttpExchange, SendError},
+        exchange::{CompleteResponse, HttpExchange, SendError, SendPermit},
         pool::{ConnectionPool, PooledConnection},
     },
     bytes::Bytes,
@@ -20,6 +20,8 @@
     pub idle: Duration,
     /// The maximum number of idle connections kept per address.
     pub idle_connections: usize,
+    /// The maximum size of the body of a response that is read as a whole, in bytes.
+    pub response_bytes: usize,
 }
 
 /// An HTTP client that reuses connections, with one request at a time on each.
@@ -51,15 +53,30 @@
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
+    ) -> Result<HttpExchange, SendError> {
+        self.send_if(address, request, &|| true).await
+    }
+
+    /// As [`Self::send`], but asks `permit` directly before the request is written, because a
+    /// permission may end while a connection is opened.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`]; a request that is not permitted was not sent.
+    pub async fn send_if(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        permit: SendPermit<'_>,
     ) -> Result<HttpExchange, SendError> {
         let mut request = request;
         while let Some(connection) = self.pool.take(address, self.limits.idle) {
-            match HttpExchange::start(connection, request, self.pool_handle()).await {
+            match HttpExchange::start(connection, request, permit, self.pool_handle()).await {
                 Err((send_error, Some(unsent))) if send_error.was_reused => request = unsent,
                 outcome => return outcome.map_err(|(send_error, _)| send_error),
             }
         }
-        self.send_on_new_connection(address, request).await
+        self.open_and_send(address, request, permit).await
     }
 
     /// Sends a request on a new connection, for requests that a stale connection could lose.
@@ -71,12 +88,21 @@
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
+    ) -> Result<HttpExchange, SendError> {
+        self.open_and_send(address, request, &|| true).await
+    }
+
+    async fn open_and_send(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        permit: SendPermit<'_>,
     ) -> Result<HttpExchange, SendError> {
         let connection = PooledConnection::open(address, self.limits.connect)
             .await
             .map_err(|error| SendError::not_sent(error.to_string()))?;
         self.opened.set(self.opened.get() + 1);
-        HttpExchange::start(connection, request, self.pool_handle())
+        HttpExchange::start(connection, request, permit, self.pool_handle())
             .await
             .map_err(|(send_error, _)| send_error)
     }
@@ -85,16 +111,32 @@
     ///
     /// # Errors
     ///
-    /// See [`Self::send`]. After a truncated or late response the request counts as received.
+    /// See [`Self::send`]. After a truncated, late or too large response the request counts as
+    /// received.
     pub async fn call(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
         limit: Duration,
+    ) -> Result<CompleteResponse, SendError> {
+        self.call_if(address, request, limit, &|| true).await
+    }
+
+    /// As [`Self::call`], but asks `permit` directly before the request is written.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call`]; a request that is not permitted was not sent.
+    pub async fn call_if(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        limit: Duration,
+        permit: SendPermit<'_>,
     ) -> Result<CompleteResponse, SendError> {
         let exchange = async {
-            let exchange = self.send(address, request).await?;
-            exchange.read_to_end(usize::MAX).await
+            let exchange = self.send_if(address, request, permit).await?;
+            exchange.read_to_end(self.limits.response_bytes).await
         };
         match timeout(limit, exchange).await {
             Ok(outcome) => outcome,
--- a/crates/catkindeck-net/src/exchange.rs
+++ b/crates/catkindeck-net/src/exchange.rs
@@ -54,6 +54,9 @@
     }
 }
 
+/// Returns whether a request may still be sent; asked directly before it is written.
+pub type SendPermit<'a> = &'a dyn Fn() -> bool;
+
 /// A response whose body has been read completely.
 #[derive(Debug, Clone)]
 pub struct CompleteResponse {
@@ -74,10 +77,12 @@
 }
 
 impl HttpExchange {
-    /// Sends a request. If nothing was written, the request is returned with the error.
+    /// Sends a request if it is permitted once the connection can take it. If nothing was written
+    /// to a connection that was closed, the request is returned with the error.
     pub(crate) async fn start(
         connection: PooledConnection,
         request: Request<Bytes>,
+        permit: SendPermit<'_>,
         (pool, capacity): (ConnectionPool, usize),
     ) -> Result<Self, (SendError, Option<Request<Bytes>>)> {
         let mut connection = connection;
@@ -90,6 +95,10 @@
             };
             return Err((send_error, Some(with_plain_body(sent))));
         }
+        if !permit() {
+            let detail = "the permission to send the request has ended".to_owned();
+            return Err((SendError::not_sent(detail), None));
+        }
         let response = match connection.sender.try_send_request(sent).await {
             Ok(response) => response,
             Err(mut error) => {
@@ -182,12 +191,19 @@
         });
     }
 
-    /// Closes the connection at the end instead of reusing it, for a response that belongs to
-    /// another request.
+    /// Closes the connection now, for a response that belongs to another request.
     pub fn discard_connection(&mut self) {
         self.connection = None;
     }
 
+    /// Closes the connection after this response instead of reusing it.
+    ///
+    /// A server may send a second copy of a response when the next request arrives. Where the same
+    /// request is sent again, the copy could not be told from a new response.
+    pub fn prevent_reuse(&mut self) {
+        self.capacity = 0;
+    }
+
     fn return_to_pool(&mut self) {
         if let Some(connection) = self.connection.take()
             && !connection.sender.is_closed()
--- a/crates/catkindeck-net/src/lib.rs
+++ b/crates/catkindeck-net/src/lib.rs
@@ -14,7 +14,7 @@
 pub use {
     body::{BodySender, ResponseBody},
     client::{ClientLimits, HttpClient},
-    exchange::{CompleteResponse, HttpExchange, SendError},
+    exchange::{CompleteResponse, HttpExchange, SendError, SendPermit},
     server::{HttpHandler, HttpServer, ServerControl, ServerLimits},
 };
 
--- a/crates/catkindeck-net/src/pool.rs
+++ b/crates/catkindeck-net/src/pool.rs
@@ -17,6 +17,10 @@
     tokio::task::JoinHandle,
 };
 
+/// The maximum number of received bytes that a connection buffers, which also bounds the head of a
+/// response. Bytes that are no response may arrive without end.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// An open connection, which is closed when it is dropped.
 pub(crate) struct PooledConnection {
     pub(crate) address: SocketAddr,
@@ -32,7 +36,10 @@
     /// Opens a connection and spawns the task that drives it.
     pub(crate) async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let stream = socket::connect(address, limit).await?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
             // The current exchange reports the error; between exchanges nobody needs it.
--- a/crates/catkindeck-net/src/server.rs
+++ b/crates/catkindeck-net/src/server.rs
@@ -4,24 +4,35 @@
     crate::{
         LocalFuture,
         body::ResponseBody,
-        events::{ACCEPT_FAILED, LISTENING},
+        events::{ACCEPT_FAILED, HANDLER_PANICKED, LISTENING},
         socket,
     },
     catkindeck::log_event,
-    http::{HeaderValue, Request, Response, header::CONNECTION},
+    futures_util::FutureExt,
+    http::{HeaderValue, Request, Response, StatusCode, header::CONNECTION},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     slog::Logger,
-    std::{cell::Cell, convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration},
+    std::{
+        cell::Cell, convert::Infallible, io, net::SocketAddr, panic::AssertUnwindSafe, rc::Rc,
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
+        time::sleep,
     },
 };
 
 /// The delay after a failed accept, so that a lack of file descriptors does not flood the log.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How long a connection without a request stays open after the server was stopped.
+///
+/// A caller may have sent a request on it already. The time exceeds the delay between hosts and
+/// callers by far.
+const STOP_LINGER: Duration = Duration::from_millis(300);
+
 /// A handler of the requests to one address.
 pub trait HttpHandler {
     /// Handles a request. The future is dropped if the caller disconnects.
@@ -75,7 +86,8 @@
         self.close_requested.set(true);
     }
 
-    /// Stops accepting connections, closes idle ones, and closes the others after their response.
+    /// Stops accepting connections and closes the open ones after their response; idle ones get
+    /// [`STOP_LINGER`] for a request that is on its way.
     pub fn stop(&self) {
         self.request_close();
         self.stop.send_replace(true);
@@ -127,28 +139,49 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = stop.wait_for(|stopping| *stopping) => return,
+                _ = stop.wait_for(|stopping| *stopping) => break,
             };
             match accepted {
-                Ok((stream, _)) => {
-                    if self.control.connections.get() < self.control.limits.get().connections {
-                        tokio::task::spawn_local(Rc::clone(&self).serve(stream));
-                    }
-                }
+                Ok((stream, _)) => self.start_connection(stream),
                 Err(error) => {
                     log_event!(self.logger, ACCEPT_FAILED; "error" => %error);
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                    sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
         }
+        self.accept_queued(listener);
+    }
+
+    /// Serves the connections that callers opened before the server was stopped. Closing the
+    /// listener would reset them, although their callers may have sent requests.
+    fn accept_queued(self: &Rc<Self>, listener: TcpListener) {
+        let Ok(listener) = listener.into_std() else {
+            return;
+        };
+        while let Ok((stream, _)) = listener.accept() {
+            let stream = stream
+                .set_nonblocking(true)
+                .and_then(|()| TcpStream::from_std(stream));
+            match stream {
+                Ok(stream) => self.start_connection(stream),
+                Err(error) => log_event!(self.logger, ACCEPT_FAILED; "error" => %error),
+            }
+        }
+    }
+
+    fn start_connection(self: &Rc<Self>, stream: TcpStream) {
+        if self.control.connections.get() < self.control.limits.get().connections {
+            // Counted at once, so that a server that stops waits for the connection.
+            let guard = CountGuard::new(&self.control, |control| &control.connections);
+            tokio::task::spawn_local(Rc::clone(self).serve(stream, guard));
+        }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, _guard: CountGuard) {
         // If the options cannot be set, the connection is closed already.
         if socket::set_options(&stream).is_err() {
             return;
         }
-        let _guard = CountGuard::new(&self.control, |control| &control.connections);
         let limits = self.control.limits.get();
         let service = service_fn(|request| {
             let server = Rc::clone(&self);
@@ -161,9 +194,14 @@
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         let mut stop = self.control.stop.subscribe();
+        let stopped = async {
+            // The sender lives as long as this server.
+            let _ = stop.wait_for(|stopping| *stopping).await;
+            sleep(STOP_LINGER).await;
+        };
         tokio::select! {
             _ = connection.as_mut() => return,
-            _ = stop.wait_for(|stopping| *stopping) => connection.as_mut().graceful_shutdown(),
+            () = stopped => connection.as_mut().graceful_shutdown(),
         }
         // The caller disconnected or violated the protocol, which hyper has already handled.
         let _ = connection.await;
@@ -171,7 +209,18 @@
 
     async fn respond(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         let _guard = CountGuard::new(&self.control, |control| &control.requests);
-        let mut response = Rc::clone(&self.handler).handle(request).await;
+        let path = request.uri().path().to_owned();
+        let handled = AssertUnwindSafe(Rc::clone(&self.handler).handle(request)).catch_unwind();
+        let mut response = match handled.await {
+            Ok(response) => response,
+            // A fault in one request must not affect the others.
+            Err(_) => {
+                log_event!(self.logger, HANDLER_PANICKED; "path" => path);
+                let mut response = Response::new(ResponseBody::whole(bytes::Bytes::new()));
+                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                response
+            }
+        };
         if self.control.close_requested.get() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
--- /dev/null
+++ b/crates/catkindeck-net/tests/client.rs
@@ -0,0 +1,201 @@
+//! The client against servers that send bytes which are no response, or a second response.
+
+use {
+    bytes::Bytes,
+    catkindeck_net::{ClientLimits, HttpClient},
+    http::Request,
+    std::{
+        cell::Cell,
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        thread,
+        time::Duration,
+    },
+    tokio::task::LocalSet,
+};
+
+const LIMITS: ClientLimits = ClientLimits {
+    connect: Duration::from_secs(5),
+    idle: Duration::from_secs(30),
+    idle_connections: 4,
+    response_bytes: 64 << 10,
+};
+
+/// The time limit of calls that must fail for another reason.
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Starts a server that serves each connection by `serve` and returns its address.
+fn start_server(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let serve = Arc::clone(&serve);
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+/// Reads the head of a request. Returns `false` at the end of the connection.
+fn read_request(stream: &mut TcpStream) -> bool {
+    let mut received = Vec::new();
+    let mut byte = [0];
+    while !received.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => received.push(byte[0]),
+            _ => return false,
+        }
+    }
+    true
+}
+
+/// Sends bytes until the client closes the connection and counts them.
+fn send_without_end(stream: &mut TcpStream, part: &[u8], sent: &AtomicUsize) {
+    while stream.write_all(part).is_ok() {
+        sent.fetch_add(part.len(), Ordering::Relaxed);
+    }
+}
+
+fn request() -> Request<Bytes> {
+    Request::get("/")
+        .header("host", "server.example")
+        .body(Bytes::new())
+        .expect("the request is valid")
+}
+
+async fn run<F: Future>(task: F) -> F::Output {
+    LocalSet::new().run_until(task).await
+}
+
+/// Guards against a client that buffers a head without end until the process runs out of memory.
+#[tokio::test]
+async fn a_head_without_end_is_given_up_and_its_connection_closed() {
+    for part in [
+        &b"HTTP/1.1 200 OK\r\nx-endless: "[..],
+        &b"no protocol at all "[..],
+    ] {
+        let sent = Arc::new(AtomicUsize::new(0));
+        let (count, closed) = (Arc::clone(&sent), Arc::new(AtomicUsize::new(0)));
+        let done = Arc::clone(&closed);
+        let address = start_server(move |mut stream| {
+            if read_request(&mut stream) && stream.write_all(part).is_ok() {
+                send_without_end(&mut stream, &[b'x'; 4_096], &count);
+            }
+            done.store(1, Ordering::Release);
+        });
+        let client = HttpClient::new(LIMITS);
+
+        let outcome = run(client.call(address, request(), CALL_TIMEOUT)).await;
+
+        let error = outcome.expect_err("the bytes are no response");
+        assert!(error.maybe_received);
+        while closed.load(Ordering::Acquire) == 0 {
+            thread::sleep(Duration::from_millis(5));
+        }
+        assert!(!client.has_idle(address));
+    }
+}
+
+/// Guards against a client that reads a body without end into memory.
+#[tokio::test]
+async fn a_body_without_end_is_given_up_and_its_connection_closed() {
+    for head in [
+        &b"HTTP/1.1 200 OK\r\n\r\n"[..],
+        &b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"[..],
+    ] {
+        let closed = Arc::new(AtomicUsize::new(0));
+        let done = Arc::clone(&closed);
+        let address = start_server(move |mut stream| {
+            if read_request(&mut stream) && stream.write_all(head).is_ok() {
+                let chunk = [b"1000\r\n".to_vec(), vec![b'x'; 4_096], b"\r\n".to_vec()].concat();
+                send_without_end(&mut stream, &chunk, &AtomicUsize::new(0));
+            }
+            done.store(1, Ordering::Release);
+        });
+        let client = HttpClient::new(LIMITS);
+
+        let outcome = run(client.call(address, request(), CALL_TIMEOUT)).await;
+
+        let error = outcome.expect_err("the body has no end");
+        assert!(error.detail.contains("limit"), "{error}");
+        while closed.load(Ordering::Acquire) == 0 {
+            thread::sleep(Duration::from_millis(5));
+        }
+        assert!(!client.has_idle(address));
+    }
+}
+
+/// Guards against a late second response on a connection that is kept: after a response that may be followed by
+/// another request with the same identifier, the connection must not be used again.
+#[tokio::test]
+async fn a_connection_is_not_reused_after_reuse_was_prevented() {
+    let connections = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&connections);
+    let address = start_server(move |mut stream| {
+        let number = count.fetch_add(1, Ordering::AcqRel);
+        // The second copy of the response arrives with the next request.
+        while read_request(&mut stream) {
+            let answer = format!("HTTP/1.1 500 Failed\r\ncontent-length: 1\r\n\r\n{number}");
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    });
+    run(async {
+        let client = HttpClient::new(LIMITS);
+        for expected in 0..3 {
+            let mut exchange = client
+                .send(address, request())
+                .await
+                .expect("the server responds");
+            exchange.prevent_reuse();
+            let response = exchange
+                .read_to_end(16)
+                .await
+                .expect("the body is complete");
+            assert_eq!(response.body, expected.to_string().as_bytes());
+            assert!(!client.has_idle(address));
+        }
+    })
+    .await;
+    assert_eq!(connections.load(Ordering::Acquire), 3);
+}
+
+/// Guards against a request that is sent after the permission for it has ended while the connection was opened.
+#[tokio::test]
+async fn a_request_is_not_sent_after_its_permit_ended() {
+    let requests = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&requests);
+    let address = start_server(move |mut stream| {
+        while read_request(&mut stream) {
+            count.fetch_add(1, Ordering::AcqRel);
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            if stream.write_all(answer).is_err() {
+                return;
+            }
+        }
+    });
+    run(async {
+        let client = HttpClient::new(LIMITS);
+        let is_permitted = Cell::new(true);
+        let permit = || is_permitted.get();
+        let allowed = client.call_if(address, request(), CALL_TIMEOUT, &permit);
+        assert!(allowed.await.is_ok());
+        is_permitted.set(false);
+        // Once on the pooled connection and once on a new one.
+        for _ in 0..2 {
+            let refused = client.call_if(address, request(), CALL_TIMEOUT, &permit);
+            let error = refused.await.expect_err("the permit has ended");
+            assert!(!error.maybe_received, "{error}");
+            client.close(address);
+        }
+    })
+    .await;
+    assert_eq!(requests.load(Ordering::Acquire), 1);
+}
