Pause calls to a store that does not answer, one trial call at a time

While the store was away, each kind of call of each of 93 processes was repeated every 200 to 300 ms and tried two peers as well. 1,591 reads and 1,272 watches of the leader's key: each end of a watch read the key again, and all entries claimed. Change: OutageBackoff in the policy crate: after a call that failed both ways only one trial call is made at a time, with growing, jittered delays that grow with the deployment for entries; other calls fail at once; data from the leader ends the pause. Rounds try other peers. The leader's key is followed by its watch, and entries claim at different times. Processes that get no data from the leader read as often as the bound for changes demands.

--- a/crates/catkindeck-gateway/src/leader/election.rs
+++ b/crates/catkindeck-gateway/src/leader/election.rs
@@ -9,7 +9,10 @@
         events::{LEADERSHIP_ACQUIRED, LEADERSHIP_RELEASED, MAINTENANCE_FAILED},
         jobs::JobService,
         keys::{self, LEADER_KEY, MemberRecord},
-        port::{CommitOutcome, LeaderProof, StoreCondition, StoreWrite, Transaction, WatchOutcome},
+        port::{
+            CommitOutcome, LeaderProof, StoreCondition, StoreItem, StoreWrite, Transaction,
+            WatchOutcome,
+        },
         session::MemberSession,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, log_event},
@@ -32,6 +35,11 @@
 /// callers, if there is one, becomes the leader.
 const ENTRY_CLAIM_DELAY: Duration = Duration::from_millis(400);
 
+/// The ranks among which entries are spread at random, and the additional delay for each rank, so that the claim of
+/// the first is seen by the others before they claim.
+const ENTRY_CLAIM_RANKS: u32 = 16;
+const ENTRY_CLAIM_STEP: Duration = Duration::from_millis(25);
+
 /// How often the leader checks that it still holds its lease.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -43,6 +51,28 @@
     fence: RefCell<Option<u64>>,
     /// When this process last lost or gave up leadership.
     released_at: Cell<Option<Moment>>,
+    /// The state of the leader's key as last seen; `None` if it has to be read.
+    view: RefCell<Option<LeaderView>>,
+}
+
+/// The state of the leader's key at a revision of the store.
+#[derive(Debug, Clone)]
+struct LeaderView {
+    revision: u64,
+    /// The revision of the key; zero if it does not exist.
+    item_revision: u64,
+    /// The leader; `None` also if the key's value cannot be decoded.
+    holder: Option<MemberRecord>,
+}
+
+impl LeaderView {
+    fn new(revision: u64, item: Option<&StoreItem>) -> Self {
+        Self {
+            revision,
+            item_revision: item.map_or(0, |item| item.revision),
+            holder: item.and_then(|item| keys::decode_item(item).ok()),
+        }
+    }
 }
 
 impl LeaderElection {
@@ -57,6 +87,7 @@
             session,
             fence: RefCell::new(None),
             released_at: Cell::new(None),
+            view: RefCell::new(None),
         })
     }
 
@@ -107,33 +138,35 @@
             sleep(RETRY_PAUSE).await;
             return Ok(None);
         };
-        let store = &self.core.ports.store;
-        let listing = store.list(LEADER_KEY).await?;
-        let found = listing.items.iter().find(|item| item.key == LEADER_KEY);
-        let holder = found.and_then(|item| keys::decode_item::<MemberRecord>(item).ok());
-        match self.claim_decision(holder.as_ref()) {
+        let view = match self.view.take() {
+            Some(view) => view,
+            None => self.read_view().await?,
+        };
+        match self.claim_decision(view.holder.as_ref()) {
             ClaimDecision::Claim => {}
             ClaimDecision::CoolDown => {
                 sleep(RETRY_PAUSE).await;
                 return Ok(None);
             }
             ClaimDecision::Wait => {
-                *self.core.leader.borrow_mut() = holder;
-                // The watch starts at the revision of the read, so the removal of the key cannot be missed.
-                let watched = store.watch(LEADER_KEY, listing.revision, WATCH_WAIT).await;
-                if !matches!(watched, Ok(WatchOutcome::Changes { .. })) {
-                    sleep(RETRY_PAUSE).await;
-                }
+                self.core.leader.borrow_mut().clone_from(&view.holder);
+                self.await_change(view, WATCH_WAIT).await;
                 return Ok(None);
             }
         }
-        if found.is_none() && self.core.settings().entry.is_some() {
-            sleep(ENTRY_CLAIM_DELAY).await;
+        if view.item_revision == 0 && self.core.settings().entry.is_some() {
+            let rank = u32::from(self.core.incarnation.0[0]) % ENTRY_CLAIM_RANKS;
+            let delay = ENTRY_CLAIM_DELAY + ENTRY_CLAIM_STEP * rank;
+            let changed = self.await_change(view.clone(), delay).await;
+            if changed {
+                return Ok(None);
+            }
+            self.view.take();
         }
         let transaction = Transaction {
             conditions: vec![StoreCondition {
                 key: LEADER_KEY.to_owned(),
-                revision: found.map_or(0, |item| item.revision),
+                revision: view.item_revision,
             }],
             writes: vec![StoreWrite {
                 key: LEADER_KEY.to_owned(),
@@ -142,12 +175,45 @@
             }],
             removals: Vec::new(),
         };
-        match store.commit(&transaction).await? {
+        match self.core.ports.store.commit(&transaction).await? {
             CommitOutcome::Committed(revision) => Ok(Some(revision)),
             _ => Ok(None),
         }
     }
 
+    async fn read_view(&self) -> Result<LeaderView, ServiceError> {
+        let listing = self.core.ports.store.list(LEADER_KEY).await?;
+        let found = listing.items.iter().find(|item| item.key == LEADER_KEY);
+        Ok(LeaderView::new(listing.revision, found))
+    }
+
+    /// Waits for a change of the leader's key after a view of it, and keeps the new view, so that the key need not
+    /// be read again. Returns whether the key changed or its state is unknown.
+    ///
+    /// The watch starts at the revision of the view, so no change can be missed.
+    async fn await_change(&self, view: LeaderView, wait: Duration) -> bool {
+        let store = &self.core.ports.store;
+        match store.watch(LEADER_KEY, view.revision, wait).await {
+            Ok(WatchOutcome::Changes { items, revision }) => {
+                let mut own = items.iter().filter(|(key, _)| key == LEADER_KEY);
+                let change = own.next_back();
+                let next = match change {
+                    Some((_, item)) => LeaderView::new(revision, item.as_ref()),
+                    None => LeaderView {
+                        revision: revision.max(view.revision),
+                        ..view
+                    },
+                };
+                self.view.replace(Some(next));
+                change.is_some()
+            }
+            _ => {
+                sleep(RETRY_PAUSE).await;
+                true
+            }
+        }
+    }
+
     fn claim_decision(&self, holder: Option<&MemberRecord>) -> ClaimDecision {
         let settings = self.core.settings();
         decide_claim(
@@ -180,6 +246,7 @@
             task.abort();
         }
         let resigned = self.fence.borrow_mut().take().is_none();
+        self.view.take();
         self.released_at.set(Some(self.core.now()));
         *self.core.leader.borrow_mut() = None;
         log_event!(self.core.logger, LEADERSHIP_RELEASED; "fence" => fence);
--- a/crates/catkindeck-gateway/src/relay.rs
+++ b/crates/catkindeck-gateway/src/relay.rs
@@ -16,6 +16,7 @@
     },
     catkindeck::{ErrorKind, ServiceError, error::ExecutionOutcome, log_event, message},
     catkindeck_net::LocalFuture,
+    catkindeck_policy::direct::OutageBackoff,
     std::{
         cell::{Cell, RefCell},
         rc::{Rc, Weak},
@@ -93,6 +94,10 @@
     store_recovered_at: Cell<Option<Instant>>,
     /// The peer that last made a call successfully.
     last_peer: RefCell<Option<MemberRecord>>,
+    /// Spaces calls while the store is unreachable both ways.
+    outage: RefCell<OutageBackoff>,
+    /// How often calls failed both ways, so that each round tries other peers.
+    failed_rounds: Cell<usize>,
 }
 
 impl RelayedStore {
@@ -105,12 +110,21 @@
             is_unreachable: Cell::new(false),
             store_recovered_at: Cell::new(None),
             last_peer: RefCell::new(None),
+            outage: RefCell::new(OutageBackoff::new(0)),
+            failed_rounds: Cell::new(0),
         })
     }
 
     /// Sets the process whose peers are used for the fallback.
     pub fn set_core(&self, core: &Rc<GatewayCore>) {
         *self.core.borrow_mut() = Rc::downgrade(core);
+        let [seed @ .., _, _, _, _, _, _, _, _] = core.incarnation.0;
+        *self.outage.borrow_mut() = OutageBackoff::new(u64::from_le_bytes(seed));
+    }
+
+    /// Records that the store was reached, so that calls are made again without delay.
+    pub fn record_reached(&self) {
+        self.outage.borrow_mut().record_success();
     }
 
     /// Returns when the store became reachable again after it was unreachable both ways.
@@ -130,15 +144,66 @@
                 "this process cannot reach the store directly",
             ));
         }
+        self.check_outage()?;
         let outcome = self.call_direct(call).await;
         self.update_direct_state(&outcome);
+        match &outcome {
+            Err(error) if error.kind == ErrorKind::StoreUnavailable => self.record_failed_trial(),
+            _ => self.record_reached(),
+        }
         outcome
     }
 
+    /// Returns an error at once while the store is unreachable and no trial call is due.
+    fn check_outage(&self) -> Result<(), ServiceError> {
+        let Some(core) = self.core.borrow().upgrade() else {
+            return Ok(());
+        };
+        let now = core.now();
+        let mut outage = self.outage.borrow_mut();
+        if outage.allows_call(now) {
+            return Ok(());
+        }
+        let wait_ms = outage.remaining_ms(now);
+        Err(ServiceError::not_run(
+            ErrorKind::StoreUnavailable,
+            format!("no process can reach the store; the next trial is in {wait_ms} ms"),
+        ))
+    }
+
+    /// Delays the next trial call, if this process is in an outage. A failed direct call alone does not start one,
+    /// because the store may reject single hosts.
+    fn record_failed_trial(&self) {
+        if self.is_unreachable.get() {
+            self.record_outage();
+        }
+    }
+
+    fn record_outage(&self) {
+        let Some(core) = self.core.borrow().upgrade() else {
+            return;
+        };
+        let is_leader = core
+            .leader
+            .borrow()
+            .as_ref()
+            .is_some_and(|leader| leader.incarnation == core.incarnation);
+        let is_essential = is_leader || core.settings().entry.is_none();
+        let processes = core.members.borrow().len();
+        let mut outage = self.outage.borrow_mut();
+        outage.record_failure(core.now(), processes, is_essential);
+    }
+
     async fn call(&self, call: StoreCall) -> Result<StoreResponse, ServiceError> {
+        self.check_outage()?;
         let outcome = self.call_with_fallback(call).await;
-        if outcome.is_ok() && self.is_unreachable.replace(false) {
-            self.store_recovered_at.set(Some(Instant::now()));
+        let is_reached =
+            !matches!(&outcome, Err(error) if error.kind == ErrorKind::StoreUnavailable);
+        if is_reached {
+            self.record_reached();
+            if self.is_unreachable.replace(false) {
+                self.store_recovered_at.set(Some(Instant::now()));
+            }
         }
         outcome
     }
@@ -189,6 +254,9 @@
         // Since no peer could help, the next call tries the direct connection again.
         self.direct_paused_until.set(None);
         self.is_unreachable.set(true);
+        self.failed_rounds.set(self.failed_rounds.get() + 1);
+        *self.last_peer.borrow_mut() = None;
+        self.record_outage();
         Err(match in_doubt && matches!(call, StoreCall::Commit(_)) {
             true => ServiceError::unknown(ErrorKind::StoreUnavailable, detail),
             false => ServiceError::not_run(ErrorKind::StoreUnavailable, detail),
@@ -237,14 +305,18 @@
         }
     }
 
-    /// Returns the peers to try: the one that last succeeded, then the leader, then others.
+    /// Returns the peers to try: the one that last succeeded, then the leader, then others. Where they failed, the
+    /// next round tries other ones, because the store may reject some of them as well.
     fn peers(&self) -> Vec<MemberRecord> {
         let Some(core) = self.core.borrow().upgrade() else {
             return Vec::new();
         };
         let last = self.last_peer.borrow().clone();
-        let leader = core.leader.borrow().clone();
-        let others = core.peers();
+        let round = self.failed_rounds.get();
+        let leader = core.leader.borrow().clone().filter(|_| round % 2 == 0);
+        let mut others = core.peers();
+        let start = (round * PEER_LIMIT).checked_rem(others.len()).unwrap_or(0);
+        others.rotate_left(start);
         let mut peers: Vec<MemberRecord> = Vec::new();
         for peer in last.iter().chain(&leader).chain(&others) {
             let known = peers.iter().any(|known| known.host == peer.host);
--- a/crates/catkindeck-gateway/src/settings.rs
+++ b/crates/catkindeck-gateway/src/settings.rs
@@ -35,6 +35,9 @@
     pub cold_slack: u64,
     /// The time after its submission for which a job must be readable, in milliseconds.
     pub job_retention_ms: u64,
+    /// The time after its acknowledgement by which a change of the desired state or of the list of upstreams must be
+    /// in effect, in milliseconds.
+    pub change_ms: u64,
 }
 
 /// The settings of a gateway process.
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -22,19 +22,26 @@
     tokio::time::{Instant, sleep, sleep_until},
 };
 
-/// The time between two reads. A change must take effect two seconds after it was acknowledged, which leaves
-/// time for one failed read and a retry.
+/// The time between two reads of the leader, which reads for all processes.
 const READ_INTERVAL: Duration = Duration::from_millis(750);
 
+/// The time between two reads of another process that gets no data from the leader, in percent of the time by which
+/// a change must take effect. Leaves time for one failed read and a retry.
+const READ_INTERVAL_PERCENT: u64 = 37;
+
 /// How often the age of the feed is checked.
 const WATCH_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The time until the next read after a failed one.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The age of the feed's data from which this process reads the store itself, in milliseconds. It leaves
-/// time for a read before a change must have taken effect.
-const MAX_FEED_AGE_MS: u64 = 1_150;
+/// The age of the feed's data from which this process reads the store itself, in percent of the time by which a
+/// change must take effect. It leaves time for a read.
+const MAX_FEED_AGE_PERCENT: u64 = 57;
+
+/// The age of the feed's data that shows that the leader reaches the store, in milliseconds. It is less than the
+/// time between two reads.
+const OUTAGE_FEED_AGE_MS: u64 = 500;
 
 /// How long this process does without the feed after the feed failed.
 const FEED_RETRY_PAUSE: Duration = Duration::from_millis(2_000);
@@ -88,7 +95,21 @@
 
     /// Returns whether the feed is active and its data is recent enough to skip a read.
     fn is_recent(&self, feed_read_at: Moment) -> bool {
-        self.is_feed_active.get() && self.core.now().since(feed_read_at) < MAX_FEED_AGE_MS
+        self.is_feed_active.get() && self.core.now().since(feed_read_at) < self.max_feed_age_ms()
+    }
+
+    fn max_feed_age_ms(&self) -> u64 {
+        self.core.settings().bounds.change_ms * MAX_FEED_AGE_PERCENT / 100
+    }
+
+    fn read_interval(&self) -> Duration {
+        match self.feed_source() {
+            Some(_) => {
+                let change_ms = self.core.settings().bounds.change_ms;
+                Duration::from_millis(change_ms * READ_INTERVAL_PERCENT / 100)
+            }
+            None => READ_INTERVAL,
+        }
     }
 
     /// Fetches updates from the leader for as long as that succeeds.
@@ -141,12 +162,14 @@
         let now = self.core.now();
         self.feed_read_at.set(now - oldest);
         self.apply_update(sent, *update);
-        match oldest > MAX_FEED_AGE_MS {
+        if oldest < OUTAGE_FEED_AGE_MS {
+            self.core.relay.record_reached();
+        }
+        let max_age_ms = self.max_feed_age_ms();
+        match oldest > max_age_ms {
             true => Err(ServiceError::not_run(
                 ErrorKind::StoreUnavailable,
-                format!(
-                    "the leader's data is {oldest} ms old, expected at most {MAX_FEED_AGE_MS} ms"
-                ),
+                format!("the leader's data is {oldest} ms old, expected at most {max_age_ms} ms"),
             )),
             false => Ok(()),
         }
@@ -282,7 +305,7 @@
                 if self.is_store_lost.replace(false) {
                     log_event!(self.core.logger, STORE_REGAINED);
                 }
-                READ_INTERVAL
+                self.read_interval()
             }
             Err(error) => {
                 if !self.is_store_lost.replace(true) {
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -5,6 +5,7 @@
 pub mod freshness;
 pub mod give_up;
 pub mod job;
+pub mod outage;
 pub mod outcome;
 pub mod peer_reachability;
 pub mod rate;
@@ -23,6 +24,7 @@
         ItemKey, ItemPhase, ItemProgress, JobItem, JobLimits, JobResult, JobSpec, ResultCommit,
         RolloutJob, ScorerCall, StartPriority, TextPart,
     },
+    outage::OutageBackoff,
     outcome::{ItemOutcome, ResultState},
     peer_reachability::PeerReachability,
     rate::RateWindow,
