Date by a clock that does not follow jumps, and restart tasks that panic

Each use of it was looked at: usage windows, the age of jobs and their removal followed a jump; leases, freshness, deadlines and back-offs use the clock that counts suspended time and do not. A panic in a long-lived task left the process running without it, and one in the task of an item left the item running forever. Change: WallClockFilter follows drift at once and a jump only after a minute; the gateway dates by it alone, also submissions. Long-lived tasks are started again after a panic, and the tasks of an item or of its scorer release it. Ruled out: agreement with peers on the time, for a process that starts during a jump; it would be off by the jump until its next start (listed as open).

--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        events::INTENT_FAULT,
+        events::{CLOCK_JUMPED, INTENT_FAULT},
         feed::StoreFeed,
         intent::IntentView,
         jobs::backup::CopyStore,
@@ -16,11 +16,12 @@
         Clock, Moment,
         id::{IncarnationId, ObjectName},
         log_event,
-        time::BootClock,
+        time::{BootClock, unix_ms},
     },
     catkindeck_net::HttpClient,
     catkindeck_policy::direct::{
-        FreshnessGate, PeerReachability, UpstreamTable, UsageLedger, UsageWindows,
+        ClockChange, FreshnessGate, PeerReachability, UpstreamTable, UsageLedger, UsageWindows,
+        WallClockFilter,
     },
     slog::Logger,
     std::{
@@ -105,6 +106,7 @@
     pub is_shutting_down: Cell<bool>,
     pub logger: Logger,
     clock: BootClock,
+    wall_clock: RefCell<WallClockFilter>,
 }
 
 impl GatewayCore {
@@ -146,7 +148,10 @@
             is_shutting_down: Cell::new(false),
             logger,
             clock: BootClock::new(),
+            wall_clock: RefCell::default(),
         });
+        // The first reading is the one with which later ones are compared.
+        core.unix_ms();
         relay.set_core(&core);
         core
     }
@@ -155,6 +160,21 @@
         self.clock.now()
     }
 
+    /// Returns the estimated time of day in milliseconds since the Unix epoch. It dates only what processes must
+    /// agree on; everything else uses [`Self::now`].
+    pub fn unix_ms(&self) -> u64 {
+        let now = self.now();
+        let (estimate_ms, change) = self.wall_clock.borrow_mut().observe(now, unix_ms());
+        if let Some(change) = change {
+            let (jump_ms, followed) = match change {
+                ClockChange::Jumped(jump_ms) => (jump_ms, false),
+                ClockChange::Followed(jump_ms) => (jump_ms, true),
+            };
+            log_event!(self.logger, CLOCK_JUMPED; "jump_ms" => jump_ms, "followed" => followed);
+        }
+        estimate_ms
+    }
+
     pub fn settings(&self) -> Rc<NodeSettings> {
         Rc::clone(&self.settings.borrow())
     }
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -21,9 +21,12 @@
         session::MemberSession,
         settings::NodeSettings,
         store_sync::StoreSync,
+        task::spawn_supervised,
+    },
+    catkindeck::{ErrorKind, ServiceError, log_event},
+    catkindeck_net::{
+        ClientLimits, HttpClient, HttpServer, LocalFuture, ServerControl, ServerLimits,
     },
-    catkindeck::{ErrorKind, ServiceError, log_event, time::unix_ms},
-    catkindeck_net::{ClientLimits, HttpClient, HttpServer, ServerControl, ServerLimits},
     futures_util::stream::{self, StreamExt},
     prometheus::Registry,
     slog::Logger,
@@ -226,30 +229,42 @@
 
     fn start_tasks(&self) {
         StoreSync::start(&self.core);
-        tokio::task::spawn_local(Rc::clone(&self.session).run());
-        tokio::task::spawn_local(Rc::clone(&self.jobs).schedule_items());
-        tokio::task::spawn_local(Rc::clone(&self.jobs).verify_after_registration());
-        tokio::task::spawn_local(Rc::clone(&self.jobs).poll_ownership());
-        tokio::task::spawn_local(Rc::clone(&self.jobs).replicate_texts());
-        tokio::task::spawn_local(Rc::clone(&self.jobs).store_texts());
+        let core = &self.core;
+        let session = Rc::clone(&self.session);
+        spawn_supervised(core, "session", move || Rc::clone(&session).run());
+        self.spawn_job_tasks();
         let election = LeaderElection::new(
-            Rc::clone(&self.core),
+            Rc::clone(core),
             Rc::clone(&self.jobs),
             Rc::clone(&self.session),
         );
-        tokio::task::spawn_local(election.run());
-        tokio::task::spawn_local(Rc::clone(&self.core).send_usage());
-        let session = Rc::clone(&self.session);
-        tokio::task::spawn_local(reclaim_jobs(
-            Rc::clone(&self.core),
-            session,
-            Rc::clone(&self.jobs),
-        ));
-        tokio::task::spawn_local(run_housekeeping(
-            Rc::clone(&self.core),
-            Rc::clone(&self.jobs),
-            Rc::clone(&self.callers),
-        ));
+        spawn_supervised(core, "election", move || Rc::clone(&election).run());
+        let own = Rc::clone(core);
+        spawn_supervised(core, "usage", move || Rc::clone(&own).send_usage());
+        let own = Rc::clone(core);
+        let (jobs, callers) = (Rc::clone(&self.jobs), Rc::clone(&self.callers));
+        spawn_supervised(core, "housekeeping", move || {
+            run_housekeeping(Rc::clone(&own), Rc::clone(&jobs), Rc::clone(&callers))
+        });
+    }
+
+    fn spawn_job_tasks(&self) {
+        let spawn = |name, start: fn(Rc<JobService>) -> LocalFuture<'static, ()>| {
+            let jobs = Rc::clone(&self.jobs);
+            spawn_supervised(&self.core, name, move || start(Rc::clone(&jobs)));
+        };
+        spawn("scheduler", |jobs| Box::pin(jobs.schedule_items()));
+        spawn("verification", |jobs| {
+            Box::pin(jobs.verify_after_registration())
+        });
+        spawn("ownership", |jobs| Box::pin(jobs.poll_ownership()));
+        spawn("copies", |jobs| Box::pin(jobs.replicate_texts()));
+        spawn("texts", |jobs| Box::pin(jobs.store_texts()));
+        let (core, session) = (Rc::clone(&self.core), Rc::clone(&self.session));
+        let jobs = Rc::clone(&self.jobs);
+        spawn_supervised(&self.core, "reclaim", move || {
+            reclaim_jobs(Rc::clone(&core), Rc::clone(&session), Rc::clone(&jobs))
+        });
     }
 }
 
@@ -312,7 +327,7 @@
         core.upstream_client.sweep();
         core.order_client.sweep();
         core.peer_client.sweep();
-        jobs.drop_expired(unix_ms());
+        jobs.drop_expired(core.unix_ms());
         callers.set_limits(server_limits(&core));
         let now = core.now();
         let age = |age: Option<u64>| i64::try_from(age.unwrap_or(u64::MAX)).unwrap_or(i64::MAX);
--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -3,7 +3,6 @@
 use {
     crate::{core::GatewayCore, port::UpstreamHead, upstream_guard::UpstreamGuard},
     bytes::Bytes,
-    catkindeck::time::unix_ms,
     catkindeck_net::{HttpExchange, SendError},
     http::{HeaderMap, HeaderName, Request, header},
     std::{rc::Rc, time::Instant},
@@ -57,7 +56,7 @@
     fresh: bool,
 ) -> AttemptOutcome {
     let started = Instant::now();
-    let sent_ms = unix_ms();
+    let sent_ms = core.unix_ms();
     let sent = match fresh {
         true => {
             core.upstream_client
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -10,9 +10,7 @@
         upstream_guard::UpstreamGuard,
     },
     bytes::Bytes,
-    catkindeck::{
-        ErrorKind, ServiceError, id::ObjectName, log_event, time::unix_ms, token::WeightVersion,
-    },
+    catkindeck::{ErrorKind, ServiceError, id::ObjectName, log_event, token::WeightVersion},
     catkindeck_net::{BodySender, HttpExchange, ResponseBody, SendError},
     catkindeck_policy::direct::{EngineQuery, UpstreamKey},
     http::{HeaderMap, Response, StatusCode},
@@ -80,7 +78,7 @@
     pub async fn run(mut self) -> Result<Response<ResponseBody>, ServiceError> {
         let stream = self.open().await?;
         self.core
-            .count_usage(self.request.customer.as_ref(), unix_ms());
+            .count_usage(self.request.customer.as_ref(), self.core.unix_ms());
         let mut response = Response::new(ResponseBody::whole(Bytes::new()));
         response.extensions_mut().insert(ResponseSource {
             service: self.request.matched.service.clone(),
--- a/crates/catkindeck-gateway/src/jobs/backup.rs
+++ b/crates/catkindeck-gateway/src/jobs/backup.rs
@@ -13,7 +13,7 @@
         peer::{PeerCall, PeerResponse},
         port::{StoreWrite, Transaction},
     },
-    catkindeck::{Moment, SortedMap, id::IncarnationId, log_event, message, time::unix_ms},
+    catkindeck::{Moment, SortedMap, id::IncarnationId, log_event, message},
     catkindeck_net::LocalFuture,
     catkindeck_policy::direct::{
         ItemKey, ItemProgress, PeerReachability, TextPart, rendezvous_score,
@@ -214,7 +214,7 @@
         jobs.sort_by_key(|job| job.spec.submitted_ms);
         // Encoding adds at most the size of the text itself.
         let mut budget = self.core.settings().value_bytes / 2;
-        let now_ms = unix_ms();
+        let now_ms = self.core.unix_ms();
         stored.retain(|id, _| jobs.iter().any(|job| job.spec.id == *id));
         let mut writes = Vec::new();
         for job in &jobs {
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -10,7 +10,7 @@
         upstream_guard::UpstreamGuard,
     },
     bytes::Bytes,
-    catkindeck::{ServiceError, log_event, time::unix_ms, token::WeightVersion},
+    catkindeck::{ServiceError, log_event, token::WeightVersion},
     catkindeck_net::HttpExchange,
     catkindeck_policy::direct::{ItemKey, ItemOutcome},
     http::Request,
@@ -152,7 +152,7 @@
     let call = UpstreamCall {
         upstream: &run.guard.id,
         customer: job.spec.customer.as_ref(),
-        deadline_ms: Some(gives_up_ms.saturating_sub(unix_ms())),
+        deadline_ms: Some(gives_up_ms.saturating_sub(core.unix_ms())),
         urgency: Some(run.urgency),
         last_event: state.progress(run.key).last_event,
     };
--- a/crates/catkindeck-gateway/src/jobs/scheduler.rs
+++ b/crates/catkindeck-gateway/src/jobs/scheduler.rs
@@ -6,9 +6,12 @@
         owned::{OwnedJob, route_of},
         service::JobService,
     },
-    crate::{core::GatewayCore, forward::stream::urgency, upstream_guard::UpstreamGuard},
-    catkindeck::{config::RouteRecord, id::ObjectName, time::unix_ms, token::WeightVersion},
-    catkindeck_policy::direct::{EngineQuery, ItemKey, StartPriority, choose_service},
+    crate::{
+        core::GatewayCore, forward::stream::urgency, task::run_guarded,
+        upstream_guard::UpstreamGuard,
+    },
+    catkindeck::{config::RouteRecord, id::ObjectName, token::WeightVersion},
+    catkindeck_policy::direct::{EngineQuery, ItemKey, ItemOutcome, StartPriority, choose_service},
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -62,8 +65,9 @@
             .into_iter()
             .map(|job| (job_urgency(&self.core, &job), job))
             .collect();
+        let unix_ms = self.core.unix_ms();
         for (_, job) in &jobs {
-            let age_ms = unix_ms().saturating_sub(job.spec.submitted_ms + CLOCK_TOLERANCE_MS);
+            let age_ms = unix_ms.saturating_sub(job.spec.submitted_ms + CLOCK_TOLERANCE_MS);
             job.job.borrow_mut().expire(self.core.now(), age_ms);
         }
         let mut starts: Vec<(u8, StartPriority, &Rc<OwnedJob>)> = Vec::new();
@@ -145,7 +149,15 @@
     fn start(self: &Rc<Self>, job: &Rc<OwnedJob>, run: ItemRun) {
         let key = run.key;
         job.job.borrow_mut().record_start(key, run.guard.key);
-        let task = tokio::task::spawn_local(run_item(Rc::clone(self), Rc::clone(job), run));
+        let (service, owned) = (Rc::clone(self), Rc::clone(job));
+        let recover = move || {
+            let now = service.core.now();
+            let mut state = owned.job.borrow_mut();
+            state.record_run_end(now, key, ItemOutcome::Interrupted);
+        };
+        let run = run_item(Rc::clone(self), Rc::clone(job), run);
+        let logger = self.core.logger.clone();
+        let task = tokio::task::spawn_local(run_guarded(logger, "item", run, recover));
         job.set_task(key, task.abort_handle());
     }
 }
--- a/crates/catkindeck-gateway/src/jobs/score.rs
+++ b/crates/catkindeck-gateway/src/jobs/score.rs
@@ -6,6 +6,7 @@
         events::{ITEM_SCORED, SCORER_FAILED},
         forward::{CallOptions, CallOutcome, HedgedCall},
         port::UpstreamCall,
+        task::run_guarded,
     },
     catkindeck::{ServiceError, id::ObjectName, log_event},
     catkindeck_policy::direct::{ItemKey, ItemPhase, ScorerCall},
@@ -39,8 +40,11 @@
             return;
         }
         for key in job.job.borrow_mut().take_unscored() {
-            let task = Rc::clone(self).score(Rc::clone(job), key);
-            let task = tokio::task::spawn_local(task);
+            let owned = Rc::clone(job);
+            let recover = move || owned.job.borrow_mut().retry_score(key);
+            let score = Rc::clone(self).score(Rc::clone(job), key);
+            let logger = self.core.logger.clone();
+            let task = tokio::task::spawn_local(run_guarded(logger, "score", score, recover));
             job.set_task(key, task.abort_handle());
         }
     }
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -81,6 +81,10 @@
         }
         let callers = &self.core.ports.callers;
         let spec = callers.decode_job(&request.head, &route.name, customer, body)?;
+        let spec = JobSpec {
+            submitted_ms: self.core.unix_ms(),
+            ..spec
+        };
         let spec = Rc::new(spec);
         let owner = self.choose_owner(&route.service);
         let record = JobRecord {
--- a/crates/catkindeck-gateway/src/leader/election.rs
+++ b/crates/catkindeck-gateway/src/leader/election.rs
@@ -14,15 +14,17 @@
             WatchOutcome,
         },
         session::MemberSession,
+        task::spawn_supervised,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, log_event},
+    catkindeck_net::LocalFuture,
     catkindeck_policy::direct::{ClaimDecision, decide_claim},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::{task::JoinHandle, time::sleep},
 };
 
 /// The longest wait for the leader's key to be removed. It is shorter than the store's history, so that the next
@@ -240,15 +242,7 @@
         *self.fence.borrow_mut() = Some(fence);
         *self.core.leader.borrow_mut() = Some(self.session.record());
         log_event!(self.core.logger, LEADERSHIP_ACQUIRED; "fence" => fence);
-        let usage = UsageReporter::new(Rc::clone(self));
-        let tasks = [
-            tokio::task::spawn_local(WeightRollout::new(Rc::clone(self)).run()),
-            tokio::task::spawn_local(Rc::clone(&usage).run()),
-            tokio::task::spawn_local(usage.persist_unsealed()),
-            tokio::task::spawn_local(HostDrain::new(Rc::clone(self)).run()),
-            tokio::task::spawn_local(JobSupervisor::new(Rc::clone(self)).run()),
-            tokio::task::spawn_local(Rc::clone(self).watch_intents()),
-        ];
+        let tasks = self.spawn_leader_tasks();
         while self.proof().is_ok() {
             sleep(CHECK_INTERVAL).await;
         }
@@ -265,6 +259,29 @@
         }
     }
 
+    fn spawn_leader_tasks(self: &Rc<Self>) -> [JoinHandle<()>; 6] {
+        let usage = UsageReporter::new(Rc::clone(self));
+        let unsealed = Rc::clone(&usage);
+        let spawn = |name, start: fn(Rc<Self>) -> LocalFuture<'static, ()>| {
+            let election = Rc::clone(self);
+            spawn_supervised(&self.core, name, move || start(Rc::clone(&election)))
+        };
+        [
+            spawn("weights", |election| {
+                Box::pin(WeightRollout::new(election).run())
+            }),
+            spawn_supervised(&self.core, "usage_reports", move || Rc::clone(&usage).run()),
+            spawn_supervised(&self.core, "unsealed_usage", move || {
+                Rc::clone(&unsealed).persist_unsealed()
+            }),
+            spawn("drain", |election| Box::pin(HostDrain::new(election).run())),
+            spawn("supervisor", |election| {
+                Box::pin(JobSupervisor::new(election).run())
+            }),
+            spawn("intents", |election| Box::pin(election.watch_intents())),
+        ]
+    }
+
     /// Gives up leadership, so that another process takes over before this host is decommissioned.
     pub fn resign(&self) {
         *self.fence.borrow_mut() = None;
--- a/crates/catkindeck-gateway/src/leader/supervisor.rs
+++ b/crates/catkindeck-gateway/src/leader/supervisor.rs
@@ -9,7 +9,7 @@
         peer::{PeerCall, PeerResponse},
         port::{StoreCondition, StoreItem, Transaction},
     },
-    catkindeck::{ErrorKind, ServiceError, log_event, time::unix_ms},
+    catkindeck::{ErrorKind, ServiceError, log_event},
     futures_util::stream::{self, StreamExt},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep, sleep_until},
@@ -98,7 +98,7 @@
             })
             .collect();
         self.check_jobs(&jobs, &members, &registrations).await?;
-        self.election.jobs.drop_expired(unix_ms());
+        self.election.jobs.drop_expired(core.unix_ms());
         Ok(revision)
     }
 
@@ -140,7 +140,7 @@
         let core = &self.election.core;
         let retention_ms = core.settings().bounds.job_retention_ms;
         if record.state != JobState::Running
-            && record.submitted_ms.saturating_add(retention_ms) < unix_ms()
+            && record.submitted_ms.saturating_add(retention_ms) < core.unix_ms()
         {
             return self.remove(item, &record).await;
         }
@@ -170,7 +170,8 @@
     /// Takes over a job whose owner is alive but does not know of it, because the process that accepted the job
     /// ended before it handed the job over.
     async fn check_owner(&self, item: &StoreItem, record: JobRecord) -> Result<(), ServiceError> {
-        let is_new = record.submitted_ms.saturating_add(HAND_OVER_GRACE_MS) > unix_ms();
+        let now_ms = self.election.core.unix_ms();
+        let is_new = record.submitted_ms.saturating_add(HAND_OVER_GRACE_MS) > now_ms;
         if is_new || self.election.jobs.owned(&record.job).is_some() {
             return Ok(());
         }
--- a/crates/catkindeck-gateway/src/leader/usage.rs
+++ b/crates/catkindeck-gateway/src/leader/usage.rs
@@ -9,7 +9,7 @@
         peer::{PeerCall, PeerResponse},
         port::{CommitOutcome, StoreCondition, StoreWrite, Transaction, UsageReport},
     },
-    catkindeck::{ErrorKind, ServiceError, id::IncarnationId, log_event, time::unix_ms},
+    catkindeck::{ErrorKind, ServiceError, id::IncarnationId, log_event},
     catkindeck_policy::direct::{ReportAction, ReportSchedule, UsageCount, UsageWindows},
     futures_util::future::join_all,
     std::{rc::Rc, time::Duration},
@@ -61,7 +61,7 @@
         self.load_unsealed().await;
         let mut next = self.first_window(length_ms).await;
         loop {
-            let action = schedule.action(next, unix_ms());
+            let action = schedule.action(next, self.election.core.unix_ms());
             if action == ReportAction::Wait {
                 sleep(SCAN_INTERVAL).await;
                 continue;
@@ -82,7 +82,8 @@
         loop {
             match self.election.core.ports.store.list(USAGE_PREFIX).await {
                 Ok(listing) => {
-                    let current = UsageWindows::window_at(unix_ms(), length_ms);
+                    let now_ms = self.election.core.unix_ms();
+                    let current = UsageWindows::window_at(now_ms, length_ms);
                     let sealed = listing.items.iter().filter_map(|item| {
                         let report: UsageReport = keys::decode_item(item).ok()?;
                         Some(report.window)
@@ -242,7 +243,7 @@
     async fn store_unsealed(&self, known: u64) -> Result<CommitOutcome, ServiceError> {
         let core = &self.election.core;
         let length_ms = core.settings().bounds.usage_window_ms;
-        let current = UsageWindows::window_at(unix_ms(), length_ms);
+        let current = UsageWindows::window_at(core.unix_ms(), length_ms);
         let unsealed = core
             .ledger
             .borrow()
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod session;
 pub mod settings;
 pub mod store_sync;
+pub mod task;
 pub mod upstream_guard;
 
 pub use {
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -11,6 +11,7 @@
         keys::MemberRecord,
         peer::{PeerCall, PeerResponse},
         port::StoreItem,
+        task::spawn_supervised,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, id::IncarnationId, log_event},
     catkindeck_policy::direct::DiscoveredUpstream,
@@ -73,8 +74,9 @@
             feed_read_at: Cell::new(Moment(0)),
             upstreams: RefCell::new(Vec::new()),
         });
-        tokio::task::spawn_local(Rc::clone(&store_sync).poll_store());
-        tokio::task::spawn_local(store_sync.poll_feed());
+        let polled = Rc::clone(&store_sync);
+        spawn_supervised(core, "store", move || Rc::clone(&polled).poll_store());
+        spawn_supervised(core, "feed", move || Rc::clone(&store_sync).poll_feed());
     }
 
     /// Reads the store while the feed does not deliver recent data.
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -13,6 +13,7 @@
 pub mod selection;
 pub mod upstream;
 pub mod upstream_table;
+pub mod wall_clock;
 pub mod weights;
 pub mod windows;
 
@@ -32,6 +33,7 @@
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rendezvous_score},
     upstream::{DiscoveredUpstream, ModelWeights, UpstreamKey, UpstreamState},
     upstream_table::{UpstreamChanges, UpstreamTable},
+    wall_clock::{ClockChange, WallClockFilter},
     weights::{TargetVersion, WeightLoadPlanner, WeightLoadTask, assign_upstreams},
     windows::{ReportAction, ReportSchedule, UsageCount, UsageLedger, UsageWindows},
 };
