Learn how long engines load weights, and load fewer at once

Ruled out: full engines; the refusals came with one item in flight as with 40. Change: LoadTimeEstimate learns the time of a load from refusals and from the first accepted request after it; a refusal soon after an order extends the load of that model. One engine in six loads at a time (one in five before).

--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -20,8 +20,8 @@
     },
     catkindeck_net::HttpClient,
     catkindeck_policy::direct::{
-        ClockChange, FreshnessGate, PeerReachability, UpstreamTable, UsageLedger, UsageWindows,
-        WallClockFilter,
+        ClockChange, FreshnessGate, LoadTimeEstimate, PeerReachability, UpstreamTable, UsageLedger,
+        UsageWindows, WallClockFilter,
     },
     slog::Logger,
     std::{
@@ -104,6 +104,8 @@
     /// The current leader, as last read.
     pub leader: RefCell<Option<MemberRecord>>,
     pub is_shutting_down: Cell<bool>,
+    /// How long engines take to load weights, learned from their responses to this process.
+    pub load_time: Cell<LoadTimeEstimate>,
     pub logger: Logger,
     clock: BootClock,
     wall_clock: RefCell<WallClockFilter>,
@@ -146,6 +148,7 @@
             members: RefCell::new(Vec::new()),
             leader: RefCell::new(None),
             is_shutting_down: Cell::new(false),
+            load_time: Cell::default(),
             logger,
             clock: BootClock::new(),
             wall_clock: RefCell::default(),
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -12,7 +12,7 @@
     bytes::Bytes,
     catkindeck::{ServiceError, log_event, token::WeightVersion},
     catkindeck_net::HttpExchange,
-    catkindeck_policy::direct::{ItemKey, ItemOutcome},
+    catkindeck_policy::direct::{ItemKey, ItemOutcome, LOAD_EXTENSION_MS, MIN_LOAD_MS},
     http::Request,
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
@@ -120,6 +120,7 @@
         run.guard.record_failure();
         return run_outcome(ItemOutcome::Interrupted, &detail);
     }
+    observe_load(core, job, run, head.not_run);
     if let Some(ended) = check_head(&head, run) {
         if !head.not_run {
             // The item may be sent again, and a second copy of this response would count as another failure.
@@ -160,6 +161,34 @@
     upstreams.encode_item(item, &job.spec.host, &call)
 }
 
+/// Learns from a response whether the latest load of the item's model at the engine is complete.
+fn observe_load(core: &GatewayCore, job: &OwnedJob, run: &ItemRun, refused: bool) {
+    let state = job.job.borrow();
+    let Some(model) = &state.item(run.key).model else {
+        return;
+    };
+    let now = core.now();
+    let mut roster = core.roster.borrow_mut();
+    let engine = roster.get_mut(run.guard.key);
+    let Some(age_ms) = engine.load_age(now, model) else {
+        return;
+    };
+    let mut load_time = core.load_time.get();
+    // A load takes at least this long, so an earlier response says nothing about its end.
+    match refused {
+        true => {
+            load_time.record_refusal(age_ms);
+            engine.extend_weight_load(now + LOAD_EXTENSION_MS);
+        }
+        false if age_ms >= MIN_LOAD_MS => {
+            load_time.record_ready();
+            engine.complete_weight_load();
+        }
+        false => {}
+    }
+    core.load_time.set(load_time);
+}
+
 /// Returns the outcome of a run if the response is not a stream of events.
 fn check_head(head: &UpstreamHead, run: &ItemRun) -> Option<ItemRunOutcome> {
     if head.not_run {
--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -8,7 +8,7 @@
         port::{OrderOutcome, WeightLoadMode, WeightOrder},
     },
     catkindeck::{SortedMap, log_event},
-    catkindeck_policy::direct::{UpstreamKey, WeightLoadPlanner, WeightLoadTask},
+    catkindeck_policy::direct::{MIN_LOAD_MS, UpstreamKey, WeightLoadPlanner, WeightLoadTask},
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -16,9 +16,6 @@
 /// How often the rollout is planned.
 const PLAN_INTERVAL: Duration = Duration::from_millis(50);
 
-/// How long an engine takes to load weights if not too many engines do so at once, in milliseconds.
-const WEIGHT_LOAD_MS: u64 = 900;
-
 /// How long an upstream gets no further order while the outcome of an order is unknown, in milliseconds.
 const UNKNOWN_OUTCOME_PAUSE_MS: u64 = 1_500;
 
@@ -26,8 +23,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// One in this many engines may load weights at a time, so that enough engines keep serving and the loading
-/// engines do not slow each other down.
-const CONCURRENT_LOAD_DIVISOR: usize = 5;
+/// engines do not slow each other down. Deployments bear 2 loads at once with 12 engines, and 18 with 92.
+const CONCURRENT_LOAD_DIVISOR: usize = 6;
 
 /// Orders upstreams to load weights while this process is the leader.
 pub struct WeightRollout {
@@ -68,9 +65,11 @@
         };
         let tasks = planner.plan(now, &roster, view.target_versions());
         for task in &tasks {
-            roster
-                .get_mut(task.upstream)
-                .record_weight_load(&task.model, now + UNKNOWN_OUTCOME_PAUSE_MS);
+            roster.get_mut(task.upstream).record_weight_load(
+                now,
+                &task.model,
+                now + UNKNOWN_OUTCOME_PAUSE_MS,
+            );
         }
         tasks
     }
@@ -127,7 +126,7 @@
                 log_event!(core.logger, WEIGHT_LOAD_ORDERED;
                     "upstream" => %order.upstream, "model" => %order.model,
                     "version" => order.version.0, "fence" => order.fence, "accepted" => next);
-                self.notify_peers(WeightLoadNotice::for_order(order, WEIGHT_LOAD_MS));
+                self.notify_peers(WeightLoadNotice::for_order(order, MIN_LOAD_MS));
             }
             OrderOutcome::Holds => {
                 let mut roster = core.roster.borrow_mut();
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -321,13 +321,14 @@
         let Some(key) = roster.current(&notice.upstream) else {
             return;
         };
-        let until = now + notice.remaining_ms;
-        roster.get_mut(key).record_weight_load(&notice.model, until);
+        let remaining_ms = notice.remaining_ms.max(self.load_time.get().expected_ms());
+        let state = roster.get_mut(key);
+        state.record_weight_load(now, &notice.model, now + remaining_ms);
         drop(roster);
         let core = Rc::clone(self);
         let notice = notice.clone();
         tokio::task::spawn_local(async move {
-            sleep(Duration::from_millis(notice.remaining_ms)).await;
+            sleep(Duration::from_millis(remaining_ms)).await;
             let mut roster = core.roster.borrow_mut();
             if roster.current(&notice.upstream) == Some(key) {
                 let state = roster.get_mut(key);
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -5,6 +5,7 @@
 pub mod freshness;
 pub mod give_up;
 pub mod job;
+pub mod load_time;
 pub mod outage;
 pub mod outcome;
 pub mod peer_reachability;
@@ -25,6 +26,7 @@
         ItemKey, ItemPhase, ItemProgress, JobItem, JobLimits, JobResult, JobSpec, ResultCommit,
         RolloutJob, ScorerCall, StartPriority, TextPart,
     },
+    load_time::{LOAD_EXTENSION_MS, LoadTimeEstimate, MIN_LOAD_MS},
     outage::OutageBackoff,
     outcome::{ItemOutcome, ResultState},
     peer_reachability::PeerReachability,
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -55,6 +55,18 @@
     pub weights: Vec<ModelWeights>,
 }
 
+/// How long after an order a refusal may be due to it, in milliseconds.
+const MAX_LOAD_AGE_MS: u64 = 5_000;
+
+/// An order to load weights that an upstream has accepted.
+#[derive(Debug, Clone)]
+struct WeightLoad {
+    model: ObjectName,
+    ordered: Moment,
+    /// When the load is expected to be complete.
+    until: Moment,
+}
+
 /// One instance of an upstream with this process's measurements.
 #[derive(Debug, Clone)]
 pub struct UpstreamState {
@@ -75,7 +87,7 @@
     /// sample.
     pub latency_us: u64,
     versions: SortedMap<ObjectName, WeightVersion>,
-    loading: Option<(ObjectName, Moment)>,
+    loading: Option<WeightLoad>,
     prompt_parts: VecDeque<u64>,
     failures: u32,
     backoff_until: Moment,
@@ -125,15 +137,39 @@
     }
 
     /// Records that new weights of a model are loaded until about `until`.
-    pub fn record_weight_load(&mut self, model: &ObjectName, until: Moment) {
-        self.loading = Some((model.clone(), until));
+    pub fn record_weight_load(&mut self, now: Moment, model: &ObjectName, until: Moment) {
+        self.loading = Some(WeightLoad {
+            model: model.clone(),
+            ordered: now,
+            until,
+        });
+    }
+
+    /// Records that the latest load takes until about `until`.
+    pub fn extend_weight_load(&mut self, until: Moment) {
+        if let Some(load) = &mut self.loading {
+            load.until = load.until.max(until);
+        }
     }
 
     /// Returns whether weights of a model are being loaded, so that requests for it would be
     /// rejected.
     pub fn is_loading(&self, now: Moment, model: &ObjectName) -> bool {
-        let loading = self.loading.as_ref();
-        loading.is_some_and(|(loading, until)| loading == model && now < *until)
+        let load = self.loading.as_ref();
+        load.is_some_and(|load| load.model == *model && now < load.until)
+    }
+
+    /// Returns the time since a load of a model was ordered in milliseconds, if that is so recent that
+    /// the load may still be in progress.
+    pub fn load_age(&self, now: Moment, model: &ObjectName) -> Option<u64> {
+        let load = self.loading.as_ref().filter(|load| load.model == *model)?;
+        let age_ms = now.since(load.ordered);
+        (age_ms < MAX_LOAD_AGE_MS).then_some(age_ms)
+    }
+
+    /// Forgets the latest load, after a request showed that it is complete.
+    pub fn complete_weight_load(&mut self) {
+        self.loading = None;
     }
 
     /// Records a failure and starts a backoff.
