Ask a lost owner once in a scan, not once for each of its jobs

The leader's scan asked the owner about each job, two at a time, and each call took its timeout of 0.8 s; the end of the lease was noticed only after the scan. Ruled out: a slow leader; it ordered loads all the while. Change: OwnerProbe remembers within a scan which owners did not answer.

--- a/crates/catkindeck-gateway/src/leader/mod.rs
+++ b/crates/catkindeck-gateway/src/leader/mod.rs
@@ -10,4 +10,4 @@
 pub mod usage;
 pub mod weights;
 
-pub use election::LeaderElection;
+pub use {election::LeaderElection, supervisor::OwnerProbe};
--- a/crates/catkindeck-gateway/src/leader/supervisor.rs
+++ b/crates/catkindeck-gateway/src/leader/supervisor.rs
@@ -9,9 +9,9 @@
         peer::{PeerCall, PeerResponse},
         port::{StoreCondition, StoreItem, Transaction},
     },
-    catkindeck::{ErrorKind, ServiceError, log_event},
+    catkindeck::{ErrorKind, ServiceError, id::IncarnationId, log_event},
     futures_util::stream::{self, StreamExt},
-    std::{rc::Rc, time::Duration},
+    std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::{Instant, sleep, sleep_until},
 };
 
@@ -31,6 +31,36 @@
 /// The number of keys that one transaction removes.
 const REMOVAL_LIMIT: usize = 30;
 
+/// Asks owners about their jobs during one scan.
+///
+/// An owner that does not answer for one job is not asked for the others. Each call to a lost owner takes its whole
+/// timeout, and while a scan lasts the end of the owner's lease is not noticed.
+#[derive(Debug, Default)]
+pub struct OwnerProbe {
+    unresponsive: RefCell<Vec<IncarnationId>>,
+}
+
+impl OwnerProbe {
+    /// Returns whether an owner claims a job, according to its response to a call. No answer counts as yes, because
+    /// a process that is only silent for a while keeps its jobs until its lease ends.
+    pub async fn is_claimed(
+        &self,
+        owner: IncarnationId,
+        call: impl Future<Output = Result<PeerResponse, ServiceError>>,
+    ) -> bool {
+        if self.unresponsive.borrow().contains(&owner) {
+            return true;
+        }
+        match call.await {
+            Ok(response) => !matches!(response, PeerResponse::NotOwner),
+            Err(_) => {
+                self.unresponsive.borrow_mut().push(owner);
+                true
+            }
+        }
+    }
+}
+
 /// Monitors the jobs of all processes while this process is the leader.
 pub struct JobSupervisor {
     election: Rc<LeaderElection>,
@@ -110,8 +140,9 @@
         members: &[MemberRecord],
         registrations: &[StoreCondition],
     ) -> Result<(), ServiceError> {
+        let probe = OwnerProbe::default();
         let checks = oldest_first(jobs).into_iter().map(async |item| {
-            let outcome = self.check_job(item, members, registrations).await;
+            let outcome = self.check_job(&probe, item, members, registrations).await;
             outcome.map_err(|error| {
                 log_event!(self.election.core.logger, MAINTENANCE_FAILED;
                     "work" => "care", "key" => &item.key, "detail" => &error.detail);
@@ -132,6 +163,7 @@
 
     async fn check_job(
         &self,
+        probe: &OwnerProbe,
         item: &StoreItem,
         members: &[MemberRecord],
         registrations: &[StoreCondition],
@@ -148,13 +180,13 @@
             return Ok(());
         }
         if record.owner.incarnation == core.incarnation || contains(members, &record.owner) {
-            return self.check_owner(item, record).await;
+            return self.check_owner(probe, item, record).await;
         }
         let host = members
             .iter()
             .find(|member| member.host == record.owner.host);
         if let Some(host) = host
-            && self.is_claimed(host, &record.job).await
+            && self.is_claimed(probe, host, &record.job).await
         {
             // The restarted process on the owner's host reclaims its jobs itself.
             return Ok(());
@@ -169,20 +201,25 @@
 
     /// Takes over a job whose owner is alive but does not know of it, because the process that accepted the job
     /// ended before it handed the job over.
-    async fn check_owner(&self, item: &StoreItem, record: JobRecord) -> Result<(), ServiceError> {
+    async fn check_owner(
+        &self,
+        probe: &OwnerProbe,
+        item: &StoreItem,
+        record: JobRecord,
+    ) -> Result<(), ServiceError> {
         let now_ms = self.election.core.unix_ms();
         let is_new = record.submitted_ms.saturating_add(HAND_OVER_GRACE_MS) > now_ms;
         if is_new || self.election.jobs.owned(&record.job).is_some() {
             return Ok(());
         }
-        if self.is_claimed(&record.owner, &record.job).await {
+        if self.is_claimed(probe, &record.owner, &record.job).await {
             return Ok(());
         }
         self.election.jobs.take_over(item, None).await
     }
 
-    /// Returns whether a live process runs a job or is about to. No answer counts as yes.
-    async fn is_claimed(&self, member: &MemberRecord, job: &str) -> bool {
+    /// Returns whether a live process runs a job or is about to.
+    async fn is_claimed(&self, probe: &OwnerProbe, member: &MemberRecord, job: &str) -> bool {
         let core = &self.election.core;
         if member.incarnation == core.incarnation {
             return self.election.jobs.is_responsible(job);
@@ -190,8 +227,8 @@
         let call = PeerCall::IsResponsible {
             job: job.to_owned(),
         };
-        let response = core.call_peer(member.peer, &call, Duration::ZERO).await;
-        !matches!(response, Ok(PeerResponse::NotOwner))
+        let response = core.call_peer(member.peer, &call, Duration::ZERO);
+        probe.is_claimed(member.incarnation, response).await
     }
 
     /// Removes a job with all its data.
