--- a/crates/catkindeck-net/src/server.rs
+++ b/crates/catkindeck-net/src/server.rs
@@ -86,8 +86,8 @@
         self.close_requested.set(true);
     }
 
-    /// Stops accepting connections and closes the open ones after their response; idle ones get
-    /// [`STOP_LINGER`] for a request that is on its way.
+    /// Stops accepting connections and closes the open ones after their response; idle ones stay
+    /// open for a moment, because a request may be on its way.
     pub fn stop(&self) {
         self.request_close();
         self.stop.send_replace(true);
--- a/crates/catkindeck-policy/src/direct/weights.rs
+++ b/crates/catkindeck-policy/src/direct/weights.rs
@@ -34,7 +34,7 @@
 /// Plans which upstreams load a target version.
 ///
 /// Each model is served by a subset of the upstreams that run it, and each upstream serves
-/// [`SHARES`] models, so that none is idle while others queue requests of several models. Half of a model's upstreams load each version, alternating between the halves.
+/// two models, so that none is idle while others queue requests of several models. Half of a model's upstreams load each version, alternating between the halves.
 /// The other half stays one version behind, which the allowed lag permits, and serves requests in
 /// the meantime.
 #[derive(Debug, Clone, Copy)]
@@ -127,7 +127,7 @@
 ///
 /// Every process that computes this gets the same result, and few upstreams change when one appears
 /// or leaves: pairs of a model and an upstream are taken in the order of their rendezvous scores, as
-/// long as the model needs upstreams and the upstream serves fewer than [`SHARES`] models.
+/// long as the model needs upstreams and the upstream serves fewer than two models.
 pub fn assign_upstreams(table: &UpstreamTable, targets: &[TargetVersion]) -> Vec<Vec<UpstreamKey>> {
     let mut pairs: Vec<(u64, usize, UpstreamKey)> = Vec::new();
     let mut missing: Vec<usize> = Vec::with_capacity(targets.len());
