--- a/crates/catkindeck-policy/src/direct/weights.rs
+++ b/crates/catkindeck-policy/src/direct/weights.rs
@@ -33,10 +33,10 @@
 
 /// Plans which upstreams load a target version.
 ///
-/// Each model is served by a subset of the upstreams that run it, and each upstream serves
-/// two models, so that none is idle while others queue requests of several models. Half of a model's upstreams load each version, alternating between the halves.
-/// The other half stays one version behind, which the allowed lag permits, and serves requests in
-/// the meantime.
+/// Each model is served by a subset of the upstreams that run it, and each upstream serves two
+/// models, so that none is idle while others queue requests of several models. Half of a model's
+/// upstreams load each version, alternating between the halves. The other half stays one version
+/// behind, which the allowed lag permits, and serves requests in the meantime.
 #[derive(Debug, Clone, Copy)]
 pub struct WeightLoadPlanner {
     /// The number of upstreams that can load weights concurrently without slowing each other down.
