--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -23,7 +23,7 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// One in this many engines may load weights at a time, so that enough engines keep serving and the loading
-/// engines do not slow each other down. Deployments bear 2 loads at once with 12 engines, and 18 with 92.
+/// engines do not slow each other down.
 const CONCURRENT_LOAD_DIVISOR: usize = 6;
 
 /// Orders upstreams to load weights while this process is the leader.
--- a/crates/catkindeck-gateway/src/port/cloud_api.rs
+++ b/crates/catkindeck-gateway/src/port/cloud_api.rs
@@ -33,7 +33,8 @@
 /// The platform's API for usage reports and for scaling.
 ///
 /// All methods return `fenced` if the platform has seen a higher fencing token, and `peer_unavailable`
-/// otherwise. A call is sent only if its permit says so directly before it is written. The execution outcome `unknown` means that the call may have taken effect or may still do so.
+/// otherwise. A call is sent only if its permit allows it directly before it is written. The execution outcome
+/// `unknown` means that the call may have taken effect or may still do so.
 pub trait CloudApi {
     /// Reports the usage of a window. Repeating an identical report has no effect.
     fn report_usage<'a>(
