Log the limits that upstreams name

Each response's limit is read and kept with its instance, and the event upstream_limited tells when it changes, with what this process sent there in the last second. Nothing acts on it yet.

--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        events::{CLOCK_JUMPED, INTENT_FAULT},
+        events::{CLOCK_JUMPED, INTENT_FAULT, UPSTREAM_LIMITED},
         feed::StoreFeed,
         intent::IntentView,
         jobs::backup::CopyStore,
@@ -20,8 +20,8 @@
     },
     catkindeck_net::HttpClient,
     catkindeck_policy::direct::{
-        ClockChange, FreshnessGate, LoadTimeEstimate, PeerReachability, UpstreamTable, UsageLedger,
-        UsageWindows, WallClockFilter,
+        ClockChange, FreshnessGate, LimitHeader, LoadTimeEstimate, PeerReachability, UpstreamKey,
+        UpstreamTable, UsageLedger, UsageWindows, WallClockFilter,
     },
     slog::Logger,
     std::{
@@ -192,6 +192,19 @@
         self.usage_counted.notify_one();
     }
 
+    /// Applies what a response to a request sent at `sent` says about the limit of an upstream.
+    pub fn observe_limit(&self, key: UpstreamKey, sent: Moment, header: LimitHeader) {
+        let now = self.now();
+        let mut roster = self.roster.borrow_mut();
+        let state = roster.get_mut(key);
+        if state.limit.observe(now, sent, header) {
+            log_event!(self.logger, UPSTREAM_LIMITED;
+                "upstream" => %state.record.id, "service" => %state.record.service,
+                "per_second" => state.limit.rate().map(|rate| rate.to_string()),
+                "in_flight" => state.in_flight, "sent_last_second" => state.rate.recent(now));
+        }
+    }
+
     /// Replaces the list of processes by the registrations in `items`. Registrations that cannot be
     /// decoded are logged and left out.
     pub fn set_members(&self, items: &[StoreItem]) {
--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -78,6 +78,7 @@
         guard.record_failure();
         return AttemptOutcome::Unknown(detail);
     }
+    guard.observe_limit(&head);
     if head.status.is_server_error() {
         exchange.prevent_reuse();
     }
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -200,6 +200,7 @@
             guard.record_failure();
             return Ok(OpenOutcome::Unknown(detail));
         }
+        guard.observe_limit(&head);
         if head.status.is_server_error() {
             exchange.prevent_reuse();
         }
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -116,6 +116,7 @@
         run.guard.record_failure();
         return run_outcome(ItemOutcome::Interrupted, &detail);
     }
+    run.guard.observe_limit(&head);
     observe_load(core, job, run, head.not_run);
     if let Some(ended) = check_head(&head, run) {
         if !head.not_run {
--- a/crates/catkindeck-gateway/src/port/upstream.rs
+++ b/crates/catkindeck-gateway/src/port/upstream.rs
@@ -4,7 +4,7 @@
     super::caller::RequestHead,
     bytes::Bytes,
     catkindeck::{ServiceError, id::ObjectName, token::WeightVersion},
-    catkindeck_policy::direct::{JobItem, ModelWeights, ScorerCall},
+    catkindeck_policy::direct::{JobItem, LimitHeader, ModelWeights, ScorerCall},
     http::{HeaderMap, Request, StatusCode},
 };
 
@@ -35,6 +35,8 @@
     pub not_run: bool,
     /// The version of the weights at the start of the response.
     pub version: Option<WeightVersion>,
+    /// The limit that the upstream names for the requests of all processes together.
+    pub limit: LimitHeader,
 }
 
 /// A numbered event of an event stream.
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -1,9 +1,10 @@
 //! The use of an upstream by one request.
 
 use {
-    crate::core::GatewayCore,
-    catkindeck::id::ObjectName,
-    catkindeck_policy::direct::{EngineQuery, PlainQuery, RateLimits, UpstreamKey},
+    crate::{core::GatewayCore, port::UpstreamHead},
+    catkindeck::{Moment, id::ObjectName},
+    catkindeck_policy::direct::{EngineQuery, LimitHeader, PlainQuery, RateLimits, UpstreamKey},
+    http::StatusCode,
     std::{net::SocketAddr, rc::Rc},
 };
 
@@ -19,6 +20,8 @@
     pub key: UpstreamKey,
     pub id: ObjectName,
     pub address: SocketAddr,
+    /// When the request was assigned to the upstream, which is not later than when it was sent.
+    pub begun: Moment,
 }
 
 impl UpstreamGuard {
@@ -64,6 +67,20 @@
             key,
             id: state.record.id.clone(),
             address: state.record.address,
+            begun: now,
+        }
+    }
+
+    /// Learns from a response whether the upstream limits the requests of all processes together.
+    ///
+    /// A response with status 421 may come from another upstream that uses the address now.
+    pub fn observe_limit(&self, head: &UpstreamHead) {
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let is_own = head.stamp.is_some() || head.limit != LimitHeader::Absent;
+        if is_own {
+            self.core.observe_limit(self.key, self.begun, head.limit);
         }
     }
 
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -10,9 +10,11 @@
 pub mod outcome;
 pub mod peer_reachability;
 pub mod rate;
+pub mod request_rate;
 pub mod routes;
 pub mod selection;
 pub mod upstream;
+pub mod upstream_limit;
 pub mod upstream_table;
 pub mod wall_clock;
 pub mod weights;
@@ -31,9 +33,11 @@
     outcome::{ItemOutcome, ResultState},
     peer_reachability::PeerReachability,
     rate::RateWindow,
+    request_rate::{RateBucket, RequestRate},
     routes::{RouteMatch, RouteTable, choose_service},
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rendezvous_score},
     upstream::{DiscoveredUpstream, ModelWeights, UpstreamKey, UpstreamState},
+    upstream_limit::{LimitHeader, UpstreamLimit},
     upstream_table::{UpstreamChanges, UpstreamTable},
     wall_clock::{ClockChange, WallClockFilter},
     weights::{TargetVersion, WeightLoadPlanner, WeightLoadTask, assign_upstreams},
--- a/crates/catkindeck-policy/src/direct/rate.rs
+++ b/crates/catkindeck-policy/src/direct/rate.rs
@@ -17,8 +17,13 @@
 impl RateWindow {
     /// Returns whether one more request keeps the last second within `limit`.
     pub fn allows(&self, now: Moment, limit: usize) -> bool {
-        let recent = self.sent.iter().rev();
-        recent.take_while(|at| now.since(**at) < WINDOW_MS).count() < limit
+        self.recent(now) < limit
+    }
+
+    /// Returns the number of requests in the last second.
+    pub fn recent(&self, now: Moment) -> usize {
+        let sent = self.sent.iter().rev();
+        sent.take_while(|at| now.since(**at) < WINDOW_MS).count()
     }
 
     /// Records a request.
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -1,7 +1,7 @@
 //! The state of one upstream in a gateway.
 
 use {
-    super::rate::RateWindow,
+    super::{rate::RateWindow, upstream_limit::UpstreamLimit},
     catkindeck::{Moment, SortedMap, arena_key, id::ObjectName, message, token::WeightVersion},
     std::{collections::VecDeque, net::SocketAddr},
 };
@@ -80,6 +80,8 @@
     pub cold_until: Moment,
     /// The requests sent within the last second.
     pub rate: RateWindow,
+    /// The limit that the upstream names for all processes together.
+    pub limit: UpstreamLimit,
     /// The moving average of the time between two events of a stream, in microseconds; zero before
     /// the first sample.
     pub event_gap_us: u64,
@@ -101,6 +103,7 @@
             listed: true,
             in_flight: 0,
             rate: RateWindow::default(),
+            limit: UpstreamLimit::default(),
             event_gap_us: 0,
             latency_us: 0,
             versions: SortedMap::new(),
