Keep all processes together within the limits that upstreams name

Callers of a platform whose upstreams are in need saw those upstreams get worse: an upstream that named 2 requests a second got up to 312 in 4 s, as nothing acted on the limit.

Cause: a missing shared budget. A limit belongs to all processes, and each decides on its own what it sends. Ruled out: a limit kept by each process alone (no code read it) and one kept by first attempts only.

Change: each process reports the limits that it learns to the leader, which announces and stores them, and grants permits from a bucket that fills at the named rate. Every request to a limited upstream uses one: first attempts, retries, hedges, items, scorer calls and orders; requests for a report are charged. Without the leader a process uses its share of a fifth of the limit, starting from nothing; a former leader grants half. A process that starts reads the stored limits before it uses an upstream. A request that cannot be served is refused at once with the time of the next permit.

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -42,6 +42,9 @@
 /// upstream becomes free in about this time.
 const BUSY_RETRY_MS: u64 = 100;
 
+/// The longest suggested retry delay, in milliseconds. A limit may end before its next permit is due.
+const MAX_RETRY_MS: u64 = 2_000;
+
 /// Buffered request bodies may use the process's memory divided by this number.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
@@ -101,8 +104,8 @@
         };
         let (head, operation, body) = match (decoded, body) {
             (Ok((head, operation)), Ok(body)) => (head, operation, body),
-            (Ok((head, _)), Err(error)) => return self.refuse(&head.id, &error, arrived),
-            (Err(error), _) => return self.refuse("", &error, arrived),
+            (Ok((head, _)), Err(error)) => return self.refuse(Some(&head), &error, arrived),
+            (Err(error), _) => return self.refuse(None, &error, arrived),
         };
         let outcome = match operation {
             CallerOperation::Request => self.answer_request(&head, body, arrived).await,
@@ -130,7 +133,7 @@
                 self.log_response(&head, &response, arrived);
                 response
             }
-            Err(error) => self.refuse(&head.id, &error, arrived),
+            Err(error) => self.refuse(Some(&head), &error, arrived),
         }
     }
 
@@ -344,13 +347,30 @@
         response
     }
 
-    fn refuse(&self, id: &str, error: &ServiceError, arrived: Instant) -> Response<ResponseBody> {
-        let retry_ms = match (error.kind, error.execution) {
-            (ErrorKind::NoUpstream | ErrorKind::Overloaded, ExecutionOutcome::NotRun) => {
-                Some(BUSY_RETRY_MS)
-            }
-            _ => None,
-        };
+    /// Returns when a refused caller may come back, in milliseconds.
+    fn retry_ms(&self, head: Option<&RequestHead>, error: &ServiceError) -> Option<u64> {
+        let is_busy = matches!(error.kind, ErrorKind::NoUpstream | ErrorKind::Overloaded)
+            && error.execution == ExecutionOutcome::NotRun;
+        if !is_busy {
+            return None;
+        }
+        let view = self.core.intent.borrow();
+        let matched = head.and_then(|head| view.routes().resolve(&head.host, &head.path, &head.id));
+        let now = self.core.now();
+        let next_permit = matched
+            .and_then(|matched| self.core.roster.borrow().next_permit(now, &matched.service));
+        let wait_ms = next_permit.map_or(0, |next| next.since(now));
+        Some(wait_ms.clamp(BUSY_RETRY_MS, MAX_RETRY_MS))
+    }
+
+    fn refuse(
+        &self,
+        head: Option<&RequestHead>,
+        error: &ServiceError,
+        arrived: Instant,
+    ) -> Response<ResponseBody> {
+        let id = head.map_or("", |head| head.id.as_str());
+        let retry_ms = self.retry_ms(head, error);
         self.core
             .metrics
             .requests
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
-        events::{CLOCK_JUMPED, INTENT_FAULT, UPSTREAM_LIMITED},
+        events::{CLOCK_JUMPED, INTENT_FAULT},
         feed::StoreFeed,
         intent::IntentView,
         jobs::backup::CopyStore,
         keys::{self, MemberRecord},
+        limits::LimitExchange,
         metrics::GatewayMetrics,
         port::{CallerCodec, CloudApi, IntentDecoder, MetadataStore, StoreItem, UpstreamCodec},
         relay::RelayedStore,
@@ -20,8 +21,8 @@
     },
     catkindeck_net::HttpClient,
     catkindeck_policy::direct::{
-        ClockChange, FreshnessGate, LimitHeader, LoadTimeEstimate, PeerReachability, UpstreamKey,
-        UpstreamTable, UsageLedger, UsageWindows, WallClockFilter,
+        ClockChange, FreshnessGate, LoadTimeEstimate, PeerReachability, UpstreamTable, UsageLedger,
+        UsageWindows, WallClockFilter,
     },
     slog::Logger,
     std::{
@@ -106,6 +107,8 @@
     pub is_shutting_down: Cell<bool>,
     /// How long engines take to load weights, learned from their responses to this process.
     pub load_time: Cell<LoadTimeEstimate>,
+    /// Limits of upstreams that all processes keep together.
+    pub limits: LimitExchange,
     pub logger: Logger,
     clock: BootClock,
     wall_clock: RefCell<WallClockFilter>,
@@ -149,6 +152,7 @@
             leader: RefCell::new(None),
             is_shutting_down: Cell::new(false),
             load_time: Cell::default(),
+            limits: LimitExchange::default(),
             logger,
             clock: BootClock::new(),
             wall_clock: RefCell::default(),
@@ -192,19 +196,6 @@
         self.usage_counted.notify_one();
     }
 
-    /// Applies what a response to a request sent at `sent` says about the limit of an upstream.
-    pub fn observe_limit(&self, key: UpstreamKey, sent: Moment, header: LimitHeader) {
-        let now = self.now();
-        let mut roster = self.roster.borrow_mut();
-        let state = roster.get_mut(key);
-        if state.limit.observe(now, sent, header) {
-            log_event!(self.logger, UPSTREAM_LIMITED;
-                "upstream" => %state.record.id, "service" => %state.record.service,
-                "per_second" => state.limit.rate().map(|rate| rate.to_string()),
-                "in_flight" => state.in_flight, "sent_last_second" => state.rate.recent(now));
-        }
-    }
-
     /// Replaces the list of processes by the registrations in `items`. Registrations that cannot be
     /// decoded are logged and left out.
     pub fn set_members(&self, items: &[StoreItem]) {
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -242,6 +242,8 @@
         let own = Rc::clone(core);
         spawn_supervised(core, "usage", move || Rc::clone(&own).send_usage());
         let own = Rc::clone(core);
+        spawn_supervised(core, "limits", move || Rc::clone(&own).exchange_limits());
+        let own = Rc::clone(core);
         let (jobs, callers) = (Rc::clone(&self.jobs), Rc::clone(&self.callers));
         spawn_supervised(core, "housekeeping", move || {
             run_housekeeping(Rc::clone(&own), Rc::clone(&jobs), Rc::clone(&callers))
@@ -335,6 +337,10 @@
         core.metrics.config_age_ms.set(age(config));
         let roster = core.roster.borrow().age(now);
         core.metrics.roster_age_ms.set(age(roster));
+        let limited = core.roster.borrow().limited();
+        core.metrics
+            .limited_upstreams
+            .set(i64::try_from(limited).unwrap_or(i64::MAX));
     }
 }
 
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -21,6 +21,7 @@
     UPSTREAM_DRAINING = 8121, "upstream_draining", Info, "upstream is draining and gets no new requests";
     UPSTREAM_REMOVED = 8122, "upstream_gone", Info, "upstream was removed";
     UPSTREAM_LIMITED = 8123, "upstream_limited", Info, "upstream named, changed or ended its request limit";
+    LIMIT_DETACHED = 8124, "limit_detached", Warning, "leader does not answer; only this process's share of limits is used";
     REQUEST_ANSWERED = 8130, "request_done", Info, "request was answered";
     REQUEST_REFUSED = 8131, "request_refused", Info, "request was refused or failed";
     STREAM_ENDED = 8134, "stream_ended", Info, "stream ended";
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -105,7 +105,7 @@
         let mut hedge_at = self.options.hedge_after.map(|after| Instant::now() + after);
         loop {
             if self.running.is_empty()
-                && let Some(outcome) = self.start_next()
+                && let Some(outcome) = self.start_next().await
             {
                 return outcome;
             }
@@ -127,14 +127,24 @@
     }
 
     /// Starts an attempt, or returns the outcome of the request if no attempt is possible.
-    fn start_next(&mut self) -> Option<CallOutcome> {
+    async fn start_next(&mut self) -> Option<CallOutcome> {
         let no_attempt_left =
             self.started >= self.options.attempts || self.refusals > REFUSAL_LIMIT;
         let may_run = self.unknown.is_none() || self.options.idempotent;
-        if no_attempt_left || !may_run || !self.start_attempt() {
+        if no_attempt_left || !may_run {
             return Some(self.exhausted_outcome());
         }
-        None
+        let until = self.core.permit_deadline(self.options.expires);
+        loop {
+            if self.start_attempt() {
+                return None;
+            }
+            // All upstreams may be limited, with a permit under way.
+            let service = &self.options.service;
+            if self.refused.is_some() || !self.core.await_permit(service, until).await {
+                return Some(self.exhausted_outcome());
+            }
+        }
     }
 
     fn start_attempt(&mut self) -> bool {
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -112,7 +112,8 @@
                 .request
                 .expires
                 .saturating_duration_since(Instant::now());
-            let Some(guard) = self.acquire_upstream().filter(|_| !left.is_zero()) else {
+            let guard = self.await_upstream().await;
+            let Some(guard) = guard.filter(|_| !left.is_zero()) else {
                 break;
             };
             self.excluded.push(guard.key);
@@ -148,6 +149,18 @@
         })
     }
 
+    /// Acquires an upstream, and waits for a permit if all upstreams are limited.
+    async fn await_upstream(&self) -> Option<UpstreamGuard> {
+        let service = &self.request.matched.service;
+        let until = self.core.permit_deadline(self.request.expires);
+        loop {
+            let guard = self.acquire_upstream();
+            if guard.is_some() || !self.core.await_permit(service, until).await {
+                return guard;
+            }
+        }
+    }
+
     fn acquire_upstream(&self) -> Option<UpstreamGuard> {
         let service = &self.request.matched.service;
         let Some(model) = &self.request.head.model else {
--- a/crates/catkindeck-gateway/src/keys.rs
+++ b/crates/catkindeck-gateway/src/keys.rs
@@ -19,6 +19,8 @@
 pub const JOB_RECORD_PREFIX: &str = "ckd/open/";
 /// The prefix of the submissions, results and partial texts of jobs.
 const JOB_PREFIX: &str = "ckd/jobs/";
+/// The key of the limits that upstreams name, as last written by the leader.
+pub const LIMITS_KEY: &str = "ckd/limits";
 /// The key of the counts of usage windows that are not sealed yet.
 pub const UNSEALED_USAGE_KEY: &str = "ckd/open-usage";
 /// The prefix of the sealed usage windows: one key each.
--- a/crates/catkindeck-gateway/src/leader/election.rs
+++ b/crates/catkindeck-gateway/src/leader/election.rs
@@ -9,6 +9,7 @@
         events::{LEADERSHIP_ACQUIRED, LEADERSHIP_RELEASED, MAINTENANCE_FAILED},
         jobs::JobService,
         keys::{self, LEADER_KEY, MemberRecord},
+        limits::ALLOCATION_CONFIRMED_MS,
         port::{
             CommitOutcome, LeaderProof, StoreCondition, StoreItem, StoreWrite, Transaction,
             WatchOutcome,
@@ -157,6 +158,7 @@
             }
             ClaimDecision::Wait => {
                 self.core.leader.borrow_mut().clone_from(&view.holder);
+                self.core.limits.wake();
                 self.await_change(view, WATCH_WAIT).await;
                 return Ok(None);
             }
@@ -242,8 +244,16 @@
         *self.fence.borrow_mut() = Some(fence);
         *self.core.leader.borrow_mut() = Some(self.session.record());
         log_event!(self.core.logger, LEADERSHIP_ACQUIRED; "fence" => fence);
-        let tasks = self.spawn_leader_tasks();
+        self.core
+            .limits
+            .allocator
+            .borrow_mut()
+            .start(self.core.now());
+        self.core.limits.wake();
+        let tasks = self.spawn_leader_tasks(fence);
         while self.proof().is_ok() {
+            let until = self.core.now() + ALLOCATION_CONFIRMED_MS;
+            self.core.limits.allocator.borrow_mut().confirm(until);
             sleep(CHECK_INTERVAL).await;
         }
         for task in &tasks {
@@ -259,9 +269,10 @@
         }
     }
 
-    fn spawn_leader_tasks(self: &Rc<Self>) -> [JoinHandle<()>; 6] {
+    fn spawn_leader_tasks(self: &Rc<Self>, fence: u64) -> [JoinHandle<()>; 7] {
         let usage = UsageReporter::new(Rc::clone(self));
         let unsealed = Rc::clone(&usage);
+        let core = Rc::clone(&self.core);
         let spawn = |name, start: fn(Rc<Self>) -> LocalFuture<'static, ()>| {
             let election = Rc::clone(self);
             spawn_supervised(&self.core, name, move || start(Rc::clone(&election)))
@@ -279,6 +290,9 @@
                 Box::pin(JobSupervisor::new(election).run())
             }),
             spawn("intents", |election| Box::pin(election.watch_intents())),
+            spawn_supervised(&self.core, "saved_limits", move || {
+                Rc::clone(&core).save_limits(fence)
+            }),
         ]
     }
 
--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -55,7 +55,7 @@
         let core = &self.election.core;
         let now = core.now();
         let view = core.intent.borrow();
-        let mut roster = core.roster.borrow_mut();
+        let roster = core.roster.borrow();
         let engines = roster
             .iter()
             .filter(|(_, state)| !state.record.weights.is_empty())
@@ -63,7 +63,10 @@
         let planner = WeightLoadPlanner {
             max_concurrent: engines.div_ceil(CONCURRENT_LOAD_DIVISOR).max(1),
         };
-        let tasks = planner.plan(now, &roster, view.target_versions());
+        let mut tasks = planner.plan(now, &roster, view.target_versions());
+        drop(roster);
+        tasks.retain(|task| core.take_order_permit(task.upstream));
+        let mut roster = core.roster.borrow_mut();
         for task in &tasks {
             roster.get_mut(task.upstream).record_weight_load(
                 now,
@@ -153,6 +156,7 @@
             return Some(*accepted);
         }
         let core = &self.election.core;
+        core.charge_limit(key);
         let (id, address) = {
             let roster = core.roster.borrow();
             let record = &roster.get(key).record;
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     pub lease_ms: IntGauge,
     pub store_calls: IntCounterVec,
     pub items_running: IntGauge,
+    /// The upstreams that name a limit for the requests of all processes together.
+    pub limited_upstreams: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -111,6 +113,10 @@
                 "call",
             )?,
             items_running: gauge("catkindeck_gateway_items_running", "The items in progress.")?,
+            limited_upstreams: gauge(
+                "catkindeck_gateway_limited_upstreams",
+                "The upstreams that name a limit for the requests of all processes together.",
+            )?,
         })
     }
 }
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -10,6 +10,7 @@
         feed::{FeedQuery, FeedUpdate},
         jobs::{JobService, backup::JobTextUpdate},
         keys::{self, JobRecord, MemberRecord},
+        limits::{LimitNotice, PermitReply, PermitRequest},
         port::WeightOrder,
         relay::{StoreCall, StoreResponse},
     },
@@ -106,6 +107,10 @@
     Store(Box<StoreCall>),
     /// Forwards a call through the receiver to a process that the sender cannot reach.
     Forward(Box<ForwardedCall>),
+    /// Reports limits of upstreams to the leader and requests permits.
+    Permits(PermitRequest),
+    /// Announces limits that changed.
+    Limits(Vec<LimitNotice>),
 }
 
 /// A call to be forwarded to another process.
@@ -162,6 +167,7 @@
     Copy(Vec<(u32, ItemProgress)>),
     Feed(Box<FeedUpdate>),
     Store(Box<StoreResponse>),
+    Permits(PermitReply),
 }
 
 #[message]
@@ -298,6 +304,13 @@
                 }
                 Ok(PeerResponse::Done)
             }
+            PeerCall::Permits(request) => {
+                self.core.grant_permits(&request).map(PeerResponse::Permits)
+            }
+            PeerCall::Limits(notices) => {
+                self.core.apply_limits(&notices);
+                Ok(PeerResponse::Done)
+            }
         }
     }
 }
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -139,6 +139,7 @@
     }
 
     async fn fetch_update(&self, leader: &MemberRecord) -> Result<(), ServiceError> {
+        self.core.fetch_limits(leader).await?;
         let query = {
             let mut feed_position = self.feed_position.borrow_mut();
             if feed_position.0 != Some(leader.incarnation) {
@@ -207,6 +208,7 @@
     /// Reads both prefixes, so that the feed publishes both with about the same age.
     async fn read(&self) -> Result<(), ServiceError> {
         let core = &self.core;
+        core.load_limits().await?;
         let intents_at = core.now();
         let prefix = core.ports.intents.intent_prefix();
         let intents = core.ports.store.list(prefix).await?;
@@ -287,6 +289,7 @@
             log_event!(core.logger, UPSTREAM_REMOVED; "upstream" => %record.id);
         }
         drop(roster);
+        core.apply_pending_limits();
         core.capacity.notify_one();
     }
 
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -39,20 +39,28 @@
             connected: &|address| core.upstream_client.has_idle(address),
         };
         let limits = rate_limits(core, service);
-        let key = core
-            .roster
-            .borrow()
-            .select_plain(core.now(), &query, limits)?;
+        let now = core.now();
+        let roster = core.roster.borrow();
+        let selected = roster.select_plain(now, &query, limits);
+        let Some(key) = selected else {
+            core.request_permit(roster.select_limited_plain(now, &query, limits));
+            return None;
+        };
+        drop(roster);
         Some(Self::begin(core, key))
     }
 
     /// Selects an engine and counts a request there. Returns `None` if none is available.
     pub fn acquire_engine(core: &Rc<GatewayCore>, query: &EngineQuery<'_>) -> Option<Self> {
         let limits = rate_limits(core, query.service);
-        let key = core
-            .roster
-            .borrow()
-            .select_engine(core.now(), query, limits)?;
+        let now = core.now();
+        let roster = core.roster.borrow();
+        let selected = roster.select_engine(now, query, limits);
+        let Some(key) = selected else {
+            core.request_permit(roster.select_limited_engine(now, query, limits));
+            return None;
+        };
+        drop(roster);
         Some(Self::begin(core, key))
     }
 
@@ -60,8 +68,7 @@
         let now = core.now();
         let mut roster = core.roster.borrow_mut();
         let state = roster.get_mut(key);
-        state.in_flight += 1;
-        state.rate.count(now);
+        state.record_request(now);
         Self {
             core: Rc::clone(core),
             key,
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -9,6 +9,7 @@
 pub mod outage;
 pub mod outcome;
 pub mod peer_reachability;
+pub mod permits;
 pub mod rate;
 pub mod request_rate;
 pub mod routes;
@@ -32,6 +33,7 @@
     outage::OutageBackoff,
     outcome::{ItemOutcome, ResultState},
     peer_reachability::PeerReachability,
+    permits::{PermitAllocator, PermitPool},
     rate::RateWindow,
     request_rate::{RateBucket, RequestRate},
     routes::{RouteMatch, RouteTable, choose_service},
--- a/crates/catkindeck-policy/src/direct/request_rate.rs
+++ b/crates/catkindeck-policy/src/direct/request_rate.rs
@@ -92,6 +92,12 @@
         taken
     }
 
+    /// Takes credit for one request even if there is none, so that later requests wait for it.
+    pub fn charge(&mut self, now: Moment, rate: RequestRate) {
+        self.refill(now, rate);
+        self.credit -= REQUEST_CREDIT;
+    }
+
     /// Returns the time until there is credit for one request, in milliseconds; `None` if there will be
     /// none at this rate.
     pub fn wait_ms(&mut self, now: Moment, rate: RequestRate) -> Option<u64> {
--- a/crates/catkindeck-policy/src/direct/selection.rs
+++ b/crates/catkindeck-policy/src/direct/selection.rs
@@ -97,6 +97,58 @@
         now: Moment,
         query: &EngineQuery<'_>,
         limits: RateLimits,
+    ) -> Option<UpstreamKey> {
+        self.best_engine(now, query, limits, |state| state.is_permitted(now))
+    }
+
+    /// Selects the engine for which a permit should be requested, if only permits are missing.
+    pub fn select_limited_engine(
+        &self,
+        now: Moment,
+        query: &EngineQuery<'_>,
+        limits: RateLimits,
+    ) -> Option<UpstreamKey> {
+        self.best_engine(now, query, limits, |state| state.awaits_permit(now))
+    }
+
+    /// Selects the plain upstream that will probably answer first.
+    pub fn select_plain(
+        &self,
+        now: Moment,
+        query: &PlainQuery<'_>,
+        limits: RateLimits,
+    ) -> Option<UpstreamKey> {
+        self.best_plain(now, query, limits, |state| state.is_permitted(now))
+    }
+
+    /// Selects the plain upstream for which a permit should be requested, if only permits are missing.
+    pub fn select_limited_plain(
+        &self,
+        now: Moment,
+        query: &PlainQuery<'_>,
+        limits: RateLimits,
+    ) -> Option<UpstreamKey> {
+        self.best_plain(now, query, limits, |state| state.awaits_permit(now))
+    }
+
+    /// Returns the moment at which a limited upstream of a service gets its next permit, if upstreams
+    /// are unavailable only because of their limits.
+    pub fn next_permit(&self, now: Moment, service: &ObjectName) -> Option<Moment> {
+        let limited = self.iter().filter(|(key, state)| {
+            state.record.service == *service
+                && self.accepts_work(*key)
+                && !state.is_permitted(now)
+                && now < state.permits.denied_until()
+        });
+        limited.map(|(_, state)| state.permits.denied_until()).min()
+    }
+
+    fn best_engine(
+        &self,
+        now: Moment,
+        query: &EngineQuery<'_>,
+        limits: RateLimits,
+        admits: impl Fn(&UpstreamState) -> bool,
     ) -> Option<UpstreamKey> {
         let usable = self.iter().filter(|(key, state)| {
             state.record.service == *query.service
@@ -107,6 +159,7 @@
                 && state.version(query.model) >= Some(query.least_version)
                 && state.in_flight < state.record.slots
                 && limits.allows(now, state)
+                && admits(state)
         });
         let shortest = self.shortest_event_gap(query.service);
         let cost = |state: &UpstreamState| {
@@ -127,18 +180,19 @@
             .map(|(key, _)| key)
     }
 
-    /// Selects the plain upstream that will probably answer first.
-    pub fn select_plain(
+    fn best_plain(
         &self,
         now: Moment,
         query: &PlainQuery<'_>,
         limits: RateLimits,
+        admits: impl Fn(&UpstreamState) -> bool,
     ) -> Option<UpstreamKey> {
         let usable = |key: &UpstreamKey, state: &UpstreamState| {
             state.record.service == *query.service
                 && self.accepts_work(*key)
                 && !query.excluded.contains(key)
                 && limits.allows(now, state)
+                && admits(state)
         };
         let shortest = self.shortest_latency(query.service);
         let cost = |state: &UpstreamState| {
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -1,7 +1,7 @@
 //! The state of one upstream in a gateway.
 
 use {
-    super::{rate::RateWindow, upstream_limit::UpstreamLimit},
+    super::{permits::PermitPool, rate::RateWindow, upstream_limit::UpstreamLimit},
     catkindeck::{Moment, SortedMap, arena_key, id::ObjectName, message, token::WeightVersion},
     std::{collections::VecDeque, net::SocketAddr},
 };
@@ -82,6 +82,8 @@
     pub rate: RateWindow,
     /// The limit that the upstream names for all processes together.
     pub limit: UpstreamLimit,
+    /// This process's permits to send requests while there is a limit.
+    pub permits: PermitPool,
     /// The moving average of the time between two events of a stream, in microseconds; zero before
     /// the first sample.
     pub event_gap_us: u64,
@@ -104,6 +106,7 @@
             in_flight: 0,
             rate: RateWindow::default(),
             limit: UpstreamLimit::default(),
+            permits: PermitPool::default(),
             event_gap_us: 0,
             latency_us: 0,
             versions: SortedMap::new(),
@@ -202,6 +205,25 @@
         now < self.cold_until
     }
 
+    /// Returns whether this process may send a request within the limit that the upstream names.
+    pub fn is_permitted(&self, now: Moment) -> bool {
+        self.limit.rate().is_none() || self.permits.has_permit(now)
+    }
+
+    /// Returns whether only a permit that may be requested now is missing.
+    pub fn awaits_permit(&self, now: Moment) -> bool {
+        self.limit.rate().is_some() && self.permits.may_request(now)
+    }
+
+    /// Records a request.
+    pub fn record_request(&mut self, now: Moment) {
+        self.in_flight += 1;
+        self.rate.count(now);
+        if self.limit.rate().is_some() {
+            self.permits.take(now);
+        }
+    }
+
     /// Records that a prompt part was sent to the upstream.
     pub fn record_prompt_part(&mut self, part: u64) {
         if self.has_prompt_part(part) {
--- a/crates/catkindeck-policy/src/direct/upstream_limit.rs
+++ b/crates/catkindeck-policy/src/direct/upstream_limit.rs
@@ -2,6 +2,10 @@
 
 use {super::request_rate::RequestRate, catkindeck::Moment};
 
+/// The lowest rate at which an upstream is used. Only a response shows that a limit has ended, so even
+/// an upstream that takes nothing gets a request now and then.
+const PROBE_RATE: RequestRate = RequestRate { per_ks: 250 };
+
 /// What an upstream's response says about its limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum LimitHeader {
@@ -23,6 +27,7 @@
 pub struct UpstreamLimit {
     rate: Option<RequestRate>,
     evidence_at: Moment,
+    changed_at: Moment,
 }
 
 impl UpstreamLimit {
@@ -31,6 +36,12 @@
         self.rate
     }
 
+    /// Returns the rate at which requests may be sent, with the moment since which it is in force.
+    pub fn in_force(&self) -> Option<(RequestRate, Moment)> {
+        let rate = self.rate?.max(PROBE_RATE);
+        Some((rate, self.changed_at))
+    }
+
     /// Returns the time of the most recent evidence.
     pub fn evidence_at(&self) -> Moment {
         self.evidence_at
@@ -51,6 +62,10 @@
             return false;
         }
         self.evidence_at = at;
-        std::mem::replace(&mut self.rate, rate) != rate
+        let is_changed = std::mem::replace(&mut self.rate, rate) != rate;
+        if is_changed {
+            self.changed_at = at;
+        }
+        is_changed
     }
 }
--- a/crates/catkindeck-policy/src/direct/upstream_table.rs
+++ b/crates/catkindeck-policy/src/direct/upstream_table.rs
@@ -121,6 +121,12 @@
         self.last_read.map(|read| now.since(read))
     }
 
+    /// Returns the number of current instances that name a limit.
+    pub fn limited(&self) -> usize {
+        let limits = self.iter().map(|(_, state)| state.limit.rate());
+        limits.flatten().count()
+    }
+
     /// Returns the number of current instances.
     pub fn len(&self) -> usize {
         self.current.len()
