Use more of a named limit: bursts, permits ahead, and a stand-in for the leader

Cause: a quarter of a second of credit is less than one request at 1.5 a second, so a limit lost what came in bursts; permits were requested only once every other engine was full, so the idle limited ones were used last; and without a leader each process had its own share of a fifth, of which all but the one that runs the jobs used nothing.

Change: the leader keeps credit for four requests (five more than the limit are tolerated); a permit is requested ahead when the chosen engine is half full; a process that all choose alike stands in for a leader that does not answer and grants two fifths.

--- a/crates/catkindeck-gateway/src/limits.rs
+++ b/crates/catkindeck-gateway/src/limits.rs
@@ -16,7 +16,9 @@
         id::{IncarnationId, ObjectName},
         log_event, message,
     },
-    catkindeck_policy::direct::{LimitHeader, PermitAllocator, RequestRate, UpstreamKey},
+    catkindeck_policy::direct::{
+        LimitHeader, PermitAllocator, RequestRate, UpstreamKey, rendezvous_score,
+    },
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -28,9 +30,15 @@
     },
 };
 
-/// How often permits accrue while the leader cannot be reached.
+/// How often a process that is not in touch with the leader tries to reach it.
 const DETACHED_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How long a leader that did not answer is not asked again, in milliseconds.
+const LOST_LEADER_PAUSE_MS: u64 = 1_000;
+
+/// The number of processes that may stand in for the leader.
+const STAND_IN_LIMIT: usize = 3;
+
 /// The longest time for which a request waits for a permit. A caller that is told when to come back can use it
 /// as well.
 const PERMIT_WAIT: Duration = Duration::from_millis(150);
@@ -115,6 +123,9 @@
     pub allocator: RefCell<PermitAllocator>,
     /// The leader that knows what this process knows, and vice versa.
     synced: Cell<Option<IncarnationId>>,
+    /// The leader that did not answer, and when.
+    lost: Cell<Option<(Option<IncarnationId>, Moment)>>,
+    /// Whether the loss of the leader was logged.
     is_detached: Cell<bool>,
     /// Whether a request for permits is under way.
     is_requesting: Cell<bool>,
@@ -133,6 +144,12 @@
         self.wake.notify_one();
     }
 
+    /// Returns whether a leader did not answer just now, so that waiting for it again is pointless.
+    fn is_lost(&self, now: Moment, leader: Option<IncarnationId>) -> bool {
+        let lost = self.lost.get();
+        lost.is_some_and(|(lost, at)| lost == leader && now.since(at) < LOST_LEADER_PAUSE_MS)
+    }
+
     fn has_news(&self) -> bool {
         !self.wanted.borrow().is_empty()
             || !self.unreported.borrow().is_empty()
@@ -261,7 +278,10 @@
     pub async fn fetch_limits(&self, leader: &MemberRecord) -> Result<(), ServiceError> {
         match self.limits.is_loaded.get() {
             true => Ok(()),
-            false => self.request_permits(leader, true).await,
+            false => {
+                let request = self.take_request(true);
+                self.request_permits(leader, request).await
+            }
         }
     }
 
@@ -309,6 +329,10 @@
                 "this process does not divide the limits of upstreams",
             ));
         }
+        Ok(self.answer_request(request))
+    }
+
+    fn answer_request(&self, request: &PermitRequest) -> PermitReply {
         let now = self.now();
         for notice in &request.observed {
             let at = now - notice.age_ms;
@@ -334,7 +358,7 @@
             true => self.limits_in_force(),
             false => Vec::new(),
         };
-        Ok(PermitReply { limits, grants })
+        PermitReply { limits, grants }
     }
 
     /// Takes a permit for an order of the leader. Returns `false` if none is available.
@@ -370,22 +394,40 @@
                 continue;
             }
             self.limits.is_requesting.set(true);
-            let outcome = match leader {
-                Some(leader) => self.request_permits(&leader, !is_synced).await,
+            let request = self.take_request(!is_synced);
+            let is_lost = self.limits.is_lost(self.now(), synced);
+            let outcome = match leader.filter(|_| !is_lost) {
+                Some(leader) => self.request_permits(&leader, request.clone()).await,
                 None => Err(ServiceError::not_run(
                     ErrorKind::PeerUnavailable,
-                    "no leader is known",
+                    "no leader is known or it did not answer just now",
                 )),
             };
-            self.limits.is_requesting.set(false);
             if let Err(error) = outcome {
-                self.detach(&error);
+                self.record_lost_leader(synced, &error);
+                // The limits that were not reported are kept for the leader.
+                let _ = self.request_from_stand_in(synced, request).await;
             }
+            self.limits.is_requesting.set(false);
             self.limits.answered.notify_waiters();
             self.capacity.notify_one();
         }
     }
 
+    /// Records that the leader cannot be reached.
+    fn record_lost_leader(&self, leader: Option<IncarnationId>, error: &ServiceError) {
+        self.limits.synced.set(None);
+        let now = self.now();
+        if !self.limits.is_lost(now, leader) {
+            self.limits.lost.set(Some((leader, now)));
+        }
+        let limited = self.roster.borrow().limited();
+        if limited > 0 && !self.limits.is_detached.replace(true) {
+            log_event!(self.logger, LIMIT_DETACHED;
+                "upstreams" => limited, "detail" => &error.detail);
+        }
+    }
+
     /// Grants this process's own permits as the leader, and announces changed limits.
     fn serve_itself(self: &Rc<Self>, synced: Option<IncarnationId>) {
         let request = self.take_request(false);
@@ -406,13 +448,8 @@
     async fn request_permits(
         &self,
         leader: &MemberRecord,
-        needs_all: bool,
+        request: PermitRequest,
     ) -> Result<(), ServiceError> {
-        let mut request = self.take_request(needs_all);
-        if needs_all {
-            // A new leader may not know what this process has learned.
-            request.observed = self.limits_in_force();
-        }
         let reported: Vec<UpstreamKey> = self.limits.unreported.borrow().keys().copied().collect();
         let call = PeerCall::Permits(request);
         let response = self
@@ -434,6 +471,7 @@
         self.limits.synced.set(Some(leader.incarnation));
         self.limits.is_loaded.set(true);
         self.limits.is_detached.set(false);
+        self.limits.lost.set(None);
         Ok(())
     }
 
@@ -443,10 +481,17 @@
         let wanted = wanted
             .iter()
             .map(|(key, count)| (self.instance(*key), *count));
+        let wanted = wanted.collect();
         let unreported = self.limits.unreported.borrow();
+        let mut observed: Vec<LimitNotice> =
+            unreported.keys().map(|key| self.notice(*key)).collect();
+        if needs_all {
+            // A new leader may not know what this process has learned.
+            observed.extend(self.limits_in_force());
+        }
         PermitRequest {
-            observed: unreported.keys().map(|key| self.notice(*key)).collect(),
-            wanted: wanted.collect(),
+            observed,
+            wanted,
             needs_all,
         }
     }
@@ -462,28 +507,52 @@
         }
     }
 
-    /// Falls back to this process's share of all limits, because the leader cannot be reached.
-    fn detach(&self, error: &ServiceError) {
-        self.limits.synced.set(None);
-        self.limits.wanted.borrow_mut().clear();
-        let now = self.now();
-        let members = self.members.borrow().len();
-        let mut roster = self.roster.borrow_mut();
-        let limited: Vec<UpstreamKey> = roster
-            .iter()
-            .filter(|(_, state)| state.limit.rate().is_some())
-            .map(|(key, _)| key)
-            .collect();
-        for key in &limited {
-            let state = roster.get_mut(*key);
-            if let Some((rate, _)) = state.limit.in_force() {
-                state.permits.accrue_detached(now, rate, members);
+    /// Requests permits from the process that stands in for a leader that cannot be reached.
+    ///
+    /// All processes choose the same one from the same list of processes: one without callers if there is one,
+    /// because the others fail together more often.
+    async fn request_from_stand_in(
+        self: &Rc<Self>,
+        leader: Option<IncarnationId>,
+        request: PermitRequest,
+    ) -> Result<(), ServiceError> {
+        let mut candidates = self.members.borrow().clone();
+        candidates.retain(|member| Some(member.incarnation) != leader);
+        candidates.sort_by_key(|member| {
+            let host = member.host.as_str().as_bytes();
+            (member.serves_callers, rendezvous_score(&[host]))
+        });
+        candidates.truncate(STAND_IN_LIMIT);
+        let call = PeerCall::StandInPermits(request.clone());
+        for member in &candidates {
+            if member.incarnation == self.incarnation {
+                break;
+            }
+            let response = self.call_peer(member.peer, &call, Duration::ZERO).await;
+            if let Ok(PeerResponse::Permits(reply)) = response {
+                self.apply_grants(&reply.grants);
+                return Ok(());
             }
         }
-        if !limited.is_empty() && !self.limits.is_detached.replace(true) {
-            log_event!(self.logger, LIMIT_DETACHED;
-                "upstreams" => limited.len(), "members" => members, "detail" => &error.detail);
+        let is_candidate = candidates
+            .iter()
+            .any(|member| member.incarnation == self.incarnation);
+        if !is_candidate && !candidates.is_empty() {
+            return Err(ServiceError::not_run(
+                ErrorKind::PeerUnavailable,
+                "neither the leader nor a process that stands in for it answers",
+            ));
         }
+        let reply = self.grant_as_stand_in(&request);
+        self.apply_grants(&reply.grants);
+        Ok(())
+    }
+
+    /// Answers a request for permits in place of a leader that the sender cannot reach.
+    pub fn grant_as_stand_in(self: &Rc<Self>, request: &PermitRequest) -> PermitReply {
+        let now = self.now();
+        self.limits.allocator.borrow_mut().stand_in(now);
+        self.answer_request(request)
     }
 
     /// Returns whether this process divides the limits: it is the leader, or was it last and knows of no other.
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -111,6 +111,8 @@
     Permits(PermitRequest),
     /// Announces limits that changed.
     Limits(Vec<LimitNotice>),
+    /// Requests permits in place of the leader, which the sender cannot reach.
+    StandInPermits(PermitRequest),
 }
 
 /// A call to be forwarded to another process.
@@ -307,6 +309,9 @@
             PeerCall::Permits(request) => {
                 self.core.grant_permits(&request).map(PeerResponse::Permits)
             }
+            PeerCall::StandInPermits(request) => {
+                Ok(PeerResponse::Permits(self.core.grant_as_stand_in(&request)))
+            }
             PeerCall::Limits(notices) => {
                 self.core.apply_limits(&notices);
                 Ok(PeerResponse::Done)
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -60,6 +60,11 @@
             core.request_permit(roster.select_limited_engine(now, query, limits));
             return None;
         };
+        // The next request is better off at an engine with few, so its permit is requested ahead.
+        let state = roster.get(key);
+        if state.in_flight >= state.record.slots / 2 {
+            core.request_permit(roster.select_limited_engine(now, query, limits));
+        }
         drop(roster);
         Some(Self::begin(core, key))
     }
--- a/crates/catkindeck-policy/src/direct/permits.rs
+++ b/crates/catkindeck-policy/src/direct/permits.rs
@@ -16,15 +16,15 @@
 
 /// How long a permit may be used, in milliseconds. Permits that are not used are lost, and those that
 /// were granted before a window count within it.
-const PERMIT_LIFETIME_MS: u64 = 500;
+const PERMIT_LIFETIME_MS: u64 = 250;
 
-/// The share of a limit that all processes together use while they cannot reach the leader, in percent.
-/// The leader may grant the whole limit to others at the same time, and an upstream tolerates half more.
-const DETACHED_PERCENT: u64 = 20;
+/// The number of requests that may follow each other at once after a pause. An upstream tolerates five
+/// more than its limit allows.
+const LEADER_BURST: u32 = 4;
 
-/// The share that a process grants after its leadership has ended and before it knows of another leader,
-/// in percent. Another leader may already grant the whole limit.
-const FORMER_LEADER_PERCENT: u64 = 50;
+/// The share of a limit that a process grants if it is not known to be the leader, in percent. The leader
+/// may grant the whole limit at the same time, and an upstream tolerates half more.
+const STAND_IN_PERCENT: u64 = 40;
 
 /// The permits of this process for one upstream.
 #[derive(Debug, Clone, Default)]
@@ -33,8 +33,6 @@
     permits: VecDeque<Moment>,
     /// No permit is available before this moment, according to the leader.
     denied_until: Moment,
-    /// The share of this process while it cannot reach the leader.
-    detached: Option<RateBucket>,
 }
 
 impl PermitPool {
@@ -60,53 +58,41 @@
 
     /// Applies the leader's answer; it grants nothing before `wait_ms` if `count` is zero.
     pub fn apply_grant(&mut self, now: Moment, count: u32, wait_ms: u64) {
-        self.detached = None;
-        self.add(now, count);
-        if count == 0 {
-            self.denied_until = now + wait_ms;
-        }
-    }
-
-    /// Adds the permits that are due while the leader cannot be reached; `members` processes share what
-    /// is used meanwhile.
-    pub fn accrue_detached(&mut self, now: Moment, rate: RequestRate, members: usize) {
-        let bucket = self.detached.get_or_insert_with(|| RateBucket::empty(now));
-        let share = rate.share(DETACHED_PERCENT, members);
-        let count = match self.permits.is_empty() {
-            true => bucket.take(now, share, 1),
-            false => 0,
-        };
-        let wait_ms = bucket.wait_ms(now, share).unwrap_or(u64::MAX);
-        self.add(now, count);
-        self.denied_until = now + wait_ms;
-    }
-
-    fn add(&mut self, now: Moment, count: u32) {
         self.permits.retain(|expires| now < *expires);
         for _ in 0..count {
             self.permits.push_back(now + PERMIT_LIFETIME_MS);
         }
+        if count == 0 {
+            self.denied_until = now + wait_ms;
+        }
     }
 }
 
-/// Divides the limits of upstreams in the process that is the leader.
+/// Divides the limits of upstreams, in the leader or in a process that stands in for it.
 #[derive(Debug, Clone, Default)]
 pub struct PermitAllocator {
     buckets: SortedMap<UpstreamKey, RateBucket>,
-    /// When this process became the leader; `None` if it never did.
+    /// When this process began to divide limits; `None` if it never did.
     since: Option<Moment>,
     /// Until when this process is known to be the leader.
     confirmed_until: Moment,
 }
 
 impl PermitAllocator {
-    /// Starts to divide limits. Former leaders may have granted all there was, so nothing is available
+    /// Starts to divide limits as the leader. Former leaders may have granted all there was, so nothing is available
     /// yet.
     pub fn start(&mut self, now: Moment) {
         self.buckets = SortedMap::new();
         self.since = Some(now);
     }
 
+    /// Starts to divide limits in place of a leader that cannot be reached, unless this process already does.
+    pub fn stand_in(&mut self, now: Moment) {
+        if self.since.is_none() {
+            self.start(now);
+        }
+    }
+
     /// Records that this process is the leader until a moment.
     pub fn confirm(&mut self, until: Moment) {
         self.confirmed_until = until;
@@ -126,13 +112,14 @@
         (rate, limited_since): (RequestRate, Moment),
         wanted: u32,
     ) -> (u32, u64) {
-        let rate = match now < self.confirmed_until {
-            true => rate,
-            false => rate.share(FORMER_LEADER_PERCENT, 1),
+        let (rate, burst) = match now < self.confirmed_until {
+            true => (rate, LEADER_BURST),
+            false => (rate.share(STAND_IN_PERCENT), 1),
         };
         let Some(bucket) = self.bucket(key, limited_since) else {
             return (0, PERMIT_LIFETIME_MS);
         };
+        bucket.set_burst(burst);
         match bucket.take(now, rate, wanted) {
             0 => (0, bucket.wait_ms(now, rate).unwrap_or(u64::MAX)),
             count => (count, 0),
@@ -156,7 +143,7 @@
         let start = self.since?.max(limited_since);
         Some(
             self.buckets
-                .get_or_insert_with(key, || RateBucket::empty(start)),
+                .get_or_insert_with(key, || RateBucket::empty(start, 1)),
         )
     }
 }
--- a/crates/catkindeck-policy/src/direct/request_rate.rs
+++ b/crates/catkindeck-policy/src/direct/request_rate.rs
@@ -9,9 +9,8 @@
 /// per 1,000 s adds a whole number each millisecond.
 const REQUEST_CREDIT: i64 = 1_000_000;
 
-/// The time for which unused credit is kept, in milliseconds. It bounds how many requests may follow
-/// each other at once after a pause.
-const BURST_MS: i64 = 250;
+/// The time for which unused credit is kept at high rates, in milliseconds.
+const BURST_MS: i64 = 50;
 
 /// How many requests an upstream takes, in requests per 1,000 s.
 #[key]
@@ -20,10 +19,9 @@
 }
 
 impl RequestRate {
-    /// Returns a share of the rate, in percent divided by a number of holders.
-    pub fn share(self, percent: u64, holders: usize) -> Self {
-        let holders = u64::try_from(holders.max(1)).unwrap_or(u64::MAX);
-        let per_ks = u64::from(self.per_ks) * percent / 100 / holders;
+    /// Returns a share of the rate, in percent.
+    pub fn share(self, percent: u64) -> Self {
+        let per_ks = u64::from(self.per_ks) * percent / 100;
         Self {
             per_ks: u32::try_from(per_ks).unwrap_or(u32::MAX),
         }
@@ -72,17 +70,25 @@
 pub struct RateBucket {
     credit: i64,
     updated: Moment,
+    /// The number of requests for which credit is kept at any rate.
+    burst: u32,
 }
 
 impl RateBucket {
     /// Creates a bucket without credit, because it is unknown what was sent before.
-    pub fn empty(now: Moment) -> Self {
+    pub fn empty(now: Moment, burst: u32) -> Self {
         Self {
             credit: 0,
             updated: now,
+            burst: burst.max(1),
         }
     }
 
+    /// Changes the number of requests for which credit is kept.
+    pub fn set_burst(&mut self, burst: u32) {
+        self.burst = burst.max(1);
+    }
+
     /// Takes credit for up to `wanted` requests and returns for how many there was some.
     pub fn take(&mut self, now: Moment, rate: RequestRate, wanted: u32) -> u32 {
         self.refill(now, rate);
@@ -113,7 +119,7 @@
     fn refill(&mut self, now: Moment, rate: RequestRate) {
         let elapsed_ms = i64::try_from(now.since(self.updated)).unwrap_or(i64::MAX);
         let per_ms = i64::from(rate.per_ks);
-        let most = (per_ms * BURST_MS).max(REQUEST_CREDIT);
+        let most = (per_ms * BURST_MS).max(REQUEST_CREDIT * i64::from(self.burst));
         let gained = per_ms.saturating_mul(elapsed_ms);
         self.credit = self.credit.saturating_add(gained).min(most);
         self.updated = self.updated.max(now);
