Log the software versions of upstreams and of the runs of streams

The registration's version is kept with the upstream and is in the lines of appeared upstreams, item runs and opened streams.

Nothing acts on the version yet.

--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -25,6 +25,7 @@
     REQUEST_ANSWERED = 8130, "request_done", Info, "request was answered";
     REQUEST_REFUSED = 8131, "request_refused", Info, "request was refused or failed";
     STREAM_ENDED = 8134, "stream_ended", Info, "stream ended";
+    STREAM_OPENED = 8135, "stream_opened", Info, "stream was opened at an upstream";
     ATTEMPT_FAILED = 8132, "upstream_attempt_failed", Info, "attempt at an upstream failed";
     ATTEMPT_HEDGED = 8133, "attempt_hedged", Info, "slow request was also sent to another upstream";
     JOB_ACCEPTED = 8140, "job_accepted", Info, "job was accepted";
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -5,7 +5,7 @@
     crate::{
         caller_handler::{AdmittedRequest, ResponseSource, check_key},
         core::GatewayCore,
-        events::{ATTEMPT_FAILED, STREAM_ENDED},
+        events::{ATTEMPT_FAILED, STREAM_ENDED, STREAM_OPENED},
         port::{EventDecoder, UpstreamCall, UpstreamHead},
         upstream_guard::UpstreamGuard,
     },
@@ -86,6 +86,7 @@
         });
         *response.status_mut() = stream.head.status;
         copy_headers(&stream.headers, response.headers_mut());
+        self.log_open(&stream.guard);
         let (sender, body) = ResponseBody::stream();
         *response.body_mut() = body;
         tokio::task::spawn_local(async move {
@@ -257,6 +258,7 @@
             self.excluded.clear();
             let detail = match self.open().await {
                 Ok(next) if next.head.status == StatusCode::OK => {
+                    self.log_open(&next.guard);
                     stream = next;
                     continue;
                 }
@@ -328,6 +330,12 @@
         }
     }
 
+    fn log_open(&self, guard: &UpstreamGuard) {
+        log_event!(self.core.logger, STREAM_OPENED;
+            "request" => &self.request.head.id, "upstream" => %guard.id,
+            "software" => %guard.software, "resumed_after" => self.last_event);
+    }
+
     fn log_end(&self, outcome: &str, detail: &str) {
         log_event!(self.core.logger, STREAM_ENDED;
             "request" => &self.request.head.id, "outcome" => outcome, "detail" => detail,
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -52,7 +52,7 @@
     let resumed = job.job.borrow().progress(run.key).last_event;
     log_event!(core.logger, ITEM_STARTED;
         "job" => &job.spec.id, "item" => &job.spec.items[run.key.0 as usize].id,
-        "upstream" => %run.guard.id, "resumed_after" => resumed,
+        "upstream" => %run.guard.id, "software" => %run.guard.software, "resumed_after" => resumed,
         "roster_age_ms" => core.roster.borrow().age(core.now()));
     core.metrics.items_running.inc();
     let running = RunningGuard(Rc::clone(&core));
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -276,7 +276,8 @@
             let record = &roster.get(*key).record;
             log_event!(core.logger, UPSTREAM_APPEARED;
                 "upstream" => %record.id, "service" => %record.service, "zone" => %record.zone,
-                "cold_ms" => record.cold_ms, "born_ms" => record.born_ms);
+                "cold_ms" => record.cold_ms, "born_ms" => record.born_ms,
+                "software" => %record.software);
         }
         for key in &changes.draining {
             let id = &roster.get(*key).record.id;
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -3,7 +3,9 @@
 use {
     crate::{core::GatewayCore, port::UpstreamHead},
     catkindeck::{Moment, id::ObjectName},
-    catkindeck_policy::direct::{EngineQuery, LimitHeader, PlainQuery, RateLimits, UpstreamKey},
+    catkindeck_policy::direct::{
+        EngineQuery, LimitHeader, PlainQuery, RateLimits, SoftwareVersion, UpstreamKey,
+    },
     http::StatusCode,
     std::{net::SocketAddr, rc::Rc},
 };
@@ -20,6 +22,8 @@
     pub key: UpstreamKey,
     pub id: ObjectName,
     pub address: SocketAddr,
+    /// The version of the upstream's software.
+    pub software: SoftwareVersion,
     /// When the request was assigned to the upstream, which is not later than when it was sent.
     pub begun: Moment,
 }
@@ -79,6 +83,7 @@
             key,
             id: state.record.id.clone(),
             address: state.record.address,
+            software: state.record.software.clone(),
             begun: now,
         }
     }
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -38,7 +38,7 @@
     request_rate::{RateBucket, RequestRate},
     routes::{RouteMatch, RouteTable, choose_service},
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rendezvous_score},
-    upstream::{DiscoveredUpstream, ModelWeights, UpstreamKey, UpstreamState},
+    upstream::{DiscoveredUpstream, ModelWeights, SoftwareVersion, UpstreamKey, UpstreamState},
     upstream_limit::{LimitHeader, UpstreamLimit},
     upstream_table::{UpstreamChanges, UpstreamTable},
     wall_clock::{ClockChange, WallClockFilter},
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -2,8 +2,11 @@
 
 use {
     super::{permits::PermitPool, rate::RateWindow, upstream_limit::UpstreamLimit},
-    catkindeck::{Moment, SortedMap, arena_key, id::ObjectName, message, token::WeightVersion},
-    std::{collections::VecDeque, net::SocketAddr},
+    catkindeck::{
+        ErrorKind, Moment, ServiceError, SortedMap, arena_key, id::ObjectName, message,
+        token::WeightVersion,
+    },
+    std::{collections::VecDeque, fmt, net::SocketAddr},
 };
 
 arena_key! {
@@ -26,6 +29,9 @@
 /// The weight of a new sample in the moving averages, in percent.
 const SAMPLE_WEIGHT_PERCENT: u64 = 20;
 
+/// The longest software version, in bytes.
+const SOFTWARE_VERSION_LIMIT: usize = 200;
+
 /// A model and the version that an upstream reports for it.
 #[message]
 pub struct ModelWeights {
@@ -33,6 +39,37 @@
     pub version: WeightVersion,
 }
 
+/// The software version of an upstream. The events of one stream must all come from one version.
+#[message]
+#[derive(PartialOrd, Ord)]
+pub struct SoftwareVersion(String);
+
+impl TryFrom<&str> for SoftwareVersion {
+    type Error = ServiceError;
+
+    /// Checks a version as an upstream states it.
+    ///
+    /// # Errors
+    ///
+    /// Returns `bad_request` if the text is empty or longer than [`SOFTWARE_VERSION_LIMIT`] bytes.
+    fn try_from(text: &str) -> Result<Self, ServiceError> {
+        if text.is_empty() || text.len() > SOFTWARE_VERSION_LIMIT {
+            let detail = format!(
+                "a software version has 1 to {SOFTWARE_VERSION_LIMIT} bytes, not {}",
+                text.len()
+            );
+            return Err(ServiceError::not_run(ErrorKind::BadRequest, detail));
+        }
+        Ok(Self(text.to_owned()))
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
 /// An upstream as described in the platform's list.
 #[message]
 pub struct DiscoveredUpstream {
@@ -51,6 +88,8 @@
     pub heartbeat: u64,
     /// When this instance started, in milliseconds since the Unix epoch.
     pub born_ms: u64,
+    /// The version of its software, not of its weights.
+    pub software: SoftwareVersion,
     /// The models that the upstream runs; empty for plain services.
     pub weights: Vec<ModelWeights>,
 }
--- a/crates/catkindeck-policy/tests/load_time.rs
+++ b/crates/catkindeck-policy/tests/load_time.rs
@@ -22,6 +22,7 @@
         cold_ms: 0,
         heartbeat: 1,
         born_ms: 1,
+        software: "1".try_into().expect("the version is valid"),
         weights: vec![ModelWeights {
             model: name("m0"),
             version: WeightVersion(1),
--- a/crates/catkindeck-policy/tests/named_limits.rs
+++ b/crates/catkindeck-policy/tests/named_limits.rs
@@ -100,6 +100,7 @@
         cold_ms: 0,
         heartbeat: 1,
         born_ms: 1,
+        software: "1".try_into().expect("the version is valid"),
         weights: Vec::new(),
     };
     table.apply(Moment(1), vec![record]);
--- a/crates/catkindeck-policy/tests/roster.rs
+++ b/crates/catkindeck-policy/tests/roster.rs
@@ -21,6 +21,7 @@
         cold_ms: 0,
         heartbeat,
         born_ms,
+        software: "1".try_into().expect("the version is valid"),
         weights: vec![ModelWeights {
             model: name("model-a"),
             version: WeightVersion(1),
--- a/crates/catkindeck-policy/tests/slow_runs.rs
+++ b/crates/catkindeck-policy/tests/slow_runs.rs
@@ -26,6 +26,7 @@
         cold_ms: 0,
         heartbeat: 1,
         born_ms: 1,
+        software: "1".try_into().expect("the version is valid"),
         weights: Vec::new(),
     }
 }
--- a/crates/catkindeck-policy/tests/weight_shares.rs
+++ b/crates/catkindeck-policy/tests/weight_shares.rs
@@ -30,6 +30,7 @@
         cold_ms: 0,
         heartbeat: 1,
         born_ms: 1,
+        software: "1".try_into().expect("the version is valid"),
         weights: weights.collect(),
     }
 }
