Continue streams and texts only at the software version that began them

Cause: state that outlives its producer carries no version of it. The choice of an upstream for a resumption looked at model, weights and load only. Ruled out: a version that changes under an ID (all joined texts were between different IDs).

Change: a stream remembers the software version of its first event, a text keeps it with its progress (in copies, hand-overs and stored texts alike), and only upstreams of that version may go on. A text whose version has left starts again at once; one whose version is full starts again after a second if another engine is free. A text without a known version is never continued. Items that wait for their version do not hold up others. Texts of earlier builds have no version, so their encodings are told apart and refused. An unused delay of item starts is removed.

--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -36,6 +36,7 @@
     JOB_COMPLETED = 8145, "job_whole", Info, "all results of a job are available";
     ITEM_STARTED = 8146, "item_started", Info, "item was sent to an upstream";
     ITEM_RUN_ENDED = 8147, "item_run_ended", Info, "run of an item ended";
+    TEXT_DISCARDED = 8158, "text_discarded", Info, "partial text was discarded, because its software version does not serve";
     RESULTS_LISTED = 8148, "results_listed", Info, "results were stored and made available to callers";
     ITEM_GIVEN_UP = 8156, "item_given_up", Info, "item was given up and is listed as aborted";
     RESULTS_UNSTORED = 8149, "results_unstored", Warning, "results could not be stored; retrying";
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -150,7 +150,8 @@
     fn start_attempt(&mut self) -> bool {
         let now = Instant::now();
         let left = self.options.expires.saturating_duration_since(now);
-        let guard = UpstreamGuard::acquire_plain(self.core, &self.options.service, &self.excluded);
+        let guard =
+            UpstreamGuard::acquire_plain(self.core, &self.options.service, None, &self.excluded);
         let Some(guard) = guard.filter(|_| !left.is_zero()) else {
             return false;
         };
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -12,7 +12,7 @@
     bytes::Bytes,
     catkindeck::{ErrorKind, ServiceError, id::ObjectName, log_event, token::WeightVersion},
     catkindeck_net::{BodySender, HttpExchange, ResponseBody, SendError},
-    catkindeck_policy::direct::{EngineQuery, UpstreamKey},
+    catkindeck_policy::direct::{EngineQuery, SoftwareVersion, UpstreamKey},
     http::{HeaderMap, Response, StatusCode},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
@@ -35,6 +35,8 @@
     attempts: u32,
     refusals: u32,
     last_event: Option<u64>,
+    /// The software version that generated the events so far; what another version writes does not continue them.
+    software: Option<SoftwareVersion>,
 }
 
 struct OpenStream {
@@ -67,6 +69,7 @@
             attempts: 0,
             refusals: 0,
             last_event,
+            software: None,
         }
     }
 
@@ -164,14 +167,16 @@
 
     fn acquire_upstream(&self) -> Option<UpstreamGuard> {
         let service = &self.request.matched.service;
+        let software = self.software.as_ref();
         let Some(model) = &self.request.head.model else {
-            return UpstreamGuard::acquire_plain(&self.core, service, &self.excluded);
+            return UpstreamGuard::acquire_plain(&self.core, service, software, &self.excluded);
         };
         let settings = self.core.settings();
         let query = EngineQuery {
             service,
             model,
             least_version: WeightVersion(0),
+            software,
             part: self.request.head.part,
             excluded: &self.excluded,
             zone: &settings.zone,
@@ -322,6 +327,8 @@
                     ));
                 }
                 self.last_event = Some(event.number);
+                self.software
+                    .get_or_insert_with(|| stream.guard.software.clone());
                 last_event_at = Instant::now();
                 if !sender.send(event.raw).await {
                     return ForwardOutcome::CallerGone;
--- a/crates/catkindeck-gateway/src/jobs/backup.rs
+++ b/crates/catkindeck-gateway/src/jobs/backup.rs
@@ -160,7 +160,7 @@
         if copies.is_empty() {
             return true;
         }
-        let call = PeerCall::Copy {
+        let call = PeerCall::CopyTexts {
             owner: self.core.incarnation,
             copies,
         };
@@ -231,7 +231,7 @@
             if stored.get(&job.spec.id).copied().unwrap_or_default() == size {
                 continue;
             }
-            match keys::encode(&texts) {
+            match keys::encode_texts(&texts) {
                 Ok(value) => {
                     budget = budget.saturating_sub(size.bytes);
                     stored.insert(job.spec.id.clone(), size);
@@ -275,7 +275,7 @@
                 .call_peer(holder.peer, &call, Duration::ZERO)
                 .await
             {
-                Ok(PeerResponse::Copy(items)) => items,
+                Ok(PeerResponse::CopiedTexts(items)) => items,
                 _ => IndexedProgress::new(),
             }
         });
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -228,7 +228,7 @@
             self.job.job.borrow_mut().discard_text(self.run.key);
             return run_outcome(
                 ItemOutcome::Stale,
-                "the partial text comes from a different version of the weights",
+                "the partial text comes from a different version of the weights or the software",
             );
         }
         let mut decoder = self.core.ports.upstreams.event_decoder();
@@ -287,7 +287,12 @@
         self.version = event.version.or(self.version);
         self.observe_version(event.version);
         let mut state = self.job.job.borrow_mut();
-        if state.append(self.run.key, event.number, &event.data, self.version) {
+        if state.append(
+            self.run.key,
+            event.number,
+            &event.data,
+            (self.version, &self.run.guard.software),
+        ) {
             return None;
         }
         let least = self.job.spec.least_version;
@@ -326,7 +331,8 @@
     }
 
     fn can_resume(&self) -> bool {
-        self.job.job.borrow().can_resume(self.run.key, self.version)
+        let state = self.job.job.borrow();
+        state.can_resume(self.run.key, self.version, &self.run.guard.software)
     }
 
     fn observe_version(&self, version: Option<WeightVersion>) {
--- a/crates/catkindeck-gateway/src/jobs/read.rs
+++ b/crates/catkindeck-gateway/src/jobs/read.rs
@@ -250,7 +250,7 @@
 
     /// Decodes stored partial texts. If they are malformed, the items start from the beginning.
     fn decode_texts(&self, item: &StoreItem) -> IndexedProgress {
-        keys::decode_item(item).unwrap_or_else(|error| {
+        keys::decode_texts(&item.value).unwrap_or_else(|error| {
             log_event!(self.core.logger, INTENT_FAULT;
                 "key" => &item.key, "detail" => error.detail);
             IndexedProgress::new()
--- a/crates/catkindeck-gateway/src/jobs/scheduler.rs
+++ b/crates/catkindeck-gateway/src/jobs/scheduler.rs
@@ -8,11 +8,12 @@
     },
     crate::{
         core::GatewayCore,
+        events::TEXT_DISCARDED,
         forward::stream::urgency,
         task::run_guarded,
         upstream_guard::{UpstreamGuard, rate_limits},
     },
-    catkindeck::{config::RouteRecord, id::ObjectName, token::WeightVersion},
+    catkindeck::{config::RouteRecord, id::ObjectName, log_event, token::WeightVersion},
     catkindeck_policy::direct::{
         EngineQuery, ItemKey, ItemOutcome, JobItem, StartPriority, UpstreamTable, choose_service,
     },
@@ -95,20 +96,57 @@
         if self.core.is_shutting_down.get() || job.is_lost.get() {
             return false;
         }
-        let waiting = job.job.borrow().waiting(self.core.now(), rank);
+        let waiting = job.job.borrow().waiting(rank);
         if waiting.is_empty() {
             return false;
         }
         let Some(route) = route_of(&self.core, &job.spec) else {
             return true;
         };
+        let mut has_waiting = false;
         for key in waiting {
-            let Some(run) = self.assign_engine(job, key, &route, urgency) else {
-                return true;
-            };
-            self.start(job, run);
+            let mut run = self.assign_engine(job, key, &route, urgency);
+            if run.is_none() && self.restart_unservable(job, key, &route) {
+                run = self.assign_engine(job, key, &route, urgency);
+            }
+            match run {
+                Some(run) => self.start(job, run),
+                // Other items may start at other software versions.
+                None if job.job.borrow().required_software(key).is_some() => has_waiting = true,
+                None => return true,
+            }
+        }
+        has_waiting
+    }
+
+    /// Discards the text of an item that no upstream of its software version can continue, so that it starts again
+    /// at another one. Returns whether the text was discarded.
+    fn restart_unservable(&self, job: &OwnedJob, key: ItemKey, route: &RouteRecord) -> bool {
+        let state = job.job.borrow();
+        let Some(software) = state.required_software(key).cloned() else {
+            return false;
+        };
+        let item = state.item(key);
+        let service = choose_service(route, &item.id);
+        let settings = self.core.settings();
+        let now = self.core.now();
+        let limits = rate_limits(&self.core, &service);
+        let (is_served, has_other) = {
+            let query = engine_query(job, item, &service, &settings.zone);
+            let roster = self.core.roster.borrow();
+            let other = roster.select_engine(now, &query, limits);
+            (roster.has_version(&service, &software), other.is_some())
+        };
+        let should_restart = state.should_restart(now, key, is_served, has_other);
+        drop(state);
+        if should_restart {
+            let mut state = job.job.borrow_mut();
+            state.discard_text(key);
+            log_event!(self.core.logger, TEXT_DISCARDED;
+                "job" => &job.spec.id, "item" => &state.item(key).id, "software" => %software,
+                "is_served" => is_served);
         }
-        false
+        should_restart
     }
 
     /// Selects an engine for an item. Returns `None` if none is available.
@@ -125,6 +163,7 @@
         let service = choose_service(route, &item.id);
         let query = EngineQuery {
             connected: &|address| self.core.upstream_client.has_idle(address),
+            software: state.required_software(key),
             ..engine_query(job, item, &service, &settings.zone)
         };
         let guard = UpstreamGuard::acquire_engine(&self.core, &query)?;
@@ -177,6 +216,7 @@
     let service = choose_service(&route, &item.id);
     let query = EngineQuery {
         excluded: &[run.guard.key],
+        software: state.required_software(run.key),
         ..engine_query(job, item, &service, &settings.zone)
     };
     let limits = rate_limits(core, &service);
@@ -199,6 +239,7 @@
             Some(_) => job.spec.least_version,
             None => WeightVersion(0),
         },
+        software: None,
         part: item.part,
         excluded: &[],
         zone,
--- a/crates/catkindeck-gateway/src/keys.rs
+++ b/crates/catkindeck-gateway/src/keys.rs
@@ -163,6 +163,36 @@
     })
 }
 
+/// Precedes stored texts. Earlier builds stored texts without software versions, which must not be taken for ones
+/// of this form or the other way round: as a length, these bytes exceed any value.
+const TEXTS_FORMAT: [u8; 6] = [0xff, 0xff, 0xff, 0xff, 0x0f, 2];
+
+/// Encodes the partial texts of a job.
+///
+/// # Errors
+///
+/// As [`encode`].
+pub fn encode_texts(texts: &impl Serialize) -> Result<Vec<u8>, ServiceError> {
+    let mut value = TEXTS_FORMAT.to_vec();
+    value.extend(encode(texts)?);
+    Ok(value)
+}
+
+/// Decodes the partial texts of a job.
+///
+/// # Errors
+///
+/// As [`decode`].
+pub fn decode_texts<T: DeserializeOwned>(value: &[u8]) -> Result<T, ServiceError> {
+    match value.strip_prefix(&TEXTS_FORMAT) {
+        Some(value) => decode(value),
+        None => Err(ServiceError::unknown(
+            ErrorKind::Internal,
+            "the texts were stored by a build that does not know software versions",
+        )),
+    }
+}
+
 /// Decodes the value of an item.
 ///
 /// # Errors
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -69,9 +69,9 @@
     /// Asks whether the receiver runs a job or is about to.
     #[serde(rename = "Knows")]
     IsResponsible { job: String },
-    /// Hands over a job whose record in the store already names the receiver as its owner.
+    /// The hand-over of earlier builds, whose texts have no software versions.
     #[serde(rename = "Adopt")]
-    HandOver(Box<JobHandOver>),
+    FormerHandOver,
     /// Makes the receiver hand over its running jobs, because its host is being drained.
     #[serde(rename = "Vacate")]
     DrainJobs,
@@ -88,13 +88,9 @@
     /// Reports upstreams that have started to load weights.
     #[serde(rename = "Loads")]
     WeightLoads(Vec<WeightLoadNotice>),
-    /// Sends the new parts of partial texts of the sender's running jobs.
-    Copy {
-        /// The sender's incarnation.
-        #[serde(rename = "runner")]
-        owner: IncarnationId,
-        copies: Vec<JobTextUpdate>,
-    },
+    /// The copies of earlier builds, whose texts have no software versions.
+    #[serde(rename = "Copy")]
+    FormerCopy,
     /// Removes and returns the copy of a job whose owner is lost.
     TakeCopy {
         job: String,
@@ -109,6 +105,14 @@
     Forward(Box<ForwardedCall>),
     /// Concerns limits that upstreams name.
     Limit(LimitCall),
+    /// Hands over a job whose record in the store already names the receiver as its owner.
+    HandOver(Box<JobHandOver>),
+    /// Sends the new parts of partial texts of the sender's running jobs.
+    CopyTexts {
+        /// The sender's incarnation.
+        owner: IncarnationId,
+        copies: Vec<JobTextUpdate>,
+    },
 }
 
 /// A call to be forwarded to another process.
@@ -161,11 +165,14 @@
     Refused(ServiceError),
     /// The usage that the receiver counted so far.
     Usage(Vec<UsageCount>),
-    /// The copied progress of a job's items, by item index.
-    Copy(Vec<(u32, ItemProgress)>),
+    /// The copies of earlier builds, whose texts have no software versions.
+    #[serde(rename = "Copy")]
+    FormerCopy,
     Feed(Box<FeedUpdate>),
     Store(Box<StoreResponse>),
     Permits(PermitReply),
+    /// The copied progress of a job's items, by item index.
+    CopiedTexts(Vec<(u32, ItemProgress)>),
 }
 
 #[message]
@@ -280,13 +287,18 @@
                 self.core.ledger.borrow_mut().merge(run, &counts);
                 Ok(PeerResponse::Done)
             }
-            PeerCall::Copy { owner, copies } => {
+            // The job is loaded from the store instead, and its texts start again.
+            PeerCall::FormerHandOver | PeerCall::FormerCopy => Err(ServiceError::not_run(
+                ErrorKind::WrongIncarnation,
+                "texts of earlier builds have no software versions and are not accepted",
+            )),
+            PeerCall::CopyTexts { owner, copies } => {
                 self.core.copies.put(self.core.now(), owner, copies);
                 Ok(PeerResponse::Done)
             }
-            PeerCall::TakeCopy { job, items } => {
-                Ok(PeerResponse::Copy(self.core.copies.take(&job, &items)))
-            }
+            PeerCall::TakeCopy { job, items } => Ok(PeerResponse::CopiedTexts(
+                self.core.copies.take(&job, &items),
+            )),
             PeerCall::Store(call) => {
                 let response = self.core.relay.answer(&call).await?;
                 Ok(PeerResponse::Store(Box::new(response)))
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -29,15 +29,17 @@
 }
 
 impl UpstreamGuard {
-    /// Selects a plain upstream and counts a request there. Returns `None` if none is available.
+    /// Selects a plain upstream, of a software version if one is given, and counts a request there. Returns `None` if none is available.
     pub fn acquire_plain(
         core: &Rc<GatewayCore>,
         service: &ObjectName,
+        software: Option<&SoftwareVersion>,
         excluded: &[UpstreamKey],
     ) -> Option<Self> {
         let settings = core.settings();
         let query = PlainQuery {
             service,
+            software,
             excluded,
             zone: &settings.zone,
             connected: &|address| core.upstream_client.has_idle(address),
--- a/crates/catkindeck-policy/src/direct/job.rs
+++ b/crates/catkindeck-policy/src/direct/job.rs
@@ -4,7 +4,7 @@
     super::{
         give_up::FailureEvidence,
         outcome::{ItemOutcome, ResultState},
-        upstream::UpstreamKey,
+        upstream::{SoftwareVersion, UpstreamKey},
     },
     catkindeck::{KeyArena, Moment, arena_key, id::ObjectName, message, token::WeightVersion},
     std::rc::Rc,
@@ -26,6 +26,10 @@
 /// short compared with the 500 ms between two reads of a trainer.
 pub const GROUP_COMMIT_DELAY_MS: u64 = 100;
 
+/// How long an item waits for an upstream of the software version of its text before the text is
+/// discarded, in milliseconds. It is less than a text usually takes from its start.
+const VERSION_WAIT_MS: u64 = 1_000;
+
 /// A job as submitted.
 #[message]
 pub struct JobSpec {
@@ -112,6 +116,8 @@
     pub complete: bool,
     /// The scorer's result, once known.
     pub score: Option<String>,
+    /// The software version of the upstreams that generated the text; `None` without events.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// The text added to an item since an earlier state.
@@ -192,7 +198,8 @@
     phase: ItemPhase,
     progress: ItemProgress,
     finished_at: Moment,
-    not_before: Moment,
+    /// When the last run ended.
+    interrupted_at: Moment,
     scorer_called: bool,
     /// The number of calls that the scorer answered with a server failure. It is not copied to a new
     /// owner, which therefore calls the scorer at least as often as the route allows.
@@ -285,7 +292,7 @@
                 phase: ItemPhase::Waiting,
                 progress: ItemProgress::default(),
                 finished_at: Moment(0),
-                not_before: Moment(0),
+                interrupted_at: Moment(0),
                 scorer_called: false,
                 scorer_failures: 0,
                 scorer_limit: 0,
@@ -332,6 +339,13 @@
             return false;
         }
         state.progress = progress;
+        state.interrupted_at = now;
+        let is_provable = state.progress.complete || state.progress.software.is_some();
+        if state.progress.last_event.is_some() && !is_provable {
+            self.discard_text(key);
+            return false;
+        }
+        let state = self.state_mut(key);
         if state.progress.complete {
             match needs_score && state.progress.score.is_none() {
                 true => state.phase = ItemPhase::Scoring,
@@ -380,14 +394,12 @@
     /// The longest expected texts start first, because they determine when their groups and thus the
     /// step complete; short texts fit into the time that is left. A prompt that several upstreams
     /// process costs a few milliseconds, a long text that waits for its group's turn costs seconds.
-    pub fn waiting(&self, now: Moment, priority: StartPriority) -> Vec<ItemKey> {
+    pub fn waiting(&self, priority: StartPriority) -> Vec<ItemKey> {
         if self.ended {
             return Vec::new();
         }
         let waits = |state: &ItemState| {
-            state.phase == ItemPhase::Waiting
-                && state.not_before <= now
-                && self.start_priority(state) == priority
+            state.phase == ItemPhase::Waiting && self.start_priority(state) == priority
         };
         let mut waiting: Vec<ItemKey> = self
             .items
@@ -447,11 +459,47 @@
         progress.text.clear();
         progress.last_event = None;
         progress.versions.clear();
+        progress.software = None;
         progress.restarts += 1;
     }
 
-    /// Returns whether a run under `version` may resume the item's text.
-    pub fn can_resume(&self, key: ItemKey, version: Option<WeightVersion>) -> bool {
+    /// Returns the software version that must continue an item's text, if the item has one.
+    pub fn required_software(&self, key: ItemKey) -> Option<&SoftwareVersion> {
+        let progress = self.progress(key);
+        progress
+            .software
+            .as_ref()
+            .filter(|_| progress.last_event.is_some())
+    }
+
+    /// Returns whether an item has waited so long for an upstream of the software version of its text that it
+    /// should start again at any version. `is_served` tells whether any upstream of that version accepts work,
+    /// and `has_other` whether one of another version could start the item now.
+    pub fn should_restart(
+        &self,
+        now: Moment,
+        key: ItemKey,
+        is_served: bool,
+        has_other: bool,
+    ) -> bool {
+        let waited_ms = now.since(self.state(key).interrupted_at);
+        !is_served || has_other && waited_ms >= VERSION_WAIT_MS
+    }
+
+    /// Returns whether a run under `version` of the weights at an upstream with `software` may resume the
+    /// item's text.
+    pub fn can_resume(
+        &self,
+        key: ItemKey,
+        version: Option<WeightVersion>,
+        software: &SoftwareVersion,
+    ) -> bool {
+        if self
+            .required_software(key)
+            .is_some_and(|own| own != software)
+        {
+            return false;
+        }
         let progress = self.progress(key);
         let Some(last) = progress.versions.last() else {
             return true;
@@ -459,14 +507,14 @@
         !self.limits.single_version || Some(*last) == version
     }
 
-    /// Appends an event and returns whether it was accepted: it must have the next number and an
-    /// allowed weight version.
+    /// Appends an event and returns whether it was accepted: it must have the next number, an allowed
+    /// weight version, and the software version of the text.
     pub fn append(
         &mut self,
         key: ItemKey,
         event: u64,
         data: &str,
-        version: Option<WeightVersion>,
+        (version, software): (Option<WeightVersion>, &SoftwareVersion),
     ) -> bool {
         let least_version = self.spec.least_version;
         let single = self.limits.single_version;
@@ -478,6 +526,13 @@
         if progress.last_event.is_some_and(|last| event != last + 1) {
             return false;
         }
+        if progress
+            .software
+            .as_ref()
+            .is_some_and(|own| own != software)
+        {
+            return false;
+        }
         if let Err(index) = progress.versions.binary_search(&version) {
             if single && !progress.versions.is_empty() {
                 return false;
@@ -489,6 +544,7 @@
         }
         progress.text.push_str(data);
         progress.last_event = Some(event);
+        progress.software.get_or_insert_with(|| software.clone());
         true
     }
 
@@ -500,6 +556,7 @@
             return;
         }
         state.phase = ItemPhase::Waiting;
+        state.interrupted_at = now;
         match outcome {
             ItemOutcome::Complete => {
                 state.progress.complete = true;
@@ -520,11 +577,6 @@
         }
     }
 
-    /// Delays the next start of an item, after no upstream could accept it.
-    pub fn delay_start(&mut self, key: ItemKey, until: Moment) {
-        self.state_mut(key).not_before = until;
-    }
-
     /// Records the score of an item.
     pub fn record_score(&mut self, now: Moment, key: ItemKey, score: String) {
         if self.phase(key) != ItemPhase::Scoring {
--- a/crates/catkindeck-policy/src/direct/selection.rs
+++ b/crates/catkindeck-policy/src/direct/selection.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        upstream::{UpstreamKey, UpstreamState},
+        upstream::{SoftwareVersion, UpstreamKey, UpstreamState},
         upstream_table::UpstreamTable,
     },
     crate::hash,
@@ -41,6 +41,8 @@
     pub model: &'a ObjectName,
     /// The oldest weight version that may run the request.
     pub least_version: WeightVersion,
+    /// The software version that must run the request, if it goes on with a stream.
+    pub software: Option<&'a SoftwareVersion>,
     /// The digest of the prompt's shared parts.
     pub part: Option<u64>,
     /// The instances that must not be used again for this request.
@@ -57,6 +59,8 @@
 #[derive(Clone, Copy)]
 pub struct PlainQuery<'a> {
     pub service: &'a ObjectName,
+    /// The software version that must run the request, if it goes on with a stream.
+    pub software: Option<&'a SoftwareVersion>,
     /// The instances that must not be used again for this request.
     pub excluded: &'a [UpstreamKey],
     /// The availability zone of this process.
@@ -152,6 +156,9 @@
     ) -> Option<UpstreamKey> {
         let usable = self.iter().filter(|(key, state)| {
             state.record.service == *query.service
+                && query
+                    .software
+                    .is_none_or(|software| state.record.software == *software)
                 && self.accepts_work(*key)
                 && !query.excluded.contains(key)
                 && (query.last_resort || !state.in_backoff(now))
@@ -189,6 +196,9 @@
     ) -> Option<UpstreamKey> {
         let usable = |key: &UpstreamKey, state: &UpstreamState| {
             state.record.service == *query.service
+                && query
+                    .software
+                    .is_none_or(|software| state.record.software == *software)
                 && self.accepts_work(*key)
                 && !query.excluded.contains(key)
                 && limits.allows(now, state)
@@ -219,6 +229,15 @@
             .any(|(key, state)| state.record.service == *service && self.accepts_work(key))
     }
 
+    /// Returns whether any upstream of a service with a software version accepts work.
+    pub fn has_version(&self, service: &ObjectName, software: &SoftwareVersion) -> bool {
+        self.iter().any(|(key, state)| {
+            state.record.service == *service
+                && state.record.software == *software
+                && self.accepts_work(key)
+        })
+    }
+
     /// Returns the median of the mean times between events of the engines of a service, in
     /// microseconds; 1 if nothing was measured.
     ///
--- a/crates/catkindeck-policy/tests/named_limits.rs
+++ b/crates/catkindeck-policy/tests/named_limits.rs
@@ -107,6 +107,7 @@
     let (service, zone) = (name("desks"), name("zone-a"));
     let query = PlainQuery {
         service: &service,
+        software: None,
         excluded: &[],
         zone: &zone,
         connected: &|_| false,
--- a/crates/catkindeck-policy/tests/rollout_job.rs
+++ b/crates/catkindeck-policy/tests/rollout_job.rs
@@ -7,7 +7,8 @@
     catkindeck::{Moment, id::ObjectName, token::WeightVersion},
     catkindeck_policy::direct::{
         ItemKey, ItemOutcome, ItemPhase, ItemProgress, JobItem, JobLimits, JobResult, JobSpec,
-        ResultCommit, ResultState, RolloutJob, ScorerCall, StartPriority, UpstreamKey,
+        ResultCommit, ResultState, RolloutJob, ScorerCall, SoftwareVersion, StartPriority,
+        UpstreamKey,
     },
     proptest::prelude::*,
     std::{collections::BTreeMap, rc::Rc},
@@ -61,11 +62,15 @@
     }
 }
 
+fn software(version: &str) -> SoftwareVersion {
+    SoftwareVersion::try_from(version).expect("the version is valid")
+}
+
 /// Returns the waiting items of all priorities in starting order.
-fn all_waiting(job: &RolloutJob, now: Moment) -> Vec<ItemKey> {
+fn all_waiting(job: &RolloutJob) -> Vec<ItemKey> {
     let priorities = StartPriority::ALL.into_iter();
     priorities
-        .flat_map(|priority| job.waiting(now, priority))
+        .flat_map(|priority| job.waiting(priority))
         .collect()
 }
 
@@ -80,7 +85,7 @@
     let mut last = 0;
     let mut now = 0;
     loop {
-        for key in all_waiting(job, Moment(now)) {
+        for key in all_waiting(job) {
             if running.len() == slots {
                 break;
             }
@@ -92,7 +97,7 @@
         };
         now = next.0;
         running.retain(|run| *run != next);
-        job.append(next.1, 1, "whole", Some(WeightVersion(1)));
+        job.append(next.1, 1, "whole", (Some(WeightVersion(1)), &software("1")));
         job.record_run_end(Moment(now), next.1, ItemOutcome::Complete);
         if carried_over.contains(&next.1) {
             last = now;
@@ -147,7 +152,7 @@
     let mut now = 0;
     let mut complete = 0;
     while complete < wanted {
-        for key in all_waiting(job, Moment(now)) {
+        for key in all_waiting(job) {
             if running.len() == slots {
                 break;
             }
@@ -157,7 +162,7 @@
         let next = running.iter().copied().min().expect("an item is running");
         now = next.0;
         running.retain(|run| *run != next);
-        job.append(next.1, 1, "whole", Some(WeightVersion(1)));
+        job.append(next.1, 1, "whole", (Some(WeightVersion(1)), &software("1")));
         job.record_run_end(Moment(now), next.1, ItemOutcome::Complete);
         let group = next.1.0 as usize / members;
         left[group] -= 1;
@@ -217,14 +222,76 @@
     let mut job = RolloutJob::new(spec(1, items), limits(false));
     job.prioritize_group(ItemKey(1));
     job.record_start(ItemKey(2), UPSTREAM);
-    job.append(ItemKey(2), 1, "half", Some(WeightVersion(1)));
+    job.append(
+        ItemKey(2),
+        1,
+        "half",
+        (Some(WeightVersion(1)), &software("1")),
+    );
     job.record_run_end(Moment(5), ItemKey(2), ItemOutcome::Interrupted);
 
-    let order = all_waiting(&job, Moment(10));
+    let order = all_waiting(&job);
 
     assert_eq!(order, [ItemKey(2), ItemKey(1), ItemKey(0)]);
 }
 
+/// Guards against a text that is joined from two software versions, in a run or across owners.
+#[test]
+fn a_text_continues_only_at_its_own_software_version() {
+    let mut job = RolloutJob::new(spec(1, vec![item("one", "a", 10)]), limits(false));
+    let key = ItemKey(0);
+    let weights = Some(WeightVersion(1));
+    assert_eq!(job.required_software(key), None);
+    job.record_start(key, UPSTREAM);
+    assert!(job.append(key, 1, "first", (weights, &software("v1"))));
+    assert!(!job.append(key, 2, "second", (weights, &software("v2"))));
+    job.record_run_end(Moment(5), key, ItemOutcome::Interrupted);
+    assert_eq!(job.required_software(key), Some(&software("v1")));
+    assert!(job.can_resume(key, weights, &software("v1")));
+    assert!(!job.can_resume(key, weights, &software("v2")));
+
+    let copy = job.progress(key).clone();
+    let mut taken_over = RolloutJob::new(Rc::clone(job.spec()), limits(false));
+    assert!(taken_over.adopt(Moment(9), key, copy));
+    assert_eq!(taken_over.required_software(key), Some(&software("v1")));
+
+    job.discard_text(key);
+    assert!(job.can_resume(key, weights, &software("v2")));
+    assert!(job.append(key, 1, "again", (weights, &software("v2"))));
+    assert_eq!(job.required_software(key), Some(&software("v2")));
+}
+
+/// Guards against continuing a text of which nobody knows the version.
+#[test]
+fn a_text_without_a_known_version_starts_again() {
+    let mut job = RolloutJob::new(spec(1, vec![item("one", "a", 10)]), limits(false));
+    let unknown = ItemProgress {
+        text: "first".to_owned(),
+        last_event: Some(1),
+        versions: vec![WeightVersion(1)],
+        failures: 2,
+        ..ItemProgress::default()
+    };
+    assert!(!job.adopt(Moment(9), ItemKey(0), unknown));
+    let progress = job.progress(ItemKey(0));
+    assert_eq!((progress.text.as_str(), progress.last_event), ("", None));
+    assert_eq!(progress.failures, 2, "failures count across owners");
+}
+
+/// Guards against items that wait for a version that has left, or is full for long, while others serve.
+#[test]
+fn an_item_does_not_wait_long_for_its_version() {
+    let mut job = RolloutJob::new(spec(1, vec![item("one", "a", 10)]), limits(false));
+    let key = ItemKey(0);
+    job.record_start(key, UPSTREAM);
+    job.append(key, 1, "first", (Some(WeightVersion(1)), &software("v1")));
+    job.record_run_end(Moment(5_000), key, ItemOutcome::Interrupted);
+    assert!(!job.should_restart(Moment(5_500), key, true, true));
+    assert!(job.should_restart(Moment(6_000), key, true, true));
+    assert!(!job.should_restart(Moment(9_000), key, true, false));
+    assert!(job.should_restart(Moment(5_001), key, false, false));
+}
+
 /// Guards against an older copy of a text that replaces a more recent one, because a peer's
 /// response with the older copy arrives last.
 #[test]
@@ -260,7 +327,7 @@
     let mut job = RolloutJob::new(spec(1, items), limits(false));
     for key in [ItemKey(0), ItemKey(1)] {
         job.record_start(key, UPSTREAM);
-        job.append(key, 1, "whole", Some(WeightVersion(1)));
+        job.append(key, 1, "whole", (Some(WeightVersion(1)), &software("1")));
         job.record_run_end(Moment(0), key, ItemOutcome::Complete);
     }
     assert!(job.commit_at().is_some());
@@ -483,7 +550,7 @@
 ) {
     match operation {
         Operation::Start => {
-            for key in all_waiting(job, Moment(*now)) {
+            for key in all_waiting(job) {
                 job.record_start(key, UPSTREAM);
             }
         }
@@ -502,7 +569,12 @@
             let skip = if taken.is_empty() { 0 } else { *skip };
             let event = taken.len() as u64 + 1 + skip;
             let data = event_text(event);
-            if job.append(key, event, &data, version.map(WeightVersion)) {
+            if job.append(
+                key,
+                event,
+                &data,
+                (version.map(WeightVersion), &software("1")),
+            ) {
                 taken.push((
                     event,
                     version.expect("an event without a version was accepted"),
