Know which software version began a stream after its relay is gone

Change: each process sends the versions of its streams to three keepers, which all choose alike and which callers do not reach, and asks them about take-ups; a stream that nobody recorded goes on only if one version of the service was listed alone for twice the route's timeout, without gaps. Anything else is refused with 503 and reaches no upstream, under the new kind unresumable.

--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -12,6 +12,7 @@
         port::{CallerCodec, CloudApi, IntentDecoder, MetadataStore, StoreItem, UpstreamCodec},
         relay::RelayedStore,
         settings::NodeSettings,
+        stream_origins::StreamOrigins,
     },
     catkindeck::{
         Clock, Moment,
@@ -109,6 +110,8 @@
     pub load_time: Cell<LoadTimeEstimate>,
     /// Limits of upstreams that all processes keep together.
     pub limits: LimitExchange,
+    /// The software versions that began recent streams.
+    pub origins: StreamOrigins,
     pub logger: Logger,
     clock: BootClock,
     wall_clock: RefCell<WallClockFilter>,
@@ -153,6 +156,7 @@
             is_shutting_down: Cell::new(false),
             load_time: Cell::default(),
             limits: LimitExchange::default(),
+            origins: StreamOrigins::default(),
             logger,
             clock: BootClock::new(),
             wall_clock: RefCell::default(),
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -244,6 +244,8 @@
         let own = Rc::clone(core);
         spawn_supervised(core, "limits", move || Rc::clone(&own).exchange_limits());
         let own = Rc::clone(core);
+        spawn_supervised(core, "origins", move || Rc::clone(&own).send_origins());
+        let own = Rc::clone(core);
         let (jobs, callers) = (Rc::clone(&self.jobs), Rc::clone(&self.callers));
         spawn_supervised(core, "housekeeping", move || {
             run_housekeeping(Rc::clone(&own), Rc::clone(&jobs), Rc::clone(&callers))
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -22,6 +22,8 @@
     UPSTREAM_REMOVED = 8122, "upstream_gone", Info, "upstream was removed";
     UPSTREAM_LIMITED = 8123, "upstream_limited", Info, "upstream named, changed or ended its request limit";
     LIMIT_DETACHED = 8124, "limit_detached", Warning, "leader does not answer; only this process's share of limits is used";
+    ORIGINS_UNSENT = 8136, "origins_unsent", Info, "origins of streams could not be sent to a keeper";
+    ORIGIN_UNKNOWN = 8137, "origin_unknown", Info, "stream cannot be taken up, because its software version is unknown";
     REQUEST_ANSWERED = 8130, "request_done", Info, "request was answered";
     REQUEST_REFUSED = 8131, "request_refused", Info, "request was refused or failed";
     STREAM_ENDED = 8134, "stream_ended", Info, "stream ended";
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -5,14 +5,14 @@
     crate::{
         caller_handler::{AdmittedRequest, ResponseSource, check_key},
         core::GatewayCore,
-        events::{ATTEMPT_FAILED, STREAM_ENDED, STREAM_OPENED},
+        events::{ATTEMPT_FAILED, ORIGIN_UNKNOWN, STREAM_ENDED, STREAM_OPENED},
         port::{EventDecoder, UpstreamCall, UpstreamHead},
         upstream_guard::UpstreamGuard,
     },
     bytes::Bytes,
     catkindeck::{ErrorKind, ServiceError, id::ObjectName, log_event, token::WeightVersion},
     catkindeck_net::{BodySender, HttpExchange, ResponseBody, SendError},
-    catkindeck_policy::direct::{EngineQuery, SoftwareVersion, UpstreamKey},
+    catkindeck_policy::direct::{EngineQuery, SoftwareVersion, StreamKey, UpstreamKey},
     http::{HeaderMap, Response, StatusCode},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
@@ -37,6 +37,8 @@
     last_event: Option<u64>,
     /// The software version that generated the events so far; what another version writes does not continue them.
     software: Option<SoftwareVersion>,
+    /// Identifies the stream over all attempts of the caller.
+    key: StreamKey,
 }
 
 struct OpenStream {
@@ -61,7 +63,16 @@
 impl StreamCall {
     pub fn new(core: &Rc<GatewayCore>, request: AdmittedRequest, body: Bytes) -> Self {
         let last_event = request.head.last_event;
+        let head = &request.head;
+        // An attempt that takes up a stream names the one that brought its first event.
+        let began = head.resumes.as_ref().filter(|_| last_event.is_some());
+        let key = StreamKey::new(
+            &request.matched.service,
+            request.customer.as_ref(),
+            began.unwrap_or(&head.id),
+        );
         Self {
+            key,
             core: Rc::clone(core),
             request,
             body,
@@ -79,6 +90,7 @@
     ///
     /// Returns an error if no upstream answered; it states whether the request may have run.
     pub async fn run(mut self) -> Result<Response<ResponseBody>, ServiceError> {
+        self.find_origin().await?;
         let stream = self.open().await?;
         self.core
             .count_usage(self.request.customer.as_ref(), self.core.unix_ms());
@@ -102,6 +114,34 @@
         Ok(response)
     }
 
+    /// Finds the software version that began a stream that the caller takes up.
+    ///
+    /// # Errors
+    ///
+    /// Returns `unresumable` if it cannot be proved which version that was.
+    async fn find_origin(&mut self) -> Result<(), ServiceError> {
+        if self.last_event.is_none() {
+            return Ok(());
+        }
+        let matched = &self.request.matched;
+        let timeout_ms = matched.route.timeout_ms;
+        let core = &self.core;
+        let origin = core
+            .find_origin(self.key, &matched.service, timeout_ms)
+            .await;
+        if origin.is_none() {
+            log_event!(core.logger, ORIGIN_UNKNOWN;
+                "request" => &self.request.head.id, "resumes" => &self.request.head.resumes,
+                "last_event" => self.last_event);
+            return Err(ServiceError::not_run(
+                ErrorKind::Unresumable,
+                "it is not known which software version of the service began this stream",
+            ));
+        }
+        self.software = origin;
+        Ok(())
+    }
+
     /// Opens the stream at an upstream, with retries.
     async fn open(&mut self) -> Result<Box<OpenStream>, ServiceError> {
         let mut unknown = None;
@@ -286,6 +326,7 @@
     ) -> ForwardOutcome {
         let mut decoder: Box<dyn EventDecoder> = self.core.ports.upstreams.event_decoder();
         let resumable = is_stream && self.request.matched.route.terms.resumable;
+        let mut is_recorded = !resumable;
         // Bytes that complete no event are no progress.
         let mut last_event_at = Instant::now();
         loop {
@@ -327,8 +368,12 @@
                     ));
                 }
                 self.last_event = Some(event.number);
-                self.software
-                    .get_or_insert_with(|| stream.guard.software.clone());
+                if !is_recorded {
+                    is_recorded = true;
+                    let software = &stream.guard.software;
+                    self.software.get_or_insert_with(|| software.clone());
+                    self.core.record_origin(self.key, software);
+                }
                 last_event_at = Instant::now();
                 if !sender.send(event.raw).await {
                     return ForwardOutcome::CallerGone;
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod session;
 pub mod settings;
 pub mod store_sync;
+pub mod stream_origins;
 pub mod task;
 pub mod upstream_guard;
 
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -13,6 +13,7 @@
         limits::{LimitCall, PermitReply},
         port::WeightOrder,
         relay::{StoreCall, StoreResponse},
+        stream_origins::{OriginAnswer, OriginCall},
     },
     bytes::Bytes,
     catkindeck::{
@@ -105,6 +106,8 @@
     Forward(Box<ForwardedCall>),
     /// Concerns limits that upstreams name.
     Limit(LimitCall),
+    /// Concerns the software versions that began streams.
+    Origin(OriginCall),
     /// Hands over a job whose record in the store already names the receiver as its owner.
     HandOver(Box<JobHandOver>),
     /// Sends the new parts of partial texts of the sender's running jobs.
@@ -173,6 +176,7 @@
     Permits(PermitReply),
     /// The copied progress of a job's items, by item index.
     CopiedTexts(Vec<(u32, ItemProgress)>),
+    Origin(OriginAnswer),
 }
 
 #[message]
@@ -314,6 +318,7 @@
                 }
                 Ok(PeerResponse::Done)
             }
+            PeerCall::Origin(call) => Ok(self.core.answer_origin_call(call)),
             PeerCall::Limit(call) => self.core.answer_limit_call(call),
         }
     }
--- a/crates/catkindeck-gateway/src/port/caller.rs
+++ b/crates/catkindeck-gateway/src/port/caller.rs
@@ -26,6 +26,8 @@
     pub deadline_ms: Option<u64>,
     /// The number of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event of the stream that is resumed.
+    pub resumes: Option<String>,
     pub model: Option<ObjectName>,
     /// A digest of the prompt parts that this request may share with others.
     pub part: Option<u64>,
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -270,8 +270,13 @@
 
     fn apply_upstreams(&self, sent: Moment) {
         let core = &self.core;
+        let list = self.upstreams.borrow().clone();
+        let versions = list
+            .iter()
+            .map(|record| (&record.service, &record.software));
+        core.origins.history.borrow_mut().record(sent, versions);
         let mut roster = core.roster.borrow_mut();
-        let changes = roster.apply(sent, self.upstreams.borrow().clone());
+        let changes = roster.apply(sent, list);
         for key in &changes.appeared {
             let record = &roster.get(*key).record;
             log_event!(core.logger, UPSTREAM_APPEARED;
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -14,6 +14,7 @@
 pub mod request_rate;
 pub mod routes;
 pub mod selection;
+pub mod stream_origin;
 pub mod upstream;
 pub mod upstream_limit;
 pub mod upstream_table;
@@ -38,6 +39,7 @@
     request_rate::{RateBucket, RequestRate},
     routes::{RouteMatch, RouteTable, choose_service},
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rendezvous_score},
+    stream_origin::{OriginTable, StreamKey, VersionHistory},
     upstream::{DiscoveredUpstream, ModelWeights, SoftwareVersion, UpstreamKey, UpstreamState},
     upstream_limit::{LimitHeader, UpstreamLimit},
     upstream_table::{UpstreamChanges, UpstreamTable},
--- a/crates/catkindeck/src/error.rs
+++ b/crates/catkindeck/src/error.rs
@@ -67,6 +67,8 @@
     PeerUnavailable,
     /// A defect of this system.
     Internal,
+    /// It cannot be proved which software version began the stream that is to be resumed.
+    Unresumable,
 }
 
 /// How an error of one kind is reported.
@@ -83,7 +85,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the table in `docs/errors.md`.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::BadRequest,
         Self::TooLarge,
         Self::SlowRequest,
@@ -109,6 +111,7 @@
         Self::OutcomeUnknown,
         Self::PeerUnavailable,
         Self::Internal,
+        Self::Unresumable,
     ];
 
     /// Returns how an error of this kind is reported.
@@ -139,6 +142,7 @@
             Self::OutcomeUnknown => ("outcome_unknown", 502, 9, false),
             Self::PeerUnavailable => ("peer_unavailable", 502, 8, true),
             Self::Internal => ("internal", 500, 1, false),
+            Self::Unresumable => ("unresumable", 503, 6, false),
         };
         ErrorResponse {
             name,
