Ask for permits of plain upstreams before the others are full

Change: as for engines, a permit is requested ahead when the chosen upstream is half full. Limits named in responses to orders and reports are learned too.

Test of the load: permits_are_requested_before_the_other_upstreams_are_full.

--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -105,8 +105,12 @@
         let response = core
             .order_client
             .call_if(address, request, ORDER_TIMEOUT, &permit);
+        let sent = core.now();
         let outcome = match response.await {
-            Ok(response) => core.ports.upstreams.decode_order(response.status),
+            Ok(response) => {
+                core.observe_order_limit(task.upstream, sent, response.status, &response.headers);
+                core.ports.upstreams.decode_order(response.status)
+            }
             Err(fault) => {
                 // The order may still be executed seconds later, so the number of accepted orders is read again
                 // before the next one.
@@ -163,12 +167,14 @@
             (record.id.clone(), record.address)
         };
         let request = core.ports.upstreams.encode_report(&id);
+        let sent = core.now();
         let response = core
             .order_client
             .call(address, request, ORDER_TIMEOUT)
             .await;
         let report = match response {
             Ok(response) if response.status.is_success() => {
+                core.observe_order_limit(key, sent, response.status, &response.headers);
                 core.ports.upstreams.decode_report(&response.body).ok()?
             }
             _ => return None,
--- a/crates/catkindeck-gateway/src/limits.rs
+++ b/crates/catkindeck-gateway/src/limits.rs
@@ -19,6 +19,7 @@
     catkindeck_policy::direct::{
         LimitHeader, PermitAllocator, RequestRate, UpstreamKey, rendezvous_score,
     },
+    http::{HeaderMap, StatusCode},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -183,6 +184,22 @@
         }
     }
 
+    /// Applies a limit that an upstream names in its response to an order or to a request for a report. Such a
+    /// response that names none does not end a limit, because it does not prove which upstream sent it.
+    pub fn observe_order_limit(
+        &self,
+        key: UpstreamKey,
+        sent: Moment,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) {
+        let head = self.ports.upstreams.decode_head(status, headers);
+        let is_own = status != StatusCode::MISDIRECTED_REQUEST;
+        if is_own && head.limit != LimitHeader::Absent {
+            self.observe_limit(key, sent, head.limit);
+        }
+    }
+
     /// Requests a permit for an upstream that is usable but for its limit.
     pub fn request_permit(&self, key: Option<UpstreamKey>) {
         if let Some(key) = key {
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -52,6 +52,9 @@
             core.request_permit(roster.select_limited_plain(now, &query, limits));
             return None;
         };
+        if roster.get(key).is_half_full() {
+            core.request_permit(roster.select_limited_plain(now, &query, limits));
+        }
         drop(roster);
         Some(Self::begin(core, key))
     }
@@ -66,9 +69,7 @@
             core.request_permit(roster.select_limited_engine(now, query, limits));
             return None;
         };
-        // The next request is better off at an engine with few, so its permit is requested ahead.
-        let state = roster.get(key);
-        if state.in_flight >= state.record.slots / 2 {
+        if roster.get(key).is_half_full() {
             core.request_permit(roster.select_limited_engine(now, query, limits));
         }
         drop(roster);
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -254,6 +254,12 @@
         self.limit.rate().is_some() && self.permits.may_request(now)
     }
 
+    /// Returns whether the next request may be better off at a limited upstream that is idle, so that its
+    /// permit should be requested ahead.
+    pub fn is_half_full(&self) -> bool {
+        self.in_flight >= self.record.slots / 2
+    }
+
     /// Records a request.
     pub fn record_request(&mut self, now: Moment) {
         self.in_flight += 1;
--- a/crates/catkindeck-policy/tests/named_limits.rs
+++ b/crates/catkindeck-policy/tests/named_limits.rs
@@ -27,6 +27,22 @@
     LimitHeader::Named(rate(per_ks))
 }
 
+fn desk(id: &str) -> DiscoveredUpstream {
+    DiscoveredUpstream {
+        id: name(id),
+        service: name("desks"),
+        zone: name("zone-a"),
+        address: "127.0.0.1:80".parse().expect("the address is valid"),
+        slots: 4,
+        draining: false,
+        cold_ms: 0,
+        heartbeat: 1,
+        born_ms: 1,
+        software: "1".try_into().expect("the version is valid"),
+        weights: Vec::new(),
+    }
+}
+
 #[test]
 fn limits_are_decimal_numbers_that_are_not_negative() {
     let read = |text: &str| RequestRate::try_from(text).ok();
@@ -90,20 +106,7 @@
 #[test]
 fn a_limited_upstream_is_selected_only_with_a_permit() {
     let mut table = UpstreamTable::new();
-    let record = DiscoveredUpstream {
-        id: name("desk-1"),
-        service: name("desks"),
-        zone: name("zone-a"),
-        address: "127.0.0.1:80".parse().expect("the address is valid"),
-        slots: 4,
-        draining: false,
-        cold_ms: 0,
-        heartbeat: 1,
-        born_ms: 1,
-        software: "1".try_into().expect("the version is valid"),
-        weights: Vec::new(),
-    };
-    table.apply(Moment(1), vec![record]);
+    table.apply(Moment(1), vec![desk("desk-1")]);
     let (service, zone) = (name("desks"), name("zone-a"));
     let query = PlainQuery {
         service: &service,
@@ -140,6 +143,46 @@
     assert_eq!(table.next_permit(now, &service), Some(now + 300));
 }
 
+/// Guards against requests that queue at the upstreams without a limit while the limited ones are idle.
+///
+/// Load pattern: callers press on a service of which some upstreams are limited; each request finds one that has
+/// no limit, so that permits for the others would never be asked for.
+#[test]
+fn permits_are_requested_before_the_other_upstreams_are_full() {
+    let mut table = UpstreamTable::new();
+    table.apply(Moment(1), vec![desk("desk-1"), desk("desk-2")]);
+    let (service, zone) = (name("desks"), name("zone-a"));
+    let query = PlainQuery {
+        service: &service,
+        software: None,
+        excluded: &[],
+        zone: &zone,
+        connected: &|_| false,
+    };
+    let now = Moment(1_000);
+    let [free, limited] = ["desk-1", "desk-2"].map(|id| table.current(&name(id)));
+    let (free, limited) = (free.expect("it is listed"), limited.expect("it is listed"));
+    table
+        .get_mut(limited)
+        .limit
+        .observe(now, Moment(900), named(6_000));
+    for in_flight in 0..4 {
+        assert_eq!(
+            table.select_plain(now, &query, RateLimits::NONE),
+            Some(free)
+        );
+        assert_eq!(table.get(free).is_half_full(), in_flight >= 2);
+        table.get_mut(free).record_request(now);
+    }
+    let wanted = table.select_limited_plain(now, &query, RateLimits::NONE);
+    assert_eq!(wanted, Some(limited));
+    table.get_mut(limited).permits.apply_grant(now, 1, 0);
+    assert_eq!(
+        table.select_plain(now, &query, RateLimits::NONE),
+        Some(limited)
+    );
+}
+
 /// What happens to the processes in a simulated day.
 #[derive(Debug, Clone)]
 enum Event {
