Take a stream up at the service that began it

On a route that splits its traffic, the service was chosen by the attempt's own identifier, which is a new one for each take-up: half of them went to the other service, where nobody knew the stream, and were refused although its upstreams served.

Cause: the identity of a stream over its attempts was not used where the route is resolved. Change: the attempt that brought the first event decides.

Found by reading.

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -168,7 +168,9 @@
             if !view.has_config() {
                 return Err(stale_error("this process has not read a configuration yet"));
             }
-            let matched = view.routes().resolve(&head.host, &head.path, &head.id);
+            let matched = view
+                .routes()
+                .resolve(&head.host, &head.path, head.first_attempt());
             match matched {
                 Some(matched) => matched,
                 // The route may have been added since the configuration was read.
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -63,13 +63,10 @@
 impl StreamCall {
     pub fn new(core: &Rc<GatewayCore>, request: AdmittedRequest, body: Bytes) -> Self {
         let last_event = request.head.last_event;
-        let head = &request.head;
-        // An attempt that takes up a stream names the one that brought its first event.
-        let began = head.resumes.as_ref().filter(|_| last_event.is_some());
         let key = StreamKey::new(
             &request.matched.service,
             request.customer.as_ref(),
-            began.unwrap_or(&head.id),
+            request.head.first_attempt(),
         );
         Self {
             key,
--- a/crates/catkindeck-gateway/src/port/caller.rs
+++ b/crates/catkindeck-gateway/src/port/caller.rs
@@ -36,6 +36,16 @@
     pub forwarded_headers: Rc<HeaderMap>,
 }
 
+impl RequestHead {
+    /// Returns the attempt that began what the caller asks for: the one that brought the first event of a stream
+    /// that is taken up, otherwise this one. A route that splits its traffic must choose the same service for all
+    /// attempts of a stream.
+    pub fn first_attempt(&self) -> &str {
+        let resumes = self.resumes.as_ref().filter(|_| self.last_event.is_some());
+        resumes.unwrap_or(&self.id)
+    }
+}
+
 /// Parameters of a read of a job's results.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobRead {
