Report a limit again that changes while it is reported

Found by reading. A limit that ended while its report was under way was taken off the list of what the leader does not know, so that the leader kept it until another process had the same news. The list is now taken before the call and restored after a failure. A stand-in passes what it learns on to the leader, and permits of an upstream that the leader does not list yet are asked for every 100 ms instead of each round trip.

Measured: limits.rs passes as before; no test shows the race itself.

--- a/crates/catkindeck-gateway/src/limits.rs
+++ b/crates/catkindeck-gateway/src/limits.rs
@@ -50,6 +50,10 @@
 /// The most permits that a process requests at once for one upstream.
 const DEMAND_LIMIT: u32 = 4;
 
+/// How long a process waits before it asks again for permits of an upstream that the leader does not know yet, in
+/// milliseconds. Lists of upstreams are read every 750 ms.
+const UNKNOWN_INSTANCE_WAIT_MS: u64 = 100;
+
 /// How long changed limits are collected before they are stored.
 const SAVE_DELAY: Duration = Duration::from_millis(200);
 
@@ -236,7 +240,7 @@
     ///
     /// # Errors
     ///
-    /// As [`Self::grant_permits`].
+    /// Returns `fenced` if permits are requested from this process as the leader and it does not divide the limits.
     pub fn answer_limit_call(&self, call: LimitCall) -> Result<PeerResponse, ServiceError> {
         match call {
             LimitCall::Permits(request) => self.grant_permits(&request).map(PeerResponse::Permits),
@@ -383,7 +387,8 @@
         for notice in &request.observed {
             let at = now - notice.age_ms;
             if let Some(key) = self.apply_limit(&notice.upstream, at, notice.rate) {
-                self.limits.unannounced.borrow_mut().insert(key, ());
+                // The leader announces it; a stand-in passes it on to the leader.
+                self.limits.unreported.borrow_mut().insert(key, ());
                 self.limits.wake();
             }
         }
@@ -392,7 +397,7 @@
             let (count, wait_ms) = match self.instance_key(upstream) {
                 Some(key) => self.grant(now, key, *wanted),
                 // This process has an older list of upstreams than the sender.
-                None => (0, 0),
+                None => (0, UNKNOWN_INSTANCE_WAIT_MS),
             };
             grants.push(PermitGrant {
                 upstream: upstream.clone(),
@@ -496,29 +501,37 @@
         leader: &MemberRecord,
         request: PermitRequest,
     ) -> Result<(), ServiceError> {
-        let reported: Vec<UpstreamKey> = self.limits.unreported.borrow().keys().copied().collect();
+        // A limit that changes again during the call has to be reported again.
+        let reported = std::mem::take(&mut *self.limits.unreported.borrow_mut());
         let call = PeerCall::Limit(LimitCall::Permits(request));
         let response = self
             .call_peer_with_fallback(leader, &call, Duration::ZERO)
-            .await?;
-        let reply = match response {
-            PeerResponse::Permits(reply) => reply,
-            PeerResponse::Refused(error) => return Err(error),
-            _ => {
-                let detail = "the leader answered a request for permits with another type";
-                return Err(ServiceError::unknown(ErrorKind::PeerUnavailable, detail));
+            .await;
+        let error = match response {
+            Ok(PeerResponse::Permits(reply)) => {
+                self.apply_reply(leader, &reply);
+                return Ok(());
             }
+            Ok(PeerResponse::Refused(error)) | Err(error) => error,
+            Ok(_) => ServiceError::unknown(
+                ErrorKind::PeerUnavailable,
+                "the leader answered a request for permits with another type",
+            ),
         };
-        for key in reported {
-            self.limits.unreported.borrow_mut().remove(&key);
+        let mut unreported = self.limits.unreported.borrow_mut();
+        for key in reported.keys() {
+            unreported.insert(*key, ());
         }
+        Err(error)
+    }
+
+    fn apply_reply(&self, leader: &MemberRecord, reply: &PermitReply) {
         self.apply_limits(&reply.limits);
         self.apply_grants(&reply.grants);
         self.limits.synced.set(Some(leader.incarnation));
         self.limits.is_loaded.set(true);
         self.limits.is_detached.set(false);
         self.limits.lost.set(None);
-        Ok(())
     }
 
     /// Builds the next request; what it wants counts as requested.
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -51,7 +51,7 @@
     ///
     /// # Errors
     ///
-    /// Returns `bad_request` if the text is empty or longer than [`SOFTWARE_VERSION_LIMIT`] bytes.
+    /// Returns `bad_request` if the text is empty or too long.
     fn try_from(text: &str) -> Result<Self, ServiceError> {
         if text.is_empty() || text.len() > SOFTWARE_VERSION_LIMIT {
             let detail = format!(
