--- a/crates/catkindeck-gateway/src/settings.rs
+++ b/crates/catkindeck-gateway/src/settings.rs
@@ -40,6 +40,32 @@
     pub change_ms: u64,
 }
 
+/// Whether a decision under load may take effect.
+#[message]
+#[derive(Copy, Default)]
+pub enum FeatureMode {
+    /// It takes effect where the configuration and the load meet its condition (`docs/settings.md`).
+    #[default]
+    Auto,
+    /// It never takes effect.
+    Off,
+}
+
+/// The decisions under load that an operator can switch off, each described in `docs/design/`.
+#[message]
+#[derive(Copy, Default)]
+pub struct SchedulingSettings {
+    /// The order of items by steps and groups.
+    pub step_order: FeatureMode,
+    /// The choice of engines by predicted completion.
+    pub predicted_completion: FeatureMode,
+    /// The sharing of plain upstreams between callers and scorer calls, and the time at which refused callers
+    /// should return.
+    pub plain_room: FeatureMode,
+    /// The distribution of engines over models by demand.
+    pub weight_demand: FeatureMode,
+}
+
 /// The settings of a gateway process.
 #[message]
 pub struct NodeSettings {
@@ -72,6 +98,13 @@
     #[serde(rename = "least_ttl_ms")]
     pub min_ttl_ms: u64,
     pub bounds: DeploymentBounds,
+    pub scheduling: SchedulingSettings,
+}
+
+impl FeatureMode {
+    pub fn is_on(self) -> bool {
+        self == Self::Auto
+    }
 }
 
 impl NodeSettings {
