Compare the scheduling settings with their page

Cause: the page's test listed the private table of the adapter, whose fields it cannot read, and failed on. Change: it lists the public settings of the gateway, which have the same names.

--- a/crates/catkindeck-cli/tests/pages.rs
+++ b/crates/catkindeck-cli/tests/pages.rs
@@ -243,7 +243,7 @@
 crates/catkindeck-cli/src/burn/objective.rs RawObjectives Objectives
 crates/catkindeck-cli/src/burn/objective.rs RawWindow Windows
 crates/catkindeck-cli/src/burn/objective.rs RawObjective Objective
-platform/src/settings.rs RawScheduling Scheduling of a node
+crates/catkindeck-gateway/src/settings.rs SchedulingSettings Scheduling of a node
 crates/catkindeck-cli/src/load/profile.rs RawLoad Load profiles
 crates/catkindeck-cli/src/load/profile.rs RawCustomerLoad Load customers
 ";
