Limit open connections to upstreams by the process's file descriptors

Ruled out: descriptors of callers or peers; the connections are to upstreams. Change: a client has a limit of open connections, a half (standby) or a quarter (entry) of the descriptors for upstreams; at most half of them are kept idle, fewer seconds in a crowded pool, and an idle one makes room for another address. No item starts without room.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -40,6 +40,7 @@
     connect: Duration::from_millis(400),
     idle: Duration::from_secs(30),
     idle_connections: 32,
+    open_connections: MAX_CONNECTIONS,
     response_bytes: 256 << 10,
 };
 
@@ -54,9 +55,17 @@
     connect: Duration::from_millis(400),
     idle: Duration::from_secs(10),
     idle_connections: 4,
+    open_connections: MAX_CONNECTIONS,
     response_bytes: 32 << 20,
 };
 
+/// The connections that a client may open where the process's file descriptors do not set a lower limit.
+const MAX_CONNECTIONS: usize = 1 << 16;
+
+/// Connections to upstreams may use the number of file descriptors divided by this, in a process that serves no
+/// callers and in one that does.
+const UPSTREAM_DESCRIPTOR_DIVISORS: (u64, u64) = (2, 4);
+
 /// Callers' connections may use the number of file descriptors divided by this. The rest is reserved for
 /// connections to upstreams, peers and the platform.
 const DESCRIPTOR_DIVISOR: u64 = 2;
@@ -118,7 +127,7 @@
     ) -> Result<Self, ServiceError> {
         let metrics = GatewayMetrics::new(registry)?;
         let clients = GatewayClients {
-            upstreams: HttpClient::new(UPSTREAM_LIMITS),
+            upstreams: HttpClient::new(upstream_limits(&settings)),
             orders: HttpClient::new(ORDER_LIMITS),
             peers: HttpClient::new(PEER_LIMITS),
         };
@@ -368,6 +377,19 @@
     }
 }
 
+fn upstream_limits(settings: &NodeSettings) -> ClientLimits {
+    let (standby, entry) = UPSTREAM_DESCRIPTOR_DIVISORS;
+    let divisor = match settings.entry {
+        Some(_) => entry,
+        None => standby,
+    };
+    let connections = settings.descriptors / divisor;
+    ClientLimits {
+        open_connections: usize::try_from(connections).unwrap_or(usize::MAX),
+        ..UPSTREAM_LIMITS
+    }
+}
+
 fn listen_error(error: &io::Error) -> ServiceError {
     let detail = format!("cannot open a listening address: {error}");
     ServiceError::not_run(ErrorKind::Internal, detail)
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -61,6 +61,10 @@
 
     /// Selects an engine and counts a request there. Returns `None` if none is available.
     pub fn acquire_engine(core: &Rc<GatewayCore>, query: &EngineQuery<'_>) -> Option<Self> {
+        // An item that finds no connection would count against its engine.
+        if !core.upstream_client.has_room() {
+            return None;
+        }
         let limits = rate_limits(core, query.service);
         let now = core.now();
         let roster = core.roster.borrow();
--- a/crates/catkindeck-net/src/client.rs
+++ b/crates/catkindeck-net/src/client.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         exchange::{CompleteResponse, HttpExchange, SendError, SendPermit},
-        pool::{ConnectionPool, PooledConnection},
+        pool::{ConnectionPool, OpenCount, PooledConnection},
     },
     bytes::Bytes,
     http::Request,
@@ -20,6 +20,8 @@
     pub idle: Duration,
     /// The maximum number of idle connections kept per address.
     pub idle_connections: usize,
+    /// The maximum number of open connections, in use or idle. At most half of them are kept idle.
+    pub open_connections: usize,
     /// The maximum size of the body of a response that is read as a whole, in bytes.
     pub response_bytes: usize,
 }
@@ -28,6 +30,7 @@
 pub struct HttpClient {
     limits: ClientLimits,
     pool: ConnectionPool,
+    open: OpenCount,
     opened: Cell<u64>,
 }
 
@@ -35,7 +38,8 @@
     pub fn new(limits: ClientLimits) -> Self {
         Self {
             limits,
-            pool: ConnectionPool::default(),
+            pool: ConnectionPool::new(limits.open_connections / 2),
+            open: OpenCount::default(),
             opened: Cell::new(0),
         }
     }
@@ -98,7 +102,17 @@
         request: Request<Bytes>,
         permit: SendPermit<'_>,
     ) -> Result<HttpExchange, SendError> {
-        let connection = PooledConnection::open(address, self.limits.connect)
+        if !self.has_room() {
+            return Err(SendError::not_sent(format!(
+                "all {} connections that may be open are in use",
+                self.limits.open_connections
+            )));
+        }
+        if self.open.total() >= self.limits.open_connections {
+            self.pool.evict();
+        }
+        let counted = self.open.count();
+        let connection = PooledConnection::open(address, self.limits.connect, counted)
             .await
             .map_err(|error| SendError::not_sent(error.to_string()))?;
         self.opened.set(self.opened.get() + 1);
@@ -151,6 +165,16 @@
         self.pool.has_idle(address, self.limits.idle)
     }
 
+    /// Returns whether another connection may be opened, if necessary in place of an idle one.
+    pub fn has_room(&self) -> bool {
+        self.open.total() < self.limits.open_connections || self.pool.parked() > 0
+    }
+
+    /// Returns the number of open connections, in use or idle.
+    pub fn open_connections(&self) -> usize {
+        self.open.total()
+    }
+
     /// Closes the idle connections to an address.
     pub fn close(&self, address: SocketAddr) {
         self.pool.close(address);
--- a/crates/catkindeck-net/src/pool.rs
+++ b/crates/catkindeck-net/src/pool.rs
@@ -8,7 +8,7 @@
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         io,
         net::SocketAddr,
         rc::Rc,
@@ -21,6 +21,38 @@
 /// response. Bytes that are no response may arrive without end.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
+/// The share of the idle connections that a pool may keep, in percent, beyond which they are closed sooner.
+const CROWDED_PERCENT: usize = 50;
+
+/// For how long a connection of a crowded pool stays idle. Connections that are used in each second remain.
+const CROWDED_IDLE: Duration = Duration::from_secs(3);
+
+/// Counts the open connections of a client.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct OpenCount(Rc<Cell<usize>>);
+
+/// One open connection, counted until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenGuard(OpenCount);
+
+impl OpenCount {
+    pub(crate) fn total(&self) -> usize {
+        self.0.get()
+    }
+
+    pub(crate) fn count(&self) -> OpenGuard {
+        self.0.set(self.total() + 1);
+        OpenGuard(self.clone())
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        let count = &self.0.0;
+        count.set(count.get().saturating_sub(1));
+    }
+}
+
 /// An open connection, which is closed when it is dropped.
 pub(crate) struct PooledConnection {
     pub(crate) address: SocketAddr,
@@ -30,11 +62,18 @@
     idle_limit: Option<Duration>,
     idle_since: Instant,
     driver: JoinHandle<()>,
+    _counted: OpenGuard,
+    /// Counts the connection as idle while it is in the pool.
+    parked: Option<OpenGuard>,
 }
 
 impl PooledConnection {
     /// Opens a connection and spawns the task that drives it.
-    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+    pub(crate) async fn open(
+        address: SocketAddr,
+        limit: Duration,
+        counted: OpenGuard,
+    ) -> io::Result<Self> {
         let stream = socket::connect(address, limit).await?;
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
@@ -52,6 +91,8 @@
             idle_limit: None,
             idle_since: Instant::now(),
             driver,
+            _counted: counted,
+            parked: None,
         })
     }
 
@@ -75,12 +116,23 @@
 }
 
 /// The idle connections of a client, which are reused in last-in, first-out order.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct ConnectionPool {
     idle: Rc<RefCell<SortedMap<SocketAddr, Vec<PooledConnection>>>>,
+    /// The maximum number of idle connections to all addresses.
+    limit: usize,
+    parked: OpenCount,
 }
 
 impl ConnectionPool {
+    pub(crate) fn new(limit: usize) -> Self {
+        Self {
+            idle: Rc::default(),
+            limit,
+            parked: OpenCount::default(),
+        }
+    }
+
     /// Takes the most recently used idle connection to an address.
     pub(crate) fn take(
         &self,
@@ -91,7 +143,9 @@
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         connections.retain(|connection| connection.is_usable(now, idle_limit));
-        connections.pop()
+        let mut connection = connections.pop()?;
+        connection.parked = None;
+        Some(connection)
     }
 
     /// Returns whether there is a usable idle connection to an address.
@@ -108,20 +162,43 @@
         connection.reused = true;
         connection.idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
+        if self.parked.total() >= self.limit {
+            return;
+        }
         let connections = idle.get_or_insert_with(connection.address, Vec::new);
         if connections.len() < capacity {
+            connection.parked = Some(self.parked.count());
             connections.push(connection);
         }
     }
 
+    /// Returns the number of idle connections to all addresses.
+    pub(crate) fn parked(&self) -> usize {
+        self.parked.total()
+    }
+
+    /// Closes an idle connection, to make room for one to another address.
+    pub(crate) fn evict(&self) {
+        let mut is_evicted = false;
+        self.idle.borrow_mut().retain(|_, connections| {
+            is_evicted = is_evicted || connections.pop().is_some();
+            !connections.is_empty()
+        });
+    }
+
     /// Closes the idle connections to an address.
     pub(crate) fn close(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
     }
 
-    /// Closes connections that have been idle for too long.
+    /// Closes connections that have been idle for too long, which is a shorter time in a crowded pool.
     pub(crate) fn sweep(&self, idle_limit: Duration) {
         let now = Instant::now();
+        let is_crowded = self.parked.total() > self.limit / 100 * CROWDED_PERCENT;
+        let idle_limit = match is_crowded {
+            true => idle_limit.min(CROWDED_IDLE),
+            false => idle_limit,
+        };
         self.idle.borrow_mut().retain(|_, connections| {
             connections.retain(|connection| connection.is_usable(now, idle_limit));
             !connections.is_empty()
--- a/crates/catkindeck-net/tests/client.rs
+++ b/crates/catkindeck-net/tests/client.rs
@@ -22,6 +22,7 @@
     connect: Duration::from_secs(5),
     idle: Duration::from_secs(30),
     idle_connections: 4,
+    open_connections: 100,
     response_bytes: 64 << 10,
 };
 
@@ -199,3 +200,46 @@
     .await;
     assert_eq!(requests.load(Ordering::Acquire), 1);
 }
+
+/// Guards against a process that opens connections until it runs out of file descriptors, and with them out of
+/// callers and peers: thousands of upstreams with several requests each.
+#[tokio::test]
+async fn open_connections_are_limited_and_idle_ones_make_room() {
+    let serve = |mut stream: TcpStream| {
+        while read_request(&mut stream) {
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            if stream.write_all(answer).is_err() {
+                return;
+            }
+        }
+    };
+    let addresses = [(); 4].map(|()| start_server(serve));
+    let limits = ClientLimits {
+        open_connections: 2,
+        ..LIMITS
+    };
+    let client = HttpClient::new(limits);
+    run(async {
+        let first = client.send(addresses[0], request()).await;
+        let second = client.send(addresses[1], request()).await;
+        assert_eq!(client.open_connections(), 2);
+        assert!(!client.has_room());
+        let refused = client.send(addresses[2], request()).await;
+        let error = refused.err().expect("both connections are in use");
+        assert!(!error.maybe_received, "{error}");
+
+        for exchange in [first, second] {
+            let exchange = exchange.expect("the server answers");
+            exchange.read_to_end(16).await.expect("the body is whole");
+        }
+        // At most half of the connections stay idle, and one of these makes room for another address.
+        assert_eq!(client.open_connections(), 1);
+        let mut running = Vec::new();
+        for address in &addresses[2..] {
+            running.push(client.send(*address, request()).await);
+        }
+        assert!(running.iter().all(Result::is_ok));
+        assert_eq!(client.open_connections(), 2);
+    })
+    .await;
+}
