Select no upstream that said that it leaves

Cause: a worker that leaves says so in its responses (Server-Leaving), and nothing is to be sent to that instance any more, whatever the list says. The upstream table knew only the state in the list.

Ruled out: marking the entry as draining, because an unchanged entry that is read later brings the instance back; a flag at the instance's key, because an entry that vanishes and returns gets another key while a request may still hold the first.

Change: a bounded register by ID and start beside the table, which accepts_work asks; a later start of the same ID takes work again.

Nothing records notices yet.

--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -5,6 +5,7 @@
 pub mod freshness;
 pub mod give_up;
 pub mod job;
+pub mod leaving;
 pub mod load_time;
 pub mod outage;
 pub mod outcome;
@@ -30,6 +31,7 @@
         ItemKey, ItemPhase, ItemProgress, JobItem, JobLimits, JobResult, JobSpec, ResultCommit,
         RolloutJob, ScorerCall, StartPriority, TextPart,
     },
+    leaving::{LeavingNotice, LeavingRegister},
     load_time::{LOAD_EXTENSION_MS, LoadTimeEstimate, MIN_LOAD_MS},
     outage::OutageBackoff,
     outcome::{ItemOutcome, ResultState},
--- a/crates/catkindeck-policy/src/direct/upstream_table.rs
+++ b/crates/catkindeck-policy/src/direct/upstream_table.rs
@@ -1,7 +1,10 @@
 //! The table of the platform's upstreams.
 
 use {
-    super::upstream::{DiscoveredUpstream, UpstreamKey, UpstreamState},
+    super::{
+        leaving::{LeavingNotice, LeavingRegister},
+        upstream::{DiscoveredUpstream, UpstreamKey, UpstreamState},
+    },
     catkindeck::{KeyArena, Moment, SortedMap, id::ObjectName},
 };
 
@@ -37,6 +40,7 @@
     instances: KeyArena<UpstreamKey, UpstreamState>,
     current: SortedMap<ObjectName, UpstreamKey>,
     closed_zones: Vec<ObjectName>,
+    leaving: LeavingRegister,
     last_read: Option<Moment>,
     grace_until: Moment,
 }
@@ -110,10 +114,42 @@
         self.current.values().map(|key| (*key, self.get(*key)))
     }
 
-    /// Returns whether the list and the zones allow new work for an instance.
+    /// Returns whether the list, the zones and the instance itself allow new work for it.
     pub fn accepts_work(&self, key: UpstreamKey) -> bool {
         let state = self.get(key);
-        state.listed && !state.record.draining && !self.closed_zones.contains(&state.record.zone)
+        state.listed
+            && !state.record.draining
+            && !self.closed_zones.contains(&state.record.zone)
+            && !self.is_leaving(key)
+    }
+
+    /// Records the notice of an instance that it leaves, which need not be in the list. Returns whether
+    /// that was not known.
+    pub fn record_leaving(&mut self, notice: &LeavingNotice) -> bool {
+        self.leaving.record(notice)
+    }
+
+    /// Returns whether an instance said that it leaves. Nothing may be sent to it, also if a request
+    /// was assigned to it before.
+    pub fn is_leaving(&self, key: UpstreamKey) -> bool {
+        let record = &self.get(key).record;
+        self.leaving.contains(&record.id, record.born_ms)
+    }
+
+    /// Returns the notices of the current instances that leave.
+    pub fn leaving_notices(&self) -> Vec<LeavingNotice> {
+        let leaving = self.iter().filter(|(key, _)| self.is_leaving(*key));
+        leaving
+            .filter_map(|(_, state)| self.leaving.notice(&state.record.id))
+            .collect()
+    }
+
+    /// Returns whether a service gets no work because its upstreams leave.
+    pub fn is_left(&self, service: &ObjectName) -> bool {
+        !self.has_upstream(service)
+            && self
+                .iter()
+                .any(|(key, state)| state.record.service == *service && self.is_leaving(key))
     }
 
     /// Returns the age of the list, in milliseconds.
