Send nothing to an upstream that said that it leaves

Server-Leaving stood nowhere in the code: a process went on sending to an instance that had told it so until the list showed it as draining or gone.

Ruled out: a key in the store as for named limits, because the rule holds without the store; calls between each pair of processes, because 600 of them would send 360,000 for one upstream; taking responses with 421 for notices, because these come from another upstream at the address.

Change: the header is decoded once (UpstreamHead.leaving). Each send asks the register directly before its bytes are written, also on a new connection: requests, streams and take-ups, items, scorer calls, hedges, retries, orders and requests for a report. A request withheld or refused for this reason costs no attempt. A process reports a notice to the leader, which announces it; without one a stand-in does. If all upstreams of a service leave, requests are refused as not run with the time of the next read of the list.

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -359,9 +359,13 @@
         let view = self.core.intent.borrow();
         let matched = head.and_then(|head| view.routes().resolve(&head.host, &head.path, &head.id));
         let now = self.core.now();
-        let next_permit = matched
-            .and_then(|matched| self.core.roster.borrow().next_permit(now, &matched.service));
+        let service = matched.map(|matched| matched.service);
+        let next_permit = service
+            .as_ref()
+            .and_then(|service| self.core.roster.borrow().next_permit(now, service));
         let wait_ms = next_permit.map_or(0, |next| next.since(now));
+        let wait_ms =
+            wait_ms.max(service.map_or(0, |service| self.core.replacement_wait_ms(&service)));
         Some(wait_ms.clamp(BUSY_RETRY_MS, MAX_RETRY_MS))
     }
 
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -7,6 +7,7 @@
         intent::IntentView,
         jobs::backup::CopyStore,
         keys::{self, MemberRecord},
+        leaving::LeavingExchange,
         limits::LimitExchange,
         metrics::GatewayMetrics,
         port::{CallerCodec, CloudApi, IntentDecoder, MetadataStore, StoreItem, UpstreamCodec},
@@ -110,6 +111,8 @@
     pub load_time: Cell<LoadTimeEstimate>,
     /// Limits of upstreams that all processes keep together.
     pub limits: LimitExchange,
+    /// Upstreams that leave, which all processes are told.
+    pub leaving: LeavingExchange,
     /// The software versions that began recent streams.
     pub origins: StreamOrigins,
     pub logger: Logger,
@@ -156,6 +159,7 @@
             is_shutting_down: Cell::new(false),
             load_time: Cell::default(),
             limits: LimitExchange::default(),
+            leaving: LeavingExchange::default(),
             origins: StreamOrigins::default(),
             logger,
             clock: BootClock::new(),
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -244,6 +244,8 @@
         let own = Rc::clone(core);
         spawn_supervised(core, "limits", move || Rc::clone(&own).exchange_limits());
         let own = Rc::clone(core);
+        spawn_supervised(core, "leaving", move || Rc::clone(&own).exchange_leaving());
+        let own = Rc::clone(core);
         spawn_supervised(core, "origins", move || Rc::clone(&own).send_origins());
         let own = Rc::clone(core);
         let (jobs, callers) = (Rc::clone(&self.jobs), Rc::clone(&self.callers));
@@ -343,6 +345,10 @@
         core.metrics
             .limited_upstreams
             .set(i64::try_from(limited).unwrap_or(i64::MAX));
+        let leaving = core.roster.borrow().leaving_notices().len();
+        core.metrics
+            .leaving_upstreams
+            .set(i64::try_from(leaving).unwrap_or(i64::MAX));
     }
 }
 
--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -43,6 +43,8 @@
     Answered(Box<UpstreamResponse>),
     /// The upstream certainly did not run the request.
     NotRun(String),
+    /// The upstream leaves and did not run the request, or was not sent it.
+    Withheld(String),
     /// The upstream may have run the request.
     Unknown(String),
 }
@@ -57,17 +59,19 @@
 ) -> AttemptOutcome {
     let started = Instant::now();
     let sent_ms = core.unix_ms();
+    let client = &core.upstream_client;
+    let permit = || guard.may_send();
     let sent = match fresh {
         true => {
-            core.upstream_client
-                .send_on_new_connection(guard.address, request)
+            client
+                .send_on_new_connection(guard.address, request, &permit)
                 .await
         }
-        false => core.upstream_client.send(guard.address, request).await,
+        false => client.send_if(guard.address, request, &permit).await,
     };
     let mut exchange = match sent {
         Ok(exchange) => exchange,
-        Err(fault) => return failure_outcome(&guard, &fault),
+        Err(fault) => return failure_outcome(&guard, &fault, &id),
     };
     let head = core
         .ports
@@ -78,17 +82,14 @@
         guard.record_failure();
         return AttemptOutcome::Unknown(detail);
     }
-    guard.observe_limit(&head);
+    guard.observe_head(&head);
     if head.status.is_server_error() {
         exchange.prevent_reuse();
     }
     if head.not_run {
         guard.record_refusal(REFUSAL_PAUSE_MS);
         exchange.drain_in_background();
-        return AttemptOutcome::NotRun(format!(
-            "the upstream refused the request with status {}",
-            head.status
-        ));
+        return refusal_outcome(&guard, &head);
     }
     if head.status.is_success() && head.stamp.is_none() {
         exchange.discard_connection();
@@ -104,7 +105,7 @@
         match exchange.chunk().await {
             Ok(None) => break,
             Ok(Some(chunk)) => body.extend_from_slice(&chunk),
-            Err(fault) => return failure_outcome(&guard, &fault),
+            Err(fault) => return failure_outcome(&guard, &fault, &id),
         }
         if body.len() >= BUFFER_LIMIT {
             return AttemptOutcome::Answered(Box::new(UpstreamResponse {
@@ -157,7 +158,21 @@
     }
 }
 
-fn failure_outcome(guard: &UpstreamGuard, fault: &SendError) -> AttemptOutcome {
+fn refusal_outcome(guard: &UpstreamGuard, head: &UpstreamHead) -> AttemptOutcome {
+    let detail = format!(
+        "the upstream refused the request with status {}",
+        head.status
+    );
+    match guard.may_send() {
+        true => AttemptOutcome::NotRun(detail),
+        false => AttemptOutcome::Withheld(detail),
+    }
+}
+
+fn failure_outcome(guard: &UpstreamGuard, fault: &SendError, id: &str) -> AttemptOutcome {
+    if guard.was_withheld(fault, id) {
+        return AttemptOutcome::Withheld(fault.to_string());
+    }
     guard.record_failure();
     match fault.maybe_received {
         true => AttemptOutcome::Unknown(fault.to_string()),
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -211,6 +211,11 @@
                 self.refusals += 1;
                 self.started -= 1;
             }
+            // The upstream is not selected again, so there are at most as many of these as upstreams.
+            AttemptOutcome::Withheld(detail) => {
+                self.log_failure(&upstream, &detail, "withheld");
+                self.started -= 1;
+            }
             AttemptOutcome::Unknown(detail) => {
                 self.log_failure(&upstream, &detail, "unknown");
                 self.unknown = Some(detail);
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -51,6 +51,8 @@
 enum OpenOutcome {
     Open(Box<OpenStream>),
     NotRun(String),
+    /// The upstream leaves and did not run the request, or was not sent it.
+    Withheld(String),
     Unknown(String),
 }
 
@@ -170,6 +172,11 @@
                         break;
                     }
                 }
+                // The upstream is not selected again, so there are at most as many of these as upstreams.
+                Ok(Ok(OpenOutcome::Withheld(detail))) => {
+                    self.log_failure(&upstream, &detail, "withheld");
+                    self.attempts -= 1;
+                }
                 Ok(Ok(OpenOutcome::Unknown(detail))) => {
                     self.log_failure(&upstream, &detail, "unknown");
                     unknown = Some(detail);
@@ -244,19 +251,20 @@
             let mut roster = self.core.roster.borrow_mut();
             roster.get_mut(guard.key).record_prompt_part(part);
         }
-        let sent = self.core.upstream_client.send(guard.address, request).await;
-        let mut exchange = match sent {
+        let client = &self.core.upstream_client;
+        let permit = || guard.may_send();
+        let id = &self.request.head.id;
+        let mut exchange = match client.send_if(guard.address, request, &permit).await {
             Ok(exchange) => exchange,
-            Err(fault) => return Ok(failure_outcome(&guard, &fault)),
+            Err(fault) => return Ok(failure_outcome(&guard, &fault, id)),
         };
         let head = codec.decode_head(exchange.status(), exchange.headers());
-        let id = &self.request.head.id;
         if let Some(detail) = foreign_response(&head, id) {
             exchange.discard_connection();
             guard.record_failure();
             return Ok(OpenOutcome::Unknown(detail));
         }
-        guard.observe_limit(&head);
+        guard.observe_head(&head);
         if head.status.is_server_error() {
             exchange.prevent_reuse();
         }
@@ -267,7 +275,10 @@
                 "the upstream refused the request with status {}",
                 head.status
             );
-            return Ok(OpenOutcome::NotRun(detail));
+            return Ok(match guard.may_send() {
+                true => OpenOutcome::NotRun(detail),
+                false => OpenOutcome::Withheld(detail),
+            });
         }
         let headers = exchange.headers().clone();
         Ok(OpenOutcome::Open(Box::new(OpenStream {
@@ -402,7 +413,10 @@
     }
 }
 
-fn failure_outcome(guard: &UpstreamGuard, fault: &SendError) -> OpenOutcome {
+fn failure_outcome(guard: &UpstreamGuard, fault: &SendError, id: &str) -> OpenOutcome {
+    if guard.was_withheld(fault, id) {
+        return OpenOutcome::Withheld(fault.to_string());
+    }
     guard.record_failure();
     match fault.maybe_received {
         true => OpenOutcome::Unknown(fault.to_string()),
--- a/crates/catkindeck-gateway/src/leader/election.rs
+++ b/crates/catkindeck-gateway/src/leader/election.rs
@@ -159,6 +159,8 @@
             ClaimDecision::Wait => {
                 self.core.leader.borrow_mut().clone_from(&view.holder);
                 self.core.limits.wake();
+                self.core.leaving.wake();
+                self.core.leaving.wake();
                 self.await_change(view, WATCH_WAIT).await;
                 return Ok(None);
             }
--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -101,16 +101,19 @@
         };
         let request = core.ports.upstreams.encode_order(&order);
         // The connection may have to be opened first, and the lease may end meanwhile.
-        let permit = || self.election.may_act(order.fence);
+        let is_leaving = || core.roster.borrow().is_leaving(task.upstream);
+        let permit = || self.election.may_act(order.fence) && !is_leaving();
         let response = core
             .order_client
             .call_if(address, request, ORDER_TIMEOUT, &permit);
         let sent = core.now();
         let outcome = match response.await {
             Ok(response) => {
-                core.observe_order_limit(task.upstream, sent, response.status, &response.headers);
+                core.observe_order_head(task.upstream, sent, response.status, &response.headers);
                 core.ports.upstreams.decode_order(response.status)
             }
+            // An order to an upstream that leaves is not needed any more.
+            Err(fault) if !fault.maybe_received && is_leaving() => return,
             Err(fault) => {
                 // The order may still be executed seconds later, so the number of accepted orders is read again
                 // before the next one.
@@ -168,17 +171,18 @@
         };
         let request = core.ports.upstreams.encode_report(&id);
         let sent = core.now();
+        let permit = || !core.roster.borrow().is_leaving(key);
         let response = core
             .order_client
-            .call(address, request, ORDER_TIMEOUT)
+            .call_if(address, request, ORDER_TIMEOUT, &permit)
             .await;
-        let report = match response {
-            Ok(response) if response.status.is_success() => {
-                core.observe_order_limit(key, sent, response.status, &response.headers);
-                core.ports.upstreams.decode_report(&response.body).ok()?
-            }
-            _ => return None,
-        };
+        // The report is requested again for the next order.
+        let response = response.ok()?;
+        core.observe_order_head(key, sent, response.status, &response.headers);
+        if !response.status.is_success() {
+            return None;
+        }
+        let report = core.ports.upstreams.decode_report(&response.body).ok()?;
         let mut roster = core.roster.borrow_mut();
         for weights in &report.weights {
             roster
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod jobs;
 pub mod keys;
 pub mod leader;
+pub mod leaving;
 pub mod limits;
 pub mod metrics;
 pub mod metrics_handler;
--- a/crates/catkindeck-gateway/src/limits.rs
+++ b/crates/catkindeck-gateway/src/limits.rs
@@ -188,9 +188,9 @@
         }
     }
 
-    /// Applies a limit that an upstream names in its response to an order or to a request for a report. Such a
-    /// response that names none does not end a limit, because it does not prove which upstream sent it.
-    pub fn observe_order_limit(
+    /// Applies what an upstream says about itself in its response to an order or to a request for a report. Such a
+    /// response that names no limit does not end one, because it does not prove which upstream sent it.
+    pub fn observe_order_head(
         &self,
         key: UpstreamKey,
         sent: Moment,
@@ -202,6 +202,7 @@
         if is_own && head.limit != LimitHeader::Absent {
             self.observe_limit(key, sent, head.limit);
         }
+        self.observe_leaving(key, sent, &head);
     }
 
     /// Requests a permit for an upstream that is usable but for its limit.
@@ -566,15 +567,11 @@
         }
     }
 
-    /// Requests permits from the process that stands in for a leader that cannot be reached.
+    /// Returns the processes that may stand in for a leader that cannot be reached, the first choice first.
     ///
-    /// All processes choose the same one from the same list of processes: one without callers if there is one,
+    /// All processes choose the same ones from the same list of processes: those without callers if there are any,
     /// because the others fail together more often.
-    async fn request_from_stand_in(
-        self: &Rc<Self>,
-        leader: Option<IncarnationId>,
-        request: PermitRequest,
-    ) -> Result<(), ServiceError> {
+    pub fn stand_ins(&self, leader: Option<IncarnationId>) -> Vec<MemberRecord> {
         let mut candidates = self.members.borrow().clone();
         candidates.retain(|member| Some(member.incarnation) != leader);
         candidates.sort_by_key(|member| {
@@ -582,6 +579,16 @@
             (member.serves_callers, rendezvous_score(&[host]))
         });
         candidates.truncate(STAND_IN_LIMIT);
+        candidates
+    }
+
+    /// Requests permits from the process that stands in for a leader that cannot be reached.
+    async fn request_from_stand_in(
+        self: &Rc<Self>,
+        leader: Option<IncarnationId>,
+        request: PermitRequest,
+    ) -> Result<(), ServiceError> {
+        let candidates = self.stand_ins(leader);
         let call = PeerCall::Limit(LimitCall::StandIn(request.clone()));
         for member in &candidates {
             if member.incarnation == self.incarnation {
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -28,6 +28,10 @@
     pub items_running: IntGauge,
     /// The upstreams that name a limit for the requests of all processes together.
     pub limited_upstreams: IntGauge,
+    /// The listed upstreams that said that they leave.
+    pub leaving_upstreams: IntGauge,
+    /// Requests that were assigned to an upstream and not sent, because it leaves.
+    pub withheld: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -117,6 +121,14 @@
                 "catkindeck_gateway_limited_upstreams",
                 "The upstreams that name a limit for the requests of all processes together.",
             )?,
+            leaving_upstreams: gauge(
+                "catkindeck_gateway_leaving_upstreams",
+                "The listed upstreams that said that they leave.",
+            )?,
+            withheld: counter(
+                "catkindeck_gateway_withheld_requests_total",
+                "Requests that were not sent to the upstream of their choice, because it leaves.",
+            )?,
         })
     }
 }
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -10,6 +10,7 @@
         feed::{FeedQuery, FeedUpdate},
         jobs::{JobService, backup::JobTextUpdate},
         keys::{self, JobRecord, MemberRecord},
+        leaving::LeavingCall,
         limits::{LimitCall, PermitReply},
         port::WeightOrder,
         relay::{StoreCall, StoreResponse},
@@ -23,7 +24,7 @@
         token::WeightVersion,
     },
     catkindeck_net::{HttpHandler, LocalFuture, ResponseBody},
-    catkindeck_policy::direct::{ItemProgress, JobResult, JobSpec, UsageCount},
+    catkindeck_policy::direct::{ItemProgress, JobResult, JobSpec, LeavingNotice, UsageCount},
     http::{Method, Request, Response, StatusCode},
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
@@ -116,6 +117,8 @@
         owner: IncarnationId,
         copies: Vec<JobTextUpdate>,
     },
+    /// Concerns upstreams that leave.
+    Leaving(LeavingCall),
 }
 
 /// A call to be forwarded to another process.
@@ -177,6 +180,8 @@
     /// The copied progress of a job's items, by item index.
     CopiedTexts(Vec<(u32, ItemProgress)>),
     Origin(OriginAnswer),
+    /// The notices of upstreams that leave of which the receiver knows.
+    Leaving(Vec<LeavingNotice>),
 }
 
 #[message]
@@ -320,6 +325,7 @@
             }
             PeerCall::Origin(call) => Ok(self.core.answer_origin_call(call)),
             PeerCall::Limit(call) => self.core.answer_limit_call(call),
+            PeerCall::Leaving(call) => Ok(self.core.answer_leaving_call(call)),
         }
     }
 }
--- a/crates/catkindeck-gateway/src/port/upstream.rs
+++ b/crates/catkindeck-gateway/src/port/upstream.rs
@@ -37,6 +37,8 @@
     pub version: Option<WeightVersion>,
     /// The limit that the upstream names for the requests of all processes together.
     pub limit: LimitHeader,
+    /// Whether the upstream says that it leaves.
+    pub leaving: bool,
 }
 
 /// A numbered event of an event stream.
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -24,7 +24,7 @@
 };
 
 /// The time between two reads of the leader, which reads for all processes.
-const READ_INTERVAL: Duration = Duration::from_millis(750);
+pub const READ_INTERVAL: Duration = Duration::from_millis(750);
 
 /// The time between two reads of another process that gets no data from the leader, in percent of the time by which
 /// a change must take effect. Leaves time for one failed read and a retry.
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -1,8 +1,9 @@
 //! The use of an upstream by one request.
 
 use {
-    crate::{core::GatewayCore, port::UpstreamHead},
-    catkindeck::{Moment, id::ObjectName},
+    crate::{core::GatewayCore, events::REQUEST_WITHHELD, port::UpstreamHead},
+    catkindeck::{Moment, id::ObjectName, log_event},
+    catkindeck_net::SendError,
     catkindeck_policy::direct::{
         EngineQuery, LimitHeader, PlainQuery, RateLimits, SoftwareVersion, UpstreamKey,
     },
@@ -91,10 +92,33 @@
         }
     }
 
+    /// Returns whether a request may still be sent to the upstream, which may have said in the meantime that it
+    /// leaves.
+    pub fn may_send(&self) -> bool {
+        !self.core.roster.borrow().is_leaving(self.key)
+    }
+
+    /// Returns whether a request was not sent because the upstream leaves. It costs neither an attempt nor a pause.
+    pub fn was_withheld(&self, fault: &SendError, request: &str) -> bool {
+        let was_withheld = !fault.maybe_received && !self.may_send();
+        if was_withheld {
+            self.core.metrics.withheld.inc();
+            log_event!(self.core.logger, REQUEST_WITHHELD;
+                "request" => request, "upstream" => %self.id, "detail" => &fault.detail);
+        }
+        was_withheld
+    }
+
+    /// Learns what a response says about the upstream itself: its limit, and whether it leaves.
+    pub fn observe_head(&self, head: &UpstreamHead) {
+        self.observe_limit(head);
+        self.core.observe_leaving(self.key, self.begun, head);
+    }
+
     /// Learns from a response whether the upstream limits the requests of all processes together.
     ///
     /// A response with status 421 may come from another upstream that uses the address now.
-    pub fn observe_limit(&self, head: &UpstreamHead) {
+    fn observe_limit(&self, head: &UpstreamHead) {
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
--- a/crates/catkindeck-net/src/client.rs
+++ b/crates/catkindeck-net/src/client.rs
@@ -79,17 +79,18 @@
         self.open_and_send(address, request, permit).await
     }
 
-    /// Sends a request on a new connection, for requests that a stale connection could lose.
+    /// As [`Self::send_if`], but on a new connection, for requests that a stale connection could lose.
     ///
     /// # Errors
     ///
-    /// See [`Self::send`].
+    /// See [`Self::send_if`].
     pub async fn send_on_new_connection(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
+        permit: SendPermit<'_>,
     ) -> Result<HttpExchange, SendError> {
-        self.open_and_send(address, request, &|| true).await
+        self.open_and_send(address, request, permit).await
     }
 
     async fn open_and_send(
