--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -30,6 +30,10 @@
     pub limited_upstreams: IntGauge,
     /// The bytes of responses that callers have not taken yet.
     pub held_bytes: IntGauge,
+    /// The listed upstreams that said that they leave.
+    pub leaving_upstreams: IntGauge,
+    /// Requests that were assigned to an upstream and not sent, because it leaves.
+    pub withheld: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -123,6 +127,14 @@
                 "catkindeck_gateway_held_bytes",
                 "The bytes of responses that callers have not taken yet.",
             )?,
+            leaving_upstreams: gauge(
+                "catkindeck_gateway_leaving_upstreams",
+                "The listed upstreams that said that they leave.",
+            )?,
+            withheld: counter(
+                "catkindeck_gateway_withheld_requests_total",
+                "Requests that were not sent to the upstream of their choice, because it leaves.",
+            )?,
         })
     }
 }
