Limit connections to upstreams by memory, and those for orders

Change: connections to upstreams may take a quarter of the memory, at 32 KiB each, and at most 512 are open for orders.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -45,8 +45,11 @@
 };
 
 /// The limits of the HTTP client for orders to upstreams and for their reports. Reports have a few hundred bytes.
+/// Each upstream gets an order every few seconds, so that with thousands of upstreams few connections are worth
+/// keeping.
 pub const ORDER_LIMITS: ClientLimits = ClientLimits {
     idle_connections: 1,
+    open_connections: 512,
     ..UPSTREAM_LIMITS
 };
 
@@ -66,6 +69,12 @@
 /// callers and in one that does.
 const UPSTREAM_DESCRIPTOR_DIVISORS: (u64, u64) = (2, 4);
 
+/// The memory that an open connection to an upstream takes, in bytes.
+const CONNECTION_BYTES: u64 = 32 << 10;
+
+/// Connections to upstreams may use the process's memory divided by this.
+const UPSTREAM_MEMORY_DIVISOR: u64 = 4;
+
 /// Callers' connections may use the number of file descriptors divided by this. The rest is reserved for
 /// connections to upstreams, peers and the platform.
 const DESCRIPTOR_DIVISOR: u64 = 2;
@@ -389,7 +398,8 @@
         Some(_) => entry,
         None => standby,
     };
-    let connections = settings.descriptors / divisor;
+    let memory = settings.memory_bytes / UPSTREAM_MEMORY_DIVISOR / CONNECTION_BYTES;
+    let connections = memory.min(settings.descriptors / divisor);
     ClientLimits {
         open_connections: usize::try_from(connections).unwrap_or(usize::MAX),
         ..UPSTREAM_LIMITS
