--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -24,7 +24,6 @@
     LIMIT_DETACHED = 8124, "limit_detached", Warning, "leader does not answer; only this process's share of limits is used";
     UPSTREAM_LEAVING = 8125, "upstream_leaving", Info, "upstream said that it leaves and gets no new requests";
     LEAVING_UNSENT = 8126, "leaving_unsent", Warning, "notices of upstreams that leave could not be exchanged; retrying";
-    REQUEST_WITHHELD = 8127, "request_withheld", Info, "request was not sent to an upstream that leaves";
     ORIGINS_UNSENT = 8136, "origins_unsent", Info, "origins of streams could not be sent to a keeper";
     ORIGIN_UNKNOWN = 8137, "origin_unknown", Info, "stream cannot be taken up, because its software version is unknown";
     REQUEST_ANSWERED = 8130, "request_done", Info, "request was answered";
--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -71,7 +71,7 @@
     };
     let mut exchange = match sent {
         Ok(exchange) => exchange,
-        Err(fault) => return failure_outcome(&guard, &fault, &id),
+        Err(fault) => return failure_outcome(&guard, &fault),
     };
     let head = core
         .ports
@@ -105,7 +105,7 @@
         match exchange.chunk().await {
             Ok(None) => break,
             Ok(Some(chunk)) => body.extend_from_slice(&chunk),
-            Err(fault) => return failure_outcome(&guard, &fault, &id),
+            Err(fault) => return failure_outcome(&guard, &fault),
         }
         if body.len() >= BUFFER_LIMIT {
             return AttemptOutcome::Answered(Box::new(UpstreamResponse {
@@ -169,8 +169,8 @@
     }
 }
 
-fn failure_outcome(guard: &UpstreamGuard, fault: &SendError, id: &str) -> AttemptOutcome {
-    if guard.was_withheld(fault, id) {
+fn failure_outcome(guard: &UpstreamGuard, fault: &SendError) -> AttemptOutcome {
+    if guard.was_withheld(fault) {
         return AttemptOutcome::Withheld(fault.to_string());
     }
     guard.record_failure();
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -253,12 +253,12 @@
         }
         let client = &self.core.upstream_client;
         let permit = || guard.may_send();
-        let id = &self.request.head.id;
         let mut exchange = match client.send_if(guard.address, request, &permit).await {
             Ok(exchange) => exchange,
-            Err(fault) => return Ok(failure_outcome(&guard, &fault, id)),
+            Err(fault) => return Ok(failure_outcome(&guard, &fault)),
         };
         let head = codec.decode_head(exchange.status(), exchange.headers());
+        let id = &self.request.head.id;
         if let Some(detail) = foreign_response(&head, id) {
             exchange.discard_connection();
             guard.record_failure();
@@ -413,8 +413,8 @@
     }
 }
 
-fn failure_outcome(guard: &UpstreamGuard, fault: &SendError, id: &str) -> OpenOutcome {
-    if guard.was_withheld(fault, id) {
+fn failure_outcome(guard: &UpstreamGuard, fault: &SendError) -> OpenOutcome {
+    if guard.was_withheld(fault) {
         return OpenOutcome::Withheld(fault.to_string());
     }
     guard.record_failure();
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -91,13 +91,12 @@
         Ok(request) => request,
         Err(error) => return run_outcome(ItemOutcome::Impossible, &error.detail),
     };
-    let id = &job.spec.items[run.key.0 as usize].id;
     let permit = || run.guard.may_send();
     let client = &core.upstream_client;
     let sent = client.send_if(run.guard.address, request, &permit);
     let mut exchange = match timeout(FIRST_EVENT_TIMEOUT, sent).await {
         Ok(Ok(exchange)) => exchange,
-        Ok(Err(fault)) if run.guard.was_withheld(&fault, id) => {
+        Ok(Err(fault)) if run.guard.was_withheld(&fault) => {
             return run_outcome(ItemOutcome::Interrupted, &fault.detail);
         }
         Ok(Err(fault)) => {
@@ -114,6 +113,7 @@
         .ports
         .upstreams
         .decode_head(exchange.status(), exchange.headers());
+    let id = &job.spec.items[run.key.0 as usize].id;
     if let Some(detail) = foreign_response(&head, id) {
         exchange.discard_connection();
         run.guard.record_failure();
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -1,8 +1,8 @@
 //! The use of an upstream by one request.
 
 use {
-    crate::{core::GatewayCore, events::REQUEST_WITHHELD, port::UpstreamHead},
-    catkindeck::{Moment, id::ObjectName, log_event},
+    crate::{core::GatewayCore, port::UpstreamHead},
+    catkindeck::{Moment, id::ObjectName},
     catkindeck_net::SendError,
     catkindeck_policy::direct::{
         EngineQuery, LimitHeader, PlainQuery, RateLimits, SoftwareVersion, UpstreamKey,
@@ -99,13 +99,9 @@
     }
 
     /// Returns whether a request was not sent because the upstream leaves. It costs neither an attempt nor a pause.
-    pub fn was_withheld(&self, fault: &SendError, request: &str) -> bool {
+    pub fn was_withheld(&self, fault: &SendError) -> bool {
         let was_withheld = !fault.maybe_received && !self.may_send();
-        if was_withheld {
-            self.core.metrics.withheld.inc();
-            log_event!(self.core.logger, REQUEST_WITHHELD;
-                "request" => request, "upstream" => %self.id, "detail" => &fault.detail);
-        }
+        self.core.metrics.withheld.inc_by(u64::from(was_withheld));
         was_withheld
     }
 
