--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -77,7 +77,7 @@
     };
     let mut exchange = match sent {
         Ok(exchange) => exchange,
-        Err(fault) => return failure_outcome(&guard, &fault, &id),
+        Err(fault) => return failure_outcome(&guard, &fault),
     };
     let head = core
         .ports
@@ -111,7 +111,7 @@
         match exchange.chunk().await {
             Ok(None) => break,
             Ok(Some(chunk)) => body.append(&chunk),
-            Err(fault) => return failure_outcome(&guard, &fault, &id),
+            Err(fault) => return failure_outcome(&guard, &fault),
         }
         if body.is_full() {
             return AttemptOutcome::Answered(Box::new(UpstreamResponse {
@@ -223,8 +223,8 @@
     }
 }
 
-fn failure_outcome(guard: &UpstreamGuard, fault: &SendError, id: &str) -> AttemptOutcome {
-    if guard.was_withheld(fault, id) {
+fn failure_outcome(guard: &UpstreamGuard, fault: &SendError) -> AttemptOutcome {
+    if guard.was_withheld(fault) {
         return AttemptOutcome::Withheld(fault.to_string());
     }
     guard.record_failure();
