Pace scorer calls at plain services, hedge within room and a budget, and spread returns

Cause: scorer calls of all items and callers' lookups meet at few plain upstreams. A burst of scores filled the queues of the upstreams, in front of callers of all processes; a slow request was hedged while the service was full; a slow upstream was recognised only when its requests ended, and then never used again; every refused caller was told the same 100 ms. Ruled out: a reserve of places for callers (a caller that meets full but unqueued places waits for a part of one call's work), refusing jobs by the length of the queue (a refused job is a lost step). Change: `PlainRoom` queues scorer calls in the process, nearly complete groups first, within a window of the existing `ConcurrencyLimit`; `PlainLoad` compares the average latency and the age of the oldest request with the usual latency, and lets one request a second show a recovery; hedges need a free place at an upstream that is not slow, and hedges and retries of attempts that may still run share the existing `RetryBudget`; `ReturnSchedule` draws return times from cause, measured rate and an order fair between customers; a submission is refused with the time of the next trial once no trial comes in time. All of it applies with `scheduling.plain_room` and routes for jobs. Figures: tests `plain_room` (6) and `return_time` (4) pass. The first runs of them failed and showed that one probe a second did not lift the average of a recovered upstream for 4 s (now it restarts), and that a bound on the scores' end had left out what callers use.

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -242,8 +242,9 @@
         let report = HedgedCall::new(&self.core, options, &builder).run().await;
         match report.outcome {
             CallOutcome::Answered(response) => {
-                self.core
-                    .count_usage(request.customer.as_ref(), response.sent_ms);
+                let customer = request.customer.as_ref();
+                self.core.count_usage(customer, response.sent_ms);
+                self.core.record_served(&request.matched.service, customer);
                 Ok(*response)
             }
             CallOutcome::Failed(error) => Err(error),
@@ -349,8 +350,11 @@
         response
     }
 
-    /// Returns when a refused caller may come back, in milliseconds.
+    /// Returns when a refused caller should return, in milliseconds.
     fn retry_ms(&self, head: Option<&RequestHead>, error: &ServiceError) -> Option<u64> {
+        if self.core.shares_plain_room() {
+            return self.return_ms(head?, error);
+        }
         let is_busy = matches!(error.kind, ErrorKind::NoUpstream | ErrorKind::Overloaded)
             && error.execution == ExecutionOutcome::NotRun;
         if !is_busy {
@@ -365,6 +369,23 @@
         Some(wait_ms.clamp(BUSY_RETRY_MS, MAX_RETRY_MS))
     }
 
+    fn return_ms(&self, head: &RequestHead, error: &ServiceError) -> Option<u64> {
+        let (matched, customer) = {
+            let view = self.core.intent.borrow();
+            let key = head.key.as_deref().and_then(|key| view.key(key));
+            let customer = key.map(|key| key.customer.clone());
+            let matched = view.routes().resolve(&head.host, &head.path, &head.id)?;
+            (matched, customer)
+        };
+        let request = (customer.as_ref(), head.id.as_str());
+        let (return_ms, cause) = self.core.return_time(error, &matched.service, request)?;
+        let metrics = &self.core.metrics.room;
+        metrics.returns.with_label_values(&[cause.name()]).inc();
+        let return_time = Duration::from_millis(return_ms);
+        metrics.return_seconds.observe(return_time.as_secs_f64());
+        Some(return_ms)
+    }
+
     fn refuse(
         &self,
         head: Option<&RequestHead>,
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -9,6 +9,7 @@
         keys::{self, MemberRecord},
         limits::LimitExchange,
         metrics::GatewayMetrics,
+        plain_room::RoomRegistry,
         port::{CallerCodec, CloudApi, IntentDecoder, MetadataStore, StoreItem, UpstreamCodec},
         relay::RelayedStore,
         settings::NodeSettings,
@@ -112,6 +113,8 @@
     pub limits: LimitExchange,
     /// The software versions that began recent streams.
     pub origins: StreamOrigins,
+    /// The use of plain services that callers and scorer calls share.
+    pub rooms: RoomRegistry,
     pub logger: Logger,
     clock: BootClock,
     wall_clock: RefCell<WallClockFilter>,
@@ -157,6 +160,7 @@
             load_time: Cell::default(),
             limits: LimitExchange::default(),
             origins: StreamOrigins::default(),
+            rooms: RoomRegistry::default(),
             logger,
             clock: BootClock::new(),
             wall_clock: RefCell::default(),
--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -117,12 +117,7 @@
             }));
         }
     }
-    guard.record_success();
-    let elapsed = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
-    core.roster
-        .borrow_mut()
-        .get_mut(guard.key)
-        .record_latency(elapsed);
+    guard.record_answer(started.elapsed(), head.status.is_server_error());
     AttemptOutcome::Answered(Box::new(UpstreamResponse {
         head,
         headers,
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -4,7 +4,7 @@
     super::attempt::{AttemptOutcome, UpstreamResponse, attempt},
     crate::{
         core::GatewayCore,
-        events::{ATTEMPT_FAILED, ATTEMPT_HEDGED},
+        events::{ATTEMPT_FAILED, ATTEMPT_HEDGED, HEDGE_WITHHELD, RETRY_WITHHELD},
         upstream_guard::UpstreamGuard,
     },
     bytes::Bytes,
@@ -19,6 +19,10 @@
 /// The number of upstreams that may refuse a request without running it; these do not count as attempts.
 const REFUSAL_LIMIT: usize = 4;
 
+/// The pause before a withheld hedge is considered again. A place of a busy upstream becomes free in
+/// about this time.
+const WITHHELD_HEDGE_PAUSE: Duration = Duration::from_millis(25);
+
 /// The options of a [`HedgedCall`].
 #[derive(Debug, Clone)]
 pub struct CallOptions {
@@ -69,6 +73,11 @@
     refused: Option<ServiceError>,
     unknown: Option<String>,
     failure: Option<Box<UpstreamResponse>>,
+    /// Whether plain services are shared, so that hedges and retries need places and a budget.
+    is_paced: bool,
+    /// The time between two hedges.
+    hedge_interval: Duration,
+    is_hedge_withheld: bool,
 }
 
 impl<'a> HedgedCall<'a> {
@@ -77,8 +86,15 @@
         options: CallOptions,
         builder: RequestBuilder<'a>,
     ) -> Self {
+        let is_paced = core.shares_plain_room();
+        if is_paced {
+            core.fund_retries(&options.service);
+        }
         Self {
             core,
+            is_paced,
+            hedge_interval: options.hedge_after.unwrap_or_default(),
+            is_hedge_withheld: false,
             options,
             builder,
             excluded: Vec::new(),
@@ -115,8 +131,7 @@
                 ended = next_outcome(&mut self.running) => ended,
                 () = sleep_until(expires) => return self.expired_outcome(),
                 () = sleep_until(hedge) => {
-                    hedge_at = None;
-                    self.hedge();
+                    hedge_at = self.hedge();
                     continue;
                 }
             };
@@ -131,7 +146,12 @@
         let no_attempt_left =
             self.started >= self.options.attempts || self.refusals > REFUSAL_LIMIT;
         let may_run = self.unknown.is_none() || self.options.idempotent;
-        if no_attempt_left || !may_run {
+        if no_attempt_left || !may_run || !self.may_retry() {
+            return Some(self.exhausted_outcome());
+        }
+        let is_first = self.started == 0 && self.refusals == 0;
+        let service = &self.options.service;
+        if self.is_paced && is_first && self.core.is_hopeless(service, self.options.expires) {
             return Some(self.exhausted_outcome());
         }
         let until = self.core.permit_deadline(self.options.expires);
@@ -147,6 +167,19 @@
         }
     }
 
+    /// Returns whether the retry budget allows another attempt, if an earlier one may still be running.
+    fn may_retry(&self) -> bool {
+        if !self.is_paced || self.unknown.is_none() || self.core.spend_retry(&self.options.service)
+        {
+            return true;
+        }
+        self.core.metrics.room.retries_withheld.inc();
+        log_event!(self.core.logger, RETRY_WITHHELD;
+            "request" => &self.options.id, "service" => %self.options.service,
+            "attempts" => self.started);
+        false
+    }
+
     fn start_attempt(&mut self) -> bool {
         let now = Instant::now();
         let left = self.options.expires.saturating_duration_since(now);
@@ -175,10 +208,14 @@
         true
     }
 
-    /// Sends the request to a second upstream, because the first is slow.
-    fn hedge(&mut self) {
+    /// Sends the request to a second upstream, because the first is slow. Returns when to consider
+    /// another hedge.
+    fn hedge(&mut self) -> Option<Instant> {
         if !self.options.idempotent || self.started >= self.options.attempts {
-            return;
+            return None;
+        }
+        if self.is_paced && !self.has_room_for_hedge() {
+            return Some(Instant::now() + WITHHELD_HEDGE_PAUSE);
         }
         if self.start_attempt() {
             self.core.metrics.hedges.inc();
@@ -186,6 +223,30 @@
                 "request" => &self.options.id, "service" => %self.options.service,
                 "attempts" => self.started);
         }
+        // The first hedge may be lost as well.
+        self.hedge_interval *= 2;
+        self.is_paced.then(|| Instant::now() + self.hedge_interval)
+    }
+
+    /// Returns whether an upstream that is not slow has a free place, and the budget allows a hedge.
+    fn has_room_for_hedge(&mut self) -> bool {
+        let service = &self.options.service;
+        let now = self.core.now();
+        let places = {
+            let roster = self.core.roster.borrow();
+            roster.plain_places(now, service, &self.excluded)
+        };
+        if places.spare > 0 && self.core.spend_retry(service) {
+            return true;
+        }
+        if !self.is_hedge_withheld {
+            self.is_hedge_withheld = true;
+            self.core.metrics.room.hedges_withheld.inc();
+            log_event!(self.core.logger, HEDGE_WITHHELD;
+                "request" => &self.options.id, "service" => %service,
+                "spare" => places.spare, "places" => places.total);
+        }
+        false
     }
 
     /// Handles the outcome of one attempt, and returns the outcome of the request if it is final.
--- a/crates/catkindeck-gateway/src/intent.rs
+++ b/crates/catkindeck-gateway/src/intent.rs
@@ -14,6 +14,7 @@
 pub struct IntentView {
     config: ConfigSnapshot,
     routes: RouteTable,
+    has_job_routes: bool,
     /// The store's revision of the configuration; `None` if none was read yet.
     store_revision: Option<u64>,
     closed_zones: Vec<ObjectName>,
@@ -48,6 +49,7 @@
             && (self.store_revision.is_none() || config.revision >= self.config.revision)
         {
             self.routes = RouteTable::new(&config.routes);
+            self.has_job_routes = config.routes.iter().any(|route| route.terms.job.is_some());
             self.config = *config;
             self.store_revision = Some(revision);
             changes.config = true;
@@ -76,6 +78,11 @@
         &self.routes
     }
 
+    /// Returns whether jobs can be submitted.
+    pub fn has_job_routes(&self) -> bool {
+        self.has_job_routes
+    }
+
     /// Finds the record of a caller's API key.
     pub fn key(&self, key: &str) -> Option<&KeyRecord> {
         self.config.key(&KeyDigest::of(key))
--- a/crates/catkindeck-gateway/src/jobs/score.rs
+++ b/crates/catkindeck-gateway/src/jobs/score.rs
@@ -5,11 +5,12 @@
     crate::{
         events::{ITEM_SCORED, SCORER_FAILED},
         forward::{CallOptions, CallOutcome, HedgedCall},
+        plain_room::RoomPass,
         port::UpstreamCall,
         task::run_guarded,
     },
     catkindeck::{ServiceError, id::ObjectName, log_event},
-    catkindeck_policy::direct::{ItemKey, ItemPhase, ScorerCall},
+    catkindeck_policy::direct::{ItemKey, ItemPhase, ScoreEnd, ScorerCall},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep},
 };
@@ -36,6 +37,8 @@
 impl JobService {
     /// Starts the scorer calls of texts that are complete and not scored yet.
     pub(super) fn score_items(self: &Rc<Self>, job: &Rc<OwnedJob>) {
+        // Places may have become free without a scorer call ending.
+        self.core.admit_scores();
         if job.is_lost.get() || job.job.borrow().is_ended() {
             return;
         }
@@ -58,7 +61,25 @@
                 sleep(ROUND_PAUSE).await;
                 continue;
             };
-            match self.call_scorer(scorer, options).await {
+            let pass = self.await_place(&job, key, &options).await;
+            if job.job.borrow().phase(key) != ItemPhase::Scoring {
+                break;
+            }
+            let started = Instant::now();
+            let options = CallOptions {
+                expires: started + ROUND_TIMEOUT,
+                ..options
+            };
+            let outcome = self.call_scorer(scorer, options).await;
+            if let Some(pass) = pass {
+                pass.record_end(match &outcome {
+                    Ok(_) => ScoreEnd::Answered(started.elapsed().as_secs_f64() * 1_000.0),
+                    // The scorer's own failures say nothing about its load.
+                    Err(failure) if failure.count > 0 => ScoreEnd::Cancelled,
+                    Err(_) => ScoreEnd::Refused,
+                });
+            }
+            match outcome {
                 Ok(score) => {
                     let now = self.core.now();
                     job.job.borrow_mut().record_score(now, key, score);
@@ -81,6 +102,24 @@
         self.commit(&job);
     }
 
+    /// Waits for a place for a scorer call, if callers share its service.
+    async fn await_place(
+        &self,
+        job: &Rc<OwnedJob>,
+        key: ItemKey,
+        options: &CallOptions,
+    ) -> Option<RoomPass> {
+        if !self.core.shares_plain_room() {
+            return None;
+        }
+        let owned = Rc::clone(job);
+        let remaining = Box::new(move || {
+            let state = owned.job.try_borrow();
+            state.map_or(u32::MAX, |state| state.group_remaining(key))
+        });
+        Some(self.core.enter_room(&options.service, remaining).await)
+    }
+
     /// Makes one round of attempts and returns the scorer's result.
     async fn call_scorer(
         &self,
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -279,7 +279,8 @@
                 true => expires,
                 false => expires.min(arrived + ACCEPT_TIMEOUT),
             };
-            if Instant::now() + RETRY_PAUSE >= until {
+            let next_trial = self.time_to_trial().max(RETRY_PAUSE);
+            if Instant::now() + next_trial >= until {
                 return Err(match in_doubt {
                     true => ServiceError::unknown(ErrorKind::OutcomeUnknown, error.detail),
                     false => ServiceError::not_run(ErrorKind::StoreUnavailable, error.detail),
@@ -289,6 +290,15 @@
         }
     }
 
+    /// Returns the time until this process calls the store again, if no process reaches it.
+    fn time_to_trial(&self) -> Duration {
+        if !self.core.shares_plain_room() {
+            return Duration::ZERO;
+        }
+        let wait_ms = self.core.relay.trial_wait_ms(self.core.now());
+        Duration::from_millis(wait_ms.unwrap_or(0))
+    }
+
     /// Returns the largest size of one part of a submission or of one value with results, in bytes.
     pub(super) fn max_part_bytes(&self) -> usize {
         // Values are sent as base64 in a request body whose size the store limits as well.
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics of a gateway.
 
 use {
+    crate::room_metrics::RoomMetrics,
     catkindeck::{ErrorKind, ServiceError},
     prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry},
 };
@@ -28,6 +29,7 @@
     pub items_running: IntGauge,
     /// The upstreams that name a limit for the requests of all processes together.
     pub limited_upstreams: IntGauge,
+    pub room: RoomMetrics,
 }
 
 impl GatewayMetrics {
@@ -117,6 +119,7 @@
                 "catkindeck_gateway_limited_upstreams",
                 "The upstreams that name a limit for the requests of all processes together.",
             )?,
+            room: RoomMetrics::register(registry)?,
         })
     }
 }
--- a/crates/catkindeck-gateway/src/relay.rs
+++ b/crates/catkindeck-gateway/src/relay.rs
@@ -14,7 +14,7 @@
             WatchOutcome,
         },
     },
-    catkindeck::{ErrorKind, ServiceError, error::ExecutionOutcome, log_event, message},
+    catkindeck::{ErrorKind, Moment, ServiceError, error::ExecutionOutcome, log_event, message},
     catkindeck_net::LocalFuture,
     catkindeck_policy::direct::OutageBackoff,
     std::{
@@ -127,6 +127,12 @@
         self.outage.borrow_mut().record_success();
     }
 
+    /// Returns the time until the store is called again, in milliseconds, while no process reaches it.
+    pub fn trial_wait_ms(&self, now: Moment) -> Option<u64> {
+        let wait_ms = self.outage.borrow().remaining_ms(now);
+        (wait_ms > 0).then_some(wait_ms)
+    }
+
     /// Returns when the store became reachable again after it was unreachable both ways.
     pub fn store_recovered_at(&self) -> Option<Instant> {
         self.store_recovered_at.get()
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -7,7 +7,7 @@
         EngineQuery, LimitHeader, PlainQuery, RateLimits, SoftwareVersion, UpstreamKey,
     },
     http::StatusCode,
-    std::{net::SocketAddr, rc::Rc},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
 };
 
 /// The share of a cold upstream's tolerated rate that this process sends to an upstream that it believes to
@@ -39,6 +39,7 @@
         let settings = core.settings();
         let query = PlainQuery {
             service,
+            avoids_slow: core.shares_plain_room(),
             software,
             excluded,
             zone: &settings.zone,
@@ -122,6 +123,19 @@
         roster.get_mut(self.key).start_backoff(now, pause_ms);
     }
 
+    /// Records that the upstream answered a plain request. A failure says nothing about its speed.
+    pub fn record_answer(&self, elapsed: Duration, is_failure: bool) {
+        let elapsed_us = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        let now = self.core.now();
+        let mut roster = self.core.roster.borrow_mut();
+        let state = roster.get_mut(self.key);
+        state.record_response();
+        state.record_latency(elapsed_us);
+        if !is_failure {
+            state.plain.record_latency(now, elapsed_us);
+        }
+    }
+
     /// Records that the upstream answered.
     pub fn record_success(&self) {
         self.core
@@ -135,8 +149,7 @@
 impl Drop for UpstreamGuard {
     fn drop(&mut self) {
         let mut roster = self.core.roster.borrow_mut();
-        let state = roster.get_mut(self.key);
-        state.in_flight = state.in_flight.saturating_sub(1);
+        roster.get_mut(self.key).record_request_end(self.begun);
         self.core.capacity.notify_one();
     }
 }
--- a/crates/catkindeck-policy/src/direct/job.rs
+++ b/crates/catkindeck-policy/src/direct/job.rs
@@ -436,6 +436,11 @@
         unscored
     }
 
+    /// Returns the number of unfinished items in an item's group.
+    pub fn group_remaining(&self, key: ItemKey) -> u32 {
+        self.groups[self.state(key).group].unfinished
+    }
+
     /// Returns the running items with their upstreams.
     pub fn running(&self) -> Vec<(ItemKey, UpstreamKey)> {
         let running = self
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -10,8 +10,11 @@
 pub mod outcome;
 pub mod peer_reachability;
 pub mod permits;
+pub mod plain_load;
+pub mod plain_room;
 pub mod rate;
 pub mod request_rate;
+pub mod return_time;
 pub mod routes;
 pub mod selection;
 pub mod stream_origin;
@@ -35,8 +38,11 @@
     outcome::{ItemOutcome, ResultState},
     peer_reachability::PeerReachability,
     permits::{PermitAllocator, PermitPool},
+    plain_load::{PlainLoad, PlainPace},
+    plain_room::{MAX_SCORE_WAIT_MS, PlainPlaces, PlainRoom, ScoreEnd, ScoreTicket},
     rate::RateWindow,
     request_rate::{RateBucket, RequestRate},
+    return_time::{MIN_RETURN_MS, RefusalCause, RefusedRequest, ReturnSchedule},
     routes::{RouteMatch, RouteTable, choose_service},
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rendezvous_score},
     stream_origin::{OriginTable, StreamKey, VersionHistory},
--- a/crates/catkindeck-policy/src/direct/selection.rs
+++ b/crates/catkindeck-policy/src/direct/selection.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        plain_load::PlainPace,
         upstream::{SoftwareVersion, UpstreamKey, UpstreamState},
         upstream_table::UpstreamTable,
     },
@@ -59,6 +60,8 @@
 #[derive(Clone, Copy)]
 pub struct PlainQuery<'a> {
     pub service: &'a ObjectName,
+    /// Whether slow upstreams are used only if there is no other.
+    pub avoids_slow: bool,
     /// The software version that must run the request, if it goes on with a stream.
     pub software: Option<&'a SoftwareVersion>,
     /// The instances that must not be used again for this request.
@@ -205,8 +208,17 @@
                 && admits(state)
         };
         let shortest = self.shortest_latency(query.service);
+        let typical = self.typical_latency_us(query.service);
+        let speed = |state: &UpstreamState| match query.avoids_slow {
+            true => (
+                state.plain.pace(now, typical) == PlainPace::Slow,
+                state.plain.expected_us(now, typical).max(1),
+            ),
+            false => (false, state.latency_us.max(shortest)),
+        };
         let cost = |state: &UpstreamState| {
-            let cost = loaded_cost(state, state.latency_us.max(shortest));
+            let (is_slow, latency) = speed(state);
+            let cost = loaded_cost(state, latency);
             let cost = discount(
                 cost,
                 ZONE_DISCOUNT_PERCENT,
@@ -215,7 +227,7 @@
             let connected = (query.connected)(state.record.address);
             let cost = discount(cost, CONNECTED_PLAIN_DISCOUNT_PERCENT, connected);
             // An upstream in backoff is used only if there is no other.
-            (state.in_backoff(now), state.is_cold(now), cost)
+            (state.in_backoff(now), state.is_cold(now), is_slow, cost)
         };
         self.iter()
             .filter(|(key, state)| usable(key, state))
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -1,7 +1,9 @@
 //! The state of one upstream in a gateway.
 
 use {
-    super::{permits::PermitPool, rate::RateWindow, upstream_limit::UpstreamLimit},
+    super::{
+        permits::PermitPool, plain_load::PlainLoad, rate::RateWindow, upstream_limit::UpstreamLimit,
+    },
     catkindeck::{
         ErrorKind, Moment, ServiceError, SortedMap, arena_key, id::ObjectName, message,
         token::WeightVersion,
@@ -129,6 +131,8 @@
     /// The moving average of the latency of plain requests, in microseconds; zero before the first
     /// sample.
     pub latency_us: u64,
+    /// The requests of a plain upstream and their latency.
+    pub plain: PlainLoad,
     versions: SortedMap<ObjectName, WeightVersion>,
     loading: Option<WeightLoad>,
     prompt_parts: VecDeque<u64>,
@@ -148,6 +152,7 @@
             permits: PermitPool::default(),
             event_gap_us: 0,
             latency_us: 0,
+            plain: PlainLoad::default(),
             versions: SortedMap::new(),
             loading: None,
             prompt_parts: VecDeque::new(),
@@ -234,6 +239,11 @@
         self.failures = 0;
     }
 
+    /// Returns the remaining time of the upstream's backoff, in milliseconds.
+    pub fn backoff_ms(&self, now: Moment) -> u64 {
+        self.backoff_until.since(now)
+    }
+
     /// Returns whether the upstream is in backoff.
     pub fn in_backoff(&self, now: Moment) -> bool {
         now < self.backoff_until
@@ -263,12 +273,21 @@
     /// Records a request.
     pub fn record_request(&mut self, now: Moment) {
         self.in_flight += 1;
+        if self.is_plain() {
+            self.plain.begin(now);
+        }
         self.rate.count(now);
         if self.limit.rate().is_some() {
             self.permits.take(now);
         }
     }
 
+    /// Records the end of a request that was recorded at `begun`.
+    pub fn record_request_end(&mut self, begun: Moment) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.plain.end(begun);
+    }
+
     /// Records that a prompt part was sent to the upstream.
     pub fn record_prompt_part(&mut self, part: u64) {
         if self.has_prompt_part(part) {
@@ -300,6 +319,10 @@
         self.latency_us = moving_average(self.latency_us, latency_us);
     }
 
+    fn is_plain(&self) -> bool {
+        self.record.weights.is_empty()
+    }
+
     fn observe_record_versions(&mut self) {
         for index in 0..self.record.weights.len() {
             let weights = self.record.weights[index].clone();
--- a/crates/catkindeck-policy/tests/named_limits.rs
+++ b/crates/catkindeck-policy/tests/named_limits.rs
@@ -110,6 +110,7 @@
     let (service, zone) = (name("desks"), name("zone-a"));
     let query = PlainQuery {
         service: &service,
+        avoids_slow: false,
         software: None,
         excluded: &[],
         zone: &zone,
@@ -154,6 +155,7 @@
     let (service, zone) = (name("desks"), name("zone-a"));
     let query = PlainQuery {
         service: &service,
+        avoids_slow: false,
         software: None,
         excluded: &[],
         zone: &zone,
