--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -19,8 +19,8 @@
         id::ObjectName,
         log_event,
     },
-    catkindeck_net::{HttpHandler, LocalFuture, ResponseBody, ServerControl},
-    catkindeck_policy::direct::RouteMatch,
+    catkindeck_net::{HttpHandler, LocalFuture, ResponseBody},
+    catkindeck_policy::direct::{RefusalCause, RouteMatch},
     http::{Request, Response, StatusCode},
     http_body_util::BodyExt,
     hyper::body::Incoming,
@@ -57,7 +57,6 @@
     core: Rc<GatewayCore>,
     jobs: Rc<JobService>,
     buffered_bytes: Cell<u64>,
-    callers: Rc<ServerControl>,
 }
 
 /// An authenticated request with its route.
@@ -80,17 +79,11 @@
 }
 
 impl CallerHandler {
-    /// Creates the handler; `callers` controls the server of the caller address.
-    pub fn new(
-        core: Rc<GatewayCore>,
-        jobs: Rc<JobService>,
-        callers: Rc<ServerControl>,
-    ) -> Rc<Self> {
+    pub fn new(core: Rc<GatewayCore>, jobs: Rc<JobService>) -> Rc<Self> {
         Rc::new(Self {
             core,
             jobs,
             buffered_bytes: Cell::new(0),
-            callers,
         })
     }
 
@@ -256,8 +249,9 @@
         let report = HedgedCall::new(&self.core, options, &builder).run().await;
         match report.outcome {
             CallOutcome::Answered(response) => {
-                self.core
-                    .count_usage(request.customer.as_ref(), response.sent_ms);
+                let customer = request.customer.as_ref();
+                self.core.count_usage(customer, response.sent_ms);
+                self.core.record_served(&request.matched.service, customer);
                 Ok(*response)
             }
             CallOutcome::Failed(error) => Err(error),
@@ -357,7 +351,7 @@
 
     /// Checks that slow callers leave memory for another response.
     fn check_held_bytes(&self) -> Result<(), ServiceError> {
-        let held = self.callers.held_bytes();
+        let held = self.core.held.total();
         let limit = self.core.settings().memory_bytes / HELD_MEMORY_DIVISOR;
         if held <= limit {
             return Ok(());
@@ -376,7 +370,7 @@
         response
     }
 
-    /// Returns when a refused caller may come back, in milliseconds.
+    /// Returns when a refused caller may return, in milliseconds, where plain room is off.
     fn retry_ms(&self, head: Option<&RequestHead>, error: &ServiceError) -> Option<u64> {
         let is_busy = matches!(error.kind, ErrorKind::NoUpstream | ErrorKind::Overloaded)
             && error.execution == ExecutionOutcome::NotRun;
@@ -396,6 +390,24 @@
         Some(wait_ms.clamp(BUSY_RETRY_MS, MAX_RETRY_MS))
     }
 
+    /// Returns when a refused caller should return, in milliseconds, and why it waits.
+    fn return_time(&self, head: &RequestHead, error: &ServiceError) -> Option<(u64, RefusalCause)> {
+        let (matched, customer) = {
+            let view = self.core.intent.borrow();
+            let key = head.key.as_deref().and_then(|key| view.key(key));
+            let customer = key.map(|key| key.customer.clone());
+            let matched = view.routes().resolve(&head.host, &head.path, &head.id)?;
+            (matched, customer)
+        };
+        let request = (customer.as_ref(), head.id.as_str());
+        let (return_ms, cause) = self.core.return_time(error, &matched.service, request)?;
+        let metrics = &self.core.metrics.room;
+        metrics.returns.with_label_values(&[cause.name()]).inc();
+        let return_time = Duration::from_millis(return_ms);
+        metrics.return_seconds.observe(return_time.as_secs_f64());
+        Some((return_ms, cause))
+    }
+
     fn refuse(
         &self,
         head: Option<&RequestHead>,
@@ -403,7 +415,10 @@
         arrived: Instant,
     ) -> Response<ResponseBody> {
         let id = head.map_or("", |head| head.id.as_str());
-        let retry_ms = self.retry_ms(head, error);
+        let (retry_ms, cause) = match self.core.shares_plain_room() {
+            true => head.and_then(|head| self.return_time(head, error)).unzip(),
+            false => (self.retry_ms(head, error), None),
+        };
         self.core
             .metrics
             .requests
@@ -414,7 +429,8 @@
             "execution" => format!("{:?}", error.execution), "detail" => &error.detail,
             "config_age_ms" => self.core.freshness.borrow().age(self.core.now()),
             "roster_age_ms" => self.core.roster.borrow().age(self.core.now()),
-            "retry_ms" => retry_ms, "elapsed_ms" => milliseconds(arrived.elapsed()));
+            "retry_ms" => retry_ms, "cause" => cause.map(RefusalCause::name),
+            "elapsed_ms" => milliseconds(arrived.elapsed()));
         full_response(self.core.ports.callers.encode_error(id, error, retry_ms))
     }
 
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -10,6 +10,7 @@
         leaving::LeavingExchange,
         limits::LimitExchange,
         metrics::GatewayMetrics,
+        plain_room::RoomRegistry,
         port::{CallerCodec, CloudApi, IntentDecoder, MetadataStore, StoreItem, UpstreamCodec},
         relay::RelayedStore,
         settings::NodeSettings,
@@ -21,7 +22,7 @@
         log_event,
         time::{BootClock, unix_ms},
     },
-    catkindeck_net::HttpClient,
+    catkindeck_net::{HeldBytes, HttpClient},
     catkindeck_policy::direct::{
         ClockChange, FreshnessGate, LoadTimeEstimate, PeerReachability, UpstreamTable, UsageLedger,
         UsageWindows, WallClockFilter,
@@ -109,6 +110,8 @@
     pub is_shutting_down: Cell<bool>,
     /// The bytes of responses that are not passed on to their callers yet.
     pub buffered_bytes: Cell<u64>,
+    /// The bytes of responses that callers have not taken yet.
+    pub held: HeldBytes,
     /// How long engines take to load weights, learned from their responses to this process.
     pub load_time: Cell<LoadTimeEstimate>,
     /// Limits of upstreams that all processes keep together.
@@ -117,6 +120,8 @@
     pub leaving: LeavingExchange,
     /// The software versions that began recent streams.
     pub origins: StreamOrigins,
+    /// The use of plain services that callers and scorer calls share.
+    pub rooms: RoomRegistry,
     pub logger: Logger,
     clock: BootClock,
     wall_clock: RefCell<WallClockFilter>,
@@ -160,10 +165,12 @@
             leader: RefCell::new(None),
             is_shutting_down: Cell::new(false),
             buffered_bytes: Cell::new(0),
+            held: HeldBytes::default(),
             load_time: Cell::default(),
             limits: LimitExchange::default(),
             leaving: LeavingExchange::default(),
             origins: StreamOrigins::default(),
+            rooms: RoomRegistry::default(),
             logger,
             clock: BootClock::new(),
             wall_clock: RefCell::default(),
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -144,7 +144,7 @@
         let session = MemberSession::new(Rc::clone(&core));
         let jobs = JobService::new(Rc::clone(&core), Rc::clone(&session));
         let limits = server_limits(&core);
-        let callers = ServerControl::new(limits);
+        let callers = ServerControl::with_held(limits, core.held.clone());
         let daemon = Self {
             core,
             jobs,
@@ -214,11 +214,7 @@
         let settings = self.core.settings();
         let logger = &self.core.logger;
         if let Some(entry) = &settings.entry {
-            let caller_handler = CallerHandler::new(
-                Rc::clone(&self.core),
-                Rc::clone(&self.jobs),
-                Rc::clone(&self.callers),
-            );
+            let caller_handler = CallerHandler::new(Rc::clone(&self.core), Rc::clone(&self.jobs));
             let leader = Rc::clone(&self.callers);
             HttpServer::start(
                 entry.callers,
@@ -368,7 +364,7 @@
         core.metrics.roster_age_ms.set(age(roster));
         core.metrics
             .held_bytes
-            .set(i64::try_from(callers.held_bytes()).unwrap_or(i64::MAX));
+            .set(i64::try_from(core.held.total()).unwrap_or(i64::MAX));
         let limited = core.roster.borrow().limited();
         core.metrics
             .limited_upstreams
--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -15,7 +15,8 @@
 /// The same number while buffered responses take more than their part of the memory.
 const TIGHT_BUFFER_LIMIT: usize = 16 << 10;
 
-/// Buffered responses may take the process's memory divided by this number before less of each is buffered.
+/// Responses that are buffered or wait for their callers may take the process's memory divided by this number before
+/// less of each is buffered.
 const BUFFER_MEMORY_DIVISOR: u64 = 16;
 
 /// How long an upstream is not selected after it refused a request, in milliseconds. A slot becomes free in
@@ -93,6 +94,7 @@
         exchange.prevent_reuse();
     }
     if head.not_run {
+        guard.stop_timing();
         guard.record_refusal(REFUSAL_PAUSE_MS);
         exchange.drain_in_background();
         return refusal_outcome(&guard, &head);
@@ -114,6 +116,7 @@
             Err(fault) => return failure_outcome(&guard, &fault),
         }
         if body.is_full() {
+            guard.stop_timing();
             return AttemptOutcome::Answered(Box::new(UpstreamResponse {
                 head,
                 headers,
@@ -124,12 +127,7 @@
             }));
         }
     }
-    guard.record_success();
-    let elapsed = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
-    core.roster
-        .borrow_mut()
-        .get_mut(guard.key)
-        .record_latency(elapsed);
+    guard.record_answer(started.elapsed(), head.status.is_server_error());
     AttemptOutcome::Answered(Box::new(UpstreamResponse {
         head,
         headers,
@@ -163,7 +161,8 @@
 
     fn is_full(&self) -> bool {
         let memory = self.core.settings().memory_bytes / BUFFER_MEMORY_DIVISOR;
-        let limit = match self.core.buffered_bytes.get() > memory {
+        let taken = self.core.buffered_bytes.get() + self.core.held.total();
+        let limit = match taken > memory {
             true => TIGHT_BUFFER_LIMIT,
             false => BUFFER_LIMIT,
         };
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics of a gateway.
 
 use {
+    crate::room_metrics::RoomMetrics,
     catkindeck::{ErrorKind, ServiceError},
     prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry},
 };
@@ -34,6 +35,7 @@
     pub leaving_upstreams: IntGauge,
     /// Requests that were assigned to an upstream and not sent, because it leaves.
     pub withheld: IntCounter,
+    pub room: RoomMetrics,
 }
 
 impl GatewayMetrics {
@@ -135,6 +137,7 @@
                 "catkindeck_gateway_withheld_requests_total",
                 "Requests that were not sent to the upstream of their choice, because it leaves.",
             )?,
+            room: RoomMetrics::register(registry)?,
         })
     }
 }
--- a/crates/catkindeck-net/src/server.rs
+++ b/crates/catkindeck-net/src/server.rs
@@ -74,12 +74,17 @@
 impl ServerControl {
     /// Creates the control of a server that has not been started.
     pub fn new(limits: ServerLimits) -> Rc<Self> {
+        Self::with_held(limits, HeldBytes::default())
+    }
+
+    /// As [`Self::new`], but counts the bytes that wait for callers in `held`.
+    pub fn with_held(limits: ServerLimits, held: HeldBytes) -> Rc<Self> {
         Rc::new(Self {
             limits: Cell::new(limits),
             connections: Cell::new(0),
             requests: Cell::new(0),
             close_requested: Cell::new(false),
-            held: HeldBytes::default(),
+            held,
             stop: watch::Sender::new(false),
         })
     }
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -1,7 +1,9 @@
 //! The state of one upstream in a gateway.
 
 use {
-    super::{permits::PermitPool, rate::RateWindow, upstream_limit::UpstreamLimit},
+    super::{
+        permits::PermitPool, plain_load::PlainLoad, rate::RateWindow, upstream_limit::UpstreamLimit,
+    },
     catkindeck::{
         ErrorKind, Moment, ServiceError, SortedMap, arena_key, id::ObjectName, message,
         token::WeightVersion,
@@ -129,6 +131,8 @@
     /// The moving average of the latency of plain requests, in microseconds; zero before the first
     /// sample.
     pub latency_us: u64,
+    /// The requests of a plain upstream and their latency.
+    pub plain: PlainLoad,
     versions: SortedMap<ObjectName, WeightVersion>,
     loading: Option<WeightLoad>,
     prompt_parts: VecDeque<u64>,
@@ -148,6 +152,7 @@
             permits: PermitPool::default(),
             event_gap_us: 0,
             latency_us: 0,
+            plain: PlainLoad::default(),
             versions: SortedMap::new(),
             loading: None,
             prompt_parts: VecDeque::new(),
@@ -234,6 +239,11 @@
         self.failures = 0;
     }
 
+    /// Returns the remaining time of the upstream's backoff, in milliseconds.
+    pub fn backoff_ms(&self, now: Moment) -> u64 {
+        self.backoff_until.since(now)
+    }
+
     /// Returns whether the upstream is in backoff.
     pub fn in_backoff(&self, now: Moment) -> bool {
         now < self.backoff_until
--- a/crates/catkindeck-policy/tests/leaving.rs
+++ b/crates/catkindeck-policy/tests/leaving.rs
@@ -60,6 +60,7 @@
         excluded: &[],
         zone: &zone,
         connected: &|_| false,
+        avoids_slow: false,
     };
     let engine = table.select_engine(now, &engine, RateLimits::NONE);
     let plain = table.select_plain(now, &plain, RateLimits::NONE);
