Tell callers of a process without a list of upstreams 100 ms again

Cause: the first mend told them nothing. Told 100 ms, as before plain room, the first list has been read. Change: the cause `no_list` with 100 ms and the usual spread. Conclusion: the cause counts for one process only, so its time is short.

--- a/crates/catkindeck-gateway/src/plain_room.rs
+++ b/crates/catkindeck-gateway/src/plain_room.rs
@@ -218,7 +218,10 @@
                 let roster = self.roster.borrow();
                 if !roster.has_upstream(service) {
                     let is_current = roster.age(now).is_some_and(|age| age < LIST_CURRENT_MS);
-                    return is_current.then_some(RefusalCause::NoneListed);
+                    return Some(match is_current {
+                        true => RefusalCause::NoneListed,
+                        false => RefusalCause::NoList,
+                    });
                 }
                 if let Some(next) = roster.next_permit(now, service) {
                     return Some(RefusalCause::Permit(next.since(now)));
--- a/crates/catkindeck-policy/src/direct/return_time.rs
+++ b/crates/catkindeck-policy/src/direct/return_time.rs
@@ -13,6 +13,10 @@
 /// ms.
 const LIST_READ_MS: u64 = 1_000;
 
+/// The time after which another process is asked, in milliseconds. A process that has just started
+/// reads its first list within this time.
+const OTHER_PROCESS_MS: u64 = 100;
+
 /// The rate at which callers return to a service that has answered less within the last second, per
 /// second. A service that does not answer at all needs requests that show when it does.
 const MIN_RETURNS_PER_S: u64 = 10;
@@ -42,6 +46,8 @@
     Permit(u64),
     /// No upstream of the service is listed, or all of them leave.
     NoneListed,
+    /// This process has no current list of upstreams, but others may have one.
+    NoList,
     /// No process reaches the store, which is called again after this time, in milliseconds.
     StoreAway(u64),
 }
@@ -54,6 +60,7 @@
             Self::Pause(_) => "pause",
             Self::Permit(_) => "permit",
             Self::NoneListed => "none_listed",
+            Self::NoList => "no_list",
             Self::StoreAway(_) => "store_away",
         }
     }
@@ -64,6 +71,7 @@
             Self::Busy => 0,
             Self::Pause(wait_ms) | Self::Permit(wait_ms) | Self::StoreAway(wait_ms) => wait_ms,
             Self::NoneListed => LIST_READ_MS,
+            Self::NoList => OTHER_PROCESS_MS,
         };
         wait_ms.max(MIN_RETURN_MS)
     }
--- a/crates/catkindeck-policy/tests/return_time.rs
+++ b/crates/catkindeck-policy/tests/return_time.rs
@@ -69,6 +69,7 @@
         (RefusalCause::StoreAway(1_900), 1_900),
         (RefusalCause::Pause(250), 250),
         (RefusalCause::NoneListed, 750),
+        (RefusalCause::NoList, 100),
         (RefusalCause::Busy, MIN_RETURN_MS),
     ] {
         let mut schedule = schedule(now, 50);
