--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -167,7 +167,8 @@
         }
     }
 
-    /// Returns whether the retry budget allows another attempt, if an earlier one may still be running.
+    /// Returns whether another attempt may start. If an earlier one may still be running, it is a
+    /// duplicate, of which each service gets only a share.
     fn may_retry(&self) -> bool {
         if !self.is_paced
             || self.unknown.is_none()
--- a/crates/catkindeck-gateway/src/jobs/score.rs
+++ b/crates/catkindeck-gateway/src/jobs/score.rs
@@ -74,7 +74,6 @@
             if let Some(pass) = pass {
                 pass.record_end(match &outcome {
                     Ok(_) => ScoreEnd::Answered(started.elapsed().as_secs_f64() * 1_000.0),
-                    // The scorer's own failures say nothing about its load.
                     Err(failure) if failure.count > 0 => ScoreEnd::Cancelled,
                     Err(_) => ScoreEnd::Refused,
                 });
--- a/crates/catkindeck-policy/src/direct/plain_room.rs
+++ b/crates/catkindeck-policy/src/direct/plain_room.rs
@@ -52,7 +52,8 @@
     Answered(f64),
     /// No upstream took the call, or none answered in time.
     Refused,
-    /// The call was cancelled.
+    /// The call was cancelled, or the scorer answered with a failure of its own. Neither shows how
+    /// busy the service is.
     Cancelled,
 }
 
