Expose how many members of an item's group are unfinished

Change: RolloutJob::group_remaining returns the unfinished members of an item's group; nothing uses it yet.

--- a/crates/catkindeck-policy/src/direct/job.rs
+++ b/crates/catkindeck-policy/src/direct/job.rs
@@ -424,6 +424,12 @@
         }
     }
 
+    /// Returns the number of unfinished members of an item's group, the item included. A trainer can
+    /// use the group once it is zero.
+    pub fn group_remaining(&self, key: ItemKey) -> u32 {
+        self.groups[self.state(key).group].unfinished
+    }
+
     /// Returns the items to be scored; each item is returned once.
     pub fn take_unscored(&mut self) -> Vec<ItemKey> {
         let mut unscored = Vec::new();
