Start items by the schedules of trainers and the groups of their steps

Cause: items started by urgency, start priority and age of the job. Change: pure decisions in step_schedule.rs and group_completion.rs, used by the scheduler while the process owns an open job of a trainer and scheduling.step_order is auto. The pace of a trainer is stored with the end of each step (ckd/pace/), so that a successor orders by the same lateness. The open steps are served as JSON under /queue of the metrics address.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -218,7 +218,11 @@
         let Some(address) = self.core.settings().metrics_listen else {
             return;
         };
-        let metrics_handler = MetricsHandler::new(Rc::clone(&self.core), registry.clone());
+        let metrics_handler = MetricsHandler::new(
+            Rc::clone(&self.core),
+            Rc::clone(&self.jobs),
+            registry.clone(),
+        );
         let leader = ServerControl::new(limits);
         let logger = &self.core.logger;
         if let Err(error) = HttpServer::start(address, leader, metrics_handler, logger.clone()) {
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -39,6 +39,8 @@
     ITEM_STARTED = 8146, "item_started", Info, "item was sent to an upstream";
     ITEM_RUN_ENDED = 8147, "item_run_ended", Info, "run of an item ended";
     TEXT_DISCARDED = 8158, "text_discarded", Info, "partial text was discarded, because its software version does not serve";
+    GROUP_YIELDED = 8159, "group_yielded", Info, "items of a group wait, because places go to groups that are needed more";
+    PACE_UNREAD = 8165, "pace_unread", Warning, "the pace of a trainer could not be read; its lateness counts from now";
     RESULTS_LISTED = 8148, "results_listed", Info, "results were stored and made available to callers";
     ITEM_GIVEN_UP = 8156, "item_given_up", Info, "item was given up and is listed as aborted";
     RESULTS_UNSTORED = 8149, "results_unstored", Warning, "results could not be stored; retrying";
--- a/crates/catkindeck-gateway/src/jobs/cancel.rs
+++ b/crates/catkindeck-gateway/src/jobs/cancel.rs
@@ -75,14 +75,16 @@
                 "job" => &job.spec.id, "by" => "caller",
                 "listed" => job.results.borrow().len(), "items" => job.spec.items.len());
         }
+        let pace_write = self.record_step_end(job)?;
         let until = Instant::now() + CANCEL_TIMEOUT;
         loop {
             let record = JobRecord {
                 state: JobState::Cancelled,
                 ..job.record.borrow().clone()
             };
-            let revision = job.revision.get();
-            match self.write_record(&record, revision).await {
+            let mut transaction = record_transaction(&record, job.revision.get())?;
+            transaction.writes.extend(pace_write.clone());
+            match self.core.ports.store.commit(&transaction).await {
                 Ok(CommitOutcome::Committed(revision)) => {
                     job.revision.set(revision);
                     *job.record.borrow_mut() = record;
--- a/crates/catkindeck-gateway/src/jobs/commit.rs
+++ b/crates/catkindeck-gateway/src/jobs/commit.rs
@@ -227,6 +227,7 @@
                 if record.state == JobState::Cancelled {
                     log_event!(self.core.logger, JOB_CANCELLED;
                         "job" => &job.spec.id, "by" => "another process");
+                    self.learn_step_end(job);
                     job.job.borrow_mut().end();
                     job.stop();
                 }
--- a/crates/catkindeck-gateway/src/jobs/mod.rs
+++ b/crates/catkindeck-gateway/src/jobs/mod.rs
@@ -9,10 +9,12 @@
 pub mod commit;
 pub mod item;
 pub mod owned;
+pub mod queue;
 pub mod read;
 pub mod scheduler;
 pub mod score;
 pub mod service;
+pub mod step_order;
 pub mod submit;
 pub mod takeover;
 
--- a/crates/catkindeck-gateway/src/jobs/scheduler.rs
+++ b/crates/catkindeck-gateway/src/jobs/scheduler.rs
@@ -33,6 +33,16 @@
 /// given up too early is lost; one that is given up late costs a few runs.
 const CLOCK_TOLERANCE_MS: u64 = 5_000;
 
+/// Whether an item could be started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StartOutcome {
+    Started,
+    /// No engine of the software version of the item's text is available. Items without a text may start.
+    NoVersion,
+    /// No engine is available for any item of the job.
+    NoPlace,
+}
+
 impl JobService {
     /// Starts items whenever slots, upstreams or jobs become available, for the life of the process.
     pub async fn schedule_items(self: Rc<Self>) {
@@ -68,27 +78,35 @@
         let jobs: Vec<(u8, Rc<OwnedJob>)> = self
             .all()
             .into_iter()
-            .map(|job| (job_urgency(&self.core, &job), job))
+            .map(|job| (self.job_urgency(&job), job))
             .collect();
         let unix_ms = self.core.unix_ms();
         for (_, job) in &jobs {
             let age_ms = unix_ms.saturating_sub(job.spec.submitted_ms + CLOCK_TOLERANCE_MS);
             job.job.borrow_mut().expire(self.core.now(), age_ms);
         }
+        let has_waiting = match self.has_step_order(&jobs) {
+            true => self.start_by_steps(&jobs),
+            false => self.start_by_age(&jobs),
+        };
+        for (_, job) in &jobs {
+            self.score_items(job);
+            self.commit(job);
+        }
+        has_waiting
+    }
+
+    /// Starts items of urgent jobs first, then those that block a step, then those of older jobs.
+    fn start_by_age(self: &Rc<Self>, jobs: &[(u8, Rc<OwnedJob>)]) -> bool {
         let mut starts: Vec<(u8, StartPriority, &Rc<OwnedJob>)> = Vec::new();
-        for (urgency, job) in &jobs {
+        for (urgency, job) in jobs {
             starts.extend(StartPriority::ALL.map(|rank| (*urgency, rank, job)));
         }
-        // Jobs with a higher priority come first, then items that block a step, then older jobs.
         starts.sort_by_key(|(urgency, rank, job)| (*urgency, *rank, job.spec.submitted_ms));
         let mut has_waiting = false;
         for (urgency, rank, job) in starts {
             has_waiting |= self.start_items(job, urgency, rank);
         }
-        for (_, job) in &jobs {
-            self.score_items(job);
-            self.commit(job);
-        }
         has_waiting
     }
 
@@ -105,20 +123,37 @@
         };
         let mut has_waiting = false;
         for key in waiting {
-            let mut run = self.assign_engine(job, key, &route, urgency);
-            if run.is_none() && self.restart_unservable(job, key, &route) {
-                run = self.assign_engine(job, key, &route, urgency);
-            }
-            match run {
-                Some(run) => self.start(job, run),
-                // Other items may start at other software versions.
-                None if job.job.borrow().required_software(key).is_some() => has_waiting = true,
-                None => return true,
+            match self.try_start(job, key, &route, urgency) {
+                StartOutcome::Started => {}
+                StartOutcome::NoVersion => has_waiting = true,
+                StartOutcome::NoPlace => return true,
             }
         }
         has_waiting
     }
 
+    /// Starts an item if an engine is available for it.
+    pub(super) fn try_start(
+        self: &Rc<Self>,
+        job: &Rc<OwnedJob>,
+        key: ItemKey,
+        route: &RouteRecord,
+        urgency: u8,
+    ) -> StartOutcome {
+        let mut run = self.assign_engine(job, key, route, urgency);
+        if run.is_none() && self.restart_unservable(job, key, route) {
+            run = self.assign_engine(job, key, route, urgency);
+        }
+        match run {
+            Some(run) => {
+                self.start(job, run);
+                StartOutcome::Started
+            }
+            None if job.job.borrow().required_software(key).is_some() => StartOutcome::NoVersion,
+            None => StartOutcome::NoPlace,
+        }
+    }
+
     /// Discards the text of an item that no upstream of its software version can continue, so that it starts again
     /// at another one. Returns whether the text was discarded.
     fn restart_unservable(&self, job: &OwnedJob, key: ItemKey, route: &RouteRecord) -> bool {
@@ -179,6 +214,13 @@
         })
     }
 
+    /// Returns the scheduling priority of a job's items, 0 (first) to 9 (last).
+    pub(super) fn job_urgency(&self, job: &OwnedJob) -> u8 {
+        let route = route_of(&self.core, &job.spec);
+        let priority = route.map_or(u8::MAX, |route| route.terms.priority);
+        urgency(&self.core, job.spec.customer.as_ref(), priority)
+    }
+
     fn start(self: &Rc<Self>, job: &Rc<OwnedJob>, run: ItemRun) {
         let key = run.key;
         job.job.borrow_mut().record_start(key, run.guard.key);
@@ -247,9 +289,3 @@
         connected: &|_| false,
     }
 }
-
-fn job_urgency(core: &GatewayCore, job: &OwnedJob) -> u8 {
-    let route = route_of(core, &job.spec);
-    let priority = route.map_or(u8::MAX, |route| route.terms.priority);
-    urgency(core, job.spec.customer.as_ref(), priority)
-}
--- a/crates/catkindeck-gateway/src/jobs/service.rs
+++ b/crates/catkindeck-gateway/src/jobs/service.rs
@@ -8,6 +8,7 @@
         session::MemberSession,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, SortedMap, id::ObjectName},
+    catkindeck_policy::direct::StepSchedule,
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -29,6 +30,8 @@
     /// Whether jobs of a previous run of this process may still have to be reclaimed.
     reclaiming: Cell<bool>,
     cached_owners: RefCell<SortedMap<String, (MemberRecord, Moment)>>,
+    /// The paces of the trainers whose jobs this process owns.
+    pub(super) schedule: RefCell<StepSchedule>,
 }
 
 impl JobService {
@@ -41,6 +44,7 @@
             taking_over: RefCell::new(SortedMap::new()),
             reclaiming: Cell::new(true),
             cached_owners: RefCell::new(SortedMap::new()),
+            schedule: RefCell::new(StepSchedule::default()),
         })
     }
 
@@ -98,14 +102,16 @@
     }
 
     /// Adds a job to those that this process owns, and stops an earlier instance of it.
-    pub fn insert(&self, job: Rc<OwnedJob>) {
+    pub fn insert(self: &Rc<Self>, job: Rc<OwnedJob>) {
         let id = job.spec.id.clone();
+        let inserted = Rc::clone(&job);
         self.cached_owners.borrow_mut().remove(&id);
         let replaced = self.owned.borrow_mut().insert(id, job);
         if let Some(replaced) = replaced {
             replaced.is_lost.set(true);
             replaced.stop();
         }
+        self.record_step(&inserted);
         self.core.capacity.notify_one();
     }
 
@@ -139,6 +145,8 @@
         };
         self.archived.borrow_mut().retain(|_, job| is_kept(job));
         self.owned.borrow_mut().retain(|_, job| is_kept(job));
+        let since_ms = unix_ms.saturating_sub(retention_ms);
+        self.schedule.borrow_mut().drop_idle(since_ms);
     }
 
     /// Returns the registration of this process, which names it as the owner in job records.
--- a/crates/catkindeck-gateway/src/jobs/takeover.rs
+++ b/crates/catkindeck-gateway/src/jobs/takeover.rs
@@ -113,7 +113,7 @@
 
     /// Resumes a job. Of each text the more advanced version is used: the copy at a peer or the stored one.
     fn resume_job(
-        &self,
+        self: &Rc<Self>,
         job: Rc<OwnedJob>,
         former: &MemberRecord,
         copies: IndexedProgress,
--- a/crates/catkindeck-gateway/src/keys.rs
+++ b/crates/catkindeck-gateway/src/keys.rs
@@ -7,6 +7,7 @@
         id::{IncarnationId, ObjectName},
         key, message,
     },
+    catkindeck_policy::direct::{TrainerId, TrainerPace, rendezvous_score},
     serde::{Serialize, de::DeserializeOwned},
     std::net::SocketAddr,
 };
@@ -23,6 +24,8 @@
 pub const LIMITS_KEY: &str = "ckd/limits";
 /// The key of the counts of usage windows that are not sealed yet.
 pub const UNSEALED_USAGE_KEY: &str = "ckd/open-usage";
+/// The prefix of the paces of trainers: one key each.
+pub const PACE_PREFIX: &str = "ckd/pace/";
 /// The prefix of the sealed usage windows: one key each.
 pub const USAGE_PREFIX: &str = "ckd/usage/";
 
@@ -73,6 +76,13 @@
     pub submitted_ms: u64,
 }
 
+/// The pace of a trainer, from which a new owner of its steps knows how late it is.
+#[message]
+pub struct PaceRecord {
+    pub trainer: TrainerId,
+    pub pace: TrainerPace,
+}
+
 /// Checks that an identifier may be part of a key.
 ///
 /// # Errors
@@ -136,6 +146,14 @@
     }
 }
 
+/// Returns the key of a trainer's pace. It holds a digest, because the names together may be too long for a key.
+pub fn pace_key(trainer: &TrainerId) -> String {
+    let customer = trainer.customer.as_ref().map_or("", ObjectName::as_str);
+    let names = [customer, trainer.route.as_str(), trainer.model.as_str()];
+    let digest = rendezvous_score(&names.map(str::as_bytes));
+    format!("{PACE_PREFIX}{digest:016x}")
+}
+
 pub fn usage_key(window: u64) -> String {
     format!("{USAGE_PREFIX}{window:012}")
 }
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -26,6 +26,10 @@
     pub lease_ms: IntGauge,
     pub store_calls: IntCounterVec,
     pub items_running: IntGauge,
+    /// How late the trainer is that is furthest behind its schedule, in milliseconds.
+    pub trainer_lateness_ms: IntGauge,
+    /// Groups of which items waited while others that were needed more got places.
+    pub groups_yielded: IntCounter,
     /// The upstreams that name a limit for the requests of all processes together.
     pub limited_upstreams: IntGauge,
 }
@@ -113,6 +117,14 @@
                 "call",
             )?,
             items_running: gauge("catkindeck_gateway_items_running", "The items in progress.")?,
+            trainer_lateness_ms: gauge(
+                "catkindeck_gateway_trainer_lateness_ms",
+                "The lateness of the trainer that is furthest behind its schedule.",
+            )?,
+            groups_yielded: counter(
+                "catkindeck_gateway_groups_yielded_total",
+                "Groups of which items waited because other groups were needed more.",
+            )?,
             limited_upstreams: gauge(
                 "catkindeck_gateway_limited_upstreams",
                 "The upstreams that name a limit for the requests of all processes together.",
--- a/crates/catkindeck-gateway/src/metrics_handler.rs
+++ b/crates/catkindeck-gateway/src/metrics_handler.rs
@@ -1,7 +1,7 @@
-//! Health checks and metrics, served on a separate address.
+//! Health checks, metrics and the queue, served on a separate address.
 
 use {
-    crate::core::GatewayCore,
+    crate::{core::GatewayCore, jobs::JobService},
     catkindeck_net::{HttpHandler, LocalFuture, ResponseBody},
     http::{HeaderValue, Method, Request, Response, StatusCode, header::CONTENT_TYPE},
     hyper::body::Incoming,
@@ -9,15 +9,29 @@
     std::rc::Rc,
 };
 
-/// Answers health checks and scrapes of metrics.
+/// The path of the queue (`catkindeck queue`).
+const QUEUE_PATH: &str = "/queue";
+
+/// The content type of all answers but the queue.
+const PLAIN_TEXT: HeaderValue = HeaderValue::from_static("text/plain; charset=utf-8");
+
+/// The content type of the queue.
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// Answers health checks, scrapes of metrics and questions about the queue.
 pub struct MetricsHandler {
     core: Rc<GatewayCore>,
+    jobs: Rc<JobService>,
     registry: Registry,
 }
 
 impl MetricsHandler {
-    pub fn new(core: Rc<GatewayCore>, registry: Registry) -> Rc<Self> {
-        Rc::new(Self { core, registry })
+    pub fn new(core: Rc<GatewayCore>, jobs: Rc<JobService>, registry: Registry) -> Rc<Self> {
+        Rc::new(Self {
+            core,
+            jobs,
+            registry,
+        })
     }
 
     fn answer(&self, request: &Request<Incoming>) -> (StatusCode, String) {
@@ -32,9 +46,13 @@
                 Ok(metrics) => (StatusCode::OK, metrics),
                 Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
             },
+            QUEUE_PATH => match serde_json::to_string(&self.jobs.queue()) {
+                Ok(queue) => (StatusCode::OK, queue),
+                Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+            },
             _ => (
                 StatusCode::NOT_FOUND,
-                "not found; available: /healthz, /readyz, /metrics\n".to_owned(),
+                "not found; available: /healthz, /readyz, /metrics, /queue\n".to_owned(),
             ),
         }
     }
@@ -60,8 +78,9 @@
             let (status, text) = self.answer(&request);
             let mut response = Response::new(ResponseBody::whole(text));
             *response.status_mut() = status;
-            let plain = HeaderValue::from_static("text/plain; charset=utf-8");
-            response.headers_mut().insert(CONTENT_TYPE, plain);
+            let is_json = request.uri().path() == QUEUE_PATH && status == StatusCode::OK;
+            let content_type = if is_json { JSON } else { PLAIN_TEXT };
+            response.headers_mut().insert(CONTENT_TYPE, content_type);
             response
         })
     }
--- a/crates/catkindeck-policy/src/direct/job.rs
+++ b/crates/catkindeck-policy/src/direct/job.rs
@@ -194,9 +194,9 @@
 }
 
 #[derive(Debug, Clone)]
-struct ItemState {
-    phase: ItemPhase,
-    progress: ItemProgress,
+pub(super) struct ItemState {
+    pub(super) phase: ItemPhase,
+    pub(super) progress: ItemProgress,
     finished_at: Moment,
     /// When the last run ended.
     interrupted_at: Moment,
@@ -206,14 +206,16 @@
     scorer_failures: u32,
     /// The number of scorer failures that the scorer's route allows.
     scorer_limit: u32,
-    group: usize,
+    pub(super) group: usize,
 }
 
 #[derive(Debug, Clone, Default)]
-struct GroupState {
-    members: u32,
-    unfinished: u32,
-    is_carried_over: bool,
+pub(super) struct GroupState {
+    pub(super) members: u32,
+    pub(super) unfinished: u32,
+    pub(super) is_carried_over: bool,
+    /// Whether an item of the group waited while others that are needed more got places.
+    pub(super) has_yielded: bool,
 }
 
 /// The order in which waiting items start.
@@ -264,11 +266,13 @@
 pub struct RolloutJob {
     spec: Rc<JobSpec>,
     limits: JobLimits,
-    items: KeyArena<ItemKey, ItemState>,
-    groups: Vec<GroupState>,
+    pub(super) items: KeyArena<ItemKey, ItemState>,
+    pub(super) groups: Vec<GroupState>,
     listed: Vec<ItemKey>,
     storing: bool,
-    ended: bool,
+    pub(super) ended: bool,
+    /// The expected tokens and the events of the texts that were completed here.
+    pub(super) measured: (u64, u64),
 }
 
 impl RolloutJob {
@@ -307,6 +311,7 @@
             listed: Vec::new(),
             storing: false,
             ended: false,
+            measured: (0, 0),
         }
     }
 
@@ -424,12 +429,6 @@
         }
     }
 
-    /// Returns the number of unfinished members of an item's group, the item included. A trainer can
-    /// use the group once it is zero.
-    pub fn group_remaining(&self, key: ItemKey) -> u32 {
-        self.groups[self.state(key).group].unfinished
-    }
-
     /// Returns the items to be scored; each item is returned once.
     pub fn take_unscored(&mut self) -> Vec<ItemKey> {
         let mut unscored = Vec::new();
@@ -557,6 +556,7 @@
     /// Records how a run ended.
     pub fn record_run_end(&mut self, now: Moment, key: ItemKey, outcome: ItemOutcome) {
         let has_scorer = self.item(key).scorer.is_some();
+        let expected_tokens = u64::from(self.item(key).expected_tokens);
         let state = self.state_mut(key);
         if !matches!(state.phase, ItemPhase::Running(_)) {
             return;
@@ -567,6 +567,9 @@
             ItemOutcome::Complete => {
                 state.progress.complete = true;
                 state.phase = ItemPhase::Scoring;
+                let events = state.progress.last_event.unwrap_or(0);
+                self.measured.0 += expected_tokens;
+                self.measured.1 += events;
                 if !has_scorer {
                     self.finish(now, key, ResultState::Completed);
                 }
@@ -804,7 +807,7 @@
         }
     }
 
-    fn state(&self, key: ItemKey) -> &ItemState {
+    pub(super) fn state(&self, key: ItemKey) -> &ItemState {
         self.items
             .get(key)
             .expect("the item key belongs to this job")
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -4,6 +4,7 @@
 pub mod claim;
 pub mod freshness;
 pub mod give_up;
+pub mod group_completion;
 pub mod job;
 pub mod load_time;
 pub mod outage;
@@ -14,6 +15,7 @@
 pub mod request_rate;
 pub mod routes;
 pub mod selection;
+pub mod step_schedule;
 pub mod stream_origin;
 pub mod upstream;
 pub mod upstream_limit;
@@ -26,6 +28,9 @@
     claim::{ClaimDecision, decide_claim},
     freshness::FreshnessGate,
     give_up::FailureEvidence,
+    group_completion::{
+        GroupOutline, GroupStanding, ItemRank, StepClock, StepCounts, TokenTime, plan_groups,
+    },
     job::{
         ItemKey, ItemPhase, ItemProgress, JobItem, JobLimits, JobResult, JobSpec, ResultCommit,
         RolloutJob, ScorerCall, StartPriority, TextPart,
@@ -39,6 +44,7 @@
     request_rate::{RateBucket, RequestRate},
     routes::{RouteMatch, RouteTable, choose_service},
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rendezvous_score},
+    step_schedule::{StepSchedule, TrainerId, TrainerPace},
     stream_origin::{OriginTable, StreamKey, VersionHistory},
     upstream::{DiscoveredUpstream, ModelWeights, SoftwareVersion, UpstreamKey, UpstreamState},
     upstream_limit::{LimitHeader, UpstreamLimit},
