--- a/crates/catkindeck-cli/src/admin_client.rs
+++ b/crates/catkindeck-cli/src/admin_client.rs
@@ -117,7 +117,13 @@
 
 /// Parses a response: the result, which some statuses other than 200 carry as well, or an error
 /// object.
-fn parse_response<T: DeserializeOwned>(mut response: Response<Body>) -> Result<T, ServiceError> {
+///
+/// # Errors
+///
+/// Returns the error object, or `peer_unavailable` if the response is neither.
+pub fn parse_response<T: DeserializeOwned>(
+    mut response: Response<Body>,
+) -> Result<T, ServiceError> {
     let status = response.status();
     let body = response
         .body_mut()
--- a/crates/catkindeck-cli/src/arguments.rs
+++ b/crates/catkindeck-cli/src/arguments.rs
@@ -61,6 +61,8 @@
     Keys(KeyArguments),
     /// Shows sealed usage windows.
     Usage(UsageArguments),
+    /// Shows the open steps of trainers.
+    Queue(QueueArguments),
     /// Reports error budget burn rates.
     Burn(BurnArguments),
     /// Checks files.
@@ -280,6 +282,21 @@
     pub windows: u64,
 }
 
+/// Show the open steps of trainers: lateness, groups by standing, waiting and running items.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "queue",
+    example = "{command_name} --metrics 10.0.0.5:9464 --metrics 10.0.1.5:9464",
+    note = "Ask the processes that own jobs; others answer with an empty queue. With --json, one object \
+        holds the queues of all processes. The exit code is 8 if a process does not respond."
+)]
+pub struct QueueArguments {
+    /// metrics address of a node; may be repeated
+    #[argh(option)]
+    pub metrics: Vec<SocketAddr>,
+}
+
 /// Scrape counters from /metrics, store them as samples, and report error budget burn rates.
 #[derive(FromArgs, Debug)]
 #[argh(
--- a/crates/catkindeck-cli/src/lib.rs
+++ b/crates/catkindeck-cli/src/lib.rs
@@ -14,6 +14,7 @@
 mod key_command;
 pub mod load;
 mod output;
+mod queue_command;
 mod usage_command;
 
 use {
@@ -50,6 +51,7 @@
         Subcommand::Keys(arguments) => key_command::run(&context, arguments),
         Subcommand::CheckConfig(arguments) => check_command::run(&arguments),
         Subcommand::Usage(arguments) => usage_command::run(&arguments),
+        Subcommand::Queue(arguments) => queue_command::run(&arguments),
         Subcommand::Burn(arguments) => burn::run(&arguments),
         Subcommand::Certs(arguments) => certificate_command::run(&arguments),
         Subcommand::Load(arguments) => load::run(&arguments),
