--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -5,6 +5,7 @@
 pub mod duplicate_budget;
 pub mod freshness;
 pub mod give_up;
+pub mod group_completion;
 pub mod job;
 pub mod leaving;
 pub mod load_time;
@@ -19,6 +20,7 @@
 pub mod return_time;
 pub mod routes;
 pub mod selection;
+pub mod step_schedule;
 pub mod stream_origin;
 pub mod upstream;
 pub mod upstream_limit;
@@ -32,6 +34,9 @@
     duplicate_budget::DuplicateBudget,
     freshness::FreshnessGate,
     give_up::FailureEvidence,
+    group_completion::{
+        GroupOutline, GroupStanding, ItemRank, StepClock, StepCounts, TokenTime, plan_groups,
+    },
     job::{
         ItemKey, ItemPhase, ItemProgress, JobItem, JobLimits, JobResult, JobSpec, ResultCommit,
         RolloutJob, ScorerCall, StartPriority, TextPart,
@@ -49,6 +54,7 @@
     return_time::{MIN_RETURN_MS, RefusalCause, RefusedRequest, ReturnSchedule},
     routes::{RouteMatch, RouteTable, choose_service},
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rendezvous_score},
+    step_schedule::{StepSchedule, TrainerId, TrainerPace},
     stream_origin::{OriginTable, StreamKey, VersionHistory},
     upstream::{DiscoveredUpstream, ModelWeights, SoftwareVersion, UpstreamKey, UpstreamState},
     upstream_limit::{LimitHeader, UpstreamLimit},
