Trial: place weights by demand

Change: owners report demand to the leader, shares follow smoothed tokens in sight with hysteresis, loads for waiting items come first.

--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -22,8 +22,8 @@
     },
     catkindeck_net::HttpClient,
     catkindeck_policy::direct::{
-        ClockChange, FreshnessGate, LoadTimeEstimate, PeerReachability, UpstreamTable, UsageLedger,
-        UsageWindows, WallClockFilter,
+        ClockChange, DemandBoard, FreshnessGate, LoadTimeEstimate, PeerReachability, UpstreamTable,
+        UsageLedger, UsageWindows, WallClockFilter,
     },
     slog::Logger,
     std::{
@@ -110,6 +110,8 @@
     pub load_time: Cell<LoadTimeEstimate>,
     /// Limits of upstreams that all processes keep together.
     pub limits: LimitExchange,
+    /// The demand for models, as owners reported it to this process.
+    pub demand: RefCell<DemandBoard>,
     /// The software versions that began recent streams.
     pub origins: StreamOrigins,
     pub logger: Logger,
@@ -156,6 +158,7 @@
             is_shutting_down: Cell::new(false),
             load_time: Cell::default(),
             limits: LimitExchange::default(),
+            demand: RefCell::default(),
             origins: StreamOrigins::default(),
             logger,
             clock: BootClock::new(),
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -61,6 +61,7 @@
     USAGE_FAILED = 8174, "usage_failed", Warning, "usage window could not be reported; retrying";
     HOST_DRAINED = 8175, "host_emptied", Info, "host is drained and may be decommissioned";
     MAINTENANCE_FAILED = 8176, "control_work_failed", Warning, "maintenance task failed; retrying";
+    SHARES_CHANGED = 8177, "shares_changed", Info, "other numbers of upstreams serve the models";
     PEER_FAILED = 8180, "peer_failed", Info, "peer does not answer";
     CLOCK_JUMPED = 8190, "clock_jumped", Warning, "the host's time of day jumped; it is followed only if it lasts";
     TASK_PANICKED = 8191, "task_panicked", Error, "a task of the process panicked and is started again";
--- a/crates/catkindeck-gateway/src/jobs/mod.rs
+++ b/crates/catkindeck-gateway/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 pub mod backup;
 pub mod cancel;
 pub mod commit;
+pub mod demand;
 pub mod item;
 pub mod owned;
 pub mod read;
--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -3,12 +3,17 @@
 use {
     super::election::LeaderElection,
     crate::{
-        events::{WEIGHT_LOAD_FAILED, WEIGHT_LOAD_ORDERED},
+        events::{SHARES_CHANGED, WEIGHT_LOAD_FAILED, WEIGHT_LOAD_ORDERED},
         peer::{PeerCall, WeightLoadNotice},
         port::{OrderOutcome, WeightLoadMode, WeightOrder},
     },
-    catkindeck::{SortedMap, log_event},
-    catkindeck_policy::direct::{MIN_LOAD_MS, UpstreamKey, WeightLoadPlanner, WeightLoadTask},
+    catkindeck::{Moment, SortedMap, log_event},
+    catkindeck_policy::direct::{
+        MIN_LOAD_MS, ModelPlacement, ModelPool, ShareBalance, ShareChange, TargetVersion,
+        UpstreamKey, UpstreamTable, WeightLoadPlanner, WeightLoadTask, current_engines,
+        model_pools,
+    },
+    slog::Logger,
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -31,6 +36,8 @@
     election: Rc<LeaderElection>,
     /// The number of orders that each upstream has accepted, as far as known.
     accepted: RefCell<SortedMap<UpstreamKey, u64>>,
+    /// The shares of the models, as far as this process has planned them.
+    balance: RefCell<ShareBalance>,
 }
 
 impl WeightRollout {
@@ -38,6 +45,7 @@
         Rc::new(Self {
             election,
             accepted: RefCell::new(SortedMap::new()),
+            balance: RefCell::default(),
         })
     }
 
@@ -63,7 +71,14 @@
         let planner = WeightLoadPlanner {
             max_concurrent: engines.div_ceil(CONCURRENT_LOAD_DIVISOR).max(1),
         };
-        let mut tasks = planner.plan(now, &roster, view.target_versions());
+        let targets = view.target_versions();
+        let mut tasks = match core.settings().scheduling.weight_demand.is_on() {
+            true => {
+                let placements = self.place(now, &roster, targets);
+                planner.plan_placements(now, &roster, targets, &placements)
+            }
+            false => planner.plan(now, &roster, targets),
+        };
         drop(roster);
         tasks.retain(|task| core.take_order_permit(task.upstream));
         let mut roster = core.roster.borrow_mut();
@@ -77,6 +92,55 @@
         tasks
     }
 
+    /// Returns how many upstreams should serve each target's model, by the demand that owners reported.
+    fn place(
+        &self,
+        now: Moment,
+        roster: &UpstreamTable,
+        targets: &[TargetVersion],
+    ) -> Vec<ModelPlacement> {
+        let core = &self.election.core;
+        let pools = model_pools(roster, targets);
+        let board = core.demand.borrow();
+        let demands = targets
+            .iter()
+            .map(|target| board.demand(now, &target.model));
+        let demands: Vec<_> = demands.collect();
+        let mut balance = self.balance.borrow_mut();
+        for change in balance.update(now, &pools, &demands) {
+            log_change(&core.logger, &change);
+        }
+        let shares = balance.sizes(&pools);
+        self.record_shares(roster, &pools, targets, &shares);
+        let placements = shares.into_iter().zip(demands);
+        placements
+            .map(|(share, demand)| ModelPlacement { share, demand })
+            .collect()
+    }
+
+    fn record_shares(
+        &self,
+        roster: &UpstreamTable,
+        pools: &[ModelPool],
+        targets: &[TargetVersion],
+        shares: &[usize],
+    ) {
+        let metrics = &self.election.core.metrics;
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        for ((pool, target), share) in pools.iter().zip(targets).zip(shares) {
+            let label = &[pool.model.as_str()];
+            metrics
+                .model_shares
+                .with_label_values(label)
+                .set(gauge(*share));
+            let engines = current_engines(roster, target);
+            metrics
+                .model_engines
+                .with_label_values(label)
+                .set(gauge(engines));
+        }
+    }
+
     async fn order(self: Rc<Self>, task: WeightLoadTask) {
         let core = &self.election.core;
         let Some(accepted) = self.accepted_orders(task.upstream).await else {
@@ -234,3 +298,24 @@
         }
     }
 }
+
+impl Drop for WeightRollout {
+    /// Only the leader shows shares.
+    fn drop(&mut self) {
+        let metrics = &self.election.core.metrics;
+        metrics.model_shares.reset();
+        metrics.model_engines.reset();
+    }
+}
+
+fn log_change(logger: &Logger, change: &ShareChange) {
+    let models = change.models.iter().map(|share| {
+        format!(
+            "{}: {} to {} for {} tokens",
+            share.model, share.before, share.after, share.tokens
+        )
+    });
+    let models: Vec<String> = models.collect();
+    log_event!(logger, SHARES_CHANGED;
+        "service" => %change.service, "moved" => change.moved, "models" => models.join(", "));
+}
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -2,7 +2,9 @@
 
 use {
     catkindeck::{ErrorKind, ServiceError},
-    prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry},
+    prometheus::{
+        Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    },
 };
 
 /// The bucket bounds of the latency histograms, in seconds. They are centred on the users' response-time
@@ -28,6 +30,10 @@
     pub items_running: IntGauge,
     /// The upstreams that name a limit for the requests of all processes together.
     pub limited_upstreams: IntGauge,
+    /// The engines that should serve each model, as planned by the leader.
+    pub model_shares: IntGaugeVec,
+    /// The engines that have usable weights of each model, as seen by the leader.
+    pub model_engines: IntGaugeVec,
 }
 
 impl GatewayMetrics {
@@ -61,6 +67,11 @@
             registry.register(Box::new(gauge.clone()))?;
             prometheus::Result::Ok(gauge)
         };
+        let gauges = |name: &str, help: &str, label: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(gauges.clone()))?;
+            prometheus::Result::Ok(gauges)
+        };
         let histogram = |name: &str, help: &str| {
             let options = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
             let histogram = Histogram::with_opts(options)?;
@@ -117,6 +128,16 @@
                 "catkindeck_gateway_limited_upstreams",
                 "The upstreams that name a limit for the requests of all processes together.",
             )?,
+            model_shares: gauges(
+                "catkindeck_gateway_model_share_engines",
+                "The engines that should serve a model, as planned by the leader.",
+                "model",
+            )?,
+            model_engines: gauges(
+                "catkindeck_gateway_model_engines",
+                "The engines with usable weights of a model, as seen by the leader.",
+                "model",
+            )?,
         })
     }
 }
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -8,7 +8,7 @@
         core::GatewayCore,
         events::PEER_FAILED,
         feed::{FeedQuery, FeedUpdate},
-        jobs::{JobService, backup::JobTextUpdate},
+        jobs::{JobService, backup::JobTextUpdate, demand::DemandReport},
         keys::{self, JobRecord, MemberRecord},
         limits::{LimitCall, PermitReply},
         port::WeightOrder,
@@ -116,6 +116,8 @@
         owner: IncarnationId,
         copies: Vec<JobTextUpdate>,
     },
+    /// Reports the demand of the sender's jobs to the leader.
+    Demand(DemandReport),
 }
 
 /// A call to be forwarded to another process.
@@ -318,6 +320,10 @@
                 }
                 Ok(PeerResponse::Done)
             }
+            PeerCall::Demand(report) => {
+                self.core.record_demand(report);
+                Ok(PeerResponse::Done)
+            }
             PeerCall::Origin(call) => Ok(self.core.answer_origin_call(call)),
             PeerCall::Limit(call) => self.core.answer_limit_call(call),
         }
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -6,6 +6,8 @@
 pub mod give_up;
 pub mod job;
 pub mod load_time;
+pub mod model_demand;
+pub mod model_shares;
 pub mod outage;
 pub mod outcome;
 pub mod peer_reachability;
@@ -31,6 +33,8 @@
         RolloutJob, ScorerCall, StartPriority, TextPart,
     },
     load_time::{LOAD_EXTENSION_MS, LoadTimeEstimate, MIN_LOAD_MS},
+    model_demand::{DemandBoard, DemandSummary, ModelDemand, REPORT_TTL_MS},
+    model_shares::{ModelPool, ModelShare, ShareBalance, ShareChange},
     outage::OutageBackoff,
     outcome::{ItemOutcome, ResultState},
     peer_reachability::PeerReachability,
@@ -44,6 +48,9 @@
     upstream_limit::{LimitHeader, UpstreamLimit},
     upstream_table::{UpstreamChanges, UpstreamTable},
     wall_clock::{ClockChange, WallClockFilter},
-    weights::{TargetVersion, WeightLoadPlanner, WeightLoadTask, assign_upstreams},
+    weights::{
+        ModelPlacement, TargetVersion, WeightLoadPlanner, WeightLoadTask, assign_shares,
+        assign_upstreams, current_engines, model_pools,
+    },
     windows::{ReportAction, ReportSchedule, UsageCount, UsageLedger, UsageWindows},
 };
--- a/crates/catkindeck-policy/src/direct/weights.rs
+++ b/crates/catkindeck-policy/src/direct/weights.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
-        upstream::{UpstreamKey, UpstreamState},
+        model_demand::ModelDemand,
+        model_shares::ModelPool,
+        upstream::{ModelWeights, UpstreamKey, UpstreamState},
         upstream_table::UpstreamTable,
     },
     crate::hash,
@@ -14,7 +16,7 @@
 
 /// The number of models that each upstream serves, and thus the number of even shares of the
 /// upstreams that serve a model. Half of them load each version, which is one even share.
-const SHARES: usize = 2;
+pub(super) const MODELS_PER_ENGINE: usize = 2;
 
 /// A version of a model that upstreams should run.
 #[message]
@@ -31,6 +33,23 @@
     pub version: WeightVersion,
 }
 
+/// How many upstreams should serve a target's model, and what waits for them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelPlacement {
+    pub share: usize,
+    /// The demand for the model; `None` if it is unknown.
+    pub demand: Option<ModelDemand>,
+}
+
+/// The order in which loads start; the smallest comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum LoadRank {
+    /// Items wait for engines of their version. The model with the fewest such engines comes first.
+    Awaited(usize),
+    /// The model with the fewest engines of its target version comes first, so that no model starves another.
+    Ahead(usize),
+}
+
 /// Plans which upstreams load a target version.
 ///
 /// Each model is served by a subset of the upstreams that run it, and each upstream serves two
@@ -44,12 +63,25 @@
 }
 
 impl WeightLoadPlanner {
-    /// Returns the tasks to order now.
+    /// Returns the tasks to order now, with even shares.
     pub fn plan(
         &self,
         now: Moment,
         table: &UpstreamTable,
         targets: &[TargetVersion],
+    ) -> Vec<WeightLoadTask> {
+        let pools = model_pools(table, targets);
+        let placements: Vec<ModelPlacement> = pools.iter().map(even_placement).collect();
+        self.plan_placements(now, table, targets, &placements)
+    }
+
+    /// Returns the tasks to order now for placements in the order of the targets.
+    pub fn plan_placements(
+        &self,
+        now: Moment,
+        table: &UpstreamTable,
+        targets: &[TargetVersion],
+        placements: &[ModelPlacement],
     ) -> Vec<WeightLoadTask> {
         let loading = targets
             .iter()
@@ -58,21 +90,28 @@
             .count();
         let mut free = self.max_concurrent.saturating_sub(loading);
         let mut tasks: Vec<WeightLoadTask> = Vec::new();
-        // Models that are further behind have priority, so that no model starves another.
-        let serving = assign_upstreams(table, targets);
-        let mut needed: Vec<(u64, WeightLoadTask)> = targets
+        let shares: Vec<usize> = placements.iter().map(|placement| placement.share).collect();
+        let serving = assign_shares(table, targets, &shares);
+        let mut needed: Vec<(LoadRank, WeightLoadTask)> = targets
             .iter()
+            .zip(placements)
             .zip(&serving)
-            .flat_map(|(target, upstreams)| pending_tasks(now, table, target, upstreams))
+            .flat_map(|((target, placement), upstreams)| {
+                let demand = placement.demand.as_ref();
+                pending_tasks(now, table, target, demand, upstreams)
+            })
             .collect();
         needed.sort_by_key(|(rank, task)| (*rank, task.upstream));
         for (_, task) in needed {
+            if free == 0 {
+                break;
+            }
             let state = table.get(task.upstream);
             let busy = targets
                 .iter()
                 .any(|target| state.is_loading(now, &target.model))
                 || tasks.iter().any(|other| other.upstream == task.upstream);
-            if free == 0 || busy {
+            if busy {
                 continue;
             }
             free -= 1;
@@ -82,14 +121,14 @@
     }
 }
 
-/// Returns the tasks that a target version still needs, each with its rank; the lowest rank is the
-/// most urgent.
+/// Returns the tasks that a target version still needs, each with its rank.
 fn pending_tasks(
     now: Moment,
     table: &UpstreamTable,
     target: &TargetVersion,
+    demand: Option<&ModelDemand>,
     upstreams: &[UpstreamKey],
-) -> Vec<(u64, WeightLoadTask)> {
+) -> Vec<(LoadRank, WeightLoadTask)> {
     let is_current = |key: &&UpstreamKey| is_current(now, table.get(**key), target);
     let current = upstreams.iter().filter(is_current).count();
     let goal = upstreams.len().div_ceil(2);
@@ -105,6 +144,12 @@
         .collect();
     // The oldest weights are replaced first, and among equal ones those of the least busy upstream.
     outdated.sort_unstable();
+    let usable = demand.map_or(0, |demand| {
+        usable_engines(now, table, target, demand, upstreams)
+    });
+    let awaited = demand.map_or(0, |demand| {
+        awaited_engines(table, demand, upstreams).min(goal.saturating_sub(usable))
+    });
     let mut missing = goal.saturating_sub(current);
     let mut needed = Vec::new();
     for (version, _, key) in outdated {
@@ -118,39 +163,108 @@
             model: target.model.clone(),
             version: target.version,
         };
-        needed.push((current as u64 + needed.len() as u64, task));
+        let rank = match needed.len() < awaited {
+            true => LoadRank::Awaited(usable + needed.len()),
+            false => LoadRank::Ahead(current + needed.len()),
+        };
+        needed.push((rank, task));
     }
     needed
 }
 
-/// Returns the upstreams that serve each target's model, in the order of the targets.
+/// Returns how many upstreams can run the waiting items, now or after a load in progress.
+fn usable_engines(
+    now: Moment,
+    table: &UpstreamTable,
+    target: &TargetVersion,
+    demand: &ModelDemand,
+    upstreams: &[UpstreamKey],
+) -> usize {
+    let is_usable = |key: &&UpstreamKey| {
+        let state = table.get(**key);
+        state.version(&target.model) >= Some(demand.least_version)
+            || state.is_loading(now, &target.model)
+    };
+    upstreams.iter().filter(is_usable).count()
+}
+
+/// Returns how many engines the waiting items would fill.
+fn awaited_engines(
+    table: &UpstreamTable,
+    demand: &ModelDemand,
+    upstreams: &[UpstreamKey],
+) -> usize {
+    let slots = upstreams
+        .first()
+        .map_or(1, |key| table.get(*key).record.slots);
+    demand.waiting.div_ceil(slots.max(1)) as usize
+}
+
+/// Returns the engines that run each target's model, in the order of the targets.
+pub fn model_pools(table: &UpstreamTable, targets: &[TargetVersion]) -> Vec<ModelPool> {
+    let pool = |target: &TargetVersion| {
+        let mut candidates = 0;
+        let mut models = 1;
+        let mut first: Option<&UpstreamState> = None;
+        for (key, state) in table.iter() {
+            if runs_model(state, &target.model) {
+                models = models.max(state.record.weights.len());
+            }
+            if is_candidate(table, key, state, target) {
+                candidates += 1;
+                first = first.or(Some(state));
+            }
+        }
+        ModelPool {
+            model: target.model.clone(),
+            service: first.map_or_else(
+                || target.model.clone(),
+                |state| state.record.service.clone(),
+            ),
+            candidates,
+            even_share: (candidates * MODELS_PER_ENGINE)
+                .div_ceil(models)
+                .min(candidates),
+            slots: first.map_or(1, |state| state.record.slots),
+        }
+    };
+    targets.iter().map(pool).collect()
+}
+
+/// Returns the upstreams that serve each target's model if all models share alike, in the order of the targets.
+pub fn assign_upstreams(table: &UpstreamTable, targets: &[TargetVersion]) -> Vec<Vec<UpstreamKey>> {
+    let pools = model_pools(table, targets);
+    let shares: Vec<usize> = pools.iter().map(|pool| pool.even_share).collect();
+    assign_shares(table, targets, &shares)
+}
+
+/// Returns the upstreams that serve each target's model, in the order of the targets; `shares` are their numbers.
 ///
 /// Every process that computes this gets the same result, and few upstreams change when one appears
 /// or leaves: pairs of a model and an upstream are taken in the order of their rendezvous scores, as
 /// long as the model needs upstreams and the upstream serves fewer than two models.
-pub fn assign_upstreams(table: &UpstreamTable, targets: &[TargetVersion]) -> Vec<Vec<UpstreamKey>> {
+pub fn assign_shares(
+    table: &UpstreamTable,
+    targets: &[TargetVersion],
+    shares: &[usize],
+) -> Vec<Vec<UpstreamKey>> {
     let mut pairs: Vec<(u64, usize, UpstreamKey)> = Vec::new();
-    let mut missing: Vec<usize> = Vec::with_capacity(targets.len());
     for (index, target) in targets.iter().enumerate() {
-        let runs = |(key, state): &(UpstreamKey, &UpstreamState)| {
-            table.accepts_work(*key) && state.version(&target.model).is_some()
-        };
-        let known = pairs.len();
-        pairs.extend(table.iter().filter(runs).map(|(key, state)| {
+        let candidates = table
+            .iter()
+            .filter(|(key, state)| is_candidate(table, *key, state, target));
+        pairs.extend(candidates.map(|(key, state)| {
             let id = state.record.id.as_str().as_bytes();
             let score = hash::digest64(&[target.model.as_str().as_bytes(), id]);
             (score, index, key)
         }));
-        let candidates = pairs.len() - known;
-        let model_count = models_per_upstream(target, table);
-        let count = (candidates * SHARES).div_ceil(model_count.max(1));
-        missing.push(count.min(candidates));
     }
     pairs.sort_unstable();
+    let mut missing = shares.to_vec();
     let mut serving = vec![Vec::new(); targets.len()];
     let mut models: SortedMap<UpstreamKey, usize> = SortedMap::new();
     // Where the shares do not divide evenly, the second round exceeds the limit of an upstream.
-    for limit in [SHARES, usize::MAX] {
+    for limit in [MODELS_PER_ENGINE, usize::MAX] {
         pairs.retain(|(_, index, key)| {
             let served = models.get_or_insert_with(*key, || 0);
             if missing[*index] == 0 || *served >= limit {
@@ -165,18 +279,37 @@
     serving
 }
 
-/// Returns the number of models on each upstream that runs the target's model.
-fn models_per_upstream(target: &TargetVersion, table: &UpstreamTable) -> usize {
-    let model_count = table.iter().filter_map(|(_, state)| {
-        let runs = |weights: &super::upstream::ModelWeights| weights.model == target.model;
-        state
-            .record
-            .weights
-            .iter()
-            .any(runs)
-            .then_some(state.record.weights.len())
-    });
-    model_count.max().unwrap_or(1)
+/// Returns how many upstreams have weights that the allowed lag permits for the target's next step.
+pub fn current_engines(table: &UpstreamTable, target: &TargetVersion) -> usize {
+    let oldest_allowed = WeightVersion(target.version.0.saturating_sub(MAX_VERSION_LAG));
+    let is_current = |(key, state): &(UpstreamKey, &UpstreamState)| {
+        table.accepts_work(*key) && state.version(&target.model) >= Some(oldest_allowed)
+    };
+    table.iter().filter(is_current).count()
+}
+
+fn even_placement(pool: &ModelPool) -> ModelPlacement {
+    ModelPlacement {
+        share: pool.even_share,
+        demand: None,
+    }
+}
+
+fn is_candidate(
+    table: &UpstreamTable,
+    key: UpstreamKey,
+    state: &UpstreamState,
+    target: &TargetVersion,
+) -> bool {
+    table.accepts_work(key) && state.version(&target.model).is_some()
+}
+
+fn runs_model(state: &UpstreamState, model: &ObjectName) -> bool {
+    state
+        .record
+        .weights
+        .iter()
+        .any(|weights: &ModelWeights| weights.model == *model)
 }
 
 fn is_current(now: Moment, state: &UpstreamState, target: &TargetVersion) -> bool {
