--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -34,7 +34,7 @@
     },
     load_time::{LOAD_EXTENSION_MS, LoadTimeEstimate, MIN_LOAD_MS},
     model_demand::{DemandBoard, DemandSummary, ModelDemand, REPORT_TTL_MS},
-    model_shares::{ModelPool, ModelShare, ShareBalance, ShareChange},
+    model_shares::{ModelPool, ModelShare, SHARE_HOLD_MS, ShareBalance, ShareChange},
     outage::OutageBackoff,
     outcome::{ItemOutcome, ResultState},
     peer_reachability::PeerReachability,
