--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -74,7 +74,9 @@
         let mut tasks = match core.settings().scheduling.weight_demand.is_on() {
             true => {
                 let placements = self.place(now, &roster, targets);
-                planner.plan_placements(now, &roster, targets, &placements)
+                planner
+                    .plan_placements(now, &roster, targets, &placements)
+                    .tasks
             }
             false => planner.plan(now, &roster, targets),
         };
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -49,7 +49,7 @@
     upstream_table::{UpstreamChanges, UpstreamTable},
     wall_clock::{ClockChange, WallClockFilter},
     weights::{
-        ModelPlacement, TargetVersion, WeightLoadPlanner, WeightLoadTask, assign_shares,
+        LoadPlan, ModelPlacement, TargetVersion, WeightLoadPlanner, WeightLoadTask, assign_shares,
         assign_upstreams, current_engines, model_pools,
     },
     windows::{ReportAction, ReportSchedule, UsageCount, UsageLedger, UsageWindows},
--- a/crates/catkindeck-policy/src/direct/weights.rs
+++ b/crates/catkindeck-policy/src/direct/weights.rs
@@ -8,7 +8,8 @@
         upstream_table::UpstreamTable,
     },
     crate::hash,
-    catkindeck::{Moment, SortedMap, id::ObjectName, message, token::WeightVersion},
+    catkindeck::{Moment, id::ObjectName, message, token::WeightVersion},
+    std::collections::BTreeSet,
 };
 
 /// The number of versions that a sample may lag behind the newest one, as agreed with trainers.
@@ -41,6 +42,15 @@
     pub demand: Option<ModelDemand>,
 }
 
+/// The outcome of a planning round.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct LoadPlan {
+    /// The tasks to order now.
+    pub tasks: Vec<WeightLoadTask>,
+    /// How often the round looked at a pair of model and upstream, which grows no faster than these.
+    pub visited: usize,
+}
+
 /// Plans which upstreams load a target version.
 ///
 /// Each model is served by a subset of the upstreams that run it, and each upstream serves two
@@ -63,7 +73,7 @@
     ) -> Vec<WeightLoadTask> {
         let pools = model_pools(table, targets);
         let placements: Vec<ModelPlacement> = pools.iter().map(even_placement).collect();
-        self.plan_placements(now, table, targets, &placements)
+        self.plan_placements(now, table, targets, &placements).tasks
     }
 
     /// Returns the tasks to order now for placements in the order of the targets.
@@ -73,7 +83,7 @@
         table: &UpstreamTable,
         targets: &[TargetVersion],
         placements: &[ModelPlacement],
-    ) -> Vec<WeightLoadTask> {
+    ) -> LoadPlan {
         let loading = targets
             .iter()
             .flat_map(|target| table.iter().map(move |(_, state)| (target, state)))
@@ -84,10 +94,13 @@
             table,
             targets,
             free: self.max_concurrent.saturating_sub(loading),
-            tasks: Vec::new(),
+            busy: BTreeSet::new(),
+            plan: LoadPlan::default(),
         };
         let shares: Vec<usize> = placements.iter().map(|placement| placement.share).collect();
-        let serving = assign_shares(table, targets, &shares);
+        let mut pairs = UpstreamPairs::new(table, targets);
+        let serving = pairs.assign(&shares);
+        round.plan.visited = pairs.visited;
         let needs: Vec<LoadNeed> = targets
             .iter()
             .zip(placements)
@@ -99,7 +112,7 @@
             .collect();
         round.take_awaited(&needs);
         round.take_missing(&needs);
-        round.tasks
+        round.plan
     }
 }
 
@@ -172,7 +185,9 @@
     table: &'a UpstreamTable,
     targets: &'a [TargetVersion],
     free: usize,
-    tasks: Vec<WeightLoadTask>,
+    /// The upstreams that load weights from now on.
+    busy: BTreeSet<UpstreamKey>,
+    plan: LoadPlan,
 }
 
 impl LoadRound<'_> {
@@ -221,14 +236,15 @@
 
     fn take(&mut self, task: WeightLoadTask) {
         self.free -= 1;
-        self.tasks.push(task);
+        self.busy.insert(task.upstream);
+        self.plan.tasks.push(task);
     }
 
-    fn is_busy(&self, upstream: UpstreamKey) -> bool {
+    fn is_busy(&mut self, upstream: UpstreamKey) -> bool {
+        self.plan.visited += 1;
         let state = self.table.get(upstream);
         let mut models = self.targets.iter().map(|target| &target.model);
-        models.any(|model| state.is_loading(self.now, model))
-            || self.tasks.iter().any(|task| task.upstream == upstream)
+        self.busy.contains(&upstream) || models.any(|model| state.is_loading(self.now, model))
     }
 }
 
@@ -299,44 +315,63 @@
 }
 
 /// Returns the upstreams that serve each target's model, in the order of the targets; `shares` are their numbers.
-///
-/// Every process that computes this gets the same result, and few upstreams change when one appears
-/// or leaves: pairs of a model and an upstream are taken in the order of their rendezvous scores, as
-/// long as the model needs upstreams and the upstream serves fewer than two models.
 pub fn assign_shares(
     table: &UpstreamTable,
     targets: &[TargetVersion],
     shares: &[usize],
 ) -> Vec<Vec<UpstreamKey>> {
-    let mut pairs: Vec<(u64, usize, UpstreamKey)> = Vec::new();
-    for (index, target) in targets.iter().enumerate() {
-        let candidates = table
-            .iter()
-            .filter(|(key, state)| is_candidate(table, *key, state, target));
-        pairs.extend(candidates.map(|(key, state)| {
-            let id = state.record.id.as_str().as_bytes();
-            let score = hash::digest64(&[target.model.as_str().as_bytes(), id]);
-            (score, index, key)
-        }));
+    UpstreamPairs::new(table, targets).assign(shares)
+}
+
+/// The pairs of a model and an upstream that runs it, in the order of their rendezvous scores.
+struct UpstreamPairs {
+    pairs: Vec<(u64, usize, UpstreamKey)>,
+    visited: usize,
+}
+
+impl UpstreamPairs {
+    fn new(table: &UpstreamTable, targets: &[TargetVersion]) -> Self {
+        let mut pairs: Vec<(u64, usize, UpstreamKey)> = Vec::new();
+        for (index, target) in targets.iter().enumerate() {
+            let candidates = table
+                .iter()
+                .filter(|(key, state)| is_candidate(table, *key, state, target));
+            pairs.extend(candidates.map(|(key, state)| {
+                let id = state.record.id.as_str().as_bytes();
+                let score = hash::digest64(&[target.model.as_str().as_bytes(), id]);
+                (score, index, key)
+            }));
+        }
+        pairs.sort_unstable();
+        Self { pairs, visited: 0 }
     }
-    pairs.sort_unstable();
-    let mut missing = shares.to_vec();
-    let mut serving = vec![Vec::new(); targets.len()];
-    let mut models: SortedMap<UpstreamKey, usize> = SortedMap::new();
-    // Where the shares do not divide evenly, the second round exceeds the limit of an upstream.
-    for limit in [MODELS_PER_ENGINE, usize::MAX] {
-        pairs.retain(|(_, index, key)| {
-            let served = models.get_or_insert_with(*key, || 0);
-            if missing[*index] == 0 || *served >= limit {
-                return true;
-            }
-            *served += 1;
-            missing[*index] -= 1;
-            serving[*index].push(*key);
-            false
-        });
+
+    /// Assigns upstreams to models.
+    ///
+    /// Every process that computes this gets the same result, and few upstreams change when one appears
+    /// or leaves: pairs are taken in the order of their scores, as long as the model needs upstreams and the
+    /// upstream serves fewer than two models.
+    fn assign(&mut self, shares: &[usize]) -> Vec<Vec<UpstreamKey>> {
+        let mut missing = shares.to_vec();
+        let mut serving = vec![Vec::new(); shares.len()];
+        let last = self.pairs.iter().map(|(_, _, key)| key.0 as usize).max();
+        let mut served = vec![0_usize; last.map_or(0, |last| last + 1)];
+        // Where the shares do not divide evenly, the second round exceeds the limit of an upstream.
+        for limit in [MODELS_PER_ENGINE, usize::MAX] {
+            self.visited += self.pairs.len();
+            self.pairs.retain(|(_, index, key)| {
+                let served = &mut served[key.0 as usize];
+                if missing[*index] == 0 || *served >= limit {
+                    return true;
+                }
+                *served += 1;
+                missing[*index] -= 1;
+                serving[*index].push(*key);
+                false
+            });
+        }
+        serving
     }
-    serving
 }
 
 /// Returns how many upstreams have weights that the allowed lag permits for the target's next step.
