--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -24,8 +24,8 @@
     },
     catkindeck_net::{HeldBytes, HttpClient},
     catkindeck_policy::direct::{
-        ClockChange, FreshnessGate, LoadTimeEstimate, PeerReachability, UpstreamTable, UsageLedger,
-        UsageWindows, WallClockFilter,
+        ClockChange, DemandBoard, FreshnessGate, LoadTimeEstimate, PeerReachability, UpstreamTable,
+        UsageLedger, UsageWindows, WallClockFilter,
     },
     slog::Logger,
     std::{
@@ -118,6 +118,8 @@
     pub limits: LimitExchange,
     /// Upstreams that leave, which all processes are told.
     pub leaving: LeavingExchange,
+    /// The demand for models, as owners reported it to this process.
+    pub demand: RefCell<DemandBoard>,
     /// The software versions that began recent streams.
     pub origins: StreamOrigins,
     /// The use of plain services that callers and scorer calls share.
@@ -169,6 +171,7 @@
             load_time: Cell::default(),
             limits: LimitExchange::default(),
             leaving: LeavingExchange::default(),
+            demand: RefCell::default(),
             origins: StreamOrigins::default(),
             rooms: RoomRegistry::default(),
             logger,
--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -3,12 +3,16 @@
 use {
     super::election::LeaderElection,
     crate::{
-        events::{WEIGHT_LOAD_FAILED, WEIGHT_LOAD_ORDERED},
+        events::{SHARES_CHANGED, WEIGHT_LOAD_FAILED, WEIGHT_LOAD_ORDERED},
         peer::{PeerCall, WeightLoadNotice},
         port::{OrderOutcome, WeightLoadMode, WeightOrder},
     },
-    catkindeck::{SortedMap, log_event},
-    catkindeck_policy::direct::{MIN_LOAD_MS, UpstreamKey, WeightLoadPlanner, WeightLoadTask},
+    catkindeck::{Moment, SortedMap, log_event},
+    catkindeck_policy::direct::{
+        MIN_LOAD_MS, ModelPlacement, ShareBalance, ShareChange, TargetVersion, UpstreamKey,
+        UpstreamTable, WeightLoadPlanner, WeightLoadTask, current_engines, model_pools,
+    },
+    slog::Logger,
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -31,6 +35,8 @@
     election: Rc<LeaderElection>,
     /// The number of orders that each upstream has accepted, as far as known.
     accepted: RefCell<SortedMap<UpstreamKey, u64>>,
+    /// The shares of the models, as far as this process has planned them.
+    balance: RefCell<ShareBalance>,
 }
 
 impl WeightRollout {
@@ -38,6 +44,7 @@
         Rc::new(Self {
             election,
             accepted: RefCell::new(SortedMap::new()),
+            balance: RefCell::default(),
         })
     }
 
@@ -63,7 +70,16 @@
         let planner = WeightLoadPlanner {
             max_concurrent: engines.div_ceil(CONCURRENT_LOAD_DIVISOR).max(1),
         };
-        let mut tasks = planner.plan(now, &roster, view.target_versions());
+        let targets = view.target_versions();
+        let mut tasks = match core.settings().scheduling.weight_demand.is_on() {
+            true => {
+                let placements = self.place(now, &roster, targets);
+                planner
+                    .plan_placements(now, &roster, targets, &placements)
+                    .tasks
+            }
+            false => planner.plan(now, &roster, targets),
+        };
         drop(roster);
         tasks.retain(|task| core.take_order_permit(task.upstream));
         let mut roster = core.roster.borrow_mut();
@@ -77,6 +93,37 @@
         tasks
     }
 
+    /// Returns how many upstreams should serve each target's model, by the demand that owners reported.
+    fn place(
+        &self,
+        now: Moment,
+        roster: &UpstreamTable,
+        targets: &[TargetVersion],
+    ) -> Vec<ModelPlacement> {
+        let core = &self.election.core;
+        let pools = model_pools(roster, targets);
+        let board = core.demand.borrow();
+        let demands = targets
+            .iter()
+            .map(|target| board.demand(now, &target.model));
+        let demands: Vec<_> = demands.collect();
+        let mut balance = self.balance.borrow_mut();
+        for change in balance.update(now, &pools, &demands) {
+            log_change(&core.logger, &change);
+        }
+        let shares = balance.sizes(&pools);
+        for (target, share) in targets.iter().zip(&shares) {
+            let engines = current_engines(roster, target);
+            core.metrics
+                .placement
+                .record(target.model.as_str(), *share, engines);
+        }
+        let placements = shares.into_iter().zip(demands);
+        placements
+            .map(|(share, demand)| ModelPlacement { share, demand })
+            .collect()
+    }
+
     async fn order(self: Rc<Self>, task: WeightLoadTask) {
         let core = &self.election.core;
         let Some(accepted) = self.accepted_orders(task.upstream).await else {
@@ -238,3 +285,21 @@
         }
     }
 }
+
+impl Drop for WeightRollout {
+    fn drop(&mut self) {
+        self.election.core.metrics.placement.clear();
+    }
+}
+
+fn log_change(logger: &Logger, change: &ShareChange) {
+    let models = change.models.iter().map(|share| {
+        format!(
+            "{}: {} to {} for {} tokens",
+            share.model, share.before, share.after, share.tokens
+        )
+    });
+    let models: Vec<String> = models.collect();
+    log_event!(logger, SHARES_CHANGED;
+        "service" => %change.service, "moved" => change.moved, "models" => models.join(", "));
+}
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -8,7 +8,7 @@
         core::GatewayCore,
         events::PEER_FAILED,
         feed::{FeedQuery, FeedUpdate},
-        jobs::{JobService, backup::JobTextUpdate},
+        jobs::{JobService, backup::JobTextUpdate, demand::DemandReport},
         keys::{self, JobRecord, MemberRecord},
         leaving::LeavingCall,
         limits::{LimitCall, PermitReply},
@@ -119,6 +119,8 @@
     },
     /// Concerns upstreams that leave.
     Leaving(LeavingCall),
+    /// Reports the demand of the sender's jobs to the leader.
+    Demand(DemandReport),
 }
 
 /// A call to be forwarded to another process.
@@ -323,6 +325,7 @@
                 }
                 Ok(PeerResponse::Done)
             }
+            PeerCall::Demand(report) => Ok(self.core.answer_demand(report)),
             PeerCall::Origin(call) => Ok(self.core.answer_origin_call(call)),
             PeerCall::Limit(call) => self.core.answer_limit_call(call),
             PeerCall::Leaving(call) => Ok(self.core.answer_leaving_call(call)),
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -9,6 +9,8 @@
 pub mod job;
 pub mod leaving;
 pub mod load_time;
+pub mod model_demand;
+pub mod model_shares;
 pub mod outage;
 pub mod outcome;
 pub mod peer_reachability;
@@ -43,6 +45,8 @@
     },
     leaving::{LeavingNotice, LeavingRegister},
     load_time::{LOAD_EXTENSION_MS, LoadTimeEstimate, MIN_LOAD_MS},
+    model_demand::{DemandBoard, DemandSummary, ModelDemand, REPORT_TTL_MS},
+    model_shares::{ModelPool, ModelShare, SHARE_HOLD_MS, ShareBalance, ShareChange},
     outage::OutageBackoff,
     outcome::{ItemOutcome, ResultState},
     peer_reachability::PeerReachability,
@@ -60,6 +64,9 @@
     upstream_limit::{LimitHeader, UpstreamLimit},
     upstream_table::{UpstreamChanges, UpstreamTable},
     wall_clock::{ClockChange, WallClockFilter},
-    weights::{TargetVersion, WeightLoadPlanner, WeightLoadTask, assign_upstreams},
+    weights::{
+        LoadPlan, ModelPlacement, TargetVersion, WeightLoadPlanner, WeightLoadTask, assign_shares,
+        assign_upstreams, current_engines, model_pools,
+    },
     windows::{ReportAction, ReportSchedule, UsageCount, UsageLedger, UsageWindows},
 };
--- a/crates/catkindeck-policy/src/direct/weights.rs
+++ b/crates/catkindeck-policy/src/direct/weights.rs
@@ -2,11 +2,14 @@
 
 use {
     super::{
-        upstream::{UpstreamKey, UpstreamState},
+        model_demand::ModelDemand,
+        model_shares::ModelPool,
+        upstream::{ModelWeights, UpstreamKey, UpstreamState},
         upstream_table::UpstreamTable,
     },
     crate::hash,
-    catkindeck::{Moment, SortedMap, id::ObjectName, message, token::WeightVersion},
+    catkindeck::{Moment, id::ObjectName, message, token::WeightVersion},
+    std::collections::BTreeSet,
 };
 
 /// The number of versions that a sample may lag behind the newest one, as agreed with trainers.
@@ -14,7 +17,7 @@
 
 /// The number of models that each upstream serves, and thus the number of even shares of the
 /// upstreams that serve a model. Half of them load each version, which is one even share.
-const SHARES: usize = 2;
+pub(super) const MODELS_PER_ENGINE: usize = 2;
 
 /// A version of a model that upstreams should run.
 #[message]
@@ -31,6 +34,23 @@
     pub version: WeightVersion,
 }
 
+/// How many upstreams should serve a target's model, and what waits for them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ModelPlacement {
+    pub share: usize,
+    /// The demand for the model; `None` if it is unknown.
+    pub demand: Option<ModelDemand>,
+}
+
+/// The outcome of a planning round.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct LoadPlan {
+    /// The tasks to order now.
+    pub tasks: Vec<WeightLoadTask>,
+    /// How often the round looked at a pair of model and upstream, which grows no faster than these.
+    pub visited: usize,
+}
+
 /// Plans which upstreams load a target version.
 ///
 /// Each model is served by a subset of the upstreams that run it, and each upstream serves two
@@ -44,139 +64,347 @@
 }
 
 impl WeightLoadPlanner {
-    /// Returns the tasks to order now.
+    /// Returns the tasks to order now, with even shares.
     pub fn plan(
         &self,
         now: Moment,
         table: &UpstreamTable,
         targets: &[TargetVersion],
     ) -> Vec<WeightLoadTask> {
+        let pools = model_pools(table, targets);
+        let placements: Vec<ModelPlacement> = pools.iter().map(even_placement).collect();
+        self.plan_placements(now, table, targets, &placements).tasks
+    }
+
+    /// Returns the tasks to order now for placements in the order of the targets.
+    pub fn plan_placements(
+        &self,
+        now: Moment,
+        table: &UpstreamTable,
+        targets: &[TargetVersion],
+        placements: &[ModelPlacement],
+    ) -> LoadPlan {
         let loading = targets
             .iter()
             .flat_map(|target| table.iter().map(move |(_, state)| (target, state)))
             .filter(|(target, state)| state.is_loading(now, &target.model))
             .count();
-        let mut free = self.max_concurrent.saturating_sub(loading);
-        let mut tasks: Vec<WeightLoadTask> = Vec::new();
-        // Models that are further behind have priority, so that no model starves another.
-        let serving = assign_upstreams(table, targets);
-        let mut needed: Vec<(u64, WeightLoadTask)> = targets
+        let mut round = LoadRound {
+            now,
+            table,
+            targets,
+            free: self.max_concurrent.saturating_sub(loading),
+            busy: BTreeSet::new(),
+            plan: LoadPlan::default(),
+        };
+        let shares: Vec<usize> = placements.iter().map(|placement| placement.share).collect();
+        let mut pairs = UpstreamPairs::new(table, targets);
+        let serving = pairs.assign(&shares);
+        round.plan.visited = pairs.visited;
+        let needs: Vec<LoadNeed> = targets
             .iter()
+            .zip(placements)
             .zip(&serving)
-            .flat_map(|(target, upstreams)| pending_tasks(now, table, target, upstreams))
+            .map(|((target, placement), upstreams)| {
+                let demand = placement.demand.as_ref();
+                LoadNeed::new(now, table, target, demand, upstreams)
+            })
             .collect();
-        needed.sort_by_key(|(rank, task)| (*rank, task.upstream));
-        for (_, task) in needed {
-            let state = table.get(task.upstream);
-            let busy = targets
-                .iter()
-                .any(|target| state.is_loading(now, &target.model))
-                || tasks.iter().any(|other| other.upstream == task.upstream);
-            if free == 0 || busy {
+        round.take_awaited(&needs);
+        round.take_missing(&needs);
+        round.plan
+    }
+}
+
+/// The loads that a target version still needs.
+#[derive(Debug, Clone)]
+struct LoadNeed {
+    /// In the order in which they should start.
+    tasks: Vec<WeightLoadTask>,
+    /// The upstreams that have the target version or load it.
+    current: usize,
+    /// The upstreams that can run the waiting items, now or after a load in progress.
+    usable: usize,
+    /// The number of loads for which items wait.
+    awaited: usize,
+}
+
+impl LoadNeed {
+    fn new(
+        now: Moment,
+        table: &UpstreamTable,
+        target: &TargetVersion,
+        demand: Option<&ModelDemand>,
+        upstreams: &[UpstreamKey],
+    ) -> Self {
+        let is_current = |key: &&UpstreamKey| is_current(now, table.get(**key), target);
+        let current = upstreams.iter().filter(is_current).count();
+        let goal = upstreams.len().div_ceil(2);
+        let oldest_allowed = target.version.0.saturating_sub(MAX_VERSION_LAG);
+        let mut outdated: Vec<(u64, u32, UpstreamKey)> = upstreams
+            .iter()
+            .filter(|key| !is_current(key))
+            .map(|key| {
+                let state = table.get(*key);
+                let version = state.version(&target.model).map_or(0, |version| version.0);
+                (version, state.in_flight, *key)
+            })
+            .collect();
+        // The oldest weights are replaced first, and among equal ones those of the least busy upstream.
+        outdated.sort_unstable();
+        let mut missing = goal.saturating_sub(current);
+        let mut tasks = Vec::new();
+        for (version, _, upstream) in outdated {
+            let too_old = version < oldest_allowed;
+            if !too_old && missing == 0 {
                 continue;
             }
-            free -= 1;
-            tasks.push(task);
+            missing = missing.saturating_sub(1);
+            tasks.push(WeightLoadTask {
+                upstream,
+                model: target.model.clone(),
+                version: target.version,
+            });
+        }
+        let usable = demand.map_or(0, |demand| {
+            usable_engines(now, table, target, demand, upstreams)
+        });
+        let awaited = demand.map_or(0, |demand| awaited_engines(table, demand, upstreams));
+        Self {
+            tasks,
+            current,
+            usable,
+            awaited: awaited.min(goal.saturating_sub(usable)),
         }
-        tasks
     }
 }
 
-/// Returns the tasks that a target version still needs, each with its rank; the lowest rank is the
-/// most urgent.
-fn pending_tasks(
+/// The choice of the loads that start now.
+struct LoadRound<'a> {
+    now: Moment,
+    table: &'a UpstreamTable,
+    targets: &'a [TargetVersion],
+    free: usize,
+    /// The upstreams that load weights from now on.
+    busy: BTreeSet<UpstreamKey>,
+    plan: LoadPlan,
+}
+
+impl LoadRound<'_> {
+    /// Takes the loads for which items wait; the model with the fewest usable upstreams comes first.
+    fn take_awaited(&mut self, needs: &[LoadNeed]) {
+        let mut waiting: Vec<(usize, usize, std::slice::Iter<'_, WeightLoadTask>)> = needs
+            .iter()
+            .map(|need| (need.usable, need.awaited, need.tasks.iter()))
+            .collect();
+        while self.free > 0 {
+            waiting.retain(|(_, awaited, _)| *awaited > 0);
+            let Some((usable, awaited, tasks)) =
+                waiting.iter_mut().min_by_key(|(usable, _, _)| *usable)
+            else {
+                return;
+            };
+            match tasks.find(|task| !self.is_busy(task.upstream)) {
+                Some(task) => {
+                    (*usable, *awaited) = (*usable + 1, *awaited - 1);
+                    self.take(task.clone());
+                }
+                None => *awaited = 0,
+            }
+        }
+    }
+
+    /// Takes the other loads. Models that are further behind have priority, so that no model starves another.
+    fn take_missing(&mut self, needs: &[LoadNeed]) {
+        let mut ranked: Vec<(usize, &WeightLoadTask)> = needs
+            .iter()
+            .flat_map(|need| {
+                let tasks = need.tasks.iter().enumerate();
+                tasks.map(|(index, task)| (need.current + index, task))
+            })
+            .collect();
+        ranked.sort_by_key(|(rank, task)| (*rank, task.upstream));
+        for (_, task) in ranked {
+            if self.free == 0 {
+                return;
+            }
+            if !self.is_busy(task.upstream) {
+                self.take(task.clone());
+            }
+        }
+    }
+
+    fn take(&mut self, task: WeightLoadTask) {
+        self.free -= 1;
+        self.busy.insert(task.upstream);
+        self.plan.tasks.push(task);
+    }
+
+    fn is_busy(&mut self, upstream: UpstreamKey) -> bool {
+        self.plan.visited += 1;
+        let state = self.table.get(upstream);
+        let mut models = self.targets.iter().map(|target| &target.model);
+        self.busy.contains(&upstream) || models.any(|model| state.is_loading(self.now, model))
+    }
+}
+
+/// Returns how many upstreams can run the waiting items, now or after a load in progress.
+fn usable_engines(
     now: Moment,
     table: &UpstreamTable,
     target: &TargetVersion,
+    demand: &ModelDemand,
     upstreams: &[UpstreamKey],
-) -> Vec<(u64, WeightLoadTask)> {
-    let is_current = |key: &&UpstreamKey| is_current(now, table.get(**key), target);
-    let current = upstreams.iter().filter(is_current).count();
-    let goal = upstreams.len().div_ceil(2);
-    let oldest_allowed = target.version.0.saturating_sub(MAX_VERSION_LAG);
-    let mut outdated: Vec<(u64, u32, UpstreamKey)> = upstreams
-        .iter()
-        .filter(|key| !is_current(key))
-        .map(|key| {
-            let state = table.get(*key);
-            let version = state.version(&target.model).map_or(0, |version| version.0);
-            (version, state.in_flight, *key)
-        })
-        .collect();
-    // The oldest weights are replaced first, and among equal ones those of the least busy upstream.
-    outdated.sort_unstable();
-    let mut missing = goal.saturating_sub(current);
-    let mut needed = Vec::new();
-    for (version, _, key) in outdated {
-        let too_old = version < oldest_allowed;
-        if !too_old && missing == 0 {
-            continue;
+) -> usize {
+    let is_usable = |key: &&UpstreamKey| {
+        let state = table.get(**key);
+        state.version(&target.model) >= Some(demand.least_version)
+            || state.is_loading(now, &target.model)
+    };
+    upstreams.iter().filter(is_usable).count()
+}
+
+/// Returns how many engines the waiting items would fill.
+fn awaited_engines(
+    table: &UpstreamTable,
+    demand: &ModelDemand,
+    upstreams: &[UpstreamKey],
+) -> usize {
+    let slots = upstreams
+        .first()
+        .map_or(1, |key| table.get(*key).record.slots);
+    demand.waiting.div_ceil(slots.max(1)) as usize
+}
+
+/// Returns the engines that run each target's model, in the order of the targets.
+pub fn model_pools(table: &UpstreamTable, targets: &[TargetVersion]) -> Vec<ModelPool> {
+    let pool = |target: &TargetVersion| {
+        let mut candidates = 0;
+        let mut models = 1;
+        let mut first: Option<&UpstreamState> = None;
+        for (key, state) in table.iter() {
+            if runs_model(state, &target.model) {
+                models = models.max(state.record.weights.len());
+            }
+            if is_candidate(table, key, state, target) {
+                candidates += 1;
+                first = first.or(Some(state));
+            }
         }
-        missing = missing.saturating_sub(1);
-        let task = WeightLoadTask {
-            upstream: key,
+        ModelPool {
             model: target.model.clone(),
-            version: target.version,
-        };
-        needed.push((current as u64 + needed.len() as u64, task));
-    }
-    needed
+            service: first.map_or_else(
+                || target.model.clone(),
+                |state| state.record.service.clone(),
+            ),
+            candidates,
+            even_share: (candidates * MODELS_PER_ENGINE)
+                .div_ceil(models)
+                .min(candidates),
+            slots: first.map_or(1, |state| state.record.slots),
+        }
+    };
+    targets.iter().map(pool).collect()
 }
 
-/// Returns the upstreams that serve each target's model, in the order of the targets.
-///
-/// Every process that computes this gets the same result, and few upstreams change when one appears
-/// or leaves: pairs of a model and an upstream are taken in the order of their rendezvous scores, as
-/// long as the model needs upstreams and the upstream serves fewer than two models.
+/// Returns the upstreams that serve each target's model if all models share alike, in the order of the targets.
 pub fn assign_upstreams(table: &UpstreamTable, targets: &[TargetVersion]) -> Vec<Vec<UpstreamKey>> {
-    let mut pairs: Vec<(u64, usize, UpstreamKey)> = Vec::new();
-    let mut missing: Vec<usize> = Vec::with_capacity(targets.len());
-    for (index, target) in targets.iter().enumerate() {
-        let runs = |(key, state): &(UpstreamKey, &UpstreamState)| {
-            table.accepts_work(*key) && state.version(&target.model).is_some()
-        };
-        let known = pairs.len();
-        pairs.extend(table.iter().filter(runs).map(|(key, state)| {
-            let id = state.record.id.as_str().as_bytes();
-            let score = hash::digest64(&[target.model.as_str().as_bytes(), id]);
-            (score, index, key)
-        }));
-        let candidates = pairs.len() - known;
-        let model_count = models_per_upstream(target, table);
-        let count = (candidates * SHARES).div_ceil(model_count.max(1));
-        missing.push(count.min(candidates));
+    let pools = model_pools(table, targets);
+    let shares: Vec<usize> = pools.iter().map(|pool| pool.even_share).collect();
+    assign_shares(table, targets, &shares)
+}
+
+/// Returns the upstreams that serve each target's model, in the order of the targets; `shares` are their numbers.
+pub fn assign_shares(
+    table: &UpstreamTable,
+    targets: &[TargetVersion],
+    shares: &[usize],
+) -> Vec<Vec<UpstreamKey>> {
+    UpstreamPairs::new(table, targets).assign(shares)
+}
+
+/// The pairs of a model and an upstream that runs it, in the order of their rendezvous scores.
+struct UpstreamPairs {
+    pairs: Vec<(u64, usize, UpstreamKey)>,
+    visited: usize,
+}
+
+impl UpstreamPairs {
+    fn new(table: &UpstreamTable, targets: &[TargetVersion]) -> Self {
+        let mut pairs: Vec<(u64, usize, UpstreamKey)> = Vec::new();
+        for (index, target) in targets.iter().enumerate() {
+            let candidates = table
+                .iter()
+                .filter(|(key, state)| is_candidate(table, *key, state, target));
+            pairs.extend(candidates.map(|(key, state)| {
+                let id = state.record.id.as_str().as_bytes();
+                let score = hash::digest64(&[target.model.as_str().as_bytes(), id]);
+                (score, index, key)
+            }));
+        }
+        pairs.sort_unstable();
+        Self { pairs, visited: 0 }
     }
-    pairs.sort_unstable();
-    let mut serving = vec![Vec::new(); targets.len()];
-    let mut models: SortedMap<UpstreamKey, usize> = SortedMap::new();
-    // Where the shares do not divide evenly, the second round exceeds the limit of an upstream.
-    for limit in [SHARES, usize::MAX] {
-        pairs.retain(|(_, index, key)| {
-            let served = models.get_or_insert_with(*key, || 0);
-            if missing[*index] == 0 || *served >= limit {
-                return true;
-            }
-            *served += 1;
-            missing[*index] -= 1;
-            serving[*index].push(*key);
-            false
-        });
+
+    /// Assigns upstreams to models.
+    ///
+    /// Every process that computes this gets the same result, and few upstreams change when one appears
+    /// or leaves: pairs are taken in the order of their scores, as long as the model needs upstreams and the
+    /// upstream serves fewer than two models.
+    fn assign(&mut self, shares: &[usize]) -> Vec<Vec<UpstreamKey>> {
+        let mut missing = shares.to_vec();
+        let mut serving = vec![Vec::new(); shares.len()];
+        let last = self.pairs.iter().map(|(_, _, key)| key.0 as usize).max();
+        let mut served = vec![0_usize; last.map_or(0, |last| last + 1)];
+        // Where the shares do not divide evenly, the second round exceeds the limit of an upstream.
+        for limit in [MODELS_PER_ENGINE, usize::MAX] {
+            self.visited += self.pairs.len();
+            self.pairs.retain(|(_, index, key)| {
+                let served = &mut served[key.0 as usize];
+                if missing[*index] == 0 || *served >= limit {
+                    return true;
+                }
+                *served += 1;
+                missing[*index] -= 1;
+                serving[*index].push(*key);
+                false
+            });
+        }
+        serving
     }
-    serving
 }
 
-/// Returns the number of models on each upstream that runs the target's model.
-fn models_per_upstream(target: &TargetVersion, table: &UpstreamTable) -> usize {
-    let model_count = table.iter().filter_map(|(_, state)| {
-        let runs = |weights: &super::upstream::ModelWeights| weights.model == target.model;
-        state
-            .record
-            .weights
-            .iter()
-            .any(runs)
-            .then_some(state.record.weights.len())
-    });
-    model_count.max().unwrap_or(1)
+/// Returns how many upstreams have weights that the allowed lag permits for the target's next step.
+pub fn current_engines(table: &UpstreamTable, target: &TargetVersion) -> usize {
+    let oldest_allowed = WeightVersion(target.version.0.saturating_sub(MAX_VERSION_LAG));
+    let is_current = |(key, state): &(UpstreamKey, &UpstreamState)| {
+        table.accepts_work(*key) && state.version(&target.model) >= Some(oldest_allowed)
+    };
+    table.iter().filter(is_current).count()
+}
+
+fn even_placement(pool: &ModelPool) -> ModelPlacement {
+    ModelPlacement {
+        share: pool.even_share,
+        demand: None,
+    }
+}
+
+fn is_candidate(
+    table: &UpstreamTable,
+    key: UpstreamKey,
+    state: &UpstreamState,
+    target: &TargetVersion,
+) -> bool {
+    table.accepts_work(key) && state.version(&target.model).is_some()
+}
+
+fn runs_model(state: &UpstreamState, model: &ObjectName) -> bool {
+    state
+        .record
+        .weights
+        .iter()
+        .any(|weights: &ModelWeights| weights.model == *model)
 }
 
 fn is_current(now: Moment, state: &UpstreamState, target: &TargetVersion) -> bool {
