--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -220,7 +220,7 @@
             last_resort: true,
             connected: &|address| self.core.upstream_client.has_idle(address),
         };
-        UpstreamGuard::acquire_engine(&self.core, &query)
+        UpstreamGuard::acquire_engine(&self.core, &query, None)
     }
 
     async fn send(
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -1,7 +1,11 @@
 //! A single run of an item at an engine.
 
 use {
-    super::{owned::OwnedJob, scheduler::should_move, service::JobService},
+    super::{
+        item_forecast::{RunForecast, item_length, reason_to_move},
+        owned::OwnedJob,
+        service::JobService,
+    },
     crate::{
         core::GatewayCore,
         events::{ITEM_RUN_ENDED, ITEM_STARTED},
@@ -35,8 +39,7 @@
     pub guard: UpstreamGuard,
     /// The scheduling priority at the engine.
     pub urgency: u8,
-    /// The typical time between events at the engines of the service, in microseconds; 1 if nothing was measured.
-    pub typical_gap_us: u64,
+    pub forecast: RunForecast,
 }
 
 /// The outcome of a run, with the reason for the log.
@@ -66,13 +69,18 @@
         ItemOutcome::Stale => "stale",
     };
     core.metrics.item_runs.with_label_values(&[label]).inc();
+    let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let text = item_length(&job.job.borrow(), run.key);
     log_event!(core.logger, ITEM_RUN_ENDED;
         "job" => &job.spec.id, "item" => &job.spec.items[run.key.0 as usize].id,
         "upstream" => %run.guard.id, "outcome" => label, "detail" => run_outcome.detail,
-        "elapsed_ms" => u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX));
+        "elapsed_ms" => elapsed_ms, "predicted_ms" => run.forecast.predicted_ms, "events" => text.events);
     if run_outcome.outcome == ItemOutcome::Complete {
         let seconds = started.elapsed().as_secs_f64();
         core.metrics.item_seconds.observe(seconds);
+        core.metrics
+            .observe_prediction(run.forecast.predicted_ms, elapsed_ms);
+        core.roster.borrow_mut().record_text(run.guard.key, text);
     }
     let now = core.now();
     let key = run.key;
@@ -91,6 +99,7 @@
         Ok(request) => request,
         Err(error) => return run_outcome(ItemOutcome::Impossible, &error.detail),
     };
+    let sent_at = Instant::now();
     let sent = core.upstream_client.send(run.guard.address, request);
     let mut exchange = match timeout(FIRST_EVENT_TIMEOUT, sent).await {
         Ok(Ok(exchange)) => exchange,
@@ -129,6 +138,7 @@
         job,
         run,
         version: head.version,
+        sent_at,
         last_event_at: None,
         events: 0,
         gap_us: 0,
@@ -217,6 +227,7 @@
     job: &'a OwnedJob,
     run: &'a ItemRun,
     version: Option<WeightVersion>,
+    sent_at: Instant,
     last_event_at: Option<Instant>,
     events: u64,
     gap_us: u64,
@@ -269,15 +280,8 @@
                     return ended;
                 }
             }
-            if self.should_move() {
-                return run_outcome(
-                    ItemOutcome::Interrupted,
-                    &format!(
-                        "the mean time between events is {} us, far above the typical {} us",
-                        self.gap_us / self.events.max(1),
-                        self.run.typical_gap_us
-                    ),
-                );
+            if let Some(detail) = self.reason_to_move() {
+                return run_outcome(ItemOutcome::Interrupted, &detail);
             }
         }
     }
@@ -314,20 +318,24 @@
 
     fn measure(&mut self) {
         let now = Instant::now();
-        if let Some(last_event_at) = self.last_event_at.replace(now) {
-            let gap = now.duration_since(last_event_at).as_micros();
-            let gap = u64::try_from(gap).unwrap_or(u64::MAX);
-            self.events += 1;
-            self.gap_us += gap;
-            let mut roster = self.core.roster.borrow_mut();
-            roster.get_mut(self.run.guard.key).record_event_gap(gap);
+        let since = self.last_event_at.replace(now);
+        let gap = now.duration_since(since.unwrap_or(self.sent_at));
+        let gap_us = u64::try_from(gap.as_micros()).unwrap_or(u64::MAX);
+        let (moment, key) = (self.core.now(), self.run.guard.key);
+        let mut roster = self.core.roster.borrow_mut();
+        if since.is_none() {
+            let is_cached = self.run.forecast.is_cached;
+            roster.record_first_event(moment, key, is_cached, gap_us);
+            return;
         }
+        self.events += 1;
+        self.gap_us += gap_us;
+        roster.record_event_gap(moment, key, gap_us);
     }
 
-    /// Returns whether the run is so slow that the item should move to another engine, and there is one that can
-    /// start it now.
-    fn should_move(&self) -> bool {
-        should_move(self.core, self.job, self.run, self.events, self.gap_us)
+    /// Returns why the item should move to another engine that can start it now, or `None` if the run goes on.
+    fn reason_to_move(&self) -> Option<String> {
+        reason_to_move(self.core, self.job, self.run, (self.events, self.gap_us))
     }
 
     fn can_resume(&self) -> bool {
--- a/crates/catkindeck-gateway/src/jobs/mod.rs
+++ b/crates/catkindeck-gateway/src/jobs/mod.rs
@@ -8,6 +8,7 @@
 pub mod cancel;
 pub mod commit;
 pub mod item;
+pub mod item_forecast;
 pub mod owned;
 pub mod read;
 pub mod scheduler;
--- a/crates/catkindeck-gateway/src/jobs/scheduler.rs
+++ b/crates/catkindeck-gateway/src/jobs/scheduler.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         item::{ItemRun, run_item},
+        item_forecast::{RunForecast, text_demand},
         owned::{OwnedJob, route_of},
         service::JobService,
     },
@@ -15,7 +16,7 @@
     },
     catkindeck::{config::RouteRecord, id::ObjectName, log_event, token::WeightVersion},
     catkindeck_policy::direct::{
-        EngineQuery, ItemKey, ItemOutcome, JobItem, StartPriority, UpstreamTable, choose_service,
+        EngineQuery, ItemKey, ItemOutcome, JobItem, StartPriority, choose_service,
     },
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
@@ -166,16 +167,18 @@
             software: state.required_software(key),
             ..engine_query(job, item, &service, &settings.zone)
         };
-        let guard = UpstreamGuard::acquire_engine(&self.core, &query)?;
+        let text = text_demand(&self.core, &state, key);
+        let guard = UpstreamGuard::acquire_engine(&self.core, &query, text)?;
+        let mut roster = self.core.roster.borrow_mut();
+        let forecast = RunForecast::new(&roster, &guard, &query, text);
         if let Some(part) = item.part {
-            let mut roster = self.core.roster.borrow_mut();
             roster.get_mut(guard.key).record_prompt_part(part);
         }
         Some(ItemRun {
             key,
             guard,
             urgency,
-            typical_gap_us: self.core.roster.borrow().typical_event_gap(&service),
+            forecast,
         })
     }
 
@@ -195,38 +198,8 @@
     }
 }
 
-/// Returns whether a run that took `gap_us` for `events` events should move to another engine.
-pub(super) fn should_move(
-    core: &GatewayCore,
-    job: &OwnedJob,
-    run: &ItemRun,
-    events: u64,
-    gap_us: u64,
-) -> bool {
-    let typical_gap_us = run.typical_gap_us;
-    if !UpstreamTable::is_slow_run(typical_gap_us, events, gap_us) {
-        return false;
-    }
-    let Some(route) = route_of(core, &job.spec) else {
-        return false;
-    };
-    let settings = core.settings();
-    let state = job.job.borrow();
-    let item = state.item(run.key);
-    let service = choose_service(&route, &item.id);
-    let query = EngineQuery {
-        excluded: &[run.guard.key],
-        software: state.required_software(run.key),
-        ..engine_query(job, item, &service, &settings.zone)
-    };
-    let limits = rate_limits(core, &service);
-    let roster = core.roster.borrow();
-    let speed = (typical_gap_us, events, gap_us);
-    roster.should_move_run(core.now(), &query, limits, speed)
-}
-
 /// Returns the criteria for an item's engine, without exclusions or regard for open connections.
-fn engine_query<'a>(
+pub(super) fn engine_query<'a>(
     job: &'a OwnedJob,
     item: &'a JobItem,
     service: &'a ObjectName,
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -9,6 +9,9 @@
 /// goals.
 const LATENCY_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 1.0, 4.0, 12.0];
 
+/// The bucket bounds of the error of predictions, as a share of the actual duration.
+const ERROR_BOUNDS: [f64; 9] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 4.0];
+
 pub struct GatewayMetrics {
     pub requests: IntCounterVec,
     pub request_seconds: Histogram,
@@ -19,6 +22,8 @@
     pub item_runs: IntCounterVec,
     /// The time from the start of an item's run to its complete text.
     pub item_seconds: Histogram,
+    /// The difference between the predicted and the actual duration of a run, as a share of the actual one.
+    pub prediction_error: Histogram,
     /// The age of the latest proof that the configuration is current, in milliseconds.
     pub config_age_ms: IntGauge,
     pub roster_age_ms: IntGauge,
@@ -45,6 +50,15 @@
         })
     }
 
+    /// Records how far the prediction for a complete run was from its actual duration.
+    pub fn observe_prediction(&self, predicted_ms: Option<u64>, actual_ms: u64) {
+        if let Some(predicted_ms) = predicted_ms {
+            let error_ms = predicted_ms.abs_diff(actual_ms);
+            let ratio = error_ms as f64 / actual_ms.max(1) as f64;
+            self.prediction_error.observe(ratio);
+        }
+    }
+
     fn register(registry: &Registry) -> prometheus::Result<Self> {
         let counter = |name: &str, help: &str| {
             let counter = IntCounter::new(name, help)?;
@@ -61,12 +75,13 @@
             registry.register(Box::new(gauge.clone()))?;
             prometheus::Result::Ok(gauge)
         };
-        let histogram = |name: &str, help: &str| {
-            let options = HistogramOpts::new(name, help).buckets(LATENCY_BOUNDS.to_vec());
+        let bounded_histogram = |name: &str, help: &str, bounds: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
             let histogram = Histogram::with_opts(options)?;
             registry.register(Box::new(histogram.clone()))?;
             prometheus::Result::Ok(histogram)
         };
+        let histogram = |name: &str, help: &str| bounded_histogram(name, help, &LATENCY_BOUNDS);
         Ok(Self {
             requests: counters(
                 "catkindeck_gateway_requests_total",
@@ -95,6 +110,11 @@
                 "catkindeck_gateway_item_seconds",
                 "The time from the start of an item's run to its complete text.",
             )?,
+            prediction_error: bounded_histogram(
+                "catkindeck_gateway_prediction_error_ratio",
+                "The difference between the predicted and the actual duration of an item's run, as a share of the actual one.",
+                &ERROR_BOUNDS,
+            )?,
             config_age_ms: gauge(
                 "catkindeck_gateway_config_age_ms",
                 "The age of the last proof that the configuration is current.",
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -4,7 +4,7 @@
     crate::{core::GatewayCore, port::UpstreamHead},
     catkindeck::{Moment, id::ObjectName},
     catkindeck_policy::direct::{
-        EngineQuery, LimitHeader, PlainQuery, RateLimits, SoftwareVersion, UpstreamKey,
+        EngineQuery, LimitHeader, PlainQuery, RateLimits, SoftwareVersion, TextDemand, UpstreamKey,
     },
     http::StatusCode,
     std::{net::SocketAddr, rc::Rc},
@@ -59,18 +59,30 @@
         Some(Self::begin(core, key))
     }
 
-    /// Selects an engine and counts a request there. Returns `None` if none is available.
-    pub fn acquire_engine(core: &Rc<GatewayCore>, query: &EngineQuery<'_>) -> Option<Self> {
+    /// Selects an engine and counts a request there. With `text`, the engine is the one at which that text is
+    /// predicted to be complete first. Returns `None` if none is available.
+    pub fn acquire_engine(
+        core: &Rc<GatewayCore>,
+        query: &EngineQuery<'_>,
+        text: Option<TextDemand>,
+    ) -> Option<Self> {
         let limits = rate_limits(core, query.service);
         let now = core.now();
         let roster = core.roster.borrow();
-        let selected = roster.select_engine(now, query, limits);
+        let selected = match text {
+            Some(text) => roster.select_engine_for_text(now, query, text, limits),
+            None => roster.select_engine(now, query, limits),
+        };
+        let select_limited = || match text {
+            Some(text) => roster.select_limited_engine_for_text(now, query, text, limits),
+            None => roster.select_limited_engine(now, query, limits),
+        };
         let Some(key) = selected else {
-            core.request_permit(roster.select_limited_engine(now, query, limits));
+            core.request_permit(select_limited());
             return None;
         };
         if roster.get(key).is_half_full() {
-            core.request_permit(roster.select_limited_engine(now, query, limits));
+            core.request_permit(select_limited());
         }
         drop(roster);
         Some(Self::begin(core, key))
--- /dev/null
+++ b/crates/catkindeck-policy/src/direct/engine_speed.rs
@@ -0,0 +1,154 @@
+//! The speed of one engine, learned from the streams that it serves.
+
+use {catkindeck::Moment, std::collections::VecDeque};
+
+/// The shortest time between two kept samples, in milliseconds. All streams of an engine slow down
+/// together, so samples weigh by time, not by the number of streams.
+const SAMPLE_INTERVAL_MS: u64 = 100;
+
+/// The number of kept samples. Together they span several times a slow phase of a second.
+const SAMPLE_LIMIT: usize = 48;
+
+/// The age at which a sample no longer counts, in milliseconds. An engine that is avoided because
+/// it was slow is tried again after this time.
+const SAMPLE_TTL_MS: u64 = 12_000;
+
+/// The number of samples from which the usual speed is known.
+const MIN_SAMPLES: usize = 5;
+
+/// An engine is in a slow phase while its recent time between events exceeds this percentage of
+/// the usual one.
+const SLOW_PHASE_PERCENT: u64 = 150;
+
+/// A measured time between two events of a stream.
+#[derive(Debug, Clone, Copy)]
+struct SpeedSample {
+    at: Moment,
+    gap_us: u64,
+    /// The used part of the engine's slots.
+    load: f64,
+}
+
+/// How far a sample is from what is usual at its engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SpeedDeviation {
+    /// The load less the engine's mean load.
+    pub load: f64,
+    /// The time between events as a multiple of the usual one at the engine's mean load.
+    pub gap: f64,
+}
+
+/// An expectation of how long an engine stays slower than usual.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SlowPhase {
+    /// The time between events as a multiple of the usual one.
+    pub factor: f64,
+    pub remaining_us: f64,
+}
+
+/// The usual speed of one instance of an engine, and whether it is in a slow phase.
+///
+/// The usual speed is a median over several seconds, which short slow phases do not change. A
+/// restarted engine is a new instance and starts without samples.
+#[derive(Debug, Clone, Default)]
+pub struct EngineSpeed {
+    /// Samples in the order of their times.
+    samples: VecDeque<SpeedSample>,
+    /// The median of the samples, converted to an idle engine.
+    idle_gap_us: u64,
+    mean_load: f64,
+    recent_gap_us: u64,
+    recent_at: Moment,
+    slow_since: Option<Moment>,
+}
+
+impl EngineSpeed {
+    /// Records the time between two events. `slope` is by how much a full engine is slower than an
+    /// idle one, as a multiple of the idle time. Returns the deviation if the sample is kept and the
+    /// usual speed is known.
+    pub fn record(
+        &mut self,
+        now: Moment,
+        gap_us: u64,
+        load: f64,
+        slope: f64,
+    ) -> Option<SpeedDeviation> {
+        self.observe_phase(now, gap_us, load, slope);
+        let last = self.samples.back();
+        if last.is_some_and(|last| now.since(last.at) < SAMPLE_INTERVAL_MS) {
+            return None;
+        }
+        let usual_us = self.usual_gap_us(now, self.mean_load, slope);
+        let deviation = usual_us.map(|usual_us| SpeedDeviation {
+            load: load - self.mean_load,
+            gap: gap_us as f64 / usual_us,
+        });
+        if self.samples.len() == SAMPLE_LIMIT {
+            self.samples.pop_front();
+        }
+        let sample = SpeedSample {
+            at: now,
+            gap_us,
+            load,
+        };
+        self.samples.push_back(sample);
+        self.samples
+            .retain(|sample| now.since(sample.at) < SAMPLE_TTL_MS);
+        self.update_usual(slope);
+        deviation
+    }
+
+    /// Returns the usual time between events of the idle engine in microseconds, if it is known.
+    pub fn idle_gap_us(&self, now: Moment) -> Option<u64> {
+        let last = self.samples.back()?;
+        let is_known = self.samples.len() >= MIN_SAMPLES && now.since(last.at) < SAMPLE_TTL_MS;
+        is_known.then_some(self.idle_gap_us)
+    }
+
+    /// Returns the usual time between events at a load in microseconds, if it is known.
+    pub fn usual_gap_us(&self, now: Moment, load: f64, slope: f64) -> Option<f64> {
+        let idle_us = self.idle_gap_us(now)?;
+        Some(idle_us as f64 * (1.0 + slope * load))
+    }
+
+    /// Returns the slow phase that the engine is in.
+    ///
+    /// Nothing is assumed about the length of phases: one that has lasted for some time is expected
+    /// to last as long again, so that a slow second and a slow minute are both told from a slow
+    /// engine.
+    pub fn slow_phase(&self, now: Moment, slope: f64) -> Option<SlowPhase> {
+        let since = self.slow_since?;
+        let usual_us = self.usual_gap_us(now, self.mean_load, slope)?;
+        let lasted_ms = self.recent_at.since(since);
+        let remaining_ms = lasted_ms.saturating_sub(now.since(self.recent_at));
+        (remaining_ms > 0).then(|| SlowPhase {
+            factor: (self.recent_gap_us as f64 / usual_us).max(1.0),
+            remaining_us: remaining_ms as f64 * 1_000.0,
+        })
+    }
+
+    fn observe_phase(&mut self, now: Moment, gap_us: u64, load: f64, slope: f64) {
+        self.recent_gap_us = match self.recent_gap_us {
+            0 => gap_us,
+            recent_us => (recent_us + gap_us) / 2,
+        };
+        self.recent_at = now;
+        // With a slope that is still too high, a falling load would look like a slow phase.
+        let usual_us = self.usual_gap_us(now, load.max(self.mean_load), slope);
+        let limit_us = usual_us.map(|usual_us| usual_us * SLOW_PHASE_PERCENT as f64 / 100.0);
+        let is_slow = limit_us.is_some_and(|limit_us| self.recent_gap_us as f64 > limit_us);
+        self.slow_since = match is_slow {
+            true => self.slow_since.or(Some(now - gap_us / 1_000)),
+            false => None,
+        };
+    }
+
+    fn update_usual(&mut self, slope: f64) {
+        let idle_us = |sample: &SpeedSample| sample.gap_us as f64 / (1.0 + slope * sample.load);
+        let mut gaps: Vec<f64> = self.samples.iter().map(idle_us).collect();
+        gaps.sort_unstable_by(f64::total_cmp);
+        self.idle_gap_us = gaps[gaps.len() / 2] as u64;
+        let loads = self.samples.iter().map(|sample| sample.load);
+        self.mean_load = loads.sum::<f64>() / self.samples.len() as f64;
+    }
+}
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -2,6 +2,8 @@
 //! (`docs/platform.md`).
 
 pub mod claim;
+pub mod completion;
+pub mod engine_speed;
 pub mod freshness;
 pub mod give_up;
 pub mod job;
@@ -14,7 +16,9 @@
 pub mod request_rate;
 pub mod routes;
 pub mod selection;
+pub mod service_speed;
 pub mod stream_origin;
+pub mod text_length;
 pub mod upstream;
 pub mod upstream_limit;
 pub mod upstream_table;
@@ -24,6 +28,8 @@
 
 pub use {
     claim::{ClaimDecision, decide_claim},
+    completion::RunMove,
+    engine_speed::{EngineSpeed, SlowPhase, SpeedDeviation},
     freshness::FreshnessGate,
     give_up::FailureEvidence,
     job::{
@@ -39,7 +45,9 @@
     request_rate::{RateBucket, RequestRate},
     routes::{RouteMatch, RouteTable, choose_service},
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rendezvous_score},
+    service_speed::{ServiceSpeed, SpeedRange},
     stream_origin::{OriginTable, StreamKey, VersionHistory},
+    text_length::{TextDemand, TextLengths},
     upstream::{DiscoveredUpstream, ModelWeights, SoftwareVersion, UpstreamKey, UpstreamState},
     upstream_limit::{LimitHeader, UpstreamLimit},
     upstream_table::{UpstreamChanges, UpstreamTable},
--- a/crates/catkindeck-policy/src/direct/selection.rs
+++ b/crates/catkindeck-policy/src/direct/selection.rs
@@ -6,7 +6,7 @@
         upstream_table::UpstreamTable,
     },
     crate::hash,
-    catkindeck::{Moment, id::ObjectName, token::WeightVersion},
+    catkindeck::{Moment, id::ObjectName, key, token::WeightVersion},
     std::net::SocketAddr,
 };
 
@@ -94,6 +94,16 @@
     }
 }
 
+/// The order in which engines are preferred, lowest first.
+#[key]
+pub(super) struct EngineCost {
+    pub in_backoff: bool,
+    pub is_cold: bool,
+    /// Whether the free slots are kept for other requests while another engine has some.
+    pub is_kept: bool,
+    pub cost: u64,
+}
+
 impl UpstreamTable {
     /// Selects the engine with a free slot that will probably finish a request first.
     pub fn select_engine(
@@ -153,6 +163,37 @@
         query: &EngineQuery<'_>,
         limits: RateLimits,
         admits: impl Fn(&UpstreamState) -> bool,
+    ) -> Option<UpstreamKey> {
+        let shortest = self.shortest_event_gap(query.service);
+        let cost = |state: &UpstreamState| {
+            let cached = query.part.is_some_and(|part| state.has_prompt_part(part));
+            let mut cost = loaded_cost(state, state.event_gap_us.max(shortest));
+            cost = discount(cost, CACHE_DISCOUNT_PERCENT, cached);
+            cost = discount(
+                cost,
+                ZONE_DISCOUNT_PERCENT,
+                state.record.zone == *query.zone,
+            );
+            let connected = (query.connected)(state.record.address);
+            cost = discount(cost, CONNECTED_ENGINE_DISCOUNT_PERCENT, connected);
+            EngineCost {
+                in_backoff: state.in_backoff(now),
+                is_cold: state.is_cold(now),
+                is_kept: false,
+                cost,
+            }
+        };
+        self.cheapest_engine(now, query, limits, &admits, &cost)
+    }
+
+    /// Returns the engine with the lowest cost of those that may run a request now.
+    pub(super) fn cheapest_engine(
+        &self,
+        now: Moment,
+        query: &EngineQuery<'_>,
+        limits: RateLimits,
+        admits: &dyn Fn(&UpstreamState) -> bool,
+        cost: &dyn Fn(&UpstreamState) -> EngineCost,
     ) -> Option<UpstreamKey> {
         let usable = self.iter().filter(|(key, state)| {
             state.record.service == *query.service
@@ -168,20 +209,6 @@
                 && limits.allows(now, state)
                 && admits(state)
         });
-        let shortest = self.shortest_event_gap(query.service);
-        let cost = |state: &UpstreamState| {
-            let cached = query.part.is_some_and(|part| state.has_prompt_part(part));
-            let mut cost = loaded_cost(state, state.event_gap_us.max(shortest));
-            cost = discount(cost, CACHE_DISCOUNT_PERCENT, cached);
-            cost = discount(
-                cost,
-                ZONE_DISCOUNT_PERCENT,
-                state.record.zone == *query.zone,
-            );
-            let connected = (query.connected)(state.record.address);
-            cost = discount(cost, CONNECTED_ENGINE_DISCOUNT_PERCENT, connected);
-            (state.in_backoff(now), state.is_cold(now), cost)
-        };
         usable
             .min_by_key(|(key, state)| (cost(state), *key))
             .map(|(key, _)| key)
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -1,7 +1,10 @@
 //! The state of one upstream in a gateway.
 
 use {
-    super::{permits::PermitPool, rate::RateWindow, upstream_limit::UpstreamLimit},
+    super::{
+        engine_speed::EngineSpeed, permits::PermitPool, rate::RateWindow,
+        upstream_limit::UpstreamLimit,
+    },
     catkindeck::{
         ErrorKind, Moment, ServiceError, SortedMap, arena_key, id::ObjectName, message,
         token::WeightVersion,
@@ -129,6 +132,8 @@
     /// The moving average of the latency of plain requests, in microseconds; zero before the first
     /// sample.
     pub latency_us: u64,
+    /// The speed at which the engine generates events.
+    pub speed: EngineSpeed,
     versions: SortedMap<ObjectName, WeightVersion>,
     loading: Option<WeightLoad>,
     prompt_parts: VecDeque<u64>,
@@ -148,6 +153,7 @@
             permits: PermitPool::default(),
             event_gap_us: 0,
             latency_us: 0,
+            speed: EngineSpeed::default(),
             versions: SortedMap::new(),
             loading: None,
             prompt_parts: VecDeque::new(),
@@ -260,6 +266,11 @@
         self.in_flight >= self.record.slots / 2
     }
 
+    /// Returns the used part of the slots if `added` more requests were in progress.
+    pub fn load_with(&self, added: u32) -> f64 {
+        f64::from(self.in_flight + added) / f64::from(self.record.slots.max(1))
+    }
+
     /// Records a request.
     pub fn record_request(&mut self, now: Moment) {
         self.in_flight += 1;
--- a/crates/catkindeck-policy/src/direct/upstream_table.rs
+++ b/crates/catkindeck-policy/src/direct/upstream_table.rs
@@ -1,7 +1,10 @@
 //! The table of the platform's upstreams.
 
 use {
-    super::upstream::{DiscoveredUpstream, UpstreamKey, UpstreamState},
+    super::{
+        service_speed::ServiceSpeed,
+        upstream::{DiscoveredUpstream, UpstreamKey, UpstreamState},
+    },
     catkindeck::{KeyArena, Moment, SortedMap, id::ObjectName},
 };
 
@@ -39,6 +42,8 @@
     closed_zones: Vec<ObjectName>,
     last_read: Option<Moment>,
     grace_until: Moment,
+    /// What the engines of each service have in common.
+    speeds: SortedMap<ObjectName, ServiceSpeed>,
 }
 
 impl UpstreamTable {
@@ -136,6 +141,18 @@
         self.current.is_empty()
     }
 
+    /// Returns what was learned from all engines of a service.
+    pub fn service_speed(&self, service: &ObjectName) -> Option<&ServiceSpeed> {
+        self.speeds.get(service)
+    }
+
+    /// Returns the measurements of an instance's service for modification.
+    pub(super) fn service_speed_mut(&mut self, key: UpstreamKey) -> &mut ServiceSpeed {
+        let service = self.get(key).record.service.clone();
+        self.speeds
+            .get_or_insert_with(service, ServiceSpeed::default)
+    }
+
     fn apply_record(
         &mut self,
         now: Moment,
