--- a/crates/catkindeck-policy/src/direct/completion.rs
+++ b/crates/catkindeck-policy/src/direct/completion.rs
@@ -37,11 +37,12 @@
 
 /// A run moves if its text is predicted to be complete earlier elsewhere by at least this time, in
 /// microseconds. It is several times what a run costs to start.
-const MIN_MOVE_GAIN_US: f64 = 400_000.0;
+const MIN_MOVE_GAIN_US: f64 = 700_000.0;
 
 /// A run moves if its text is predicted to be complete earlier elsewhere by at least this share of
-/// the remaining time, in percent. It exceeds the usual error of a prediction.
-const MIN_MOVE_GAIN_PERCENT: f64 = 25.0;
+/// the remaining time, in percent. The length of the text is uncertain at both engines alike, so the
+/// margin only exceeds the usual error of measured speeds.
+const MIN_MOVE_GAIN_PERCENT: f64 = 15.0;
 
 /// A prediction for a run that should move to another engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/catkindeck-policy/src/direct/service_speed.rs
+++ b/crates/catkindeck-policy/src/direct/service_speed.rs
@@ -10,10 +10,10 @@
 
 /// By how much a full engine is slower than an idle one before this is measured, as a multiple of
 /// the idle time.
-const INITIAL_LOAD_SLOPE: f64 = 0.5;
+const INITIAL_LOAD_SLOPE: f64 = 0.3;
 
 /// The weight of [`INITIAL_LOAD_SLOPE`], in the unit of the summed squares of load deviations.
-const INITIAL_LOAD_WEIGHT: f64 = 1.0;
+const INITIAL_LOAD_WEIGHT: f64 = 5.0;
 
 /// The lowest slope. Engines of equal speed share requests evenly even where speed does not depend
 /// on load, because the loss of an engine interrupts all of its texts.
@@ -27,7 +27,7 @@
 
 /// The largest deviation of a sample that counts for the slope. Beyond it, a sample shows a slow
 /// phase and not the effect of load.
-const MAX_LOAD_DEVIATION: f64 = 1.0;
+const MAX_LOAD_DEVIATION: f64 = 0.5;
 
 /// The weight of a new sample in the means over a service, in percent.
 const MEAN_WEIGHT_PERCENT: f64 = 5.0;
