Prefer kept prompts and open connections more, and log predictions at the start of runs

Change: 60 ms for a kept prompt and 30 ms for an open connection, which is little against texts of half a second and more; item_started shows the prediction.

--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -56,6 +56,7 @@
     log_event!(core.logger, ITEM_STARTED;
         "job" => &job.spec.id, "item" => &job.spec.items[run.key.0 as usize].id,
         "upstream" => %run.guard.id, "software" => %run.guard.software, "resumed_after" => resumed,
+        "predicted_ms" => run.forecast.predicted_ms, "prompt_cached" => run.forecast.is_cached,
         "roster_age_ms" => core.roster.borrow().age(core.now()));
     core.metrics.items_running.inc();
     let running = RunningGuard(Rc::clone(&core));
--- a/crates/catkindeck-policy/src/direct/completion.rs
+++ b/crates/catkindeck-policy/src/direct/completion.rs
@@ -20,12 +20,13 @@
 const LONG_TEXT_PERCENT: u32 = 34;
 
 /// How much later a text may be complete at an engine that has its prompt in the cache, in
-/// microseconds. Reading a prompt again also delays the other texts of that engine.
-const CACHED_PREFERENCE_US: f64 = 20_000.0;
+/// microseconds. Reading a prompt again also delays the other texts of that engine, and displaces
+/// other prompts from its cache.
+const CACHED_PREFERENCE_US: f64 = 60_000.0;
 
 /// How much later a text may be complete at an engine with an open connection, in microseconds.
 /// A handshake costs CPU time at two small hosts.
-const CONNECTED_PREFERENCE_US: f64 = 15_000.0;
+const CONNECTED_PREFERENCE_US: f64 = 30_000.0;
 
 /// How much later a text may be complete at an engine in the same availability zone, in
 /// microseconds.
