Remember slow engines while nobody uses them, and know an engine after twelve samples

Cause: the expected rest of a slow phase fell to zero within its own length without events, so long texts started again on engines that others had just left; in the first second, five samples could all lie in one slow phase. Change: an unobserved phase becomes less likely but longer, so its expected loss stays; it ends when events show so. Twelve samples make a speed known. Test: long_texts_avoid_an_engine_that_was_left_as_slow. The check of the learned slope now asks for 2.0 within a quarter after 40 s instead of more than 1.0 after 4 s. Left: runs leave engines that are fast again, since the median holds their past.

--- a/crates/catkindeck-policy/src/direct/completion.rs
+++ b/crates/catkindeck-policy/src/direct/completion.rs
@@ -34,7 +34,7 @@
 
 /// The number of events from which a run may move. The engine's recent speed includes them, so that
 /// a run is not judged by what was known before it began.
-const MIN_MOVE_EVENTS: u64 = 2;
+const MIN_MOVE_EVENTS: u64 = 3;
 
 /// A run moves if its text is predicted to be complete earlier elsewhere by at least this time, in
 /// microseconds. It is several times what a run costs to start.
@@ -272,11 +272,12 @@
         let usual_us = self.remaining_events * gap_us;
         // Slow phases that are to come prolong the text by the same factor at every engine.
         let expected_us = usual_us * self.speed.phase_factor();
-        let Some(phase) = state.speed.slow_phase(now, slope) else {
+        let Some(phase) = state.speed.slow_phase(now) else {
             return expected_us;
         };
         let lost_in_phase_us = phase.remaining_us * (1.0 - 1.0 / phase.factor);
-        expected_us + lost_in_phase_us.min(usual_us * (phase.factor - 1.0))
+        let lost_us = lost_in_phase_us.min(usual_us * (phase.factor - 1.0));
+        expected_us + lost_us * phase.probability
     }
 }
 
--- a/crates/catkindeck-policy/src/direct/engine_speed.rs
+++ b/crates/catkindeck-policy/src/direct/engine_speed.rs
@@ -13,20 +13,21 @@
 /// it was slow is tried again after this time.
 const SAMPLE_TTL_MS: u64 = 12_000;
 
-/// The number of samples from which the usual speed is known.
-const MIN_SAMPLES: usize = 5;
+/// The number of samples from which the usual speed is known. They span twice a slow phase of half a
+/// second.
+const MIN_SAMPLES: usize = 12;
 
 /// The number of last gaps whose median is the recent time between events, so that one stalled stream
 /// does not make its engine slow.
 const RECENT_GAPS: usize = 5;
 
-/// The longest time without events, beyond the time between two of them, for which a slow phase is
-/// taken to last, in milliseconds. Nobody saw how an idle engine went on.
+/// The longest time without events, beyond the time between two of them, that counts as part of a slow
+/// phase, in milliseconds. Nobody saw how an idle engine went on.
 const MAX_UNOBSERVED_MS: u64 = 300;
 
 /// An engine is in a slow phase while its recent time between events exceeds this percentage of
 /// the usual one.
-const SLOW_PHASE_PERCENT: u64 = 150;
+const SLOW_PHASE_PERCENT: f64 = 150.0;
 
 /// A measured time between two events of a stream.
 #[derive(Debug, Clone, Copy)]
@@ -51,7 +52,19 @@
 pub struct SlowPhase {
     /// The time between events as a multiple of the usual one.
     pub factor: f64,
+    /// How long the phase goes on if it has not ended unseen, in microseconds.
     pub remaining_us: f64,
+    /// The probability that it has not ended unseen.
+    pub probability: f64,
+}
+
+/// A slow phase as observed.
+#[derive(Debug, Clone, Copy)]
+struct PhaseRecord {
+    /// When it began, less the time for which nobody observed it.
+    since: Moment,
+    /// The time between events as a multiple of the usual one.
+    factor: f64,
 }
 
 /// The usual speed of one instance of an engine, and whether it is in a slow phase.
@@ -68,7 +81,7 @@
     /// The last gaps since the engine was idle, in microseconds.
     recent_gaps_us: VecDeque<u64>,
     recent_at: Moment,
-    slow_since: Option<Moment>,
+    phase: Option<PhaseRecord>,
 }
 
 impl EngineSpeed {
@@ -124,23 +137,28 @@
     ///
     /// Nothing is assumed about the length of phases: one that has lasted for some time is expected
     /// to last as long again, so that a slow second and a slow minute are both told from a slow
-    /// engine.
-    pub fn slow_phase(&self, now: Moment, slope: f64) -> Option<SlowPhase> {
-        let since = self.slow_since?;
-        let usual_us = self.usual_gap_us(now, self.mean_load, slope)?;
-        let lasted_ms = self.recent_at.since(since);
-        let remaining_ms = lasted_ms.saturating_sub(now.since(self.recent_at));
-        (remaining_ms > 0).then(|| SlowPhase {
-            factor: (self.recent_gap_us() as f64 / usual_us).max(1.0),
-            remaining_us: remaining_ms as f64 * 1_000.0,
+    /// engine. An engine that was left because it is slow stays less likely to be chosen: the longer
+    /// nobody used it, the less likely the phase goes on, but the longer it then lasts.
+    pub fn slow_phase(&self, now: Moment) -> Option<SlowPhase> {
+        let phase = self.phase?;
+        self.idle_gap_us(now)?;
+        let lasted_ms = self.recent_at.since(phase.since) as f64;
+        let total_ms = now.since(phase.since).max(1) as f64;
+        Some(SlowPhase {
+            factor: phase.factor,
+            remaining_us: total_ms * 1_000.0,
+            probability: lasted_ms / total_ms,
         })
     }
 
     fn observe_phase(&mut self, now: Moment, gap_us: u64, load: f64, slope: f64) {
         let begun = now - gap_us / 1_000;
-        if begun.since(self.recent_at) > MAX_UNOBSERVED_MS {
+        let unobserved_ms = begun.since(self.recent_at);
+        if unobserved_ms > MAX_UNOBSERVED_MS {
             self.recent_gaps_us.clear();
-            self.slow_since = None;
+            if let Some(phase) = &mut self.phase {
+                phase.since = phase.since + unobserved_ms;
+            }
         }
         if self.recent_gaps_us.len() == RECENT_GAPS {
             self.recent_gaps_us.pop_front();
@@ -149,22 +167,20 @@
         self.recent_at = now;
         // With a slope that is still too high, a falling load would look like a slow phase.
         let usual_us = self.usual_gap_us(now, load.max(self.mean_load), slope);
-        let limit_us = usual_us.map(|usual_us| usual_us * SLOW_PHASE_PERCENT as f64 / 100.0);
-        let is_slow = limit_us.is_some_and(|limit_us| self.recent_gap_us() as f64 > limit_us);
-        self.slow_since = match is_slow {
-            true => self.slow_since.or(Some(begun)),
-            false => None,
+        let (Some(recent_us), Some(usual_us)) = (self.recent_gap_us(), usual_us) else {
+            return;
         };
+        let factor = recent_us as f64 / usual_us;
+        let since = self.phase.map_or(begun, |phase| phase.since);
+        let is_slow = factor > SLOW_PHASE_PERCENT / 100.0;
+        self.phase = is_slow.then_some(PhaseRecord { since, factor });
     }
 
-    /// Returns the median of the last gaps, or zero before there are enough.
-    fn recent_gap_us(&self) -> u64 {
+    /// Returns the median of the last gaps, if there are enough.
+    fn recent_gap_us(&self) -> Option<u64> {
         let mut gaps: Vec<u64> = self.recent_gaps_us.iter().copied().collect();
         gaps.sort_unstable();
-        match gaps.len() > RECENT_GAPS / 2 {
-            true => gaps[gaps.len() / 2],
-            false => 0,
-        }
+        (gaps.len() > RECENT_GAPS / 2).then(|| gaps[gaps.len() / 2])
     }
 
     fn update_usual(&mut self, slope: f64) {
--- a/crates/catkindeck-policy/tests/completion.rs
+++ b/crates/catkindeck-policy/tests/completion.rs
@@ -158,7 +158,7 @@
 fn texts_spread_where_load_slows_engines() {
     let gaps = [40, 44, 48, 52];
     let (mut table, keys) = table(&gaps);
-    for round in 0..40_u64 {
+    for round in 0..400_u64 {
         for (key, gap_ms) in keys.iter().zip(gaps) {
             let load = u32::try_from((round / 4) % 6 + 1).expect("small");
             table.get_mut(*key).in_flight = load;
@@ -166,12 +166,12 @@
             table.record_event_gap(Moment(round * 100), *key, gap_us);
         }
     }
-    let mut now = Moment(4_000);
+    let mut now = Moment(40_000);
     let slope = |table: &UpstreamTable| {
         let speed = table.service_speed(&name("engines"));
         speed.expect("speeds are measured").load_slope()
     };
-    assert!(slope(&table) > 1.0, "{}", slope(&table));
+    assert!((slope(&table) - 2.0).abs() < 0.5, "{}", slope(&table));
     for key in &keys {
         table.get_mut(*key).in_flight = 0;
     }
@@ -305,6 +305,34 @@
     assert_eq!(moves_after(&gaps), 0);
 }
 
+/// Guards against long texts that start on an engine that others just left because it is slow: on a quiet
+/// day with a fifth of the engines 3.7 times slower for 8 s, the longest texts lost 1.2 s each there.
+///
+/// Load pattern: an engine slows down for seconds, its runs move, and the next step starts.
+#[test]
+fn long_texts_avoid_an_engine_that_was_left_as_slow() {
+    let gaps = [FAST_GAP_MS; 3];
+    let (mut table, keys) = table(&gaps);
+    let mut now = measure(&mut table, &keys, &gaps, 1);
+    for _ in 0..9 {
+        now = now + FAST_GAP_MS * 37 / 10;
+        table.record_event_gap(now, keys[0], FAST_GAP_MS * 3_700);
+    }
+    for key in &keys[1..] {
+        table.get_mut(*key).in_flight = SLOTS - 1;
+    }
+    let names = QueryNames::new();
+    for pause_ms in [0, 500, 2_000, 4_000] {
+        let query = names.query(&[]);
+        let rest = text(79 * 19, 0);
+        let chosen = table.select_engine_for_text(now + pause_ms, &query, rest, RateLimits::NONE);
+        assert!(
+            chosen.is_some_and(|key| key != keys[0]),
+            "after {pause_ms} ms"
+        );
+    }
+}
+
 /// Guards against an engine that is taken for slow because one of its streams stalled.
 ///
 /// Failure: one of several streams gets nothing for almost a second.
@@ -417,7 +445,7 @@
     assert_eq!(table.get(restarted).speed.idle_gap_us(now), None);
     table.record_event_gap(now + 100, keys[2], FAST_GAP_MS * 1_000);
     assert!(!is_known(&table));
-    for at in 0..5 {
+    for at in 0..12 {
         table.record_event_gap(now + 200 + at * 100, restarted, SLOW_GAP_MS * 1_000);
     }
     assert!(is_known(&table));
