Forget the past of an engine that is fast again

Change: samples are dropped when the recent gaps are faster than usual by as much as a slow phase would make them slower. Test: runs_stay_at_an_engine_that_recovered was red before.

--- a/crates/catkindeck-policy/src/direct/engine_speed.rs
+++ b/crates/catkindeck-policy/src/direct/engine_speed.rs
@@ -170,6 +170,11 @@
         let (Some(recent_us), Some(usual_us)) = (self.recent_gap_us(), usual_us) else {
             return;
         };
+        // The median still holds the past of an engine that was slow for seconds.
+        let usual_at_load_us = self.usual_gap_us(now, load, slope);
+        if usual_at_load_us.is_some_and(|usual_us| recovered(recent_us, usual_us)) {
+            self.samples.clear();
+        }
         let factor = recent_us as f64 / usual_us;
         let since = self.phase.map_or(begun, |phase| phase.since);
         let is_slow = factor > SLOW_PHASE_PERCENT / 100.0;
@@ -192,3 +197,8 @@
         self.mean_load = loads.sum::<f64>() / self.samples.len() as f64;
     }
 }
+
+/// Returns whether an engine is faster than usual by as much as a slow phase would make it slower.
+fn recovered(recent_us: u64, usual_us: f64) -> bool {
+    (recent_us as f64) < usual_us * 100.0 / SLOW_PHASE_PERCENT
+}
--- a/crates/catkindeck-policy/tests/completion.rs
+++ b/crates/catkindeck-policy/tests/completion.rs
@@ -333,6 +333,34 @@
     }
 }
 
+/// Guards against runs that leave an engine which is fast again: for seconds after a slowdown of 8 s, runs
+/// with usual times between events were cut.
+///
+/// Load pattern: an engine is 3.7 times slower for 4 s, with one stream, and then fast again.
+#[test]
+fn runs_stay_at_an_engine_that_recovered() {
+    let slow_ms = FAST_GAP_MS * 37 / 10;
+    let gaps = [FAST_GAP_MS; 3];
+    let (mut table, keys) = table(&gaps);
+    let mut now = measure(&mut table, &keys, &gaps, 1);
+    let names = QueryNames::new();
+    let excluded = [keys[0]];
+    let query = names.query(&excluded);
+    for _ in 0..26 {
+        now = now + slow_ms;
+        table.record_event_gap(now, keys[0], slow_ms * 1_000);
+    }
+    let mut moves = Vec::new();
+    for events in 1..=20 {
+        now = now + FAST_GAP_MS;
+        table.record_event_gap(now, keys[0], FAST_GAP_MS * 1_000);
+        let rest = (text(79 * 19, 0), events);
+        let chosen = table.move_for_text(now, keys[0], &query, rest, RateLimits::NONE);
+        moves.extend(chosen.map(|_| events));
+    }
+    assert_eq!(moves, [0_u64; 0], "events after which the run moved");
+}
+
 /// Guards against an engine that is taken for slow because one of its streams stalled.
 ///
 /// Failure: one of several streams gets nothing for almost a second.
