--- a/crates/catkindeck-policy/src/direct/completion.rs
+++ b/crates/catkindeck-policy/src/direct/completion.rs
@@ -38,7 +38,7 @@
 
 /// A run moves if its text is predicted to be complete earlier elsewhere by at least this time, in
 /// microseconds. It is several times what a run costs to start.
-const MIN_MOVE_GAIN_US: f64 = 700_000.0;
+const MIN_MOVE_GAIN_US: f64 = 1_000_000.0;
 
 /// A run moves if its text is predicted to be complete earlier elsewhere by at least this share of
 /// the remaining time, in percent. The length of the text is uncertain at both engines alike, so the
