--- a/crates/catkindeck-gateway/src/jobs/mod.rs
+++ b/crates/catkindeck-gateway/src/jobs/mod.rs
@@ -9,6 +9,7 @@
 pub mod commit;
 pub mod demand;
 pub mod item;
+pub mod item_forecast;
 pub mod owned;
 pub mod queue;
 pub mod read;
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -2,7 +2,9 @@
 //! (`docs/platform.md`).
 
 pub mod claim;
+pub mod completion;
 pub mod duplicate_budget;
+pub mod engine_speed;
 pub mod freshness;
 pub mod give_up;
 pub mod group_completion;
@@ -22,8 +24,10 @@
 pub mod return_time;
 pub mod routes;
 pub mod selection;
+pub mod service_speed;
 pub mod step_schedule;
 pub mod stream_origin;
+pub mod text_length;
 pub mod upstream;
 pub mod upstream_limit;
 pub mod upstream_table;
@@ -33,7 +37,9 @@
 
 pub use {
     claim::{ClaimDecision, decide_claim},
+    completion::RunMove,
     duplicate_budget::DuplicateBudget,
+    engine_speed::{EngineSpeed, SlowPhase, SpeedDeviation},
     freshness::FreshnessGate,
     give_up::FailureEvidence,
     group_completion::{
@@ -58,8 +64,10 @@
     return_time::{MIN_RETURN_MS, RefusalCause, RefusedRequest, ReturnSchedule},
     routes::{RouteMatch, RouteTable, choose_service},
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rendezvous_score},
+    service_speed::{ServiceSpeed, SpeedRange},
     step_schedule::{StepSchedule, TrainerId, TrainerPace},
     stream_origin::{OriginTable, StreamKey, VersionHistory},
+    text_length::{TextDemand, TextLengths},
     upstream::{DiscoveredUpstream, ModelWeights, SoftwareVersion, UpstreamKey, UpstreamState},
     upstream_limit::{LimitHeader, UpstreamLimit},
     upstream_table::{UpstreamChanges, UpstreamTable},
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        permits::PermitPool, plain_load::PlainLoad, rate::RateWindow, upstream_limit::UpstreamLimit,
+        engine_speed::EngineSpeed, permits::PermitPool, plain_load::PlainLoad, rate::RateWindow,
+        upstream_limit::UpstreamLimit,
     },
     catkindeck::{
         ErrorKind, Moment, ServiceError, SortedMap, arena_key, id::ObjectName, message,
@@ -133,6 +134,8 @@
     pub latency_us: u64,
     /// The requests of a plain upstream and their latency.
     pub plain: PlainLoad,
+    /// The speed at which the engine generates events.
+    pub speed: EngineSpeed,
     versions: SortedMap<ObjectName, WeightVersion>,
     loading: Option<WeightLoad>,
     prompt_parts: VecDeque<u64>,
@@ -153,6 +156,7 @@
             event_gap_us: 0,
             latency_us: 0,
             plain: PlainLoad::default(),
+            speed: EngineSpeed::default(),
             versions: SortedMap::new(),
             loading: None,
             prompt_parts: VecDeque::new(),
@@ -270,6 +274,11 @@
         self.in_flight >= self.record.slots / 2
     }
 
+    /// Returns the used part of the slots if `added` more requests were in progress.
+    pub fn load_with(&self, added: u32) -> f64 {
+        f64::from(self.in_flight + added) / f64::from(self.record.slots.max(1))
+    }
+
     /// Records a request.
     pub fn record_request(&mut self, now: Moment) {
         self.in_flight += 1;
