Send notices of weight loads together, and group the metrics of load

Change: notices of loads that begin within 10 ms go in one call; at most 1,024 connections to peers; the metrics of decisions under load have a file of their own, and a peer call is read by a function of its own.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -58,7 +58,7 @@
     connect: Duration::from_millis(400),
     idle: Duration::from_secs(10),
     idle_connections: 4,
-    open_connections: MAX_CONNECTIONS,
+    open_connections: 1_024,
     response_bytes: 32 << 20,
 };
 
@@ -368,14 +368,17 @@
         let roster = core.roster.borrow().age(now);
         core.metrics.roster_age_ms.set(age(roster));
         core.metrics
+            .load
             .held_bytes
             .set(i64::try_from(core.held.total()).unwrap_or(i64::MAX));
         let limited = core.roster.borrow().limited();
         core.metrics
+            .load
             .limited_upstreams
             .set(i64::try_from(limited).unwrap_or(i64::MAX));
         let leaving = core.roster.borrow().leaving_notices().len();
         core.metrics
+            .load
             .leaving_upstreams
             .set(i64::try_from(leaving).unwrap_or(i64::MAX));
     }
--- a/crates/catkindeck-gateway/src/jobs/step_order.rs
+++ b/crates/catkindeck-gateway/src/jobs/step_order.rs
@@ -184,7 +184,7 @@
         if !rank.is_surplus || !job.job.borrow_mut().record_yield(key) {
             return;
         }
-        self.core.metrics.groups_yielded.inc();
+        self.core.metrics.load.groups_yielded.inc();
         log_event!(self.core.logger, GROUP_YIELDED;
             "job" => &job.spec.id, "group" => &job.job.borrow().item(key).group);
     }
@@ -199,7 +199,7 @@
             .filter_map(|(_, job)| TrainerId::of(&job.spec))
             .map(|trainer| schedule.pace(&trainer).lateness(unix_ms, true));
         let max_ms = latenesses.max().unwrap_or(0);
-        let gauge = &self.core.metrics.trainer_lateness_ms;
+        let gauge = &self.core.metrics.load.trainer_lateness_ms;
         gauge.set(i64::try_from(max_ms).unwrap_or(i64::MAX));
     }
 }
--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -26,6 +26,10 @@
 /// The timeout of an order or of a request for a report.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long a notice of a load waits for others. A request that reaches the engine meanwhile is refused without
+/// having run.
+const NOTICE_DELAY: Duration = Duration::from_millis(10);
+
 /// One in this many engines may load weights at a time, so that enough engines keep serving and the loading
 /// engines do not slow each other down.
 const CONCURRENT_LOAD_DIVISOR: usize = 6;
@@ -35,6 +39,8 @@
     election: Rc<LeaderElection>,
     /// The number of orders that each upstream has accepted, as far as known.
     accepted: RefCell<SortedMap<UpstreamKey, u64>>,
+    /// The loads of which the other processes are not notified yet.
+    notices: RefCell<Vec<WeightLoadNotice>>,
     /// The shares of the models, as far as this process has planned them.
     balance: RefCell<ShareBalance>,
 }
@@ -44,6 +50,7 @@
         Rc::new(Self {
             election,
             accepted: RefCell::new(SortedMap::new()),
+            notices: RefCell::default(),
             balance: RefCell::default(),
         })
     }
@@ -174,7 +181,12 @@
         self.handle_outcome(&task, &order, outcome);
     }
 
-    fn handle_outcome(&self, task: &WeightLoadTask, order: &WeightOrder, outcome: OrderOutcome) {
+    fn handle_outcome(
+        self: &Rc<Self>,
+        task: &WeightLoadTask,
+        order: &WeightOrder,
+        outcome: OrderOutcome,
+    ) {
         let core = &self.election.core;
         match outcome {
             OrderOutcome::Accepted => {
@@ -244,17 +256,33 @@
     }
 
     /// Notifies all processes that an upstream is loading weights, so that they send it no requests meanwhile.
-    fn notify_peers(&self, notice: WeightLoadNotice) {
+    ///
+    /// Notices of loads that begin together are sent together: with thousands of engines and hundreds of processes,
+    /// a call for each pair would take all connections of the leader.
+    fn notify_peers(self: &Rc<Self>, notice: WeightLoadNotice) {
+        self.election.core.record_weight_load(&notice);
+        let is_first = self.notices.borrow().is_empty();
+        self.notices.borrow_mut().push(notice);
+        if is_first {
+            let rollout = Rc::clone(self);
+            tokio::task::spawn_local(async move {
+                sleep(NOTICE_DELAY).await;
+                rollout.send_notices();
+            });
+        }
+    }
+
+    fn send_notices(&self) {
         let core = &self.election.core;
-        core.record_weight_load(&notice);
-        for member in self.election.core.members.borrow().iter() {
+        let notices = self.notices.take();
+        for member in core.members.borrow().iter() {
             if member.incarnation == core.incarnation {
                 continue;
             }
             let core = Rc::clone(core);
             let address = member.peer;
-            let call = PeerCall::WeightLoads(vec![notice.clone()]);
-            // A process that misses the notice learns the version from the list of upstreams.
+            let call = PeerCall::WeightLoads(notices.clone());
+            // A process that misses the notices learns the versions from the list of upstreams.
             tokio::task::spawn_local(async move {
                 let _ = core.call_peer(address, &call, Duration::ZERO).await;
             });
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod leader;
 pub mod leaving;
 pub mod limits;
+pub mod load_metrics;
 pub mod metrics;
 pub mod metrics_handler;
 pub mod peer;
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! The metrics of a gateway.
 
 use {
-    crate::room_metrics::RoomMetrics,
+    crate::{load_metrics::LoadMetrics, room_metrics::RoomMetrics},
     catkindeck::{ErrorKind, ServiceError},
     prometheus::{
         Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -34,18 +34,7 @@
     pub lease_ms: IntGauge,
     pub store_calls: IntCounterVec,
     pub items_running: IntGauge,
-    /// How late the trainer is that is furthest behind its schedule, in milliseconds.
-    pub trainer_lateness_ms: IntGauge,
-    /// Groups of which items waited while others that were needed more got places.
-    pub groups_yielded: IntCounter,
-    /// The upstreams that name a limit for the requests of all processes together.
-    pub limited_upstreams: IntGauge,
-    /// The bytes of responses that callers have not taken yet.
-    pub held_bytes: IntGauge,
-    /// The listed upstreams that said that they leave.
-    pub leaving_upstreams: IntGauge,
-    /// Requests that were assigned to an upstream and not sent, because it leaves.
-    pub withheld: IntCounter,
+    pub load: LoadMetrics,
     pub room: RoomMetrics,
     pub placement: PlacementMetrics,
 }
@@ -189,30 +178,7 @@
                 "call",
             )?,
             items_running: gauge("catkindeck_gateway_items_running", "The items in progress.")?,
-            trainer_lateness_ms: gauge(
-                "catkindeck_gateway_trainer_lateness_ms",
-                "The lateness of the trainer that is furthest behind its schedule.",
-            )?,
-            groups_yielded: counter(
-                "catkindeck_gateway_groups_yielded_total",
-                "Groups of which items waited because other groups were needed more.",
-            )?,
-            limited_upstreams: gauge(
-                "catkindeck_gateway_limited_upstreams",
-                "The upstreams that name a limit for the requests of all processes together.",
-            )?,
-            held_bytes: gauge(
-                "catkindeck_gateway_held_bytes",
-                "The bytes of responses that callers have not taken yet.",
-            )?,
-            leaving_upstreams: gauge(
-                "catkindeck_gateway_leaving_upstreams",
-                "The listed upstreams that said that they leave.",
-            )?,
-            withheld: counter(
-                "catkindeck_gateway_withheld_requests_total",
-                "Requests that were not sent to the upstream of their choice, because it leaves.",
-            )?,
+            load: LoadMetrics::register(registry)?,
             room: RoomMetrics::register(registry)?,
             placement: PlacementMetrics::register(registry)?,
         })
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -250,14 +250,7 @@
     }
 
     async fn answer_call(&self, request: Request<Incoming>) -> Result<PeerResponse, ServiceError> {
-        let body = Limited::new(request.into_body(), MAX_CALL_BYTES).collect();
-        let body = body.await.map_err(|error| {
-            ServiceError::not_run(
-                ErrorKind::BadRequest,
-                format!("cannot read the body of the peer call: {error}"),
-            )
-        })?;
-        match keys::decode(&body.to_bytes())? {
+        match read_call(request).await? {
             PeerCall::Results {
                 job,
                 after,
@@ -333,6 +326,17 @@
     }
 }
 
+async fn read_call(request: Request<Incoming>) -> Result<PeerCall, ServiceError> {
+    let body = Limited::new(request.into_body(), MAX_CALL_BYTES).collect();
+    let body = body.await.map_err(|error| {
+        ServiceError::not_run(
+            ErrorKind::BadRequest,
+            format!("cannot read the body of the peer call: {error}"),
+        )
+    })?;
+    keys::decode(&body.to_bytes())
+}
+
 impl HttpHandler for PeerHandler {
     fn handle(
         self: Rc<Self>,
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -121,7 +121,11 @@
     /// Returns whether a request was not sent because the upstream leaves. It costs neither an attempt nor a pause.
     pub fn was_withheld(&self, fault: &SendError) -> bool {
         let was_withheld = !fault.maybe_received && !self.may_send();
-        self.core.metrics.withheld.inc_by(u64::from(was_withheld));
+        self.core
+            .metrics
+            .load
+            .withheld
+            .inc_by(u64::from(was_withheld));
         was_withheld
     }
 
