--- a/crates/catkindeck-policy/src/direct/model_shares.rs
+++ b/crates/catkindeck-policy/src/direct/model_shares.rs
@@ -68,7 +68,7 @@
 /// Distributes engines over models in proportion to the tokens in sight.
 ///
 /// The state is a weight for each model rather than a number of engines, so that few engines change when some appear
-/// or leave. The weights in force change only if the time that a step saves within [`PAYBACK_STEPS`] exceeds the
+/// or leave. The weights in force change only if the time that a step saves within `PAYBACK_STEPS` exceeds the
 /// service lost by loading weights. Models without reports weigh as much as the others on average, so without any
 /// report all share alike.
 #[derive(Debug, Clone, Default)]
