Do not wait for a trial call until it would be given up

While a trial call to the store is under way, the time to the next trial was the time after which its outcome is no longer awaited (2,500 ms), so callers waited for it, and a submission could be refused while the trial was about to succeed. Ruled out: a bound that is too tight; trials come at least every 250 ms. Change: a trial under way counts as one that comes within 100 ms.

--- a/crates/catkindeck-policy/src/direct/outage.rs
+++ b/crates/catkindeck-policy/src/direct/outage.rs
@@ -32,6 +32,8 @@
     failures: u32,
     /// When the next trial call may be made; `None` while the store answers.
     retry_at: Option<Moment>,
+    /// Whether a trial call is under way, so that `retry_at` is when its outcome is no longer awaited.
+    is_trying: bool,
 }
 
 impl OutageBackoff {
@@ -41,6 +43,7 @@
             seed,
             failures: 0,
             retry_at: None,
+            is_trying: false,
         }
     }
 
@@ -52,20 +55,27 @@
             Some(retry_at) if now < retry_at => false,
             Some(_) => {
                 self.retry_at = Some(now + TRIAL_TIMEOUT_MS);
+                self.is_trying = true;
                 true
             }
         }
     }
 
-    /// Returns the time until the next trial call, in milliseconds.
+    /// Returns the time until the next trial call, in milliseconds. The outcome of one that is under way is known
+    /// long before it would be given up.
     pub fn remaining_ms(&self, now: Moment) -> u64 {
-        self.retry_at.map_or(0, |retry_at| retry_at.since(now))
+        let remaining_ms = self.retry_at.map_or(0, |retry_at| retry_at.since(now));
+        match self.is_trying {
+            true => remaining_ms.min(FIRST_DELAY_MS),
+            false => remaining_ms,
+        }
     }
 
     /// Records that the store was reached, by this process or by one that shares its reads.
     pub fn record_success(&mut self) {
         self.failures = 0;
         self.retry_at = None;
+        self.is_trying = false;
     }
 
     /// Records that neither this process nor its peers reached the store.
@@ -86,5 +96,6 @@
         ];
         let jitter = hash::digest64(&[&parts[0], &parts[1]]) % (delay_ms / 2 + 1);
         self.retry_at = Some(now + (delay_ms - jitter));
+        self.is_trying = false;
     }
 }
--- a/crates/catkindeck-policy/tests/outage.rs
+++ b/crates/catkindeck-policy/tests/outage.rs
@@ -116,3 +116,18 @@
     assert!(!state.allows_call(Moment(1_001)));
     assert!(state.allows_call(Moment(4_000)));
 }
+
+/// Guards against callers who are told to return after the time in which a trial call is given up, while the trial
+/// that is under way shows within a moment whether the store is back.
+#[test]
+fn a_trial_under_way_is_not_waited_for_until_it_would_be_given_up() {
+    let mut outage = OutageBackoff::new(1);
+    outage.record_failure(Moment(1_000), 1, true);
+    let trial = Moment(1_000 + outage.remaining_ms(Moment(1_000)));
+    assert!(outage.allows_call(trial));
+    assert!(outage.remaining_ms(trial) <= 100);
+    assert!(!outage.allows_call(trial + 100));
+    outage.record_failure(trial + 20, 1, true);
+    assert!(outage.remaining_ms(trial + 20) <= 250);
+    assert!(outage.remaining_ms(trial + 20) > 0);
+}
