--- a/crates/catkindeck-policy/src/direct/leaving.rs
+++ b/crates/catkindeck-policy/src/direct/leaving.rs
@@ -2,8 +2,8 @@
 
 use catkindeck::{SortedMap, id::ObjectName, message};
 
-/// The number of upstreams that are remembered. It exceeds the upstreams of any deployment, so that only notices of
-/// instances that left long ago are forgotten.
+/// The number of upstreams that are remembered, the latest notices first. Upstreams leave a few at a time, so that only
+/// notices of instances that left long ago are forgotten.
 const UPSTREAM_LIMIT: usize = 4_096;
 
 /// The difference between the clocks of two hosts for which the start of an instance allows, in milliseconds.
