Hold the burst of the cold-start test until the crash

Cause: the test crashes the engine once exactly 16 requests run. A prompt of nine bytes has a prefill of 90 ms, so a request ends after about 210 ms; 16 run together from about 30 ms to 210 ms after the burst began (13 plays traced). If the burst arrives more slowly, the 24 requests end without 16 ever running together, and the condition is lost for good.

Ruled out: a reduced limit (no request failed before the crash in the traced plays) and load alone (8 of 8 runs passed beside 28 busy processes).

Change: the prefill before the crash takes longer than any test, so 16 requests run until the crash whatever the pace of the host. What happens at and after the crash is as before, and overloads are checked as before.

--- a/crates/catkindeck-agent/tests/cold.rs
+++ b/crates/catkindeck-agent/tests/cold.rs
@@ -17,6 +17,13 @@
     std::thread,
 };
 
+/// The prefill time of the engine after a crash, in milliseconds for 1,000 bytes of a prompt.
+const RESTARTED_PREFILL_MS: u64 = 10_000;
+
+/// The prefill time while a burst is held until the crash, in milliseconds for 1,000 bytes of a
+/// prompt; prompts of a few bytes take longer than any test.
+const HELD_PREFILL_MS: u64 = 100_000_000;
+
 /// Guards against overloading an engine after its first start and after a restart (G9).
 #[test]
 fn a_cold_engine_never_fails_under_load() {
@@ -86,7 +93,7 @@
         // would reveal the new boot ID, so a long prefill time delays the response until the burst
         // has arrived.
         setup.engine.update_settings(|settings| {
-            settings.prefill_ms = 10_000;
+            settings.prefill_ms = RESTARTED_PREFILL_MS;
             settings.cold_ms = 1500;
             settings.cold_slots = 2;
         });
@@ -95,8 +102,15 @@
             thread::sleep(std::time::Duration::from_millis(50));
             burst(&setup, "after", 24, || {});
         } else {
+            // No request ends before the crash, however slowly the burst arrives.
+            setup
+                .engine
+                .update_settings(|settings| settings.prefill_ms = HELD_PREFILL_MS);
             burst(&setup, "around", 24, || {
                 wait_until("the engine is busy", || running(&setup.engine) == 16);
+                setup
+                    .engine
+                    .update_settings(|settings| settings.prefill_ms = RESTARTED_PREFILL_MS);
                 setup.engine.crash();
             });
         }
