Remember all leaving upstreams that are listed or drain

Cause: the register of leaving upstreams held 4,096 instances. The size to design for has 5,700 upstreams, and a release replaces all of them, so that the notices of the first were forgotten while they were still listed, and work went to them.

Change: the register holds three times as many upstreams as are listed, at least 4,096 as before, and never forgets a listed one. It is bounded by the list, so by the memory that the list takes anyway.

Ruled out: a limit by age alone, because lists and notices of months would then be bounded by nothing but the rate of releases.

Before: both new tests failed (6,000 upstreams that leave in one release, and a listed one after 10,000 others). After: they pass, and so does the bound of the register without a list.

--- a/crates/catkindeck-policy/src/direct/leaving.rs
+++ b/crates/catkindeck-policy/src/direct/leaving.rs
@@ -1,11 +1,17 @@
 //! Upstreams that said in a response that they leave (`docs/design/leaving.md`).
 
-use catkindeck::{SortedMap, id::ObjectName, message};
+use {
+    super::upstream::UpstreamKey,
+    catkindeck::{SortedMap, id::ObjectName, message},
+};
 
-/// The number of upstreams that are remembered, the latest notices first. Upstreams leave a few at a time, so that only
-/// notices of instances that left long ago are forgotten.
+/// The number of upstreams that are remembered in any case, the latest notices first.
 const UPSTREAM_LIMIT: usize = 4_096;
 
+/// The number of upstreams that are remembered for each listed one. A release replaces every upstream once, so that
+/// those of the latest release are remembered while they drain, and as many again.
+const REMEMBERED_PER_LISTED: usize = 3;
+
 /// The difference between the clocks of two hosts for which the start of an instance allows, in milliseconds.
 const CLOCK_TOLERANCE_MS: u64 = 5_000;
 
@@ -30,7 +36,8 @@
 /// The instances that said that they leave.
 ///
 /// A notice holds whatever the platform's list says before or after it, and also while the list does not contain the
-/// instance. Only a later instance of the same upstream takes work again.
+/// instance. Only a later instance of the same upstream takes work again. The register grows with the list and never
+/// forgets an upstream that is listed.
 #[derive(Debug, Clone, Default)]
 pub struct LeavingRegister {
     entries: SortedMap<ObjectName, LeavingEntry>,
@@ -40,6 +47,15 @@
 impl LeavingRegister {
     /// Records a notice and returns whether the instance was not known to leave.
     pub fn record(&mut self, notice: &LeavingNotice) -> bool {
+        self.record_beside(notice, &SortedMap::new())
+    }
+
+    /// As [`Self::record`], but keeps the notices of the `listed` upstreams.
+    pub fn record_beside(
+        &mut self,
+        notice: &LeavingNotice,
+        listed: &SortedMap<ObjectName, UpstreamKey>,
+    ) -> bool {
         match self.entries.get_mut(&notice.id) {
             Some(entry) if notice.born_ms == entry.born_ms => {
                 entry.asked_ms = entry.asked_ms.max(notice.asked_ms);
@@ -55,8 +71,8 @@
             order: self.last_order,
         };
         self.entries.insert(notice.id.clone(), entry);
-        if self.entries.len() > UPSTREAM_LIMIT {
-            self.remove_oldest();
+        if self.entries.len() > UPSTREAM_LIMIT.max(listed.len() * REMEMBERED_PER_LISTED) {
+            self.remove_oldest(listed);
         }
         true
     }
@@ -88,8 +104,9 @@
         self.entries.is_empty()
     }
 
-    fn remove_oldest(&mut self) {
-        let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.order);
+    fn remove_oldest(&mut self, listed: &SortedMap<ObjectName, UpstreamKey>) {
+        let unlisted = self.entries.iter().filter(|(id, _)| listed.get(id).is_none());
+        let oldest = unlisted.min_by_key(|(_, entry)| entry.order);
         if let Some(id) = oldest.map(|(id, _)| id.clone()) {
             self.entries.remove(&id);
         }
--- a/crates/catkindeck-policy/src/direct/upstream_table.rs
+++ b/crates/catkindeck-policy/src/direct/upstream_table.rs
@@ -129,7 +129,7 @@
     /// Records the notice of an instance that it leaves, which need not be in the list. Returns whether
     /// that was not known.
     pub fn record_leaving(&mut self, notice: &LeavingNotice) -> bool {
-        self.leaving.record(notice)
+        self.leaving.record_beside(notice, &self.current)
     }
 
     /// Returns whether an instance said that it leaves. Nothing may be sent to it, also if a request
--- a/crates/catkindeck-policy/tests/leaving.rs
+++ b/crates/catkindeck-policy/tests/leaving.rs
@@ -173,6 +173,46 @@
     assert!(!register.contains(&name("upstream-0"), 1));
 }
 
+/// A release of the largest deployment: 6,000 upstreams leave and are listed for a while, or are replaced under new
+/// IDs while they drain. Work must go to none of those that left.
+#[test]
+fn a_release_of_all_upstreams_is_remembered_while_they_are_listed_or_drain() {
+    const UPSTREAMS: usize = 6_000;
+    let id = |release: usize, number: usize| format!("release-{release}-{number}");
+    let list = |release: usize| -> Vec<DiscoveredUpstream> {
+        (0..UPSTREAMS)
+            .map(|number| upstream(&id(release, number), 1, 1))
+            .collect()
+    };
+    let mut table = UpstreamTable::new();
+    table.apply(Moment(1_000), list(0));
+    for number in 0..UPSTREAMS {
+        table.record_leaving(&notice(&id(0, number), 1));
+    }
+    assert_eq!(selected(&table, Moment(1_000)), [None, None]);
+    assert_eq!(table.leaving_notices().len(), UPSTREAMS);
+
+    // The next ones leave at once, while some hosts still see the entries of the first.
+    table.apply(Moment(2_000), list(1));
+    for number in 0..UPSTREAMS {
+        table.record_leaving(&notice(&id(1, number), 1));
+    }
+    table.apply(Moment(3_000), list(0));
+    assert_eq!(selected(&table, Moment(3_000)), [None, None]);
+}
+
+/// One upstream drains for long while others come and go under new IDs.
+#[test]
+fn a_listed_upstream_is_remembered_however_many_leave_after_it() {
+    let mut table = UpstreamTable::new();
+    table.apply(Moment(1_000), vec![upstream("one", 1, 1)]);
+    table.record_leaving(&notice("one", 1));
+    for number in 0..10_000 {
+        table.record_leaving(&notice(&format!("upstream-{number}"), 1));
+    }
+    assert_eq!(selected(&table, Moment(1_000)), [None, None]);
+}
+
 #[derive(Debug, Clone)]
 enum TableStep {
     List {
