End the run of an engine that sends more events than output tokens

Cause: an engine that sends sound events without end let the text of an item grow until its job ended. Each event is valid, so neither the decoder nor the time between events ended the run.

Change: the caller states the item's maximum of output tokens, and an event holds at least one token. A run whose text has more events fails: the text is discarded, the engine gets a backoff, and the item is assigned again. Counted from the first event that this process received, because events are numbered upwards but not from a stated number.

Ruled out: `ItemOutcome::Failed`, which counts towards giving the item up; the item is sound.

Not bounded by this: the size of one event, which the decoder limits to 1 MiB.

--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -293,6 +293,9 @@
     }
 
     fn append_event(&mut self, event: &StreamEvent) -> Option<ItemRunOutcome> {
+        if let Some(ended) = self.check_length(event) {
+            return Some(ended);
+        }
         self.measure();
         self.version = event.version.or(self.version);
         self.observe_version(event.version);
@@ -322,6 +325,24 @@
         ))
     }
 
+    /// Ends the run if the text has more events than the item has output tokens. An event holds at least one token,
+    /// so the engine is faulty, and an engine that never ends would let the text grow until the job ends.
+    fn check_length(&self, event: &StreamEvent) -> Option<ItemRunOutcome> {
+        let mut state = self.job.job.borrow_mut();
+        let item = state.item(self.run.key);
+        let limit = self.core.ports.upstreams.max_output_tokens(item)?;
+        if state.text_events(self.run.key, event.number) <= limit {
+            return None;
+        }
+        state.discard_text(self.run.key);
+        self.run.guard.record_failure();
+        let detail = format!(
+            "event {} exceeds the item's maximum of {limit} output tokens",
+            event.number
+        );
+        Some(run_outcome(ItemOutcome::Interrupted, &detail))
+    }
+
     fn measure(&mut self) {
         let now = Instant::now();
         let since = self.last_event_at.replace(now);
--- a/crates/catkindeck-gateway/src/port/upstream.rs
+++ b/crates/catkindeck-gateway/src/port/upstream.rs
@@ -136,6 +136,9 @@
         call: &UpstreamCall<'_>,
     ) -> Result<Request<Bytes>, ServiceError>;
 
+    /// Returns the maximum number of output tokens of an item, if its caller states one.
+    fn max_output_tokens(&self, item: &JobItem) -> Option<u64>;
+
     /// Encodes a scorer call.
     ///
     /// # Errors
--- a/crates/catkindeck-policy/src/direct/job.rs
+++ b/crates/catkindeck-policy/src/direct/job.rs
@@ -197,6 +197,8 @@
 pub(super) struct ItemState {
     pub(super) phase: ItemPhase,
     pub(super) progress: ItemProgress,
+    /// The number of the text's first event that this process received.
+    first_event: Option<u64>,
     finished_at: Moment,
     /// When the last run ended.
     interrupted_at: Moment,
@@ -295,6 +297,7 @@
             items.insert(ItemState {
                 phase: ItemPhase::Waiting,
                 progress: ItemProgress::default(),
+                first_event: None,
                 finished_at: Moment(0),
                 interrupted_at: Moment(0),
                 scorer_called: false,
@@ -460,7 +463,9 @@
 
     /// Discards the text of an item because the next run cannot resume it.
     pub fn discard_text(&mut self, key: ItemKey) {
-        let progress = &mut self.state_mut(key).progress;
+        let state = self.state_mut(key);
+        state.first_event = None;
+        let progress = &mut state.progress;
         progress.text.clear();
         progress.last_event = None;
         progress.versions.clear();
@@ -549,10 +554,18 @@
         }
         progress.text.push_str(data);
         progress.last_event = Some(event);
+        state.first_event.get_or_insert(event);
         progress.software.get_or_insert_with(|| software.clone());
         true
     }
 
+    /// Returns the number of events that an item's text would have with an event, as far as this process received it.
+    /// It does not count those that a former owner received.
+    pub fn text_events(&self, key: ItemKey, event: u64) -> u64 {
+        let first = self.state(key).first_event.unwrap_or(event);
+        event.saturating_sub(first) + 1
+    }
+
     /// Records how a run ended.
     pub fn record_run_end(&mut self, now: Moment, key: ItemKey, outcome: ItemOutcome) {
         let has_scorer = self.item(key).scorer.is_some();
--- a/crates/catkindeck-policy/src/direct/leaving.rs
+++ b/crates/catkindeck-policy/src/direct/leaving.rs
@@ -105,7 +105,10 @@
     }
 
     fn remove_oldest(&mut self, listed: &SortedMap<ObjectName, UpstreamKey>) {
-        let unlisted = self.entries.iter().filter(|(id, _)| listed.get(id).is_none());
+        let unlisted = self
+            .entries
+            .iter()
+            .filter(|(id, _)| listed.get(id).is_none());
         let oldest = unlisted.min_by_key(|(_, entry)| entry.order);
         if let Some(id) = oldest.map(|(id, _)| id.clone()) {
             self.entries.remove(&id);
