Keep connections to upstreams that read a large request slowly

Cause: connections that this process opens had TCP_USER_TIMEOUT of 3 s, so that a cut or a host without power is noticed. The limit also runs while the other side's window is closed, although it acknowledges each window probe, so a sound upstream that read nothing for 3 s lost its request, which then counted as perhaps run.

Change: a request body of 16 KiB or more, which the receiver's buffer may not take at once, is sent with the limit of accepted connections (15 s). While its response is awaited, the link is probed by an attempt to connect, after 1 s and then each 3 s; two unanswered in a row end the request, 5 s after its start at the earliest. Smaller requests and all other clients keep 3 s and no probes.

Ruled out: TCP keep-alive probes, which the kernel does not send while data is queued; TCP_INFO and SIOCOUTQ, which need unsafe code here; a longer limit alone, which notices cuts after 15 s.

Known: a host that accepts no connection for 5 s while it reads nothing counts as dead.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -136,7 +136,7 @@
     ) -> Result<Self, ServiceError> {
         let metrics = GatewayMetrics::new(registry)?;
         let clients = GatewayClients {
-            upstreams: HttpClient::new(upstream_limits(&settings)),
+            upstreams: HttpClient::new(upstream_limits(&settings)).with_slow_readers(),
             orders: HttpClient::new(ORDER_LIMITS),
             peers: HttpClient::new(PEER_LIMITS),
         };
--- a/crates/catkindeck-net/src/client.rs
+++ b/crates/catkindeck-net/src/client.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        exchange::{CompleteResponse, HttpExchange, SendError, SendPermit},
+        exchange::{CompleteResponse, ExchangeOrigin, HttpExchange, SendError, SendPermit},
         pool::{ConnectionPool, OpenCount, PooledConnection},
     },
     bytes::Bytes,
@@ -32,6 +32,7 @@
     pool: ConnectionPool,
     open: OpenCount,
     opened: Cell<u64>,
+    has_slow_readers: bool,
 }
 
 impl HttpClient {
@@ -41,9 +42,18 @@
             pool: ConnectionPool::new(limits.open_connections / 2),
             open: OpenCount::default(),
             opened: Cell::new(0),
+            has_slow_readers: false,
         }
     }
 
+    /// Lets servers read large requests slowly: a connection whose server takes no byte is kept as long as the
+    /// server's host answers (`docs/design/slow-readers.md`).
+    #[must_use]
+    pub fn with_slow_readers(mut self) -> Self {
+        self.has_slow_readers = true;
+        self
+    }
+
     /// Sends a request and waits for the head of its response.
     ///
     /// A pooled connection that turns out to be closed before the request was written is replaced;
@@ -75,7 +85,7 @@
     ) -> Result<HttpExchange, SendError> {
         let mut request = request;
         while let Some(connection) = self.pool.take(address, self.limits.idle) {
-            match HttpExchange::start(connection, request, permit, self.pool_handle()).await {
+            match HttpExchange::start(connection, request, permit, self.origin()).await {
                 Err((send_error, Some(unsent))) if send_error.was_reused => request = unsent,
                 outcome => return outcome.map_err(|(send_error, _)| send_error),
             }
@@ -117,7 +127,7 @@
             .await
             .map_err(|error| SendError::not_sent(error.to_string()))?;
         self.opened.set(self.opened.get() + 1);
-        HttpExchange::start(connection, request, permit, self.pool_handle())
+        HttpExchange::start(connection, request, permit, self.origin())
             .await
             .map_err(|(send_error, _)| send_error)
     }
@@ -191,7 +201,11 @@
         self.opened.get()
     }
 
-    fn pool_handle(&self) -> (ConnectionPool, usize) {
-        (self.pool.clone(), self.limits.idle_connections)
+    fn origin(&self) -> ExchangeOrigin {
+        ExchangeOrigin {
+            pool: self.pool.clone(),
+            capacity: self.limits.idle_connections,
+            has_slow_readers: self.has_slow_readers,
+        }
     }
 }
--- a/crates/catkindeck-net/src/exchange.rs
+++ b/crates/catkindeck-net/src/exchange.rs
@@ -1,7 +1,10 @@
 //! One request and its response on a connection.
 
 use {
-    crate::pool::{ConnectionPool, PooledConnection},
+    crate::{
+        link::{LARGE_BODY_BYTES, await_dead_link},
+        pool::{ConnectionPool, PooledConnection},
+    },
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, Request, StatusCode, header, response::Parts},
     http_body_util::{BodyExt, Full},
@@ -65,6 +68,15 @@
     pub body: Bytes,
 }
 
+/// What an exchange needs of its client.
+pub(crate) struct ExchangeOrigin {
+    pub(crate) pool: ConnectionPool,
+    /// The maximum number of idle connections kept per address.
+    pub(crate) capacity: usize,
+    /// Whether servers may read large requests slowly.
+    pub(crate) has_slow_readers: bool,
+}
+
 /// A response whose body has not been read yet.
 ///
 /// Dropping it before the end closes the connection, which cancels the request.
@@ -83,10 +95,11 @@
         connection: PooledConnection,
         request: Request<Bytes>,
         permit: SendPermit<'_>,
-        (pool, capacity): (ConnectionPool, usize),
+        origin: ExchangeOrigin,
     ) -> Result<Self, (SendError, Option<Request<Bytes>>)> {
         let mut connection = connection;
         let was_reused = connection.reused;
+        let bytes = request.body().len();
         let sent = request.map(Full::new);
         if let Err(error) = connection.sender.ready().await {
             let send_error = SendError {
@@ -99,7 +112,17 @@
             let detail = "the permission to send the request has ended".to_owned();
             return Err((SendError::not_sent(detail), None));
         }
-        let response = match connection.sender.try_send_request(sent).await {
+        let is_patient = origin.has_slow_readers && bytes >= LARGE_BODY_BYTES;
+        connection.patience.set(is_patient);
+        let address = connection.address;
+        let response = tokio::select! {
+            response = connection.sender.try_send_request(sent) => response,
+            () = await_dead_link(address), if is_patient => {
+                let detail = format!("{address} answers no connection while it takes no request");
+                return Err((SendError::maybe_received(detail), None));
+            }
+        };
+        let response = match response {
             Ok(response) => response,
             Err(mut error) => {
                 let unsent = error.take_message().map(with_plain_body);
@@ -119,8 +142,8 @@
             head,
             body,
             connection: Some(connection),
-            pool,
-            capacity,
+            pool: origin.pool,
+            capacity: origin.capacity,
         })
     }
 
--- /dev/null
+++ b/crates/catkindeck-net/src/link.rs
@@ -0,0 +1,144 @@
+//! Tells a server that reads slowly from a link that is dead.
+//!
+//! Both take no byte of a request. The host of a slow server still answers attempts to connect
+//! (`docs/design/slow-readers.md`).
+
+use {
+    crate::socket,
+    std::{
+        cell::Cell,
+        io,
+        net::SocketAddr,
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+        time::sleep,
+    },
+};
+
+/// The size of a body from which a server may read it slowly, in bytes. The receive buffer of a server takes a smaller
+/// one at once, so that only a dead link leaves it unacknowledged.
+pub const LARGE_BODY_BYTES: usize = 16 << 10;
+
+/// The time without a response before the link is probed.
+const PROBE_DELAY: Duration = Duration::from_secs(1);
+
+/// The pause after a probe that was answered.
+const PROBE_INTERVAL: Duration = Duration::from_secs(3);
+
+/// The timeout of a probe: a round trip and one retransmission of the opening packet.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The number of unanswered probes after which the link is dead. One may be lost, or meet a full queue of new
+/// connections.
+const MAX_LOST_PROBES: u32 = 2;
+
+/// Whether the server of a connection may leave a request unread for some seconds. Shared by the user of the
+/// connection, which sets it, and the connection, which applies it before it writes.
+#[derive(Debug, Clone, Default)]
+pub struct ReaderPatience(Rc<Cell<bool>>);
+
+impl ReaderPatience {
+    pub fn set(&self, is_patient: bool) {
+        self.0.set(is_patient);
+    }
+}
+
+/// Waits until the host of a server answers no attempts to connect.
+pub async fn await_dead_link(address: SocketAddr) {
+    let mut lost = 0;
+    let mut pause = PROBE_DELAY;
+    while lost < MAX_LOST_PROBES {
+        sleep(pause).await;
+        lost = match is_answered(address).await {
+            true => 0,
+            false => lost + 1,
+        };
+        pause = match lost {
+            0 => PROBE_INTERVAL,
+            _ => Duration::ZERO,
+        };
+    }
+}
+
+async fn is_answered(address: SocketAddr) -> bool {
+    match socket::connect(address, PROBE_TIMEOUT).await {
+        Ok(_) => true,
+        // A host that runs, but not the server, has already reset the connection in question.
+        Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+    }
+}
+
+/// A connection to a server, with the limits that its [`ReaderPatience`] demands.
+#[derive(Debug)]
+pub struct PatientStream {
+    stream: TcpStream,
+    patience: ReaderPatience,
+    is_patient: bool,
+}
+
+impl PatientStream {
+    pub fn new(stream: TcpStream, patience: ReaderPatience) -> Self {
+        Self {
+            stream,
+            patience,
+            is_patient: false,
+        }
+    }
+
+    fn apply_patience(&mut self) -> io::Result<()> {
+        let is_patient = self.patience.0.get();
+        if is_patient != self.is_patient {
+            socket::set_slow_reader(&self.stream, is_patient)?;
+            self.is_patient = is_patient;
+        }
+        Ok(())
+    }
+}
+
+impl AsyncRead for PatientStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for PatientStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.apply_patience()?;
+        Pin::new(&mut self.stream).poll_write(context, buffer)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.apply_patience()?;
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/catkindeck-net/src/pool.rs
+++ b/crates/catkindeck-net/src/pool.rs
@@ -1,7 +1,10 @@
 //! A pool of client connections, by address.
 
 use {
-    crate::socket,
+    crate::{
+        link::{PatientStream, ReaderPatience},
+        socket,
+    },
     bytes::Bytes,
     catkindeck::SortedMap,
     http_body_util::Full,
@@ -59,6 +62,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// Whether the connection was used for an earlier exchange.
     pub(crate) reused: bool,
+    /// Whether the server may read the present request slowly.
+    pub(crate) patience: ReaderPatience,
     idle_limit: Option<Duration>,
     idle_since: Instant,
     driver: JoinHandle<()>,
@@ -75,6 +80,8 @@
         counted: OpenGuard,
     ) -> io::Result<Self> {
         let stream = socket::connect(address, limit).await?;
+        let patience = ReaderPatience::default();
+        let stream = PatientStream::new(stream, patience.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -88,6 +95,7 @@
             address,
             sender,
             reused: false,
+            patience,
             idle_limit: None,
             idle_since: Instant::now(),
             driver,
--- a/crates/catkindeck-net/src/socket.rs
+++ b/crates/catkindeck-net/src/socket.rs
@@ -12,14 +12,17 @@
 /// The time after which unacknowledged data closes a connection, in milliseconds.
 ///
 /// A host behind a network partition or without power does not respond, and the system's default is
-/// minutes. Three seconds exceed the longest round trip plus two retransmissions.
+/// minutes. Three seconds exceed the longest round trip plus two retransmissions. The limit also counts while a window
+/// is closed, so it suits data that the receiver's buffer takes at once.
 const USER_TIMEOUT_MS: u32 = 3_000;
 
-/// The same time for an accepted connection, in milliseconds.
+/// The same time for a connection whose other side may read slowly, in milliseconds: an accepted one, or one that
+/// carries a large request.
 ///
-/// Data is also unacknowledged while the caller does not read, which may last as long as the longest deadline of
-/// callers. How long a response may wait unread is the server's own limit.
-const ACCEPTED_USER_TIMEOUT_MS: u32 = 15_000;
+/// Data is also unacknowledged while the other side does not read, which may last as long as the longest deadline of
+/// callers. How long a response may wait unread is the server's own limit, and a link that carries a large request is
+/// probed (`link.rs`).
+const SLOW_USER_TIMEOUT_MS: u32 = 15_000;
 
 /// The idle time before the first keep-alive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -73,7 +76,20 @@
 ///
 /// Returns the system's error.
 pub fn set_accepted_options(stream: &TcpStream) -> io::Result<()> {
-    set_limited_options(stream, ACCEPTED_USER_TIMEOUT_MS)
+    set_limited_options(stream, SLOW_USER_TIMEOUT_MS)
+}
+
+/// Sets whether the other side of a connection that this process has opened may read slowly.
+///
+/// # Errors
+///
+/// Returns the system's error.
+pub fn set_slow_reader(stream: &TcpStream, is_slow: bool) -> io::Result<()> {
+    let timeout_ms = match is_slow {
+        true => SLOW_USER_TIMEOUT_MS,
+        false => USER_TIMEOUT_MS,
+    };
+    Ok(sockopt::set_tcp_user_timeout(stream, timeout_ms)?)
 }
 
 fn set_limited_options(stream: &TcpStream, user_timeout_ms: u32) -> io::Result<()> {
