Send the other processes what changed in the list of upstreams

Ruled out: starts of items.

Change: the leader keeps the version in which each record last changed and answers with the records that are new since the version of the query, decoded. A process that read the store itself, or that the leader cannot place, gets the complete list. The call is a new one, and whole lists are still served to earlier builds and requested from them. The limit of 600 ms holds for each page of a listing.

--- a/crates/catkindeck-gateway/src/feed.rs
+++ b/crates/catkindeck-gateway/src/feed.rs
@@ -3,10 +3,14 @@
 //! Every process needs the desired state and the list of upstreams about once a second. The leader reads
 //! them for all processes, so that the number of store calls does not grow with the number of processes.
 //! A process that gets no updates from the leader reads the store itself.
+//!
+//! Of the list of upstreams only what changed is sent ([`UpstreamHistory`]): with thousands of upstreams and a
+//! hundred processes, whole lists exceed the leader's link and CPU time.
 
 use {
     crate::{core::GatewayCore, keys::MemberRecord, port::StoreItem},
     catkindeck::{ErrorKind, Moment, ServiceError, message},
+    catkindeck_policy::direct::{DiscoveredUpstream, UpstreamChangeset, UpstreamHistory},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -37,6 +41,7 @@
 pub struct StoreFeed {
     intents: PrefixSnapshot,
     upstreams: PrefixSnapshot,
+    history: RefCell<UpstreamHistory>,
     changed: Notify,
 }
 
@@ -62,6 +67,18 @@
     pub members: Vec<MemberRecord>,
 }
 
+/// As [`FeedUpdate`], with only the changes of the list of upstreams, decoded.
+#[message]
+pub struct FeedChanges {
+    pub intents: FeedContent,
+    pub upstreams: UpstreamChangeset,
+    /// The time since the latest read of the list of upstreams was sent, in milliseconds.
+    pub upstreams_age_ms: u64,
+    /// The number of reads of the list of upstreams so far.
+    pub reads: u64,
+    pub members: Vec<MemberRecord>,
+}
+
 /// The items of one prefix in a feed update.
 #[message]
 pub struct FeedContent {
@@ -75,14 +92,22 @@
 }
 
 impl StoreFeed {
-    /// Stores the results of two reads, each with the time just before the read was sent.
-    pub fn publish(&self, intents: (Moment, &[StoreItem]), upstreams: (Moment, &[StoreItem])) {
+    /// Stores the results of two reads, each with the time just before the read was sent, and the decoded list of
+    /// upstreams.
+    pub fn publish(
+        &self,
+        intents: (Moment, &[StoreItem]),
+        upstreams: (Moment, &[StoreItem]),
+        list: &[DiscoveredUpstream],
+    ) {
         self.intents.publish(intents);
         self.upstreams.publish(upstreams);
+        self.history.borrow_mut().record_list(list);
         self.changed.notify_waiters();
     }
 
-    /// Answers a query when the list of upstreams was read again, or after [`FEED_WAIT_MS`].
+    /// Answers a query of a process of an earlier build when the list of upstreams was read again, or after
+    /// [`FEED_WAIT_MS`].
     ///
     /// # Errors
     ///
@@ -92,33 +117,65 @@
         core: &GatewayCore,
         query: &FeedQuery,
     ) -> Result<FeedUpdate, ServiceError> {
+        self.await_read(query.reads).await;
+        let now = core.now();
+        let intents = self.intents.update(now, query.intents);
+        let upstreams = self.upstreams.update(now, query.upstreams);
+        Ok(FeedUpdate {
+            intents: intents.ok_or_else(unread_error)?,
+            upstreams: upstreams.ok_or_else(unread_error)?,
+            reads: self.upstreams.reads.get(),
+            members: core.members.borrow().clone(),
+        })
+    }
+
+    /// Answers a query for changes when the list of upstreams was read again, or after [`FEED_WAIT_MS`].
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::answer`].
+    pub async fn answer_changes(
+        &self,
+        core: &GatewayCore,
+        query: &FeedQuery,
+    ) -> Result<FeedChanges, ServiceError> {
+        self.await_read(query.reads).await;
+        let now = core.now();
+        let intents = self.intents.update(now, query.intents);
+        let upstreams_at = self.upstreams.read_at.get().ok_or_else(unread_error)?;
+        let upstreams = self.history.borrow().changes_since(query.upstreams);
+        let sent = u64::try_from(upstreams.records.len()).unwrap_or(u64::MAX);
+        core.metrics.load.feed_records.inc_by(sent);
+        Ok(FeedChanges {
+            intents: intents.ok_or_else(unread_error)?,
+            upstreams,
+            upstreams_age_ms: now.since(upstreams_at),
+            reads: self.upstreams.reads.get(),
+            members: core.members.borrow().clone(),
+        })
+    }
+
+    /// Waits for a read of the list of upstreams that a querying process does not know, for at most
+    /// [`FEED_WAIT_MS`].
+    async fn await_read(&self, known_reads: u64) {
         let until = Instant::now() + Duration::from_millis(FEED_WAIT_MS);
         loop {
             let changed = self.changed.notified();
-            let has_new_read = self.upstreams.reads.get() != query.reads;
+            let has_new_read = self.upstreams.reads.get() != known_reads;
             if has_new_read || timeout_at(until, changed).await.is_err() {
-                break;
+                return;
             }
         }
-        let now = core.now();
-        match (
-            self.intents.update(now, query.intents),
-            self.upstreams.update(now, query.upstreams),
-        ) {
-            (Some(intents), Some(upstreams)) => Ok(FeedUpdate {
-                intents,
-                upstreams,
-                reads: self.upstreams.reads.get(),
-                members: core.members.borrow().clone(),
-            }),
-            _ => Err(ServiceError::not_run(
-                ErrorKind::StoreUnavailable,
-                "this process has not read the store yet",
-            )),
-        }
     }
 }
 
+fn unread_error() -> ServiceError {
+    ServiceError::not_run(
+        ErrorKind::StoreUnavailable,
+        "this process has not read the store yet",
+    )
+}
+
 impl PrefixSnapshot {
     fn publish(&self, (sent, items): (Moment, &[StoreItem])) {
         let is_same = self.items.borrow().as_slice() == items;
--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -11,15 +11,13 @@
     catkindeck_policy::direct::{
         MIN_LOAD_MS, ModelPlacement, ShareBalance, ShareChange, TargetVersion, UpstreamKey,
         UpstreamTable, WeightLoadPlanner, WeightLoadTask, current_engines, model_pools,
+        plan_pause_ms,
     },
     slog::Logger,
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
-/// How often the rollout is planned.
-const PLAN_INTERVAL: Duration = Duration::from_millis(50);
-
 /// How long an upstream gets no further order while the outcome of an order is unknown, in milliseconds.
 const UNKNOWN_OUTCOME_PAUSE_MS: u64 = 1_500;
 
@@ -61,19 +59,24 @@
             for task in self.plan() {
                 tokio::task::spawn_local(Rc::clone(&self).order(task));
             }
-            sleep(PLAN_INTERVAL).await;
+            sleep(self.pause()).await;
         }
     }
 
+    /// Returns the time until the next round.
+    fn pause(&self) -> Duration {
+        let core = &self.election.core;
+        let engines = count_engines(&core.roster.borrow());
+        let targets = core.intent.borrow().target_versions().len();
+        Duration::from_millis(plan_pause_ms(engines * targets))
+    }
+
     fn plan(&self) -> Vec<WeightLoadTask> {
         let core = &self.election.core;
         let now = core.now();
         let view = core.intent.borrow();
         let roster = core.roster.borrow();
-        let engines = roster
-            .iter()
-            .filter(|(_, state)| !state.record.weights.is_empty())
-            .count();
+        let engines = count_engines(&roster);
         let planner = WeightLoadPlanner {
             max_concurrent: engines.div_ceil(CONCURRENT_LOAD_DIVISOR).max(1),
         };
@@ -320,6 +323,13 @@
     }
 }
 
+fn count_engines(roster: &UpstreamTable) -> usize {
+    let engines = roster.iter();
+    engines
+        .filter(|(_, state)| !state.record.weights.is_empty())
+        .count()
+}
+
 fn log_change(logger: &Logger, change: &ShareChange) {
     let models = change.models.iter().map(|share| {
         format!(
--- a/crates/catkindeck-gateway/src/load_metrics.rs
+++ b/crates/catkindeck-gateway/src/load_metrics.rs
@@ -15,6 +15,8 @@
     pub leaving_upstreams: IntGauge,
     /// Requests that were assigned to an upstream and not sent, because it leaves.
     pub withheld: IntCounter,
+    /// Records of upstreams that this process sent to others as changes of the list.
+    pub feed_records: IntCounter,
 }
 
 impl LoadMetrics {
@@ -54,6 +56,10 @@
                 "catkindeck_gateway_withheld_requests_total",
                 "Requests that were not sent to the upstream of their choice, because it leaves.",
             )?,
+            feed_records: counter(
+                "catkindeck_gateway_feed_records_total",
+                "Records of upstreams sent to other processes as changes of the list.",
+            )?,
         })
     }
 }
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -7,7 +7,7 @@
     crate::{
         core::GatewayCore,
         events::PEER_FAILED,
-        feed::{FeedQuery, FeedUpdate},
+        feed::{FeedChanges, FeedQuery, FeedUpdate},
         jobs::{JobService, backup::JobTextUpdate, demand::DemandReport},
         keys::{self, JobRecord, MemberRecord},
         leaving::LeavingCall,
@@ -99,7 +99,8 @@
         /// The indices of the requested items, in ascending order.
         items: Vec<u32>,
     },
-    /// Requests updates of the data that the receiver read from the store.
+    /// Requests updates of the data that the receiver read from the store, with whole lists; the call of earlier
+    /// builds.
     Feed(FeedQuery),
     /// Makes a store call through the receiver.
     Store(Box<StoreCall>),
@@ -121,6 +122,8 @@
     Leaving(LeavingCall),
     /// Reports the demand of the sender's jobs to the leader.
     Demand(DemandReport),
+    /// Requests the changes of the data that the receiver read from the store.
+    FeedChanges(FeedQuery),
 }
 
 /// A call to be forwarded to another process.
@@ -184,6 +187,7 @@
     Origin(OriginAnswer),
     /// The notices of upstreams that leave of which the receiver knows.
     Leaving(Vec<LeavingNotice>),
+    FeedChanges(Box<FeedChanges>),
 }
 
 #[message]
@@ -312,6 +316,10 @@
                 let update = self.core.feed.answer(&self.core, &query).await?;
                 Ok(PeerResponse::Feed(Box::new(update)))
             }
+            PeerCall::FeedChanges(query) => {
+                let changes = self.core.feed.answer_changes(&self.core, &query).await?;
+                Ok(PeerResponse::FeedChanges(Box::new(changes)))
+            }
             PeerCall::WeightLoads(notices) => {
                 for notice in notices {
                     self.core.record_weight_load(&notice);
--- a/crates/catkindeck-gateway/src/port/store.rs
+++ b/crates/catkindeck-gateway/src/port/store.rs
@@ -95,6 +95,14 @@
     /// Reads all keys with a prefix. The read is linearizable, as in [`Self::read`].
     fn list<'a>(&'a self, prefix: &'a str) -> LocalFuture<'a, Result<StoreListing, ServiceError>>;
 
+    /// As [`Self::list`], with a limit for each page of the listing: a list of thousands of keys takes longer than
+    /// a single key, and while pages arrive the store answers.
+    fn list_pages<'a>(
+        &'a self,
+        prefix: &'a str,
+        page_limit: Duration,
+    ) -> LocalFuture<'a, Result<StoreListing, ServiceError>>;
+
     /// Waits for up to `wait` for changes of keys with a prefix after a revision.
     fn watch<'a>(
         &'a self,
--- a/crates/catkindeck-gateway/src/relay.rs
+++ b/crates/catkindeck-gateway/src/relay.rs
@@ -223,13 +223,7 @@
             let outcome = match peers.is_empty() {
                 true => self.call_direct(&call).await,
                 // An unresponsive connection must not use up the validity of a lease or of a freshness proof.
-                false => match timeout(DIRECT_TIMEOUT, self.call_direct(&call)).await {
-                    Ok(outcome) => outcome,
-                    Err(_) => Err(ServiceError::unknown(
-                        ErrorKind::StoreUnavailable,
-                        format!("the store did not answer within {DIRECT_TIMEOUT:?}"),
-                    )),
-                },
+                false => self.call_direct_in_time(&call).await,
             };
             self.update_direct_state(&outcome);
             match outcome {
@@ -269,6 +263,22 @@
         })
     }
 
+    /// Makes a direct call within [`DIRECT_TIMEOUT`], which holds for each page of a listing.
+    async fn call_direct_in_time(&self, call: &StoreCall) -> Result<StoreResponse, ServiceError> {
+        if let StoreCall::List(prefix) = call {
+            self.count(call.name());
+            let listing = self.direct.list_pages(prefix, DIRECT_TIMEOUT).await?;
+            return Ok(StoreResponse::Listing(listing));
+        }
+        let outcome = timeout(DIRECT_TIMEOUT, self.call_direct(call)).await;
+        outcome.unwrap_or_else(|_| {
+            Err(ServiceError::unknown(
+                ErrorKind::StoreUnavailable,
+                format!("the store did not answer within {DIRECT_TIMEOUT:?}"),
+            ))
+        })
+    }
+
     async fn call_direct(&self, call: &StoreCall) -> Result<StoreResponse, ServiceError> {
         self.count(call.name());
         let store = &self.direct;
@@ -386,6 +396,14 @@
         })
     }
 
+    fn list_pages<'a>(
+        &'a self,
+        prefix: &'a str,
+        _page_limit: Duration,
+    ) -> LocalFuture<'a, Result<StoreListing, ServiceError>> {
+        self.list(prefix)
+    }
+
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -7,14 +7,14 @@
             CONFIG_IN_USE, FEED_LOST, FEED_REGAINED, INTENT_FAULT, STORE_LOST, STORE_REGAINED,
             UPSTREAM_APPEARED, UPSTREAM_DRAINING, UPSTREAM_REMOVED, ZONES_CHANGED,
         },
-        feed::{FEED_WAIT_MS, FeedQuery, FeedUpdate},
+        feed::{FEED_WAIT_MS, FeedChanges, FeedContent, FeedQuery, FeedUpdate},
         keys::MemberRecord,
         peer::{PeerCall, PeerResponse},
         port::StoreItem,
         task::spawn_supervised,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, id::IncarnationId, log_event},
-    catkindeck_policy::direct::DiscoveredUpstream,
+    catkindeck_policy::direct::{DiscoveredUpstream, UpstreamChangeset},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -47,6 +47,56 @@
 /// How long this process does without the feed after the feed failed.
 const FEED_RETRY_PAUSE: Duration = Duration::from_millis(2_000);
 
+/// What the leader answered, in the form of this build or of an earlier one.
+struct FeedAnswer {
+    intents: FeedContent,
+    upstreams: FeedList,
+    upstreams_age_ms: u64,
+    reads: u64,
+    members: Vec<MemberRecord>,
+}
+
+/// The list of upstreams in the leader's answer.
+enum FeedList {
+    /// What changed in the list.
+    Changes(UpstreamChangeset),
+    /// The items of the whole list with their version; `None` if they did not change.
+    Items(Option<Vec<StoreItem>>, u64),
+}
+
+impl FeedList {
+    fn version(&self) -> u64 {
+        match self {
+            Self::Changes(changes) => changes.version,
+            Self::Items(_, version) => *version,
+        }
+    }
+}
+
+impl From<FeedChanges> for FeedAnswer {
+    fn from(changes: FeedChanges) -> Self {
+        Self {
+            intents: changes.intents,
+            upstreams: FeedList::Changes(changes.upstreams),
+            upstreams_age_ms: changes.upstreams_age_ms,
+            reads: changes.reads,
+            members: changes.members,
+        }
+    }
+}
+
+impl From<FeedUpdate> for FeedAnswer {
+    fn from(update: FeedUpdate) -> Self {
+        Self {
+            intents: update.intents,
+            upstreams: FeedList::Items(update.upstreams.items, update.upstreams.version),
+            upstreams_age_ms: update.upstreams.age_ms,
+            reads: update.reads,
+            members: update.members,
+        }
+    }
+}
+
 /// Keeps the view of the desired state and the roster of upstreams up to date.
 pub struct StoreSync {
     core: Rc<GatewayCore>,
@@ -54,6 +104,10 @@
     /// Whether the leader's feed delivers updates.
     is_feed_active: Cell<bool>,
     feed_position: RefCell<(Option<IncarnationId>, FeedQuery)>,
+    /// A leader of an earlier build, which sends whole lists.
+    former_leader: Cell<Option<IncarnationId>>,
+    /// How often this process itself read the list of upstreams.
+    own_reads: Cell<u64>,
     /// When the current desired state was read.
     intents_at: Cell<Moment>,
     /// When the feed's latest data was read from the store, according to its age.
@@ -70,6 +124,8 @@
             is_store_lost: Cell::new(false),
             is_feed_active: Cell::new(false),
             feed_position: RefCell::new((None, FeedQuery::default())),
+            former_leader: Cell::new(None),
+            own_reads: Cell::new(0),
             intents_at: Cell::new(Moment(0)),
             feed_read_at: Cell::new(Moment(0)),
             upstreams: RefCell::new(Vec::new()),
@@ -150,21 +206,14 @@
         // The age in the response is measured after this moment, so the data is at most this old, counted from
         // here.
         let sent = self.core.now();
-        let call = PeerCall::Feed(query);
-        let wait = Duration::from_millis(FEED_WAIT_MS);
-        let response = self.core.call_peer(leader.peer, &call, wait).await?;
-        let update = match response {
-            PeerResponse::Feed(update) => update,
-            PeerResponse::Refused(error) => return Err(error),
-            _ => {
-                let detail = "the leader answered a feed request with a response of another type";
-                return Err(ServiceError::unknown(ErrorKind::PeerUnavailable, detail));
-            }
-        };
-        let oldest = update.intents.age_ms.max(update.upstreams.age_ms);
+        let own_reads = self.own_reads.get();
+        let answer = self.call_leader(leader, query).await?;
+        let oldest = answer.intents.age_ms.max(answer.upstreams_age_ms);
         let now = self.core.now();
         self.feed_read_at.set(now - oldest);
-        self.apply_update(sent, *update);
+        // What changed since an earlier list does not lead on from the list that was read meanwhile.
+        let is_continued = own_reads == self.own_reads.get();
+        self.apply_answer(sent, answer, is_continued);
         if oldest < OUTAGE_FEED_AGE_MS {
             self.core.relay.record_reached();
         }
@@ -178,30 +227,70 @@
         }
     }
 
-    fn apply_update(&self, sent: Moment, update: FeedUpdate) {
-        let intents_at = sent - update.intents.age_ms;
-        let upstreams_at = sent - update.upstreams.age_ms;
-        *self.core.members.borrow_mut() = update.members;
-        let is_applied = match update.intents.items {
+    /// Requests changes from the leader, or whole lists if it is of an earlier build.
+    async fn call_leader(
+        &self,
+        leader: &MemberRecord,
+        query: FeedQuery,
+    ) -> Result<FeedAnswer, ServiceError> {
+        let wait = Duration::from_millis(FEED_WAIT_MS);
+        let is_former = self.former_leader.get() == Some(leader.incarnation);
+        let call = match is_former {
+            true => PeerCall::Feed(query),
+            false => PeerCall::FeedChanges(query),
+        };
+        match self.core.call_peer(leader.peer, &call, wait).await? {
+            PeerResponse::FeedChanges(changes) => Ok(FeedAnswer::from(*changes)),
+            PeerResponse::Feed(update) => Ok(FeedAnswer::from(*update)),
+            // A leader of an earlier build cannot decode the call.
+            PeerResponse::Refused(error) if !is_former && error.kind == ErrorKind::Internal => {
+                self.former_leader.set(Some(leader.incarnation));
+                self.feed_position.borrow_mut().1.upstreams = 0;
+                Err(error)
+            }
+            PeerResponse::Refused(error) => Err(error),
+            _ => {
+                let detail = "the leader answered a feed request with a response of another type";
+                Err(ServiceError::unknown(ErrorKind::PeerUnavailable, detail))
+            }
+        }
+    }
+
+    /// Applies the leader's answer. Without `is_continued`, changes of the list of upstreams are left out and the
+    /// complete list is requested next.
+    fn apply_answer(&self, sent: Moment, answer: FeedAnswer, is_continued: bool) {
+        let intents_at = sent - answer.intents.age_ms;
+        let upstreams_at = sent - answer.upstreams_age_ms;
+        *self.core.members.borrow_mut() = answer.members;
+        let is_applied = match answer.intents.items {
             Some(items) => self.apply_intents(intents_at, &items),
             None => true,
         };
         // Discarded items must be sent again, so their version does not count as known.
         let known_intents = match is_applied {
-            true => update.intents.version,
+            true => answer.intents.version,
+            false => 0,
+        };
+        let known_upstreams = match is_continued {
+            true => answer.upstreams.version(),
             false => 0,
         };
         self.feed_position.borrow_mut().1 = FeedQuery {
             intents: known_intents,
-            upstreams: update.upstreams.version,
-            reads: update.reads,
+            upstreams: known_upstreams,
+            reads: answer.reads,
         };
         self.core.freshness.borrow_mut().record_read(intents_at);
-        match update.upstreams.items {
-            Some(items) => self.replace_upstreams(upstreams_at, &items),
+        match answer.upstreams {
+            FeedList::Items(Some(items), _) => self.replace_upstreams(upstreams_at, &items),
+            FeedList::Changes(changes) if is_continued => {
+                changes.apply_to(&mut self.upstreams.borrow_mut());
+                self.apply_upstreams(upstreams_at);
+            }
+            FeedList::Changes(_) => {}
             // An unchanged list confirms that no upstream has lapsed, which ends the grace period after an
             // outage.
-            None => self.apply_upstreams(upstreams_at),
+            FeedList::Items(None, _) => self.apply_upstreams(upstreams_at),
         }
     }
 
@@ -217,10 +306,13 @@
         let upstreams_at = core.now();
         let prefix = core.ports.intents.upstream_prefix();
         let upstreams = core.ports.store.list(prefix).await?;
+        self.own_reads.set(self.own_reads.get() + 1);
+        self.feed_position.borrow_mut().1.upstreams = 0;
         self.replace_upstreams(upstreams_at, &upstreams.items);
         core.feed.publish(
             (intents_at, &intents.items),
             (upstreams_at, &upstreams.items),
+            &self.upstreams.borrow(),
         );
         Ok(())
     }
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -19,6 +19,7 @@
 pub mod permits;
 pub mod plain_load;
 pub mod plain_room;
+pub mod plan_pace;
 pub mod rate;
 pub mod request_rate;
 pub mod return_time;
@@ -29,6 +30,7 @@
 pub mod stream_origin;
 pub mod text_length;
 pub mod upstream;
+pub mod upstream_changes;
 pub mod upstream_limit;
 pub mod upstream_table;
 pub mod wall_clock;
@@ -59,6 +61,7 @@
     permits::{PermitAllocator, PermitPool},
     plain_load::{PlainLoad, PlainPace},
     plain_room::{MAX_SCORE_WAIT_MS, PlainPlaces, PlainRoom, ScoreEnd, ScoreTicket},
+    plan_pace::plan_pause_ms,
     rate::RateWindow,
     request_rate::{RateBucket, RequestRate},
     return_time::{MIN_RETURN_MS, RefusalCause, RefusedRequest, ReturnSchedule},
@@ -69,6 +72,7 @@
     stream_origin::{OriginTable, StreamKey, VersionHistory},
     text_length::{TextDemand, TextLengths},
     upstream::{DiscoveredUpstream, ModelWeights, SoftwareVersion, UpstreamKey, UpstreamState},
+    upstream_changes::{REMOVED_LIMIT, UpstreamChangeset, UpstreamHistory},
     upstream_limit::{LimitHeader, UpstreamLimit},
     upstream_table::{UpstreamChanges, UpstreamTable},
     wall_clock::{ClockChange, WallClockFilter},
