Wake the next request of the fake engine's queue when one takes its slot

A request of the fake engine that found another one ahead of it in the queue waited for a notification, but the one ahead took its slot without sending one. As long as no request ended, the others stayed in the queue although slots were free.

Ruled out: the agent. Its queue had started the requests; they stood in the queue of the stand-in.

Change: a request that takes a slot notifies the others.

Conclusion: a fault of the stand-in; no check of the agent's test changed.

--- a/tests/fakes/src/engine.rs
+++ b/tests/fakes/src/engine.rs
@@ -217,6 +217,9 @@
                 return false;
             }
             if state.take_slot(ticket) {
+                drop(state);
+                // The next request in the queue may have found that it was not first.
+                self.shared.changed.notify_all();
                 return true;
             }
             state = self
--- a/tests/fakes/tests/engine.rs
+++ b/tests/fakes/tests/engine.rs
@@ -124,3 +124,35 @@
     engine.update_settings(|settings| settings.frozen = false);
     assert_eq!(first.join().unwrap().unwrap().len(), 2);
 }
+
+/// Guards against a request that waits although slots are free: it found another one ahead of it in the queue, which
+/// then took its slot without waking it. No request ends meanwhile, so nothing else would.
+#[test]
+fn simultaneous_requests_all_get_free_slots() {
+    const REQUESTS: u32 = 24;
+    const ROUNDS: u32 = 40;
+    for round in 0..ROUNDS {
+        let (engine, address) = start_engine(EngineSettings {
+            slots: REQUESTS,
+            frozen: true,
+            ..EngineSettings::default()
+        });
+        let clients: Vec<_> = (0..REQUESTS)
+            .map(|index| {
+                let id = format!("{round} {index}");
+                let body = json!({"request_id": id, "prompt": id, "max_tokens": 1});
+                std::thread::spawn(move || post_completion(address, &body))
+            })
+            .collect();
+        let mut polls_left = 2_000;
+        while engine.state()["running"] != REQUESTS {
+            assert!(polls_left > 0, "{}", engine.state());
+            polls_left -= 1;
+            std::thread::sleep(std::time::Duration::from_millis(5));
+        }
+        engine.update_settings(|settings| settings.frozen = false);
+        for client in clients {
+            assert_eq!(client.join().unwrap().unwrap().len(), 2);
+        }
+    }
+}
