--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -16,15 +16,19 @@
         ErrorKind, ServiceError,
         config::{ConfigSnapshot, RouteRecord},
         error::ExecutionOutcome,
-        id::ObjectName,
+        id::{BodyDigest, ObjectName},
         log_event,
     },
     catkindeck_net::{HttpHandler, LocalFuture, ResponseBody},
-    catkindeck_policy::direct::{RefusalCause, RouteMatch},
+    catkindeck_policy::direct::{RefusalCause, RouteMatch, request_digest},
     http::{Request, Response, StatusCode},
     http_body_util::BodyExt,
     hyper::body::Incoming,
-    std::{cell::Cell, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, OnceCell},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::time::{Instant, timeout, timeout_at},
 };
 
@@ -62,6 +66,7 @@
 /// An authenticated request with its route.
 pub struct AdmittedRequest {
     pub head: RequestHead,
+    pub body: Bytes,
     /// The matching route and the service selected for the request.
     pub matched: RouteMatch,
     /// The customer; `None` on open routes and if no keys are configured.
@@ -69,6 +74,16 @@
     pub arrived: Instant,
     /// When the response must be sent.
     pub expires: Instant,
+    /// The identity of the request, computed when it is needed.
+    digest: OnceCell<BodyDigest>,
+}
+
+impl AdmittedRequest {
+    /// Returns the identity that all attempts of the request have in common.
+    pub fn digest(&self) -> &BodyDigest {
+        self.digest
+            .get_or_init(|| digest_request(&self.head, self.customer.as_ref(), &self.body))
+    }
 }
 
 /// The service and upstream that produced a response, for the log.
@@ -115,7 +130,16 @@
             return self.refuse(Some(&head), &error, arrived);
         }
         let outcome = match operation {
-            CallerOperation::Request => self.answer_request(&head, body, arrived).await,
+            CallerOperation::Request => {
+                let outcome = self.answer_request(&head, body.clone(), arrived).await;
+                match outcome {
+                    Err(error) if error.kind == ErrorKind::Quarantined => {
+                        let retry_ms = self.quarantine_ms(&head, &body);
+                        return self.refuse_for(retry_ms, Some(&head), &error, arrived);
+                    }
+                    outcome => outcome,
+                }
+            }
             CallerOperation::JobResults(read) => {
                 let customer = self.authenticate(&head, None);
                 match customer {
@@ -150,15 +174,15 @@
         body: Bytes,
         arrived: Instant,
     ) -> Result<Response<ResponseBody>, ServiceError> {
-        let request = self.admit(head, arrived)?;
+        let request = self.admit(head, body, arrived)?;
         if request.matched.route.terms.job.is_some() {
-            let accepted = self.jobs.submit(&request, &body).await?;
+            let accepted = self.jobs.submit(&request, &request.body).await?;
             return Ok(full_response(accepted));
         }
         if request.matched.route.terms.streaming {
-            return StreamCall::new(&self.core, request, body).run().await;
+            return StreamCall::new(&self.core, request).run().await;
         }
-        let response = self.forward(&request, body).await?;
+        let response = self.forward(&request).await?;
         let source = ResponseSource {
             service: request.matched.service,
             upstream: response.guard.id.clone(),
@@ -169,7 +193,12 @@
     }
 
     /// Resolves the route, the service and the customer of a request.
-    fn admit(&self, head: &RequestHead, arrived: Instant) -> Result<AdmittedRequest, ServiceError> {
+    fn admit(
+        &self,
+        head: &RequestHead,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Result<AdmittedRequest, ServiceError> {
         let matched = {
             let view = self.core.intent.borrow();
             if !view.has_config() {
@@ -202,6 +231,8 @@
         let expires = arrived + Duration::from_millis(deadline_ms);
         Ok(AdmittedRequest {
             head: head.clone(),
+            body,
+            digest: OnceCell::new(),
             matched,
             customer,
             arrived,
@@ -217,11 +248,7 @@
         check_key(&self.core, head, route)
     }
 
-    async fn forward(
-        &self,
-        request: &AdmittedRequest,
-        body: Bytes,
-    ) -> Result<UpstreamResponse, ServiceError> {
+    async fn forward(&self, request: &AdmittedRequest) -> Result<UpstreamResponse, ServiceError> {
         let route = &request.matched.route;
         let target_ms = route.terms.target_latency_ms;
         let options = CallOptions {
@@ -244,9 +271,10 @@
                 last_event: None,
             };
             let upstreams = &self.core.ports.upstreams;
-            Ok(upstreams.encode_request(&request.head, body.clone(), &call))
+            Ok(upstreams.encode_request(&request.head, request.body.clone(), &call))
         };
-        let report = HedgedCall::new(&self.core, options, &builder).run().await;
+        let call = HedgedCall::new(&self.core, options, &builder).watching(request);
+        let report = call.run().await;
         match report.outcome {
             CallOutcome::Answered(response) => {
                 let customer = request.customer.as_ref();
@@ -408,17 +436,41 @@
         Some((return_ms, cause))
     }
 
+    /// Returns when a caller whose request crashes upstreams may return, in milliseconds.
+    fn quarantine_ms(&self, head: &RequestHead, body: &[u8]) -> Option<u64> {
+        let view = self.core.intent.borrow();
+        let matched = view
+            .routes()
+            .resolve(&head.host, &head.path, head.first_attempt())?;
+        drop(view);
+        let customer = self.authenticate(head, Some(&matched.route)).ok()?;
+        let digest = digest_request(head, customer.as_ref(), body);
+        self.core.quarantine_ms(&digest)
+    }
+
     fn refuse(
         &self,
         head: Option<&RequestHead>,
         error: &ServiceError,
         arrived: Instant,
+    ) -> Response<ResponseBody> {
+        self.refuse_for(None, head, error, arrived)
+    }
+
+    /// Refuses a request, for a known time if there is one.
+    fn refuse_for(
+        &self,
+        known_ms: Option<u64>,
+        head: Option<&RequestHead>,
+        error: &ServiceError,
+        arrived: Instant,
     ) -> Response<ResponseBody> {
         let id = head.map_or("", |head| head.id.as_str());
         let (retry_ms, cause) = match self.core.shares_plain_room() {
             true => head.and_then(|head| self.return_time(head, error)).unzip(),
             false => (self.retry_ms(head, error), None),
         };
+        let retry_ms = known_ms.or(retry_ms);
         self.core
             .metrics
             .requests
@@ -505,6 +557,11 @@
     }
 }
 
+fn digest_request(head: &RequestHead, customer: Option<&ObjectName>, body: &[u8]) -> BodyDigest {
+    let parts = [head.method.as_str(), &head.host, &head.target];
+    request_digest(customer, parts, body)
+}
+
 fn needs_keys(config: &ConfigSnapshot) -> bool {
     !config.customers.is_empty()
 }
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -2,14 +2,15 @@
 
 use {
     crate::{
+        crashing::CrashWatch,
         events::{CLOCK_JUMPED, INTENT_FAULT},
         feed::StoreFeed,
         intent::IntentView,
         jobs::backup::CopyStore,
         keys::{self, MemberRecord},
-        leaving::LeavingExchange,
         limits::LimitExchange,
         metrics::GatewayMetrics,
+        notices::NoticeExchange,
         plain_room::RoomRegistry,
         port::{CallerCodec, CloudApi, IntentDecoder, MetadataStore, StoreItem, UpstreamCodec},
         relay::RelayedStore,
@@ -24,8 +25,8 @@
     },
     catkindeck_net::{HeldBytes, HttpClient},
     catkindeck_policy::direct::{
-        ClockChange, DemandBoard, FreshnessGate, LoadTimeEstimate, PeerReachability, UpstreamTable,
-        UsageLedger, UsageWindows, WallClockFilter,
+        ClockChange, DemandBoard, FreshnessGate, LeavingNotice, LoadTimeEstimate, PeerReachability,
+        UpstreamTable, UsageLedger, UsageWindows, WallClockFilter,
     },
     slog::Logger,
     std::{
@@ -117,7 +118,9 @@
     /// Limits of upstreams that all processes keep together.
     pub limits: LimitExchange,
     /// Upstreams that leave, which all processes are told.
-    pub leaving: LeavingExchange,
+    pub leaving: NoticeExchange<LeavingNotice>,
+    /// Requests that crash upstreams, of which all processes are told.
+    pub crashes: CrashWatch,
     /// The demand for models, as owners reported it to this process.
     pub demand: RefCell<DemandBoard>,
     /// The software versions that began recent streams.
@@ -170,7 +173,8 @@
             held: HeldBytes::default(),
             load_time: Cell::default(),
             limits: LimitExchange::default(),
-            leaving: LeavingExchange::default(),
+            leaving: NoticeExchange::default(),
+            crashes: CrashWatch::default(),
             demand: RefCell::default(),
             origins: StreamOrigins::default(),
             rooms: RoomRegistry::default(),
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -27,6 +27,7 @@
     catkindeck_net::{
         ClientLimits, HttpClient, HttpServer, LocalFuture, ServerControl, ServerLimits,
     },
+    catkindeck_policy::direct::{CrashNotice, LeavingNotice},
     futures_util::stream::{self, StreamExt},
     prometheus::Registry,
     slog::Logger,
@@ -269,7 +270,13 @@
         let own = Rc::clone(core);
         spawn_supervised(core, "limits", move || Rc::clone(&own).exchange_limits());
         let own = Rc::clone(core);
-        spawn_supervised(core, "leaving", move || Rc::clone(&own).exchange_leaving());
+        spawn_supervised(core, "leaving", move || {
+            Rc::clone(&own).exchange_notices::<LeavingNotice>()
+        });
+        let own = Rc::clone(core);
+        spawn_supervised(core, "crashes", move || {
+            Rc::clone(&own).exchange_notices::<CrashNotice>()
+        });
         let own = Rc::clone(core);
         spawn_supervised(core, "origins", move || Rc::clone(&own).send_origins());
         let own = Rc::clone(core);
@@ -381,6 +388,11 @@
             .load
             .leaving_upstreams
             .set(i64::try_from(leaving).unwrap_or(i64::MAX));
+        let quarantined = core.sweep_crashes();
+        core.metrics
+            .load
+            .quarantined_requests
+            .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
     }
 }
 
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -72,5 +72,10 @@
     HEDGE_WITHHELD = 8200, "hedge_withheld", Info, "slow request was not sent to another upstream";
     RETRY_WITHHELD = 8201, "retry_withheld", Info, "request was not retried, because the duplicates of its service are spent";
     SCORE_DELAYED = 8202, "score_delayed", Info, "scorer call waited long for a place";
+    RUN_BROKEN = 8210, "run_broken", Info, "connection of a caller's request broke before the upstream had answered";
+    CRASH_RECORDED = 8211, "crash_recorded", Info, "upstream crashed while it ran a caller's request";
+    REQUEST_QUARANTINED = 8212, "request_quarantined", Warning, "request crashed upstreams in sequence and is refused";
+    REQUEST_CLEARED = 8213, "request_cleared", Info, "suspected request was answered, so it does not crash upstreams";
+    CRASHES_UNSENT = 8214, "crashes_unsent", Warning, "notices of crashes could not be exchanged; retrying";
     PEER_RELAYED = 8181, "peer_relayed", Info, "peer was reached through another peer";
 }
--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -3,7 +3,9 @@
 use {
     crate::{core::GatewayCore, port::UpstreamHead, upstream_guard::UpstreamGuard},
     bytes::{Bytes, BytesMut},
+    catkindeck::Moment,
     catkindeck_net::{HttpExchange, SendError},
+    catkindeck_policy::direct::UpstreamKey,
     http::{HeaderMap, HeaderName, Request, header},
     std::{rc::Rc, time::Instant},
 };
@@ -54,6 +56,17 @@
     Withheld(String),
     /// The upstream may have run the request.
     Unknown(String),
+    /// The connection broke after the request was sent, and before any of the response's body arrived.
+    Broken(BrokenAttempt),
+}
+
+/// An attempt whose connection broke.
+pub struct BrokenAttempt {
+    /// The instance of the upstream.
+    pub upstream: UpstreamKey,
+    /// When the request was assigned to the upstream.
+    pub begun: Moment,
+    pub detail: String,
 }
 
 /// Sends a request to an upstream and reads the response. With `fresh`, a new connection is opened.
@@ -113,7 +126,11 @@
         match exchange.chunk().await {
             Ok(None) => break,
             Ok(Some(chunk)) => body.append(&chunk),
-            Err(fault) => return failure_outcome(&guard, &fault),
+            Err(fault) if body.is_empty() => return failure_outcome(&guard, &fault),
+            Err(fault) => {
+                guard.record_failure();
+                return AttemptOutcome::Unknown(fault.to_string());
+            }
         }
         if body.is_full() {
             guard.stop_timing();
@@ -169,6 +186,10 @@
         self.content.len() >= limit
     }
 
+    fn is_empty(&self) -> bool {
+        self.content.is_empty()
+    }
+
     fn take(&mut self) -> Bytes {
         self.release();
         std::mem::take(&mut self.content).freeze()
@@ -228,7 +249,11 @@
     }
     guard.record_failure();
     match fault.maybe_received {
-        true => AttemptOutcome::Unknown(fault.to_string()),
+        true => AttemptOutcome::Broken(BrokenAttempt {
+            upstream: guard.key,
+            begun: guard.begun,
+            detail: fault.to_string(),
+        }),
         false => AttemptOutcome::NotRun(fault.to_string()),
     }
 }
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -3,6 +3,7 @@
 use {
     super::attempt::{AttemptOutcome, UpstreamResponse, attempt},
     crate::{
+        caller_handler::AdmittedRequest,
         core::GatewayCore,
         events::{ATTEMPT_FAILED, ATTEMPT_HEDGED, HEDGE_WITHHELD, RETRY_WITHHELD},
         upstream_guard::UpstreamGuard,
@@ -78,6 +79,11 @@
     /// The time between two hedges.
     hedge_interval: Duration,
     is_hedge_withheld: bool,
+    /// The caller's request, whose runs are watched for upstreams that crash; `None` for scorer calls, which are
+    /// owed.
+    watched: Option<&'a AdmittedRequest>,
+    /// Whether a connection of this call broke, which may have been a crash.
+    is_broken: bool,
 }
 
 impl<'a> HedgedCall<'a> {
@@ -95,6 +101,8 @@
             is_paced,
             hedge_interval: options.hedge_after.unwrap_or_default(),
             is_hedge_withheld: false,
+            watched: None,
+            is_broken: false,
             options,
             builder,
             excluded: Vec::new(),
@@ -108,6 +116,14 @@
         }
     }
 
+    /// Watches the runs of a caller's request for upstreams that crash under it.
+    pub fn watching(self, request: &'a AdmittedRequest) -> Self {
+        Self {
+            watched: Some(request),
+            ..self
+        }
+    }
+
     /// Makes attempts until one is answered, none is left, or the time is up.
     pub async fn run(mut self) -> CallReport {
         let outcome = self.run_attempts().await;
@@ -149,6 +165,12 @@
         if no_attempt_left || !may_run || !self.may_retry() {
             return Some(self.exhausted_outcome());
         }
+        if let Some(request) = self.watched
+            && let Err(error) = self.core.admit_run(request)
+        {
+            self.refused = Some(error);
+            return Some(self.exhausted_outcome());
+        }
         let is_first = self.started == 0 && self.refusals == 0;
         let service = &self.options.service;
         if self.is_paced && is_first && self.core.is_hopeless(service, self.options.expires) {
@@ -215,7 +237,10 @@
     /// Sends the request to a second upstream, because the first is slow. Returns when to consider
     /// another hedge.
     fn hedge(&mut self) -> Option<Instant> {
-        if !self.options.idempotent || self.started >= self.options.attempts {
+        if !self.options.idempotent
+            || self.started >= self.options.attempts
+            || self.is_crash_suspected()
+        {
             return None;
         }
         if self.is_paced && !self.has_room_for_hedge() {
@@ -232,6 +257,12 @@
         self.is_paced.then(|| Instant::now() + self.hedge_interval)
     }
 
+    /// Returns whether the request may crash the upstreams that run it. Then it runs at one at a time.
+    fn is_crash_suspected(&self) -> bool {
+        let watched = self.watched;
+        watched.is_some_and(|request| self.is_broken || self.core.is_crash_suspected(request))
+    }
+
     /// Returns whether an upstream that is not slow has a free place, and the budget allows a hedge.
     fn has_room_for_hedge(&mut self) -> bool {
         let service = &self.options.service;
@@ -260,6 +291,9 @@
     ) -> Option<CallOutcome> {
         match outcome {
             AttemptOutcome::Answered(response) => {
+                if let Some(request) = self.watched {
+                    self.core.record_answered_run(request);
+                }
                 let failed = response.head.status.is_server_error();
                 if !failed || !self.options.idempotent {
                     return Some(CallOutcome::Answered(response));
@@ -285,6 +319,15 @@
                 self.log_failure(&upstream, &detail, "unknown");
                 self.unknown = Some(detail);
             }
+            AttemptOutcome::Broken(broken) => {
+                self.is_broken = true;
+                if let Some(request) = self.watched {
+                    self.core
+                        .record_broken_run(request, broken.upstream, broken.begun);
+                }
+                self.log_failure(&upstream, &broken.detail, "unknown");
+                self.unknown = Some(broken.detail);
+            }
         }
         None
     }
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -34,7 +34,6 @@
 pub struct StreamCall {
     core: Rc<GatewayCore>,
     request: AdmittedRequest,
-    body: Bytes,
     excluded: Vec<UpstreamKey>,
     attempts: u32,
     refusals: u32,
@@ -66,10 +65,22 @@
     Complete,
     CallerGone,
     Broken(String),
+    /// The connection broke before the upstream had sent more than one event.
+    BrokenEarly(String),
+}
+
+impl ForwardOutcome {
+    /// A request that crashes upstreams does so when they begin to run it, which they show by the first event.
+    fn broken(event_count: u32, detail: String) -> Self {
+        match event_count {
+            0 | 1 => Self::BrokenEarly(detail),
+            _ => Self::Broken(detail),
+        }
+    }
 }
 
 impl StreamCall {
-    pub fn new(core: &Rc<GatewayCore>, request: AdmittedRequest, body: Bytes) -> Self {
+    pub fn new(core: &Rc<GatewayCore>, request: AdmittedRequest) -> Self {
         let last_event = request.head.last_event;
         let key = StreamKey::new(
             &request.matched.service,
@@ -80,7 +91,6 @@
             key,
             core: Rc::clone(core),
             request,
-            body,
             excluded: Vec::new(),
             attempts: 0,
             refusals: 0,
@@ -158,6 +168,12 @@
             {
                 break;
             }
+            if let Err(error) = self.core.admit_run(&self.request) {
+                match unknown {
+                    Some(_) => break,
+                    None => return Err(error),
+                }
+            }
             let left = self
                 .request
                 .expires
@@ -253,7 +269,7 @@
             last_event: self.last_event,
         };
         let codec = &self.core.ports.upstreams;
-        let request = codec.encode_request(&self.request.head, self.body.clone(), &call);
+        let request = codec.encode_request(&self.request.head, self.request.body.clone(), &call);
         if let Some(part) = self.request.head.part {
             let mut roster = self.core.roster.borrow_mut();
             roster.get_mut(guard.key).record_prompt_part(part);
@@ -262,7 +278,13 @@
         let permit = || guard.may_send();
         let mut exchange = match client.send_if(guard.address, request, &permit).await {
             Ok(exchange) => exchange,
-            Err(fault) => return Ok(failure_outcome(&guard, &fault)),
+            Err(fault) => {
+                if fault.maybe_received {
+                    self.core
+                        .record_broken_run(&self.request, guard.key, guard.begun);
+                }
+                return Ok(failure_outcome(&guard, &fault));
+            }
         };
         let head = codec.decode_head(exchange.status(), exchange.headers());
         let id = &self.request.head.id;
@@ -303,9 +325,20 @@
             let is_stream = stream.head.status.is_success();
             let end = self.forward_attempt(&mut stream, sender, is_stream).await;
             let detail = match end {
-                ForwardOutcome::Complete => return self.log_end("complete", ""),
+                ForwardOutcome::Complete => {
+                    self.core.record_answered_run(&self.request);
+                    return self.log_end("complete", "");
+                }
                 ForwardOutcome::CallerGone => return self.log_end("caller_gone", ""),
                 ForwardOutcome::Broken(detail) => detail,
+                ForwardOutcome::BrokenEarly(detail) => {
+                    let guard = &stream.guard;
+                    if !self.is_held_back {
+                        self.core
+                            .record_broken_run(&self.request, guard.key, guard.begun);
+                    }
+                    detail
+                }
             };
             // An upstream ends a stream that is left unread for too long.
             if !self.is_held_back {
@@ -347,6 +380,7 @@
         let mut is_recorded = !resumable;
         // Bytes that complete no event are no progress.
         let mut last_event_at = Instant::now();
+        let mut event_count = 0;
         loop {
             let limit = match resumable {
                 true => self.request.expires.min(last_event_at + EVENT_TIMEOUT),
@@ -358,11 +392,10 @@
                         "no event from the upstream within {EVENT_TIMEOUT:?} or before the deadline"
                     ));
                 }
-                Ok(Err(fault)) => return ForwardOutcome::Broken(fault.detail),
+                Ok(Err(fault)) => return ForwardOutcome::broken(event_count, fault.detail),
                 Ok(Ok(None)) if is_stream && !decoder.is_at_boundary() => {
-                    return ForwardOutcome::Broken(
-                        "the stream ended in the middle of an event".to_owned(),
-                    );
+                    let detail = "the stream ended in the middle of an event";
+                    return ForwardOutcome::broken(event_count, detail.to_owned());
                 }
                 Ok(Ok(None)) => return ForwardOutcome::Complete,
                 Ok(Ok(Some(chunk))) => chunk,
@@ -386,6 +419,7 @@
                     ));
                 }
                 self.last_event = Some(event.number);
+                event_count += 1;
                 if !is_recorded {
                     is_recorded = true;
                     let software = &stream.guard.software;
--- a/crates/catkindeck-gateway/src/leader/election.rs
+++ b/crates/catkindeck-gateway/src/leader/election.rs
@@ -160,7 +160,7 @@
                 self.core.leader.borrow_mut().clone_from(&view.holder);
                 self.core.limits.wake();
                 self.core.leaving.wake();
-                self.core.leaving.wake();
+                self.core.crashes.exchange.wake();
                 self.await_change(view, WATCH_WAIT).await;
                 return Ok(None);
             }
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod caller_handler;
 pub mod core;
+pub mod crashing;
 pub mod daemon;
 pub mod events;
 pub mod feed;
@@ -22,6 +23,7 @@
 pub mod load_metrics;
 pub mod metrics;
 pub mod metrics_handler;
+pub mod notices;
 pub mod peer;
 pub mod peer_fallback;
 pub mod plain_room;
--- a/crates/catkindeck-gateway/src/load_metrics.rs
+++ b/crates/catkindeck-gateway/src/load_metrics.rs
@@ -17,6 +17,10 @@
     pub withheld: IntCounter,
     /// Records of upstreams that this process sent to others as changes of the list.
     pub feed_records: IntCounter,
+    /// Runs of callers' requests under which an upstream crashed, at any process.
+    pub crashed_runs: IntCounter,
+    /// The requests that are refused because they crash upstreams.
+    pub quarantined_requests: IntGauge,
 }
 
 impl LoadMetrics {
@@ -60,6 +64,14 @@
                 "catkindeck_gateway_feed_records_total",
                 "Records of upstreams sent to other processes as changes of the list.",
             )?,
+            crashed_runs: counter(
+                "catkindeck_gateway_crashed_runs_total",
+                "Runs of callers' requests under which an upstream crashed, at any process.",
+            )?,
+            quarantined_requests: gauge(
+                "catkindeck_gateway_quarantined_requests",
+                "The requests that are refused because they crash upstreams.",
+            )?,
         })
     }
 }
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -10,8 +10,8 @@
         feed::{FeedChanges, FeedQuery, FeedUpdate},
         jobs::{JobService, backup::JobTextUpdate, demand::DemandReport},
         keys::{self, JobRecord, MemberRecord},
-        leaving::LeavingCall,
         limits::{LimitCall, PermitReply},
+        notices::NoticeCall,
         port::WeightOrder,
         relay::{StoreCall, StoreResponse},
         stream_origins::{OriginAnswer, OriginCall},
@@ -24,7 +24,9 @@
         token::WeightVersion,
     },
     catkindeck_net::{HttpHandler, LocalFuture, ResponseBody},
-    catkindeck_policy::direct::{ItemProgress, JobResult, JobSpec, LeavingNotice, UsageCount},
+    catkindeck_policy::direct::{
+        CrashNotice, ItemProgress, JobResult, JobSpec, LeavingNotice, UsageCount,
+    },
     http::{Method, Request, Response, StatusCode},
     http_body_util::{BodyExt, Limited},
     hyper::body::Incoming,
@@ -119,11 +121,13 @@
         copies: Vec<JobTextUpdate>,
     },
     /// Concerns upstreams that leave.
-    Leaving(LeavingCall),
+    Leaving(NoticeCall<LeavingNotice>),
     /// Reports the demand of the sender's jobs to the leader.
     Demand(DemandReport),
     /// Requests the changes of the data that the receiver read from the store.
     FeedChanges(FeedQuery),
+    /// Concerns requests that crash upstreams.
+    Crash(NoticeCall<CrashNotice>),
 }
 
 /// A call to be forwarded to another process.
@@ -188,6 +192,8 @@
     /// The notices of upstreams that leave of which the receiver knows.
     Leaving(Vec<LeavingNotice>),
     FeedChanges(Box<FeedChanges>),
+    /// The notices of requests that crash upstreams of which the receiver knows.
+    Crash(Vec<CrashNotice>),
 }
 
 #[message]
@@ -329,7 +335,8 @@
             PeerCall::Demand(report) => Ok(self.core.answer_demand(report)),
             PeerCall::Origin(call) => Ok(self.core.answer_origin_call(call)),
             PeerCall::Limit(call) => self.core.answer_limit_call(call),
-            PeerCall::Leaving(call) => Ok(self.core.answer_leaving_call(call)),
+            PeerCall::Crash(call) => Ok(self.core.answer_notice_call(call)),
+            PeerCall::Leaving(call) => Ok(self.core.answer_notice_call(call)),
         }
     }
 }
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -387,6 +387,7 @@
             log_event!(core.logger, UPSTREAM_REMOVED; "upstream" => %record.id);
         }
         drop(roster);
+        core.confirm_crashes(&changes.gone);
         core.apply_pending_limits();
         core.capacity.notify_one();
     }
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -129,10 +129,13 @@
         was_withheld
     }
 
-    /// Learns what a response says about the upstream itself: its limit, and whether it leaves.
+    /// Learns what a response says about the upstream itself: its limit, whether it leaves, and that it lives.
     pub fn observe_head(&self, head: &UpstreamHead) {
         self.observe_limit(head);
         self.core.observe_leaving(self.key, self.begun, head);
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            self.core.observe_life(self.key, self.begun);
+        }
     }
 
     /// Learns from a response whether the upstream limits the requests of all processes together.
--- a/crates/catkindeck-net/src/client.rs
+++ b/crates/catkindeck-net/src/client.rs
@@ -4,10 +4,11 @@
     crate::{
         exchange::{CompleteResponse, ExchangeOrigin, HttpExchange, SendError, SendPermit},
         pool::{ConnectionPool, OpenCount, PooledConnection},
+        socket,
     },
     bytes::Bytes,
     http::Request,
-    std::{cell::Cell, net::SocketAddr, time::Duration},
+    std::{cell::Cell, io, net::SocketAddr, time::Duration},
     tokio::time::timeout,
 };
 
@@ -171,6 +172,12 @@
         }
     }
 
+    /// Returns whether a server refuses connections, as the host of one does that does not run any more.
+    pub async fn is_refused(&self, address: SocketAddr) -> bool {
+        let opened = socket::connect(address, self.limits.connect).await;
+        opened.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Returns whether there is an idle connection to an address.
     pub fn has_idle(&self, address: SocketAddr) -> bool {
         self.pool.has_idle(address, self.limits.idle)
--- /dev/null
+++ b/crates/catkindeck-policy/src/direct/crash_register.rs
@@ -0,0 +1,346 @@
+//! Requests that crash each upstream which begins to run them (`docs/design/crashing-requests.md`).
+//!
+//! Answers the load of a request that comes again at any process and would take one upstream after the other out of
+//! service, on a day on which many upstreams crash for other reasons.
+
+use {
+    crate::{hash, quarantine::QUARANTINE_MS},
+    catkindeck::{
+        Moment, SortedMap,
+        id::{BodyDigest, ObjectName},
+        message,
+    },
+};
+
+/// The number of crashes in sequence after which a request is refused. The platform allows three and a few more.
+pub const SEQUENCE_LIMIT: usize = 3;
+
+/// The number of crashes after which two in sequence are enough, because copies of the request run at several upstreams
+/// at a time.
+const CROWD_LIMIT: usize = 5;
+
+/// The time between two crashes after which they count separately although their runs overlapped, in milliseconds.
+/// A fault that ends many upstreams ends them within this time.
+const SEPARATE_MS: u64 = 1_000;
+
+/// The difference between the ages of one crash in two notices for which delays of messages allow, in milliseconds.
+/// An upstream that crashed is not back earlier.
+const AGE_TOLERANCE_MS: u64 = 2_000;
+
+/// How long the outcome of a trial is awaited, in milliseconds: the longest time that a run takes and a crash remains
+/// unconfirmed.
+const TRIAL_MS: u64 = 40_000;
+
+/// The crashes that are remembered of one request, the latest first.
+const CRASH_LIMIT: usize = 2 * SEQUENCE_LIMIT;
+
+/// The number of requests that are remembered.
+const REQUEST_LIMIT: usize = 1_024;
+
+/// A run that ended because its upstream crashed.
+#[message]
+pub struct CrashedRun {
+    pub digest: BodyDigest,
+    pub upstream: ObjectName,
+    /// When the instance of the upstream started, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
+    /// How long ago the run began, in milliseconds. Hosts differ in their time of day.
+    pub begun_ago_ms: u64,
+    /// How long ago it ended, in milliseconds.
+    pub ended_ago_ms: u64,
+}
+
+/// What a process tells others about a request under which upstreams crashed.
+#[message]
+pub enum CrashNotice {
+    Crashed(CrashedRun),
+    /// An upstream answered the request, so it does not crash those that run it.
+    Answered {
+        digest: BodyDigest,
+        /// How long ago, in milliseconds.
+        ago_ms: u64,
+    },
+}
+
+impl CrashNotice {
+    pub fn digest(&self) -> &BodyDigest {
+        match self {
+            Self::Crashed(run) => &run.digest,
+            Self::Answered { digest, .. } => digest,
+        }
+    }
+
+    /// Returns the notice as it reads some time later.
+    pub fn aged(self, elapsed_ms: u64) -> Self {
+        match self {
+            Self::Crashed(run) => Self::Crashed(CrashedRun {
+                begun_ago_ms: run.begun_ago_ms.saturating_add(elapsed_ms),
+                ended_ago_ms: run.ended_ago_ms.saturating_add(elapsed_ms),
+                ..run
+            }),
+            Self::Answered { digest, ago_ms } => Self::Answered {
+                digest,
+                ago_ms: ago_ms.saturating_add(elapsed_ms),
+            },
+        }
+    }
+}
+
+/// What a notice changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashChange {
+    /// The number of crashes in sequence.
+    Suspected(usize),
+    /// The request is refused from now on.
+    Quarantined,
+    /// The request was refused already, and is so for longer.
+    Extended,
+    /// The request is not suspected any more.
+    Cleared,
+}
+
+/// Whether a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunAdmission {
+    Unsuspected,
+    /// It may run at one upstream at a time.
+    Suspected,
+    /// It may run once, to find out whether it still crashes its upstream.
+    Trial,
+    /// It is refused for this time, in milliseconds.
+    Refused(u64),
+}
+
+#[derive(Debug, Clone)]
+struct RecordedCrash {
+    upstream: ObjectName,
+    born_ms: u64,
+    begun: Moment,
+    ended: Moment,
+}
+
+#[derive(Debug, Clone, Default)]
+struct CrashHistory {
+    /// In order of their ends.
+    crashes: Vec<RecordedCrash>,
+    /// When an upstream last answered the request.
+    answered: Option<Moment>,
+    /// Until when the outcome of a trial of this process is awaited.
+    trial_until: Moment,
+}
+
+/// The requests under which upstreams crashed.
+///
+/// A request that shared an upstream with the one that crashed it looks the same at first. Three crashes in sequence
+/// without an answer in between tell them apart: an ordinary request is answered by the next upstream that runs it.
+#[derive(Debug, Clone, Default)]
+pub struct CrashRegister {
+    histories: SortedMap<BodyDigest, CrashHistory>,
+}
+
+/// Returns the identity of a request: the caller and all that is sent on, without what differs between two attempts.
+pub fn request_digest(
+    customer: Option<&ObjectName>,
+    [method, host, target]: [&str; 3],
+    body: &[u8],
+) -> BodyDigest {
+    let customer = customer.map_or("", |customer| customer.as_str());
+    let [customer, method, host, target] = [customer, method, host, target].map(str::as_bytes);
+    BodyDigest(hash::digest(&[customer, method, host, target, body]))
+}
+
+impl CrashRegister {
+    /// Records a notice and returns what it changed; `None` if it was known or does not matter.
+    pub fn record(&mut self, now: Moment, notice: &CrashNotice) -> Option<CrashChange> {
+        let digest = *notice.digest();
+        match notice {
+            CrashNotice::Crashed(run) => {
+                self.make_room(now, &digest);
+                let history = self
+                    .histories
+                    .get_or_insert_with(digest, CrashHistory::default);
+                let was_refused = history.is_refused(now);
+                history
+                    .record_crash(now, run)
+                    .then(|| match history.is_guilty() {
+                        false => CrashChange::Suspected(history.sequence()),
+                        true if was_refused => CrashChange::Extended,
+                        true => CrashChange::Quarantined,
+                    })
+            }
+            CrashNotice::Answered { ago_ms, .. } => {
+                let history = self.histories.get_mut(&digest)?;
+                let was_suspected = !history.crashes.is_empty();
+                history.record_answer(now - *ago_ms);
+                (was_suspected && history.crashes.is_empty()).then_some(CrashChange::Cleared)
+            }
+        }
+    }
+
+    /// Decides whether a request may run. A trial counts as begun with this decision.
+    pub fn admit(&mut self, now: Moment, digest: &BodyDigest) -> RunAdmission {
+        let Some(history) = self.histories.get_mut(digest) else {
+            return RunAdmission::Unsuspected;
+        };
+        if history.crashes.is_empty() {
+            return RunAdmission::Unsuspected;
+        }
+        if !history.is_guilty() {
+            return RunAdmission::Suspected;
+        }
+        let until = history.refused_until();
+        if until > now {
+            return RunAdmission::Refused(until.since(now));
+        }
+        history.trial_until = now + TRIAL_MS;
+        RunAdmission::Trial
+    }
+
+    /// Returns for how long a request is refused, in milliseconds.
+    pub fn refused_ms(&self, now: Moment, digest: &BodyDigest) -> Option<u64> {
+        let history = self.histories.get(digest)?;
+        history
+            .is_refused(now)
+            .then(|| history.refused_until().since(now))
+    }
+
+    /// Returns whether upstreams crashed under a request that none has answered since.
+    pub fn is_suspected(&self, digest: &BodyDigest) -> bool {
+        let history = self.histories.get(digest);
+        history.is_some_and(|history| !history.crashes.is_empty())
+    }
+
+    /// Returns all that other processes may not know.
+    pub fn notices(&self, now: Moment) -> Vec<CrashNotice> {
+        let mut notices = Vec::new();
+        for (digest, history) in self.histories.iter() {
+            let answered = history.answered.map(|at| CrashNotice::Answered {
+                digest: *digest,
+                ago_ms: now.since(at),
+            });
+            notices.extend(answered);
+            notices.extend(history.crashes.iter().map(|crash| {
+                CrashNotice::Crashed(CrashedRun {
+                    digest: *digest,
+                    upstream: crash.upstream.clone(),
+                    born_ms: crash.born_ms,
+                    begun_ago_ms: now.since(crash.begun),
+                    ended_ago_ms: now.since(crash.ended),
+                })
+            }));
+        }
+        notices
+    }
+
+    /// Returns the number of requests that are refused.
+    pub fn refused(&self, now: Moment) -> usize {
+        let digests = self.histories.keys();
+        digests
+            .filter(|digest| self.refused_ms(now, digest).is_some())
+            .count()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.histories.is_empty()
+    }
+
+    /// Forgets what happened too long ago. Should be called about once a second.
+    pub fn sweep(&mut self, now: Moment) {
+        self.histories
+            .retain(|_, history| now < history.remembered_until());
+    }
+
+    /// Forgets one request if there are too many, a refused one only if there is no other.
+    fn make_room(&mut self, now: Moment, digest: &BodyDigest) {
+        if self.histories.len() < REQUEST_LIMIT || self.histories.contains_key(digest) {
+            return;
+        }
+        self.sweep(now);
+        if self.histories.len() < REQUEST_LIMIT {
+            return;
+        }
+        let oldest = self
+            .histories
+            .iter()
+            .min_by_key(|(_, history)| (history.is_guilty(), history.remembered_until()));
+        if let Some(oldest) = oldest.map(|(digest, _)| *digest) {
+            self.histories.remove(&oldest);
+        }
+    }
+}
+
+impl CrashHistory {
+    /// Adds a crash and returns whether it was news that counts.
+    fn record_crash(&mut self, now: Moment, run: &CrashedRun) -> bool {
+        let (begun, ended) = (now - run.begun_ago_ms, now - run.ended_ago_ms);
+        let is_known = self.crashes.iter().any(|crash| {
+            let apart = ended.since(crash.ended).max(crash.ended.since(ended));
+            crash.upstream == run.upstream
+                && crash.born_ms == run.born_ms
+                && apart < AGE_TOLERANCE_MS
+        });
+        // An answer to a run that overlapped this one proves that the crash had another cause.
+        if is_known || self.answered.is_some_and(|answered| begun <= answered) {
+            return false;
+        }
+        self.crashes.push(RecordedCrash {
+            upstream: run.upstream.clone(),
+            born_ms: run.born_ms,
+            begun,
+            ended,
+        });
+        self.crashes.sort_by_key(|crash| crash.ended);
+        if self.crashes.len() > CRASH_LIMIT {
+            self.crashes.remove(0);
+        }
+        self.trial_until = Moment::default();
+        true
+    }
+
+    fn record_answer(&mut self, at: Moment) {
+        self.answered = self.answered.max(Some(at));
+        self.crashes.retain(|crash| crash.begun > at);
+    }
+
+    /// Returns the number of crashes in sequence. Crashes at one moment count once, because one fault may end many
+    /// upstreams that all run copies of a frequent request.
+    fn sequence(&self) -> usize {
+        let mut count = 0;
+        let mut last: Option<Moment> = None;
+        for crash in &self.crashes {
+            let is_separate = last
+                .is_none_or(|last| crash.begun >= last || crash.ended.since(last) >= SEPARATE_MS);
+            if is_separate {
+                count += 1;
+                last = Some(crash.ended);
+            }
+        }
+        count
+    }
+
+    /// Returns whether the crashes prove that the request caused them.
+    fn is_guilty(&self) -> bool {
+        let sequence = self.sequence();
+        sequence >= SEQUENCE_LIMIT || sequence >= 2 && self.crashes.len() >= CROWD_LIMIT
+    }
+
+    fn is_refused(&self, now: Moment) -> bool {
+        self.is_guilty() && self.refused_until() > now
+    }
+
+    fn refused_until(&self) -> Moment {
+        let last = self.crashes.last().map(|crash| crash.ended + QUARANTINE_MS);
+        last.unwrap_or_default().max(self.trial_until)
+    }
+
+    /// Returns when the history is forgotten. A refused request is remembered as long again, so that one crash of its
+    /// trial is enough to refuse it again.
+    fn remembered_until(&self) -> Moment {
+        let last = self.crashes.last().map(|crash| crash.ended);
+        let last = last.max(self.answered).unwrap_or_default();
+        match self.is_guilty() {
+            true => last + 2 * QUARANTINE_MS,
+            false => last + QUARANTINE_MS,
+        }
+    }
+}
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -1,8 +1,10 @@
 //! Decisions of a gateway that connects to upstreams directly, without agents
 //! (`docs/platform.md`).
 
+pub mod broken_runs;
 pub mod claim;
 pub mod completion;
+pub mod crash_register;
 pub mod duplicate_budget;
 pub mod engine_speed;
 pub mod freshness;
@@ -38,8 +40,13 @@
 pub mod windows;
 
 pub use {
+    broken_runs::{BrokenRun, BrokenRuns},
     claim::{ClaimDecision, decide_claim},
     completion::RunMove,
+    crash_register::{
+        CrashChange, CrashNotice, CrashRegister, CrashedRun, RunAdmission, SEQUENCE_LIMIT,
+        request_digest,
+    },
     duplicate_budget::DuplicateBudget,
     engine_speed::{EngineSpeed, SlowPhase, SpeedDeviation},
     freshness::FreshnessGate,
--- a/crates/catkindeck-policy/src/direct/upstream_table.rs
+++ b/crates/catkindeck-policy/src/direct/upstream_table.rs
@@ -139,6 +139,13 @@
         self.leaving.contains(&record.id, record.born_ms)
     }
 
+    /// Returns whether a run that breaks off at an instance may be the sign of a crash: the instance is listed and
+    /// has not said that it will end.
+    pub fn is_expected_to_run(&self, key: UpstreamKey) -> bool {
+        let state = self.get(key);
+        state.listed && !state.record.draining && !self.is_leaving(key)
+    }
+
     /// Returns the notices of the current instances that leave.
     pub fn leaving_notices(&self) -> Vec<LeavingNotice> {
         let leaving = self.iter().filter(|(key, _)| self.is_leaving(*key));
