Hand the jobs of an entry to a standby that registers later

Cause: after a loss of many processes, entries accept jobs before they know of a standby, and owned them to their end.

Ruled out: the time to return itself. All processes ran 1.35 s after the loss, the first job was taken over 0.25 s later.

Change: an entry with running jobs looks for a standby four times a second in the list that it has anyway, reads the list from the store if there is one, and hands its jobs over with their texts. A hand-over that the new owner does not confirm is taken back under a condition on the job's record; the next one follows after 5 s.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -296,6 +296,7 @@
             Box::pin(jobs.verify_after_registration())
         });
         spawn("ownership", |jobs| Box::pin(jobs.poll_ownership()));
+        spawn("relocation", |jobs| Box::pin(jobs.relocate_jobs()));
         spawn("copies", |jobs| Box::pin(jobs.replicate_texts()));
         spawn("texts", |jobs| Box::pin(jobs.store_texts()));
         spawn("demand", |jobs| Box::pin(jobs.report_demand()));
--- a/crates/catkindeck-gateway/src/jobs/mod.rs
+++ b/crates/catkindeck-gateway/src/jobs/mod.rs
@@ -13,6 +13,7 @@
 pub mod owned;
 pub mod queue;
 pub mod read;
+pub mod relocation;
 pub mod scheduler;
 pub mod score;
 pub mod service;
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -136,7 +136,7 @@
     }
 
     /// Returns the most suitable process for the jobs of a service. Hosts that are being drained get none.
-    fn best_owner(
+    pub(super) fn best_owner(
         &self,
         service: &ObjectName,
         is_eligible: impl Fn(&MemberRecord) -> bool,
--- a/crates/catkindeck-gateway/src/jobs/takeover.rs
+++ b/crates/catkindeck-gateway/src/jobs/takeover.rs
@@ -13,8 +13,8 @@
         peer::{JobHandOver, PeerCall, PeerResponse},
         port::{CommitOutcome, LeaseId, StoreCondition, StoreItem},
     },
-    catkindeck::{ErrorKind, ServiceError, SortedMap, log_event},
-    catkindeck_policy::direct::{ItemKey, ItemProgress, ResultState},
+    catkindeck::{ErrorKind, ServiceError, SortedMap, id::ObjectName, log_event},
+    catkindeck_policy::direct::{ItemKey, ItemProgress, JobResult, ResultState},
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -211,10 +211,7 @@
             Err(error) => log_event!(self.core.logger, JOBS_UNCONFIRMED; "detail" => error.detail),
         }
         for job in self.running() {
-            let service = match route_of(&self.core, &job.spec) {
-                Some(route) => route.service.clone(),
-                None => job.spec.route.clone(),
-            };
+            let service = self.service_of(&job);
             if let Some(successor) = self.choose_successor(&service) {
                 self.hand_over_one(&job, &successor).await;
             }
@@ -228,14 +225,29 @@
         }
     }
 
+    /// Returns the service of a job's items, which decides who owns the job.
+    pub(super) fn service_of(&self, job: &OwnedJob) -> ObjectName {
+        match route_of(&self.core, &job.spec) {
+            Some(route) => route.service.clone(),
+            None => job.spec.route.clone(),
+        }
+    }
+
     /// Returns the jobs that are neither complete nor cancelled.
-    fn running(&self) -> Vec<Rc<OwnedJob>> {
+    pub(super) fn running(&self) -> Vec<Rc<OwnedJob>> {
         let mut jobs = self.all();
         jobs.retain(|job| job.record.borrow().state == JobState::Running);
         jobs
     }
 
-    async fn hand_over_one(self: &Rc<Self>, job: &Rc<OwnedJob>, target: &MemberRecord) {
+    /// Hands a job over, and takes it back if the new owner does not confirm that it runs it, unless this process
+    /// shuts down. Without that, the leader would have the job taken over only with its next scan. Returns whether the
+    /// new owner confirmed.
+    pub(super) async fn hand_over_one(
+        self: &Rc<Self>,
+        job: &Rc<OwnedJob>,
+        target: &MemberRecord,
+    ) -> bool {
         // Finished results are stored first, while this process still owns the job.
         self.commit(job);
         let former = job.record.borrow().clone();
@@ -245,7 +257,7 @@
         };
         let written = self.write_record(&record, job.revision.get()).await;
         let Ok(CommitOutcome::Committed(revision)) = written else {
-            return;
+            return false;
         };
         let progress: Vec<(u32, ItemProgress)> = {
             let state = job.job.borrow();
@@ -259,19 +271,46 @@
             revision,
             former: former.owner,
             spec: None,
-            progress,
+            progress: progress.clone(),
         }));
         self.remove(&job.spec.id);
         let response = self
             .core
             .call_peer_with_fallback(target, &call, HAND_OVER_TIMEOUT)
             .await;
-        // Without a response, the leader has the job taken over when it finds that the new owner does not run
-        // it.
+        let is_confirmed = matches!(response, Ok(PeerResponse::Done));
         log_event!(self.core.logger, JOB_HANDED_OVER;
             "job" => &job.spec.id, "to" => %target.host, "revision" => revision,
-            "answered" => matches!(response, Ok(PeerResponse::Done)));
-        self.cache_owner(&job.spec.id, record.owner);
+            "answered" => is_confirmed);
+        match is_confirmed || self.core.is_shutting_down.get() {
+            true => self.cache_owner(&job.spec.id, record.owner),
+            false => self.take_back(job, record, revision, progress).await,
+        }
+        is_confirmed
+    }
+
+    /// Takes a job back whose new owner did not confirm the hand-over. The change of the record makes later writes of
+    /// that owner fail, whether or not it received the job.
+    async fn take_back(
+        self: &Rc<Self>,
+        job: &OwnedJob,
+        record: JobRecord,
+        revision: u64,
+        progress: IndexedProgress,
+    ) {
+        let target = record.owner.clone();
+        let record = JobRecord {
+            owner: self.own_record(),
+            ..record
+        };
+        // After a conflict the job has another owner; without an answer of the store, the leader finds it.
+        if let Ok(CommitOutcome::Committed(revision)) = self.write_record(&record, revision).await {
+            let results = job.results.borrow();
+            let results = results.iter().map(|result| JobResult::clone(result));
+            let spec = Rc::clone(&job.spec);
+            let job = OwnedJob::new(&self.core, spec, record, revision, results.collect());
+            self.resume_job(job, &target, progress, IndexedProgress::new());
+        }
     }
 
     /// Reuses the texts that earlier jobs of the same customer and route have for the same items.
