Write a leader's orders only while it leads, and give leadership up after the last one arrived

Cause: an order to an engine was checked when it was handed to its connection, not when it was written. On a process at its processor limit the connection's task stands behind all other tasks of the event loop. A second way was found by reading: a leader that is stopped or drained gave up its lease although its orders were under way; LeaseState::release_at says to wait, MemberSession did not.

Ruled out: the lease (counted from before the call that renews it) and the connect (the permit was asked after it).

Change: the connection asks the guard of an order directly before it hands bytes to the system; a leader whose last check is older than 300 ms sends nothing; the lease and the leader's key are given up when every order was answered or 1,500 ms after its last write. Bound: an order leaves the process at least 400 ms (LEASE_MARGIN_MS) before the store can grant the lease to another one, less the time between the check and the system call.

Before: a_request_is_not_written_after_its_permit_ended_in_the_queue failed with the former check (call_if). After: it passes.

--- a/crates/catkindeck-gateway/src/leader/election.rs
+++ b/crates/catkindeck-gateway/src/leader/election.rs
@@ -14,12 +14,12 @@
             CommitOutcome, LeaderProof, StoreCondition, StoreItem, StoreWrite, Transaction,
             WatchOutcome,
         },
-        session::MemberSession,
+        session::{LEASE_MARGIN_MS, MemberSession},
         task::spawn_supervised,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, log_event},
-    catkindeck_net::LocalFuture,
-    catkindeck_policy::direct::{ClaimDecision, decide_claim},
+    catkindeck_net::{LocalFuture, SendGuard},
+    catkindeck_policy::direct::{ClaimDecision, TransitKey, decide_claim},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -51,12 +51,18 @@
 /// How often the leader checks that it still holds its lease.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The time since the last check from which the leader sends nothing, in milliseconds: the interval and half of the
+/// lease's margin. A process whose event loop is so late may need the rest of the margin to write an order.
+const MAX_CHECK_AGE_MS: u64 = 100 + LEASE_MARGIN_MS / 2;
+
 /// Claims and holds leadership, and provides what the leader's tasks share.
 pub struct LeaderElection {
     pub core: Rc<GatewayCore>,
     pub jobs: Rc<JobService>,
     session: Rc<MemberSession>,
     fence: RefCell<Option<u64>>,
+    /// When this process last checked that it is the leader.
+    checked_at: Cell<Moment>,
     /// When this process last lost or gave up leadership.
     released_at: Cell<Option<Moment>>,
     /// The state of the leader's key as last seen; `None` if it has to be read.
@@ -94,6 +100,7 @@
             jobs,
             session,
             fence: RefCell::new(None),
+            checked_at: Cell::new(Moment(0)),
             released_at: Cell::new(None),
             view: RefCell::new(None),
         })
@@ -133,10 +140,35 @@
         }
     }
 
-    /// Returns whether this process is still the leader with a fencing token. Asked directly before each call to the
-    /// platform is written, because the platform may not check the token itself.
-    pub fn may_act(&self, fence: u64) -> bool {
-        self.proof().is_ok_and(|proof| proof.fence == fence)
+    /// Returns whether this process is still the leader with a fencing token, and its event loop is in time. Asked
+    /// when each order or call to the platform is written, because the receiver may not check the token itself.
+    fn may_act(&self, fence: u64) -> bool {
+        let is_in_time = self.core.now().since(self.checked_at.get()) <= MAX_CHECK_AGE_MS;
+        is_in_time && self.proof().is_ok_and(|proof| proof.fence == fence)
+    }
+
+    /// Returns the guard of an order or call with a fencing token. What it lets pass counts as under way until it is
+    /// closed with the returned key, or can no longer arrive.
+    pub fn guard_order(
+        self: &Rc<Self>,
+        fence: u64,
+        is_needed: impl Fn() -> bool + 'static,
+    ) -> (TransitKey, SendGuard) {
+        let key = self.session.open_order();
+        let election = Rc::clone(self);
+        let guard = move || {
+            let is_allowed = election.may_act(fence) && is_needed();
+            if is_allowed {
+                election.session.record_order_write(key);
+            }
+            is_allowed
+        };
+        (key, Rc::new(guard))
+    }
+
+    /// Records that an order was answered, or was not sent.
+    pub fn close_order(&self, key: TransitKey) {
+        self.session.close_order(key);
     }
 
     /// Claims leadership and returns the fencing token, or waits while another process is the leader.
@@ -245,6 +277,7 @@
     async fn run_leader_tasks(self: &Rc<Self>, fence: u64) {
         *self.fence.borrow_mut() = Some(fence);
         *self.core.leader.borrow_mut() = Some(self.session.record());
+        self.checked_at.set(self.core.now());
         log_event!(self.core.logger, LEADERSHIP_ACQUIRED; "fence" => fence);
         self.core
             .limits
@@ -254,6 +287,7 @@
         self.core.limits.wake();
         let tasks = self.spawn_leader_tasks(fence);
         while self.proof().is_ok() {
+            self.checked_at.set(self.core.now());
             let until = self.core.now() + ALLOCATION_CONFIRMED_MS;
             self.core.limits.allocator.borrow_mut().confirm(until);
             sleep(CHECK_INTERVAL).await;
@@ -303,8 +337,9 @@
         *self.fence.borrow_mut() = None;
     }
 
-    /// Removes the leader's key after all tasks of this leader have stopped.
+    /// Removes the leader's key after all tasks of this leader have stopped and none of its orders can arrive any more.
     async fn remove_leader_key(&self, fence: u64) {
+        self.session.await_orders().await;
         let transaction = Transaction {
             conditions: vec![StoreCondition {
                 key: LEADER_KEY.to_owned(),
--- a/crates/catkindeck-gateway/src/leader/usage.rs
+++ b/crates/catkindeck-gateway/src/leader/usage.rs
@@ -9,7 +9,7 @@
         peer::{PeerCall, PeerResponse},
         port::{CommitOutcome, StoreCondition, StoreWrite, Transaction, UsageReport},
     },
-    catkindeck::{ErrorKind, ServiceError, id::IncarnationId, log_event},
+    catkindeck::{ErrorKind, ExecutionOutcome, ServiceError, id::IncarnationId, log_event},
     catkindeck_policy::direct::{ReportAction, ReportSchedule, UsageCount, UsageWindows},
     futures_util::future::join_all,
     std::{rc::Rc, time::Duration},
@@ -108,8 +108,13 @@
             return Ok(());
         };
         let proof = self.election.proof()?;
-        let permit = || self.election.may_act(proof.fence);
-        cloud_api.report_usage(&proof, &report, &permit).await?;
+        let (transit, guard) = self.election.guard_order(proof.fence, || true);
+        let outcome = cloud_api.report_usage(&proof, &report, &guard).await;
+        let is_under_way = |error: &ServiceError| error.execution == ExecutionOutcome::Unknown;
+        if !outcome.as_ref().is_err_and(is_under_way) {
+            self.election.close_order(transit);
+        }
+        outcome?;
         log_event!(self.election.core.logger, USAGE_REPORTED;
             "window" => window, "fence" => proof.fence,
             "requests" => report.counts.iter().map(|(_, count)| count).sum::<u64>());
--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -158,13 +158,28 @@
         };
         let request = core.ports.upstreams.encode_order(&order);
         // The connection may have to be opened first, and the lease may end meanwhile.
-        let is_leaving = || core.roster.borrow().is_leaving(task.upstream);
-        let permit = || self.election.may_act(order.fence) && !is_leaving();
+        let is_leaving = {
+            let (core, key) = (Rc::clone(core), task.upstream);
+            move || core.roster.borrow().is_leaving(key)
+        };
+        let is_needed = {
+            let is_leaving = is_leaving.clone();
+            move || !is_leaving()
+        };
+        let (transit, guard) = self.election.guard_order(order.fence, is_needed);
         let response = core
             .order_client
-            .call_if(address, request, ORDER_TIMEOUT, &permit);
+            .call_guarded(address, request, ORDER_TIMEOUT, &guard);
         let sent = core.now();
-        let outcome = match response.await {
+        let response = response.await;
+        if response
+            .as_ref()
+            .err()
+            .is_none_or(|fault| !fault.maybe_received)
+        {
+            self.election.close_order(transit);
+        }
+        let outcome = match response {
             Ok(response) => {
                 core.observe_order_head(task.upstream, sent, response.status, &response.headers);
                 core.ports.upstreams.decode_order(response.status)
--- a/crates/catkindeck-gateway/src/port/cloud_api.rs
+++ b/crates/catkindeck-gateway/src/port/cloud_api.rs
@@ -2,7 +2,7 @@
 
 use {
     catkindeck::{ServiceError, id::ObjectName, message},
-    catkindeck_net::{LocalFuture, SendPermit},
+    catkindeck_net::{LocalFuture, SendGuard},
 };
 
 /// Identifies the leader in calls to the platform.
@@ -33,7 +33,7 @@
 /// The platform's API for usage reports and for scaling.
 ///
 /// All methods return `fenced` if the platform has seen a higher fencing token, and `peer_unavailable`
-/// otherwise. A call is sent only if its permit allows it directly before it is written. The execution outcome
+/// otherwise. A call is written only if its guard allows it at that moment. The execution outcome
 /// `unknown` means that the call may have taken effect or may still do so.
 pub trait CloudApi {
     /// Reports the usage of a window. Repeating an identical report has no effect.
@@ -41,7 +41,7 @@
         &'a self,
         proof: &'a LeaderProof,
         report: &'a UsageReport,
-        permit: SendPermit<'a>,
+        guard: &'a SendGuard,
     ) -> LocalFuture<'a, Result<(), ServiceError>>;
 
     /// Sets the desired number of upstreams.
@@ -49,6 +49,6 @@
         &'a self,
         proof: &'a LeaderProof,
         target: &'a ScalingTarget,
-        permit: SendPermit<'a>,
+        guard: &'a SendGuard,
     ) -> LocalFuture<'a, Result<(), ServiceError>>;
 }
--- a/crates/catkindeck-gateway/src/session.rs
+++ b/crates/catkindeck-gateway/src/session.rs
@@ -8,14 +8,17 @@
         port::{CommitOutcome, LeaseId, StoreWrite, Transaction},
     },
     catkindeck::{ServiceError, log_event, platform::LeaseGrant},
-    catkindeck_policy::lease::{LeaseCall, LeaseProof, LeaseState},
+    catkindeck_policy::{
+        direct::{OrderTransit, TransitKey},
+        lease::{LeaseCall, LeaseProof, LeaseState},
+    },
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::{sync::Notify, time::sleep},
 };
 
 /// How long before its expiry the lease is no longer used, in milliseconds. Covers a few round trips to the
 /// platform.
-const LEASE_MARGIN_MS: u64 = 400;
+pub const LEASE_MARGIN_MS: u64 = 400;
 
 /// The time to live of a process's lease, in milliseconds. Covers three renewals. After it expires, other
 /// processes take over the jobs and the leadership of a lost process.
@@ -27,6 +30,9 @@
 /// The longest time that a fenced order may take to arrive, in milliseconds.
 const MAX_ORDER_DELAY_MS: u64 = 1_500;
 
+/// How often it is checked whether orders are under way, in milliseconds. Most are answered within a few milliseconds.
+const TRANSIT_POLL_MS: u64 = 10;
+
 /// The longest sleep between two checks of the lease, in milliseconds. Bounds how late a process notices
 /// the expiry after its host was suspended.
 const MAX_SLEEP_MS: u64 = 500;
@@ -36,6 +42,8 @@
     core: Rc<GatewayCore>,
     state: RefCell<LeaseState>,
     ttl_ms: u64,
+    /// The leader's orders that may still be under way.
+    transit: RefCell<OrderTransit>,
     /// Notified when the lease was obtained or lost.
     pub changed: Notify,
 }
@@ -54,6 +62,7 @@
             core,
             state: RefCell::new(LeaseState::new(ttl_ms, LEASE_MARGIN_MS, MAX_ORDER_DELAY_MS)),
             ttl_ms,
+            transit: RefCell::new(OrderTransit::new(MAX_ORDER_DELAY_MS)),
             changed: Notify::new(),
         })
     }
@@ -106,8 +115,39 @@
         }
     }
 
-    /// Revokes the lease, so that other processes need not wait for it to expire.
+    /// Returns the key under which the writing of an order is recorded.
+    pub fn open_order(&self) -> TransitKey {
+        self.transit.borrow_mut().open()
+    }
+
+    /// Records that an order is written now.
+    pub fn record_order_write(&self, key: TransitKey) {
+        let now = self.core.now();
+        self.transit.borrow_mut().record_write(key, now);
+    }
+
+    /// Records that an order was answered, or was not sent.
+    pub fn close_order(&self, key: TransitKey) {
+        self.transit.borrow_mut().close(key);
+    }
+
+    /// Waits until no order of this process can arrive any more, for at most [`MAX_ORDER_DELAY_MS`] after the last one
+    /// was written. Must be awaited before leadership is given up, because the next leader orders at once and
+    /// upstreams may not check the fencing token.
+    pub async fn await_orders(&self) {
+        loop {
+            let remaining_ms = self.transit.borrow().remaining_ms(self.core.now());
+            if remaining_ms == 0 {
+                return;
+            }
+            let wait_ms = remaining_ms.min(TRANSIT_POLL_MS);
+            sleep(Duration::from_millis(wait_ms)).await;
+        }
+    }
+
+    /// Revokes the lease, so that other processes need not wait for it to expire. Orders under way are awaited first.
     pub async fn revoke_lease(&self) {
+        self.await_orders().await;
         let Some(lease) = self.lease() else { return };
         self.state.borrow_mut().drain();
         // If the call fails, the lease expires on its own.
--- a/crates/catkindeck-net/src/client.rs
+++ b/crates/catkindeck-net/src/client.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         exchange::{CompleteResponse, ExchangeOrigin, HttpExchange, SendError, SendPermit},
+        link::SendGuard,
         pool::{ConnectionPool, OpenCount, PooledConnection},
         socket,
     },
@@ -83,15 +84,27 @@
         address: SocketAddr,
         request: Request<Bytes>,
         permit: SendPermit<'_>,
+    ) -> Result<HttpExchange, SendError> {
+        self.send_guarded(address, request, permit, None).await
+    }
+
+    async fn send_guarded(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        permit: SendPermit<'_>,
+        guard: Option<SendGuard>,
     ) -> Result<HttpExchange, SendError> {
         let mut request = request;
         while let Some(connection) = self.pool.take(address, self.limits.idle) {
-            match HttpExchange::start(connection, request, permit, self.origin()).await {
+            let origin = self.origin(guard.clone());
+            match HttpExchange::start(connection, request, permit, origin).await {
                 Err((send_error, Some(unsent))) if send_error.was_reused => request = unsent,
                 outcome => return outcome.map_err(|(send_error, _)| send_error),
             }
         }
-        self.open_and_send(address, request, permit).await
+        let origin = self.origin(guard);
+        self.open_and_send(address, request, permit, origin).await
     }
 
     /// As [`Self::send_if`], but on a new connection, for requests that a stale connection could lose.
@@ -105,7 +118,8 @@
         request: Request<Bytes>,
         permit: SendPermit<'_>,
     ) -> Result<HttpExchange, SendError> {
-        self.open_and_send(address, request, permit).await
+        let origin = self.origin(None);
+        self.open_and_send(address, request, permit, origin).await
     }
 
     async fn open_and_send(
@@ -113,6 +127,7 @@
         address: SocketAddr,
         request: Request<Bytes>,
         permit: SendPermit<'_>,
+        origin: ExchangeOrigin,
     ) -> Result<HttpExchange, SendError> {
         if !self.has_room() {
             return Err(SendError::not_sent(format!(
@@ -128,7 +143,7 @@
             .await
             .map_err(|error| SendError::not_sent(error.to_string()))?;
         self.opened.set(self.opened.get() + 1);
-        HttpExchange::start(connection, request, permit, self.origin())
+        HttpExchange::start(connection, request, permit, origin)
             .await
             .map_err(|(send_error, _)| send_error)
     }
@@ -159,9 +174,39 @@
         request: Request<Bytes>,
         limit: Duration,
         permit: SendPermit<'_>,
+    ) -> Result<CompleteResponse, SendError> {
+        self.call_with(address, request, limit, (permit, None))
+            .await
+    }
+
+    /// As [`Self::call_if`], but the connection also asks `guard` when it writes. On a busy event loop that may be
+    /// much later than the request was handed over, and a permission may have ended meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call_if`].
+    pub async fn call_guarded(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        limit: Duration,
+        guard: &SendGuard,
+    ) -> Result<CompleteResponse, SendError> {
+        let permit = || guard();
+        let guard = Some(SendGuard::clone(guard));
+        self.call_with(address, request, limit, (&permit, guard))
+            .await
+    }
+
+    async fn call_with(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        limit: Duration,
+        (permit, guard): (SendPermit<'_>, Option<SendGuard>),
     ) -> Result<CompleteResponse, SendError> {
         let exchange = async {
-            let exchange = self.send_if(address, request, permit).await?;
+            let exchange = self.send_guarded(address, request, permit, guard).await?;
             exchange.read_to_end(self.limits.response_bytes).await
         };
         match timeout(limit, exchange).await {
@@ -208,11 +253,12 @@
         self.opened.get()
     }
 
-    fn origin(&self) -> ExchangeOrigin {
+    fn origin(&self, guard: Option<SendGuard>) -> ExchangeOrigin {
         ExchangeOrigin {
             pool: self.pool.clone(),
             capacity: self.limits.idle_connections,
             has_slow_readers: self.has_slow_readers,
+            guard,
         }
     }
 }
--- a/crates/catkindeck-net/src/exchange.rs
+++ b/crates/catkindeck-net/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        link::{LARGE_BODY_BYTES, await_dead_link},
+        link::{LARGE_BODY_BYTES, SendGuard, await_dead_link},
         pool::{ConnectionPool, PooledConnection},
     },
     bytes::{Bytes, BytesMut},
@@ -75,6 +75,8 @@
     pub(crate) capacity: usize,
     /// Whether servers may read large requests slowly.
     pub(crate) has_slow_readers: bool,
+    /// What is asked directly before each write of the request.
+    pub(crate) guard: Option<SendGuard>,
 }
 
 /// A response whose body has not been read yet.
@@ -114,6 +116,8 @@
         }
         let is_patient = origin.has_slow_readers && bytes >= LARGE_BODY_BYTES;
         connection.patience.set(is_patient);
+        let is_guarded = origin.guard.is_some();
+        connection.write_guard.set(origin.guard);
         let address = connection.address;
         let response = tokio::select! {
             response = connection.sender.try_send_request(sent) => response,
@@ -126,14 +130,16 @@
             Ok(response) => response,
             Err(mut error) => {
                 let unsent = error.take_message().map(with_plain_body);
+                let is_written = !is_guarded || connection.write_guard.is_written();
                 let send_error = SendError {
-                    maybe_received: unsent.is_none(),
+                    maybe_received: unsent.is_none() && is_written,
                     was_reused,
                     detail: error.into_error().to_string(),
                 };
                 return Err((send_error, unsent));
             }
         };
+        connection.write_guard.set(None);
         let (head, body) = response.into_parts();
         if let Some(limit) = parse_keep_alive(&head.headers) {
             connection.set_idle_limit(limit);
--- a/crates/catkindeck-net/src/lib.rs
+++ b/crates/catkindeck-net/src/lib.rs
@@ -19,6 +19,7 @@
     client::{ClientLimits, HttpClient},
     exchange::{CompleteResponse, HttpExchange, SendError, SendPermit},
     held::{HeldBytes, HeldPart},
+    link::SendGuard,
     server::{HttpHandler, HttpServer, ServerControl, ServerLimits},
 };
 
--- a/crates/catkindeck-net/src/link.rs
+++ b/crates/catkindeck-net/src/link.rs
@@ -2,11 +2,14 @@
 //!
 //! Both take no byte of a request. The host of a slow server still answers attempts to connect
 //! (`docs/design/slow-readers.md`).
+//!
+//! The connection also asks whether a request may still be sent when its bytes are written: on a busy event loop that
+//! is later than the request was handed to the connection.
 
 use {
     crate::socket,
     std::{
-        cell::Cell,
+        cell::{Cell, RefCell},
         io,
         net::SocketAddr,
         pin::Pin,
@@ -49,6 +52,47 @@
     }
 }
 
+/// Returns whether a request may still be sent; asked again by the connection directly before bytes are written.
+pub type SendGuard = Rc<dyn Fn() -> bool>;
+
+/// The guard of the request that a connection sends. Shared by the user of the connection, which sets it, and the
+/// connection, which asks it before it writes.
+#[derive(Clone, Default)]
+pub struct WriteGuard(Rc<GuardedWrite>);
+
+#[derive(Default)]
+struct GuardedWrite {
+    guard: RefCell<Option<SendGuard>>,
+    is_written: Cell<bool>,
+}
+
+impl WriteGuard {
+    /// Guards the next request; `None` lets all bytes pass.
+    pub fn set(&self, guard: Option<SendGuard>) {
+        *self.0.guard.borrow_mut() = guard;
+        self.0.is_written.set(false);
+    }
+
+    /// Returns whether a byte was handed to the system since the guard was set.
+    pub fn is_written(&self) -> bool {
+        self.0.is_written.get()
+    }
+
+    fn check(&self) -> io::Result<()> {
+        let guard = self.0.guard.borrow().clone();
+        match guard.is_none_or(|guard| guard()) {
+            true => {
+                self.0.is_written.set(true);
+                Ok(())
+            }
+            false => Err(io::Error::new(
+                io::ErrorKind::PermissionDenied,
+                "the permission to send the request has ended",
+            )),
+        }
+    }
+}
+
 /// Waits until the host of a server answers no attempts to connect.
 pub async fn await_dead_link(address: SocketAddr) {
     let mut lost = 0;
@@ -74,20 +118,21 @@
     }
 }
 
-/// A connection to a server, with the limits that its [`ReaderPatience`] demands.
-#[derive(Debug)]
+/// A connection to a server, with the limits that its [`ReaderPatience`] and its [`WriteGuard`] demand.
 pub struct PatientStream {
     stream: TcpStream,
     patience: ReaderPatience,
     is_patient: bool,
+    write_guard: WriteGuard,
 }
 
 impl PatientStream {
-    pub fn new(stream: TcpStream, patience: ReaderPatience) -> Self {
+    pub fn new(stream: TcpStream, patience: ReaderPatience, write_guard: WriteGuard) -> Self {
         Self {
             stream,
             patience,
             is_patient: false,
+            write_guard,
         }
     }
 
@@ -118,6 +163,7 @@
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.apply_patience()?;
+        self.write_guard.check()?;
         Pin::new(&mut self.stream).poll_write(context, buffer)
     }
 
@@ -127,6 +173,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.apply_patience()?;
+        self.write_guard.check()?;
         Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
     }
 
--- a/crates/catkindeck-net/src/pool.rs
+++ b/crates/catkindeck-net/src/pool.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        link::{PatientStream, ReaderPatience},
+        link::{PatientStream, ReaderPatience, WriteGuard},
         socket,
     },
     bytes::Bytes,
@@ -64,6 +64,7 @@
     pub(crate) reused: bool,
     /// Whether the server may read the present request slowly.
     pub(crate) patience: ReaderPatience,
+    pub(crate) write_guard: WriteGuard,
     idle_limit: Option<Duration>,
     idle_since: Instant,
     driver: JoinHandle<()>,
@@ -81,7 +82,8 @@
     ) -> io::Result<Self> {
         let stream = socket::connect(address, limit).await?;
         let patience = ReaderPatience::default();
-        let stream = PatientStream::new(stream, patience.clone());
+        let write_guard = WriteGuard::default();
+        let stream = PatientStream::new(stream, patience.clone(), write_guard.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -96,6 +98,7 @@
             sender,
             reused: false,
             patience,
+            write_guard,
             idle_limit: None,
             idle_since: Instant::now(),
             driver,
--- a/crates/catkindeck-net/tests/client.rs
+++ b/crates/catkindeck-net/tests/client.rs
@@ -2,12 +2,13 @@
 
 use {
     bytes::Bytes,
-    catkindeck_net::{ClientLimits, HttpClient},
+    catkindeck_net::{ClientLimits, HttpClient, SendGuard},
     http::Request,
     std::{
         cell::Cell,
         io::{Read, Write},
         net::{SocketAddr, TcpListener, TcpStream},
+        rc::Rc,
         sync::{
             Arc,
             atomic::{AtomicUsize, Ordering},
@@ -15,7 +16,7 @@
         thread,
         time::Duration,
     },
-    tokio::task::LocalSet,
+    tokio::{sync::Notify, task::LocalSet},
 };
 
 const LIMITS: ClientLimits = ClientLimits {
@@ -201,6 +202,47 @@
     assert_eq!(requests.load(Ordering::Acquire), 1);
 }
 
+/// Guards against an order that is written after its permission ended on a busy event loop: other tasks run between
+/// the moment at which a request is handed to its connection and the one at which the connection writes it.
+#[tokio::test]
+async fn a_request_is_not_written_after_its_permit_ended_in_the_queue() {
+    let requests = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&requests);
+    let address = start_server(move |mut stream| {
+        while read_request(&mut stream) {
+            count.fetch_add(1, Ordering::AcqRel);
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            if stream.write_all(answer).is_err() {
+                return;
+            }
+        }
+    });
+    run(async {
+        let client = HttpClient::new(LIMITS);
+        let allowed: SendGuard = Rc::new(|| true);
+        let answered = client.call_guarded(address, request(), CALL_TIMEOUT, &allowed);
+        assert!(answered.await.is_ok());
+        let is_permitted = Rc::new(Cell::new(true));
+        let queue = Rc::new(Notify::new());
+        let (permitted, waiting) = (Rc::clone(&is_permitted), Rc::clone(&queue));
+        tokio::task::spawn_local(async move {
+            waiting.notified().await;
+            permitted.set(false);
+        });
+        tokio::task::yield_now().await;
+        // The first question queues the task that ends the permission, before the task of the pooled connection.
+        let guard: SendGuard = Rc::new(move || {
+            queue.notify_one();
+            is_permitted.get()
+        });
+        let refused = client.call_guarded(address, request(), CALL_TIMEOUT, &guard);
+        let error = refused.await.expect_err("the permit has ended");
+        assert!(!error.maybe_received, "{error}");
+    })
+    .await;
+    assert_eq!(requests.load(Ordering::Acquire), 1);
+}
+
 /// Guards against a process that opens connections until it runs out of file descriptors, and with them out of
 /// callers and peers: thousands of upstreams with several requests each.
 #[tokio::test]
