Go on with the former leader's list of upstreams, and apply only what changed

Cause: each process numbered the list by its leader, so that after each change of the leader every process asked the next one for the whole list, and between two leaders every process read the store. Beside that, each process copied and applied all records of the list for each answer of the leader.

Change: a position in the list names the process that numbered it; a process keeps the history that it follows and goes on with it as the leader. A position that the next leader does not know gets the whole list. Changed records alone are applied to the roster. Leaders of earlier builds are asked as before.

Found by the property test: a process that led twice used a number twice; it now skips those of its earlier terms.

--- a/crates/catkindeck-gateway/src/feed.rs
+++ b/crates/catkindeck-gateway/src/feed.rs
@@ -5,12 +5,15 @@
 //! A process that gets no updates from the leader reads the store itself.
 //!
 //! Of the list of upstreams only what changed is sent ([`UpstreamHistory`]): with thousands of upstreams and a
-//! hundred processes, whole lists exceed the leader's link and CPU time.
+//! hundred processes, whole lists exceed the leader's link and CPU time. Each process keeps the history that it follows,
+//! and goes on with it when it becomes the leader, so that the others need no whole list then either.
 
 use {
     crate::{core::GatewayCore, keys::MemberRecord, port::StoreItem},
-    catkindeck::{ErrorKind, Moment, ServiceError, message},
-    catkindeck_policy::direct::{DiscoveredUpstream, UpstreamChangeset, UpstreamHistory},
+    catkindeck::{ErrorKind, Moment, ServiceError, id::IncarnationId, message},
+    catkindeck_policy::direct::{
+        DiscoveredUpstream, ListPosition, UpstreamChangeset, UpstreamHistory,
+    },
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -41,7 +44,8 @@
 pub struct StoreFeed {
     intents: PrefixSnapshot,
     upstreams: PrefixSnapshot,
-    history: RefCell<UpstreamHistory>,
+    /// The list of upstreams as this process read it as the leader, or received it from the leader.
+    pub history: RefCell<UpstreamHistory>,
     changed: Notify,
 }
 
@@ -57,6 +61,18 @@
     pub reads: u64,
 }
 
+/// As [`FeedQuery`], with a position in the list of upstreams that the next leader may know too.
+#[message]
+#[derive(Default)]
+pub struct FeedPosition {
+    /// The version of the desired state, as numbered by the queried process.
+    pub intents: u64,
+    /// The latest version of the list of upstreams; `None` if the querying process has no list.
+    pub upstreams: Option<ListPosition>,
+    /// The number of reads of the list of upstreams that the querying process knows.
+    pub reads: u64,
+}
+
 /// The parts of the state that the querying process does not have.
 #[message]
 pub struct FeedUpdate {
@@ -93,16 +109,18 @@
 
 impl StoreFeed {
     /// Stores the results of two reads, each with the time just before the read was sent, and the decoded list of
-    /// upstreams.
+    /// upstreams if this process is the leader, with its incarnation.
     pub fn publish(
         &self,
         intents: (Moment, &[StoreItem]),
         upstreams: (Moment, &[StoreItem]),
-        list: &[DiscoveredUpstream],
+        list: Option<(IncarnationId, &[DiscoveredUpstream])>,
     ) {
         self.intents.publish(intents);
         self.upstreams.publish(upstreams);
-        self.history.borrow_mut().record_list(list);
+        if let Some((origin, list)) = list {
+            self.history.borrow_mut().lead(origin, list);
+        }
         self.changed.notify_waiters();
     }
 
@@ -117,7 +135,7 @@
         core: &GatewayCore,
         query: &FeedQuery,
     ) -> Result<FeedUpdate, ServiceError> {
-        self.await_read(query.reads).await;
+        self.await_read(query.reads, || true).await;
         let now = core.now();
         let intents = self.intents.update(now, query.intents);
         let upstreams = self.upstreams.update(now, query.upstreams);
@@ -129,21 +147,49 @@
         })
     }
 
-    /// Answers a query for changes when the list of upstreams was read again, or after [`FEED_WAIT_MS`].
+    /// Answers a query for changes of a process of an earlier build, which knows a version of this process.
     ///
     /// # Errors
     ///
-    /// As [`Self::answer`].
+    /// As [`Self::answer_since`].
     pub async fn answer_changes(
         &self,
         core: &GatewayCore,
         query: &FeedQuery,
     ) -> Result<FeedChanges, ServiceError> {
-        self.await_read(query.reads).await;
+        let origin = core.incarnation;
+        let version = query.upstreams;
+        let position = FeedPosition {
+            intents: query.intents,
+            upstreams: (version > 0).then_some(ListPosition { origin, version }),
+            reads: query.reads,
+        };
+        self.answer_since(core, &position).await
+    }
+
+    /// Answers a query for changes when the list of upstreams was read again, or after [`FEED_WAIT_MS`].
+    ///
+    /// # Errors
+    ///
+    /// Returns `store_unavailable` if this process has not read the store as the leader yet.
+    pub async fn answer_since(
+        &self,
+        core: &GatewayCore,
+        query: &FeedPosition,
+    ) -> Result<FeedChanges, ServiceError> {
+        let is_led = || self.history.borrow().is_led_by(core.incarnation);
+        self.await_read(query.reads, is_led).await;
+        if !is_led() {
+            return Err(unread_error());
+        }
         let now = core.now();
         let intents = self.intents.update(now, query.intents);
         let upstreams_at = self.upstreams.read_at.get().ok_or_else(unread_error)?;
-        let upstreams = self.history.borrow().changes_since(query.upstreams);
+        let upstreams = {
+            let history = self.history.borrow();
+            let known = query.upstreams.map_or(0, |known| history.version_at(known));
+            history.changes_since(known)
+        };
         let sent = u64::try_from(upstreams.records.len()).unwrap_or(u64::MAX);
         core.metrics.load.feed_records.inc_by(sent);
         Ok(FeedChanges {
@@ -155,14 +201,14 @@
         })
     }
 
-    /// Waits for a read of the list of upstreams that a querying process does not know, for at most
-    /// [`FEED_WAIT_MS`].
-    async fn await_read(&self, known_reads: u64) {
+    /// Waits for a read of the list of upstreams that a querying process does not know and that `is_usable`, for at
+    /// most [`FEED_WAIT_MS`].
+    async fn await_read(&self, known_reads: u64, is_usable: impl Fn() -> bool) {
         let until = Instant::now() + Duration::from_millis(FEED_WAIT_MS);
         loop {
             let changed = self.changed.notified();
             let has_new_read = self.upstreams.reads.get() != known_reads;
-            if has_new_read || timeout_at(until, changed).await.is_err() {
+            if has_new_read && is_usable() || timeout_at(until, changed).await.is_err() {
                 return;
             }
         }
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -7,7 +7,7 @@
     crate::{
         core::GatewayCore,
         events::PEER_FAILED,
-        feed::{FeedChanges, FeedQuery, FeedUpdate},
+        feed::{FeedChanges, FeedPosition, FeedQuery, FeedUpdate},
         jobs::{JobService, backup::JobTextUpdate, demand::DemandReport},
         keys::{self, JobRecord, MemberRecord},
         limits::{LimitCall, PermitReply},
@@ -124,10 +124,13 @@
     Leaving(NoticeCall<LeavingNotice>),
     /// Reports the demand of the sender's jobs to the leader.
     Demand(DemandReport),
-    /// Requests the changes of the data that the receiver read from the store.
+    /// Requests the changes of the data that the receiver read from the store; the call of earlier builds.
     FeedChanges(FeedQuery),
     /// Concerns requests that crash upstreams.
     Crash(NoticeCall<CrashNotice>),
+    /// Requests the changes of the data that the receiver read from the store, since a position that a former leader
+    /// may have numbered.
+    FeedSince(FeedPosition),
 }
 
 /// A call to be forwarded to another process.
@@ -326,6 +329,10 @@
                 let changes = self.core.feed.answer_changes(&self.core, &query).await?;
                 Ok(PeerResponse::FeedChanges(Box::new(changes)))
             }
+            PeerCall::FeedSince(position) => {
+                let changes = self.core.feed.answer_since(&self.core, &position).await?;
+                Ok(PeerResponse::FeedChanges(Box::new(changes)))
+            }
             PeerCall::WeightLoads(notices) => {
                 for notice in notices {
                     self.core.record_weight_load(&notice);
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -7,14 +7,20 @@
             CONFIG_IN_USE, FEED_LOST, FEED_REGAINED, INTENT_FAULT, STORE_LOST, STORE_REGAINED,
             UPSTREAM_APPEARED, UPSTREAM_DRAINING, UPSTREAM_REMOVED, ZONES_CHANGED,
         },
-        feed::{FEED_WAIT_MS, FeedChanges, FeedContent, FeedQuery, FeedUpdate},
+        feed::{FEED_WAIT_MS, FeedChanges, FeedContent, FeedPosition, FeedQuery, FeedUpdate},
         keys::MemberRecord,
         peer::{PeerCall, PeerResponse},
         port::StoreItem,
         task::spawn_supervised,
     },
-    catkindeck::{ErrorKind, Moment, ServiceError, id::IncarnationId, log_event},
-    catkindeck_policy::direct::{DiscoveredUpstream, UpstreamChangeset},
+    catkindeck::{
+        ErrorKind, Moment, ServiceError,
+        id::{IncarnationId, ObjectName},
+        log_event,
+    },
+    catkindeck_policy::direct::{
+        DiscoveredUpstream, ListPosition, SoftwareVersion, UpstreamChanges, UpstreamChangeset,
+    },
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -56,8 +62,21 @@
     members: Vec<MemberRecord>,
 }
 
+/// The calls that a leader understands. Leaders of earlier builds understand only the later ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FeedForm {
+    /// Changes since a position that a former leader may have numbered.
+    Since,
+    /// Changes since a version of the same leader.
+    Changes,
+    /// Whole lists.
+    Lists,
+}
+
 /// The list of upstreams in the leader's answer.
 enum FeedList {
+    /// What changed since a position of this process's history.
+    Since(UpstreamChangeset, Option<ListPosition>),
     /// What changed in the list.
     Changes(UpstreamChangeset),
     /// The items of the whole list with their version; `None` if they did not change.
@@ -67,17 +86,17 @@
 impl FeedList {
     fn version(&self) -> u64 {
         match self {
-            Self::Changes(changes) => changes.version,
+            Self::Since(changes, _) | Self::Changes(changes) => changes.version,
             Self::Items(_, version) => *version,
         }
     }
 }
 
-impl From<FeedChanges> for FeedAnswer {
-    fn from(changes: FeedChanges) -> Self {
+impl FeedAnswer {
+    fn new(changes: FeedChanges, list: impl FnOnce(UpstreamChangeset) -> FeedList) -> Self {
         Self {
             intents: changes.intents,
-            upstreams: FeedList::Changes(changes.upstreams),
+            upstreams: list(changes.upstreams),
             upstreams_age_ms: changes.upstreams_age_ms,
             reads: changes.reads,
             members: changes.members,
@@ -104,8 +123,8 @@
     /// Whether the leader's feed delivers updates.
     is_feed_active: Cell<bool>,
     feed_position: RefCell<(Option<IncarnationId>, FeedQuery)>,
-    /// A leader of an earlier build, which sends whole lists.
-    former_leader: Cell<Option<IncarnationId>>,
+    /// A leader of an earlier build, and the calls that it understands.
+    former_leader: Cell<Option<(IncarnationId, FeedForm)>>,
     /// How often this process itself read the list of upstreams.
     own_reads: Cell<u64>,
     /// When the current desired state was read.
@@ -114,6 +133,10 @@
     feed_read_at: Cell<Moment>,
     /// The upstreams in the latest list.
     upstreams: RefCell<Vec<DiscoveredUpstream>>,
+    /// Whether the latest list is the one of the history that this process follows, and the roster has all of it.
+    is_history_applied: Cell<bool>,
+    /// The software versions of each service in the latest list.
+    versions: RefCell<Vec<(ObjectName, SoftwareVersion)>>,
 }
 
 impl StoreSync {
@@ -129,6 +152,8 @@
             intents_at: Cell::new(Moment(0)),
             feed_read_at: Cell::new(Moment(0)),
             upstreams: RefCell::new(Vec::new()),
+            is_history_applied: Cell::new(false),
+            versions: RefCell::new(Vec::new()),
         });
         let polled = Rc::clone(&store_sync);
         spawn_supervised(core, "store", move || Rc::clone(&polled).poll_store());
@@ -151,9 +176,17 @@
         }
     }
 
-    /// Returns whether the feed is active and its data is recent enough to skip a read.
+    /// Returns whether the feed's data is recent enough to skip a read. That does not depend on whether there is a
+    /// leader: between two leaders, all processes would read the list at once.
     fn is_recent(&self, feed_read_at: Moment) -> bool {
-        self.is_feed_active.get() && self.core.now().since(feed_read_at) < self.max_feed_age_ms()
+        !self.is_leader() && self.core.now().since(feed_read_at) < self.max_feed_age_ms()
+    }
+
+    fn is_leader(&self) -> bool {
+        let leader = self.core.leader.borrow();
+        leader
+            .as_ref()
+            .is_some_and(|leader| leader.incarnation == self.core.incarnation)
     }
 
     fn max_feed_age_ms(&self) -> u64 {
@@ -161,12 +194,12 @@
     }
 
     fn read_interval(&self) -> Duration {
-        match self.feed_source() {
-            Some(_) => {
+        match self.is_leader() {
+            true => READ_INTERVAL,
+            false => {
                 let change_ms = self.core.settings().bounds.change_ms;
                 Duration::from_millis(change_ms * READ_INTERVAL_PERCENT / 100)
             }
-            None => READ_INTERVAL,
         }
     }
 
@@ -213,7 +246,7 @@
         self.feed_read_at.set(now - oldest);
         // What changed since an earlier list does not lead on from the list that was read meanwhile.
         let is_continued = own_reads == self.own_reads.get();
-        self.apply_answer(sent, answer, is_continued);
+        self.apply_answer(leader, sent, answer, is_continued);
         if oldest < OUTAGE_FEED_AGE_MS {
             self.core.relay.record_reached();
         }
@@ -234,17 +267,37 @@
         query: FeedQuery,
     ) -> Result<FeedAnswer, ServiceError> {
         let wait = Duration::from_millis(FEED_WAIT_MS);
-        let is_former = self.former_leader.get() == Some(leader.incarnation);
-        let call = match is_former {
-            true => PeerCall::Feed(query),
-            false => PeerCall::FeedChanges(query),
+        let form = match self.former_leader.get() {
+            Some((incarnation, form)) if incarnation == leader.incarnation => form,
+            _ => FeedForm::Since,
+        };
+        let position = self.core.feed.history.borrow().position();
+        let call = match form {
+            FeedForm::Since => PeerCall::FeedSince(FeedPosition {
+                intents: query.intents,
+                upstreams: position,
+                reads: query.reads,
+            }),
+            FeedForm::Changes => PeerCall::FeedChanges(query),
+            FeedForm::Lists => PeerCall::Feed(query),
         };
         match self.core.call_peer(leader.peer, &call, wait).await? {
-            PeerResponse::FeedChanges(changes) => Ok(FeedAnswer::from(*changes)),
+            PeerResponse::FeedChanges(changes) => {
+                Ok(FeedAnswer::new(*changes, |list| match form {
+                    FeedForm::Since => FeedList::Since(list, position),
+                    FeedForm::Changes | FeedForm::Lists => FeedList::Changes(list),
+                }))
+            }
             PeerResponse::Feed(update) => Ok(FeedAnswer::from(*update)),
             // A leader of an earlier build cannot decode the call.
-            PeerResponse::Refused(error) if !is_former && error.kind == ErrorKind::Internal => {
-                self.former_leader.set(Some(leader.incarnation));
+            PeerResponse::Refused(error)
+                if form != FeedForm::Lists && error.kind == ErrorKind::Internal =>
+            {
+                let next = match form {
+                    FeedForm::Since => FeedForm::Changes,
+                    FeedForm::Changes | FeedForm::Lists => FeedForm::Lists,
+                };
+                self.former_leader.set(Some((leader.incarnation, next)));
                 self.feed_position.borrow_mut().1.upstreams = 0;
                 Err(error)
             }
@@ -258,7 +311,13 @@
 
     /// Applies the leader's answer. Without `is_continued`, changes of the list of upstreams are left out and the
     /// complete list is requested next.
-    fn apply_answer(&self, sent: Moment, answer: FeedAnswer, is_continued: bool) {
+    fn apply_answer(
+        &self,
+        leader: &MemberRecord,
+        sent: Moment,
+        answer: FeedAnswer,
+        is_continued: bool,
+    ) {
         let intents_at = sent - answer.intents.age_ms;
         let upstreams_at = sent - answer.upstreams_age_ms;
         *self.core.members.borrow_mut() = answer.members;
@@ -283,7 +342,11 @@
         self.core.freshness.borrow_mut().record_read(intents_at);
         match answer.upstreams {
             FeedList::Items(Some(items), _) => self.replace_upstreams(upstreams_at, &items),
+            FeedList::Since(changes, position) => {
+                self.follow(leader.incarnation, upstreams_at, changes, position);
+            }
             FeedList::Changes(changes) if is_continued => {
+                self.is_history_applied.set(false);
                 changes.apply_to(&mut self.upstreams.borrow_mut());
                 self.apply_upstreams(upstreams_at);
             }
@@ -294,6 +357,38 @@
         }
     }
 
+    /// Follows the leader's history by what changed since `position`, and brings the roster to it.
+    fn follow(
+        &self,
+        leader: IncarnationId,
+        sent: Moment,
+        changes: UpstreamChangeset,
+        position: Option<ListPosition>,
+    ) {
+        let core = &self.core;
+        {
+            let mut history = core.feed.history.borrow_mut();
+            // This process may have become the leader meanwhile, and then numbers the versions itself.
+            if self.is_leader() || history.position() != position {
+                return;
+            }
+            history.follow(leader, &changes);
+        }
+        let is_superseded = core.roster.borrow().is_superseded(sent);
+        if changes.is_complete || !self.is_history_applied.get() {
+            *self.upstreams.borrow_mut() = core.feed.history.borrow().list();
+            self.apply_upstreams(sent);
+        } else {
+            let changed = changes.records.clone();
+            let is_changed = !changed.is_empty() || !changes.removed.is_empty();
+            changes.apply_to(&mut self.upstreams.borrow_mut());
+            self.record_versions(sent, is_changed);
+            self.apply_changed(sent, changed);
+        }
+        // What the roster ignored is applied with the next list.
+        self.is_history_applied.set(!is_superseded);
+    }
+
     /// Reads both prefixes, so that the feed publishes both with about the same age.
     async fn read(&self) -> Result<(), ServiceError> {
         let core = &self.core;
@@ -309,10 +404,11 @@
         self.own_reads.set(self.own_reads.get() + 1);
         self.feed_position.borrow_mut().1.upstreams = 0;
         self.replace_upstreams(upstreams_at, &upstreams.items);
+        let list = self.upstreams.borrow();
         core.feed.publish(
             (intents_at, &intents.items),
             (upstreams_at, &upstreams.items),
-            &self.upstreams.borrow(),
+            self.is_leader().then_some((core.incarnation, &list)),
         );
         Ok(())
     }
@@ -357,18 +453,53 @@
             log_event!(core.logger, INTENT_FAULT; "detail" => fault);
         }
         *self.upstreams.borrow_mut() = list;
+        self.is_history_applied.set(false);
         self.apply_upstreams(sent);
     }
 
+    /// Applies the whole list to the roster.
     fn apply_upstreams(&self, sent: Moment) {
-        let core = &self.core;
         let list = self.upstreams.borrow().clone();
-        let versions = list
+        self.record_versions(sent, true);
+        let changes = self.core.roster.borrow_mut().apply(sent, list);
+        self.record_changes(&changes);
+    }
+
+    /// Applies the changed records of the list to the roster.
+    fn apply_changed(&self, sent: Moment, changed: Vec<DiscoveredUpstream>) {
+        let list = self.upstreams.borrow();
+        let mut roster = self.core.roster.borrow_mut();
+        let changes = roster.apply_changed(sent, &list, changed);
+        drop(roster);
+        self.record_changes(&changes);
+    }
+
+    /// Records which software versions are listed, which are determined again if the list changed.
+    fn record_versions(&self, sent: Moment, is_changed: bool) {
+        let mut versions = self.versions.borrow_mut();
+        if is_changed {
+            let list = self.upstreams.borrow();
+            let pairs = list
+                .iter()
+                .map(|record| (&record.service, &record.software));
+            let mut pairs: Vec<_> = pairs.collect();
+            pairs.sort_unstable();
+            pairs.dedup();
+            *versions = pairs
+                .into_iter()
+                .map(|(service, software)| (service.clone(), software.clone()))
+                .collect();
+        }
+        let listed = versions
             .iter()
-            .map(|record| (&record.service, &record.software));
-        core.origins.history.borrow_mut().record(sent, versions);
-        let mut roster = core.roster.borrow_mut();
-        let changes = roster.apply(sent, list);
+            .map(|(service, software)| (service, software));
+        let mut history = self.core.origins.history.borrow_mut();
+        history.record(sent, listed);
+    }
+
+    fn record_changes(&self, changes: &UpstreamChanges) {
+        let core = &self.core;
+        let roster = core.roster.borrow();
         for key in &changes.appeared {
             let record = &roster.get(*key).record;
             log_event!(core.logger, UPSTREAM_APPEARED;
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -81,7 +81,7 @@
     stream_origin::{OriginTable, StreamKey, VersionHistory},
     text_length::{TextDemand, TextLengths},
     upstream::{DiscoveredUpstream, ModelWeights, SoftwareVersion, UpstreamKey, UpstreamState},
-    upstream_changes::{REMOVED_LIMIT, UpstreamChangeset, UpstreamHistory},
+    upstream_changes::{ListPosition, REMOVED_LIMIT, UpstreamChangeset, UpstreamHistory},
     upstream_limit::{LimitHeader, UpstreamLimit},
     upstream_table::{UpstreamChanges, UpstreamTable},
     wall_clock::{ClockChange, WallClockFilter},
--- a/crates/catkindeck-policy/src/direct/upstream_changes.rs
+++ b/crates/catkindeck-policy/src/direct/upstream_changes.rs
@@ -4,10 +4,18 @@
 //! Load pattern: thousands of upstreams that renew their entries about once a second, and hundreds of
 //! processes that need the list as often. Nearly all renewals change nothing but the number of the
 //! heartbeat, so the changes that matter are a small part of the list.
+//!
+//! Load pattern: the leader changes. Hundreds of processes would need the whole list from the next one at once, which at
+//! its share of a core takes longer than its lease lasts, so that it loses leadership again. Each process therefore
+//! keeps the history that it follows, and a new leader goes on with the numbering of the former one.
 
 use {
     super::upstream::DiscoveredUpstream,
-    catkindeck::{SortedMap, id::ObjectName, message},
+    catkindeck::{
+        SortedMap,
+        id::{IncarnationId, ObjectName},
+        message,
+    },
 };
 
 /// The number of removed upstreams that are remembered. A process that missed more removals gets the
@@ -47,6 +55,19 @@
     }
 }
 
+/// The number of former leaders whose numbering a history remembers. A process that knows only an earlier one gets the
+/// complete list.
+const LINEAGE_LIMIT: usize = 8;
+
+/// A version of the list, as numbered by a leader.
+#[message]
+#[derive(Copy)]
+pub struct ListPosition {
+    /// The leader that numbered the version.
+    pub origin: IncarnationId,
+    pub version: u64,
+}
+
 /// A record with the version of the list in which it last changed.
 #[derive(Debug, Clone)]
 struct VersionedRecord {
@@ -63,6 +84,19 @@
     removed: SortedMap<ObjectName, u64>,
     /// The latest version in which an upstream was removed that is not remembered.
     forgotten_in: u64,
+    /// The leaders that numbered the versions, in the order of these.
+    lineage: Vec<NumberedSpan>,
+    /// The latest version that this process numbered.
+    led_version: u64,
+}
+
+/// The versions of a history that one leader numbered.
+#[derive(Debug, Clone, Copy)]
+struct NumberedSpan {
+    origin: IncarnationId,
+    /// The first known version of the leader's term.
+    first: u64,
+    last: u64,
 }
 
 impl UpstreamHistory {
@@ -83,6 +117,76 @@
         changed
     }
 
+    /// Records the list of a read of the leader `origin`, which goes on with the numbering that this history followed.
+    pub fn lead(&mut self, origin: IncarnationId, list: &[DiscoveredUpstream]) -> usize {
+        if !self.is_led_by(origin) {
+            // What this process numbered in an earlier term may belong to another history, so no number is used twice.
+            self.version = self.version.max(self.led_version) + 1;
+        }
+        let changed = self.record_list(list);
+        self.led_version = self.version;
+        self.extend_lineage(origin);
+        changed
+    }
+
+    /// Records what another process, the leader `origin`, answered.
+    pub fn follow(&mut self, origin: IncarnationId, changes: &UpstreamChangeset) {
+        if changes.is_complete {
+            *self = Self {
+                forgotten_in: changes.version,
+                led_version: self.led_version,
+                ..Self::default()
+            };
+        }
+        self.version = changes.version;
+        for record in &changes.records {
+            self.removed.remove(&record.id);
+            let entry = VersionedRecord {
+                record: record.clone(),
+                changed_in: changes.version,
+            };
+            self.records.insert(record.id.clone(), entry);
+        }
+        for id in &changes.removed {
+            self.records.remove(id);
+            self.removed.insert(id.clone(), changes.version);
+        }
+        self.forget_removed();
+        self.extend_lineage(origin);
+    }
+
+    /// Returns whether this process numbers the versions.
+    pub fn is_led_by(&self, origin: IncarnationId) -> bool {
+        self.position().is_some_and(|last| last.origin == origin)
+    }
+
+    /// Returns the latest version; `None` before the first one.
+    pub fn position(&self) -> Option<ListPosition> {
+        let span = self.lineage.last()?;
+        Some(ListPosition {
+            origin: span.origin,
+            version: span.last,
+        })
+    }
+
+    /// Returns the version of this history that a process has at a position, or zero if the position does not belong to
+    /// this history: the former leader numbered further versions that did not reach this process.
+    pub fn version_at(&self, position: ListPosition) -> u64 {
+        let version = position.version;
+        let mut lineage = self.lineage.iter();
+        let span = lineage.find(|span| span.origin == position.origin);
+        match span {
+            Some(span) if (span.first..=span.last).contains(&version) => version,
+            _ => 0,
+        }
+    }
+
+    /// Returns the latest list, in the order of the names.
+    pub fn list(&self) -> Vec<DiscoveredUpstream> {
+        let records = self.records.values();
+        records.map(|entry| entry.record.clone()).collect()
+    }
+
     /// Returns what changed since a version; the complete list if that version is unknown.
     pub fn changes_since(&self, known: u64) -> UpstreamChangeset {
         let is_complete = known == 0 || known > self.version || known < self.forgotten_in;
@@ -99,6 +203,23 @@
         }
     }
 
+    fn extend_lineage(&mut self, origin: IncarnationId) {
+        let version = self.version;
+        match self.lineage.last_mut() {
+            Some(span) if span.origin == origin => span.last = version,
+            _ => {
+                self.lineage.retain(|span| span.origin != origin);
+                self.lineage.push(NumberedSpan {
+                    origin,
+                    first: version,
+                    last: version,
+                });
+            }
+        }
+        let excess = self.lineage.len().saturating_sub(LINEAGE_LIMIT);
+        self.lineage.drain(..excess);
+    }
+
     fn record_entry(&mut self, next: u64, record: &DiscoveredUpstream) -> bool {
         let Some(entry) = self.records.get_mut(&record.id) else {
             self.removed.remove(&record.id);
--- a/crates/catkindeck-policy/src/direct/upstream_table.rs
+++ b/crates/catkindeck-policy/src/direct/upstream_table.rs
@@ -58,8 +58,38 @@
     /// Lists arrive both from this process's reads and from other processes; a list older than the
     /// current one is ignored.
     pub fn apply(&mut self, sent: Moment, list: Vec<DiscoveredUpstream>) -> UpstreamChanges {
+        let mut listed: Vec<ObjectName> = list.iter().map(|record| record.id.clone()).collect();
+        listed.sort_unstable();
+        let is_listed = |id: &ObjectName| listed.binary_search(id).is_ok();
+        self.apply_records(sent, list, &is_listed)
+    }
+
+    /// As [`Self::apply`], for a list in the order of names of which only the `changed` records differ from the list
+    /// that was applied before. With thousands of upstreams, applying all records takes most of a small process's
+    /// share of a core.
+    pub fn apply_changed(
+        &mut self,
+        sent: Moment,
+        list: &[DiscoveredUpstream],
+        changed: Vec<DiscoveredUpstream>,
+    ) -> UpstreamChanges {
+        let is_listed = |id: &ObjectName| list.binary_search_by(|record| record.id.cmp(id)).is_ok();
+        self.apply_records(sent, changed, &is_listed)
+    }
+
+    /// Returns whether a list that was read at `sent` is older than the current one, and ignored.
+    pub fn is_superseded(&self, sent: Moment) -> bool {
+        self.last_read.is_some_and(|last| sent < last)
+    }
+
+    fn apply_records(
+        &mut self,
+        sent: Moment,
+        records: Vec<DiscoveredUpstream>,
+        is_listed: &dyn Fn(&ObjectName) -> bool,
+    ) -> UpstreamChanges {
         let mut changes = UpstreamChanges::default();
-        if self.last_read.is_some_and(|last| sent < last) {
+        if self.is_superseded(sent) {
             return changes;
         }
         if self
@@ -69,14 +99,11 @@
             self.grace_until = sent + STORE_RECOVERY_GRACE_MS;
         }
         self.last_read = Some(sent);
-        let mut listed: Vec<ObjectName> = Vec::with_capacity(list.len());
-        for record in list {
-            listed.push(record.id.clone());
+        for record in records {
             self.apply_record(sent, record, &mut changes);
         }
-        listed.sort();
         if sent >= self.grace_until {
-            self.remove_missing(&listed, &mut changes);
+            self.remove_missing(is_listed, &mut changes);
         }
         changes
     }
@@ -226,10 +253,14 @@
         changes.appeared.push(key);
     }
 
-    fn remove_missing(&mut self, listed: &[ObjectName], changes: &mut UpstreamChanges) {
+    fn remove_missing(
+        &mut self,
+        is_listed: &dyn Fn(&ObjectName) -> bool,
+        changes: &mut UpstreamChanges,
+    ) {
         let instances = &mut self.instances;
         self.current.retain(|id, key| {
-            if listed.binary_search(id).is_ok() {
+            if is_listed(id) {
                 return true;
             }
             if let Some(state) = instances.get_mut(*key) {
--- a/crates/catkindeck-policy/tests/upstream_changes.rs
+++ b/crates/catkindeck-policy/tests/upstream_changes.rs
@@ -1,7 +1,11 @@
 //! Changes of the list of upstreams, as the leader sends them to the other processes.
 
 use {
-    catkindeck::{Moment, id::ObjectName, token::WeightVersion},
+    catkindeck::{
+        Moment,
+        id::{IncarnationId, ObjectName},
+        token::WeightVersion,
+    },
     catkindeck_policy::direct::{
         DiscoveredUpstream, ModelWeights, REMOVED_LIMIT, TargetVersion, UpstreamHistory,
         UpstreamTable, WeightLoadPlanner, plan_pause_ms,
@@ -266,3 +270,167 @@
         }
     }
 }
+
+fn process(number: u8) -> IncarnationId {
+    IncarnationId([number; 16])
+}
+
+/// Load: the leader of 300 processes with thousands of engines changes. The next leader was asked for the whole list by
+/// each process, which took longer than its lease lasts.
+#[test]
+fn a_new_leader_sends_what_changed_since_the_former_one() {
+    for count in [131, 1_000, 3_001] {
+        let mut former = UpstreamHistory::default();
+        former.lead(process(1), &engines(count, 1));
+        let complete = former.changes_since(0);
+        let mut processes = vec![UpstreamHistory::default(); 10];
+        for history in &mut processes {
+            history.follow(process(1), &complete);
+        }
+        let mut next = processes.pop().expect("there are processes");
+        let mut list = engines(count - 1, 2);
+        list[0].draining = true;
+        next.lead(process(2), &list);
+        let mut sent = 0;
+        for history in &mut processes {
+            let position = history.position().expect("it follows the former leader");
+            let changes = next.changes_since(next.version_at(position));
+            assert!(!changes.is_complete);
+            sent += changes.records.len() + changes.removed.len();
+            history.follow(process(2), &changes);
+            assert_eq!(
+                without_heartbeats(&history.list()),
+                without_heartbeats(&list)
+            );
+        }
+        assert_eq!(sent, processes.len() * 2, "{count} engines");
+    }
+}
+
+/// Guards against a process that knows more of the former leader than the next one, and would keep what the next leader
+/// has not seen.
+#[test]
+fn a_process_that_is_ahead_of_the_new_leader_gets_the_complete_list() {
+    let mut former = UpstreamHistory::default();
+    former.lead(process(1), &engines(3, 1));
+    let mut next = UpstreamHistory::default();
+    next.follow(process(1), &former.changes_since(0));
+    former.lead(process(1), &engines(4, 2));
+    let mut ahead = UpstreamHistory::default();
+    ahead.follow(process(1), &former.changes_since(0));
+
+    next.lead(process(2), &engines(3, 3));
+    let position = ahead.position().expect("it follows the former leader");
+    let changes = next.changes_since(next.version_at(position));
+    assert!(changes.is_complete);
+    ahead.follow(process(2), &changes);
+    assert_eq!(ahead.list().len(), 3);
+}
+
+/// Guards against a memory of leaders that grows for as long as leaders change.
+#[test]
+fn only_the_latest_leaders_are_remembered() {
+    let mut history = UpstreamHistory::default();
+    let mut positions = Vec::new();
+    for number in 0..100 {
+        history.lead(process(number), &engines(usize::from(number) + 1, 1));
+        positions.push(history.position().expect("it leads"));
+    }
+    let known = |number: usize| history.version_at(positions[number]) > 0;
+    assert!(known(99) && known(93));
+    assert!(!known(80));
+}
+
+/// What happens to three processes, of which one leads.
+#[derive(Debug, Clone)]
+enum Turn {
+    /// An engine says something new.
+    Change(usize, u64),
+    /// An engine leaves.
+    Leave(usize),
+    /// A leader reads the list, also one that does not know that it is none any more.
+    Read(usize),
+    /// The first process gets an answer of the second one, if that has read as the leader.
+    Follow(usize, usize),
+}
+
+fn turns() -> impl Strategy<Value = Vec<Turn>> {
+    let turn = prop_oneof![
+        (0..6_usize, 1..4_u64).prop_map(|(engine, version)| Turn::Change(engine, version)),
+        (0..6_usize).prop_map(Turn::Leave),
+        (0..3_usize).prop_map(Turn::Read),
+        (0..3_usize, 0..3_usize).prop_map(|(process, leader)| Turn::Follow(process, leader)),
+    ];
+    prop::collection::vec(turn, 1..80)
+}
+
+proptest! {
+    /// A process has the list of the leader that it asked, whichever processes led and read before.
+    #[test]
+    fn every_process_has_the_list_of_the_leader_that_it_asked(turns in turns()) {
+        let mut listed: Vec<Option<DiscoveredUpstream>> = (0..6).map(|_| None).collect();
+        let mut histories = vec![UpstreamHistory::default(); 3];
+        let mut heartbeat = 10;
+        for turn in turns {
+            heartbeat += 1;
+            match turn {
+                Turn::Change(number, version) => {
+                    let state = listed[number].get_or_insert_with(|| engine(number, heartbeat));
+                    state.heartbeat = heartbeat;
+                    state.weights[0].version = WeightVersion(version);
+                }
+                Turn::Leave(number) => listed[number] = None,
+                Turn::Read(number) => {
+                    let list: Vec<DiscoveredUpstream> = listed.iter().flatten().cloned().collect();
+                    histories[number].lead(process(number as u8), &list);
+                }
+                Turn::Follow(number, leader) => {
+                    let answering = histories[leader].clone();
+                    if number == leader || !answering.is_led_by(process(leader as u8)) {
+                        continue;
+                    }
+                    let history = &mut histories[number];
+                    let known = history.position().map_or(0, |known| answering.version_at(known));
+                    history.follow(process(leader as u8), &answering.changes_since(known));
+                    prop_assert_eq!(
+                        without_heartbeats(&history.list()),
+                        without_heartbeats(&answering.list())
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// Load: all engines renew their entries, and a small process applies only what changed.
+#[test]
+fn changed_records_lead_to_the_same_table_as_whole_lists() {
+    let mut whole = UpstreamTable::new();
+    let mut changed = UpstreamTable::new();
+    let mut list = engines(50, 1);
+    whole.apply(Moment(1_000), list.clone());
+    changed.apply(Moment(1_000), list.clone());
+    for read in 2..20_u64 {
+        let sent = Moment(read * 1_000);
+        let index = read as usize;
+        let mut records = Vec::new();
+        match read % 3 {
+            0 => list[index].draining = true,
+            1 => list[index].weights[0].version = WeightVersion(read),
+            _ => list[index].born_ms = read,
+        }
+        list[index].heartbeat += 1;
+        records.push(list[index].clone());
+        list.remove(30);
+        let first = whole.apply(sent, list.clone());
+        let second = changed.apply_changed(sent, &list, records);
+        assert_eq!(first, second, "read {read}");
+        let states = |table: &UpstreamTable| -> Vec<DiscoveredUpstream> {
+            table
+                .iter()
+                .map(|(_, state)| state.record.clone())
+                .collect()
+        };
+        assert_eq!(states(&whole), states(&changed));
+    }
+}
