Answer no empty page of results after the lease ended during the wait

Cause: a read of results checks the owner's lease before it waits for a result, not after. If the process or its event loop stands still during the wait, another process may take over the job and list results, and the former owner then answers that there are none.

Ruled out: the archive (the job had not ended) and the store's list (results are read only after they are stored).

Change: a page without results is answered only if the lease still holds after the wait; else the results are read from the store.

--- a/crates/catkindeck-gateway/src/jobs/read.rs
+++ b/crates/catkindeck-gateway/src/jobs/read.rs
@@ -43,7 +43,11 @@
         let wait = Duration::from_millis(read.wait_ms).min(MAX_WAIT);
         let page = match self.owned(&read.job) {
             Some(job) if self.has_current_results(&job) => {
-                local_results(&job, customer, read.after, wait).await?
+                let page = local_results(&job, customer, read.after, wait).await?;
+                match self.is_current_page(&job, &page) {
+                    true => page,
+                    false => self.stored_results(read, customer).await?,
+                }
             }
             Some(_) => self.stored_results(read, customer).await?,
             None => self.remote_results(read, customer, wait).await?,
@@ -95,6 +99,9 @@
             return Ok(PeerResponse::NotOwner);
         };
         let page = local_results(&owned, customer, after, wait).await?;
+        if !self.is_current_page(&owned, &page) {
+            return Ok(PeerResponse::NotOwner);
+        }
         Ok(PeerResponse::Results(PeerResults {
             total: page.total,
             next: page.next,
@@ -106,6 +113,12 @@
         }))
     }
 
+    /// Returns whether a page may be answered after the wait for it. The lease may have ended meanwhile, if the process
+    /// or its event loop stood still, and the next owner may have listed results where this page has none.
+    fn is_current_page(&self, job: &OwnedJob, page: &ResultsPage) -> bool {
+        !page.results.is_empty() || self.has_current_results(job)
+    }
+
     /// Answers a read of an item's request body that another process relays for its caller.
     pub fn item_body_for_peer(
         &self,
