--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -236,6 +236,12 @@
     }
 }
 
+impl From<FeedChanges> for PeerResponse {
+    fn from(changes: FeedChanges) -> Self {
+        Self::FeedChanges(Box::new(changes))
+    }
+}
+
 /// Answers calls of other gateway processes.
 pub struct PeerHandler {
     core: Rc<GatewayCore>,
@@ -262,6 +268,13 @@
         }
     }
 
+    fn answer_responsible(&self, job: &str) -> PeerResponse {
+        match self.jobs.is_responsible(job) {
+            true => PeerResponse::Done,
+            false => PeerResponse::NotOwner,
+        }
+    }
+
     async fn answer_call(&self, request: Request<Incoming>) -> Result<PeerResponse, ServiceError> {
         match read_call(request).await? {
             PeerCall::Results {
@@ -287,10 +300,7 @@
                 }
                 None => Ok(PeerResponse::NotOwner),
             },
-            PeerCall::IsResponsible { job } => Ok(match self.jobs.is_responsible(&job) {
-                true => PeerResponse::Done,
-                false => PeerResponse::NotOwner,
-            }),
+            PeerCall::IsResponsible { job } => Ok(self.answer_responsible(&job)),
             PeerCall::HandOver(hand_over) => {
                 self.jobs.accept_hand_over(*hand_over).await?;
                 Ok(PeerResponse::Done)
@@ -317,21 +327,21 @@
                 self.core.copies.take(&job, &items),
             )),
             PeerCall::Store(call) => {
-                let response = self.core.relay.answer(&call).await?;
-                Ok(PeerResponse::Store(Box::new(response)))
+                let response = self.core.relay.answer(&call).await;
+                response.map(|response| PeerResponse::Store(Box::new(response)))
             }
             PeerCall::Forward(forwarded) => Ok(self.core.forward_call(&forwarded).await),
             PeerCall::Feed(query) => {
-                let update = self.core.feed.answer(&self.core, &query).await?;
-                Ok(PeerResponse::Feed(Box::new(update)))
+                let update = self.core.feed.answer(&self.core, &query).await;
+                update.map(|update| PeerResponse::Feed(Box::new(update)))
             }
             PeerCall::FeedChanges(query) => {
-                let changes = self.core.feed.answer_changes(&self.core, &query).await?;
-                Ok(PeerResponse::FeedChanges(Box::new(changes)))
+                let changes = self.core.feed.answer_changes(&self.core, &query).await;
+                changes.map(PeerResponse::from)
             }
             PeerCall::FeedSince(position) => {
-                let changes = self.core.feed.answer_since(&self.core, &position).await?;
-                Ok(PeerResponse::FeedChanges(Box::new(changes)))
+                let changes = self.core.feed.answer_since(&self.core, &position).await;
+                changes.map(PeerResponse::from)
             }
             PeerCall::WeightLoads(notices) => {
                 for notice in notices {
