--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -15,6 +15,8 @@
 pub mod load_time;
 pub mod model_demand;
 pub mod model_shares;
+pub mod order_queue;
+pub mod order_transit;
 pub mod outage;
 pub mod outcome;
 pub mod peer_reachability;
@@ -62,6 +64,8 @@
     load_time::{LOAD_EXTENSION_MS, LoadTimeEstimate, MIN_LOAD_MS},
     model_demand::{DemandBoard, DemandSummary, ModelDemand, REPORT_TTL_MS},
     model_shares::{ModelPool, ModelShare, SHARE_HOLD_MS, ShareBalance, ShareChange},
+    order_queue::OrderQueue,
+    order_transit::{OrderTransit, TransitKey},
     outage::OutageBackoff,
     outcome::{ItemOutcome, ResultState},
     peer_reachability::PeerReachability,
@@ -79,7 +83,7 @@
     stream_origin::{OriginTable, StreamKey, VersionHistory},
     text_length::{TextDemand, TextLengths},
     upstream::{DiscoveredUpstream, ModelWeights, SoftwareVersion, UpstreamKey, UpstreamState},
-    upstream_changes::{REMOVED_LIMIT, UpstreamChangeset, UpstreamHistory},
+    upstream_changes::{ListPosition, REMOVED_LIMIT, UpstreamChangeset, UpstreamHistory},
     upstream_limit::{LimitHeader, UpstreamLimit},
     upstream_table::{UpstreamChanges, UpstreamTable},
     wall_clock::{ClockChange, WallClockFilter},
