Share the ownership of jobs by trainer, with places of engines granted by the leader

Cause: one process owns all jobs of a service, because only it knows what runs at each engine; its loss stops all trainers and its size limits the service.

Change: where shared_ownership is auto and a service has several models, a trainer's jobs go to an owner that all processes choose alike. The leader divides the slots of each engine by the demand that owners report; a place moves only when its former owner knows and its request has ended. Off by default.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -299,6 +299,7 @@
         spawn("copies", |jobs| Box::pin(jobs.replicate_texts()));
         spawn("texts", |jobs| Box::pin(jobs.store_texts()));
         spawn("demand", |jobs| Box::pin(jobs.report_demand()));
+        spawn("places", |jobs| Box::pin(jobs.exchange_places()));
         let (core, session) = (Rc::clone(&self.core), Rc::clone(&self.session));
         let jobs = Rc::clone(&self.jobs);
         spawn_supervised(&self.core, "reclaim", move || {
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -77,5 +77,9 @@
     REQUEST_QUARANTINED = 8212, "request_quarantined", Warning, "request crashed upstreams in sequence and is refused";
     REQUEST_CLEARED = 8213, "request_cleared", Info, "suspected request was answered, so it does not crash upstreams";
     CRASHES_UNSENT = 8214, "crashes_unsent", Warning, "notices of crashes could not be exchanged; retrying";
+    OWNERS_CHANGED = 8220, "owners_changed", Info, "other processes share the engines with this one";
+    PLACES_CHANGED = 8221, "places_changed", Info, "this process may use another number of places at engines";
+    PLACES_ENDED = 8222, "places_ended", Warning, "no places are granted; the even part of the slots is used";
+    JOB_ASSIGNED = 8223, "job_assigned", Info, "job of a lost owner was given to the owner of its trainer";
     PEER_RELAYED = 8181, "peer_relayed", Info, "peer was reached through another peer";
 }
--- a/crates/catkindeck-gateway/src/jobs/mod.rs
+++ b/crates/catkindeck-gateway/src/jobs/mod.rs
@@ -11,6 +11,8 @@
 pub mod item;
 pub mod item_forecast;
 pub mod owned;
+pub mod ownership;
+pub mod places;
 pub mod queue;
 pub mod read;
 pub mod scheduler;
--- a/crates/catkindeck-gateway/src/jobs/queue.rs
+++ b/crates/catkindeck-gateway/src/jobs/queue.rs
@@ -4,7 +4,7 @@
     super::{owned::OwnedJob, service::JobService},
     crate::keys::JobState,
     catkindeck::{id::ObjectName, message},
-    catkindeck_policy::direct::{StepCounts, TrainerId},
+    catkindeck_policy::direct::{PlaceCounts, StepCounts, TrainerId},
     std::rc::Rc,
 };
 
@@ -12,9 +12,20 @@
 #[message]
 pub struct QueueReport {
     pub host: ObjectName,
+    /// The places of the process where owners share the engines.
+    pub places: Option<PlaceQueue>,
     pub trainers: Vec<TrainerQueue>,
 }
 
+/// The places of one process at all engines.
+#[message]
+pub struct PlaceQueue {
+    /// The hosts that share the engines.
+    pub owners: Vec<ObjectName>,
+    #[serde(flatten)]
+    pub counts: PlaceCounts,
+}
+
 /// The open steps of one trainer, or a job without a trainer.
 #[message]
 pub struct TrainerQueue {
@@ -22,6 +33,8 @@
     pub route: ObjectName,
     /// The model that is trained; `None` for a job without a trainer.
     pub model: Option<ObjectName>,
+    /// The host that would own the trainer's next step.
+    pub next_owner: ObjectName,
     /// The scheduling priority, 0 (first) to 9 (last).
     pub priority: u8,
     /// How late the trainer is against the interval at which it asks for steps.
@@ -78,6 +91,9 @@
         });
         QueueReport {
             host: self.core.settings().host.clone(),
+            places: self
+                .place_counts()
+                .map(|(counts, owners)| PlaceQueue { owners, counts }),
             trainers,
         }
     }
@@ -91,6 +107,7 @@
             customer: job.spec.customer.clone(),
             route: job.spec.route.clone(),
             model: trainer.map(|trainer| trainer.model),
+            next_owner: self.next_owner(&job.spec),
             priority: self.job_urgency(job),
             lateness_ms: pace.lateness(self.core.unix_ms(), true),
             interval_ms: pace.interval_ms,
--- a/crates/catkindeck-gateway/src/jobs/read.rs
+++ b/crates/catkindeck-gateway/src/jobs/read.rs
@@ -159,8 +159,10 @@
 
     /// Calls the owner of a job. Returns `None` if no process that may own it answers.
     ///
-    /// Without a cached owner, the processes that would get new jobs are tried first, because they own most
-    /// jobs. Then the owner named in the store is called.
+    /// Without a cached owner, the process that would get new jobs is tried first, because it owns most jobs.
+    /// Then the owner named in the store is called. Where several processes would get new jobs, the store is asked
+    /// first, and they are tried only if it does not answer: calls to all of them would cost more, and a lost one
+    /// would delay reads of the other owners' jobs.
     ///
     /// # Errors
     ///
@@ -175,20 +177,32 @@
             Some(owner) => vec![owner],
             None => self.candidate_owners(),
         };
+        let stored = match candidates.len() > 1 {
+            true => match self.stored_owner(job).await {
+                Err(error) if error.kind != ErrorKind::NotFound => None,
+                found => Some(found?),
+            },
+            false => None,
+        };
+        if let Some(owner) = stored {
+            return self.call_candidate(job, owner, call, wait).await;
+        }
         for owner in candidates {
             if let Some(response) = self.call_candidate(job, owner, call, wait).await? {
                 return Ok(Some(response));
             }
         }
-        let response = self
-            .core
-            .ports
-            .store
-            .read(&keys::job_record_key(job))
-            .await?;
+        let owner = self.stored_owner(job).await?;
+        self.call_candidate(job, owner, call, wait).await
+    }
+
+    /// Returns the owner that the store names.
+    async fn stored_owner(&self, job: &str) -> Result<MemberRecord, ServiceError> {
+        let key = keys::job_record_key(job);
+        let response = self.core.ports.store.read(&key).await?;
         let item = response.item.ok_or_else(not_found_error)?;
         let record: JobRecord = keys::decode_item(&item)?;
-        self.call_candidate(job, record.owner, call, wait).await
+        Ok(record.owner)
     }
 
     async fn call_candidate(
@@ -214,22 +228,6 @@
         }
     }
 
-    /// Returns the processes that would get new jobs.
-    fn candidate_owners(&self) -> Vec<MemberRecord> {
-        let mut services: Vec<ObjectName> = {
-            let view = self.core.intent.borrow();
-            let routes = view.routes().iter();
-            let takes_jobs = routes.filter(|route| route.terms.job.is_some());
-            takes_jobs.map(|route| route.service.clone()).collect()
-        };
-        services.sort();
-        services.dedup();
-        let owners = services.iter().map(|service| self.choose_owner(service));
-        let mut owners: Vec<MemberRecord> = owners.collect();
-        owners.dedup();
-        owners
-    }
-
     /// Loads a job from the store for reading. A job that is complete or cancelled is kept in the archive.
     async fn load_stored(&self, job: &str) -> Result<Rc<OwnedJob>, ServiceError> {
         let response = self
--- a/crates/catkindeck-gateway/src/jobs/service.rs
+++ b/crates/catkindeck-gateway/src/jobs/service.rs
@@ -1,7 +1,7 @@
 //! The jobs that this process owns, and a cache of the owners of other jobs.
 
 use {
-    super::owned::OwnedJob,
+    super::{owned::OwnedJob, places::PlaceExchange},
     crate::{
         core::GatewayCore,
         keys::{JobState, MemberRecord},
@@ -32,6 +32,7 @@
     cached_owners: RefCell<SortedMap<String, (MemberRecord, Moment)>>,
     /// The paces of the trainers whose jobs this process owns.
     pub(super) schedule: RefCell<StepSchedule>,
+    pub(super) places: PlaceExchange,
 }
 
 impl JobService {
@@ -45,6 +46,7 @@
             reclaiming: Cell::new(true),
             cached_owners: RefCell::new(SortedMap::new()),
             schedule: RefCell::new(StepSchedule::default()),
+            places: PlaceExchange::default(),
         })
     }
 
@@ -112,6 +114,7 @@
             replaced.stop();
         }
         self.record_step(&inserted);
+        self.places.wake();
         self.core.capacity.notify_one();
     }
 
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -8,15 +8,15 @@
     crate::{
         caller_handler::AdmittedRequest,
         events::{JOB_ACCEPTED, JOB_LOST, JOB_REFUSED},
-        keys::{self, JobRecord, JobState, MemberRecord},
+        keys::{self, JobRecord, JobState},
         peer::{JobHandOver, PeerCall, PeerResponse},
         port::{
             BufferedResponse, CommitOutcome, StoreCondition, StoreItem, StoreWrite, Transaction,
         },
     },
     bytes::Bytes,
-    catkindeck::{ErrorKind, ServiceError, error::ExecutionOutcome, id::ObjectName, log_event},
-    catkindeck_policy::direct::{JobSpec, rendezvous_score},
+    catkindeck::{ErrorKind, ServiceError, error::ExecutionOutcome, log_event},
+    catkindeck_policy::direct::JobSpec,
     http::{Response, StatusCode},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep},
@@ -86,7 +86,7 @@
             ..spec
         };
         let spec = Rc::new(spec);
-        let owner = self.choose_owner(&route.service);
+        let owner = self.choose_owner(&spec, &route.service);
         let record = JobRecord {
             job: spec.id.clone(),
             owner: owner.clone(),
@@ -119,49 +119,6 @@
         Ok(())
     }
 
-    /// Chooses the process that is to own a job.
-    ///
-    /// All jobs of a service go to the same process that serves no callers, if there is one. Only that process
-    /// then knows how many items are in progress at each engine, keeps its connections from step to step, and
-    /// has the texts of items that are submitted again. The leader is avoided if possible.
-    pub(super) fn choose_owner(&self, service: &ObjectName) -> MemberRecord {
-        let owner = self.best_owner(service, |member| !member.serves_callers);
-        owner.unwrap_or_else(|| self.own_record())
-    }
-
-    /// Chooses the process to which a job of this process is handed over. Returns `None` if there is no other.
-    pub(super) fn choose_successor(&self, service: &ObjectName) -> Option<MemberRecord> {
-        let host = &self.core.settings().host;
-        self.best_owner(service, |member| member.host != *host)
-    }
-
-    /// Returns the most suitable process for the jobs of a service. Hosts that are being drained get none.
-    fn best_owner(
-        &self,
-        service: &ObjectName,
-        is_eligible: impl Fn(&MemberRecord) -> bool,
-    ) -> Option<MemberRecord> {
-        let members = self.core.members.borrow();
-        let leader = self.core.leader.borrow();
-        let intent = self.core.intent.borrow();
-        let is_leader = |member: &MemberRecord| {
-            let leader = leader.as_ref();
-            leader.is_some_and(|leader| leader.host == member.host)
-        };
-        let eligible = members
-            .iter()
-            .filter(|member| is_eligible(member) && !intent.is_draining(&member.host));
-        let chosen = eligible.max_by_key(|member| {
-            let host = member.host.as_str().as_bytes();
-            (
-                !member.serves_callers,
-                !is_leader(member),
-                rendezvous_score(&[service.as_str().as_bytes(), host]),
-            )
-        });
-        chosen.cloned()
-    }
-
     /// Hands an accepted job to the owner that its record names, or takes it back if the owner does not answer.
     async fn hand_to_owner(self: Rc<Self>, spec: Rc<JobSpec>, record: JobRecord, revision: u64) {
         let call = PeerCall::HandOver(Box::new(JobHandOver {
--- a/crates/catkindeck-gateway/src/jobs/takeover.rs
+++ b/crates/catkindeck-gateway/src/jobs/takeover.rs
@@ -4,7 +4,7 @@
     super::{
         backup::{IndexedProgress, keep_newest},
         cancel::record_transaction,
-        owned::{OwnedJob, route_of},
+        owned::OwnedJob,
         service::JobService,
     },
     crate::{
@@ -27,7 +27,7 @@
 const VERIFY_PAUSE: Duration = Duration::from_millis(200);
 
 /// The time for the new owner of a job to load it.
-const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The number of concurrent takeovers. While one waits for the store or for peers, another is decoded. With
 /// more, a host with a tenth of a core completes none of them before all are nearly complete.
@@ -199,7 +199,7 @@
 
     /// Hands over the running jobs to other processes.
     ///
-    /// All jobs of a service go to the same process, which can reuse the texts that they have in common.
+    /// The jobs of a trainer go to the same process, which can reuse the texts that they have in common.
     ///
     /// # Errors
     ///
@@ -211,11 +211,7 @@
             Err(error) => log_event!(self.core.logger, JOBS_UNCONFIRMED; "detail" => error.detail),
         }
         for job in self.running() {
-            let service = match route_of(&self.core, &job.spec) {
-                Some(route) => route.service.clone(),
-                None => job.spec.route.clone(),
-            };
-            if let Some(successor) = self.choose_successor(&service) {
+            if let Some(successor) = self.choose_successor(&job) {
                 self.hand_over_one(&job, &successor).await;
             }
         }
--- a/crates/catkindeck-gateway/src/leader/supervisor.rs
+++ b/crates/catkindeck-gateway/src/leader/supervisor.rs
@@ -196,7 +196,10 @@
         let registration = known
             .cloned()
             .unwrap_or(StoreCondition { key, revision: 0 });
-        self.election.jobs.take_over(item, Some(registration)).await
+        self.election
+            .jobs
+            .assign_lost(item, Some(registration))
+            .await
     }
 
     /// Takes over a job whose owner is alive but does not know of it, because the process that accepted the job
@@ -215,7 +218,7 @@
         if self.is_claimed(probe, &record.owner, &record.job).await {
             return Ok(());
         }
-        self.election.jobs.take_over(item, None).await
+        self.election.jobs.assign_lost(item, None).await
     }
 
     /// Returns whether a live process runs a job or is about to.
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 pub mod metrics_handler;
 pub mod notices;
+pub mod ownership_metrics;
 pub mod peer;
 pub mod peer_fallback;
 pub mod plain_room;
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -1,7 +1,9 @@
 //! The metrics of a gateway.
 
 use {
-    crate::{load_metrics::LoadMetrics, room_metrics::RoomMetrics},
+    crate::{
+        load_metrics::LoadMetrics, ownership_metrics::OwnershipMetrics, room_metrics::RoomMetrics,
+    },
     catkindeck::{ErrorKind, ServiceError},
     prometheus::{
         Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -37,6 +39,7 @@
     pub load: LoadMetrics,
     pub room: RoomMetrics,
     pub placement: PlacementMetrics,
+    pub ownership: OwnershipMetrics,
 }
 
 /// The placement of weights, shown by the leader only.
@@ -181,6 +184,7 @@
             load: LoadMetrics::register(registry)?,
             room: RoomMetrics::register(registry)?,
             placement: PlacementMetrics::register(registry)?,
+            ownership: OwnershipMetrics::register(registry)?,
         })
     }
 }
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -8,7 +8,7 @@
         core::GatewayCore,
         events::PEER_FAILED,
         feed::{FeedChanges, FeedQuery, FeedUpdate},
-        jobs::{JobService, backup::JobTextUpdate, demand::DemandReport},
+        jobs::{JobService, backup::JobTextUpdate, demand::DemandReport, places::PlaceRequest},
         keys::{self, JobRecord, MemberRecord},
         limits::{LimitCall, PermitReply},
         notices::NoticeCall,
@@ -25,7 +25,7 @@
     },
     catkindeck_net::{HttpHandler, LocalFuture, ResponseBody},
     catkindeck_policy::direct::{
-        CrashNotice, ItemProgress, JobResult, JobSpec, LeavingNotice, UsageCount,
+        CrashNotice, ItemProgress, JobResult, JobSpec, LeavingNotice, PlaceUpdate, UsageCount,
     },
     http::{Method, Request, Response, StatusCode},
     http_body_util::{BodyExt, Limited},
@@ -128,6 +128,8 @@
     FeedChanges(FeedQuery),
     /// Concerns requests that crash upstreams.
     Crash(NoticeCall<CrashNotice>),
+    /// Reports the sender's demand to the leader and asks for places at engines.
+    Places(PlaceRequest),
 }
 
 /// A call to be forwarded to another process.
@@ -194,6 +196,8 @@
     FeedChanges(Box<FeedChanges>),
     /// The notices of requests that crash upstreams of which the receiver knows.
     Crash(Vec<CrashNotice>),
+    /// The places at engines that the receiver, the leader, grants.
+    Places(PlaceUpdate),
 }
 
 #[message]
@@ -335,6 +339,9 @@
             PeerCall::Demand(report) => Ok(self.core.answer_demand(report)),
             PeerCall::Origin(call) => Ok(self.core.answer_origin_call(call)),
             PeerCall::Limit(call) => self.core.answer_limit_call(call),
+            PeerCall::Places(request) => {
+                Ok(PeerResponse::Places(self.jobs.answer_places(request)?))
+            }
             PeerCall::Crash(call) => Ok(self.core.answer_notice_call(call)),
             PeerCall::Leaving(call) => Ok(self.core.answer_notice_call(call)),
         }
--- a/crates/catkindeck-gateway/src/settings.rs
+++ b/crates/catkindeck-gateway/src/settings.rs
@@ -64,6 +64,8 @@
     pub plain_room: FeatureMode,
     /// The distribution of engines over models by demand.
     pub weight_demand: FeatureMode,
+    /// The ownership of jobs by trainer, with places of engines granted to each owner.
+    pub shared_ownership: FeatureMode,
 }
 
 /// The settings of a gateway process.
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -113,12 +113,13 @@
     }
 
     /// Returns whether a request may still be sent to the upstream, which may have said in the meantime that it
-    /// leaves.
+    /// leaves. The place for the request may also have ended while this process was paused.
     pub fn may_send(&self) -> bool {
-        !self.core.roster.borrow().is_leaving(self.key)
+        let roster = self.core.roster.borrow();
+        !roster.is_leaving(self.key) && !roster.get(self.key).exceeds_places(self.core.now())
     }
 
-    /// Returns whether a request was not sent because the upstream leaves. It costs neither an attempt nor a pause.
+    /// Returns whether a request was not sent because the upstream leaves or its place has ended. It costs neither an attempt nor a pause.
     pub fn was_withheld(&self, fault: &SendError) -> bool {
         let was_withheld = !fault.maybe_received && !self.may_send();
         self.core
--- a/crates/catkindeck-policy/src/direct/completion.rs
+++ b/crates/catkindeck-policy/src/direct/completion.rs
@@ -70,7 +70,7 @@
         let slope = self.service_speed_mut(key).load_slope();
         let state = self.get_mut(key);
         state.record_event_gap(gap_us);
-        let load = state.load_with(0);
+        let load = state.load_with(now, 0);
         let deviation = state.speed.record(now, gap_us, load, slope);
         let mean_factor = 1.0 + slope * (load - deviation.map_or(0.0, |deviation| deviation.load));
         let speed = self.service_speed_mut(key);
@@ -92,7 +92,9 @@
     ) {
         let slope = self.service_speed_mut(key).load_slope();
         let state = self.get(key);
-        let usual_us = state.speed.usual_gap_us(now, state.load_with(0), slope);
+        let usual_us = state
+            .speed
+            .usual_gap_us(now, state.load_with(now, 0), slope);
         if let Some(usual_us) = usual_us {
             let extra_us = (elapsed_us as f64 - usual_us).max(0.0);
             self.service_speed_mut(key)
@@ -244,10 +246,10 @@
     /// Returns whether a slot of an engine should stay free for a longer text.
     fn is_kept_for_long(&self, now: Moment, state: &UpstreamState) -> bool {
         let gap_us = state.speed.idle_gap_us(now);
-        let free = state.record.slots.saturating_sub(state.in_flight);
+        let free = state.places(now).saturating_sub(state.in_flight);
         !self.is_long
             && gap_us.is_some_and(|gap_us| self.range.is_fast(gap_us))
-            && free * 100 <= state.record.slots * LONG_TEXT_PERCENT
+            && free * 100 <= state.places(now) * LONG_TEXT_PERCENT
     }
 
     /// Returns the time until the text is complete if its run starts now with `added` more requests at
@@ -268,7 +270,7 @@
     fn rest_us(&self, now: Moment, state: &UpstreamState, added: u32) -> f64 {
         let slope = self.speed.load_slope();
         let idle_us = state.speed.idle_gap_us(now).unwrap_or(self.range.median_us);
-        let gap_us = idle_us as f64 * (1.0 + slope * state.load_with(added));
+        let gap_us = idle_us as f64 * (1.0 + slope * state.load_with(now, added));
         let usual_us = self.remaining_events * gap_us;
         // Slow phases that are to come prolong the text by the same factor at every engine.
         let expected_us = usual_us * self.speed.phase_factor();
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -19,6 +19,8 @@
 pub mod outcome;
 pub mod peer_reachability;
 pub mod permits;
+pub mod place_grants;
+pub mod place_share;
 pub mod plain_load;
 pub mod plain_room;
 pub mod plan_pace;
@@ -31,6 +33,7 @@
 pub mod step_schedule;
 pub mod stream_origin;
 pub mod text_length;
+pub mod trainer_owner;
 pub mod upstream;
 pub mod upstream_changes;
 pub mod upstream_limit;
@@ -66,6 +69,8 @@
     outcome::{ItemOutcome, ResultState},
     peer_reachability::PeerReachability,
     permits::{PermitAllocator, PermitPool},
+    place_grants::{PlaceDemand, PlaceDivider, PlaceReport},
+    place_share::{PLACE_TERM_MS, PlaceCounts, PlaceLimit, PlaceShare, PlaceUpdate, even_part},
     plain_load::{PlainLoad, PlainPace},
     plain_room::{MAX_SCORE_WAIT_MS, PlainPlaces, PlainRoom, ScoreEnd, ScoreTicket},
     plan_pace::plan_pause_ms,
@@ -78,6 +83,7 @@
     step_schedule::{StepSchedule, TrainerId, TrainerPace},
     stream_origin::{OriginTable, StreamKey, VersionHistory},
     text_length::{TextDemand, TextLengths},
+    trainer_owner::OwnerAssignment,
     upstream::{DiscoveredUpstream, ModelWeights, SoftwareVersion, UpstreamKey, UpstreamState},
     upstream_changes::{REMOVED_LIMIT, UpstreamChangeset, UpstreamHistory},
     upstream_limit::{LimitHeader, UpstreamLimit},
--- a/crates/catkindeck-policy/src/direct/selection.rs
+++ b/crates/catkindeck-policy/src/direct/selection.rs
@@ -170,7 +170,7 @@
         let shortest = self.shortest_event_gap(query.service);
         let cost = |state: &UpstreamState| {
             let cached = query.part.is_some_and(|part| state.has_prompt_part(part));
-            let mut cost = loaded_cost(state, state.event_gap_us.max(shortest));
+            let mut cost = loaded_cost(now, state, state.event_gap_us.max(shortest));
             cost = discount(cost, CACHE_DISCOUNT_PERCENT, cached);
             cost = discount(
                 cost,
@@ -208,7 +208,7 @@
                 && (query.last_resort || !state.in_backoff(now))
                 && !state.is_loading(now, query.model)
                 && state.version(query.model) >= Some(query.least_version)
-                && state.in_flight < state.record.slots
+                && state.in_flight < state.places(now)
                 && limits.allows(now, state)
                 && admits(state)
         });
@@ -245,7 +245,7 @@
         };
         let cost = |state: &UpstreamState| {
             let (is_slow, latency) = speed(state);
-            let cost = loaded_cost(state, latency);
+            let cost = loaded_cost(now, state, latency);
             let cost = discount(
                 cost,
                 ZONE_DISCOUNT_PERCENT,
@@ -343,9 +343,9 @@
     hash::digest64(parts)
 }
 
-fn loaded_cost(state: &UpstreamState, base: u64) -> u64 {
-    let slots = u64::from(state.record.slots.max(1));
-    let load = u64::from(state.in_flight) * LOAD_COST_PERCENT / slots;
+fn loaded_cost(now: Moment, state: &UpstreamState, base: u64) -> u64 {
+    let places = u64::from(state.places(now).max(1));
+    let load = u64::from(state.in_flight) * LOAD_COST_PERCENT / places;
     base.saturating_mul(100 + load)
 }
 
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        engine_speed::EngineSpeed, permits::PermitPool, plain_load::PlainLoad, rate::RateWindow,
-        upstream_limit::UpstreamLimit,
+        engine_speed::EngineSpeed, permits::PermitPool, place_share::PlaceLimit,
+        plain_load::PlainLoad, rate::RateWindow, upstream_limit::UpstreamLimit,
     },
     catkindeck::{
         ErrorKind, Moment, ServiceError, SortedMap, arena_key, id::ObjectName, message,
@@ -118,6 +118,8 @@
     pub listed: bool,
     /// The number of requests from this process in progress.
     pub in_flight: u32,
+    /// The part of the slots that this process may use; `None` if it may use all.
+    pub place_limit: Option<PlaceLimit>,
     /// Until when the upstream can handle only its cold load.
     pub cold_until: Moment,
     /// The requests sent within the last second.
@@ -150,6 +152,7 @@
             cold_until: now + record.cold_ms,
             listed: true,
             in_flight: 0,
+            place_limit: None,
             rate: RateWindow::default(),
             limit: UpstreamLimit::default(),
             permits: PermitPool::default(),
@@ -274,9 +277,24 @@
         self.in_flight >= self.record.slots / 2
     }
 
-    /// Returns the used part of the slots if `added` more requests were in progress.
-    pub fn load_with(&self, added: u32) -> f64 {
-        f64::from(self.in_flight + added) / f64::from(self.record.slots.max(1))
+    /// Returns the number of requests that this process may have in progress.
+    pub fn places(&self, now: Moment) -> u32 {
+        let limit = self.place_limit.as_ref();
+        let usable = limit.map_or(u32::MAX, |limit| limit.usable(now));
+        usable.min(self.record.slots)
+    }
+
+    /// Returns whether requests were assigned under a grant of places that has ended, and exceed what this process
+    /// may use without it.
+    pub fn exceeds_places(&self, now: Moment) -> bool {
+        let has_ended = self.place_limit.is_some_and(|limit| now >= limit.until);
+        has_ended && self.in_flight > self.places(now)
+    }
+
+    /// Returns the used part of the places if `added` more requests were in progress. Other owners are taken to use
+    /// the same part of theirs.
+    pub fn load_with(&self, now: Moment, added: u32) -> f64 {
+        f64::from(self.in_flight + added) / f64::from(self.places(now).max(1))
     }
 
     /// Records a request.
--- a/crates/catkindeck-policy/src/direct/upstream_table.rs
+++ b/crates/catkindeck-policy/src/direct/upstream_table.rs
@@ -117,6 +117,15 @@
         self.current.values().map(|key| (*key, self.get(*key)))
     }
 
+    /// Modifies all current instances.
+    pub fn for_each_mut(&mut self, mut modify: impl FnMut(&mut UpstreamState)) {
+        for key in self.current.values() {
+            if let Some(state) = self.instances.get_mut(*key) {
+                modify(state);
+            }
+        }
+    }
+
     /// Returns whether the list, the zones and the instance itself allow new work for it.
     pub fn accepts_work(&self, key: UpstreamKey) -> bool {
         let state = self.get(key);
