--- a/crates/catkindeck-cli/src/queue_command.rs
+++ b/crates/catkindeck-cli/src/queue_command.rs
@@ -71,6 +71,7 @@
         "MODEL",
         "PRIORITY",
         "LATE MS",
+        "NEXT OWNER",
         "STEP",
         "AGE MS",
         "DUE MS",
@@ -87,7 +88,14 @@
     for process in &content.processes {
         for trainer in process["trainers"].as_array().into_iter().flatten() {
             for step in trainer["steps"].as_array().into_iter().flatten() {
-                let named = ["customer", "route", "model", "priority", "lateness_ms"];
+                let named = [
+                    "customer",
+                    "route",
+                    "model",
+                    "priority",
+                    "lateness_ms",
+                    "next_owner",
+                ];
                 let counted = [
                     "job",
                     "age_ms",
@@ -112,12 +120,40 @@
         1 => "no open steps".to_owned(),
         _ => align_columns(&rows),
     };
+    if let Some(places) = format_places(content) {
+        text.push_str(&format!("\n\n{places}"));
+    }
     for failure in &content.failures {
         text.push_str(&format!("\nno response: {failure}"));
     }
     text
 }
 
+/// Returns the places of the processes that share engines, or `None` if there are none.
+fn format_places(content: &QueueContent) -> Option<String> {
+    let header = [
+        "HOST",
+        "OWNERS",
+        "USED",
+        "USABLE",
+        "EVEN",
+        "SLOTS",
+        "GRANTED FOR MS",
+    ];
+    let mut rows = vec![header.map(str::to_owned).to_vec()];
+    for process in &content.processes {
+        let places = &process["places"];
+        let Some(owners) = places["owners"].as_array() else {
+            continue;
+        };
+        let counted = ["used", "usable", "even", "slots", "remaining_ms"];
+        let mut row = vec![cell(&process["host"]), owners.len().to_string()];
+        row.extend(counted.map(|field| cell(&places[field])));
+        rows.push(row);
+    }
+    (rows.len() > 1).then(|| align_columns(&rows))
+}
+
 fn cell(value: &Value) -> String {
     match value {
         Value::Null => "-".to_owned(),
--- a/crates/catkindeck-gateway/src/jobs/places.rs
+++ b/crates/catkindeck-gateway/src/jobs/places.rs
@@ -114,9 +114,10 @@
                 sleep(CHECK_INTERVAL.saturating_sub(elapsed)).await;
             }
             let owners = self.place_owners();
-            self.apply_limits(&owners);
-            let host = &self.core.settings().host;
-            if owners.len() < 2 || !owners.contains(host) {
+            if self.places.share.borrow().owners() != owners {
+                self.apply_limits(&owners);
+            }
+            if owners.len() < 2 {
                 continue;
             }
             let demand = self.own_demand();
@@ -188,7 +189,7 @@
         })
     }
 
-    /// Returns the hosts that share the engines, with this process if it owns jobs; none where it may use all slots.
+    /// Returns the hosts that share the engines, of which this process is one; none where it may use all slots.
     fn place_owners(&self) -> Vec<ObjectName> {
         // Entries run items only while no other process can own jobs, or until it took them.
         if self.core.settings().entry.is_some() || !self.shares_ownership() {
@@ -206,7 +207,11 @@
                 .iter()
                 .any(|job| is_open(job.record.borrow().state))
         };
-        if !hosts.contains(&host) && has_open() {
+        if !hosts.contains(&host) {
+            // The leader and hosts that are being drained may still have jobs.
+            if !has_open() {
+                return Vec::new();
+            }
             hosts.push(host);
             hosts.sort();
         }
@@ -295,10 +300,6 @@
 
     fn apply_limits(&self, owners: &[ObjectName]) {
         let host = self.core.settings().host.clone();
-        let owners = match owners.contains(&host) {
-            true => owners,
-            false => &[],
-        };
         let mut share = self.places.share.borrow_mut();
         if share.owners() != owners {
             let names: Vec<&str> = owners.iter().map(ObjectName::as_str).collect();
