--- a/crates/catkindeck-gateway/src/jobs/relocation.rs
+++ b/crates/catkindeck-gateway/src/jobs/relocation.rs
@@ -49,6 +49,7 @@
     }
 
     fn standby_for(&self, job: &OwnedJob) -> Option<MemberRecord> {
-        self.best_owner(&self.service_of(job), |member| !member.serves_callers)
+        let owner = self.choose_owner(&job.spec, &self.service_of(&job.spec));
+        (!owner.serves_callers).then_some(owner)
     }
 }
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -8,7 +8,7 @@
         core::GatewayCore,
         events::PEER_FAILED,
         feed::{FeedChanges, FeedPosition, FeedQuery, FeedUpdate},
-        jobs::{JobService, backup::JobTextUpdate, demand::DemandReport},
+        jobs::{JobService, backup::JobTextUpdate, demand::DemandReport, places::PlaceRequest},
         keys::{self, JobRecord, MemberRecord},
         limits::{LimitCall, PermitReply},
         notices::NoticeCall,
@@ -25,7 +25,7 @@
     },
     catkindeck_net::{HttpHandler, LocalFuture, ResponseBody},
     catkindeck_policy::direct::{
-        CrashNotice, ItemProgress, JobResult, JobSpec, LeavingNotice, UsageCount,
+        CrashNotice, ItemProgress, JobResult, JobSpec, LeavingNotice, PlaceUpdate, UsageCount,
     },
     http::{Method, Request, Response, StatusCode},
     http_body_util::{BodyExt, Limited},
@@ -131,6 +131,8 @@
     /// Requests the changes of the data that the receiver read from the store, since a position that a former leader
     /// may have numbered.
     FeedSince(FeedPosition),
+    /// Reports the sender's demand to the leader and asks for places at engines.
+    Places(PlaceRequest),
 }
 
 /// A call to be forwarded to another process.
@@ -197,6 +199,8 @@
     FeedChanges(Box<FeedChanges>),
     /// The notices of requests that crash upstreams of which the receiver knows.
     Crash(Vec<CrashNotice>),
+    /// The places at engines that the receiver, the leader, grants.
+    Places(PlaceUpdate),
 }
 
 #[message]
@@ -275,6 +279,20 @@
         }
     }
 
+    async fn answer_cancellation(
+        &self,
+        job: &str,
+        customer: Option<&ObjectName>,
+    ) -> Result<PeerResponse, ServiceError> {
+        match self.jobs.owned(job) {
+            Some(owned) => {
+                self.jobs.cancel_local(&owned, customer).await?;
+                Ok(PeerResponse::Done)
+            }
+            None => Ok(PeerResponse::NotOwner),
+        }
+    }
+
     async fn answer_call(&self, request: Request<Incoming>) -> Result<PeerResponse, ServiceError> {
         match read_call(request).await? {
             PeerCall::Results {
@@ -293,13 +311,9 @@
                 item,
                 customer,
             } => self.jobs.item_body_for_peer(&job, &item, customer.as_ref()),
-            PeerCall::CancelJob { job, customer } => match self.jobs.owned(&job) {
-                Some(owned) => {
-                    self.jobs.cancel_local(&owned, customer.as_ref()).await?;
-                    Ok(PeerResponse::Done)
-                }
-                None => Ok(PeerResponse::NotOwner),
-            },
+            PeerCall::CancelJob { job, customer } => {
+                self.answer_cancellation(&job, customer.as_ref()).await
+            }
             PeerCall::IsResponsible { job } => Ok(self.answer_responsible(&job)),
             PeerCall::HandOver(hand_over) => {
                 self.jobs.accept_hand_over(*hand_over).await?;
@@ -352,6 +366,10 @@
             PeerCall::Demand(report) => Ok(self.core.answer_demand(report)),
             PeerCall::Origin(call) => Ok(self.core.answer_origin_call(call)),
             PeerCall::Limit(call) => self.core.answer_limit_call(call),
+            PeerCall::Places(request) => {
+                let places = self.jobs.answer_places(request);
+                places.map(PeerResponse::Places)
+            }
             PeerCall::Crash(call) => Ok(self.core.answer_notice_call(call)),
             PeerCall::Leaving(call) => Ok(self.core.answer_notice_call(call)),
         }
