Split the engines of a model between versions by what steps need

Cause: half of a model's engines loaded each named version and every engine too old was loaded, whatever the steps allowed and needed (MAX_VERSION_LAG was a constant of the planner). Trainers whose steps allow only the newest weights had half of the engines idle; trainers with few items or a greater lag loaded engines that no item used.

Ruled out: loading all engines ahead of the next step. It doubles the loads of a version, and loads are the scarce thing.

Change: owners report the items of open steps by the oldest version that may run them, the usual size of a step and their expected load time (PeerCall::StepDemand, last; an older leader refuses it and gets Demand). The leader learns the lag from how the least version of new steps follows the named ones, and the items in progress from the greatest number of some seconds. An engine serves lag + 1 versions, so that part of the wanted engines loads each one. Items that wait raise the engines of their version at once. Short texts get fewer engines if loads cost more than they save. Without reports the split is the former. LoadNeed and the metrics moved to files of their own.

--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -77,5 +77,6 @@
     REQUEST_QUARANTINED = 8212, "request_quarantined", Warning, "request crashed upstreams in sequence and is refused";
     REQUEST_CLEARED = 8213, "request_cleared", Info, "suspected request was answered, so it does not crash upstreams";
     CRASHES_UNSENT = 8214, "crashes_unsent", Warning, "notices of crashes could not be exchanged; retrying";
+    SPLIT_CHANGED = 8260, "split_changed", Info, "other numbers of upstreams load each version of a model";
     PEER_RELAYED = 8181, "peer_relayed", Info, "peer was reached through another peer";
 }
--- a/crates/catkindeck-gateway/src/jobs/demand.rs
+++ b/crates/catkindeck-gateway/src/jobs/demand.rs
@@ -4,7 +4,7 @@
     super::service::JobService,
     crate::{
         core::GatewayCore,
-        keys::JobState,
+        keys::{JobState, MemberRecord},
         peer::{PeerCall, PeerResponse},
     },
     catkindeck::{
@@ -12,7 +12,9 @@
         id::{IncarnationId, ObjectName},
         message,
     },
-    catkindeck_policy::direct::{DemandSummary, ModelDemand, REPORT_TTL_MS, choose_service},
+    catkindeck_policy::direct::{
+        DemandSummary, ModelDemand, REPORT_TTL_MS, StepDemand, StepSummary, choose_service,
+    },
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -38,22 +40,36 @@
     pub demands: Vec<ModelDemand>,
 }
 
+/// The demand of the jobs of one owner with the steps of their trainers.
+#[message]
+pub struct StepReport {
+    pub report: DemandReport,
+    pub steps: Vec<StepDemand>,
+}
+
 /// The last report of this process.
 struct SentReport {
     at: Moment,
     /// The leader that got it.
     leader: IncarnationId,
     demands: Vec<ModelDemand>,
+    steps: Vec<StepDemand>,
 }
 
 impl SentReport {
     /// Returns whether another report is due.
-    fn is_outdated(&self, now: Moment, leader: IncarnationId, demands: &[ModelDemand]) -> bool {
+    fn is_outdated(&self, now: Moment, leader: IncarnationId, new: &StepReport) -> bool {
         let age_ms = now.since(self.at);
+        let (demands, steps) = (&new.report.demands, &new.steps);
         let differs = self.demands.len() != demands.len()
+            || self.steps.len() != steps.len()
             || demands
                 .iter()
                 .zip(&self.demands)
+                .any(|(new, old)| new.differs_from(old))
+            || steps
+                .iter()
+                .zip(&self.steps)
                 .any(|(new, old)| new.differs_from(old));
         self.leader != leader
             || age_ms >= REPEAT_INTERVAL_MS && !demands.is_empty()
@@ -73,44 +89,51 @@
             }
             let leader = self.core.leader.borrow().clone();
             let Some(leader) = leader else { continue };
-            let mut demands = self.model_demands();
-            for demand in &mut demands {
+            let mut report = self.step_report();
+            for demand in &mut report.report.demands {
                 keep_speed(&mut speeds, demand);
             }
             let now = self.core.now();
-            let is_due = sent.as_ref().map_or(!demands.is_empty(), |sent| {
-                sent.is_outdated(now, leader.incarnation, &demands)
-            });
+            let is_due = sent
+                .as_ref()
+                .map_or(!report.report.demands.is_empty(), |sent| {
+                    sent.is_outdated(now, leader.incarnation, &report)
+                });
             if !is_due {
                 continue;
             }
-            let report = DemandReport {
-                owner: self.core.incarnation,
-                demands: demands.clone(),
-            };
             sent = Some(SentReport {
                 at: now,
                 leader: leader.incarnation,
-                demands,
+                demands: report.report.demands.clone(),
+                steps: report.steps.clone(),
             });
             if leader.incarnation == self.core.incarnation {
-                self.core.record_demand(report);
+                self.core.record_step_demand(report);
                 continue;
             }
-            // The next report replaces a lost one; meanwhile the leader uses the last.
             let core = Rc::clone(&self.core);
-            tokio::task::spawn_local(async move {
-                let call = PeerCall::Demand(report);
-                let _ = core.call_peer(leader.peer, &call, Duration::ZERO).await;
-            });
+            tokio::task::spawn_local(async move { core.send_demand(&leader, report).await });
         }
     }
 
-    fn model_demands(&self) -> Vec<ModelDemand> {
+    fn step_report(&self) -> StepReport {
+        let (demands, steps) = self.model_demands();
+        StepReport {
+            report: DemandReport {
+                owner: self.core.incarnation,
+                demands,
+            },
+            steps,
+        }
+    }
+
+    fn model_demands(&self) -> (Vec<ModelDemand>, Vec<StepDemand>) {
         let unix_ms = self.core.unix_ms();
         let intent = self.core.intent.borrow();
         let roster = self.core.roster.borrow();
         let mut summary = DemandSummary::default();
+        let mut steps = StepSummary::default();
         for job in self.all() {
             let is_open = job.record.borrow().state == JobState::Running;
             let is_recent = unix_ms.saturating_sub(job.spec.submitted_ms) < STEP_MEMORY_MS;
@@ -122,8 +145,10 @@
                 roster.typical_event_gap(&choose_service(route, &job.spec.id))
             });
             summary.add(&job.job.borrow(), is_open, event_gap_us);
+            steps.add(&job.job.borrow(), is_open);
         }
-        summary.finish()
+        let load_ms = self.core.load_time.get().expected_ms();
+        (summary.finish(), steps.finish(load_ms))
     }
 }
 
@@ -137,15 +162,35 @@
 }
 
 impl GatewayCore {
+    /// Sends a report to the leader. The next report replaces a lost one; meanwhile the leader uses the last.
+    async fn send_demand(self: &Rc<Self>, leader: &MemberRecord, report: StepReport) {
+        let former = PeerCall::Demand(report.report.clone());
+        let call = PeerCall::StepDemand(report);
+        let response = self.call_peer(leader.peer, &call, Duration::ZERO).await;
+        // A leader of an earlier build knows no steps.
+        if let Ok(PeerResponse::Refused(_)) = response {
+            let _ = self.call_peer(leader.peer, &former, Duration::ZERO).await;
+        }
+    }
+
     /// Records the report of an owner, for the case that this process is the leader.
-    pub fn record_demand(&self, report: DemandReport) {
+    fn record_step_demand(&self, report: StepReport) {
+        let (now, owner) = (self.now(), report.report.owner);
+        let mut board = self.demand.borrow_mut();
+        board.record(now, owner, report.report.demands);
+        board.record_steps(now, owner, report.steps);
+    }
+
+    /// Answers the report of an owner of an earlier build.
+    pub(crate) fn answer_demand(&self, report: DemandReport) -> PeerResponse {
         let mut board = self.demand.borrow_mut();
         board.record(self.now(), report.owner, report.demands);
+        PeerResponse::Done
     }
 
     /// Answers the report of another process.
-    pub(crate) fn answer_demand(&self, report: DemandReport) -> PeerResponse {
-        self.record_demand(report);
+    pub(crate) fn answer_step_demand(&self, report: StepReport) -> PeerResponse {
+        self.record_step_demand(report);
         PeerResponse::Done
     }
 }
--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -3,15 +3,15 @@
 use {
     super::election::LeaderElection,
     crate::{
-        events::{SHARES_CHANGED, WEIGHT_LOAD_FAILED, WEIGHT_LOAD_ORDERED},
+        events::{SHARES_CHANGED, SPLIT_CHANGED, WEIGHT_LOAD_FAILED, WEIGHT_LOAD_ORDERED},
         peer::{PeerCall, WeightLoadNotice},
         port::{OrderOutcome, WeightLoadMode, WeightOrder},
     },
     catkindeck::{Moment, SortedMap, log_event},
     catkindeck_policy::direct::{
-        MIN_LOAD_MS, ModelPlacement, ShareBalance, ShareChange, TargetVersion, UpstreamKey,
-        UpstreamTable, WeightLoadPlanner, WeightLoadTask, current_engines, model_pools,
-        plan_pause_ms,
+        MIN_LOAD_MS, ModelPlacement, ShareBalance, ShareChange, SplitBalance, StepPlacement,
+        TargetVersion, UpstreamKey, UpstreamTable, WeightLoadPlanner, WeightLoadTask,
+        count_versions, current_engines, model_pools, plan_pause_ms,
     },
     slog::Logger,
     std::{cell::RefCell, rc::Rc, time::Duration},
@@ -41,6 +41,8 @@
     notices: RefCell<Vec<WeightLoadNotice>>,
     /// The shares of the models, as far as this process has planned them.
     balance: RefCell<ShareBalance>,
+    /// The split of each model's upstreams between versions, likewise.
+    split: RefCell<SplitBalance>,
 }
 
 impl WeightRollout {
@@ -50,6 +52,7 @@
             accepted: RefCell::new(SortedMap::new()),
             notices: RefCell::default(),
             balance: RefCell::default(),
+            split: RefCell::default(),
         })
     }
 
@@ -83,9 +86,9 @@
         let targets = view.target_versions();
         let mut tasks = match core.settings().scheduling.weight_demand.is_on() {
             true => {
-                let placements = self.place(now, &roster, targets);
+                let (placements, splits) = self.place(now, &roster, targets);
                 planner
-                    .plan_placements(now, &roster, targets, &placements)
+                    .plan_splits(now, &roster, targets, &placements, &splits)
                     .tasks
             }
             false => planner.plan(now, &roster, targets),
@@ -103,13 +106,14 @@
         tasks
     }
 
-    /// Returns how many upstreams should serve each target's model, by the demand that owners reported.
+    /// Returns how many upstreams should serve each target's model, and which versions they should have, by the demand
+    /// that owners reported.
     fn place(
         &self,
         now: Moment,
         roster: &UpstreamTable,
         targets: &[TargetVersion],
-    ) -> Vec<ModelPlacement> {
+    ) -> (Vec<ModelPlacement>, Vec<StepPlacement>) {
         let core = &self.election.core;
         let pools = model_pools(roster, targets);
         let board = core.demand.borrow();
@@ -117,21 +121,31 @@
             .iter()
             .map(|target| board.demand(now, &target.model));
         let demands: Vec<_> = demands.collect();
+        let steps = targets.iter().map(|target| board.steps(now, &target.model));
+        let steps: Vec<_> = steps.collect();
         let mut balance = self.balance.borrow_mut();
         for change in balance.update(now, &pools, &demands) {
             log_change(&core.logger, &change);
         }
         let shares = balance.sizes(&pools);
-        for (target, share) in targets.iter().zip(&shares) {
-            let engines = current_engines(roster, target);
-            core.metrics
-                .placement
-                .record(target.model.as_str(), *share, engines);
+        let mut split = self.split.borrow_mut();
+        for change in split.update(now, targets, &steps, &demands) {
+            log_event!(core.logger, SPLIT_CHANGED;
+                "model" => %change.model, "items" => change.items, "lag" => change.lag);
+        }
+        let splits = split.splits(targets, &pools, &shares);
+        for ((target, share), split) in targets.iter().zip(&shares).zip(&splits) {
+            let model = target.model.as_str();
+            let metrics = &core.metrics.placement;
+            metrics.record(model, *share, current_engines(roster, target));
+            let counts = count_versions(now, roster, target, split.oldest_allowed);
+            metrics.record_split(model, split, &counts);
         }
         let placements = shares.into_iter().zip(demands);
-        placements
-            .map(|(share, demand)| ModelPlacement { share, demand })
-            .collect()
+        let placements = placements.map(|(share, demand)| ModelPlacement { share, demand });
+        let splits = splits.into_iter().zip(steps);
+        let splits = splits.map(|(split, steps)| StepPlacement { split, steps });
+        (placements.collect(), splits.collect())
     }
 
     async fn order(self: Rc<Self>, task: WeightLoadTask) {
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod notices;
 pub mod peer;
 pub mod peer_fallback;
+pub mod placement_metrics;
 pub mod plain_room;
 pub mod port;
 pub mod relay;
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -1,11 +1,11 @@
 //! The metrics of a gateway.
 
 use {
-    crate::{load_metrics::LoadMetrics, room_metrics::RoomMetrics},
-    catkindeck::{ErrorKind, ServiceError},
-    prometheus::{
-        Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    crate::{
+        load_metrics::LoadMetrics, placement_metrics::PlacementMetrics, room_metrics::RoomMetrics,
     },
+    catkindeck::{ErrorKind, ServiceError},
+    prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry},
 };
 
 /// The bucket bounds of the latency histograms, in seconds. They are centred on the users' response-time
@@ -39,47 +39,6 @@
     pub placement: PlacementMetrics,
 }
 
-/// The placement of weights, shown by the leader only.
-pub struct PlacementMetrics {
-    /// The engines that should serve each model.
-    pub shares: IntGaugeVec,
-    /// The engines that have usable weights of each model.
-    pub engines: IntGaugeVec,
-}
-
-impl PlacementMetrics {
-    fn register(registry: &Registry) -> prometheus::Result<Self> {
-        let gauges = |name: &str, help: &str| {
-            let gauges = IntGaugeVec::new(Opts::new(name, help), &["model"])?;
-            registry.register(Box::new(gauges.clone()))?;
-            prometheus::Result::Ok(gauges)
-        };
-        Ok(Self {
-            shares: gauges(
-                "catkindeck_gateway_model_share_engines",
-                "The engines that should serve a model, as planned by the leader.",
-            )?,
-            engines: gauges(
-                "catkindeck_gateway_model_engines",
-                "The engines with usable weights of a model, as seen by the leader.",
-            )?,
-        })
-    }
-
-    /// Sets the numbers of engines of a model.
-    pub fn record(&self, model: &str, share: usize, engines: usize) {
-        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
-        self.shares.with_label_values(&[model]).set(gauge(share));
-        self.engines.with_label_values(&[model]).set(gauge(engines));
-    }
-
-    /// Removes all numbers, because another process may be the leader.
-    pub fn clear(&self) {
-        self.shares.reset();
-        self.engines.reset();
-    }
-}
-
 impl GatewayMetrics {
     /// Registers the metrics with `registry`.
     ///
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -8,7 +8,11 @@
         core::GatewayCore,
         events::PEER_FAILED,
         feed::{FeedChanges, FeedQuery, FeedUpdate},
-        jobs::{JobService, backup::JobTextUpdate, demand::DemandReport},
+        jobs::{
+            JobService,
+            backup::JobTextUpdate,
+            demand::{DemandReport, StepReport},
+        },
         keys::{self, JobRecord, MemberRecord},
         limits::{LimitCall, PermitReply},
         notices::NoticeCall,
@@ -128,6 +132,8 @@
     FeedChanges(FeedQuery),
     /// Concerns requests that crash upstreams.
     Crash(NoticeCall<CrashNotice>),
+    /// Reports the demand of the sender's jobs and the steps of their trainers to the leader.
+    StepDemand(StepReport),
 }
 
 /// A call to be forwarded to another process.
@@ -333,6 +339,7 @@
                 Ok(PeerResponse::Done)
             }
             PeerCall::Demand(report) => Ok(self.core.answer_demand(report)),
+            PeerCall::StepDemand(report) => Ok(self.core.answer_step_demand(report)),
             PeerCall::Origin(call) => Ok(self.core.answer_origin_call(call)),
             PeerCall::Limit(call) => self.core.answer_limit_call(call),
             PeerCall::Crash(call) => Ok(self.core.answer_notice_call(call)),
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -12,6 +12,7 @@
 pub mod group_completion;
 pub mod job;
 pub mod leaving;
+pub mod load_need;
 pub mod load_time;
 pub mod model_demand;
 pub mod model_shares;
@@ -28,6 +29,7 @@
 pub mod routes;
 pub mod selection;
 pub mod service_speed;
+pub mod step_demand;
 pub mod step_schedule;
 pub mod stream_origin;
 pub mod text_length;
@@ -35,6 +37,8 @@
 pub mod upstream_changes;
 pub mod upstream_limit;
 pub mod upstream_table;
+pub mod version_counts;
+pub mod version_split;
 pub mod wall_clock;
 pub mod weights;
 pub mod windows;
@@ -59,6 +63,7 @@
         RolloutJob, ScorerCall, StartPriority, TextPart,
     },
     leaving::{LeavingNotice, LeavingRegister},
+    load_need::{StepPlacement, WeightLoadTask},
     load_time::{LOAD_EXTENSION_MS, LoadTimeEstimate, MIN_LOAD_MS},
     model_demand::{DemandBoard, DemandSummary, ModelDemand, REPORT_TTL_MS},
     model_shares::{ModelPool, ModelShare, SHARE_HOLD_MS, ShareBalance, ShareChange},
@@ -75,6 +80,7 @@
     routes::{RouteMatch, RouteTable, choose_service},
     selection::{EngineQuery, PlainQuery, RateLimits, part_digest, rendezvous_score},
     service_speed::{ServiceSpeed, SpeedRange},
+    step_demand::{StepDemand, StepSummary, VersionNeed},
     step_schedule::{StepSchedule, TrainerId, TrainerPace},
     stream_origin::{OriginTable, StreamKey, VersionHistory},
     text_length::{TextDemand, TextLengths},
@@ -82,10 +88,12 @@
     upstream_changes::{REMOVED_LIMIT, UpstreamChangeset, UpstreamHistory},
     upstream_limit::{LimitHeader, UpstreamLimit},
     upstream_table::{UpstreamChanges, UpstreamTable},
+    version_counts::{VersionCounts, count_versions, current_engines},
+    version_split::{SplitBalance, SplitChange, VersionSplit},
     wall_clock::{ClockChange, WallClockFilter},
     weights::{
-        LoadPlan, ModelPlacement, TargetVersion, WeightLoadPlanner, WeightLoadTask, assign_shares,
-        assign_upstreams, current_engines, model_pools,
+        LoadPlan, ModelPlacement, TargetVersion, WeightLoadPlanner, assign_shares,
+        assign_upstreams, model_pools,
     },
     windows::{ReportAction, ReportSchedule, UsageCount, UsageLedger, UsageWindows},
 };
--- a/crates/catkindeck-policy/src/direct/model_demand.rs
+++ b/crates/catkindeck-policy/src/direct/model_demand.rs
@@ -1,7 +1,10 @@
 //! The demand for each model, as the owners of jobs report it to the leader.
 
 use {
-    super::job::{ItemKey, ItemPhase, RolloutJob},
+    super::{
+        job::{ItemKey, ItemPhase, RolloutJob},
+        step_demand::StepDemand,
+    },
     catkindeck::{
         Moment, SortedMap,
         id::{IncarnationId, ObjectName},
@@ -153,28 +156,68 @@
 /// The latest reports of all owners.
 #[derive(Debug, Clone, Default)]
 pub struct DemandBoard {
-    reports: SortedMap<IncarnationId, (Moment, Vec<ModelDemand>)>,
+    demands: ReportSet<ModelDemand>,
+    /// Owners of earlier builds do not report steps.
+    steps: ReportSet<StepDemand>,
 }
 
 impl DemandBoard {
     /// Records the report of an owner, which replaces its earlier one, and drops outdated reports.
     pub fn record(&mut self, now: Moment, owner: IncarnationId, demands: Vec<ModelDemand>) {
-        self.reports
-            .retain(|_, (at, _)| now.since(*at) <= REPORT_TTL_MS);
-        self.reports.insert(owner, (now, demands));
+        self.demands.record(now, owner, demands);
+    }
+
+    /// Records the steps that an owner reports, likewise.
+    pub fn record_steps(&mut self, now: Moment, owner: IncarnationId, steps: Vec<StepDemand>) {
+        self.steps.record(now, owner, steps);
     }
 
     /// Returns the demand for a model, or `None` if no recent report names it.
     pub fn demand(&self, now: Moment, model: &ObjectName) -> Option<ModelDemand> {
-        let recent = self
-            .reports
-            .values()
-            .filter(|(at, _)| now.since(*at) <= REPORT_TTL_MS);
-        let mut known = recent
-            .flat_map(|(_, demands)| demands)
-            .filter(|demand| demand.model == *model);
-        let mut total = known.next()?.clone();
-        known.for_each(|demand| total.merge(demand));
+        let mut known = self.demands.recent(now);
+        let mut total = known.find(|demand| demand.model == *model)?.clone();
+        known
+            .filter(|demand| demand.model == *model)
+            .for_each(|demand| total.merge(demand));
+        Some(total)
+    }
+
+    /// Returns the steps of a model's trainer, or `None` if no recent report names them.
+    pub fn steps(&self, now: Moment, model: &ObjectName) -> Option<StepDemand> {
+        let mut known = self.steps.recent(now);
+        let mut total = known.find(|steps| steps.model == *model)?.clone();
+        known
+            .filter(|steps| steps.model == *model)
+            .for_each(|steps| total.merge(steps));
         Some(total)
     }
 }
+
+/// The latest report of each owner.
+#[derive(Debug, Clone)]
+struct ReportSet<T> {
+    reports: SortedMap<IncarnationId, (Moment, Vec<T>)>,
+}
+
+impl<T> Default for ReportSet<T> {
+    fn default() -> Self {
+        Self {
+            reports: SortedMap::new(),
+        }
+    }
+}
+
+impl<T> ReportSet<T> {
+    fn record(&mut self, now: Moment, owner: IncarnationId, report: Vec<T>) {
+        self.reports
+            .retain(|_, (at, _)| now.since(*at) <= REPORT_TTL_MS);
+        self.reports.insert(owner, (now, report));
+    }
+
+    /// Iterates over what the recent reports contain.
+    fn recent(&self, now: Moment) -> impl Iterator<Item = &T> {
+        let reports = self.reports.values();
+        let recent = reports.filter(move |(at, _)| now.since(*at) <= REPORT_TTL_MS);
+        recent.flat_map(|(_, report)| report)
+    }
+}
--- a/crates/catkindeck-policy/src/direct/weights.rs
+++ b/crates/catkindeck-policy/src/direct/weights.rs
@@ -2,18 +2,21 @@
 
 use {
     super::{
+        load_need::{LoadNeed, ModelEngines, StepPlacement, WeightLoadTask},
         model_demand::ModelDemand,
         model_shares::ModelPool,
         upstream::{ModelWeights, UpstreamKey, UpstreamState},
         upstream_table::UpstreamTable,
+        version_split::VersionSplit,
     },
     crate::hash,
     catkindeck::{Moment, id::ObjectName, message, token::WeightVersion},
     std::collections::BTreeSet,
 };
 
-/// The number of versions that a sample may lag behind the newest one, as agreed with trainers.
-const MAX_VERSION_LAG: u64 = 1;
+/// The number of versions that a sample may lag behind the newest one, as agreed with trainers. It applies until their
+/// steps show otherwise.
+pub(super) const MAX_VERSION_LAG: u64 = 1;
 
 /// The number of models that each upstream serves, and thus the number of even shares of the
 /// upstreams that serve a model. Half of them load each version, which is one even share.
@@ -26,14 +29,6 @@
     pub version: WeightVersion,
 }
 
-/// The weights that an upstream is ordered to load.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WeightLoadTask {
-    pub upstream: UpstreamKey,
-    pub model: ObjectName,
-    pub version: WeightVersion,
-}
-
 /// How many upstreams should serve a target's model, and what waits for them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ModelPlacement {
@@ -54,9 +49,10 @@
 /// Plans which upstreams load a target version.
 ///
 /// Each model is served by a subset of the upstreams that run it, and each upstream serves two
-/// models, so that none is idle while others queue requests of several models. Half of a model's
-/// upstreams load each version, alternating between the halves. The other half stays one version
-/// behind, which the allowed lag permits, and serves requests in the meantime.
+/// models, so that none is idle while others queue requests of several models. If nothing is known of
+/// a trainer's steps, half of a model's upstreams load each version, alternating between the halves.
+/// The other half stays one version behind, which the allowed lag permits, and serves requests in the
+/// meantime. A [`VersionSplit`] replaces the half by what the steps need.
 #[derive(Debug, Clone, Copy)]
 pub struct WeightLoadPlanner {
     /// The number of upstreams that can load weights concurrently without slowing each other down.
@@ -76,13 +72,31 @@
         self.plan_placements(now, table, targets, &placements).tasks
     }
 
-    /// Returns the tasks to order now for placements in the order of the targets.
+    /// Returns the tasks to order now for placements in the order of the targets, with half of each share for the
+    /// named version.
     pub fn plan_placements(
         &self,
         now: Moment,
         table: &UpstreamTable,
         targets: &[TargetVersion],
         placements: &[ModelPlacement],
+    ) -> LoadPlan {
+        let even = |(target, placement): (&TargetVersion, &ModelPlacement)| StepPlacement {
+            split: VersionSplit::even(target, placement.share),
+            steps: None,
+        };
+        let splits: Vec<StepPlacement> = targets.iter().zip(placements).map(even).collect();
+        self.plan_splits(now, table, targets, placements, &splits)
+    }
+
+    /// Returns the tasks to order now for placements and splits in the order of the targets.
+    pub fn plan_splits(
+        &self,
+        now: Moment,
+        table: &UpstreamTable,
+        targets: &[TargetVersion],
+        placements: &[ModelPlacement],
+        splits: &[StepPlacement],
     ) -> LoadPlan {
         let loading = targets
             .iter()
@@ -103,11 +117,17 @@
         round.plan.visited = pairs.visited;
         let needs: Vec<LoadNeed> = targets
             .iter()
-            .zip(placements)
+            .zip(placements.iter().zip(splits))
             .zip(&serving)
-            .map(|((target, placement), upstreams)| {
+            .map(|((target, (placement, split)), upstreams)| {
                 let demand = placement.demand.as_ref();
-                LoadNeed::new(now, table, target, demand, upstreams)
+                let engines = ModelEngines {
+                    now,
+                    table,
+                    target,
+                    upstreams,
+                };
+                LoadNeed::new(engines, demand, split)
             })
             .collect();
         round.take_awaited(&needs);
@@ -116,69 +136,6 @@
     }
 }
 
-/// The loads that a target version still needs.
-#[derive(Debug, Clone)]
-struct LoadNeed {
-    /// In the order in which they should start.
-    tasks: Vec<WeightLoadTask>,
-    /// The upstreams that have the target version or load it.
-    current: usize,
-    /// The upstreams that can run the waiting items, now or after a load in progress.
-    usable: usize,
-    /// The number of loads for which items wait.
-    awaited: usize,
-}
-
-impl LoadNeed {
-    fn new(
-        now: Moment,
-        table: &UpstreamTable,
-        target: &TargetVersion,
-        demand: Option<&ModelDemand>,
-        upstreams: &[UpstreamKey],
-    ) -> Self {
-        let is_current = |key: &&UpstreamKey| is_current(now, table.get(**key), target);
-        let current = upstreams.iter().filter(is_current).count();
-        let goal = upstreams.len().div_ceil(2);
-        let oldest_allowed = target.version.0.saturating_sub(MAX_VERSION_LAG);
-        let mut outdated: Vec<(u64, u32, UpstreamKey)> = upstreams
-            .iter()
-            .filter(|key| !is_current(key))
-            .map(|key| {
-                let state = table.get(*key);
-                let version = state.version(&target.model).map_or(0, |version| version.0);
-                (version, state.in_flight, *key)
-            })
-            .collect();
-        // The oldest weights are replaced first, and among equal ones those of the least busy upstream.
-        outdated.sort_unstable();
-        let mut missing = goal.saturating_sub(current);
-        let mut tasks = Vec::new();
-        for (version, _, upstream) in outdated {
-            let too_old = version < oldest_allowed;
-            if !too_old && missing == 0 {
-                continue;
-            }
-            missing = missing.saturating_sub(1);
-            tasks.push(WeightLoadTask {
-                upstream,
-                model: target.model.clone(),
-                version: target.version,
-            });
-        }
-        let usable = demand.map_or(0, |demand| {
-            usable_engines(now, table, target, demand, upstreams)
-        });
-        let awaited = demand.map_or(0, |demand| awaited_engines(table, demand, upstreams));
-        Self {
-            tasks,
-            current,
-            usable,
-            awaited: awaited.min(goal.saturating_sub(usable)),
-        }
-    }
-}
-
 /// The choice of the loads that start now.
 struct LoadRound<'a> {
     now: Moment,
@@ -248,34 +205,6 @@
     }
 }
 
-/// Returns how many upstreams can run the waiting items, now or after a load in progress.
-fn usable_engines(
-    now: Moment,
-    table: &UpstreamTable,
-    target: &TargetVersion,
-    demand: &ModelDemand,
-    upstreams: &[UpstreamKey],
-) -> usize {
-    let is_usable = |key: &&UpstreamKey| {
-        let state = table.get(**key);
-        state.version(&target.model) >= Some(demand.least_version)
-            || state.is_loading(now, &target.model)
-    };
-    upstreams.iter().filter(is_usable).count()
-}
-
-/// Returns how many engines the waiting items would fill.
-fn awaited_engines(
-    table: &UpstreamTable,
-    demand: &ModelDemand,
-    upstreams: &[UpstreamKey],
-) -> usize {
-    let slots = upstreams
-        .first()
-        .map_or(1, |key| table.get(*key).record.slots);
-    demand.waiting.div_ceil(slots.max(1)) as usize
-}
-
 /// Returns the engines that run each target's model, in the order of the targets.
 pub fn model_pools(table: &UpstreamTable, targets: &[TargetVersion]) -> Vec<ModelPool> {
     let pool = |target: &TargetVersion| {
@@ -374,15 +303,6 @@
     }
 }
 
-/// Returns how many upstreams have weights that the allowed lag permits for the target's next step.
-pub fn current_engines(table: &UpstreamTable, target: &TargetVersion) -> usize {
-    let oldest_allowed = WeightVersion(target.version.0.saturating_sub(MAX_VERSION_LAG));
-    let is_current = |(key, state): &(UpstreamKey, &UpstreamState)| {
-        table.accepts_work(*key) && state.version(&target.model) >= Some(oldest_allowed)
-    };
-    table.iter().filter(is_current).count()
-}
-
 fn even_placement(pool: &ModelPool) -> ModelPlacement {
     ModelPlacement {
         share: pool.even_share,
@@ -406,7 +326,3 @@
         .iter()
         .any(|weights: &ModelWeights| weights.model == *model)
 }
-
-fn is_current(now: Moment, state: &UpstreamState, target: &TargetVersion) -> bool {
-    state.version(&target.model) >= Some(target.version) || state.is_loading(now, &target.model)
-}
