Index the engines with free places

Cause: each waiting item looked at all engines (best_engine, shortest_event_gap) and sorted all gaps (typical_event_gap), so a round with as many items as places grew with the square of the engines. Ruled out: an index that only leaves out full engines; a burst at idle engines still grew with the square. Change: UpstreamTable keeps engines with free places by service, model, version, zone and cost, engines by prompt part and the sorted gaps. get_mut marks an engine, which is indexed again before the next use; a new list rebuilds all. The search goes in ascending order and ends when no other engine can cost less. free_places() is the only place that says what a free place is. Conclusion: linear for select_engine where engines have open connections. Not linear: the first burst of a process without any connection, as the discount for one is not in the order; and select_engine_for_text (predicted_completion), which looks at the free engines of the version for each item, because its cost depends on time.

--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -6,6 +6,8 @@
 pub mod completion;
 pub mod crash_register;
 pub mod duplicate_budget;
+mod engine_index;
+mod engine_search;
 pub mod engine_speed;
 pub mod freshness;
 pub mod give_up;
--- a/crates/catkindeck-policy/src/direct/selection.rs
+++ b/crates/catkindeck-policy/src/direct/selection.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        engine_search::{GroupSearch, engine_cost},
         plain_load::PlainPace,
         upstream::{SoftwareVersion, UpstreamKey, UpstreamState},
         upstream_table::UpstreamTable,
@@ -15,19 +16,12 @@
 /// it grows linearly with the requests in progress.
 const LOAD_COST_PERCENT: u64 = 150;
 
-/// The discount for an upstream that probably has the prompt in its cache, in percent.
-const CACHE_DISCOUNT_PERCENT: u64 = 15;
-
 /// The discount for a plain upstream with an open connection, in percent. Opening a connection
 /// costs more than the difference between two idle upstreams.
 const CONNECTED_PLAIN_DISCOUNT_PERCENT: u64 = 50;
 
-/// The discount for an engine with an open connection, in percent. It is less than the cost of a
-/// few more requests in progress, because a long stream justifies a new connection.
-const CONNECTED_ENGINE_DISCOUNT_PERCENT: u64 = 10;
-
 /// The discount for an upstream in the same availability zone, in percent.
-const ZONE_DISCOUNT_PERCENT: u64 = 5;
+pub(super) const ZONE_DISCOUNT_PERCENT: u64 = 5;
 
 /// A run is slow if its mean time between events exceeds this percentage of the typical one.
 const SLOW_PERCENT: u64 = 150;
@@ -167,26 +161,31 @@
         limits: RateLimits,
         admits: impl Fn(&UpstreamState) -> bool,
     ) -> Option<UpstreamKey> {
-        let shortest = self.shortest_event_gap(query.service);
-        let cost = |state: &UpstreamState| {
-            let cached = query.part.is_some_and(|part| state.has_prompt_part(part));
-            let mut cost = loaded_cost(state, state.event_gap_us.max(shortest));
-            cost = discount(cost, CACHE_DISCOUNT_PERCENT, cached);
-            cost = discount(
-                cost,
-                ZONE_DISCOUNT_PERCENT,
-                state.record.zone == *query.zone,
-            );
-            let connected = (query.connected)(state.record.address);
-            cost = discount(cost, CONNECTED_ENGINE_DISCOUNT_PERCENT, connected);
-            EngineCost {
-                in_backoff: state.in_backoff(now),
-                is_cold: state.is_cold(now),
-                is_kept: false,
-                cost,
-            }
+        let index = self.index();
+        let shortest = index.gaps(query.service).first().map_or(1, |(gap, _)| *gap);
+        let look = |key: UpstreamKey| {
+            self.count_look();
+            let state = self.get(key);
+            let is_usable = self.is_usable(now, query, limits, (key, state)) && admits(state);
+            is_usable.then(|| (engine_cost(now, query, state, shortest), key))
         };
-        self.cheapest_engine(now, query, limits, &admits, &cost)
+        // The engines with the prompt have a discount that the order of the others does not contain.
+        let cached = query.part.map(|part| index.cached(query.service, part));
+        let cached = cached.into_iter().flatten();
+        let mut best = cached.filter_map(look).min();
+        let mut searches: Vec<GroupSearch<'_>> = index
+            .groups(query.service, query.model, query.least_version)
+            .filter(|group| !self.is_zone_closed(&group.zone))
+            .map(|group| GroupSearch::new(group, query, shortest))
+            .collect();
+        loop {
+            searches.retain_mut(|search| search.skip_beaten(best.as_ref()));
+            let next = searches.iter_mut().min_by_key(|search| search.bound());
+            let Some(key) = next.and_then(GroupSearch::take) else {
+                return best.map(|(_, key)| key);
+            };
+            best = best.into_iter().chain(look(key)).min();
+        }
     }
 
     /// Returns the engine with the lowest cost of those that may run a request now.
@@ -198,25 +197,40 @@
         admits: &dyn Fn(&UpstreamState) -> bool,
         cost: &dyn Fn(&UpstreamState) -> EngineCost,
     ) -> Option<UpstreamKey> {
-        let usable = self.iter().filter(|(key, state)| {
-            state.record.service == *query.service
-                && query
-                    .software
-                    .is_none_or(|software| state.record.software == *software)
-                && self.accepts_work(*key)
-                && !query.excluded.contains(key)
-                && (query.last_resort || !state.in_backoff(now))
-                && !state.is_loading(now, query.model)
-                && state.version(query.model) >= Some(query.least_version)
-                && state.in_flight < state.record.slots
-                && limits.allows(now, state)
-                && admits(state)
-        });
+        let index = self.index();
+        let groups = index.groups(query.service, query.model, query.least_version);
+        let keys = groups.flat_map(|group| group.engines.iter().map(|(_, key)| *key));
+        let states = keys.map(|key| (key, self.get(key)));
+        let usable = states
+            .inspect(|_| self.count_look())
+            .filter(|(key, state)| {
+                self.is_usable(now, query, limits, (*key, *state)) && admits(state)
+            });
         usable
             .min_by_key(|(key, state)| (cost(state), *key))
             .map(|(key, _)| key)
     }
 
+    fn is_usable(
+        &self,
+        now: Moment,
+        query: &EngineQuery<'_>,
+        limits: RateLimits,
+        (key, state): (UpstreamKey, &UpstreamState),
+    ) -> bool {
+        state.record.service == *query.service
+            && query
+                .software
+                .is_none_or(|software| state.record.software == *software)
+            && self.accepts_work(key)
+            && !query.excluded.contains(&key)
+            && (query.last_resort || !state.in_backoff(now))
+            && !state.is_loading(now, query.model)
+            && state.version(query.model) >= Some(query.least_version)
+            && state.free_places() > 0
+            && limits.allows(now, state)
+    }
+
     fn best_plain(
         &self,
         now: Moment,
@@ -283,13 +297,9 @@
     /// Engines generate more slowly the more requests they run, so under load even a sound engine is
     /// much slower than one that happens to be idle. The median moves with the load of the service.
     pub fn typical_event_gap(&self, service: &ObjectName) -> u64 {
-        let mut gaps: Vec<u64> = self
-            .iter()
-            .filter(|(_, state)| state.record.service == *service && state.event_gap_us > 0)
-            .map(|(_, state)| state.event_gap_us)
-            .collect();
-        gaps.sort_unstable();
-        gaps.get(gaps.len() / 2).copied().unwrap_or(1)
+        let index = self.index();
+        let gaps = index.gaps(service);
+        gaps.get(gaps.len() / 2).map_or(1, |(gap, _)| *gap)
     }
 
     /// Returns whether a run that is slow in the sense of [`Self::is_slow_run`] should move to another engine:
@@ -316,7 +326,8 @@
 
     /// Returns the shortest mean time between events of any engine of a service, in microseconds.
     pub fn shortest_event_gap(&self, service: &ObjectName) -> u64 {
-        self.min_measured(service, |state| state.event_gap_us)
+        let index = self.index();
+        index.gaps(service).first().map_or(1, |(gap, _)| *gap)
     }
 
     fn shortest_latency(&self, service: &ObjectName) -> u64 {
@@ -343,13 +354,13 @@
     hash::digest64(parts)
 }
 
-fn loaded_cost(state: &UpstreamState, base: u64) -> u64 {
+pub(super) fn loaded_cost(state: &UpstreamState, base: u64) -> u64 {
     let slots = u64::from(state.record.slots.max(1));
     let load = u64::from(state.in_flight) * LOAD_COST_PERCENT / slots;
     base.saturating_mul(100 + load)
 }
 
-fn discount(cost: u64, percent: u64, applies: bool) -> u64 {
+pub(super) fn discount(cost: u64, percent: u64, applies: bool) -> u64 {
     match applies {
         true => cost / 100 * (100 - percent),
         false => cost,
--- a/crates/catkindeck-policy/src/direct/upstream.rs
+++ b/crates/catkindeck-policy/src/direct/upstream.rs
@@ -139,6 +139,8 @@
     versions: SortedMap<ObjectName, WeightVersion>,
     loading: Option<WeightLoad>,
     prompt_parts: VecDeque<u64>,
+    /// The number of changes of `prompt_parts`.
+    part_changes: u64,
     failures: u32,
     backoff_until: Moment,
 }
@@ -160,6 +162,7 @@
             versions: SortedMap::new(),
             loading: None,
             prompt_parts: VecDeque::new(),
+            part_changes: 0,
             failures: 0,
             backoff_until: Moment(0),
             record,
@@ -190,6 +193,21 @@
         self.versions.get(model).copied()
     }
 
+    /// Returns the known versions by model.
+    pub(super) fn versions(&self) -> &SortedMap<ObjectName, WeightVersion> {
+        &self.versions
+    }
+
+    /// Returns the prompt parts that are probably cached, the oldest first.
+    pub(super) fn prompt_parts(&self) -> impl Iterator<Item = u64> {
+        self.prompt_parts.iter().copied()
+    }
+
+    /// Returns how often the prompt parts have changed.
+    pub(super) fn part_changes(&self) -> u64 {
+        self.part_changes
+    }
+
     /// Records that new weights of a model are loaded until about `until`.
     pub fn record_weight_load(&mut self, now: Moment, model: &ObjectName, until: Moment) {
         self.loading = Some(WeightLoad {
@@ -279,6 +297,12 @@
         f64::from(self.in_flight + added) / f64::from(self.record.slots.max(1))
     }
 
+    /// Returns the number of further requests that this process may send now. It depends on nothing but this state, so
+    /// that the index of free engines follows it.
+    pub fn free_places(&self) -> u32 {
+        self.record.slots.saturating_sub(self.in_flight)
+    }
+
     /// Records a request.
     pub fn record_request(&mut self, now: Moment) {
         self.in_flight += 1;
@@ -296,6 +320,7 @@
         if self.prompt_parts.len() == PROMPT_PART_LIMIT {
             self.prompt_parts.pop_front();
         }
+        self.part_changes += 1;
         self.prompt_parts.push_back(part);
     }
 
@@ -306,6 +331,7 @@
 
     /// Clears the cached prompt parts, which new weights invalidate.
     pub fn clear_prompt_parts(&mut self) {
+        self.part_changes += 1;
         self.prompt_parts.clear();
     }
 
@@ -323,7 +349,7 @@
         for index in 0..self.record.weights.len() {
             let weights = self.record.weights[index].clone();
             if self.version(&weights.model) < Some(weights.version) {
-                self.prompt_parts.clear();
+                self.clear_prompt_parts();
             }
             self.observe_version(&weights.model, weights.version);
         }
--- a/crates/catkindeck-policy/src/direct/upstream_table.rs
+++ b/crates/catkindeck-policy/src/direct/upstream_table.rs
@@ -2,11 +2,13 @@
 
 use {
     super::{
+        engine_index::EngineIndex,
         leaving::{LeavingNotice, LeavingRegister},
         service_speed::ServiceSpeed,
         upstream::{DiscoveredUpstream, UpstreamKey, UpstreamState},
     },
     catkindeck::{KeyArena, Moment, SortedMap, id::ObjectName},
+    std::cell::{Cell, Ref, RefCell},
 };
 
 /// The time without a read of the list after which entries may have expired unnoticed, in
@@ -46,6 +48,9 @@
     grace_until: Moment,
     /// What the engines of each service have in common.
     speeds: SortedMap<ObjectName, ServiceSpeed>,
+    index: RefCell<EngineIndex>,
+    /// How often selections have looked at an engine.
+    looks: Cell<u64>,
 }
 
 impl UpstreamTable {
@@ -69,6 +74,7 @@
             self.grace_until = sent + STORE_RECOVERY_GRACE_MS;
         }
         self.last_read = Some(sent);
+        self.index.get_mut().clear();
         let mut listed: Vec<ObjectName> = Vec::with_capacity(list.len());
         for record in list {
             listed.push(record.id.clone());
@@ -103,6 +109,7 @@
     ///
     /// Panics if the key is from another table.
     pub fn get_mut(&mut self, key: UpstreamKey) -> &mut UpstreamState {
+        self.index.get_mut().mark_changed(key);
         let state = self.instances.get_mut(key);
         state.expect("the upstream key belongs to this table")
     }
@@ -117,6 +124,31 @@
         self.current.values().map(|key| (*key, self.get(*key)))
     }
 
+    /// Returns the index of the engines with free places.
+    pub(super) fn index(&self) -> Ref<'_, EngineIndex> {
+        let mut index = self.index.borrow_mut();
+        index.build(self.iter());
+        while let Some(key) = index.take_changed() {
+            index.update(key, self.get(key));
+        }
+        drop(index);
+        self.index.borrow()
+    }
+
+    /// Returns how often selections have looked at an engine.
+    pub fn looks(&self) -> u64 {
+        self.looks.get()
+    }
+
+    pub(super) fn count_look(&self) {
+        self.looks.set(self.looks.get() + 1);
+    }
+
+    /// Returns whether an availability zone is closed for new work.
+    pub(super) fn is_zone_closed(&self, zone: &ObjectName) -> bool {
+        self.closed_zones.contains(zone)
+    }
+
     /// Returns whether the list, the zones and the instance itself allow new work for it.
     pub fn accepts_work(&self, key: UpstreamKey) -> bool {
         let state = self.get(key);
