--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -81,5 +81,6 @@
     PLACES_CHANGED = 8221, "places_changed", Info, "this process may use another number of places at engines";
     PLACES_ENDED = 8222, "places_ended", Warning, "no places are granted; the even part of the slots is used";
     JOB_ASSIGNED = 8223, "job_assigned", Info, "job of a lost owner was given to the owner of its trainer";
+    SPLIT_CHANGED = 8260, "split_changed", Info, "other numbers of upstreams load each version of a model";
     PEER_RELAYED = 8181, "peer_relayed", Info, "peer was reached through another peer";
 }
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod ownership_metrics;
 pub mod peer;
 pub mod peer_fallback;
+pub mod placement_metrics;
 pub mod plain_room;
 pub mod port;
 pub mod relay;
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -8,7 +8,12 @@
         core::GatewayCore,
         events::PEER_FAILED,
         feed::{FeedChanges, FeedPosition, FeedQuery, FeedUpdate},
-        jobs::{JobService, backup::JobTextUpdate, demand::DemandReport, places::PlaceRequest},
+        jobs::{
+            JobService,
+            backup::JobTextUpdate,
+            demand::{DemandReport, StepReport},
+            places::PlaceRequest,
+        },
         keys::{self, JobRecord, MemberRecord},
         limits::{LimitCall, PermitReply},
         notices::NoticeCall,
@@ -133,6 +138,8 @@
     FeedSince(FeedPosition),
     /// Reports the sender's demand to the leader and asks for places at engines.
     Places(PlaceRequest),
+    /// Reports the demand of the sender's jobs and the steps of their trainers to the leader.
+    StepDemand(StepReport),
 }
 
 /// A call to be forwarded to another process.
@@ -357,13 +364,9 @@
                 let changes = self.core.feed.answer_since(&self.core, &position).await;
                 changes.map(PeerResponse::from)
             }
-            PeerCall::WeightLoads(notices) => {
-                for notice in notices {
-                    self.core.record_weight_load(&notice);
-                }
-                Ok(PeerResponse::Done)
-            }
+            PeerCall::WeightLoads(notices) => Ok(self.core.answer_weight_loads(&notices)),
             PeerCall::Demand(report) => Ok(self.core.answer_demand(report)),
+            PeerCall::StepDemand(report) => Ok(self.core.answer_step_demand(report)),
             PeerCall::Origin(call) => Ok(self.core.answer_origin_call(call)),
             PeerCall::Limit(call) => self.core.answer_limit_call(call),
             PeerCall::Places(request) => {
@@ -397,6 +400,13 @@
 }
 
 impl GatewayCore {
+    fn answer_weight_loads(self: &Rc<Self>, notices: &[WeightLoadNotice]) -> PeerResponse {
+        for notice in notices {
+            self.record_weight_load(notice);
+        }
+        PeerResponse::Done
+    }
+
     /// Marks an upstream as loading weights, and records the new version after the expected load time.
     ///
     /// If the engine needs longer, it refuses requests or its responses state the actual version.
