--- a/crates/catkindeck-gateway/src/jobs/ownership.rs
+++ b/crates/catkindeck-gateway/src/jobs/ownership.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        cancel::record_transaction,
         owned::{OwnedJob, route_of},
         service::JobService,
         takeover::HAND_OVER_TIMEOUT,
@@ -17,8 +18,6 @@
     std::rc::Rc,
 };
 
-use super::cancel::record_transaction;
-
 impl JobService {
     /// Chooses the process that is to own a job of a service.
     ///
--- a/crates/catkindeck-gateway/src/jobs/places.rs
+++ b/crates/catkindeck-gateway/src/jobs/places.rs
@@ -147,12 +147,24 @@
         }
     }
 
+    /// Answers the call of another owner as the leader.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::answer_places`].
+    pub(crate) fn answer_place_call(
+        &self,
+        request: PlaceRequest,
+    ) -> Result<PeerResponse, ServiceError> {
+        self.answer_places(request).map(PeerResponse::Places)
+    }
+
     /// Answers the request of an owner as the leader.
     ///
     /// # Errors
     ///
     /// Returns `fenced` if this process is not the leader, and `conflict` if its settings do not share ownership.
-    pub(crate) fn answer_places(&self, request: PlaceRequest) -> Result<PlaceUpdate, ServiceError> {
+    fn answer_places(&self, request: PlaceRequest) -> Result<PlaceUpdate, ServiceError> {
         if !self.core.settings().scheduling.shared_ownership.is_on() {
             let detail = "the settings of the leader do not share ownership";
             return Err(ServiceError::not_run(ErrorKind::Conflict, detail));
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -339,9 +339,7 @@
             PeerCall::Demand(report) => Ok(self.core.answer_demand(report)),
             PeerCall::Origin(call) => Ok(self.core.answer_origin_call(call)),
             PeerCall::Limit(call) => self.core.answer_limit_call(call),
-            PeerCall::Places(request) => {
-                Ok(PeerResponse::Places(self.jobs.answer_places(request)?))
-            }
+            PeerCall::Places(request) => self.jobs.answer_place_call(request),
             PeerCall::Crash(call) => Ok(self.core.answer_notice_call(call)),
             PeerCall::Leaving(call) => Ok(self.core.answer_notice_call(call)),
         }
