--- a/crates/catkindeck-policy/tests/shared_ownership.rs
+++ b/crates/catkindeck-policy/tests/shared_ownership.rs
@@ -396,118 +396,161 @@
     work: u64,
 }
 
+/// Processes that start the items of two trainers at the same engines.
+struct Pool {
+    hosts: Vec<ObjectName>,
+    tables: Vec<UpstreamTable>,
+    shares: Vec<PlaceShare>,
+    divider: PlaceDivider,
+    trainers: [Trainer; 2],
+    /// The process of each trainer.
+    owners: Vec<usize>,
+    runs: Vec<Run>,
+    alive: Vec<bool>,
+}
+
+impl Pool {
+    fn new(owners: &[usize], processes: usize) -> Self {
+        let models = names("model", 2);
+        Self {
+            hosts: names("host", processes),
+            tables: (0..processes).map(|_| table(24, &models)).collect(),
+            shares: vec![PlaceShare::default(); processes],
+            divider: PlaceDivider::default(),
+            trainers: [Trainer::new(&models[0], 160), Trainer::new(&models[1], 40)],
+            owners: owners.to_vec(),
+            runs: Vec::new(),
+            alive: vec![true; processes],
+        }
+    }
+
+    fn lose(&mut self, process: usize) {
+        self.alive[process] = false;
+        for run in self.runs.iter().filter(|run| run.process == process) {
+            self.trainers[run.trainer].waiting.push(run.work);
+        }
+        self.runs.retain(|run| run.process != process);
+    }
+
+    fn end_runs(&mut self, now: u64) {
+        self.runs.retain(|run| {
+            if run.until > now {
+                return true;
+            }
+            self.tables[run.process].get_mut(run.key).in_flight -= 1;
+            self.trainers[run.trainer].finish();
+            false
+        });
+    }
+
+    fn request_places(&mut self, now: Moment, process: usize, members: &[ObjectName]) {
+        let (host, table) = (&self.hosts[process], &mut self.tables[process]);
+        let share = &mut self.shares[process];
+        let mut demands = Vec::new();
+        for (index, trainer) in self.trainers.iter().enumerate() {
+            if self.owners[index] == process {
+                let running = self.runs.iter().filter(|run| run.trainer == index).count();
+                let items = (trainer.waiting.len() + running) as u32;
+                demands.push(demand(&trainer.model, items));
+            }
+        }
+        let known = share.sequence();
+        let report = PlaceReport {
+            demands,
+            known,
+            excess: share.excess(table),
+        };
+        self.divider.record(now, host, report);
+        self.divider.divide(now, table, members);
+        share.apply(now, self.divider.update(host, known));
+        share.limit(table, host, members);
+    }
+
+    fn start_items(&mut self, now: u64, process: usize) {
+        let (service, zone) = (name("engines"), name("zone-a"));
+        for (index, trainer) in self.trainers.iter_mut().enumerate() {
+            if self.owners[index] != process {
+                continue;
+            }
+            while let Some(work) = trainer.waiting.last().copied() {
+                let query = EngineQuery {
+                    service: &service,
+                    model: &trainer.model,
+                    least_version: WeightVersion(1),
+                    software: None,
+                    part: None,
+                    excluded: &[],
+                    zone: &zone,
+                    last_resort: false,
+                    connected: &|_| true,
+                };
+                let table = &mut self.tables[process];
+                let Some(key) = table.select_engine(Moment(now), &query, RateLimits::NONE) else {
+                    break;
+                };
+                table.get_mut(key).in_flight += 1;
+                trainer.waiting.pop();
+                self.runs.push(Run {
+                    process,
+                    trainer: index,
+                    key,
+                    until: now + work,
+                    work,
+                });
+            }
+        }
+    }
+
+    /// Returns the number of runs beyond the slots of their engines.
+    fn excess(&self) -> u32 {
+        let mut engines: SortedMap<UpstreamKey, u32> = SortedMap::new();
+        for run in &self.runs {
+            *engines.get_or_insert_with(run.key, || 0) += 1;
+        }
+        let counts = engines.values();
+        counts.map(|count| count.saturating_sub(SLOTS)).sum()
+    }
+}
+
 /// Plays trainers on one pool in virtual time. `owners` names the process of each trainer; the process `lost.0` ends at
 /// `lost.1`, and the process 1 goes on with its trainers 2 s later. Returns the items that each trainer has after each
 /// second.
 fn play(owners: &[usize], processes: usize, lost: Option<(usize, u64)>) -> Vec<[u32; 2]> {
-    let models = names("model", 2);
-    let hosts = names("host", processes);
-    let mut tables: Vec<UpstreamTable> = (0..processes).map(|_| table(24, &models)).collect();
-    let mut shares: Vec<PlaceShare> = vec![PlaceShare::default(); processes];
-    let mut divider = PlaceDivider::default();
-    let mut trainers = [Trainer::new(&models[0], 160), Trainer::new(&models[1], 40)];
-    let mut owners = owners.to_vec();
-    let mut runs: Vec<Run> = Vec::new();
+    let mut pool = Pool::new(owners, processes);
     let mut seconds = Vec::new();
-    let mut alive = vec![true; processes];
     for now in (1_000..121_000).step_by(20) {
         if let Some((process, at)) = lost {
             if now == at {
-                alive[process] = false;
-                for run in runs.iter().filter(|run| run.process == process) {
-                    trainers[run.trainer].waiting.push(run.work);
-                }
-                runs.retain(|run| run.process != process);
+                pool.lose(process);
             }
             if now == at + 2_000 {
-                owners.iter_mut().for_each(|owner| *owner = 1);
+                pool.owners.iter_mut().for_each(|owner| *owner = 1);
             }
         }
-        runs.retain(|run| {
-            if run.until > now {
-                return true;
-            }
-            tables[run.process].get_mut(run.key).in_flight -= 1;
-            trainers[run.trainer].finish();
-            false
-        });
+        pool.end_runs(now);
         // A registration lapses with its lease, after the takeover.
-        let listed =
-            |process: usize| alive[process] || lost.is_some_and(|(_, at)| now < at + 2_000);
+        let is_listed =
+            |process: &usize| pool.alive[*process] || lost.is_some_and(|(_, at)| now < at + 2_000);
         let members: Vec<ObjectName> = (0..processes)
-            .filter(|process| listed(*process))
-            .map(|process| hosts[process].clone())
+            .filter(is_listed)
+            .map(|process| pool.hosts[process].clone())
             .collect();
-        for process in (0..processes).filter(|process| alive[*process]) {
-            if now % ROUND_MS == (process as u64 * 20) % ROUND_MS && processes > 1 {
-                let mut demands = Vec::new();
-                for (index, trainer) in trainers.iter().enumerate() {
-                    if owners[index] == process {
-                        let running = runs.iter().filter(|run| run.trainer == index).count();
-                        let items = (trainer.waiting.len() + running) as u32;
-                        demands.push(demand(&trainer.model, items));
-                    }
-                }
-                let moment = Moment(now);
-                let known = shares[process].sequence();
-                let report = PlaceReport {
-                    demands,
-                    known,
-                    excess: shares[process].excess(&tables[process]),
-                };
-                divider.record(moment, &hosts[process], report);
-                divider.divide(moment, &tables[process], &members);
-                shares[process].apply(moment, divider.update(&hosts[process], known));
-                shares[process].limit(&mut tables[process], &hosts[process], &members);
+        for process in 0..processes {
+            if !pool.alive[process] {
+                continue;
             }
-            for (index, trainer) in trainers.iter_mut().enumerate() {
-                if owners[index] != process {
-                    continue;
-                }
-                while let Some(work) = trainer.waiting.last().copied() {
-                    let (service, zone) = (name("engines"), name("zone-a"));
-                    let query = EngineQuery {
-                        service: &service,
-                        model: &trainer.model,
-                        least_version: WeightVersion(1),
-                        software: None,
-                        part: None,
-                        excluded: &[],
-                        zone: &zone,
-                        last_resort: false,
-                        connected: &|_| true,
-                    };
-                    let table = &mut tables[process];
-                    let Some(key) = table.select_engine(Moment(now), &query, RateLimits::NONE)
-                    else {
-                        break;
-                    };
-                    table.get_mut(key).in_flight += 1;
-                    trainer.waiting.pop();
-                    runs.push(Run {
-                        process,
-                        trainer: index,
-                        key,
-                        until: now + work,
-                        work,
-                    });
-                }
+            if now % ROUND_MS == (process as u64 * 20) % ROUND_MS && processes > 1 {
+                pool.request_places(Moment(now), process, &members);
             }
+            pool.start_items(now, process);
         }
         if now % 1_000 == 0 {
-            seconds.push([trainers[0].done, trainers[1].done]);
+            seconds.push([pool.trainers[0].done, pool.trainers[1].done]);
             // Engines queue what exceeds their slots, so that an excess may not last.
-            let mut engines: SortedMap<UpstreamKey, u32> = SortedMap::new();
-            for run in &runs {
-                *engines.get_or_insert_with(run.key, || 0) += 1;
-            }
-            let excess: u32 = engines
-                .values()
-                .map(|count| count.saturating_sub(SLOTS))
-                .sum();
-            let settled = now > 10_000 && lost.is_none_or(|(_, at)| now < at);
+            let excess = pool.excess();
+            let is_settled = now > 10_000 && lost.is_none_or(|(_, at)| now < at);
             assert!(
-                !settled || excess * 20 <= 24 * SLOTS,
+                !is_settled || excess * 20 <= 24 * SLOTS,
                 "{excess} runs exceed the slots at {now}"
             );
         }
