--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -369,10 +369,7 @@
             PeerCall::StepDemand(report) => Ok(self.core.answer_step_demand(report)),
             PeerCall::Origin(call) => Ok(self.core.answer_origin_call(call)),
             PeerCall::Limit(call) => self.core.answer_limit_call(call),
-            PeerCall::Places(request) => {
-                let places = self.jobs.answer_places(request);
-                places.map(PeerResponse::Places)
-            }
+            PeerCall::Places(request) => self.jobs.answer_place_call(request),
             PeerCall::Crash(call) => Ok(self.core.answer_notice_call(call)),
             PeerCall::Leaving(call) => Ok(self.core.answer_notice_call(call)),
         }
