Use texts across steps of a trainer

Cause: a step waits for the groups that it asks for again. Their texts ended with the earlier step, and were too old for the later one: the step that asks for groups of step k allows k + 1 and newer, which is named seconds after step k began.

Change: switch carried_texts, off by default. Groups that the trainer does not wait for, and that are the longest by more than the hints are usually wrong, start at the version that the later step allows; runs with such texts go on after the end of their step, and the later step continues them.

Ruled out in a simulation: starting such texts again once the version is loaded (discards texts that would be complete), and holding groups whatever the hints are worth.

--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -77,5 +77,9 @@
     REQUEST_QUARANTINED = 8212, "request_quarantined", Warning, "request crashed upstreams in sequence and is refused";
     REQUEST_CLEARED = 8213, "request_cleared", Info, "suspected request was answered, so it does not crash upstreams";
     CRASHES_UNSENT = 8214, "crashes_unsent", Warning, "notices of crashes could not be exchanged; retrying";
+    TEXTS_KEPT = 8250, "texts_kept", Info, "texts of an ended step go on, because the trainer will probably ask for them again";
+    TEXTS_RELEASED = 8251, "texts_released", Info, "texts of an ended step that nobody asked for again were stopped";
+    GROUPS_RETURNED = 8252, "groups_returned", Info, "groups of an earlier step came again";
+    GROUP_HELD = 8253, "group_held", Info, "group waits for a version that a later step allows";
     PEER_RELAYED = 8181, "peer_relayed", Info, "peer was reached through another peer";
 }
--- a/crates/catkindeck-gateway/src/jobs/cancel.rs
+++ b/crates/catkindeck-gateway/src/jobs/cancel.rs
@@ -69,7 +69,7 @@
         }
         if !job.job.borrow().is_ended() {
             job.job.borrow_mut().end();
-            job.stop();
+            self.stop_ended(job);
             self.core.metrics.jobs.with_label_values(&["ended"]).inc();
             log_event!(self.core.logger, JOB_CANCELLED;
                 "job" => &job.spec.id, "by" => "caller",
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -75,13 +75,15 @@
     log_event!(core.logger, ITEM_RUN_ENDED;
         "job" => &job.spec.id, "item" => &job.spec.items[run.key.0 as usize].id,
         "upstream" => %run.guard.id, "outcome" => label, "detail" => run_outcome.detail,
-        "elapsed_ms" => elapsed_ms, "predicted_ms" => run.forecast.predicted_ms, "events" => text.events);
+        "elapsed_ms" => elapsed_ms, "predicted_ms" => run.forecast.predicted_ms, "events" => text.events,
+        "expected_tokens" => text.expected_tokens);
     if run_outcome.outcome == ItemOutcome::Complete {
         let seconds = started.elapsed().as_secs_f64();
         core.metrics.item_seconds.observe(seconds);
         core.metrics
             .observe_prediction(run.forecast.predicted_ms, elapsed_ms);
         core.roster.borrow_mut().record_text(run.guard.key, text);
+        service.record_carry_text(&job, run.key);
     }
     let now = core.now();
     let key = run.key;
--- a/crates/catkindeck-gateway/src/jobs/item_forecast.rs
+++ b/crates/catkindeck-gateway/src/jobs/item_forecast.rs
@@ -68,6 +68,9 @@
     (events, gap_us): (u64, u64),
 ) -> Option<String> {
     let state = job.job.borrow();
+    if state.is_ended() {
+        return None;
+    }
     let text = text_demand(core, &state, run.key);
     let typical_gap_us = run.forecast.typical_gap_us;
     if text.is_none() && !UpstreamTable::is_slow_run(typical_gap_us, events, gap_us) {
@@ -81,7 +84,7 @@
         excluded: &[run.guard.key],
         software: state.required_software(run.key),
         connected: &|address| core.upstream_client.has_idle(address),
-        ..engine_query(job, item, &service, &settings.zone)
+        ..engine_query(&state, run.key, &service, &settings.zone)
     };
     let limits = rate_limits(core, &service);
     let roster = core.roster.borrow();
--- a/crates/catkindeck-gateway/src/jobs/mod.rs
+++ b/crates/catkindeck-gateway/src/jobs/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod backup;
 pub mod cancel;
+pub mod carried;
 pub mod commit;
 pub mod demand;
 pub mod item;
--- a/crates/catkindeck-gateway/src/jobs/owned.rs
+++ b/crates/catkindeck-gateway/src/jobs/owned.rs
@@ -87,11 +87,38 @@
     }
 
     /// Aborts all runs and scorer calls, which closes their connections.
-    pub fn stop(&self) {
-        let tasks = std::mem::take(&mut *self.tasks.borrow_mut());
-        for task in tasks.values() {
+    /// Returns how many there were.
+    pub fn stop(&self) -> usize {
+        self.stop_except(&[])
+    }
+
+    /// Aborts all runs and scorer calls except those of the given items, and returns how many there were.
+    pub fn stop_except(&self, kept: &[ItemKey]) -> usize {
+        let mut stopped = 0;
+        self.tasks.borrow_mut().retain(|key, task| {
+            let is_kept = kept.contains(key);
+            if !is_kept {
+                stopped += usize::from(!task.is_finished());
+                task.abort();
+            }
+            is_kept
+        });
+        stopped
+    }
+
+    /// Aborts the run or scorer call of an item, and returns whether there was one.
+    pub fn stop_run(&self, key: ItemKey) -> bool {
+        let task = self.tasks.borrow_mut().remove(&key);
+        let running = task.filter(|task| !task.is_finished());
+        if let Some(task) = &running {
             task.abort();
         }
+        running.is_some()
+    }
+
+    /// Returns whether any run or scorer call is in progress.
+    pub fn has_runs(&self) -> bool {
+        self.tasks.borrow().values().any(|task| !task.is_finished())
     }
 
     /// Returns the limits of the job's route, which may have changed since the submission.
--- a/crates/catkindeck-gateway/src/jobs/scheduler.rs
+++ b/crates/catkindeck-gateway/src/jobs/scheduler.rs
@@ -15,7 +15,7 @@
     },
     catkindeck::{config::RouteRecord, id::ObjectName, log_event, token::WeightVersion},
     catkindeck_policy::direct::{
-        EngineQuery, ItemKey, ItemOutcome, JobItem, StartPriority, choose_service,
+        EngineQuery, ItemKey, ItemOutcome, RolloutJob, StartPriority, choose_service,
     },
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
@@ -37,7 +37,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum StartOutcome {
     Started,
-    /// No engine of the software version of the item's text is available. Items without a text may start.
+    /// No engine of the version that the item needs is available. Other items may start.
     NoVersion,
     /// No engine is available for any item of the job.
     NoPlace,
@@ -84,6 +84,7 @@
         for (_, job) in &jobs {
             let age_ms = unix_ms.saturating_sub(job.spec.submitted_ms + CLOCK_TOLERANCE_MS);
             job.job.borrow_mut().expire(self.core.now(), age_ms);
+            self.hold_groups(job);
         }
         let has_waiting = match self.has_step_order(&jobs) {
             true => self.start_by_steps(&jobs),
@@ -149,7 +150,7 @@
                 self.start(job, run);
                 StartOutcome::Started
             }
-            None if job.job.borrow().required_software(key).is_some() => StartOutcome::NoVersion,
+            None if job.job.borrow().needs_version(key) => StartOutcome::NoVersion,
             None => StartOutcome::NoPlace,
         }
     }
@@ -167,7 +168,7 @@
         let now = self.core.now();
         let limits = rate_limits(&self.core, &service);
         let (is_served, has_other) = {
-            let query = engine_query(job, item, &service, &settings.zone);
+            let query = engine_query(&state, key, &service, &settings.zone);
             let roster = self.core.roster.borrow();
             let other = roster.select_engine(now, &query, limits);
             (roster.has_version(&service, &software), other.is_some())
@@ -199,7 +200,7 @@
         let query = EngineQuery {
             connected: &|address| self.core.upstream_client.has_idle(address),
             software: state.required_software(key),
-            ..engine_query(job, item, &service, &settings.zone)
+            ..engine_query(&state, key, &service, &settings.zone)
         };
         let text = text_demand(&self.core, &state, key);
         let guard = UpstreamGuard::acquire_engine(&self.core, &query, text)?;
@@ -241,16 +242,17 @@
 
 /// Returns the criteria for an item's engine, without exclusions or regard for open connections.
 pub(super) fn engine_query<'a>(
-    job: &'a OwnedJob,
-    item: &'a JobItem,
+    state: &'a RolloutJob,
+    key: ItemKey,
     service: &'a ObjectName,
     zone: &'a ObjectName,
 ) -> EngineQuery<'a> {
+    let item = state.item(key);
     EngineQuery {
         service,
         model: item.model.as_ref().unwrap_or(service),
         least_version: match item.model {
-            Some(_) => job.spec.least_version,
+            Some(_) => state.start_version(key),
             None => WeightVersion(0),
         },
         software: None,
--- a/crates/catkindeck-gateway/src/jobs/service.rs
+++ b/crates/catkindeck-gateway/src/jobs/service.rs
@@ -8,7 +8,7 @@
         session::MemberSession,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, SortedMap, id::ObjectName},
-    catkindeck_policy::direct::StepSchedule,
+    catkindeck_policy::direct::{CarryTrends, StepSchedule},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -32,6 +32,8 @@
     cached_owners: RefCell<SortedMap<String, (MemberRecord, Moment)>>,
     /// The paces of the trainers whose jobs this process owns.
     pub(super) schedule: RefCell<StepSchedule>,
+    /// What the steps of these trainers told about groups that come again.
+    pub(super) carry: RefCell<CarryTrends>,
 }
 
 impl JobService {
@@ -45,6 +47,7 @@
             reclaiming: Cell::new(true),
             cached_owners: RefCell::new(SortedMap::new()),
             schedule: RefCell::new(StepSchedule::default()),
+            carry: RefCell::new(CarryTrends::default()),
         })
     }
 
@@ -112,6 +115,7 @@
             replaced.stop();
         }
         self.record_step(&inserted);
+        self.record_carry_step(&inserted);
         self.core.capacity.notify_one();
     }
 
@@ -147,6 +151,8 @@
         self.owned.borrow_mut().retain(|_, job| is_kept(job));
         let since_ms = unix_ms.saturating_sub(retention_ms);
         self.schedule.borrow_mut().drop_idle(since_ms);
+        let now = self.core.now();
+        self.carry.borrow_mut().drop_idle(now, retention_ms);
     }
 
     /// Returns the registration of this process, which names it as the owner in job records.
--- a/crates/catkindeck-gateway/src/jobs/takeover.rs
+++ b/crates/catkindeck-gateway/src/jobs/takeover.rs
@@ -1,4 +1,4 @@
-//! Takeover and hand-over of jobs, and reuse of texts from earlier jobs.
+//! Takeover and hand-over of jobs.
 
 use {
     super::{
@@ -14,7 +14,7 @@
         port::{CommitOutcome, LeaseId, StoreCondition, StoreItem},
     },
     catkindeck::{ErrorKind, ServiceError, SortedMap, log_event},
-    catkindeck_policy::direct::{ItemKey, ItemProgress, ResultState},
+    catkindeck_policy::direct::{ItemKey, ItemProgress},
     std::{rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -273,36 +273,6 @@
             "answered" => matches!(response, Ok(PeerResponse::Done)));
         self.cache_owner(&job.spec.id, record.owner);
     }
-
-    /// Reuses the texts that earlier jobs of the same customer and route have for the same items.
-    ///
-    /// Trainers submit the items of incomplete groups again with the same identifiers.
-    pub(super) fn reuse_texts(&self, job: &Rc<OwnedJob>) {
-        let now = self.core.now();
-        let mut earlier: Vec<Rc<OwnedJob>> = self
-            .all()
-            .into_iter()
-            .filter(|other| other.spec.customer == job.spec.customer)
-            .filter(|other| other.spec.id != job.spec.id && other.spec.route == job.spec.route)
-            .collect();
-        earlier.sort_by_key(|other| other.spec.submitted_ms);
-        for (index, item) in job.spec.items.iter().enumerate() {
-            let key = ItemKey(u32::try_from(index).unwrap_or(u32::MAX));
-            if earlier
-                .iter()
-                .any(|other| other.position_of(&item.id).is_some())
-            {
-                job.job.borrow_mut().prioritize_group(key);
-            }
-            let found = earlier
-                .iter()
-                .rev()
-                .find_map(|other| reusable_progress(other, &item.id));
-            if let Some(progress) = found {
-                job.job.borrow_mut().adopt(now, key, progress);
-            }
-        }
-    }
 }
 
 /// Sorts job records by submission time, because the oldest jobs are due first. Records that cannot be decoded
@@ -318,28 +288,3 @@
     ordered.sort_by_key(|(submitted_ms, _)| *submitted_ms);
     ordered.into_iter().map(|(_, item)| item).collect()
 }
-
-/// Returns the progress of an item that another job can reuse.
-fn reusable_progress(job: &OwnedJob, id: &str) -> Option<ItemProgress> {
-    let index = job.position_of(id)?;
-    let listed = job.results.borrow();
-    if let Some(result) = listed.iter().find(|result| result.id == id) {
-        return (result.state == ResultState::Completed).then(|| ItemProgress {
-            text: result.text.clone(),
-            last_event: Some(0),
-            versions: result.versions.clone(),
-            complete: true,
-            score: result.score.clone(),
-            ..ItemProgress::default()
-        });
-    }
-    let state = job.job.borrow();
-    let progress = state.progress(ItemKey(u32::try_from(index).unwrap_or(u32::MAX)));
-    let has_text = progress.last_event.is_some();
-    has_text.then(|| ItemProgress {
-        // Failures count only against the attempts of the job in which they occurred.
-        failures: 0,
-        rejections: 0,
-        ..progress.clone()
-    })
-}
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`port`] (`docs/platform.md`).
 
 pub mod caller_handler;
+pub mod carried_metrics;
 pub mod core;
 pub mod crashing;
 pub mod daemon;
--- a/crates/catkindeck-gateway/src/room_metrics.rs
+++ b/crates/catkindeck-gateway/src/room_metrics.rs
@@ -60,7 +60,8 @@
     }
 }
 
-fn registered<M: Collector + Clone + 'static>(
+/// Registers a metric and returns it.
+pub(crate) fn registered<M: Collector + Clone + 'static>(
     registry: &Registry,
     metric: M,
 ) -> prometheus::Result<M> {
--- a/crates/catkindeck-gateway/src/settings.rs
+++ b/crates/catkindeck-gateway/src/settings.rs
@@ -64,6 +64,8 @@
     pub plain_room: FeatureMode,
     /// The distribution of engines over models by demand.
     pub weight_demand: FeatureMode,
+    /// The use of texts of groups that come again in a later step.
+    pub carried_texts: FeatureMode,
 }
 
 /// The settings of a gateway process.
--- a/crates/catkindeck-policy/src/direct/group_completion.rs
+++ b/crates/catkindeck-policy/src/direct/group_completion.rs
@@ -251,7 +251,11 @@
         self.measured
     }
 
-    fn standings(&self, outlines: &[GroupOutline], clock: &StepClock) -> Vec<GroupStanding> {
+    pub(super) fn standings(
+        &self,
+        outlines: &[GroupOutline],
+        clock: &StepClock,
+    ) -> Vec<GroupStanding> {
         let due_ms = self.spec().submitted_ms + clock.deadline_ms;
         let left = TokenTime {
             token_us: clock.token_us(),
@@ -261,7 +265,7 @@
         plan_groups(outlines, self.spec().wanted_groups, left)
     }
 
-    fn outlines(&self, clock: &StepClock) -> Vec<GroupOutline> {
+    pub(super) fn outlines(&self, clock: &StepClock) -> Vec<GroupOutline> {
         let outline = |group: &GroupState| GroupOutline {
             members: group.members,
             unfinished: group.unfinished,
--- a/crates/catkindeck-policy/src/direct/job.rs
+++ b/crates/catkindeck-policy/src/direct/job.rs
@@ -218,6 +218,8 @@
     pub(super) is_carried_over: bool,
     /// Whether an item of the group waited while others that are needed more got places.
     pub(super) has_yielded: bool,
+    /// The oldest version at which texts of the group start, if it is newer than the job asks for.
+    pub(super) held_version: Option<WeightVersion>,
 }
 
 /// The order in which waiting items start.
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -2,6 +2,7 @@
 //! (`docs/platform.md`).
 
 pub mod broken_runs;
+pub mod carried_text;
 pub mod claim;
 pub mod completion;
 pub mod crash_register;
@@ -41,6 +42,7 @@
 
 pub use {
     broken_runs::{BrokenRun, BrokenRuns},
+    carried_text::{CarryTrend, CarryTrends, LaterStep},
     claim::{ClaimDecision, decide_claim},
     completion::RunMove,
     crash_register::{
