Store the incomplete groups of a step for later owners

Change: the transaction that ends a step also writes its incomplete groups and the usable texts; the owner of each new step reads the trainer's two latest records and continues from them. A group is held only if the next step is expected within 40 % of the time until results are due. Kept runs are limited to half of the wanted groups.

--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -81,5 +81,6 @@
     TEXTS_RELEASED = 8251, "texts_released", Info, "texts of an ended step that nobody asked for again were stopped";
     GROUPS_RETURNED = 8252, "groups_returned", Info, "groups of an earlier step came again";
     GROUP_HELD = 8253, "group_held", Info, "group waits for a version that a later step allows";
+    CARRY_UNREAD = 8254, "carry_unread", Info, "incomplete groups of earlier steps could not be read";
     PEER_RELAYED = 8181, "peer_relayed", Info, "peer was reached through another peer";
 }
--- a/crates/catkindeck-gateway/src/jobs/cancel.rs
+++ b/crates/catkindeck-gateway/src/jobs/cancel.rs
@@ -76,6 +76,7 @@
                 "listed" => job.results.borrow().len(), "items" => job.spec.items.len());
         }
         let pace_write = self.record_step_end(job)?;
+        let carry_write = self.carry_write(job)?;
         let until = Instant::now() + CANCEL_TIMEOUT;
         loop {
             let record = JobRecord {
@@ -84,6 +85,7 @@
             };
             let mut transaction = record_transaction(&record, job.revision.get())?;
             transaction.writes.extend(pace_write.clone());
+            transaction.writes.extend(carry_write.clone());
             match self.core.ports.store.commit(&transaction).await {
                 Ok(CommitOutcome::Committed(revision)) => {
                     job.revision.set(revision);
--- a/crates/catkindeck-gateway/src/jobs/carried.rs
+++ b/crates/catkindeck-gateway/src/jobs/carried.rs
@@ -36,7 +36,9 @@
     pub(super) fn record_carry_step(&self, job: &OwnedJob) {
         if let Some(trainer) = self.carrying_trainer(job) {
             let now = self.core.now();
-            self.carry.borrow_mut().get_mut(&trainer).record_step(now);
+            let mut carry = self.carry.borrow_mut();
+            let trend = carry.get_mut(&trainer);
+            trend.record_step(now, job.spec.submitted_ms);
         }
     }
 
@@ -151,7 +153,7 @@
     }
 
     /// Returns the trainer of a job if the settings allow the use of texts across its steps.
-    fn carrying_trainer(&self, job: &OwnedJob) -> Option<TrainerId> {
+    pub(super) fn carrying_trainer(&self, job: &OwnedJob) -> Option<TrainerId> {
         let is_on = self.core.settings().scheduling.carried_texts.is_on();
         TrainerId::of(&job.spec).filter(|_| is_on)
     }
@@ -162,6 +164,7 @@
         Some(LaterStep {
             version: trend.later_version(job.spec.least_version)?,
             hint_error_percent: trend.hint_error_percent()?,
+            next_step_ms: trend.next_step_ms(job.spec.submitted_ms)?,
         })
     }
 
--- a/crates/catkindeck-gateway/src/jobs/mod.rs
+++ b/crates/catkindeck-gateway/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 pub mod backup;
 pub mod cancel;
 pub mod carried;
+pub mod carried_store;
 pub mod commit;
 pub mod demand;
 pub mod item;
--- a/crates/catkindeck-gateway/src/jobs/service.rs
+++ b/crates/catkindeck-gateway/src/jobs/service.rs
@@ -116,6 +116,7 @@
         }
         self.record_step(&inserted);
         self.record_carry_step(&inserted);
+        self.adopt_stored_texts(&inserted);
         self.core.capacity.notify_one();
     }
 
--- a/crates/catkindeck-gateway/src/keys.rs
+++ b/crates/catkindeck-gateway/src/keys.rs
@@ -6,8 +6,9 @@
         ErrorKind, ServiceError,
         id::{IncarnationId, ObjectName},
         key, message,
+        token::WeightVersion,
     },
-    catkindeck_policy::direct::{TrainerId, TrainerPace, rendezvous_score},
+    catkindeck_policy::direct::{ItemProgress, TrainerId, TrainerPace, rendezvous_score},
     serde::{Serialize, de::DeserializeOwned},
     std::net::SocketAddr,
 };
@@ -26,6 +27,13 @@
 pub const UNSEALED_USAGE_KEY: &str = "ckd/open-usage";
 /// The prefix of the paces of trainers: one key each.
 pub const PACE_PREFIX: &str = "ckd/pace/";
+
+/// The prefix of the groups that trainers will ask for again: [`CARRY_SLOTS`] keys each.
+pub const CARRY_PREFIX: &str = "ckd/carry/";
+
+/// The number of steps of a trainer whose incomplete groups are stored. A trainer with two open steps may end both
+/// before it asks for the groups of the first.
+pub const CARRY_SLOTS: u64 = 2;
 /// The prefix of the sealed usage windows: one key each.
 pub const USAGE_PREFIX: &str = "ckd/usage/";
 
@@ -83,6 +91,18 @@
     pub pace: TrainerPace,
 }
 
+/// The incomplete groups of an ended step, from which a new owner knows what the trainer asks for again.
+#[message]
+pub struct CarryRecord {
+    pub trainer: TrainerId,
+    /// The oldest weight version that the step allowed.
+    pub least_version: WeightVersion,
+    /// The items of these groups, by their ids.
+    pub items: Vec<String>,
+    /// The texts that the trainer's next step can probably use, by the id of the item.
+    pub texts: Vec<(String, ItemProgress)>,
+}
+
 /// Checks that an identifier may be part of a key.
 ///
 /// # Errors
@@ -148,10 +168,24 @@
 
 /// Returns the key of a trainer's pace. It holds a digest, because the names together may be too long for a key.
 pub fn pace_key(trainer: &TrainerId) -> String {
+    format!("{PACE_PREFIX}{:016x}", trainer_digest(trainer))
+}
+
+/// Returns the prefix of the keys with a trainer's incomplete groups.
+pub fn carry_prefix(trainer: &TrainerId) -> String {
+    format!("{CARRY_PREFIX}{:016x}/", trainer_digest(trainer))
+}
+
+/// Returns the key of the incomplete groups of a step. Steps in a row have different keys, as their oldest versions
+/// differ by one.
+pub fn carry_key(trainer: &TrainerId, least_version: WeightVersion) -> String {
+    format!("{}{}", carry_prefix(trainer), least_version.0 % CARRY_SLOTS)
+}
+
+fn trainer_digest(trainer: &TrainerId) -> u64 {
     let customer = trainer.customer.as_ref().map_or("", ObjectName::as_str);
     let names = [customer, trainer.route.as_str(), trainer.model.as_str()];
-    let digest = rendezvous_score(&names.map(str::as_bytes));
-    format!("{PACE_PREFIX}{digest:016x}")
+    rendezvous_score(&names.map(str::as_bytes))
 }
 
 pub fn usage_key(window: u64) -> String {
--- a/crates/catkindeck-policy/src/direct/carried_text.rs
+++ b/crates/catkindeck-policy/src/direct/carried_text.rs
@@ -7,7 +7,8 @@
 use {
     super::{
         group_completion::{GroupStanding, StepClock},
-        job::{ItemKey, ItemPhase, RolloutJob},
+        job::{ItemKey, ItemPhase, ItemProgress, RolloutJob},
+        outcome::ItemOutcome,
         step_schedule::TrainerId,
     },
     catkindeck::{Moment, SortedMap, message, token::WeightVersion},
@@ -18,6 +19,9 @@
 /// may need, and a trainer that has slack does not need them.
 const MAX_KEEP_MS: u64 = 3_000;
 
+/// The least such time, in milliseconds. Delays of the network and the store alone take part of it.
+const MIN_KEEP_MS: u64 = 500;
+
 /// How long texts of an ended step go on, in percent of the time that the trainer took to ask for its next step.
 /// Training times vary.
 const KEEP_PERCENT: u64 = 150;
@@ -29,6 +33,13 @@
 /// A held group must still be able to become complete, in case that others do not.
 const HOLD_PERCENT: u64 = 60;
 
+/// The share of that time within which the next step must be expected for a group to be held, in percent. The version
+/// that the group needs is named for that step and must be loaded then, and a group that waited in vain is late.
+const NEXT_STEP_PERCENT: u64 = 40;
+
+/// The number of steps whose times of submission are remembered.
+const STEP_LIMIT: usize = 4;
+
 /// The number of complete texts from which the error of callers' hints is known.
 const MIN_TEXTS: usize = 16;
 
@@ -48,6 +59,8 @@
     ended: Option<Moment>,
     /// When the trainer last asked for a step.
     asked: Moment,
+    /// When the latest steps were submitted, in milliseconds since the Unix epoch, in ascending order.
+    submitted_ms: VecDeque<u64>,
     /// The expected tokens and the events of complete texts.
     texts: VecDeque<(u32, u64)>,
 }
@@ -64,8 +77,14 @@
     }
 
     /// Records that the trainer asked for a step.
-    pub fn record_step(&mut self, now: Moment) {
+    pub fn record_step(&mut self, now: Moment, submitted_ms: u64) {
         self.asked = now;
+        if let Err(index) = self.submitted_ms.binary_search(&submitted_ms) {
+            self.submitted_ms.insert(index, submitted_ms);
+        }
+        if self.submitted_ms.len() > STEP_LIMIT {
+            self.submitted_ms.pop_front();
+        }
         let Some(ended) = self.ended.take() else {
             return;
         };
@@ -96,10 +115,21 @@
         Some(WeightVersion(least.0.saturating_add(distance)))
     }
 
+    /// Returns the time from the submission of a step to that of the next one, in milliseconds; `None` if it is not
+    /// known. A trainer with two steps open alternates between short and long times while it is behind.
+    pub fn next_step_ms(&self, submitted_ms: u64) -> Option<u64> {
+        let index = self.submitted_ms.binary_search(&submitted_ms).ok()?;
+        let time = |from: usize| {
+            let next = self.submitted_ms.get(from + 1)?;
+            Some(next - self.submitted_ms.get(from)?)
+        };
+        time(index).or_else(|| time(index.checked_sub(2)?))
+    }
+
     /// Returns how long texts of an ended step may go on, in milliseconds.
     pub fn keep_ms(&self) -> u64 {
         let answer_ms = self.answer_ms.unwrap_or(MAX_KEEP_MS);
-        (answer_ms.saturating_mul(KEEP_PERCENT) / 100).min(MAX_KEEP_MS)
+        (answer_ms.saturating_mul(KEEP_PERCENT) / 100).clamp(MIN_KEEP_MS, MAX_KEEP_MS)
     }
 
     /// Returns by how much the longer half of the texts exceeds what the callers' hints say, in percent: the
@@ -148,6 +178,9 @@
     pub version: WeightVersion,
     /// The usual error of the hints about lengths, in percent.
     pub hint_error_percent: u64,
+    /// The time from the submission of the present step until the trainer probably asks for the next one, for which
+    /// that version is named, in milliseconds.
+    pub next_step_ms: u64,
 }
 
 impl RolloutJob {
@@ -160,7 +193,12 @@
     pub fn hold_groups(&mut self, clock: &StepClock, later: Option<LaterStep>) -> Vec<ItemKey> {
         let elapsed_ms = clock.unix_ms.saturating_sub(self.spec().submitted_ms);
         let is_timely = elapsed_ms < clock.deadline_ms.saturating_mul(HOLD_PERCENT) / 100;
-        let later = later.filter(|later| is_timely && later.version > self.spec().least_version);
+        let next_limit_ms = clock.deadline_ms.saturating_mul(NEXT_STEP_PERCENT) / 100;
+        let later = later.filter(|later| {
+            is_timely
+                && later.version > self.spec().least_version
+                && later.next_step_ms <= next_limit_ms
+        });
         let Some(later) = later.filter(|_| !self.is_ended()) else {
             self.release_groups();
             return Vec::new();
@@ -220,17 +258,55 @@
     }
 
     /// Returns the running items of incomplete groups whose texts a step that allows `later` and newer versions
-    /// can use.
+    /// can use. The groups that come again make up at most half of those that the trainer waits for.
     pub fn usable_runs(&self, later: WeightVersion) -> Vec<ItemKey> {
+        let limit = (self.spec().wanted_groups as usize / 2).max(1);
+        let incomplete = (0..self.groups.len()).filter(|group| self.groups[*group].unfinished > 0);
+        let incomplete: Vec<usize> = incomplete.take(limit).collect();
         let usable = self.items.iter().filter(|(_, state)| {
             let versions = &state.progress.versions;
             matches!(state.phase, ItemPhase::Running(_))
-                && self.groups[state.group].unfinished > 0
+                && incomplete.binary_search(&state.group).is_ok()
                 && versions.first().is_some_and(|oldest| *oldest >= later)
         });
         usable.map(|(key, _)| key).collect()
     }
 
+    /// Returns the items of incomplete groups, which the trainer may ask for again.
+    pub fn incomplete_groups(&self) -> Vec<ItemKey> {
+        let items = self.items.iter();
+        let items = items.filter(|(_, state)| self.groups[state.group].unfinished > 0);
+        items.map(|(key, _)| key).collect()
+    }
+
+    /// Returns whether progress from elsewhere is allowed here and has more events than the item's own, so that it
+    /// should replace it.
+    pub fn should_replace(&self, key: ItemKey, progress: &ItemProgress) -> bool {
+        let least = self.spec().least_version;
+        let is_allowed = progress
+            .versions
+            .first()
+            .is_some_and(|oldest| *oldest >= least)
+            && (!self.limits().single_version || progress.versions.len() == 1);
+        let is_open = matches!(self.phase(key), ItemPhase::Waiting | ItemPhase::Running(_));
+        is_open && is_allowed && progress.last_event > self.progress(key).last_event
+    }
+
+    /// Replaces the progress of an item whose run has ended. Returns whether it was replaced.
+    pub fn replace_text(&mut self, now: Moment, key: ItemKey, progress: ItemProgress) -> bool {
+        if !self.should_replace(key, &progress) {
+            return false;
+        }
+        self.record_run_end(now, key, ItemOutcome::Interrupted);
+        let restarts = self.progress(key).restarts.max(progress.restarts);
+        // A copy holder must not append to what it has of the replaced text.
+        let progress = ItemProgress {
+            restarts: restarts + 1,
+            ..progress
+        };
+        self.adopt(now, key, progress)
+    }
+
     fn release_groups(&mut self) {
         for group in &mut self.groups {
             group.held_version = None;
--- a/crates/catkindeck-policy/tests/carried_texts.rs
+++ b/crates/catkindeck-policy/tests/carried_texts.rs
@@ -84,6 +84,7 @@
     Some(LaterStep {
         version: WeightVersion(version),
         hint_error_percent,
+        next_step_ms: 1_000,
     })
 }
 
@@ -300,7 +301,7 @@
             let earlier = self.steps[from].job.spec().least_version;
             self.trend.record_return(earlier, WeightVersion(least));
         }
-        self.trend.record_step(Moment(now));
+        self.trend.record_step(Moment(now), now);
         for (item, progress) in progress.into_iter().enumerate() {
             job.prioritize_group(key(item));
             if progress.last_event.is_some() {
@@ -324,13 +325,13 @@
                 continue;
             }
             let least = step.job.spec().least_version;
-            let later = self
-                .trend
-                .later_version(least)
-                .zip(self.trend.hint_error_percent());
-            let later = later.map(|(version, hint_error_percent)| LaterStep {
-                version,
-                hint_error_percent,
+            let trend = &self.trend;
+            let later = trend.later_version(least).and_then(|version| {
+                Some(LaterStep {
+                    version,
+                    hint_error_percent: trend.hint_error_percent()?,
+                    next_step_ms: trend.next_step_ms(step.submitted_ms)?,
+                })
             });
             if self.is_on {
                 step.job.hold_groups(&clock(now), later);
@@ -356,9 +357,9 @@
 /// The length of a day, in milliseconds.
 const DAY_MS: u64 = 60_000;
 
-/// Plays twelve days with a switch position, and returns the sums of the latenesses and of the mean step times.
-fn twelve_days(is_on: bool, shape: (usize, usize), error_percent: u64) -> (u64, u64) {
-    let days = (1..=12).map(|seed| TrainerDay::new(is_on, seed, shape, error_percent).run(DAY_MS));
+/// Plays sixty days with a switch position, and returns the sums of the latenesses and of the mean step times.
+fn sixty_days(is_on: bool, shape: (usize, usize), error_percent: u64) -> (u64, u64) {
+    let days = (1..=60).map(|seed| TrainerDay::new(is_on, seed, shape, error_percent).run(DAY_MS));
     let sums = days.fold((0, 0), |sums, day| (sums.0 + day.0, sums.1 + day.1));
     println!("on {is_on}, {shape:?}, hints off by {error_percent} %: {sums:?}");
     sums
@@ -371,8 +372,8 @@
 #[test]
 fn steps_wait_less_for_groups_that_come_again() {
     for shape in [(10, 8), (11, 8), (13, 8)] {
-        let (late_off, step_off) = twelve_days(false, shape, 10);
-        let (late_on, step_on) = twelve_days(true, shape, 10);
+        let (late_off, step_off) = sixty_days(false, shape, 10);
+        let (late_on, step_on) = sixty_days(true, shape, 10);
         assert!(
             late_on <= late_off,
             "{shape:?}: {late_on} > {late_off} ms late"
@@ -391,8 +392,8 @@
 #[test]
 fn wrong_hints_cost_next_to_nothing() {
     for shape in [(10, 8), (11, 8), (13, 8)] {
-        let (late_off, step_off) = twelve_days(false, shape, 90);
-        let (late_on, step_on) = twelve_days(true, shape, 90);
+        let (late_off, step_off) = sixty_days(false, shape, 90);
+        let (late_on, step_on) = sixty_days(true, shape, 90);
         assert!(
             step_on * 100 <= step_off * 102,
             "{shape:?}: {step_on}, {step_off}"
@@ -439,8 +440,12 @@
     step.hold_groups(&clock(1_000), later(6, 40));
     assert_eq!(held(&step), [] as [usize; 0]);
 
-    // The later step allows what this one does, or nothing is known of it.
-    for later in [later(4, 0), None] {
+    // The later step allows what this one does, nothing is known of it, or its version comes too late.
+    let late = later(6, 0).map(|later| LaterStep {
+        next_step_ms: DEADLINE_MS / 2,
+        ..later
+    });
+    for later in [later(4, 0), None, late] {
         let mut step = job(1_000, 4, 2, &items);
         step.hold_groups(&clock(1_000), later);
         assert_eq!(held(&step), [] as [usize; 0]);
@@ -459,13 +464,21 @@
         Some(WeightVersion(11))
     );
     trend.record_end(Moment(10_000));
-    trend.record_step(Moment(11_000));
+    trend.record_step(Moment(11_000), 11_000);
     assert_eq!(trend.keep_ms(), 1_500);
-    trend.record_step(Moment(15_000));
+    trend.record_step(Moment(15_000), 15_000);
     assert_eq!(trend.keep_ms(), 1_500, "no step ended before");
     trend.record_end(Moment(20_000));
-    trend.record_step(Moment(60_000));
+    trend.record_step(Moment(60_000), 60_000);
     assert_eq!(trend.keep_ms(), 3_000);
+    assert_eq!(trend.next_step_ms(11_000), Some(4_000));
+    assert_eq!(trend.next_step_ms(15_000), Some(45_000));
+    assert_eq!(
+        trend.next_step_ms(60_000),
+        Some(4_000),
+        "as two steps before"
+    );
+    assert_eq!(trend.next_step_ms(70_000), None, "an unknown step");
     for events in 0..15 {
         assert_eq!(trend.hint_error_percent(), None);
         trend.record_text(10, 10 + events);
