--- a/crates/catkindeck-policy/tests/carried_texts.rs
+++ b/crates/catkindeck-policy/tests/carried_texts.rs
@@ -531,27 +531,27 @@
             }
         }
         let mut second = job(2_000, least.0, 1, &items);
-        for item in 0..items.len() {
+        for (item, versions) in versions.iter_mut().enumerate() {
             let progress = first.progress(key(item)).clone();
-            let is_allowed = versions[item].iter().all(|version| *version >= least.0);
+            let is_allowed = versions.iter().all(|version| *version >= least.0);
             if progress.last_event.is_some() {
                 let is_taken = second.adopt(Moment(0), key(item), progress);
                 prop_assert_eq!(is_taken, is_allowed);
                 prop_assert!(is_taken || !usable.contains(&key(item)));
             }
             if !is_allowed {
-                versions[item].clear();
+                versions.clear();
             }
             second.record_start(key(item), UpstreamKey(0));
-            let last = versions[item].iter().copied().max().unwrap_or(0);
+            let last = versions.iter().copied().max().unwrap_or(0);
             let version = last.max(least.0) + 1;
             prop_assert!(append(&mut second, key(item), version));
-            versions[item].push(version);
+            versions.push(version);
             let progress = second.progress(key(item));
-            let events: Vec<String> = (1..=versions[item].len()).map(|n| n.to_string()).collect();
+            let events: Vec<String> = (1..=versions.len()).map(|n| n.to_string()).collect();
             prop_assert_eq!(&progress.text, &events.join("\n"));
             let mut expected: Vec<WeightVersion> =
-                versions[item].iter().copied().map(WeightVersion).collect();
+                versions.iter().copied().map(WeightVersion).collect();
             expected.sort_unstable();
             expected.dedup();
             prop_assert_eq!(&progress.versions, &expected);
