--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -82,5 +82,10 @@
     PLACES_ENDED = 8222, "places_ended", Warning, "no places are granted; the even part of the slots is used";
     JOB_ASSIGNED = 8223, "job_assigned", Info, "job of a lost owner was given to the owner of its trainer";
     SPLIT_CHANGED = 8260, "split_changed", Info, "other numbers of upstreams load each version of a model";
+    TEXTS_KEPT = 8250, "texts_kept", Info, "texts of an ended step go on, because the trainer will probably ask for them again";
+    TEXTS_RELEASED = 8251, "texts_released", Info, "texts of an ended step that nobody asked for again were stopped";
+    GROUPS_RETURNED = 8252, "groups_returned", Info, "groups of an earlier step came again";
+    GROUP_HELD = 8253, "group_held", Info, "group waits for a version that a later step allows";
+    CARRY_UNREAD = 8254, "carry_unread", Info, "incomplete groups of earlier steps could not be read";
     PEER_RELAYED = 8181, "peer_relayed", Info, "peer was reached through another peer";
 }
--- a/crates/catkindeck-gateway/src/jobs/mod.rs
+++ b/crates/catkindeck-gateway/src/jobs/mod.rs
@@ -6,6 +6,8 @@
 
 pub mod backup;
 pub mod cancel;
+pub mod carried;
+pub mod carried_store;
 pub mod commit;
 pub mod demand;
 pub mod item;
--- a/crates/catkindeck-gateway/src/jobs/service.rs
+++ b/crates/catkindeck-gateway/src/jobs/service.rs
@@ -8,7 +8,7 @@
         session::MemberSession,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, SortedMap, id::ObjectName},
-    catkindeck_policy::direct::StepSchedule,
+    catkindeck_policy::direct::{CarryTrends, StepSchedule},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -33,6 +33,8 @@
     /// The paces of the trainers whose jobs this process owns.
     pub(super) schedule: RefCell<StepSchedule>,
     pub(super) places: PlaceExchange,
+    /// What the steps of these trainers told about groups that come again.
+    pub(super) carry: RefCell<CarryTrends>,
 }
 
 impl JobService {
@@ -47,6 +49,7 @@
             cached_owners: RefCell::new(SortedMap::new()),
             schedule: RefCell::new(StepSchedule::default()),
             places: PlaceExchange::default(),
+            carry: RefCell::new(CarryTrends::default()),
         })
     }
 
@@ -115,6 +118,8 @@
         }
         self.record_step(&inserted);
         self.places.wake();
+        self.record_carry_step(&inserted);
+        self.adopt_stored_texts(&inserted);
         self.core.capacity.notify_one();
     }
 
@@ -150,6 +155,8 @@
         self.owned.borrow_mut().retain(|_, job| is_kept(job));
         let since_ms = unix_ms.saturating_sub(retention_ms);
         self.schedule.borrow_mut().drop_idle(since_ms);
+        let now = self.core.now();
+        self.carry.borrow_mut().drop_idle(now, retention_ms);
     }
 
     /// Returns the registration of this process, which names it as the owner in job records.
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        load_metrics::LoadMetrics, ownership_metrics::OwnershipMetrics,
-        placement_metrics::PlacementMetrics, room_metrics::RoomMetrics,
+        carried_metrics::CarriedMetrics, load_metrics::LoadMetrics,
+        ownership_metrics::OwnershipMetrics, placement_metrics::PlacementMetrics,
+        room_metrics::RoomMetrics,
     },
     catkindeck::{ErrorKind, ServiceError},
     prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry},
@@ -37,6 +38,7 @@
     pub items_running: IntGauge,
     pub load: LoadMetrics,
     pub room: RoomMetrics,
+    pub carried: CarriedMetrics,
     pub placement: PlacementMetrics,
     pub ownership: OwnershipMetrics,
 }
@@ -141,6 +143,7 @@
             items_running: gauge("catkindeck_gateway_items_running", "The items in progress.")?,
             load: LoadMetrics::register(registry)?,
             room: RoomMetrics::register(registry)?,
+            carried: CarriedMetrics::register(registry)?,
             placement: PlacementMetrics::register(registry)?,
             ownership: OwnershipMetrics::register(registry)?,
         })
--- a/crates/catkindeck-gateway/src/settings.rs
+++ b/crates/catkindeck-gateway/src/settings.rs
@@ -66,6 +66,8 @@
     pub weight_demand: FeatureMode,
     /// The ownership of jobs by trainer, with places of engines granted to each owner.
     pub shared_ownership: FeatureMode,
+    /// The use of texts of groups that come again in a later step.
+    pub carried_texts: FeatureMode,
 }
 
 /// The settings of a gateway process.
