Refer to a private constant without a link

Cause: the documentation of await_orders linked to a private constant, so cargo doc with warnings as errors failed on the joined parts. Change: the name without a link; nothing else.

--- a/crates/catkindeck-gateway/src/session.rs
+++ b/crates/catkindeck-gateway/src/session.rs
@@ -131,7 +131,7 @@
         self.transit.borrow_mut().close(key);
     }
 
-    /// Waits until no order of this process can arrive any more, for at most [`MAX_ORDER_DELAY_MS`] after the last one
+    /// Waits until no order of this process can arrive any more, for at most `MAX_ORDER_DELAY_MS` after the last one
     /// was written. Must be awaited before leadership is given up, because the next leader orders at once and
     /// upstreams may not check the fencing token.
     pub async fn await_orders(&self) {
