Choose peers by what their hosts can carry, and refuse relayed work first on full entries

Cause: nothing knew that an entry is small. Store calls and forwarded calls, copies of texts, the origins of streams and, without a standby, jobs went to processes by name, and an entry at its memory or link bound stayed ready. A plain request went to the full upstream of its own zone while others were idle, because the discount for an open connection outweighs a full upstream.

Ruled out: current load for choices that all processes must make alike; a permission of the leader to be unready (a new message); resident memory as a bound (the allocator keeps what was freed).

Change: registrations say what a host can carry, after the record, so that earlier builds read them; responses to calls say what it carries. Peers are ranked by room, shared choices by weighted rendezvous over registrations. Over 70 % of a bound a process refuses relayed work, over 90 % new requests and jobs, then it is unready, for at most half of a zone. If all peers refuse a store call, one makes it as the last resort: without that, the first version of the test with two entries showed a host whose lease was not renewed because its only peer was full. Switch entry_capacity, off by default.

PlainQuery literals of three test files name the new field.

--- a/crates/catkindeck-cli/src/queue_command.rs
+++ b/crates/catkindeck-cli/src/queue_command.rs
@@ -112,12 +112,51 @@
         1 => "no open steps".to_owned(),
         _ => align_columns(&rows),
     };
+    if let Some(hosts) = format_hosts(content) {
+        text.push_str(&format!("\n\n{hosts}"));
+    }
     for failure in &content.failures {
         text.push_str(&format!("\nno response: {failure}"));
     }
     text
 }
 
+/// Shows what the hosts can carry and carry now; `None` if no process says so.
+fn format_hosts(content: &QueueContent) -> Option<String> {
+    let header = [
+        "HOST",
+        "MILLICORES",
+        "MEMORY MB",
+        "LINK MBIT/S",
+        "MEMORY %",
+        "LINK %",
+        "CONNECTIONS %",
+        "EVENT LOOP %",
+        "WEIGHT",
+        "STAGE",
+    ];
+    let mut rows = vec![header.map(str::to_owned).to_vec()];
+    for process in &content.processes {
+        let report = &process["capacity"];
+        if report.is_null() {
+            continue;
+        }
+        let carried = [
+            "memory_percent",
+            "link_percent",
+            "connections_percent",
+            "busy_percent",
+        ];
+        let mut row = vec![cell(&process["host"])];
+        let capacity = ["cpu_millicores", "memory_mb", "link_mbps"];
+        row.extend(capacity.map(|field| cell(&report["capacity"][field])));
+        row.extend(carried.map(|field| cell(&report["load"][field])));
+        row.extend(["weight", "stage"].map(|field| cell(&report[field])));
+        rows.push(row);
+    }
+    (rows.len() > 1).then(|| align_columns(&rows))
+}
+
 fn cell(value: &Value) -> String {
     match value {
         Value::Null => "-".to_owned(),
--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        capacity::{BODY_MEMORY_DIVISOR, BodyBytes, HELD_MEMORY_DIVISOR},
         core::GatewayCore,
         events::{REQUEST_ANSWERED, REQUEST_REFUSED},
         forward::{
@@ -24,11 +25,7 @@
     http::{Request, Response, StatusCode},
     http_body_util::BodyExt,
     hyper::body::Incoming,
-    std::{
-        cell::{Cell, OnceCell},
-        rc::Rc,
-        time::Duration,
-    },
+    std::{cell::OnceCell, rc::Rc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
 
@@ -49,18 +46,10 @@
 /// The longest suggested retry delay, in milliseconds. A limit may end before its next permit is due.
 const MAX_RETRY_MS: u64 = 2_000;
 
-/// Buffered request bodies may use the process's memory divided by this number.
-const BODY_MEMORY_DIVISOR: u64 = 4;
-
-/// Responses that callers have not taken yet may use the process's memory divided by this number before further
-/// requests are refused. Those in progress may add as much again.
-const HELD_MEMORY_DIVISOR: u64 = 8;
-
 /// Answers requests on the caller address and readiness checks.
 pub struct CallerHandler {
     core: Rc<GatewayCore>,
     jobs: Rc<JobService>,
-    buffered_bytes: Cell<u64>,
 }
 
 /// An authenticated request with its route.
@@ -95,11 +84,7 @@
 
 impl CallerHandler {
     pub fn new(core: Rc<GatewayCore>, jobs: Rc<JobService>) -> Rc<Self> {
-        Rc::new(Self {
-            core,
-            jobs,
-            buffered_bytes: Cell::new(0),
-        })
+        Rc::new(Self { core, jobs })
     }
 
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
@@ -126,9 +111,16 @@
             (Ok((head, _)), Err(error)) => return self.refuse(Some(&head), &error, arrived),
             (Err(error), _) => return self.refuse(None, &error, arrived),
         };
+        if matches!(operation, CallerOperation::Request)
+            && let Err((error, return_ms)) = self.core.check_room()
+        {
+            return self.refuse_for(Some(return_ms), Some(&head), &error, arrived);
+        }
         if let Err(error) = self.check_held_bytes() {
             return self.refuse(Some(&head), &error, arrived);
         }
+        let mut served = BodyBytes::new(&self.core.hosts.body_bytes);
+        served.add(body.len() as u64);
         let outcome = match operation {
             CallerOperation::Request => {
                 let outcome = self.answer_request(&head, body.clone(), arrived).await;
@@ -339,10 +331,8 @@
         let limit = self.core.intent.borrow().config().limits.body_bytes;
         let memory = self.core.settings().memory_bytes / BODY_MEMORY_DIVISOR;
         let mut body = body;
-        let mut buffered = BufferedBytes {
-            total: &self.buffered_bytes,
-            own: 0,
-        };
+        let body_bytes = &self.core.hosts.body_bytes;
+        let mut buffered = BodyBytes::new(body_bytes);
         let mut content = BytesMut::new();
         let mut fault = None;
         while let Some(frame) = body.frame().await {
@@ -359,7 +349,7 @@
                     ErrorKind::TooLarge,
                     "the request body exceeds the size limit",
                 ));
-            } else if self.buffered_bytes.get() > memory {
+            } else if body_bytes.get() > memory {
                 fault = Some((
                     ErrorKind::Overloaded,
                     "the buffered request bodies exceed the memory limit",
@@ -566,25 +556,6 @@
     !config.customers.is_empty()
 }
 
-/// The buffered bytes of one request body, which are subtracted from the total on drop.
-struct BufferedBytes<'a> {
-    total: &'a Cell<u64>,
-    own: u64,
-}
-
-impl BufferedBytes<'_> {
-    fn add(&mut self, bytes: u64) {
-        self.own += bytes;
-        self.total.set(self.total.get() + bytes);
-    }
-}
-
-impl Drop for BufferedBytes<'_> {
-    fn drop(&mut self) {
-        self.total.set(self.total.get().saturating_sub(self.own));
-    }
-}
-
 fn full_response(response: BufferedResponse) -> Response<ResponseBody> {
     response.map(ResponseBody::whole)
 }
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        capacity::HostRegistry,
         crashing::CrashWatch,
         events::{CLOCK_JUMPED, INTENT_FAULT},
         feed::StoreFeed,
@@ -26,7 +27,7 @@
     catkindeck_net::{HeldBytes, HttpClient},
     catkindeck_policy::direct::{
         ClockChange, DemandBoard, FreshnessGate, LeavingNotice, LoadTimeEstimate, PeerReachability,
-        UpstreamTable, UsageLedger, UsageWindows, WallClockFilter,
+        ShedStage, UpstreamTable, UsageLedger, UsageWindows, WallClockFilter,
     },
     slog::Logger,
     std::{
@@ -127,6 +128,8 @@
     pub origins: StreamOrigins,
     /// The use of plain services that callers and scorer calls share.
     pub rooms: RoomRegistry,
+    /// What this host and others can carry and carry now.
+    pub hosts: HostRegistry,
     pub logger: Logger,
     clock: BootClock,
     wall_clock: RefCell<WallClockFilter>,
@@ -178,6 +181,7 @@
             demand: RefCell::default(),
             origins: StreamOrigins::default(),
             rooms: RoomRegistry::default(),
+            hosts: HostRegistry::default(),
             logger,
             clock: BootClock::new(),
             wall_clock: RefCell::default(),
@@ -224,14 +228,16 @@
     /// Replaces the list of processes by the registrations in `items`. Registrations that cannot be
     /// decoded are logged and left out.
     pub fn set_members(&self, items: &[StoreItem]) {
-        let members = items.iter().filter_map(|item| match keys::decode_item(item) {
-            Ok(member) => Some(member),
+        let registrations = items.iter().filter_map(|item| match keys::decode_member(item) {
+            Ok(registration) => Some(registration),
             Err(error) => {
                 log_event!(self.logger, INTENT_FAULT; "key" => &item.key, "detail" => error.detail);
                 None
             }
         });
-        *self.members.borrow_mut() = members.collect();
+        let (members, capacities): (Vec<MemberRecord>, Vec<_>) = registrations.unzip();
+        self.hosts.learn(&members, &capacities);
+        self.set_listed_members(self.now(), members);
     }
 
     /// Returns the other processes, rotated by an offset that depends on this process's incarnation, so
@@ -263,5 +269,6 @@
             && self.is_fresh()
             && self.intent.borrow().has_config()
             && !self.roster.borrow().is_empty()
+            && self.shed_stage() != ShedStage::Unready
     }
 }
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -367,7 +367,9 @@
         core.order_client.sweep();
         core.peer_client.sweep();
         jobs.drop_expired(core.unix_ms());
-        callers.set_limits(server_limits(&core));
+        let limits = server_limits(&core);
+        callers.set_limits(limits);
+        core.measure_host(&callers, limits.connections);
         let now = core.now();
         let age = |age: Option<u64>| i64::try_from(age.unwrap_or(u64::MAX)).unwrap_or(i64::MAX);
         let config = core.freshness.borrow().age(now);
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -76,6 +76,12 @@
     CRASH_RECORDED = 8211, "crash_recorded", Info, "upstream crashed while it ran a caller's request";
     REQUEST_QUARANTINED = 8212, "request_quarantined", Warning, "request crashed upstreams in sequence and is refused";
     REQUEST_CLEARED = 8213, "request_cleared", Info, "suspected request was answered, so it does not crash upstreams";
+    SHEDDING_BEGAN = 8240, "shedding_began", Info, "host nears its memory or link bound and refuses work that others can do";
+    STAGE_CHANGED = 8241, "shed_stage_changed", Info, "host refuses more or less work";
+    SHEDDING_ENDED = 8242, "shedding_ended", Info, "host takes all work again";
+    ENTRY_UNREADY = 8243, "entry_unready", Warning, "entry is full and says that it is not ready";
+    ENTRY_READY_AGAIN = 8244, "entry_ready_again", Info, "entry is no longer unready for lack of room";
+    RELAY_SHED = 8245, "relay_shed", Info, "peer refused relayed work for lack of room; another one is asked";
     CRASHES_UNSENT = 8214, "crashes_unsent", Warning, "notices of crashes could not be exchanged; retrying";
     PEER_RELAYED = 8181, "peer_relayed", Info, "peer was reached through another peer";
 }
--- a/crates/catkindeck-gateway/src/jobs/backup.rs
+++ b/crates/catkindeck-gateway/src/jobs/backup.rs
@@ -147,7 +147,10 @@
     /// Sends new parts to the preferred copy holder. Returns `false` if that failed and another holder should
     /// be tried.
     async fn send_copies(&self, sender: &CopySender) -> bool {
-        let Some(holder) = sender.choose_copy_holder(self.core.now(), self.copy_holders()) else {
+        let mut holders = self.copy_holders();
+        // A holder without room would refuse the copies.
+        holders.sort_by_key(|holder| self.core.is_shedding(holder));
+        let Some(holder) = sender.choose_copy_holder(self.core.now(), holders) else {
             return true;
         };
         let jobs = self.all();
@@ -300,6 +303,13 @@
             .iter()
             .filter(|member| member.incarnation != core.incarnation);
         let mut copy_holders: Vec<MemberRecord> = others.cloned().collect();
+        if core.prefers_capable() {
+            copy_holders.sort_by_cached_key(|member| {
+                let host = member.host.as_str().as_bytes();
+                Reverse((member.serves_callers, core.shared_rank(member, &[host])))
+            });
+            return copy_holders;
+        }
         copy_holders.sort_by_key(|member| {
             let host = member.host.as_str().as_bytes();
             Reverse((
--- a/crates/catkindeck-gateway/src/jobs/queue.rs
+++ b/crates/catkindeck-gateway/src/jobs/queue.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{owned::OwnedJob, service::JobService},
-    crate::keys::JobState,
+    crate::{capacity::HostReport, keys::JobState},
     catkindeck::{id::ObjectName, message},
     catkindeck_policy::direct::{StepCounts, TrainerId},
     std::rc::Rc,
@@ -12,6 +12,9 @@
 #[message]
 pub struct QueueReport {
     pub host: ObjectName,
+    /// What the host can carry and carries now; `None` while `entry_capacity` is off.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<HostReport>,
     pub trainers: Vec<TrainerQueue>,
 }
 
@@ -78,6 +81,7 @@
         });
         QueueReport {
             host: self.core.settings().host.clone(),
+            capacity: self.core.host_report(),
             trainers,
         }
     }
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -126,9 +126,19 @@
     /// has the texts of items that are submitted again. The leader is avoided if possible.
     pub(super) fn choose_owner(&self, service: &ObjectName) -> MemberRecord {
         let owner = self.best_owner(service, |member| !member.serves_callers);
+        let owner = owner.or_else(|| self.most_capable_entry(service));
         owner.unwrap_or_else(|| self.own_record())
     }
 
+    /// Returns the entry that owns the jobs of a service while no other process is registered, if entries differ in
+    /// what they can carry.
+    fn most_capable_entry(&self, service: &ObjectName) -> Option<MemberRecord> {
+        let core = &self.core;
+        let is_eligible = |member: &MemberRecord| !core.is_shedding(member);
+        core.prefers_capable()
+            .then(|| self.best_owner(service, is_eligible))?
+    }
+
     /// Chooses the process to which a job of this process is handed over. Returns `None` if there is no other.
     pub(super) fn choose_successor(&self, service: &ObjectName) -> Option<MemberRecord> {
         let host = &self.core.settings().host;
@@ -151,12 +161,16 @@
         let eligible = members
             .iter()
             .filter(|member| is_eligible(member) && !intent.is_draining(&member.host));
+        let prefers_capable = self.core.prefers_capable();
         let chosen = eligible.max_by_key(|member| {
-            let host = member.host.as_str().as_bytes();
+            let parts = [service.as_str(), member.host.as_str()].map(str::as_bytes);
+            // All processes but entries are made to carry jobs.
+            let is_ranked = prefers_capable && member.serves_callers;
             (
                 !member.serves_callers,
+                is_ranked.then(|| self.core.shared_rank(member, &parts)),
                 !is_leader(member),
-                rendezvous_score(&[service.as_str().as_bytes(), host]),
+                rendezvous_score(&parts),
             )
         });
         chosen.cloned()
--- a/crates/catkindeck-gateway/src/keys.rs
+++ b/crates/catkindeck-gateway/src/keys.rs
@@ -7,7 +7,7 @@
         id::{IncarnationId, ObjectName},
         key, message,
     },
-    catkindeck_policy::direct::{TrainerId, TrainerPace, rendezvous_score},
+    catkindeck_policy::direct::{HostCapacity, TrainerId, TrainerPace, rendezvous_score},
     serde::{Serialize, de::DeserializeOwned},
     std::net::SocketAddr,
 };
@@ -175,10 +175,53 @@
 /// Returns `internal` if the bytes are not a valid encoding, for example because another version wrote
 /// them.
 pub fn decode<T: DeserializeOwned>(value: &[u8]) -> Result<T, ServiceError> {
-    postcard::from_bytes(value).map_err(|error| {
-        let detail = format!("cannot decode a stored or received value: {error}");
-        ServiceError::unknown(ErrorKind::Internal, detail)
-    })
+    postcard::from_bytes(value).map_err(decoding_error)
+}
+
+fn decoding_error(error: postcard::Error) -> ServiceError {
+    let detail = format!("cannot decode a stored or received value: {error}");
+    ServiceError::unknown(ErrorKind::Internal, detail)
+}
+
+/// Encodes a registration, followed by what its host can carry. Builds that do not know the latter ignore bytes after
+/// the record.
+///
+/// # Errors
+///
+/// As [`encode`].
+pub fn encode_member(
+    record: &MemberRecord,
+    capacity: Option<HostCapacity>,
+) -> Result<Vec<u8>, ServiceError> {
+    let mut value = encode(record)?;
+    if let Some(capacity) = capacity {
+        value.extend(encode(&capacity)?);
+    }
+    Ok(value)
+}
+
+/// Decodes a registration with what its host can carry, if it was written by a build that says so.
+///
+/// # Errors
+///
+/// As [`decode`].
+pub fn decode_member(
+    item: &StoreItem,
+) -> Result<(MemberRecord, Option<HostCapacity>), ServiceError> {
+    decode_with_trailer(&item.value)
+}
+
+/// Decodes a value and what may follow it. A trailer that cannot be decoded counts as missing, because a later build
+/// may have written another one.
+///
+/// # Errors
+///
+/// As [`decode`].
+pub fn decode_with_trailer<T: DeserializeOwned, E: DeserializeOwned>(
+    value: &[u8],
+) -> Result<(T, Option<E>), ServiceError> {
+    let (value, rest) = postcard::take_from_bytes(value).map_err(decoding_error)?;
+    Ok((value, postcard::from_bytes(rest).ok()))
 }
 
 /// Precedes stored texts. Earlier builds stored texts without software versions, which must not be taken for ones
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -8,6 +8,8 @@
 //! [`port`] (`docs/platform.md`).
 
 pub mod caller_handler;
+pub mod capacity;
+pub mod capacity_metrics;
 pub mod core;
 pub mod crashing;
 pub mod daemon;
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -1,7 +1,9 @@
 //! The metrics of a gateway.
 
 use {
-    crate::{load_metrics::LoadMetrics, room_metrics::RoomMetrics},
+    crate::{
+        capacity_metrics::CapacityMetrics, load_metrics::LoadMetrics, room_metrics::RoomMetrics,
+    },
     catkindeck::{ErrorKind, ServiceError},
     prometheus::{
         Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
@@ -36,6 +38,7 @@
     pub items_running: IntGauge,
     pub load: LoadMetrics,
     pub room: RoomMetrics,
+    pub capacity: CapacityMetrics,
     pub placement: PlacementMetrics,
 }
 
@@ -180,6 +183,7 @@
             items_running: gauge("catkindeck_gateway_items_running", "The items in progress.")?,
             load: LoadMetrics::register(registry)?,
             room: RoomMetrics::register(registry)?,
+            capacity: CapacityMetrics::register(registry)?,
             placement: PlacementMetrics::register(registry)?,
         })
     }
--- a/crates/catkindeck-gateway/src/peer.rs
+++ b/crates/catkindeck-gateway/src/peer.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        capacity::CallTrailer,
         core::GatewayCore,
         events::PEER_FAILED,
         feed::{FeedChanges, FeedQuery, FeedUpdate},
@@ -194,6 +195,9 @@
     FeedChanges(Box<FeedChanges>),
     /// The notices of requests that crash upstreams of which the receiver knows.
     Crash(Vec<CrashNotice>),
+    /// The receiver has no room for work of others and did nothing; another process may have room. Sent only to
+    /// callers that understand it.
+    Shed,
 }
 
 #[message]
@@ -217,11 +221,30 @@
         call: &PeerCall,
         wait: Duration,
     ) -> Result<PeerResponse, ServiceError> {
+        let trailer = self.uses_capacity().then_some(CallTrailer::Sheddable);
+        self.call_peer_with(address, (call, trailer), wait).await
+    }
+
+    /// As [`Self::call_peer`], with what follows the call.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::call_peer`].
+    pub(crate) async fn call_peer_with(
+        &self,
+        address: SocketAddr,
+        (call, trailer): (&PeerCall, Option<CallTrailer>),
+        wait: Duration,
+    ) -> Result<PeerResponse, ServiceError> {
+        let mut body = keys::encode(call)?;
+        if let Some(trailer) = trailer {
+            body.extend(keys::encode(&trailer)?);
+        }
         let request = Request::builder()
             .method(Method::POST)
             .uri(PEER_PATH)
             .header(http::header::HOST, address.to_string())
-            .body(Bytes::from(keys::encode(call)?))
+            .body(Bytes::from(body))
             .map_err(|error| ServiceError::not_run(ErrorKind::Internal, error.to_string()))?;
         let limit = wait + RESPONSE_TIMEOUT;
         let response = self.peer_client.call(address, request, limit).await;
@@ -229,7 +252,11 @@
             log_event!(self.logger, PEER_FAILED; "peer" => %address, "detail" => fault.to_string());
             ServiceError::unknown(ErrorKind::PeerUnavailable, fault.detail)
         })?;
-        keys::decode(&response.body)
+        let (response, trailer) = keys::decode_with_trailer(&response.body)?;
+        if let Some(trailer) = trailer {
+            self.read_trailer(address, &response, &trailer);
+        }
+        Ok(response)
     }
 }
 
@@ -245,11 +272,18 @@
     }
 
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
-        let response = match self.answer_call(request).await {
-            Ok(response) => response,
-            Err(error) => PeerResponse::Refused(error),
+        let (response, reads_trailers) = match read_call(request).await {
+            Ok((call, trailer)) if self.core.sheds_call(&call, trailer) => {
+                (PeerResponse::Shed, true)
+            }
+            Ok((call, trailer)) => {
+                let response = self.answer_call(call).await;
+                let response = response.unwrap_or_else(PeerResponse::Refused);
+                (response, trailer.is_some())
+            }
+            Err(error) => (PeerResponse::Refused(error), false),
         };
-        match keys::encode(&response) {
+        match self.encode_response(&response, reads_trailers) {
             Ok(body) => Response::new(ResponseBody::whole(body)),
             Err(_) => {
                 let mut response = Response::new(ResponseBody::whole(Bytes::new()));
@@ -259,8 +293,20 @@
         }
     }
 
-    async fn answer_call(&self, request: Request<Incoming>) -> Result<PeerResponse, ServiceError> {
-        match read_call(request).await? {
+    fn encode_response(
+        &self,
+        response: &PeerResponse,
+        reads_trailers: bool,
+    ) -> Result<Vec<u8>, ServiceError> {
+        let mut body = keys::encode(response)?;
+        if reads_trailers && let Some(trailer) = self.core.response_trailer(response) {
+            body.extend(keys::encode(&trailer)?);
+        }
+        Ok(body)
+    }
+
+    async fn answer_call(&self, call: PeerCall) -> Result<PeerResponse, ServiceError> {
+        match call {
             PeerCall::Results {
                 job,
                 after,
@@ -341,7 +387,10 @@
     }
 }
 
-async fn read_call(request: Request<Incoming>) -> Result<PeerCall, ServiceError> {
+/// Reads a call and what follows it, if its sender reads what follows a response.
+async fn read_call(
+    request: Request<Incoming>,
+) -> Result<(PeerCall, Option<CallTrailer>), ServiceError> {
     let body = Limited::new(request.into_body(), MAX_CALL_BYTES).collect();
     let body = body.await.map_err(|error| {
         ServiceError::not_run(
@@ -349,7 +398,7 @@
             format!("cannot read the body of the peer call: {error}"),
         )
     })?;
-    keys::decode(&body.to_bytes())
+    keys::decode_with_trailer(&body.to_bytes())
 }
 
 impl HttpHandler for PeerHandler {
--- a/crates/catkindeck-gateway/src/peer_fallback.rs
+++ b/crates/catkindeck-gateway/src/peer_fallback.rs
@@ -6,17 +6,21 @@
 use {
     crate::{
         core::GatewayCore,
-        events::PEER_RELAYED,
+        events::{PEER_RELAYED, RELAY_SHED},
         keys::MemberRecord,
         peer::{ForwardedCall, PeerCall, PeerResponse},
     },
     catkindeck::{ErrorKind, ServiceError, id::IncarnationId, log_event},
+    catkindeck_policy::direct::RELAY_LIMIT,
     std::time::Duration,
 };
 
 /// The additional time for a relayed call, which includes opening a connection from the relay to the target.
 const RELAY_EXTRA_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// The number of further processes that are asked in place of those that refuse relayed work at once.
+pub(crate) const SHED_EXTRA: usize = 2;
+
 impl GatewayCore {
     /// Calls a process, and relays the call through another one if the process does not answer.
     ///
@@ -46,11 +50,22 @@
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
             call: call.clone(),
         }));
+        let mut tried = 0;
         for relay in self.relay_candidates(id) {
+            if tried >= RELAY_LIMIT {
+                break;
+            }
             let response = self.call_peer(relay.peer, &forwarded, wait + RELAY_EXTRA_TIMEOUT);
             match response.await {
                 // If the relay cannot reach the target either, the target is considered lost.
                 Ok(PeerResponse::Unreachable) => break,
+                Ok(PeerResponse::Shed) => {
+                    log_event!(self.logger, RELAY_SHED;
+                        "peer" => %relay.host, "work" => "call", "target" => %target.host);
+                    let mut reach = self.reach.borrow_mut();
+                    reach.record_refused_relay(relay.incarnation);
+                    continue;
+                }
                 Ok(response) => {
                     log_event!(self.logger, PEER_RELAYED;
                         "host" => %target.host, "through" => %relay.host);
@@ -62,6 +77,7 @@
                         .borrow_mut()
                         .record_failure(self.now(), relay.incarnation);
                     failure = Some(error);
+                    tried += 1;
                 }
             }
         }
@@ -98,9 +114,11 @@
     /// separates an entry from processes without callers often affects several of these.
     fn relay_candidates(&self, target: IncarnationId) -> Vec<MemberRecord> {
         let mut others = self.peers();
-        others.sort_by_key(|member| !member.serves_callers);
+        self.sort_by_room(&mut others);
+        others.sort_by_key(|member| (self.is_shedding(member), !member.serves_callers));
         let ranked: Vec<IncarnationId> = others.iter().map(|member| member.incarnation).collect();
-        let chosen = self.reach.borrow_mut().relays(self.now(), target, &ranked);
+        let mut reach = self.reach.borrow_mut();
+        let chosen = reach.relays_up_to(self.now(), target, &ranked, RELAY_LIMIT + SHED_EXTRA);
         let known = |id: &IncarnationId| others.iter().find(|member| member.incarnation == *id);
         chosen.iter().filter_map(known).cloned().collect()
     }
--- a/crates/catkindeck-gateway/src/relay.rs
+++ b/crates/catkindeck-gateway/src/relay.rs
@@ -5,10 +5,12 @@
 
 use {
     crate::{
+        capacity::CallTrailer,
         core::GatewayCore,
-        events::{STORE_REGAINED, STORE_RELAYED},
+        events::{RELAY_SHED, STORE_REGAINED, STORE_RELAYED},
         keys::MemberRecord,
         peer::{PeerCall, PeerResponse},
+        peer_fallback::SHED_EXTRA,
         port::{
             CommitOutcome, LeaseId, MetadataStore, ReadResponse, StoreListing, Transaction,
             WatchOutcome,
@@ -235,12 +237,37 @@
                 }
             }
         }
+        let mut tried = 0;
+        // The first process that refused, if all did. They say nothing about the store.
+        let mut shedding = None;
         for peer in self.peers() {
+            if tried >= PEER_LIMIT {
+                break;
+            }
             match self.call_peer(&peer, &call).await {
+                Err(error) if error.kind == ErrorKind::Overloaded => {
+                    if tried == 0 {
+                        shedding.get_or_insert(peer);
+                    }
+                    failure.get_or_insert(error);
+                }
                 Ok(response) => {
-                    *self.last_peer.borrow_mut() = Some(peer);
+                    self.record_peer(peer);
                     return Ok(response);
                 }
+                Err(error) => {
+                    in_doubt |= error.execution != ExecutionOutcome::NotRun;
+                    failure = Some(error);
+                    tried += 1;
+                    shedding = None;
+                }
+            }
+        }
+        if let Some(peer) = shedding {
+            // Without this call, a host could lose its registration because all others are busy.
+            let trailer = Some(CallTrailer::LastResort);
+            match self.call_peer_with(&peer, &call, trailer).await {
+                Ok(response) => return Ok(response),
                 Err(error) => {
                     in_doubt |= error.execution != ExecutionOutcome::NotRun;
                     failure = Some(error);
@@ -302,21 +329,46 @@
         })
     }
 
+    /// Records that a peer made a call. Where peers are ordered by their room, the next round starts with the first
+    /// ones again.
+    fn record_peer(&self, peer: MemberRecord) {
+        let core = self.core.borrow().upgrade();
+        if core.is_some_and(|core| core.prefers_capable()) {
+            self.failed_rounds.set(0);
+        }
+        *self.last_peer.borrow_mut() = Some(peer);
+    }
+
     async fn call_peer(
         &self,
         peer: &MemberRecord,
         call: &StoreCall,
+    ) -> Result<StoreResponse, ServiceError> {
+        let core = self.core.borrow().upgrade();
+        let uses_capacity = core.is_some_and(|core| core.uses_capacity());
+        let trailer = uses_capacity.then_some(CallTrailer::Sheddable);
+        self.call_peer_with(peer, call, trailer).await
+    }
+
+    async fn call_peer_with(
+        &self,
+        peer: &MemberRecord,
+        call: &StoreCall,
+        trailer: Option<CallTrailer>,
     ) -> Result<StoreResponse, ServiceError> {
         let Some(core) = self.core.borrow().upgrade() else {
             return Err(unexpected_response_error());
         };
         let call = PeerCall::Store(Box::new(call.clone()));
-        match core
-            .call_peer(peer.peer, &call, STORE_CALL_EXTRA_TIMEOUT)
-            .await?
-        {
+        let response = core.call_peer_with(peer.peer, (&call, trailer), STORE_CALL_EXTRA_TIMEOUT);
+        match response.await? {
             PeerResponse::Store(response) => Ok(*response),
             PeerResponse::Refused(error) => Err(error),
+            PeerResponse::Shed => {
+                log_event!(core.logger, RELAY_SHED; "peer" => %peer.host, "work" => "store");
+                let detail = "the peer has no room for calls of others";
+                Err(ServiceError::not_run(ErrorKind::Overloaded, detail))
+            }
             _ => Err(unexpected_response_error()),
         }
     }
@@ -328,6 +380,7 @@
             return Vec::new();
         };
         let last = self.last_peer.borrow().clone();
+        let last = last.filter(|peer| !core.is_shedding(peer));
         let round = self.failed_rounds.get();
         let leader = core
             .leader
@@ -336,11 +389,13 @@
             .filter(|_| round.is_multiple_of(2));
         let mut others = core.peers();
         let start = (round * PEER_LIMIT).checked_rem(others.len()).unwrap_or(0);
+        core.sort_by_room(&mut others);
         others.rotate_left(start);
+        let limit = PEER_LIMIT + SHED_EXTRA;
         let mut peers: Vec<MemberRecord> = Vec::new();
         for peer in last.iter().chain(&leader).chain(&others) {
             let known = peers.iter().any(|known| known.host == peer.host);
-            if peer.incarnation != core.incarnation && !known && peers.len() < PEER_LIMIT {
+            if peer.incarnation != core.incarnation && !known && peers.len() < limit {
                 peers.push(peer.clone());
             }
         }
--- a/crates/catkindeck-gateway/src/session.rs
+++ b/crates/catkindeck-gateway/src/session.rs
@@ -143,7 +143,7 @@
         let transaction = Transaction {
             writes: vec![StoreWrite {
                 key: keys::member_key(&record.host),
-                value: keys::encode(&record)?,
+                value: keys::encode_member(&record, self.core.announced_capacity())?,
                 lease: Some(lease),
             }],
             ..Transaction::default()
--- a/crates/catkindeck-gateway/src/settings.rs
+++ b/crates/catkindeck-gateway/src/settings.rs
@@ -64,6 +64,9 @@
     pub plain_room: FeatureMode,
     /// The distribution of engines over models by demand.
     pub weight_demand: FeatureMode,
+    /// The choice of processes for relayed work by what they can carry, and the refusals of a process that nears its
+    /// memory or link bound.
+    pub entry_capacity: FeatureMode,
 }
 
 /// The settings of a gateway process.
@@ -92,6 +95,8 @@
     pub memory_bytes: u64,
     /// The maximum number of open file descriptors.
     pub descriptors: u64,
+    /// The rate of the host's link, in megabits per second; zero if unknown.
+    pub link_mbps: u32,
     /// The largest value that the store accepts, in bytes.
     pub value_bytes: usize,
     /// The shortest time to live of a lease that the store grants, in milliseconds.
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -261,7 +261,7 @@
     fn apply_answer(&self, sent: Moment, answer: FeedAnswer, is_continued: bool) {
         let intents_at = sent - answer.intents.age_ms;
         let upstreams_at = sent - answer.upstreams_age_ms;
-        *self.core.members.borrow_mut() = answer.members;
+        self.core.set_listed_members(upstreams_at, answer.members);
         let is_applied = match answer.intents.items {
             Some(items) => self.apply_intents(intents_at, &items),
             None => true,
--- a/crates/catkindeck-gateway/src/stream_origins.rs
+++ b/crates/catkindeck-gateway/src/stream_origins.rs
@@ -15,7 +15,7 @@
         OriginTable, SoftwareVersion, StreamKey, VersionHistory, rendezvous_score,
     },
     futures_util::future::join_all,
-    std::{cell::RefCell, rc::Rc, time::Duration},
+    std::{cell::RefCell, cmp::Reverse, rc::Rc, time::Duration},
     tokio::{
         sync::Notify,
         time::{sleep, timeout},
@@ -205,9 +205,16 @@
     /// callers reach fail together more often, and each from another availability zone if possible.
     fn origin_keepers(&self) -> Vec<MemberRecord> {
         let mut members = self.members.borrow().clone();
-        members.sort_by_key(|member| {
-            let host = member.host.as_str().as_bytes();
-            (member.serves_callers, rendezvous_score(&[host]))
+        let prefers_capable = self.prefers_capable();
+        members.sort_by_cached_key(|member| {
+            let host = [member.host.as_str().as_bytes()];
+            let is_ranked = prefers_capable && member.serves_callers;
+            let rank = is_ranked.then(|| self.shared_rank(member, &host));
+            (
+                member.serves_callers,
+                Reverse(rank),
+                rendezvous_score(&host),
+            )
         });
         let mut keepers: Vec<MemberRecord> = Vec::new();
         for is_same_zone_allowed in [false, true] {
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -43,6 +43,7 @@
         let query = PlainQuery {
             service,
             avoids_slow: core.shares_plain_room(),
+            avoids_full: core.uses_capacity(),
             software,
             excluded,
             zone: &settings.zone,
--- a/crates/catkindeck-net/src/lib.rs
+++ b/crates/catkindeck-net/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod server;
 pub mod socket;
 pub mod stall;
+pub mod traffic;
 
 pub use {
     body::{BodySender, ResponseBody},
@@ -20,6 +21,7 @@
     exchange::{CompleteResponse, HttpExchange, SendError, SendPermit},
     held::{HeldBytes, HeldPart},
     server::{HttpHandler, HttpServer, ServerControl, ServerLimits},
+    traffic::LinkTraffic,
 };
 
 /// A boxed future that is bound to the thread of its event loop.
--- a/crates/catkindeck-net/src/link.rs
+++ b/crates/catkindeck-net/src/link.rs
@@ -4,7 +4,7 @@
 //! (`docs/design/slow-readers.md`).
 
 use {
-    crate::socket,
+    crate::{socket, traffic},
     std::{
         cell::Cell,
         io,
@@ -107,7 +107,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        traffic::count_received(buffer.filled().len() - before);
+        read
     }
 }
 
@@ -118,7 +121,9 @@
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.apply_patience()?;
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
+        traffic::count_sent(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -127,7 +132,9 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.apply_patience()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        traffic::count_sent(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/catkindeck-net/src/stall.rs
+++ b/crates/catkindeck-net/src/stall.rs
@@ -1,6 +1,7 @@
 //! Detection of callers that do not read.
 
 use {
+    crate::traffic,
     std::{
         cell::Cell,
         io::{self, IoSlice},
@@ -70,7 +71,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        traffic::count_received(buffer.filled().len() - before);
+        read
     }
 }
 
@@ -82,6 +86,7 @@
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(context, buffer);
         self.clock.observe(&written);
+        traffic::count_sent(&written);
         written
     }
 
@@ -92,6 +97,7 @@
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
         self.clock.observe(&written);
+        traffic::count_sent(&written);
         written
     }
 
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -10,8 +10,10 @@
 pub mod freshness;
 pub mod give_up;
 pub mod group_completion;
+pub mod host_capacity;
 pub mod job;
 pub mod leaving;
+pub mod load_shedding;
 pub mod load_time;
 pub mod model_demand;
 pub mod model_shares;
@@ -54,17 +56,21 @@
     group_completion::{
         GroupOutline, GroupStanding, ItemRank, StepClock, StepCounts, TokenTime, plan_groups,
     },
+    host_capacity::{
+        CapacityScale, HostCapacity, HostLoad, LoadBoard, PeerStanding, SharedRank, rank_by_room,
+    },
     job::{
         ItemKey, ItemPhase, ItemProgress, JobItem, JobLimits, JobResult, JobSpec, ResultCommit,
         RolloutJob, ScorerCall, StartPriority, TextPart,
     },
     leaving::{LeavingNotice, LeavingRegister},
+    load_shedding::{LinkMeter, ShedGuard, ShedStage, UnreadyAllowance, ZoneEntry},
     load_time::{LOAD_EXTENSION_MS, LoadTimeEstimate, MIN_LOAD_MS},
     model_demand::{DemandBoard, DemandSummary, ModelDemand, REPORT_TTL_MS},
     model_shares::{ModelPool, ModelShare, SHARE_HOLD_MS, ShareBalance, ShareChange},
     outage::OutageBackoff,
     outcome::{ItemOutcome, ResultState},
-    peer_reachability::PeerReachability,
+    peer_reachability::{PeerReachability, RELAY_LIMIT},
     permits::{PermitAllocator, PermitPool},
     plain_load::{PlainLoad, PlainPace},
     plain_room::{MAX_SCORE_WAIT_MS, PlainPlaces, PlainRoom, ScoreEnd, ScoreTicket},
--- a/crates/catkindeck-policy/src/direct/peer_reachability.rs
+++ b/crates/catkindeck-policy/src/direct/peer_reachability.rs
@@ -9,7 +9,7 @@
 const UNREACHABLE_BACKOFF_MS: u64 = 5_000;
 
 /// The number of processes that are asked to relay one call.
-const RELAY_LIMIT: usize = 2;
+pub const RELAY_LIMIT: usize = 2;
 
 /// Tracks the processes that recently did not answer.
 #[derive(Debug, Default)]
@@ -43,12 +43,23 @@
         now: Moment,
         target: IncarnationId,
         ranked: &[IncarnationId],
+    ) -> Vec<IncarnationId> {
+        self.relays_up_to(now, target, ranked, RELAY_LIMIT)
+    }
+
+    /// As [`Self::relays`], but with at most `limit` processes, because some may refuse relayed work.
+    pub fn relays_up_to(
+        &mut self,
+        now: Moment,
+        target: IncarnationId,
+        ranked: &[IncarnationId],
+        limit: usize,
     ) -> Vec<IncarnationId> {
         let last = self.last_relay.filter(|relay| ranked.contains(relay));
         let mut relays: Vec<IncarnationId> = Vec::new();
         for peer in last.into_iter().chain(ranked.iter().copied()) {
             let is_new = peer != target && !relays.contains(&peer);
-            if is_new && relays.len() < RELAY_LIMIT && !self.in_backoff(now, peer) {
+            if is_new && relays.len() < limit && !self.in_backoff(now, peer) {
                 relays.push(peer);
             }
         }
@@ -60,6 +71,13 @@
         self.last_relay = Some(relay);
     }
 
+    /// Records that a process refused to relay a call, because it has no room.
+    pub fn record_refused_relay(&mut self, relay: IncarnationId) {
+        if self.last_relay == Some(relay) {
+            self.last_relay = None;
+        }
+    }
+
     /// Records that a process did not answer.
     pub fn record_failure(&mut self, now: Moment, peer: IncarnationId) {
         self.failed.insert(peer, now);
--- a/crates/catkindeck-policy/src/direct/selection.rs
+++ b/crates/catkindeck-policy/src/direct/selection.rs
@@ -62,6 +62,9 @@
     pub service: &'a ObjectName,
     /// Whether slow upstreams are used only if there is no other.
     pub avoids_slow: bool,
+    /// Whether upstreams with no free place are used only if there is no other, so that the overflow of an
+    /// availability zone goes to another one before callers wait.
+    pub avoids_full: bool,
     /// The software version that must run the request, if it goes on with a stream.
     pub software: Option<&'a SoftwareVersion>,
     /// The instances that must not be used again for this request.
@@ -253,8 +256,15 @@
             );
             let connected = (query.connected)(state.record.address);
             let cost = discount(cost, CONNECTED_PLAIN_DISCOUNT_PERCENT, connected);
+            let is_full = query.avoids_full && state.in_flight >= state.record.slots;
             // An upstream in backoff is used only if there is no other.
-            (state.in_backoff(now), state.is_cold(now), is_slow, cost)
+            (
+                state.in_backoff(now),
+                state.is_cold(now),
+                is_slow,
+                is_full,
+                cost,
+            )
         };
         self.iter()
             .filter(|(key, state)| usable(key, state))
--- a/crates/catkindeck-policy/tests/leaving.rs
+++ b/crates/catkindeck-policy/tests/leaving.rs
@@ -61,6 +61,7 @@
         zone: &zone,
         connected: &|_| false,
         avoids_slow: false,
+        avoids_full: false,
     };
     let engine = table.select_engine(now, &engine, RateLimits::NONE);
     let plain = table.select_plain(now, &plain, RateLimits::NONE);
--- a/crates/catkindeck-policy/tests/named_limits.rs
+++ b/crates/catkindeck-policy/tests/named_limits.rs
@@ -111,6 +111,7 @@
     let query = PlainQuery {
         service: &service,
         avoids_slow: false,
+        avoids_full: false,
         software: None,
         excluded: &[],
         zone: &zone,
@@ -156,6 +157,7 @@
     let query = PlainQuery {
         service: &service,
         avoids_slow: false,
+        avoids_full: false,
         software: None,
         excluded: &[],
         zone: &zone,
--- a/crates/catkindeck-policy/tests/plain_room.rs
+++ b/crates/catkindeck-policy/tests/plain_room.rs
@@ -46,6 +46,7 @@
     let query = PlainQuery {
         service: &name("desks"),
         avoids_slow,
+        avoids_full: false,
         software: None,
         excluded: &[],
         zone: &name("zone-a"),
