Count bodies of requests that are served apart from those that are read

Cause: the bodies of requests in service were added to the count by which the bodies being read are bounded, so that a process with the switch off would have refused bodies earlier than before. Found by reading. Change: a count of their own, which only the use of memory for entry_capacity includes.

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -119,7 +119,7 @@
         if let Err(error) = self.check_held_bytes() {
             return self.refuse(Some(&head), &error, arrived);
         }
-        let mut served = BodyBytes::new(&self.core.hosts.body_bytes);
+        let mut served = BodyBytes::new(&self.core.hosts.served_bytes);
         served.add(body.len() as u64);
         let outcome = match operation {
             CallerOperation::Request => {
--- a/crates/catkindeck-gateway/src/capacity.rs
+++ b/crates/catkindeck-gateway/src/capacity.rs
@@ -78,8 +78,10 @@
     allowance: RefCell<UnreadyAllowance>,
     may_be_unready: Cell<bool>,
     link: RefCell<LinkMeter>,
-    /// The bodies of requests that are being read or served, in bytes.
+    /// The bodies of requests that are being read, in bytes.
     pub body_bytes: Cell<u64>,
+    /// The bodies of requests that are being served, in bytes.
+    pub served_bytes: Cell<u64>,
     connections_percent: Cell<u8>,
     busy_percent: Cell<u8>,
     busy_measured: Cell<Option<(Instant, Duration)>>,
@@ -278,7 +280,8 @@
     /// Returns the use of the memory that bodies may take, in percent of its bound.
     fn memory_percent(&self) -> u32 {
         let memory = self.settings().memory_bytes;
-        let bodies = self.hosts.body_bytes.get() + self.buffered_bytes.get();
+        let requests = self.hosts.body_bytes.get() + self.hosts.served_bytes.get();
+        let bodies = requests + self.buffered_bytes.get();
         let held = percent(self.held.total(), memory / HELD_MEMORY_DIVISOR);
         held.max(percent(bodies, memory / BODY_MEMORY_DIVISOR))
     }
