--- a/crates/catkindeck-gateway/src/jobs/queue.rs
+++ b/crates/catkindeck-gateway/src/jobs/queue.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{owned::OwnedJob, service::JobService},
-    crate::keys::JobState,
+    crate::{capacity::HostReport, keys::JobState},
     catkindeck::{id::ObjectName, message},
     catkindeck_policy::direct::{PlaceCounts, StepCounts, TrainerId},
     std::rc::Rc,
@@ -14,6 +14,9 @@
     pub host: ObjectName,
     /// The places of the process where owners share the engines.
     pub places: Option<PlaceQueue>,
+    /// What the host can carry and carries now; `None` while `entry_capacity` is off.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<HostReport>,
     pub trainers: Vec<TrainerQueue>,
 }
 
@@ -94,6 +97,7 @@
             places: self
                 .place_counts()
                 .map(|(counts, owners)| PlaceQueue { owners, counts }),
+            capacity: self.core.host_report(),
             trainers,
         }
     }
--- a/crates/catkindeck-gateway/src/metrics.rs
+++ b/crates/catkindeck-gateway/src/metrics.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        carried_metrics::CarriedMetrics, load_metrics::LoadMetrics,
-        ownership_metrics::OwnershipMetrics, placement_metrics::PlacementMetrics,
-        room_metrics::RoomMetrics,
+        capacity_metrics::CapacityMetrics, carried_metrics::CarriedMetrics,
+        load_metrics::LoadMetrics, ownership_metrics::OwnershipMetrics,
+        placement_metrics::PlacementMetrics, room_metrics::RoomMetrics,
     },
     catkindeck::{ErrorKind, ServiceError},
     prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry},
@@ -39,6 +39,7 @@
     pub load: LoadMetrics,
     pub room: RoomMetrics,
     pub carried: CarriedMetrics,
+    pub capacity: CapacityMetrics,
     pub placement: PlacementMetrics,
     pub ownership: OwnershipMetrics,
 }
@@ -144,6 +145,7 @@
             load: LoadMetrics::register(registry)?,
             room: RoomMetrics::register(registry)?,
             carried: CarriedMetrics::register(registry)?,
+            capacity: CapacityMetrics::register(registry)?,
             placement: PlacementMetrics::register(registry)?,
             ownership: OwnershipMetrics::register(registry)?,
         })
--- a/crates/catkindeck-net/src/link.rs
+++ b/crates/catkindeck-net/src/link.rs
@@ -7,7 +7,7 @@
 //! is later than the request was handed to the connection.
 
 use {
-    crate::socket,
+    crate::{socket, traffic},
     std::{
         cell::{Cell, RefCell},
         io,
@@ -152,7 +152,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        traffic::count_received(buffer.filled().len() - before);
+        read
     }
 }
 
@@ -164,7 +167,9 @@
     ) -> Poll<io::Result<usize>> {
         self.apply_patience()?;
         self.write_guard.check()?;
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
+        traffic::count_sent(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -174,7 +179,9 @@
     ) -> Poll<io::Result<usize>> {
         self.apply_patience()?;
         self.write_guard.check()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        traffic::count_sent(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
