--- a/crates/catkindeck-gateway/src/relay.rs
+++ b/crates/catkindeck-gateway/src/relay.rs
@@ -37,10 +37,6 @@
 /// The number of peers that are tried for one call.
 const PEER_LIMIT: usize = 2;
 
-/// The most lists that this process reads for others at a time. A list of thousands of upstreams has dozens of pages, and
-/// the processes that lose the leader's data all ask at once.
-const MAX_RELAYED_LISTS: usize = 2;
-
 /// The time for the peer's own store call, in addition to the timeout of any call to a peer.
 const STORE_CALL_EXTRA_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -104,8 +100,6 @@
     outage: RefCell<OutageBackoff>,
     /// How often calls failed both ways, so that each round tries other peers.
     failed_rounds: Cell<usize>,
-    /// The lists that this process reads for others. Each holds a clone while it is read.
-    relayed_lists: Rc<()>,
 }
 
 impl RelayedStore {
@@ -120,7 +114,6 @@
             last_peer: RefCell::new(None),
             outage: RefCell::new(OutageBackoff::new(0)),
             failed_rounds: Cell::new(0),
-            relayed_lists: Rc::new(()),
         })
     }
 
@@ -160,10 +153,6 @@
             ));
         }
         self.check_outage()?;
-        let _list = match call {
-            StoreCall::List(_) => Some(self.begin_relayed_list()?),
-            _ => None,
-        };
         let outcome = self.call_direct(call).await;
         self.update_direct_state(&outcome);
         match &outcome {
@@ -173,16 +162,6 @@
         outcome
     }
 
-    fn begin_relayed_list(&self) -> Result<Rc<()>, ServiceError> {
-        match Rc::strong_count(&self.relayed_lists) <= MAX_RELAYED_LISTS {
-            true => Ok(Rc::clone(&self.relayed_lists)),
-            false => Err(ServiceError::not_run(
-                ErrorKind::StoreUnavailable,
-                format!("this process reads {MAX_RELAYED_LISTS} lists for others already"),
-            )),
-        }
-    }
-
     /// Returns an error at once while the store is unreachable and no trial call is due.
     fn check_outage(&self) -> Result<(), ServiceError> {
         let Some(core) = self.core.borrow().upgrade() else {
