--- a/crates/catkindeck-gateway/src/leader/weights.rs
+++ b/crates/catkindeck-gateway/src/leader/weights.rs
@@ -9,9 +9,9 @@
     },
     catkindeck::{Moment, SortedMap, log_event},
     catkindeck_policy::direct::{
-        MIN_LOAD_MS, ModelPlacement, OrderQueue, ShareBalance, ShareChange, SplitBalance,
-        StepPlacement, TargetVersion, UpstreamKey, UpstreamTable, WeightLoadPlanner,
-        WeightLoadTask, count_versions, current_engines, model_pools, plan_pause_ms,
+        MIN_LOAD_MS, ModelPlacement, ShareBalance, ShareChange, SplitBalance, StepPlacement,
+        TargetVersion, UpstreamKey, UpstreamTable, WeightLoadPlanner, WeightLoadTask,
+        count_versions, current_engines, model_pools, plan_pause_ms,
     },
     slog::Logger,
     std::{cell::RefCell, rc::Rc, time::Duration},
@@ -21,10 +21,6 @@
 /// How long an upstream gets no further order while the outcome of an order is unknown, in milliseconds.
 const UNKNOWN_OUTCOME_PAUSE_MS: u64 = 1_500;
 
-/// The most orders under way at a time. An engine answers within a few milliseconds, so that hundreds of loads are
-/// ordered within a second.
-const MAX_ORDERS: usize = 25;
-
 /// The timeout of an order or of a request for a report.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -41,8 +37,6 @@
     election: Rc<LeaderElection>,
     /// The number of orders that each upstream has accepted, as far as known.
     accepted: RefCell<SortedMap<UpstreamKey, u64>>,
-    /// The orders under way and those that wait.
-    queue: RefCell<OrderQueue<WeightLoadTask>>,
     /// The loads of which the other processes are not notified yet.
     notices: RefCell<Vec<WeightLoadNotice>>,
     /// The shares of the models, as far as this process has planned them.
@@ -56,8 +50,6 @@
         Rc::new(Self {
             election,
             accepted: RefCell::new(SortedMap::new()),
-            // A task is planned again after this time.
-            queue: RefCell::new(OrderQueue::new(MAX_ORDERS, UNKNOWN_OUTCOME_PAUSE_MS)),
             notices: RefCell::default(),
             balance: RefCell::default(),
             split: RefCell::default(),
@@ -67,30 +59,13 @@
     /// Orders upstreams to load weights until the task is aborted.
     pub async fn run(self: Rc<Self>) {
         loop {
-            let tasks = self.plan();
-            let now = self.election.core.now();
-            self.queue.borrow_mut().extend(now, tasks);
-            self.start_orders();
+            for task in self.plan() {
+                tokio::task::spawn_local(Rc::clone(&self).order(task));
+            }
             sleep(self.pause()).await;
         }
     }
 
-    /// Starts the orders that may be under way now. Each starts the next ones when it ends.
-    fn start_orders(self: &Rc<Self>) {
-        while self.election.proof().is_ok() {
-            let now = self.election.core.now();
-            let Some(task) = self.queue.borrow_mut().start_next(now) else {
-                return;
-            };
-            let rollout = Rc::clone(self);
-            tokio::task::spawn_local(async move {
-                Rc::clone(&rollout).order(task).await;
-                rollout.queue.borrow_mut().finish();
-                rollout.start_orders();
-            });
-        }
-    }
-
     /// Returns the time until the next round.
     fn pause(&self) -> Duration {
         let core = &self.election.core;
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -21,7 +21,6 @@
 pub mod load_time;
 pub mod model_demand;
 pub mod model_shares;
-pub mod order_queue;
 pub mod order_transit;
 pub mod outage;
 pub mod outcome;
@@ -82,7 +81,6 @@
     load_time::{LOAD_EXTENSION_MS, LoadTimeEstimate, MIN_LOAD_MS},
     model_demand::{DemandBoard, DemandSummary, ModelDemand, REPORT_TTL_MS},
     model_shares::{ModelPool, ModelShare, SHARE_HOLD_MS, ShareBalance, ShareChange},
-    order_queue::OrderQueue,
     order_transit::{OrderTransit, TransitKey},
     outage::OutageBackoff,
     outcome::{ItemOutcome, ResultState},
