Clear the index of engines when the list loses some

Cause: the index was cleared for changed records only, but engines that lapse change none. Their times between events stayed in the median and the shortest gap, so the choice differed from a look at each engine. Found by review of the joined parts. Change: the index is cleared when an upstream is gone.

--- a/crates/catkindeck-policy/src/direct/upstream_table.rs
+++ b/crates/catkindeck-policy/src/direct/upstream_table.rs
@@ -113,6 +113,9 @@
         if sent >= self.grace_until {
             self.remove_missing(is_listed, &mut changes);
         }
+        if !changes.gone.is_empty() {
+            self.index.get_mut().clear();
+        }
         changes
     }
 
--- a/crates/catkindeck-policy/tests/engine_index.rs
+++ b/crates/catkindeck-policy/tests/engine_index.rs
@@ -12,6 +12,9 @@
 
 const SLOTS: u32 = 6;
 
+/// The engines of the property test.
+const ENGINES: usize = 9;
+
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
 fn name(text: &str) -> ObjectName {
@@ -108,11 +111,13 @@
     Leave(usize),
     Close(usize),
     List(usize, bool),
+    /// An engine other than the first leaves the list, or comes back.
+    Lapse(usize),
     Time(u64),
 }
 
 fn change() -> impl Strategy<Value = TableChange> {
-    let engine = 0_usize..9;
+    let engine = 0..ENGINES;
     prop_oneof![
         6 => engine.clone().prop_map(TableChange::Start),
         3 => engine.clone().prop_map(TableChange::End),
@@ -126,7 +131,9 @@
         1 => engine.clone().prop_map(TableChange::Cold),
         1 => engine.clone().prop_map(TableChange::Leave),
         1 => (0_usize..4).prop_map(TableChange::Close),
-        1 => (engine, any::<bool>()).prop_map(|(at, draining)| TableChange::List(at, draining)),
+        1 => (engine.clone(), any::<bool>())
+            .prop_map(|(at, draining)| TableChange::List(at, draining)),
+        2 => engine.prop_map(TableChange::Lapse),
         2 => (1_u64..2_000).prop_map(TableChange::Time),
     ]
 }
@@ -197,10 +204,39 @@
             *now = *now + 1;
             table.apply(*now, list);
         }
+        TableChange::Lapse(engine) => lapse(table, now, 1 + engine % (ENGINES - 1)),
         TableChange::Time(ms) => *now = *now + *ms,
     }
 }
 
+/// Removes an engine from the list, or adds it again as a new instance. No other record changes.
+fn lapse(table: &mut UpstreamTable, now: &mut Moment, number: usize) {
+    let records = table.iter().map(|(_, state)| state.record.clone());
+    let mut list: Vec<DiscoveredUpstream> = records.collect();
+    let known = list
+        .iter()
+        .position(|record| record.address == address(number));
+    let added: Vec<DiscoveredUpstream> = match known {
+        Some(position) => {
+            list.remove(position);
+            Vec::new()
+        }
+        None => vec![engine_again(number)],
+    };
+    list.extend(added.iter().cloned());
+    list.sort_by(|one, other| one.id.cmp(&other.id));
+    *now = *now + 1;
+    table.apply_changed(*now, &list, added);
+}
+
+/// Returns an engine that has left the list and comes back as a new instance.
+fn engine_again(number: usize) -> DiscoveredUpstream {
+    DiscoveredUpstream {
+        born_ms: 2,
+        ..engine(number, ["1", "2"][number % 2])
+    }
+}
+
 proptest! {
     #![proptest_config(Config { cases: 400, ..Config::default() })]
 
@@ -212,7 +248,7 @@
     ) {
         let mut table = UpstreamTable::new();
         let softwares = ["1", "2"];
-        let list = (0..9).map(|number| engine(number, softwares[number % 2])).collect();
+        let list = (0..ENGINES).map(|number| engine(number, softwares[number % 2])).collect();
         table.apply(Moment(1), list);
         let mut now = Moment(10);
         let zone = name("zone-a");
