Read the store at the start, and number the list until the next leader is found

Cause, three faults of in who reads when: - A process took the start of its clock for the time of its first data, so after a start without a leader it did not read for 57 % of the change bound and refused callers (`stale_configuration`). Change: no data is never recent; a process that numbers the list goes on recording it; after a failed request to the leader the store is read once the data is 37 % of the bound old.

--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -43,7 +43,8 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// The age of the feed's data from which this process reads the store itself, in percent of the time by which a
-/// change must take effect. It leaves time for a read.
+/// change must take effect. It leaves time for a read. After a failed request to the leader, the data may be only
+/// [`READ_INTERVAL_PERCENT`] old.
 const MAX_FEED_AGE_PERCENT: u64 = 57;
 
 /// The age of the feed's data that shows that the leader reaches the store, in milliseconds. It is less than the
@@ -129,8 +130,8 @@
     own_reads: Cell<u64>,
     /// When the current desired state was read.
     intents_at: Cell<Moment>,
-    /// When the feed's latest data was read from the store, according to its age.
-    feed_read_at: Cell<Moment>,
+    /// When the feed's latest data was read from the store, according to its age; `None` before the first data.
+    feed_read_at: Cell<Option<Moment>>,
     /// The upstreams in the latest list.
     upstreams: RefCell<Vec<DiscoveredUpstream>>,
     /// Whether the latest list is the one of the history that this process follows, and the roster has all of it.
@@ -150,7 +151,7 @@
             former_leader: Cell::new(None),
             own_reads: Cell::new(0),
             intents_at: Cell::new(Moment(0)),
-            feed_read_at: Cell::new(Moment(0)),
+            feed_read_at: Cell::new(None),
             upstreams: RefCell::new(Vec::new()),
             is_history_applied: Cell::new(false),
             versions: RefCell::new(Vec::new()),
@@ -163,7 +164,7 @@
     /// Reads the store while the feed does not deliver recent data.
     async fn poll_store(self: Rc<Self>) {
         loop {
-            if self.is_recent(self.feed_read_at.get()) {
+            if self.has_recent_feed() {
                 sleep(WATCH_INTERVAL).await;
                 continue;
             }
@@ -177,9 +178,11 @@
     }
 
     /// Returns whether the feed's data is recent enough to skip a read. That does not depend on whether there is a
-    /// leader: between two leaders, all processes would read the list at once.
-    fn is_recent(&self, feed_read_at: Moment) -> bool {
-        !self.is_leader() && self.core.now().since(feed_read_at) < self.max_feed_age_ms()
+    /// leader: between two leaders, all processes would read the list at once. A process that has no data yet reads at
+    /// once, because it refuses all callers until then.
+    fn has_recent_feed(&self) -> bool {
+        let age_ms = self.feed_read_at.get().map(|at| self.core.now().since(at));
+        !self.is_leader() && age_ms.is_some_and(|age_ms| age_ms < self.max_feed_age_ms())
     }
 
     fn is_leader(&self) -> bool {
@@ -190,7 +193,11 @@
     }
 
     fn max_feed_age_ms(&self) -> u64 {
-        self.core.settings().bounds.change_ms * MAX_FEED_AGE_PERCENT / 100
+        let percent = match self.is_feed_active.get() {
+            true => MAX_FEED_AGE_PERCENT,
+            false => READ_INTERVAL_PERCENT,
+        };
+        self.core.settings().bounds.change_ms * percent / 100
     }
 
     fn read_interval(&self) -> Duration {
@@ -243,14 +250,15 @@
         let answer = self.call_leader(leader, query).await?;
         let oldest = answer.intents.age_ms.max(answer.upstreams_age_ms);
         let now = self.core.now();
-        self.feed_read_at.set(now - oldest);
+        self.feed_read_at.set(Some(now - oldest));
         // What changed since an earlier list does not lead on from the list that was read meanwhile.
         let is_continued = own_reads == self.own_reads.get();
         self.apply_answer(leader, sent, answer, is_continued);
         if oldest < OUTAGE_FEED_AGE_MS {
             self.core.relay.record_reached();
         }
-        let max_age_ms = self.max_feed_age_ms();
+        let change_ms = self.core.settings().bounds.change_ms;
+        let max_age_ms = change_ms * MAX_FEED_AGE_PERCENT / 100;
         match oldest > max_age_ms {
             true => Err(ServiceError::not_run(
                 ErrorKind::StoreUnavailable,
@@ -405,10 +413,13 @@
         self.feed_position.borrow_mut().1.upstreams = 0;
         self.replace_upstreams(upstreams_at, &upstreams.items);
         let list = self.upstreams.borrow();
+        // A process that no longer leads still answers those that have not found the next leader.
+        let is_numbering =
+            self.is_leader() || core.feed.history.borrow().is_led_by(core.incarnation);
         core.feed.publish(
             (intents_at, &intents.items),
             (upstreams_at, &upstreams.items),
-            self.is_leader().then_some((core.incarnation, &list)),
+            is_numbering.then_some((core.incarnation, &list)),
         );
         Ok(())
     }
