Await orders while jobs are handed over

Cause: a stopped leader first handed its jobs over and then waited up to 1.5 s for orders under way; both together may exceed the time for the hand-over, and the lease was then not revoked but renewed until the process ended. Found by review. Change: both waits run at the same time. No test with processes brings the case about.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -178,7 +178,10 @@
         log_event!(self.core.logger, GATEWAY_DRAINING;
             "requests" => self.callers.requests(), "jobs" => self.jobs.all().len());
         let hand_over = async {
-            if let Err(error) = self.jobs.hand_over().await {
+            // Orders under way are awaited meanwhile, so that the lease is revoked in time.
+            let (handed_over, ()) =
+                tokio::join!(self.jobs.hand_over(), self.session.await_orders());
+            if let Err(error) = handed_over {
                 log_event!(self.core.logger, HAND_OVER_CUT;
                     "jobs" => self.jobs.all().len(), "detail" => error.detail);
             }
