Ask a silent new owner before its job is given to another

Cause: a hand-over whose answer was lost or late led to a takeover although the new owner ran the job, so both ran its items until the next check of ownership. With shared ownership the leader did the same for the jobs of a lost owner. Reads asked the store first also where ownership is not shared, if two services have different owners. An owner without a standby was chosen by momentary load, which processes do not see alike. Found by review. Change: without an answer, the new owner is asked whether it runs the job; an assigned job without an answer is left to the next scan; reads ask the store first only where ownership is shared; only registrations decide which entry owns jobs.

--- a/crates/catkindeck-gateway/src/jobs/ownership.rs
+++ b/crates/catkindeck-gateway/src/jobs/ownership.rs
@@ -37,10 +37,9 @@
     /// Returns the entry that owns the jobs of a service while no other process is registered, if entries differ in
     /// what they can carry.
     fn most_capable_entry(&self, service: &ObjectName) -> Option<MemberRecord> {
-        let core = &self.core;
-        let is_eligible = |member: &MemberRecord| !core.is_shedding(member);
-        core.prefers_capable()
-            .then(|| self.best_owner(service, is_eligible))?
+        // Only what registrations say counts, so that all processes choose alike.
+        let prefers_capable = self.core.prefers_capable();
+        prefers_capable.then(|| self.best_owner(service, |_| true))?
     }
 
     /// Chooses the process to which a job of this process is handed over. Returns `None` if there is no other.
@@ -165,12 +164,16 @@
             .call_peer_with_fallback(&owner, &call, HAND_OVER_TIMEOUT)
             .await;
         let is_accepted = matches!(response, Ok(PeerResponse::Done));
+        let is_unanswered = response.is_err();
         log_event!(self.core.logger, JOB_ASSIGNED;
             "job" => &job.spec.id, "to" => %owner.host, "revision" => revision,
             "accepted" => is_accepted);
         drop(guard);
         if is_accepted {
             self.cache_owner(&job.spec.id, owner);
+        }
+        // Without an answer the owner may run the job; the next scan asks it.
+        if is_accepted || is_unanswered {
             return Ok(());
         }
         let item = StoreItem {
--- a/crates/catkindeck-gateway/src/jobs/read.rs
+++ b/crates/catkindeck-gateway/src/jobs/read.rs
@@ -190,7 +190,7 @@
             Some(owner) => vec![owner],
             None => self.candidate_owners(),
         };
-        let stored = match candidates.len() > 1 {
+        let stored = match candidates.len() > 1 && self.shares_ownership() {
             true => match self.stored_owner(job).await {
                 Err(error) if error.kind != ErrorKind::NotFound => None,
                 found => Some(found?),
--- a/crates/catkindeck-gateway/src/jobs/takeover.rs
+++ b/crates/catkindeck-gateway/src/jobs/takeover.rs
@@ -269,7 +269,11 @@
             .core
             .call_peer_with_fallback(target, &call, HAND_OVER_TIMEOUT)
             .await;
-        let is_confirmed = matches!(response, Ok(PeerResponse::Done));
+        let is_confirmed = match response {
+            Ok(response) => matches!(response, PeerResponse::Done),
+            // The answer may be lost, or late because the new owner loads the job.
+            Err(_) => self.runs_job(target, &job.spec.id).await,
+        };
         log_event!(self.core.logger, JOB_HANDED_OVER;
             "job" => &job.spec.id, "to" => %target.host, "revision" => revision,
             "answered" => is_confirmed);
@@ -280,6 +284,17 @@
         is_confirmed
     }
 
+    /// Returns whether another process says that it runs a job or is about to.
+    async fn runs_job(&self, owner: &MemberRecord, job: &str) -> bool {
+        let call = PeerCall::IsResponsible {
+            job: job.to_owned(),
+        };
+        let response = self
+            .core
+            .call_peer_with_fallback(owner, &call, Duration::ZERO);
+        matches!(response.await, Ok(PeerResponse::Done))
+    }
+
     /// Takes a job back whose new owner did not confirm the hand-over. The change of the record makes later writes of
     /// that owner fail, whether or not it received the job.
     async fn take_back(
