Keep no run of an ended step that has brought no event, and release groups when texts are not carried

Cause: a run counted as usable by the versions of its text, which may come from an earlier run; its request could be sent up to 2.5 s after the end of the job. Groups that were held stayed held when the switch was turned off. The record of incomplete groups had no bound for its ids, so the transaction that ends a step could fail for its size. Found by review. Change: a kept run must have brought an event itself; groups are released when the switch is off; a record whose ids exceed a quarter of a value is not written. Test: a_run_without_an_event_does_not_outlive_its_job.

--- a/crates/catkindeck-gateway/src/jobs/carried.rs
+++ b/crates/catkindeck-gateway/src/jobs/carried.rs
@@ -56,6 +56,10 @@
     /// Holds the groups of a job whose texts should start at a version that a later step allows.
     pub(super) fn hold_groups(&self, job: &OwnedJob) {
         let Some(trainer) = self.carrying_trainer(job) else {
+            // The switch may have been turned off while groups were held.
+            job.job
+                .borrow_mut()
+                .hold_groups(&StepClock::default(), None);
             return;
         };
         let later = self.later_step(job, &trainer);
--- a/crates/catkindeck-gateway/src/jobs/carried_store.rs
+++ b/crates/catkindeck-gateway/src/jobs/carried_store.rs
@@ -50,6 +50,11 @@
         }
         texts.sort_by_key(|(_, progress)| Reverse(progress.text.len()));
         let mut budget = self.core.settings().value_bytes / TEXT_BUDGET_DIVISOR;
+        let id_bytes: usize = keys.iter().map(|key| state.item(*key).id.len()).sum();
+        // The record is part of the transaction that ends the step, which must not fail for its size.
+        if id_bytes > budget {
+            return Ok(None);
+        }
         texts.retain(|(_, progress)| {
             let fits = progress.text.len() <= budget;
             if fits {
--- a/crates/catkindeck-policy/src/direct/carried_text.rs
+++ b/crates/catkindeck-policy/src/direct/carried_text.rs
@@ -258,7 +258,7 @@
     }
 
     /// Returns the running items of incomplete groups whose texts a step that allows `later` and newer versions
-    /// can use. The groups that come again make up at most half of those that the trainer waits for.
+    /// can use. A run without an event may not have been sent yet, which the end of the job forbids. The groups that come again make up at most half of those that the trainer waits for.
     pub fn usable_runs(&self, later: WeightVersion) -> Vec<ItemKey> {
         let limit = (self.spec().wanted_groups as usize / 2).max(1);
         let incomplete = (0..self.groups.len()).filter(|group| self.groups[*group].unfinished > 0);
@@ -266,6 +266,7 @@
         let usable = self.items.iter().filter(|(_, state)| {
             let versions = &state.progress.versions;
             matches!(state.phase, ItemPhase::Running(_))
+                && state.has_run_event
                 && incomplete.binary_search(&state.group).is_ok()
                 && versions.first().is_some_and(|oldest| *oldest >= later)
         });
--- a/crates/catkindeck-policy/src/direct/job.rs
+++ b/crates/catkindeck-policy/src/direct/job.rs
@@ -199,6 +199,8 @@
     pub(super) progress: ItemProgress,
     /// The number of the text's first event that this process received.
     first_event: Option<u64>,
+    /// Whether the present run has brought an event, so that its request has reached the upstream.
+    pub(super) has_run_event: bool,
     finished_at: Moment,
     /// When the last run ended.
     interrupted_at: Moment,
@@ -300,6 +302,7 @@
                 phase: ItemPhase::Waiting,
                 progress: ItemProgress::default(),
                 first_event: None,
+                has_run_event: false,
                 finished_at: Moment(0),
                 interrupted_at: Moment(0),
                 scorer_called: false,
@@ -460,7 +463,9 @@
 
     /// Records that an item was sent to an upstream.
     pub fn record_start(&mut self, key: ItemKey, upstream: UpstreamKey) {
-        self.state_mut(key).phase = ItemPhase::Running(upstream);
+        let state = self.state_mut(key);
+        state.phase = ItemPhase::Running(upstream);
+        state.has_run_event = false;
     }
 
     /// Discards the text of an item because the next run cannot resume it.
@@ -557,6 +562,7 @@
         progress.text.push_str(data);
         progress.last_event = Some(event);
         state.first_event.get_or_insert(event);
+        state.has_run_event = true;
         progress.software.get_or_insert_with(|| software.clone());
         true
     }
--- a/crates/catkindeck-policy/tests/carried_texts.rs
+++ b/crates/catkindeck-policy/tests/carried_texts.rs
@@ -560,3 +560,19 @@
     });
     result.expect("adopted texts agree with what engines sent");
 }
+
+/// Guards against a request that is sent after the end of its job: a text of an earlier run counts as usable, although
+/// the present run of its item is still connecting.
+#[test]
+fn a_run_without_an_event_does_not_outlive_its_job() {
+    let mut job = job(1_000, 1, 1, &[(0, 9), (1, 9)]);
+    let item = key(0);
+    job.record_start(item, UpstreamKey(0));
+    assert!(append(&mut job, item, 3));
+    assert_eq!(job.usable_runs(WeightVersion(3)), [item]);
+    job.record_run_end(Moment(0), item, ItemOutcome::Interrupted);
+    job.record_start(item, UpstreamKey(1));
+    assert!(job.usable_runs(WeightVersion(3)).is_empty());
+    assert!(append(&mut job, item, 3));
+    assert_eq!(job.usable_runs(WeightVersion(3)), [item]);
+}
