--- a/crates/catkindeck-gateway/src/jobs/ownership.rs
+++ b/crates/catkindeck-gateway/src/jobs/ownership.rs
@@ -12,12 +12,17 @@
         keys::{self, JobRecord, MemberRecord},
         peer::{JobHandOver, PeerCall, PeerResponse},
         port::{CommitOutcome, StoreCondition, StoreItem},
+        settings::SharingMode,
     },
     catkindeck::{ErrorKind, ServiceError, id::ObjectName, log_event},
     catkindeck_policy::direct::{JobSpec, OwnerAssignment, TrainerId, rendezvous_score},
     std::rc::Rc,
 };
 
+/// The number of engines from which a service is large. One owner with 256 MB may open 2,048 connections to upstreams,
+/// which are four to each of as many engines.
+const LARGE_SERVICE_ENGINES: usize = 512;
+
 impl JobService {
     /// Chooses the process that is to own a job of a service.
     ///
@@ -83,19 +88,30 @@
 
     /// Returns whether the jobs of any service are shared by their trainers.
     pub(super) fn shares_ownership(&self) -> bool {
-        if !self.core.settings().scheduling.shared_ownership.is_on() {
-            return false;
-        }
         let intent = self.core.intent.borrow();
         let mut routes = intent.routes().iter();
         let has_shared = routes.any(|route| {
             let service = intent.service(&route.service);
             let models = service.map_or(0, |service| service.direct.models.len());
-            route.terms.job.is_some() && models > 1
+            route.terms.job.is_some() && models > 1 && self.may_share(&route.service)
         });
         has_shared && self.sharing_owners(None).len() > 1
     }
 
+    /// Returns whether the settings let several processes own jobs of a service, with regard to its size.
+    fn may_share(&self, service: &ObjectName) -> bool {
+        match self.core.settings().scheduling.shared_ownership {
+            SharingMode::Off => false,
+            SharingMode::Auto => true,
+            SharingMode::Large => {
+                let roster = self.core.roster.borrow();
+                let engines = roster.iter().map(|(_, state)| &state.record);
+                let own = engines.filter(|record| record.service == *service);
+                own.take(LARGE_SERVICE_ENGINES).count() == LARGE_SERVICE_ENGINES
+            }
+        }
+    }
+
     /// Returns the processes that share the jobs of trainers, in the order of their hosts: those that serve no callers
     /// and whose hosts are not drained, without the leader unless there is no other.
     pub(super) fn sharing_owners(&self, excluded: Option<&ObjectName>) -> Vec<MemberRecord> {
@@ -202,10 +218,12 @@
 
     /// Returns the models of a service whose jobs are shared by their trainers; `None` where they are not.
     fn shared_models(&self, service: &ObjectName) -> Option<Vec<ObjectName>> {
-        let is_on = self.core.settings().scheduling.shared_ownership.is_on();
+        if !self.may_share(service) {
+            return None;
+        }
         let models = {
             let intent = self.core.intent.borrow();
-            let record = intent.service(service).filter(|_| is_on)?;
+            let record = intent.service(service)?;
             record.direct.models.clone()
         };
         (models.len() > 1 && self.sharing_owners(None).len() > 1).then_some(models)
--- a/crates/catkindeck-gateway/src/jobs/places.rs
+++ b/crates/catkindeck-gateway/src/jobs/places.rs
@@ -8,6 +8,7 @@
         events::{OWNERS_CHANGED, PLACES_CHANGED, PLACES_ENDED},
         keys::{JobState, MemberRecord},
         peer::{PeerCall, PeerResponse},
+        settings::SharingMode,
     },
     catkindeck::{
         ErrorKind, Moment, ServiceError,
@@ -165,7 +166,7 @@
     ///
     /// Returns `fenced` if this process is not the leader, and `conflict` if its settings do not share ownership.
     fn answer_places(&self, request: PlaceRequest) -> Result<PlaceUpdate, ServiceError> {
-        if !self.core.settings().scheduling.shared_ownership.is_on() {
+        if self.core.settings().scheduling.shared_ownership == SharingMode::Off {
             let detail = "the settings of the leader do not share ownership";
             return Err(ServiceError::not_run(ErrorKind::Conflict, detail));
         }
--- a/crates/catkindeck-gateway/src/settings.rs
+++ b/crates/catkindeck-gateway/src/settings.rs
@@ -51,6 +51,19 @@
     Off,
 }
 
+/// Which services have several owners of their jobs.
+#[message]
+#[derive(Copy, Default)]
+pub enum SharingMode {
+    /// Those with more engines than one process can keep busy (`docs/design/ownership.md`).
+    #[default]
+    Large,
+    /// All that meet the other conditions.
+    Auto,
+    /// None.
+    Off,
+}
+
 /// The decisions under load that an operator can switch off, each described in `docs/design/`.
 #[message]
 #[derive(Copy, Default)]
@@ -65,7 +78,7 @@
     /// The distribution of engines over models by demand.
     pub weight_demand: FeatureMode,
     /// The ownership of jobs by trainer, with places of engines granted to each owner.
-    pub shared_ownership: FeatureMode,
+    pub shared_ownership: SharingMode,
     /// The use of texts of groups that come again in a later step.
     pub carried_texts: FeatureMode,
     /// The choice of processes for relayed work by what they can carry, and the refusals of a process that nears its
