Expect the next owner, the places and the hosts in the test of the queue command

Cause: the table of `catkindeck queue` has the column NEXT OWNER since ownership can be shared, and two further tables; its test expected the former line. Before: red with "2500 - step-7" for "2500 step-7"; after: it passes.

--- a/crates/catkindeck-cli/tests/queue.rs
+++ b/crates/catkindeck-cli/tests/queue.rs
@@ -52,8 +52,15 @@
     });
     let busy = start_process(json!({"host": "standby-1", "trainers": [{
         "customer": "courts", "route": "captions", "model": "model-a", "priority": 1,
-        "lateness_ms": 2_500, "interval_ms": 4_000, "steps": [step],
-    }]}));
+        "lateness_ms": 2_500, "interval_ms": 4_000, "next_owner": "standby-2", "steps": [step],
+    }], "places": {
+        "owners": ["standby-1", "standby-2"],
+        "used": 24, "usable": 30, "even": 36, "slots": 72, "remaining_ms": 1_400,
+    }, "capacity": {
+        "capacity": {"cpu_millicores": 300, "memory_mb": 290, "link_mbps": 600},
+        "load": {"memory_percent": 20, "link_percent": 5, "connections_percent": 9, "busy_percent": 40},
+        "weight": 300, "stage": "none",
+    }}));
     let idle = start_process(json!({"host": "standby-2", "trainers": []}));
     let command = |arguments: &[&str]| {
         let (code, text) = exit_code_and_output(&run(directory.path(), busy, arguments));
@@ -67,9 +74,19 @@
 
     let (code, text) = command(&["queue", "--metrics", &busy, "--metrics", &idle]);
     assert_eq!(code, 0, "{text}");
-    let cells: Vec<&str> = text.lines().nth(1).unwrap().split_whitespace().collect();
-    let expected = "standby-1 courts captions model-a 1 2500 step-7 9000 -1500 - 3 8 1 1 40 24 2";
-    assert_eq!(cells.join(" "), expected);
+    let lines = text
+        .lines()
+        .map(|line| line.split_whitespace().collect::<Vec<&str>>());
+    let lines: Vec<String> = lines.map(|cells| cells.join(" ")).collect();
+    let expected =
+        "standby-1 courts captions model-a 1 2500 standby-2 step-7 9000 -1500 - 3 8 1 1 40 24 2";
+    assert_eq!(lines[1], expected);
+    assert_eq!(lines[4], "standby-1 2 24 30 36 72 1400", "{text}");
+    assert_eq!(
+        lines[7], "standby-1 300 290 600 20 5 9 40 300 none",
+        "{text}"
+    );
+    assert_eq!(lines.len(), 8, "{text}");
 
     let (code, text) = command(&["queue", "--json", "--metrics", &busy, "--metrics", &dead]);
     assert_eq!(code, 8, "{text}");
