--- a/crates/catkindeck-policy/src/direct/host_capacity.rs
+++ b/crates/catkindeck-policy/src/direct/host_capacity.rs
@@ -24,7 +24,7 @@
 /// this time.
 const LOAD_LIFETIME_MS: u64 = 5_000;
 
-/// The most hosts whose load is remembered. Beyond it the oldest is forgotten.
+/// The most hosts whose load is remembered. Beyond it a new host takes the place of one whose load has expired.
 const LOAD_LIMIT: usize = 4_096;
 
 /// The share of a host that counts as free while its load is unknown, in percent.
--- a/crates/catkindeck-policy/src/direct/load_shedding.rs
+++ b/crates/catkindeck-policy/src/direct/load_shedding.rs
@@ -24,8 +24,8 @@
 /// a short peak, and a load balancer checks less often.
 const UNREADY_DELAY_MS: u64 = 500;
 
-/// The age of the list of processes up to which it tells who may be unready, in milliseconds. Processes get the list
-/// at least every 1,300 ms.
+/// The age of the list of processes up to which it tells who may be unready, in milliseconds. It is
+/// longer than the time between two of the leader's reads of the processes.
 const MAX_LIST_AGE_MS: u64 = 3_000;
 
 /// The divisor of the entries of an availability zone that may be unready.
--- a/crates/catkindeck-policy/tests/version_split.rs
+++ b/crates/catkindeck-policy/tests/version_split.rs
@@ -353,7 +353,7 @@
 }
 
 /// Failure: a new leader, which does not know the newest named version yet. Guards against one step that seems to allow
-/// no lag: in two days of the tile utility and the translation memory all engines then loaded for some seconds.
+/// no lag, so that a group of engines loads at once.
 #[test]
 fn the_first_step_of_a_new_leader_does_not_decide_alone() {
     let mut play = StepPlay::new(12, 2);
