--- a/crates/catkindeck-gateway/src/crashing.rs
+++ b/crates/catkindeck-gateway/src/crashing.rs
@@ -6,15 +6,22 @@
         core::GatewayCore,
         events::{
             CRASH_RECORDED, CRASHES_UNSENT, REQUEST_CLEARED, REQUEST_QUARANTINED, RUN_BROKEN,
+            SUSPECT_ANSWERED,
         },
         notices::{NoticeCall, NoticeExchange, SharedNotice},
         peer::{PeerCall, PeerResponse},
     },
-    catkindeck::{ErrorKind, Moment, ServiceError, id::BodyDigest, log::LogEvent, log_event},
+    catkindeck::{
+        ErrorKind, Moment, ServiceError,
+        id::{BodyDigest, ObjectName},
+        log::LogEvent,
+        log_event,
+    },
     catkindeck_policy::direct::{
         BrokenRun, BrokenRuns, CrashChange, CrashNotice, CrashRegister, CrashedRun, RunAdmission,
         UpstreamKey,
     },
+    http::StatusCode,
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
@@ -129,13 +136,11 @@
         upstream: UpstreamKey,
         begun: Moment,
     ) {
-        let (id, address) = {
+        let (id, address, is_expected) = {
             let roster = self.roster.borrow();
-            if !roster.is_expected_to_run(upstream) {
-                return;
-            }
             let record = &roster.get(upstream).record;
-            (record.id.clone(), record.address)
+            let is_expected = roster.is_expected_to_run(upstream);
+            (record.id.clone(), record.address, is_expected)
         };
         let run = BrokenRun {
             digest: *request.digest(),
@@ -146,8 +151,9 @@
         log_event!(self.logger, RUN_BROKEN;
             "request" => &request.head.id, "digest" => digest_text(&run.digest),
             "customer" => request.customer.as_ref().map(ToString::to_string),
-            "path" => &request.head.path, "upstream" => %id);
-        if !self.crashes.broken.borrow_mut().record(run) {
+            "path" => &request.head.path, "upstream" => %id, "expected" => is_expected,
+            "lasted_ms" => run.ended.since(begun));
+        if !is_expected || !self.crashes.broken.borrow_mut().record(run) {
             return;
         }
         let core = Rc::clone(self);
@@ -162,7 +168,12 @@
     }
 
     /// Records that an upstream answered a request.
-    pub fn record_answered_run(&self, request: &AdmittedRequest) {
+    pub fn record_answered_run(
+        &self,
+        request: &AdmittedRequest,
+        upstream: &ObjectName,
+        status: StatusCode,
+    ) {
         let is_watched =
             !self.crashes.register.borrow().is_empty() || !self.crashes.broken.borrow().is_empty();
         if !is_watched {
@@ -171,6 +182,9 @@
         let digest = *request.digest();
         self.crashes.broken.borrow_mut().clear(&digest);
         if self.crashes.register.borrow().is_suspected(&digest) {
+            log_event!(self.logger, SUSPECT_ANSWERED;
+                "request" => &request.head.id, "digest" => digest_text(&digest),
+                "upstream" => %upstream, "status" => status.as_u16());
             self.share_notice(CrashNotice::Answered { digest, ago_ms: 0 }, "response");
         }
     }
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -75,6 +75,7 @@
     RUN_BROKEN = 8210, "run_broken", Info, "connection of a caller's request broke before the upstream had answered";
     CRASH_RECORDED = 8211, "crash_recorded", Info, "upstream crashed while it ran a caller's request";
     REQUEST_QUARANTINED = 8212, "request_quarantined", Warning, "request crashed upstreams in sequence and is refused";
+    SUSPECT_ANSWERED = 8215, "suspect_answered", Info, "upstream answered a request under which upstreams crashed";
     REQUEST_CLEARED = 8213, "request_cleared", Info, "suspected request was answered, so it does not crash upstreams";
     SHEDDING_BEGAN = 8240, "shedding_began", Info, "host nears its memory or link bound and refuses work that others can do";
     STAGE_CHANGED = 8241, "shed_stage_changed", Info, "host refuses more or less work";
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -292,7 +292,8 @@
         match outcome {
             AttemptOutcome::Answered(response) => {
                 if let Some(request) = self.watched {
-                    self.core.record_answered_run(request);
+                    let status = response.head.status;
+                    self.core.record_answered_run(request, &upstream, status);
                 }
                 let failed = response.head.status.is_server_error();
                 if !failed || !self.options.idempotent {
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -326,7 +326,10 @@
             let end = self.forward_attempt(&mut stream, sender, is_stream).await;
             let detail = match end {
                 ForwardOutcome::Complete => {
-                    self.core.record_answered_run(&self.request);
+                    let status = stream.head.status;
+                    let upstream = &stream.guard.id;
+                    self.core
+                        .record_answered_run(&self.request, upstream, status);
                     return self.log_end("complete", "");
                 }
                 ForwardOutcome::CallerGone => return self.log_end("caller_gone", ""),
