Clear a suspected request only by an answer that shows a complete run

Cause: any answer cleared the request at every process, also one of an upstream that failed without beginning the run, and one within the same call cleared broken runs that were not yet looked at. suspect_answered showed status 500 before each request_cleared. Ruled out: lost notices (one process alone does the same). Change: statuses 5xx, 408, 421 and 429 neither clear a request nor count against it. Others do as before, as a guilty request never gets one.

--- a/crates/catkindeck-gateway/src/crashing.rs
+++ b/crates/catkindeck-gateway/src/crashing.rs
@@ -167,7 +167,7 @@
         });
     }
 
-    /// Records that an upstream answered a request.
+    /// Records that an upstream answered a request, which clears it if the answer shows that it ran to its end.
     pub fn record_answered_run(
         &self,
         request: &AdmittedRequest,
@@ -180,11 +180,17 @@
             return;
         }
         let digest = *request.digest();
-        self.crashes.broken.borrow_mut().clear(&digest);
-        if self.crashes.register.borrow().is_suspected(&digest) {
+        let is_suspected = self.crashes.register.borrow().is_suspected(&digest);
+        if is_suspected {
             log_event!(self.logger, SUSPECT_ANSWERED;
                 "request" => &request.head.id, "digest" => digest_text(&digest),
                 "upstream" => %upstream, "status" => status.as_u16());
+        }
+        if !shows_complete_run(status) {
+            return;
+        }
+        self.crashes.broken.borrow_mut().clear(&digest);
+        if is_suspected {
             self.share_notice(CrashNotice::Answered { digest, ago_ms: 0 }, "response");
         }
     }
@@ -231,6 +237,18 @@
     }
 }
 
+/// Returns whether an answer shows that its upstream ran the request to the end. One that failed, refused or ran out of
+/// time may not have begun it.
+fn shows_complete_run(status: StatusCode) -> bool {
+    let is_refusal = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+    );
+    !status.is_server_error() && !is_refusal
+}
+
 /// Returns the start of a digest, which finds a request in the logs of all processes.
 fn digest_text(digest: &BodyDigest) -> String {
     digest.0[..8]
