Excuse crashes whose notices come late by the answers that followed them

Cause, shown by crashes_in_late_notices_do_not_count_after_an_answer: a notice carries its age when it is sent, so one that is held up on its way looks later than an answer that followed the crash. Besides, a process forgot answers to requests that it did not suspect yet, so that the notice found none. Ruled out: crashes of this process's own runs, whose times are exact; they count as before. Change: a crash of another process counts only if its run began 2 s after the last answer, the tolerance that exists for copies of one crash; the latest 256 answers are remembered. A request that crashes upstreams has no answers, so that nothing is lost against it. The new test fails without the tolerance and without the memory.

--- a/crates/catkindeck-gateway/src/crashing.rs
+++ b/crates/catkindeck-gateway/src/crashing.rs
@@ -8,7 +8,7 @@
             CRASH_RECORDED, CRASHES_UNSENT, REQUEST_CLEARED, REQUEST_QUARANTINED, RUN_BROKEN,
             SUSPECT_ANSWERED,
         },
-        notices::{NoticeCall, NoticeExchange, SharedNotice},
+        notices::{NoticeCall, NoticeExchange, NoticeSource, SharedNotice},
         peer::{PeerCall, PeerResponse},
     },
     catkindeck::{
@@ -49,15 +49,23 @@
         core.crashes.register.borrow().notices(core.now())
     }
 
-    fn record(&self, core: &GatewayCore, source: &str) -> bool {
-        let change = core.crashes.register.borrow_mut().record(core.now(), self);
+    fn record(&self, core: &GatewayCore, source: NoticeSource) -> bool {
+        let change = {
+            let mut register = core.crashes.register.borrow_mut();
+            match source {
+                NoticeSource::Run | NoticeSource::Response => register.record(core.now(), self),
+                NoticeSource::Report | NoticeSource::Announcement => {
+                    register.record_received(core.now(), self)
+                }
+            }
+        };
         let Some(change) = change else { return false };
         let digest = digest_text(self.digest());
         if let Self::Crashed(run) = self {
             core.metrics.load.crashed_runs.inc();
             log_event!(core.logger, CRASH_RECORDED;
             "digest" => &digest, "upstream" => %run.upstream, "born_ms" => run.born_ms,
-            "source" => source, "ended_ago_ms" => run.ended_ago_ms,
+            "source" => source.name(), "ended_ago_ms" => run.ended_ago_ms,
             "sequence" => match change {
                 CrashChange::Suspected(count) => Some(count),
                 _ => None,
@@ -65,10 +73,10 @@
         }
         match change {
             CrashChange::Quarantined => {
-                log_event!(core.logger, REQUEST_QUARANTINED; "digest" => digest, "source" => source);
+                log_event!(core.logger, REQUEST_QUARANTINED; "digest" => digest, "source" => source.name());
             }
             CrashChange::Cleared => {
-                log_event!(core.logger, REQUEST_CLEARED; "digest" => digest, "source" => source);
+                log_event!(core.logger, REQUEST_CLEARED; "digest" => digest, "source" => source.name());
             }
             CrashChange::Suspected(_) | CrashChange::Extended => {}
         }
@@ -190,9 +198,15 @@
             return;
         }
         self.crashes.broken.borrow_mut().clear(&digest);
+        let notice = CrashNotice::Answered { digest, ago_ms: 0 };
         if is_suspected {
-            self.share_notice(CrashNotice::Answered { digest, ago_ms: 0 }, "response");
+            return self.share_notice(notice, NoticeSource::Response);
         }
+        // Another process may know of a crash before the answer.
+        self.crashes
+            .register
+            .borrow_mut()
+            .record(self.now(), &notice);
     }
 
     /// Records that an upstream answered a request sent at `sent`, so that it had not crashed before.
@@ -224,7 +238,7 @@
                     begun_ago_ms: now.since(run.begun),
                     ended_ago_ms: now.since(run.ended),
                 };
-                self.share_notice(CrashNotice::Crashed(crashed), "run");
+                self.share_notice(CrashNotice::Crashed(crashed), NoticeSource::Run);
             }
         }
     }
--- a/crates/catkindeck-gateway/src/leaving.rs
+++ b/crates/catkindeck-gateway/src/leaving.rs
@@ -4,7 +4,7 @@
     crate::{
         core::GatewayCore,
         events::{LEAVING_UNSENT, UPSTREAM_LEAVING},
-        notices::{NoticeCall, NoticeExchange, SharedNotice},
+        notices::{NoticeCall, NoticeExchange, NoticeSource, SharedNotice},
         peer::{PeerCall, PeerResponse},
         port::UpstreamHead,
         store_sync::READ_INTERVAL,
@@ -25,13 +25,13 @@
         core.roster.borrow().leaving_notices()
     }
 
-    fn record(&self, core: &GatewayCore, source: &str) -> bool {
+    fn record(&self, core: &GatewayCore, source: NoticeSource) -> bool {
         let is_new = core.roster.borrow_mut().record_leaving(self);
         if is_new {
             let roster = core.roster.borrow();
             let state = roster.current(&self.id).map(|key| roster.get(key));
             log_event!(core.logger, UPSTREAM_LEAVING;
-                "upstream" => %self.id, "born_ms" => self.born_ms, "source" => source,
+                "upstream" => %self.id, "born_ms" => self.born_ms, "source" => source.name(),
                 "service" => state.map(|state| state.record.service.to_string()),
                 "in_flight" => state.map(|state| state.in_flight));
         }
@@ -77,7 +77,7 @@
                 asked_ms,
             }
         };
-        self.share_notice(notice, "response");
+        self.share_notice(notice, NoticeSource::Response);
     }
 
     /// Returns the time until replacements for the upstreams of a service can be known, in milliseconds; zero if some
--- a/crates/catkindeck-gateway/src/notices.rs
+++ b/crates/catkindeck-gateway/src/notices.rs
@@ -39,6 +39,31 @@
     Announcement(Vec<N>),
 }
 
+/// How this process came to know a notice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoticeSource {
+    /// From the end of a run of its own.
+    Run,
+    /// From a response to a request of its own.
+    Response,
+    /// From the report of another process.
+    Report,
+    /// From an announcement, or the answer to a report.
+    Announcement,
+}
+
+impl NoticeSource {
+    /// Returns the name for the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Run => "run",
+            Self::Response => "response",
+            Self::Report => "report",
+            Self::Announcement => "announcement",
+        }
+    }
+}
+
 /// A kind of notice that all processes are to know.
 pub trait SharedNotice: Clone + 'static {
     /// The event of an exchange that failed.
@@ -49,8 +74,8 @@
     /// Returns all notices that other processes may not know.
     fn known(core: &GatewayCore) -> Vec<Self>;
 
-    /// Records the notice and returns whether it was news; `source` is for the log.
-    fn record(&self, core: &GatewayCore, source: &str) -> bool;
+    /// Records the notice and returns whether it was news.
+    fn record(&self, core: &GatewayCore, source: NoticeSource) -> bool;
 
     /// Returns the notice as it reads after it waited to be sent.
     fn aged(self, elapsed_ms: u64) -> Self;
@@ -99,7 +124,7 @@
 
 impl GatewayCore {
     /// Records what this process learned by itself, and passes it on if it is news.
-    pub fn share_notice<N: SharedNotice>(&self, notice: N, source: &str) {
+    pub fn share_notice<N: SharedNotice>(&self, notice: N, source: NoticeSource) {
         if notice.record(self, source) {
             let exchange = N::exchange(self);
             exchange.unreported.borrow_mut().push((self.now(), notice));
@@ -114,7 +139,7 @@
     ) -> PeerResponse {
         match call {
             NoticeCall::Report(notices) => {
-                let is_new = |notice: &N| notice.record(self, "report");
+                let is_new = |notice: &N| notice.record(self, NoticeSource::Report);
                 let news: Vec<N> = notices.into_iter().filter(is_new).collect();
                 self.announce_notices(&news);
                 N::into_response(N::known(self))
@@ -280,7 +305,7 @@
 
     fn record_announced<N: SharedNotice>(&self, notices: &[N]) {
         for notice in notices {
-            notice.record(self, "announcement");
+            notice.record(self, NoticeSource::Announcement);
         }
     }
 }
--- a/crates/catkindeck-policy/src/direct/crash_register.rs
+++ b/crates/catkindeck-policy/src/direct/crash_register.rs
@@ -10,6 +10,7 @@
         id::{BodyDigest, ObjectName},
         message,
     },
+    std::collections::VecDeque,
 };
 
 /// The number of crashes in sequence after which a request is refused. The platform allows three and a few more.
@@ -37,6 +38,10 @@
 /// The number of requests that are remembered.
 const REQUEST_LIMIT: usize = 1_024;
 
+/// The number of answers to requests under which no upstream is known to have crashed. They are remembered because
+/// the notice of a crash may come after the answer.
+const ANSWER_LIMIT: usize = 256;
+
 /// A run that ended because its upstream crashed.
 #[message]
 pub struct CrashedRun {
@@ -136,6 +141,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct CrashRegister {
     histories: SortedMap<BodyDigest, CrashHistory>,
+    /// The latest answers to other requests, in order of their records.
+    answers: VecDeque<(BodyDigest, Moment)>,
 }
 
 /// Returns the identity of a request: the caller and all that is sent on, without what differs between two attempts.
@@ -150,33 +157,64 @@
 }
 
 impl CrashRegister {
-    /// Records a notice and returns what it changed; `None` if it was known or does not matter.
+    /// Records a notice of this process and returns what it changed; `None` if it was known or does not matter.
     pub fn record(&mut self, now: Moment, notice: &CrashNotice) -> Option<CrashChange> {
+        self.record_within(now, notice, 0)
+    }
+
+    /// As [`Self::record`], for a notice of another process. It may have been held up on its way, so that what it
+    /// tells looks later than it was.
+    pub fn record_received(&mut self, now: Moment, notice: &CrashNotice) -> Option<CrashChange> {
+        self.record_within(now, notice, AGE_TOLERANCE_MS)
+    }
+
+    fn record_within(
+        &mut self,
+        now: Moment,
+        notice: &CrashNotice,
+        tolerance_ms: u64,
+    ) -> Option<CrashChange> {
         let digest = *notice.digest();
         match notice {
             CrashNotice::Crashed(run) => {
                 self.make_room(now, &digest);
+                let answered = self.last_answer(&digest);
                 let history = self
                     .histories
                     .get_or_insert_with(digest, CrashHistory::default);
+                history.answered = history.answered.max(answered);
                 let was_refused = history.is_refused(now);
                 history
-                    .record_crash(now, run)
+                    .record_crash(now, run, tolerance_ms)
                     .then(|| match history.is_guilty() {
                         false => CrashChange::Suspected(history.sequence()),
                         true if was_refused => CrashChange::Extended,
                         true => CrashChange::Quarantined,
                     })
             }
-            CrashNotice::Answered { ago_ms, .. } => {
-                let history = self.histories.get_mut(&digest)?;
-                let was_suspected = !history.crashes.is_empty();
-                history.record_answer(now - *ago_ms);
-                (was_suspected && history.crashes.is_empty()).then_some(CrashChange::Cleared)
-            }
+            CrashNotice::Answered { ago_ms, .. } => self.record_answer(now - *ago_ms, digest),
         }
     }
 
+    fn record_answer(&mut self, at: Moment, digest: BodyDigest) -> Option<CrashChange> {
+        let Some(history) = self.histories.get_mut(&digest) else {
+            if self.answers.len() >= ANSWER_LIMIT {
+                self.answers.pop_front();
+            }
+            self.answers.push_back((digest, at));
+            return None;
+        };
+        let was_suspected = !history.crashes.is_empty();
+        history.record_answer(at);
+        (was_suspected && history.crashes.is_empty()).then_some(CrashChange::Cleared)
+    }
+
+    /// Returns when a request without a history was last answered.
+    fn last_answer(&self, digest: &BodyDigest) -> Option<Moment> {
+        let answers = self.answers.iter().filter(|(other, _)| other == digest);
+        answers.map(|(_, at)| *at).max()
+    }
+
     /// Decides whether a request may run. A trial counts as begun with this decision.
     pub fn admit(&mut self, now: Moment, digest: &BodyDigest) -> RunAdmission {
         let Some(history) = self.histories.get_mut(digest) else {
@@ -270,8 +308,9 @@
 }
 
 impl CrashHistory {
-    /// Adds a crash and returns whether it was news that counts.
-    fn record_crash(&mut self, now: Moment, run: &CrashedRun) -> bool {
+    /// Adds a crash and returns whether it was news that counts. It may be earlier than its notice says by the
+    /// tolerance.
+    fn record_crash(&mut self, now: Moment, run: &CrashedRun, tolerance_ms: u64) -> bool {
         let (begun, ended) = (now - run.begun_ago_ms, now - run.ended_ago_ms);
         let is_known = self.crashes.iter().any(|crash| {
             let apart = ended.since(crash.ended).max(crash.ended.since(ended));
@@ -280,7 +319,10 @@
                 && apart < AGE_TOLERANCE_MS
         });
         // An answer to a run that overlapped this one proves that the crash had another cause.
-        if is_known || self.answered.is_some_and(|answered| begun <= answered) {
+        let is_answered = self
+            .answered
+            .is_some_and(|answered| begun <= answered + tolerance_ms);
+        if is_known || is_answered {
             return false;
         }
         self.crashes.push(RecordedCrash {
--- a/crates/catkindeck-policy/tests/crash_register.rs
+++ b/crates/catkindeck-policy/tests/crash_register.rs
@@ -162,6 +162,32 @@
     assert_eq!(later, Some(CrashChange::Suspected(1)));
 }
 
+/// Guards against a request that is refused because notices of crashes were held up on their way and look later than
+/// the answer that followed them, also if the answer came before the first notice.
+#[test]
+fn crashes_in_late_notices_do_not_count_after_an_answer() {
+    for was_suspected in [false, true] {
+        let mut register = CrashRegister::default();
+        if was_suspected {
+            crash_at(&mut register, 9, 9_000);
+        }
+        let answer = CrashNotice::Answered {
+            digest: GUILTY,
+            ago_ms: 0,
+        };
+        register.record(Moment(10_000), &answer);
+        for number in 0..SEQUENCE_LIMIT {
+            // It took 1.5 s from the sender, where the age was measured.
+            let sent = Moment(9_700 + 100 * number as u64);
+            let notice = crash(GUILTY, number, (sent.0 - 40, sent.0 - 20), sent);
+            let change = register.record_received(sent + 1_500, &notice);
+            assert_eq!(change, None);
+        }
+        let admission = register.admit(Moment(12_000), &GUILTY);
+        assert_eq!(admission, RunAdmission::Unsuspected);
+    }
+}
+
 /// Guards against a request that is refused for ever, and against a trial that costs more than one upstream.
 #[test]
 fn one_trial_follows_the_refusal() {
