Count upstreams that end in silence under a request

What callers saw: a request that ends its upstreams without closing their connections (a host without power, one that crashes behind a cut) went on: 10 upstreams crashed in 10 attempts, 8 engines in 8, where 6 are allowed. Cause: a crash needed a broken connection. A run that ended by the caller's time or departure was not looked at, and when the upstream left the list, the watch had not begun. The log had upstream_gone and no run_broken. Class: evidence that arrives before what it proves, or after the watch for it. Change: each run is watched from its send on (WatchedRun); a run that ends in any way without an answer is recorded, runs in progress are looked at when their instance is gone, and the time of the watch counts only while lists are read. An ordinary request meets dead upstreams in every outage, so such crashes are weak evidence (five in sequence refuse) unless the connection was opened for the run, which shows that the upstream lived then; suspected requests use new connections. A later answer from the same address no longer excuses a crash if the list shows a later start. Ruled out: counting time-outs alone (slow upstreams and cuts).

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -166,7 +166,7 @@
         body: Bytes,
         arrived: Instant,
     ) -> Result<Response<ResponseBody>, ServiceError> {
-        let request = self.admit(head, body, arrived)?;
+        let request = Rc::new(self.admit(head, body, arrived)?);
         if request.matched.route.terms.job.is_some() {
             let accepted = self.jobs.submit(&request, &request.body).await?;
             return Ok(full_response(accepted));
@@ -176,7 +176,7 @@
         }
         let response = self.forward(&request).await?;
         let source = ResponseSource {
-            service: request.matched.service,
+            service: request.matched.service.clone(),
             upstream: response.guard.id.clone(),
         };
         let mut response = self.forward_response(response, request.expires);
@@ -240,7 +240,10 @@
         check_key(&self.core, head, route)
     }
 
-    async fn forward(&self, request: &AdmittedRequest) -> Result<UpstreamResponse, ServiceError> {
+    async fn forward(
+        &self,
+        request: &Rc<AdmittedRequest>,
+    ) -> Result<UpstreamResponse, ServiceError> {
         let route = &request.matched.route;
         let target_ms = route.terms.target_latency_ms;
         let options = CallOptions {
--- a/crates/catkindeck-gateway/src/crashing.rs
+++ b/crates/catkindeck-gateway/src/crashing.rs
@@ -10,19 +10,25 @@
         },
         notices::{NoticeCall, NoticeExchange, NoticeSource, SharedNotice},
         peer::{PeerCall, PeerResponse},
+        upstream_guard::UpstreamGuard,
     },
     catkindeck::{
-        ErrorKind, Moment, ServiceError,
+        ErrorKind, Moment, ServiceError, SortedMap,
         id::{BodyDigest, ObjectName},
         log::LogEvent,
         log_event,
     },
     catkindeck_policy::direct::{
-        BrokenRun, BrokenRuns, CrashChange, CrashNotice, CrashRegister, CrashedRun, RunAdmission,
-        UpstreamKey,
+        BrokenRun, BrokenRuns, CrashChange, CrashEvidence, CrashNotice, CrashRegister, CrashedRun,
+        RunAdmission, UpstreamKey,
     },
     http::StatusCode,
-    std::{cell::RefCell, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        net::SocketAddr,
+        rc::Rc,
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -31,13 +37,119 @@
 const PROBE_PAUSES: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(300)];
 
 /// What this process knows of requests that crash upstreams.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct CrashWatch {
     register: RefCell<CrashRegister>,
     broken: RefCell<BrokenRuns>,
+    /// The runs in progress, in order of their keys.
+    running: RefCell<SortedMap<u64, Rc<RunState>>>,
+    last_run: Cell<u64>,
+    /// The upstreams that are being asked for a connection.
+    probed: RefCell<Vec<UpstreamKey>>,
     pub exchange: NoticeExchange<CrashNotice>,
 }
 
+/// How a run ended without a complete answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunEnd {
+    /// Its connection broke before any content of the answer.
+    Broken,
+    /// Nothing of the answer came until the request was given up.
+    Silent,
+    /// The answer was not the request's own, or only a part of it.
+    Incomplete,
+}
+
+impl RunEnd {
+    /// Returns the name for the log.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+            Self::Incomplete => "incomplete",
+        }
+    }
+}
+
+/// How a request is sent to an upstream.
+#[derive(Debug, Default)]
+pub struct SendState {
+    /// Whether the request may have been written.
+    pub is_sent: Cell<bool>,
+}
+
+/// A run of a caller's request.
+struct RunState {
+    request: Rc<AdmittedRequest>,
+    upstream: UpstreamKey,
+    begun: Moment,
+    /// Whether the connection was opened for the run, which shows that the upstream lived then.
+    is_fresh: bool,
+    send: Rc<SendState>,
+    /// Whether the upstream showed by its answer that it runs the request.
+    has_content: Cell<bool>,
+}
+
+/// Watches a run until its end is known. If it is dropped before, the run has ended in silence.
+pub struct WatchedRun {
+    core: Rc<GatewayCore>,
+    key: u64,
+    state: Rc<RunState>,
+}
+
+impl WatchedRun {
+    pub fn new(
+        core: &Rc<GatewayCore>,
+        request: &Rc<AdmittedRequest>,
+        guard: &UpstreamGuard,
+        is_fresh: bool,
+    ) -> Self {
+        let state = Rc::new(RunState {
+            request: Rc::clone(request),
+            upstream: guard.key,
+            begun: guard.begun,
+            is_fresh,
+            send: Rc::clone(&guard.send),
+            has_content: Cell::new(false),
+        });
+        let watch = &core.crashes;
+        let key = watch.last_run.get() + 1;
+        watch.last_run.set(key);
+        watch.running.borrow_mut().insert(key, Rc::clone(&state));
+        Self {
+            core: Rc::clone(core),
+            key,
+            state,
+        }
+    }
+
+    /// Records that a part of the answer arrived by which the upstream shows that it runs the request.
+    pub fn record_content(&self) {
+        self.state.has_content.set(true);
+    }
+
+    /// Ends the watch of a run that says nothing about the upstream: it is answered, was refused or was not sent.
+    pub fn settle(self) {
+        self.state.send.is_sent.set(false);
+    }
+
+    /// Ends the watch of a run without a complete answer.
+    pub fn end(self, end: RunEnd) {
+        self.core.record_run_end(&self.state, end);
+        self.settle();
+    }
+}
+
+impl Drop for WatchedRun {
+    fn drop(&mut self) {
+        self.core.crashes.running.borrow_mut().remove(&self.key);
+        // A stream that its caller leaves in the middle was alive.
+        if self.state.send.is_sent.get() && !self.state.has_content.get() {
+            self.core.record_run_end(&self.state, RunEnd::Silent);
+        }
+    }
+}
+
 impl SharedNotice for CrashNotice {
     const UNSENT: LogEvent = CRASHES_UNSENT;
 
@@ -61,11 +173,12 @@
         };
         let Some(change) = change else { return false };
         let digest = digest_text(self.digest());
-        if let Self::Crashed(run) = self {
+        if let Some((run, evidence)) = self.crash() {
             core.metrics.load.crashed_runs.inc();
             log_event!(core.logger, CRASH_RECORDED;
             "digest" => &digest, "upstream" => %run.upstream, "born_ms" => run.born_ms,
             "source" => source.name(), "ended_ago_ms" => run.ended_ago_ms,
+            "strong" => evidence == CrashEvidence::Strong,
             "sequence" => match change {
                 CrashChange::Suspected(count) => Some(count),
                 _ => None,
@@ -136,42 +249,72 @@
         !register.is_empty() && register.is_suspected(request.digest())
     }
 
-    /// Records that the connection of a run broke before its upstream had answered, and finds out whether the
-    /// upstream crashed.
-    pub fn record_broken_run(
-        self: &Rc<Self>,
-        request: &AdmittedRequest,
-        upstream: UpstreamKey,
-        begun: Moment,
-    ) {
-        let (id, address, is_expected) = {
+    /// Records that a run ended without a complete answer, and finds out whether its upstream crashed.
+    fn record_run_end(self: &Rc<Self>, state: &RunState, end: RunEnd) {
+        let (upstream, request) = (state.upstream, &state.request);
+        let (id, address, is_expected, is_listed, is_replaced) = {
             let roster = self.roster.borrow();
-            let record = &roster.get(upstream).record;
-            let is_expected = roster.is_expected_to_run(upstream);
-            (record.id.clone(), record.address, is_expected)
+            let instance = roster.get(upstream);
+            (
+                instance.record.id.clone(),
+                instance.record.address,
+                roster.is_expected_to_run(upstream),
+                instance.listed,
+                roster.is_replaced(upstream),
+            )
         };
+        let is_proven = end == RunEnd::Broken || end == RunEnd::Silent && state.is_fresh;
         let run = BrokenRun {
             digest: *request.digest(),
             upstream,
-            begun,
+            begun: state.begun,
             ended: self.now(),
+            evidence: match is_proven {
+                true => CrashEvidence::Strong,
+                false => CrashEvidence::Weak,
+            },
         };
         log_event!(self.logger, RUN_BROKEN;
             "request" => &request.head.id, "digest" => digest_text(&run.digest),
             "customer" => request.customer.as_ref().map(ToString::to_string),
             "path" => &request.head.path, "upstream" => %id, "expected" => is_expected,
-            "lasted_ms" => run.ended.since(begun));
-        if !is_expected || !self.crashes.broken.borrow_mut().record(run) {
+            "end" => end.name(), "fresh" => state.is_fresh,
+            "lasted_ms" => run.ended.since(run.begun));
+        if is_replaced || !is_listed && end == RunEnd::Silent {
+            let evidence = match is_replaced {
+                true => run.evidence,
+                false => CrashEvidence::Weak,
+            };
+            return self.report_crash(BrokenRun { evidence, ..run });
+        }
+        if !is_expected {
+            return;
+        }
+        self.crashes.broken.borrow_mut().record(run);
+        if end == RunEnd::Broken {
+            self.probe(upstream, address);
+        }
+    }
+
+    /// Asks an upstream for a connection, to find out whether it has ended.
+    fn probe(self: &Rc<Self>, upstream: UpstreamKey, address: SocketAddr) {
+        let mut probed = self.crashes.probed.borrow_mut();
+        if probed.contains(&upstream) {
             return;
         }
+        probed.push(upstream);
+        drop(probed);
         let core = Rc::clone(self);
         tokio::task::spawn_local(async move {
             for pause in PROBE_PAUSES {
                 sleep(pause).await;
                 if core.upstream_client.is_refused(address).await {
-                    return core.confirm_crashes(&[upstream]);
+                    core.confirm_crashes(&[upstream]);
+                    break;
                 }
             }
+            let mut probed = core.crashes.probed.borrow_mut();
+            probed.retain(|other| *other != upstream);
         });
     }
 
@@ -209,7 +352,7 @@
             .record(self.now(), &notice);
     }
 
-    /// Records that an upstream answered a request sent at `sent`, so that it had not crashed before.
+    /// Records that an upstream answered a request sent at `sent`, so that it had not crashed before, or was back.
     pub fn observe_life(&self, upstream: UpstreamKey, sent: Moment) {
         let mut broken = self.crashes.broken.borrow_mut();
         if !broken.is_empty() {
@@ -220,29 +363,75 @@
     /// Records that instances of upstreams do not run any more, without having said that they would end.
     pub fn confirm_crashes(&self, upstreams: &[UpstreamKey]) {
         for key in upstreams {
-            let now = self.now();
-            let runs = self.crashes.broken.borrow_mut().confirm(now, *key);
-            let (id, born_ms) = {
+            let (is_replaced, is_leaving) = {
                 let roster = self.roster.borrow();
-                let state = roster.get(*key);
-                if roster.is_leaving(*key) || state.record.draining {
-                    continue;
-                }
-                (state.record.id.clone(), state.record.born_ms)
+                let is_leaving = roster.is_leaving(*key) || roster.get(*key).record.draining;
+                (roster.is_replaced(*key), is_leaving)
             };
+            let now = self.now();
+            let runs = self
+                .crashes
+                .broken
+                .borrow_mut()
+                .confirm(now, *key, is_replaced);
+            if is_leaving {
+                continue;
+            }
             for run in runs {
-                let crashed = CrashedRun {
-                    digest: run.digest,
-                    upstream: id.clone(),
-                    born_ms,
-                    begun_ago_ms: now.since(run.begun),
-                    ended_ago_ms: now.since(run.ended),
-                };
-                self.share_notice(CrashNotice::Crashed(crashed), NoticeSource::Run);
+                self.report_crash(run);
             }
+            self.report_running(*key, is_replaced);
         }
     }
 
+    /// Reports the runs in progress at an instance that has ended. If it only left the list, it may still be at work.
+    fn report_running(&self, key: UpstreamKey, is_replaced: bool) {
+        let running: Vec<Rc<RunState>> = {
+            let running = self.crashes.running.borrow();
+            let states = running.values().filter(|state| {
+                state.upstream == key && state.send.is_sent.get() && !state.has_content.get()
+            });
+            states.map(Rc::clone).collect()
+        };
+        for state in running {
+            self.report_crash(BrokenRun {
+                digest: *state.request.digest(),
+                upstream: key,
+                begun: state.begun,
+                ended: self.now(),
+                evidence: match is_replaced && state.is_fresh {
+                    true => CrashEvidence::Strong,
+                    false => CrashEvidence::Weak,
+                },
+            });
+        }
+    }
+
+    fn report_crash(&self, run: BrokenRun) {
+        let now = self.now();
+        let crashed = {
+            let roster = self.roster.borrow();
+            let record = &roster.get(run.upstream).record;
+            CrashedRun {
+                digest: run.digest,
+                upstream: record.id.clone(),
+                born_ms: record.born_ms,
+                begun_ago_ms: now.since(run.begun),
+                ended_ago_ms: now.since(run.ended),
+            }
+        };
+        let notice = CrashNotice::crashed(crashed, run.evidence);
+        self.share_notice(notice, NoticeSource::Run);
+    }
+
+    /// Records that the list of upstreams was read and its changes were looked at.
+    pub fn observe_list(&self) {
+        let now = self.now();
+        let age_ms = self.roster.borrow().age(now).unwrap_or(0);
+        let mut broken = self.crashes.broken.borrow_mut();
+        broken.observe_read(now, now - age_ms);
+    }
+
     /// Forgets old crashes, and returns the number of requests that are refused.
     pub fn sweep_crashes(&self) -> usize {
         let mut register = self.crashes.register.borrow_mut();
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -72,7 +72,7 @@
     HEDGE_WITHHELD = 8200, "hedge_withheld", Info, "slow request was not sent to another upstream";
     RETRY_WITHHELD = 8201, "retry_withheld", Info, "request was not retried, because the duplicates of its service are spent";
     SCORE_DELAYED = 8202, "score_delayed", Info, "scorer call waited long for a place";
-    RUN_BROKEN = 8210, "run_broken", Info, "connection of a caller's request broke before the upstream had answered";
+    RUN_BROKEN = 8210, "run_broken", Info, "run of a caller's request ended without a complete answer";
     CRASH_RECORDED = 8211, "crash_recorded", Info, "upstream crashed while it ran a caller's request";
     REQUEST_QUARANTINED = 8212, "request_quarantined", Warning, "request crashed upstreams in sequence and is refused";
     SUSPECT_ANSWERED = 8215, "suspect_answered", Info, "upstream answered a request under which upstreams crashed";
--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -3,9 +3,7 @@
 use {
     crate::{core::GatewayCore, port::UpstreamHead, upstream_guard::UpstreamGuard},
     bytes::{Bytes, BytesMut},
-    catkindeck::Moment,
     catkindeck_net::{HttpExchange, SendError},
-    catkindeck_policy::direct::UpstreamKey,
     http::{HeaderMap, HeaderName, Request, header},
     std::{rc::Rc, time::Instant},
 };
@@ -57,16 +55,7 @@
     /// The upstream may have run the request.
     Unknown(String),
     /// The connection broke after the request was sent, and before any of the response's body arrived.
-    Broken(BrokenAttempt),
-}
-
-/// An attempt whose connection broke.
-pub struct BrokenAttempt {
-    /// The instance of the upstream.
-    pub upstream: UpstreamKey,
-    /// When the request was assigned to the upstream.
-    pub begun: Moment,
-    pub detail: String,
+    Broken(String),
 }
 
 /// Sends a request to an upstream and reads the response. With `fresh`, a new connection is opened.
@@ -80,7 +69,7 @@
     let started = Instant::now();
     let sent_ms = core.unix_ms();
     let client = &core.upstream_client;
-    let permit = || guard.may_send();
+    let permit = || guard.permit_send();
     let sent = match fresh {
         true => {
             client
@@ -249,11 +238,7 @@
     }
     guard.record_failure();
     match fault.maybe_received {
-        true => AttemptOutcome::Broken(BrokenAttempt {
-            upstream: guard.key,
-            begun: guard.begun,
-            detail: fault.to_string(),
-        }),
+        true => AttemptOutcome::Broken(fault.to_string()),
         false => AttemptOutcome::NotRun(fault.to_string()),
     }
 }
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -5,6 +5,7 @@
     crate::{
         caller_handler::AdmittedRequest,
         core::GatewayCore,
+        crashing::{RunEnd, WatchedRun},
         events::{ATTEMPT_FAILED, ATTEMPT_HEDGED, HEDGE_WITHHELD, RETRY_WITHHELD},
         upstream_guard::UpstreamGuard,
     },
@@ -59,6 +60,8 @@
 struct RunningAttempt {
     upstream: ObjectName,
     outcome: LocalFuture<'static, AttemptOutcome>,
+    /// Watches the run of a caller's request.
+    run: Option<WatchedRun>,
 }
 
 /// A request that is sent to upstreams with retries and, if it is idempotent, hedging.
@@ -81,7 +84,7 @@
     is_hedge_withheld: bool,
     /// The caller's request, whose runs are watched for upstreams that crash; `None` for scorer calls, which are
     /// owed.
-    watched: Option<&'a AdmittedRequest>,
+    watched: Option<&'a Rc<AdmittedRequest>>,
     /// Whether a connection of this call broke, which may have been a crash.
     is_broken: bool,
 }
@@ -117,7 +120,7 @@
     }
 
     /// Watches the runs of a caller's request for upstreams that crash under it.
-    pub fn watching(self, request: &'a AdmittedRequest) -> Self {
+    pub fn watching(self, request: &'a Rc<AdmittedRequest>) -> Self {
         Self {
             watched: Some(request),
             ..self
@@ -227,10 +230,18 @@
         let id = self.options.id.clone();
         // If the upstream has just closed a pooled connection, it is unknown whether the request ran. A
         // request that must not be repeated therefore uses a new connection.
-        let fresh = !self.options.idempotent;
+        // A new connection also shows that the upstream lives when a suspected request is sent.
+        let fresh = !self.options.idempotent || self.is_crash_suspected();
         let upstream = guard.id.clone();
+        let run = self
+            .watched
+            .map(|request| WatchedRun::new(self.core, request, &guard, fresh));
         let outcome = Box::pin(attempt(core, guard, request, id, fresh));
-        self.running.push(RunningAttempt { upstream, outcome });
+        self.running.push(RunningAttempt {
+            upstream,
+            outcome,
+            run,
+        });
         true
     }
 
@@ -287,8 +298,10 @@
     /// Handles the outcome of one attempt, and returns the outcome of the request if it is final.
     fn handle_outcome(
         &mut self,
-        (upstream, outcome): (ObjectName, AttemptOutcome),
+        (attempt, outcome): (RunningAttempt, AttemptOutcome),
     ) -> Option<CallOutcome> {
+        let upstream = attempt.upstream;
+        record_end(attempt.run, &outcome);
         match outcome {
             AttemptOutcome::Answered(response) => {
                 if let Some(request) = self.watched {
@@ -296,6 +309,12 @@
                     self.core.record_answered_run(request, &upstream, status);
                 }
                 let failed = response.head.status.is_server_error();
+                if !failed {
+                    // The other runs are cancelled, and their request does not crash upstreams.
+                    for other in self.running.drain(..) {
+                        other.run.into_iter().for_each(WatchedRun::settle);
+                    }
+                }
                 if !failed || !self.options.idempotent {
                     return Some(CallOutcome::Answered(response));
                 }
@@ -320,14 +339,10 @@
                 self.log_failure(&upstream, &detail, "unknown");
                 self.unknown = Some(detail);
             }
-            AttemptOutcome::Broken(broken) => {
+            AttemptOutcome::Broken(detail) => {
                 self.is_broken = true;
-                if let Some(request) = self.watched {
-                    self.core
-                        .record_broken_run(request, broken.upstream, broken.begun);
-                }
-                self.log_failure(&upstream, &broken.detail, "unknown");
-                self.unknown = Some(broken.detail);
+                self.log_failure(&upstream, &detail, "unknown");
+                self.unknown = Some(detail);
             }
         }
         None
@@ -370,13 +385,24 @@
     }
 }
 
+/// Ends the watch of a run by the outcome of its attempt.
+fn record_end(run: Option<WatchedRun>, outcome: &AttemptOutcome) {
+    let Some(run) = run else { return };
+    match outcome {
+        AttemptOutcome::Answered(_) | AttemptOutcome::NotRun(_) | AttemptOutcome::Withheld(_) => {
+            run.settle();
+        }
+        AttemptOutcome::Unknown(_) => run.end(RunEnd::Incomplete),
+        AttemptOutcome::Broken(_) => run.end(RunEnd::Broken),
+    }
+}
+
 /// Waits for the first attempt to end and removes it from the list.
-async fn next_outcome(running: &mut Vec<RunningAttempt>) -> (ObjectName, AttemptOutcome) {
+async fn next_outcome(running: &mut Vec<RunningAttempt>) -> (RunningAttempt, AttemptOutcome) {
     poll_fn(|context| {
         for index in 0..running.len() {
             if let Poll::Ready(outcome) = running[index].outcome.as_mut().poll(context) {
-                let attempt = running.swap_remove(index);
-                return Poll::Ready((attempt.upstream, outcome));
+                return Poll::Ready((running.swap_remove(index), outcome));
             }
         }
         Poll::Pending
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -5,6 +5,7 @@
     crate::{
         caller_handler::{AdmittedRequest, ResponseSource, check_key},
         core::GatewayCore,
+        crashing::{RunEnd, WatchedRun},
         events::{ATTEMPT_FAILED, ORIGIN_UNKNOWN, STREAM_ENDED, STREAM_OPENED},
         port::{EventDecoder, UpstreamCall, UpstreamHead},
         upstream_guard::UpstreamGuard,
@@ -33,7 +34,7 @@
 /// A stream that is being forwarded from upstreams to a caller.
 pub struct StreamCall {
     core: Rc<GatewayCore>,
-    request: AdmittedRequest,
+    request: Rc<AdmittedRequest>,
     excluded: Vec<UpstreamKey>,
     attempts: u32,
     refusals: u32,
@@ -48,6 +49,7 @@
 
 struct OpenStream {
     guard: UpstreamGuard,
+    run: WatchedRun,
     exchange: HttpExchange,
     head: UpstreamHead,
     headers: HeaderMap,
@@ -67,6 +69,8 @@
     Broken(String),
     /// The connection broke before the upstream had sent more than one event.
     BrokenEarly(String),
+    /// The upstream sent no event, or one, and then nothing until the stream was given up.
+    Silent(String),
 }
 
 impl ForwardOutcome {
@@ -80,7 +84,7 @@
 }
 
 impl StreamCall {
-    pub fn new(core: &Rc<GatewayCore>, request: AdmittedRequest) -> Self {
+    pub fn new(core: &Rc<GatewayCore>, request: Rc<AdmittedRequest>) -> Self {
         let last_event = request.head.last_event;
         let key = StreamKey::new(
             &request.matched.service,
@@ -275,13 +279,24 @@
             roster.get_mut(guard.key).record_prompt_part(part);
         }
         let client = &self.core.upstream_client;
-        let permit = || guard.may_send();
-        let mut exchange = match client.send_if(guard.address, request, &permit).await {
+        let permit = || guard.permit_send();
+        // A new connection shows that the upstream lives when a suspected request is sent.
+        let is_fresh = self.core.is_crash_suspected(&self.request);
+        let run = WatchedRun::new(&self.core, &self.request, &guard, is_fresh);
+        let sent = match is_fresh {
+            true => {
+                client
+                    .send_on_new_connection(guard.address, request, &permit)
+                    .await
+            }
+            false => client.send_if(guard.address, request, &permit).await,
+        };
+        let mut exchange = match sent {
             Ok(exchange) => exchange,
             Err(fault) => {
-                if fault.maybe_received {
-                    self.core
-                        .record_broken_run(&self.request, guard.key, guard.begun);
+                match fault.maybe_received {
+                    true => run.end(RunEnd::Broken),
+                    false => run.settle(),
                 }
                 return Ok(failure_outcome(&guard, &fault));
             }
@@ -289,6 +304,7 @@
         let head = codec.decode_head(exchange.status(), exchange.headers());
         let id = &self.request.head.id;
         if let Some(detail) = foreign_response(&head, id) {
+            run.end(RunEnd::Incomplete);
             exchange.discard_connection();
             guard.record_failure();
             return Ok(OpenOutcome::Unknown(detail));
@@ -298,6 +314,7 @@
             exchange.prevent_reuse();
         }
         if head.not_run {
+            run.settle();
             guard.record_refusal(REFUSAL_PAUSE_MS);
             exchange.drain_in_background();
             let detail = format!(
@@ -309,9 +326,13 @@
                 false => OpenOutcome::Withheld(detail),
             });
         }
+        if !head.status.is_success() {
+            run.record_content();
+        }
         let headers = exchange.headers().clone();
         Ok(OpenOutcome::Open(Box::new(OpenStream {
             guard,
+            run,
             exchange,
             head,
             headers,
@@ -324,32 +345,36 @@
         loop {
             let is_stream = stream.head.status.is_success();
             let end = self.forward_attempt(&mut stream, sender, is_stream).await;
-            let detail = match end {
+            let OpenStream {
+                guard,
+                run,
+                exchange,
+                head,
+                ..
+            } = *stream;
+            let (detail, run_end) = match end {
                 ForwardOutcome::Complete => {
-                    let status = stream.head.status;
-                    let upstream = &stream.guard.id;
+                    run.settle();
                     self.core
-                        .record_answered_run(&self.request, upstream, status);
+                        .record_answered_run(&self.request, &guard.id, head.status);
                     return self.log_end("complete", "");
                 }
                 ForwardOutcome::CallerGone => return self.log_end("caller_gone", ""),
-                ForwardOutcome::Broken(detail) => detail,
-                ForwardOutcome::BrokenEarly(detail) => {
-                    let guard = &stream.guard;
-                    if !self.is_held_back {
-                        self.core
-                            .record_broken_run(&self.request, guard.key, guard.begun);
-                    }
-                    detail
-                }
+                ForwardOutcome::Broken(detail) => (detail, None),
+                ForwardOutcome::Silent(detail) => (detail, Some(RunEnd::Silent)),
+                ForwardOutcome::BrokenEarly(detail) => (detail, Some(RunEnd::Broken)),
             };
             // An upstream ends a stream that is left unread for too long.
+            match run_end.filter(|_| !self.is_held_back) {
+                Some(run_end) => run.end(run_end),
+                None => run.settle(),
+            }
             if !self.is_held_back {
-                stream.guard.record_failure();
+                guard.record_failure();
             }
-            self.log_failure(&stream.guard.id, &detail, "broken");
-            // Dropping the broken stream closes its connection, which ends the run at that upstream.
-            drop(stream);
+            self.log_failure(&guard.id, &detail, "broken");
+            // Dropping the exchange closes its connection, which ends the run at that upstream.
+            drop((guard, exchange));
             if !self.request.matched.route.terms.resumable || !is_stream {
                 self.log_end("broken", &detail);
                 return sender.abort(&detail).await;
@@ -391,9 +416,13 @@
             };
             let chunk = match timeout_at(limit, stream.exchange.chunk()).await {
                 Err(_) => {
-                    return ForwardOutcome::Broken(format!(
+                    let detail = format!(
                         "no event from the upstream within {EVENT_TIMEOUT:?} or before the deadline"
-                    ));
+                    );
+                    return match event_count {
+                        0 | 1 => ForwardOutcome::Silent(detail),
+                        _ => ForwardOutcome::Broken(detail),
+                    };
                 }
                 Ok(Err(fault)) => return ForwardOutcome::broken(event_count, fault.detail),
                 Ok(Ok(None)) if is_stream && !decoder.is_at_boundary() => {
@@ -423,6 +452,9 @@
                 }
                 self.last_event = Some(event.number);
                 event_count += 1;
+                if event_count > 1 {
+                    stream.run.record_content();
+                }
                 if !is_recorded {
                     is_recorded = true;
                     let software = &stream.guard.software;
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -530,6 +530,7 @@
         }
         drop(roster);
         core.confirm_crashes(&changes.gone);
+        core.observe_list();
         core.apply_pending_limits();
         core.capacity.notify_one();
     }
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -1,7 +1,7 @@
 //! The use of an upstream by one request.
 
 use {
-    crate::{core::GatewayCore, port::UpstreamHead},
+    crate::{core::GatewayCore, crashing::SendState, port::UpstreamHead},
     catkindeck::{Moment, id::ObjectName},
     catkindeck_net::SendError,
     catkindeck_policy::direct::{
@@ -27,6 +27,8 @@
     pub software: SoftwareVersion,
     /// When the request was assigned to the upstream, which is not later than when it was sent.
     pub begun: Moment,
+    /// Whether the request was sent.
+    pub send: Rc<SendState>,
     /// Whether the request counts for the latency of a plain upstream until it is answered.
     is_timed: Cell<bool>,
 }
@@ -109,6 +111,7 @@
             address: state.record.address,
             software: state.record.software.clone(),
             begun: now,
+            send: Rc::default(),
             is_timed: Cell::new(false),
         }
     }
@@ -120,6 +123,13 @@
         !roster.is_leaving(self.key) && !roster.get(self.key).exceeds_places(self.core.now())
     }
 
+    /// As [`Self::may_send`], directly before the request is written.
+    pub fn permit_send(&self) -> bool {
+        let may_send = self.may_send();
+        self.send.is_sent.set(may_send);
+        may_send
+    }
+
     /// Returns whether a request was not sent because the upstream leaves or its place has ended. It costs neither an attempt nor a pause.
     pub fn was_withheld(&self, fault: &SendError) -> bool {
         let was_withheld = !fault.maybe_received && !self.may_send();
--- a/crates/catkindeck-policy/src/direct/crash_register.rs
+++ b/crates/catkindeck-policy/src/direct/crash_register.rs
@@ -16,10 +16,16 @@
 /// The number of crashes in sequence after which a request is refused. The platform allows three and a few more.
 pub const SEQUENCE_LIMIT: usize = 3;
 
+/// The number of crashes in sequence after which a request is refused if some are weak evidence.
+const WEAK_SEQUENCE_LIMIT: usize = 5;
+
 /// The number of crashes after which two in sequence are enough, because copies of the request run at several upstreams
 /// at a time.
 const CROWD_LIMIT: usize = 5;
 
+/// The number of these crashes that must be strong evidence.
+const STRONG_CROWD_LIMIT: usize = 2;
+
 /// The time between two crashes after which they count separately although their runs overlapped, in milliseconds.
 /// A fault that ends many upstreams ends them within this time.
 const SEPARATE_MS: u64 = 1_000;
@@ -42,6 +48,15 @@
 /// the notice of a crash may come after the answer.
 const ANSWER_LIMIT: usize = 256;
 
+/// How strongly the crash of an upstream speaks against a request that it ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CrashEvidence {
+    /// Ordinary requests meet such crashes more often: the upstream may have ended before the run began, or long after.
+    Weak,
+    /// The upstream lived when the run began, and ended before it had answered.
+    Strong,
+}
+
 /// A run that ended because its upstream crashed.
 #[message]
 pub struct CrashedRun {
@@ -65,24 +80,44 @@
         /// How long ago, in milliseconds.
         ago_ms: u64,
     },
+    /// A crash that is weak evidence against the request.
+    WeaklyCrashed(CrashedRun),
 }
 
 impl CrashNotice {
+    pub fn crashed(run: CrashedRun, evidence: CrashEvidence) -> Self {
+        match evidence {
+            CrashEvidence::Strong => Self::Crashed(run),
+            CrashEvidence::Weak => Self::WeaklyCrashed(run),
+        }
+    }
+
     pub fn digest(&self) -> &BodyDigest {
         match self {
-            Self::Crashed(run) => &run.digest,
+            Self::Crashed(run) | Self::WeaklyCrashed(run) => &run.digest,
             Self::Answered { digest, .. } => digest,
         }
     }
 
+    /// Returns the crash that the notice tells of.
+    pub fn crash(&self) -> Option<(&CrashedRun, CrashEvidence)> {
+        match self {
+            Self::Crashed(run) => Some((run, CrashEvidence::Strong)),
+            Self::WeaklyCrashed(run) => Some((run, CrashEvidence::Weak)),
+            Self::Answered { .. } => None,
+        }
+    }
+
     /// Returns the notice as it reads some time later.
     pub fn aged(self, elapsed_ms: u64) -> Self {
+        let aged = |run: CrashedRun| CrashedRun {
+            begun_ago_ms: run.begun_ago_ms.saturating_add(elapsed_ms),
+            ended_ago_ms: run.ended_ago_ms.saturating_add(elapsed_ms),
+            ..run
+        };
         match self {
-            Self::Crashed(run) => Self::Crashed(CrashedRun {
-                begun_ago_ms: run.begun_ago_ms.saturating_add(elapsed_ms),
-                ended_ago_ms: run.ended_ago_ms.saturating_add(elapsed_ms),
-                ..run
-            }),
+            Self::Crashed(run) => Self::Crashed(aged(run)),
+            Self::WeaklyCrashed(run) => Self::WeaklyCrashed(aged(run)),
             Self::Answered { digest, ago_ms } => Self::Answered {
                 digest,
                 ago_ms: ago_ms.saturating_add(elapsed_ms),
@@ -122,6 +157,7 @@
     born_ms: u64,
     begun: Moment,
     ended: Moment,
+    evidence: CrashEvidence,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -175,25 +211,34 @@
         tolerance_ms: u64,
     ) -> Option<CrashChange> {
         let digest = *notice.digest();
-        match notice {
-            CrashNotice::Crashed(run) => {
-                self.make_room(now, &digest);
-                let answered = self.last_answer(&digest);
-                let history = self
-                    .histories
-                    .get_or_insert_with(digest, CrashHistory::default);
-                history.answered = history.answered.max(answered);
-                let was_refused = history.is_refused(now);
-                history
-                    .record_crash(now, run, tolerance_ms)
-                    .then(|| match history.is_guilty() {
-                        false => CrashChange::Suspected(history.sequence()),
-                        true if was_refused => CrashChange::Extended,
-                        true => CrashChange::Quarantined,
-                    })
+        let (run, evidence) = match notice {
+            CrashNotice::Answered { ago_ms, .. } => {
+                return self.record_answer(now - *ago_ms, digest);
             }
-            CrashNotice::Answered { ago_ms, .. } => self.record_answer(now - *ago_ms, digest),
-        }
+            CrashNotice::Crashed(run) => (run, CrashEvidence::Strong),
+            CrashNotice::WeaklyCrashed(run) => (run, CrashEvidence::Weak),
+        };
+        self.make_room(now, &digest);
+        let answered = self.last_answer(&digest);
+        let history = self
+            .histories
+            .get_or_insert_with(digest, CrashHistory::default);
+        history.answered = history.answered.max(answered);
+        let was_refused = history.is_refused(now);
+        let crash = RecordedCrash {
+            upstream: run.upstream.clone(),
+            born_ms: run.born_ms,
+            begun: now - run.begun_ago_ms,
+            ended: now - run.ended_ago_ms,
+            evidence,
+        };
+        history
+            .record_crash(crash, tolerance_ms)
+            .then(|| match history.is_guilty() {
+                false => CrashChange::Suspected(history.sequence(CrashEvidence::Weak)),
+                true if was_refused => CrashChange::Extended,
+                true => CrashChange::Quarantined,
+            })
     }
 
     fn record_answer(&mut self, at: Moment, digest: BodyDigest) -> Option<CrashChange> {
@@ -258,13 +303,14 @@
             });
             notices.extend(answered);
             notices.extend(history.crashes.iter().map(|crash| {
-                CrashNotice::Crashed(CrashedRun {
+                let run = CrashedRun {
                     digest: *digest,
                     upstream: crash.upstream.clone(),
                     born_ms: crash.born_ms,
                     begun_ago_ms: now.since(crash.begun),
                     ended_ago_ms: now.since(crash.ended),
-                })
+                };
+                CrashNotice::crashed(run, crash.evidence)
             }));
         }
         notices
@@ -307,30 +353,35 @@
     }
 }
 
+impl RecordedCrash {
+    /// Returns whether this is the end of the same instance. The times are those of the runs that it ended, which
+    /// overlap, and an upstream that crashed is not back earlier than the tolerance.
+    fn is_same(&self, other: &Self) -> bool {
+        self.upstream == other.upstream
+            && self.born_ms == other.born_ms
+            && self.begun < other.ended + AGE_TOLERANCE_MS
+            && other.begun < self.ended + AGE_TOLERANCE_MS
+    }
+}
+
 impl CrashHistory {
     /// Adds a crash and returns whether it was news that counts. It may be earlier than its notice says by the
     /// tolerance.
-    fn record_crash(&mut self, now: Moment, run: &CrashedRun, tolerance_ms: u64) -> bool {
-        let (begun, ended) = (now - run.begun_ago_ms, now - run.ended_ago_ms);
-        let is_known = self.crashes.iter().any(|crash| {
-            let apart = ended.since(crash.ended).max(crash.ended.since(ended));
-            crash.upstream == run.upstream
-                && crash.born_ms == run.born_ms
-                && apart < AGE_TOLERANCE_MS
-        });
+    fn record_crash(&mut self, crash: RecordedCrash, tolerance_ms: u64) -> bool {
+        let known = self.crashes.iter_mut().find(|known| known.is_same(&crash));
+        if let Some(known) = known {
+            let is_stronger = crash.evidence > known.evidence;
+            known.evidence = known.evidence.max(crash.evidence);
+            return is_stronger;
+        }
         // An answer to a run that overlapped this one proves that the crash had another cause.
-        let is_answered = self
+        if self
             .answered
-            .is_some_and(|answered| begun <= answered + tolerance_ms);
-        if is_known || is_answered {
+            .is_some_and(|answered| crash.begun <= answered + tolerance_ms)
+        {
             return false;
         }
-        self.crashes.push(RecordedCrash {
-            upstream: run.upstream.clone(),
-            born_ms: run.born_ms,
-            begun,
-            ended,
-        });
+        self.crashes.push(crash);
         self.crashes.sort_by_key(|crash| crash.ended);
         if self.crashes.len() > CRASH_LIMIT {
             self.crashes.remove(0);
@@ -344,12 +395,12 @@
         self.crashes.retain(|crash| crash.begun > at);
     }
 
-    /// Returns the number of crashes in sequence. Crashes at one moment count once, because one fault may end many
-    /// upstreams that all run copies of a frequent request.
-    fn sequence(&self) -> usize {
+    /// Returns the number of crashes in sequence of which the evidence is this strong. Crashes at one moment count
+    /// once, because one fault may end many upstreams that all run copies of a frequent request.
+    fn sequence(&self, least: CrashEvidence) -> usize {
         let mut count = 0;
         let mut last: Option<Moment> = None;
-        for crash in &self.crashes {
+        for crash in self.crashes.iter().filter(|crash| crash.evidence >= least) {
             let is_separate = last
                 .is_none_or(|last| crash.begun >= last || crash.ended.since(last) >= SEPARATE_MS);
             if is_separate {
@@ -362,8 +413,13 @@
 
     /// Returns whether the crashes prove that the request caused them.
     fn is_guilty(&self) -> bool {
-        let sequence = self.sequence();
-        sequence >= SEQUENCE_LIMIT || sequence >= 2 && self.crashes.len() >= CROWD_LIMIT
+        let sequence = self.sequence(CrashEvidence::Weak);
+        let strong = self.crashes.iter();
+        let strong = strong.filter(|crash| crash.evidence == CrashEvidence::Strong);
+        let is_crowd = self.crashes.len() >= CROWD_LIMIT && strong.count() >= STRONG_CROWD_LIMIT;
+        self.sequence(CrashEvidence::Strong) >= SEQUENCE_LIMIT
+            || sequence >= WEAK_SEQUENCE_LIMIT
+            || sequence >= 2 && is_crowd
     }
 
     fn is_refused(&self, now: Moment) -> bool {
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -58,8 +58,8 @@
     claim::{ClaimDecision, decide_claim},
     completion::RunMove,
     crash_register::{
-        CrashChange, CrashNotice, CrashRegister, CrashedRun, RunAdmission, SEQUENCE_LIMIT,
-        request_digest,
+        CrashChange, CrashEvidence, CrashNotice, CrashRegister, CrashedRun, RunAdmission,
+        SEQUENCE_LIMIT, request_digest,
     },
     duplicate_budget::DuplicateBudget,
     engine_speed::{EngineSpeed, SlowPhase, SpeedDeviation},
--- a/crates/catkindeck-policy/src/direct/upstream_table.rs
+++ b/crates/catkindeck-policy/src/direct/upstream_table.rs
@@ -219,6 +219,12 @@
         state.listed && !state.record.draining && !self.is_leaving(key)
     }
 
+    /// Returns whether a later instance has taken the place of one.
+    pub fn is_replaced(&self, key: UpstreamKey) -> bool {
+        let current = self.current(&self.get(key).record.id);
+        current.is_some_and(|current| current != key)
+    }
+
     /// Returns the notices of the current instances that leave.
     pub fn leaving_notices(&self) -> Vec<LeavingNotice> {
         let leaving = self.iter().filter(|(key, _)| self.is_leaving(*key));
