Count upstreams that crash while they drain

What callers saw: a request that crashes upstreams went on during a release, at upstreams that drain or said that they leave: 9 crashed where 6 are allowed. Cause: a broken run at an upstream that drains was taken for a planned end and skipped, and so were its confirmed crashes. The log had run_broken with expected false and no crash_recorded. Change: such runs are watched and count as weak evidence, since a planned end cuts ordinary runs too. Five crashes of any kind of which three are in sequence refuse a request: an idempotent one crashes up to three upstreams with its first call, which are one of a sequence. Ruled out: strong evidence, by which a release of all upstreams would refuse ordinary requests that are cut at three of them. Test: upstreams_that_crash_while_they_drain_are_counted, 9 crashed before, at most 6 now; ordinary_requests_are_served_during_a_release stays green.

--- a/crates/catkindeck-gateway/src/crashing.rs
+++ b/crates/catkindeck-gateway/src/crashing.rs
@@ -263,7 +263,9 @@
                 roster.is_replaced(upstream),
             )
         };
-        let is_proven = end == RunEnd::Broken || end == RunEnd::Silent && state.is_fresh;
+        let is_proven = is_expected || is_replaced;
+        let is_proven =
+            is_proven && (end == RunEnd::Broken || end == RunEnd::Silent && state.is_fresh);
         let run = BrokenRun {
             digest: *request.digest(),
             upstream,
@@ -281,14 +283,7 @@
             "end" => end.name(), "fresh" => state.is_fresh,
             "lasted_ms" => run.ended.since(run.begun));
         if is_replaced || !is_listed && end == RunEnd::Silent {
-            let evidence = match is_replaced {
-                true => run.evidence,
-                false => CrashEvidence::Weak,
-            };
-            return self.report_crash(BrokenRun { evidence, ..run });
-        }
-        if !is_expected {
-            return;
+            return self.report_crash(run);
         }
         self.crashes.broken.borrow_mut().record(run);
         if end == RunEnd::Broken {
@@ -360,7 +355,7 @@
         }
     }
 
-    /// Records that instances of upstreams do not run any more, without having said that they would end.
+    /// Records that instances of upstreams do not run any more. Those that said that they would end are weak evidence.
     pub fn confirm_crashes(&self, upstreams: &[UpstreamKey]) {
         for key in upstreams {
             let (is_replaced, is_leaving) = {
@@ -374,13 +369,17 @@
                 .broken
                 .borrow_mut()
                 .confirm(now, *key, is_replaced);
-            if is_leaving {
-                continue;
-            }
             for run in runs {
-                self.report_crash(run);
+                let evidence = match is_leaving {
+                    true => CrashEvidence::Weak,
+                    false => run.evidence,
+                };
+                self.report_crash(BrokenRun { evidence, ..run });
+            }
+            // An instance that leaves goes on for a while after it has left the list.
+            if !is_leaving {
+                self.report_running(*key, is_replaced);
             }
-            self.report_running(*key, is_replaced);
         }
     }
 
--- a/crates/catkindeck-policy/src/direct/crash_register.rs
+++ b/crates/catkindeck-policy/src/direct/crash_register.rs
@@ -16,16 +16,17 @@
 /// The number of crashes in sequence after which a request is refused. The platform allows three and a few more.
 pub const SEQUENCE_LIMIT: usize = 3;
 
-/// The number of crashes in sequence after which a request is refused if some are weak evidence.
-const WEAK_SEQUENCE_LIMIT: usize = 5;
-
-/// The number of crashes after which two in sequence are enough, because copies of the request run at several upstreams
-/// at a time.
+/// The number of crashes of any kind after which a shorter sequence is enough, because copies of the request run at
+/// several upstreams at a time.
 const CROWD_LIMIT: usize = 5;
 
-/// The number of these crashes that must be strong evidence.
+/// The number of these in sequence that refuses a request if enough of them are strong evidence.
+const STRONG_CROWD_SEQUENCE: usize = 2;
 const STRONG_CROWD_LIMIT: usize = 2;
 
+/// The number of these in sequence that refuses a request in any case.
+const WEAK_CROWD_SEQUENCE: usize = 3;
+
 /// The time between two crashes after which they count separately although their runs overlapped, in milliseconds.
 /// A fault that ends many upstreams ends them within this time.
 const SEPARATE_MS: u64 = 1_000;
@@ -413,13 +414,16 @@
 
     /// Returns whether the crashes prove that the request caused them.
     fn is_guilty(&self) -> bool {
-        let sequence = self.sequence(CrashEvidence::Weak);
+        if self.sequence(CrashEvidence::Strong) >= SEQUENCE_LIMIT {
+            return true;
+        }
         let strong = self.crashes.iter();
         let strong = strong.filter(|crash| crash.evidence == CrashEvidence::Strong);
-        let is_crowd = self.crashes.len() >= CROWD_LIMIT && strong.count() >= STRONG_CROWD_LIMIT;
-        self.sequence(CrashEvidence::Strong) >= SEQUENCE_LIMIT
-            || sequence >= WEAK_SEQUENCE_LIMIT
-            || sequence >= 2 && is_crowd
+        let crowd_sequence = match strong.count() >= STRONG_CROWD_LIMIT {
+            true => STRONG_CROWD_SEQUENCE,
+            false => WEAK_CROWD_SEQUENCE,
+        };
+        self.crashes.len() >= CROWD_LIMIT && self.sequence(CrashEvidence::Weak) >= crowd_sequence
     }
 
     fn is_refused(&self, now: Moment) -> bool {
