Count upstreams that crash late in a run

What callers saw: a stream that crashes its engine after three events went on, resumed each time: 14 engines crashed in 12 attempts, where 6 are allowed. Cause: a stream counted until its second event only, and a plain response was taken for an answer once 256 KiB of it had come. Change: a run counts until its answer is complete. After its second event, or the first part of a long response, a crash is weak evidence, because long streams meet more crashes of other causes.

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -4,6 +4,7 @@
     crate::{
         capacity::{BODY_MEMORY_DIVISOR, BodyBytes, HELD_MEMORY_DIVISOR},
         core::GatewayCore,
+        crashing::{RunEnd, WatchedRun},
         events::{REQUEST_ANSWERED, REQUEST_REFUSED},
         forward::{
             CallOptions, CallOutcome, HedgedCall, UpstreamResponse, copy_headers,
@@ -174,12 +175,12 @@
         if request.matched.route.terms.streaming {
             return StreamCall::new(&self.core, request).run().await;
         }
-        let response = self.forward(&request).await?;
+        let (response, run) = self.forward(&request).await?;
         let source = ResponseSource {
             service: request.matched.service.clone(),
             upstream: response.guard.id.clone(),
         };
-        let mut response = self.forward_response(response, request.expires);
+        let mut response = self.forward_response(&request, response, run);
         response.extensions_mut().insert(source);
         Ok(response)
     }
@@ -240,10 +241,11 @@
         check_key(&self.core, head, route)
     }
 
+    /// Forwards a request to upstreams. Returns the run with a response of which the rest is still to come.
     async fn forward(
         &self,
         request: &Rc<AdmittedRequest>,
-    ) -> Result<UpstreamResponse, ServiceError> {
+    ) -> Result<(UpstreamResponse, Option<WatchedRun>), ServiceError> {
         let route = &request.matched.route;
         let target_ms = route.terms.target_latency_ms;
         let options = CallOptions {
@@ -275,18 +277,19 @@
                 let customer = request.customer.as_ref();
                 self.core.count_usage(customer, response.sent_ms);
                 self.core.record_served(&request.matched.service, customer);
-                Ok(*response)
+                Ok((*response, report.run))
             }
             CallOutcome::Failed(error) => Err(error),
         }
     }
 
-    /// Forwards a response. The rest of a body that is not complete yet is forwarded until `expires`, because an
-    /// upstream may send bytes without end.
+    /// Forwards a response. The rest of a body that is not complete yet is forwarded until the request expires, because
+    /// an upstream may send bytes without end.
     fn forward_response(
         &self,
+        request: &Rc<AdmittedRequest>,
         response: UpstreamResponse,
-        expires: Instant,
+        run: Option<WatchedRun>,
     ) -> Response<ResponseBody> {
         let UpstreamResponse {
             head,
@@ -300,26 +303,35 @@
             None => ResponseBody::whole(body),
             Some(mut exchange) => {
                 let (sender, stream) = ResponseBody::stream();
+                let (core, request) = (Rc::clone(&self.core), Rc::clone(request));
+                let status = head.status;
+                if let Some(run) = &run {
+                    run.record_content();
+                }
                 tokio::task::spawn_local(async move {
-                    let _guard = guard;
                     if !sender.send(body).await {
                         return;
                     }
-                    loop {
-                        match timeout_at(expires, exchange.chunk()).await {
+                    let reason = loop {
+                        match timeout_at(request.expires, exchange.chunk()).await {
                             Ok(Ok(Some(chunk))) => {
                                 if !sender.send(chunk).await {
                                     return;
                                 }
                             }
-                            Ok(Ok(None)) => return,
-                            Ok(Err(fault)) => return sender.abort(&fault.detail).await,
+                            Ok(Ok(None)) => {
+                                run.into_iter().for_each(WatchedRun::settle);
+                                return core.record_answered_run(&request, &guard.id, status);
+                            }
+                            Ok(Err(fault)) => break fault.detail,
                             Err(_) => {
-                                let reason = "the response was not complete before the deadline";
-                                return sender.abort(reason).await;
+                                break "the response was not complete before the deadline"
+                                    .to_owned();
                             }
                         }
-                    }
+                    };
+                    run.into_iter().for_each(|run| run.end(RunEnd::Incomplete));
+                    sender.abort(&reason).await;
                 });
                 stream
             }
--- a/crates/catkindeck-gateway/src/crashing.rs
+++ b/crates/catkindeck-gateway/src/crashing.rs
@@ -286,7 +286,7 @@
             return self.report_crash(run);
         }
         self.crashes.broken.borrow_mut().record(run);
-        if end == RunEnd::Broken {
+        if end != RunEnd::Silent {
             self.probe(upstream, address);
         }
     }
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -51,6 +51,8 @@
     /// The number of responses in which an upstream states a failure of its own. Responses of
     /// upstreams that ran out of time do not count.
     pub failures: u32,
+    /// The run of a response of which the rest is still to come.
+    pub run: Option<WatchedRun>,
 }
 
 /// Builds the request for one attempt from the upstream and the remaining time.
@@ -87,6 +89,8 @@
     watched: Option<&'a Rc<AdmittedRequest>>,
     /// Whether a connection of this call broke, which may have been a crash.
     is_broken: bool,
+    /// The run of a response of which the rest is still to come.
+    open_run: Option<WatchedRun>,
 }
 
 impl<'a> HedgedCall<'a> {
@@ -106,6 +110,7 @@
             is_hedge_withheld: false,
             watched: None,
             is_broken: false,
+            open_run: None,
             options,
             builder,
             excluded: Vec::new(),
@@ -133,6 +138,7 @@
         CallReport {
             outcome,
             failures: self.failures,
+            run: self.open_run.take(),
         }
     }
 
@@ -301,10 +307,17 @@
         (attempt, outcome): (RunningAttempt, AttemptOutcome),
     ) -> Option<CallOutcome> {
         let upstream = attempt.upstream;
-        record_end(attempt.run, &outcome);
+        let is_partial =
+            matches!(&outcome, AttemptOutcome::Answered(response) if response.rest.is_some());
+        match is_partial {
+            true => self.open_run = attempt.run,
+            false => record_end(attempt.run, &outcome),
+        }
         match outcome {
             AttemptOutcome::Answered(response) => {
-                if let Some(request) = self.watched {
+                if let Some(request) = self.watched
+                    && !is_partial
+                {
                     let status = response.head.status;
                     self.core.record_answered_run(request, &upstream, status);
                 }
@@ -319,6 +332,10 @@
                     return Some(CallOutcome::Answered(response));
                 }
                 // A server error is passed on only if no other upstream responds without one.
+                self.open_run
+                    .take()
+                    .into_iter()
+                    .for_each(WatchedRun::settle);
                 response.guard.record_refusal(0);
                 let is_failure = response.head.status == StatusCode::INTERNAL_SERVER_ERROR;
                 self.failures += u32::from(is_failure);
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -66,19 +66,16 @@
 enum ForwardOutcome {
     Complete,
     CallerGone,
-    Broken(String),
-    /// The connection broke before the upstream had sent more than one event.
-    BrokenEarly(String),
-    /// The upstream sent no event, or one, and then nothing until the stream was given up.
-    Silent(String),
+    /// The stream ended early.
+    Broken(RunEnd, String),
 }
 
 impl ForwardOutcome {
-    /// A request that crashes upstreams does so when they begin to run it, which they show by the first event.
-    fn broken(event_count: u32, detail: String) -> Self {
+    /// Until the second event, the upstream has not shown that it goes on with the run.
+    fn broken(event_count: u32, early: RunEnd, detail: String) -> Self {
         match event_count {
-            0 | 1 => Self::BrokenEarly(detail),
-            _ => Self::Broken(detail),
+            0 | 1 => Self::Broken(early, detail),
+            _ => Self::Broken(RunEnd::Incomplete, detail),
         }
     }
 }
@@ -360,16 +357,13 @@
                     return self.log_end("complete", "");
                 }
                 ForwardOutcome::CallerGone => return self.log_end("caller_gone", ""),
-                ForwardOutcome::Broken(detail) => (detail, None),
-                ForwardOutcome::Silent(detail) => (detail, Some(RunEnd::Silent)),
-                ForwardOutcome::BrokenEarly(detail) => (detail, Some(RunEnd::Broken)),
+                ForwardOutcome::Broken(run_end, detail) => (detail, run_end),
             };
             // An upstream ends a stream that is left unread for too long.
-            match run_end.filter(|_| !self.is_held_back) {
-                Some(run_end) => run.end(run_end),
-                None => run.settle(),
-            }
-            if !self.is_held_back {
+            if self.is_held_back {
+                run.settle();
+            } else {
+                run.end(run_end);
                 guard.record_failure();
             }
             self.log_failure(&guard.id, &detail, "broken");
@@ -419,15 +413,14 @@
                     let detail = format!(
                         "no event from the upstream within {EVENT_TIMEOUT:?} or before the deadline"
                     );
-                    return match event_count {
-                        0 | 1 => ForwardOutcome::Silent(detail),
-                        _ => ForwardOutcome::Broken(detail),
-                    };
+                    return ForwardOutcome::broken(event_count, RunEnd::Silent, detail);
+                }
+                Ok(Err(fault)) => {
+                    return ForwardOutcome::broken(event_count, RunEnd::Broken, fault.detail);
                 }
-                Ok(Err(fault)) => return ForwardOutcome::broken(event_count, fault.detail),
                 Ok(Ok(None)) if is_stream && !decoder.is_at_boundary() => {
                     let detail = "the stream ended in the middle of an event";
-                    return ForwardOutcome::broken(event_count, detail.to_owned());
+                    return ForwardOutcome::broken(event_count, RunEnd::Broken, detail.to_owned());
                 }
                 Ok(Ok(None)) => return ForwardOutcome::Complete,
                 Ok(Ok(Some(chunk))) => chunk,
@@ -440,15 +433,16 @@
             }
             let events = match decoder.push(&chunk) {
                 Ok(events) => events,
-                Err(error) => return ForwardOutcome::Broken(error.detail),
+                Err(error) => return ForwardOutcome::Broken(RunEnd::Incomplete, error.detail),
             };
             for event in events {
                 if self.last_event.is_some_and(|last| event.number != last + 1) {
-                    return ForwardOutcome::Broken(format!(
+                    let detail = format!(
                         "event {} does not follow event {}",
                         event.number,
                         self.last_event.unwrap_or_default()
-                    ));
+                    );
+                    return ForwardOutcome::Broken(RunEnd::Incomplete, detail);
                 }
                 self.last_event = Some(event.number);
                 event_count += 1;
