Run copies of a suspected request one after the other at each process

Cause: crashes at one moment count once, because one fault may end many upstreams, and all copies of the second round were admitted before the first of them had crashed its upstream. Change: copies of a suspected request at one process wait until the run in progress has ended and its upstream was looked at, for 400 ms at most; the register is asked again directly before an upstream is used, also after a wait for a permit. An ordinary request is cleared by the first answer. Ruled out: counting simultaneous crashes separately (ordinary requests in outages), and a permit of the leader (none can be had while it is cut off).

--- a/crates/catkindeck-gateway/src/crashing.rs
+++ b/crates/catkindeck-gateway/src/crashing.rs
@@ -29,13 +29,22 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::{
+        sync::Notify,
+        time::{Instant, sleep, timeout_at},
+    },
 };
 
 /// The pauses after a run broke off before its upstream is asked for a connection. A process that ends closes its
 /// listener at the same moment as its connections; the second try is for one that takes longer to end.
 const PROBE_PAUSES: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(300)];
 
+/// How long a suspected request waits at most until it is known how another run of it at this process ends.
+const TURN_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How often a suspected request looks whether notices of further crashes have come.
+const SETTLING_PAUSE: Duration = Duration::from_millis(10);
+
 /// What this process knows of requests that crash upstreams.
 #[derive(Default)]
 pub struct CrashWatch {
@@ -46,6 +55,8 @@
     last_run: Cell<u64>,
     /// The upstreams that are being asked for a connection.
     probed: RefCell<Vec<UpstreamKey>>,
+    /// Notified when a run has ended, or a probe.
+    settled: Notify,
     pub exchange: NoticeExchange<CrashNotice>,
 }
 
@@ -147,6 +158,7 @@
         if self.state.send.is_sent.get() && !self.state.has_content.get() {
             self.core.record_run_end(&self.state, RunEnd::Silent);
         }
+        self.core.crashes.settled.notify_waiters();
     }
 }
 
@@ -237,6 +249,41 @@
         }
     }
 
+    /// Waits until no other run of a suspected request is in progress at this process, so that copies of it crash one
+    /// upstream after the other and not all at once. An ordinary request is cleared by the first that is answered.
+    pub async fn await_turn(&self, request: &AdmittedRequest) {
+        let until = request.expires.min(Instant::now() + TURN_TIMEOUT);
+        while self.is_crash_suspected(request) && Instant::now() < until {
+            let digest = request.digest();
+            if self.is_run_open(digest) {
+                let settled = self.crashes.settled.notified();
+                // The time limit is looked at above.
+                let _ = timeout_at(until, settled).await;
+                continue;
+            }
+            let is_settling = {
+                let register = self.crashes.register.borrow();
+                register.is_settling(self.now(), digest)
+            };
+            if !is_settling {
+                return;
+            }
+            sleep(SETTLING_PAUSE).await;
+        }
+    }
+
+    /// Returns whether a run of a request is in progress, or it is being found out whether it crashed its upstream.
+    fn is_run_open(&self, digest: &BodyDigest) -> bool {
+        let running = self.crashes.running.borrow();
+        let broken = self.crashes.broken.borrow();
+        let probed = self.crashes.probed.borrow();
+        let mut states = running.values();
+        states.any(|state| state.request.digest() == digest)
+            || broken
+                .upstreams(digest)
+                .any(|upstream| probed.contains(&upstream))
+    }
+
     /// Returns for how long a request is refused, in milliseconds.
     pub fn quarantine_ms(&self, digest: &BodyDigest) -> Option<u64> {
         let register = self.crashes.register.borrow();
@@ -308,8 +355,11 @@
                     break;
                 }
             }
-            let mut probed = core.crashes.probed.borrow_mut();
-            probed.retain(|other| *other != upstream);
+            core.crashes
+                .probed
+                .borrow_mut()
+                .retain(|other| *other != upstream);
+            core.crashes.settled.notify_waiters();
         });
     }
 
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -174,11 +174,8 @@
         if no_attempt_left || !may_run || !self.may_retry() {
             return Some(self.exhausted_outcome());
         }
-        if let Some(request) = self.watched
-            && let Err(error) = self.core.admit_run(request)
-        {
-            self.refused = Some(error);
-            return Some(self.exhausted_outcome());
+        if let Some(request) = self.watched {
+            self.core.await_turn(request).await;
         }
         let is_first = self.started == 0 && self.refusals == 0;
         let service = &self.options.service;
@@ -187,6 +184,12 @@
         }
         let until = self.core.permit_deadline(self.options.expires);
         loop {
+            if let Some(request) = self.watched
+                && let Err(error) = self.core.admit_run(request)
+            {
+                self.refused = Some(error);
+                return Some(self.exhausted_outcome());
+            }
             if self.start_attempt() {
                 return None;
             }
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -169,6 +169,8 @@
             {
                 break;
             }
+            self.core.await_turn(&self.request).await;
+            let guard = self.await_upstream().await;
             if let Err(error) = self.core.admit_run(&self.request) {
                 match unknown {
                     Some(_) => break,
@@ -179,7 +181,6 @@
                 .request
                 .expires
                 .saturating_duration_since(Instant::now());
-            let guard = self.await_upstream().await;
             let Some(guard) = guard.filter(|_| !left.is_zero()) else {
                 break;
             };
--- a/crates/catkindeck-policy/src/direct/broken_runs.rs
+++ b/crates/catkindeck-policy/src/direct/broken_runs.rs
@@ -119,6 +119,13 @@
         self.runs.retain(|watched| watched.run.digest != *digest);
     }
 
+    /// Returns the upstreams of the broken runs of a request.
+    pub fn upstreams(&self, digest: &BodyDigest) -> impl Iterator<Item = UpstreamKey> {
+        let runs = self.runs.iter();
+        let runs = runs.filter(move |watched| watched.run.digest == *digest);
+        runs.map(|watched| watched.run.upstream)
+    }
+
     pub fn is_empty(&self) -> bool {
         self.runs.is_empty()
     }
--- a/crates/catkindeck-policy/src/direct/crash_register.rs
+++ b/crates/catkindeck-policy/src/direct/crash_register.rs
@@ -35,6 +35,9 @@
 /// An upstream that crashed is not back earlier.
 const AGE_TOLERANCE_MS: u64 = 2_000;
 
+/// How long notices of other crashes at the same moment may take after the first, in milliseconds.
+const SETTLING_MS: u64 = 50;
+
 /// How long the outcome of a trial is awaited, in milliseconds: the longest time that a run takes and a crash remains
 /// unconfirmed.
 const TRIAL_MS: u64 = 40_000;
@@ -165,6 +168,8 @@
 struct CrashHistory {
     /// In order of their ends.
     crashes: Vec<RecordedCrash>,
+    /// When this process last heard of a crash.
+    heard: Moment,
     /// When an upstream last answered the request.
     answered: Option<Moment>,
     /// Until when the outcome of a trial of this process is awaited.
@@ -233,6 +238,7 @@
             ended: now - run.ended_ago_ms,
             evidence,
         };
+        history.heard = now;
         history
             .record_crash(crash, tolerance_ms)
             .then(|| match history.is_guilty() {
@@ -294,6 +300,14 @@
         history.is_some_and(|history| !history.crashes.is_empty())
     }
 
+    /// Returns whether a crash under a request has just become known, so that others at the same moment may follow.
+    pub fn is_settling(&self, now: Moment, digest: &BodyDigest) -> bool {
+        let history = self.histories.get(digest);
+        history.is_some_and(|history| {
+            !history.crashes.is_empty() && now.since(history.heard) < SETTLING_MS
+        })
+    }
+
     /// Returns all that other processes may not know.
     pub fn notices(&self, now: Moment) -> Vec<CrashNotice> {
         let mut notices = Vec::new();
