Resume a stream of unknown origin only by a list read after its take-up

What callers saw (report of a similar system, shown here): a stream of a new software version was taken up at an entry that was cut off while that version joined, and went on at the old version: events 4 to 40 of v1 after 1 to 3 of v2. Cause: where nobody had recorded the origin, the only listed version counted, from a list of up to 3 s of age. Change: such a take-up waits up to a second for a list that was read after it arrived; without one it is refused with unresumable and reaches no upstream. Where several versions were listed within a minute, also streams of known origin resume only with a list of at most 1.5 s or the next one, because an instance may have restarted under its ID with another version. Ruled out: lost records of origins (keepers that can be reached answer).

--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -156,7 +156,22 @@
             ));
         }
         self.software = origin;
-        Ok(())
+        self.check_versions().await
+    }
+
+    /// Checks, before a stream is resumed, that the list says which software versions the upstreams have now.
+    async fn check_versions(&self) -> Result<(), ServiceError> {
+        let service = &self.request.matched.service;
+        if self.core.await_versions(service).await {
+            return Ok(());
+        }
+        log_event!(self.core.logger, ORIGIN_UNKNOWN;
+            "request" => &self.request.head.id, "last_event" => self.last_event,
+            "roster_age_ms" => self.core.roster.borrow().age(self.core.now()));
+        Err(ServiceError::not_run(
+            ErrorKind::Unresumable,
+            "the list of upstreams is too old to tell which software versions they have",
+        ))
     }
 
     /// Opens the stream at an upstream, with retries.
@@ -375,7 +390,11 @@
                 return sender.abort(&detail).await;
             }
             self.excluded.clear();
-            let detail = match self.open().await {
+            let opened = match self.check_versions().await {
+                Ok(()) => self.open().await,
+                Err(error) => Err(error),
+            };
+            let detail = match opened {
                 Ok(next) if next.head.status == StatusCode::OK => {
                     self.log_open(&next.guard);
                     stream = next;
--- a/crates/catkindeck-gateway/src/stream_origins.rs
+++ b/crates/catkindeck-gateway/src/stream_origins.rs
@@ -10,7 +10,7 @@
         keys::{MEMBER_PREFIX, MemberRecord},
         peer::{PeerCall, PeerResponse},
     },
-    catkindeck::{id::ObjectName, log_event, message},
+    catkindeck::{Moment, id::ObjectName, log_event, message},
     catkindeck_policy::direct::{
         OriginTable, SoftwareVersion, StreamKey, VersionHistory, rendezvous_score,
     },
@@ -18,7 +18,7 @@
     std::{cell::RefCell, cmp::Reverse, rc::Rc, time::Duration},
     tokio::{
         sync::Notify,
-        time::{sleep, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -36,6 +36,15 @@
 /// a busy CPU.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long a read of the list is awaited that was sent after a stream was taken up. The leader reads it every 750 ms.
+const LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// How often it is looked whether the list has been read.
+const LIST_POLL_PAUSE: Duration = Duration::from_millis(20);
+
+/// The age of the list up to which it is taken for the present one, in milliseconds: two reads of the leader.
+const RECENT_LIST_MS: u64 = 1_500;
+
 /// How long a stream and the attempts to take it up last at most, as a multiple of the timeout of its route.
 const STREAM_SPAN_FACTOR: u64 = 2;
 
@@ -101,6 +110,7 @@
         service: &ObjectName,
         timeout_ms: u64,
     ) -> Option<SoftwareVersion> {
+        let arrived = self.now();
         let query = OriginQuery {
             stream,
             service: service.clone(),
@@ -129,8 +139,38 @@
             let agree = recorded.all(|other| other == software);
             return agree.then(|| software.clone());
         }
-        let mut only = answers.iter().chain([&own]).map(|answer| &answer.only);
-        only.find_map(Clone::clone)
+        let only = answers.iter().chain([&own]).map(|answer| &answer.only);
+        let only = only.flatten().next()?;
+        // A version that joined after the latest read may have begun the stream.
+        let is_current = self.await_list_since(arrived).await;
+        let history = self.origins.history.borrow();
+        (is_current && history.lists_only(service, only)).then(|| only.clone())
+    }
+
+    /// Waits until the software versions of a service's upstreams are known well enough to resume a stream, and returns
+    /// whether they are. An upstream that started again under its ID may have another version than the list says, which
+    /// matters if there are several.
+    pub async fn await_versions(&self, service: &ObjectName) -> bool {
+        let now = self.now();
+        let is_known = {
+            let history = self.origins.history.borrow();
+            !history.has_several(service) || history.is_read_since(now - RECENT_LIST_MS)
+        };
+        is_known || self.await_list_since(now).await
+    }
+
+    /// Waits for a list that was read since a moment, and returns whether there is one.
+    async fn await_list_since(&self, moment: Moment) -> bool {
+        let until = Instant::now() + LIST_TIMEOUT;
+        loop {
+            if self.origins.history.borrow().is_read_since(moment) {
+                return true;
+            }
+            if Instant::now() >= until {
+                return false;
+            }
+            sleep(LIST_POLL_PAUSE).await;
+        }
     }
 
     async fn ask_for_origin(
--- a/crates/catkindeck-policy/src/direct/stream_origin.rs
+++ b/crates/catkindeck-policy/src/direct/stream_origin.rs
@@ -126,6 +126,29 @@
         self.listed.retain(|_, at| *at >= oldest);
     }
 
+    /// Returns whether the list has been read since a moment.
+    pub fn is_read_since(&self, moment: Moment) -> bool {
+        self.since.is_some() && self.last_read >= moment
+    }
+
+    /// Returns whether the latest list has upstreams of a service, all of one software version.
+    pub fn lists_only(&self, service: &ObjectName, software: &SoftwareVersion) -> bool {
+        let latest = self.listed.iter();
+        let mut latest =
+            latest.filter(|((listed, _), at)| listed == service && **at == self.last_read);
+        latest
+            .next()
+            .is_some_and(|((_, first), _)| first == software)
+            && latest.next().is_none()
+    }
+
+    /// Returns whether upstreams of several software versions of a service were listed within the time for which
+    /// origins are known.
+    pub fn has_several(&self, service: &ObjectName) -> bool {
+        let versions = self.listed.keys().filter(|(listed, _)| listed == service);
+        versions.count() > 1
+    }
+
     /// Returns the only software version of a service within the last `span_ms`, if there was just one and the
     /// list was read all that time. A stream that is not older than that was begun by it.
     pub fn only_version(
--- a/crates/catkindeck-policy/tests/stream_origin.rs
+++ b/crates/catkindeck-policy/tests/stream_origin.rs
@@ -134,3 +134,24 @@
         Some(&only)
     );
 }
+
+/// Guards against a list that is older than a question about it, and against an unknown version that is taken for the
+/// known one.
+#[test]
+fn only_the_latest_list_tells_which_versions_there_are() {
+    let (service, old, new) = (name("engines"), software("v1"), software("v2"));
+    let mut history = VersionHistory::default();
+    assert!(!history.is_read_since(Moment(0)));
+    history.record(Moment(1_000), [(&service, &old)].into_iter());
+    assert!(history.is_read_since(Moment(1_000)) && !history.is_read_since(Moment(1_001)));
+    assert!(history.lists_only(&service, &old) && !history.lists_only(&service, &new));
+    assert!(!history.lists_only(&name("desks"), &old));
+    history.record(
+        Moment(2_000),
+        [(&service, &old), (&service, &new)].into_iter(),
+    );
+    assert!(!history.lists_only(&service, &old) && history.has_several(&service));
+    history.record(Moment(3_000), [(&service, &new)].into_iter());
+    assert!(history.lists_only(&service, &new) && history.has_several(&service));
+    assert!(!history.has_several(&name("desks")));
+}
