--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -4,7 +4,8 @@
     crate::{
         capacity::HostRegistry,
         crashing::CrashWatch,
-        events::{CLOCK_JUMPED, INTENT_FAULT},
+        events::CLOCK_JUMPED,
+        fault_log::FaultLog,
         feed::StoreFeed,
         intent::IntentView,
         jobs::backup::CopyStore,
@@ -130,6 +131,8 @@
     pub rooms: RoomRegistry,
     /// What this host and others can carry and carry now.
     pub hosts: HostRegistry,
+    /// The entries of lists that cannot be decoded.
+    pub faults: FaultLog,
     pub logger: Logger,
     clock: BootClock,
     wall_clock: RefCell<WallClockFilter>,
@@ -182,6 +185,7 @@
             origins: StreamOrigins::default(),
             rooms: RoomRegistry::default(),
             hosts: HostRegistry::default(),
+            faults: FaultLog::default(),
             logger,
             clock: BootClock::new(),
             wall_clock: RefCell::default(),
@@ -228,14 +232,18 @@
     /// Replaces the list of processes by the registrations in `items`. Registrations that cannot be
     /// decoded are logged and left out.
     pub fn set_members(&self, items: &[StoreItem]) {
-        let registrations = items.iter().filter_map(|item| match keys::decode_member(item) {
-            Ok(registration) => Some(registration),
-            Err(error) => {
-                log_event!(self.logger, INTENT_FAULT; "key" => &item.key, "detail" => error.detail);
-                None
-            }
-        });
+        let mut faults = Vec::new();
+        let registrations = items
+            .iter()
+            .filter_map(|item| match keys::decode_member(item) {
+                Ok(registration) => Some(registration),
+                Err(error) => {
+                    faults.push(format!("{}: {}", item.key, error.detail));
+                    None
+                }
+            });
         let (members, capacities): (Vec<MemberRecord>, Vec<_>) = registrations.unzip();
+        self.log_faults("processes", faults);
         self.hosts.learn(&members, &capacities);
         self.set_listed_members(self.now(), members);
     }
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod crashing;
 pub mod daemon;
 pub mod events;
+pub mod fault_log;
 pub mod feed;
 pub mod forward;
 pub mod intent;
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -4,8 +4,8 @@
     crate::{
         core::GatewayCore,
         events::{
-            CONFIG_IN_USE, FEED_LOST, FEED_REGAINED, INTENT_FAULT, STORE_LOST, STORE_REGAINED,
-            UPSTREAM_APPEARED, UPSTREAM_DRAINING, UPSTREAM_REMOVED, ZONES_CHANGED,
+            CONFIG_IN_USE, FEED_LOST, FEED_REGAINED, STORE_LOST, STORE_REGAINED, UPSTREAM_APPEARED,
+            UPSTREAM_DRAINING, UPSTREAM_REMOVED, ZONES_CHANGED,
         },
         feed::{FEED_WAIT_MS, FeedChanges, FeedContent, FeedPosition, FeedQuery, FeedUpdate},
         keys::MemberRecord,
@@ -434,9 +434,7 @@
         let core = &self.core;
         let known_revision = core.intent.borrow().store_revision();
         let mut intent = core.ports.intents.decode_intent(items, known_revision);
-        for fault in std::mem::take(&mut intent.faults) {
-            log_event!(core.logger, INTENT_FAULT; "detail" => fault);
-        }
+        core.log_faults("desired state", std::mem::take(&mut intent.faults));
         let changes = core.intent.borrow_mut().apply(intent);
         let view = core.intent.borrow();
         if changes.config {
@@ -460,9 +458,7 @@
     fn replace_upstreams(&self, sent: Moment, items: &[StoreItem]) {
         let core = &self.core;
         let (list, faults) = core.ports.intents.decode_upstreams(items);
-        for fault in faults {
-            log_event!(core.logger, INTENT_FAULT; "detail" => fault);
-        }
+        core.log_faults("upstreams", faults);
         *self.upstreams.borrow_mut() = list;
         self.is_history_applied.set(false);
         self.apply_upstreams(sent);
