Pass on only events of a stream that was resumed

What callers saw (report of a similar system, shown here): a stream broke, the next upstream answered 200 with an HTML page or an error's text, and the caller's stream ended as if it were complete, after 2 of 20 events. An item's text was listed as completed with 2 of 20 events in the same way. Statuses other than 200 broke the stream already; no error text reached a caller. Cause: a success needed neither stamp nor type on this path, and the decoder skipped what is no event, so that a text without events looked like an empty rest. Ruled out: an empty stream with stamp and type, which is right if all events had come before.

--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -23,6 +23,9 @@
 /// about this time.
 pub const REFUSAL_PAUSE_MS: u64 = 50;
 
+/// The media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Response headers that concern only the connection to the upstream.
 const CONNECTION_HEADERS: [HeaderName; 5] = [
     header::CONNECTION,
@@ -212,6 +215,26 @@
     }
 }
 
+/// Returns why a successful response is not the stream of events that was asked for, which may come from something
+/// other than the upstream or hold an error's text.
+pub fn stream_fault(head: &UpstreamHead, headers: &HeaderMap) -> Option<String> {
+    if head.stamp.is_none() {
+        return Some("the stream has no valid server stamp".to_owned());
+    }
+    let text = |name: HeaderName| {
+        let value = headers.get(name)?;
+        Some(value.to_str().unwrap_or("?").trim().to_ascii_lowercase())
+    };
+    if let Some(encoding) = text(header::CONTENT_ENCODING)
+        && encoding != "identity"
+    {
+        return Some(format!("the stream has the encoding {encoding}"));
+    }
+    let media_type = text(header::CONTENT_TYPE)?;
+    let is_stream = media_type.split(';').next().map(str::trim) == Some(EVENT_STREAM);
+    (!is_stream).then(|| format!("the response is {media_type}, expected {EVENT_STREAM}"))
+}
+
 /// Copies an upstream's response headers, except those of its connection.
 pub fn copy_headers(from: &HeaderMap, to: &mut HeaderMap) {
     for (name, value) in from {
--- a/crates/catkindeck-gateway/src/forward/mod.rs
+++ b/crates/catkindeck-gateway/src/forward/mod.rs
@@ -5,6 +5,6 @@
 pub mod stream;
 
 pub use {
-    attempt::{AttemptOutcome, UpstreamResponse, copy_headers, foreign_response},
+    attempt::{AttemptOutcome, UpstreamResponse, copy_headers, foreign_response, stream_fault},
     call::{CallOptions, CallOutcome, CallReport, HedgedCall},
 };
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -1,7 +1,7 @@
 //! Streams events to a caller, and resumes the stream at another upstream where the route allows it.
 
 use {
-    super::attempt::{REFUSAL_PAUSE_MS, copy_headers, foreign_response},
+    super::attempt::{REFUSAL_PAUSE_MS, copy_headers, foreign_response, stream_fault},
     crate::{
         caller_handler::{AdmittedRequest, ResponseSource, check_key},
         core::GatewayCore,
@@ -41,6 +41,8 @@
     last_event: Option<u64>,
     /// The software version that generated the events so far; what another version writes does not continue them.
     software: Option<SoftwareVersion>,
+    /// Whether the caller has the head of the response.
+    has_begun: bool,
     /// Identifies the stream over all attempts of the caller.
     key: StreamKey,
     /// Whether the caller's slow reading kept the last event, and thus the upstream, waiting.
@@ -97,6 +99,7 @@
             refusals: 0,
             last_event,
             software: None,
+            has_begun: false,
             is_held_back: false,
         }
     }
@@ -109,6 +112,7 @@
     pub async fn run(mut self) -> Result<Response<ResponseBody>, ServiceError> {
         self.find_origin().await?;
         let stream = self.open().await?;
+        self.has_begun = true;
         self.core
             .count_usage(self.request.customer.as_ref(), self.core.unix_ms());
         let mut response = Response::new(ResponseBody::whole(Bytes::new()));
@@ -339,10 +343,16 @@
                 false => OpenOutcome::Withheld(detail),
             });
         }
+        let headers = exchange.headers().clone();
+        if let Some(detail) = self.unusable_response(&head, &headers) {
+            run.end(RunEnd::Incomplete);
+            exchange.discard_connection();
+            guard.record_failure();
+            return Ok(OpenOutcome::Unknown(detail));
+        }
         if !head.status.is_success() {
             run.record_content();
         }
-        let headers = exchange.headers().clone();
         Ok(OpenOutcome::Open(Box::new(OpenStream {
             guard,
             run,
@@ -352,6 +362,20 @@
         })))
     }
 
+    /// Returns why a response cannot be passed on to the caller. Once a stream has begun, only the rest of it can.
+    fn unusable_response(&self, head: &UpstreamHead, headers: &HeaderMap) -> Option<String> {
+        let status = head.status;
+        if self.has_begun && status != StatusCode::OK {
+            return Some(format!(
+                "the upstream responded with status {status} to the resumed stream"
+            ));
+        }
+        status
+            .is_success()
+            .then(|| stream_fault(head, headers))
+            .flatten()
+    }
+
     /// Forwards events until the stream is complete, and resumes it when it breaks.
     async fn forward_stream(&mut self, stream: Box<OpenStream>, sender: &BodySender) {
         let mut stream = stream;
@@ -395,15 +419,11 @@
                 Err(error) => Err(error),
             };
             let detail = match opened {
-                Ok(next) if next.head.status == StatusCode::OK => {
+                Ok(next) => {
                     self.log_open(&next.guard);
                     stream = next;
                     continue;
                 }
-                Ok(next) => format!(
-                    "upstream {} responded with status {} to the resumed stream",
-                    next.guard.id, next.head.status
-                ),
                 Err(error) => error.detail,
             };
             self.log_end("broken", &detail);
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -9,7 +9,7 @@
     crate::{
         core::GatewayCore,
         events::{ITEM_RUN_ENDED, ITEM_STARTED},
-        forward::foreign_response,
+        forward::{foreign_response, stream_fault},
         port::{StreamEvent, UpstreamCall, UpstreamHead},
         upstream_guard::UpstreamGuard,
     },
@@ -17,7 +17,7 @@
     catkindeck::{ServiceError, log_event, token::WeightVersion},
     catkindeck_net::HttpExchange,
     catkindeck_policy::direct::{ItemKey, ItemOutcome, LOAD_EXTENSION_MS, MIN_LOAD_MS},
-    http::Request,
+    http::{HeaderMap, Request},
     std::{rc::Rc, time::Duration},
     tokio::time::{Instant, timeout, timeout_at},
 };
@@ -133,7 +133,7 @@
     }
     run.guard.observe_head(&head);
     observe_load(core, job, run, head.not_run);
-    if let Some(ended) = check_head(&head, run) {
+    if let Some(ended) = check_head(&head, exchange.headers(), run) {
         if !head.not_run {
             // The item may be sent again, and a second copy of this response would count as another failure.
             exchange.prevent_reuse();
@@ -203,7 +203,7 @@
 }
 
 /// Returns the outcome of a run if the response is not a stream of events.
-fn check_head(head: &UpstreamHead, run: &ItemRun) -> Option<ItemRunOutcome> {
+fn check_head(head: &UpstreamHead, headers: &HeaderMap, run: &ItemRun) -> Option<ItemRunOutcome> {
     if head.not_run {
         run.guard.record_refusal(REFUSAL_PAUSE_MS);
         let detail = format!(
@@ -213,7 +213,10 @@
         return Some(run_outcome(ItemOutcome::Interrupted, &detail));
     }
     match head.status.as_u16() {
-        200 => None,
+        200 => stream_fault(head, headers).map(|detail| {
+            run.guard.record_failure();
+            run_outcome(ItemOutcome::Interrupted, &detail)
+        }),
         422 => {
             let detail = "the upstream responded with status 422: it cannot run this item";
             Some(run_outcome(ItemOutcome::Impossible, detail))
