--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -4,7 +4,6 @@
     crate::{
         capacity::{BODY_MEMORY_DIVISOR, BodyBytes, HELD_MEMORY_DIVISOR},
         core::GatewayCore,
-        crashing::{RunEnd, WatchedRun},
         events::{REQUEST_ANSWERED, REQUEST_REFUSED},
         forward::{
             CallOptions, CallOutcome, HedgedCall, UpstreamResponse, copy_headers,
@@ -12,6 +11,7 @@
         },
         jobs::JobService,
         port::{BufferedResponse, CallerOperation, RequestHead, UpstreamCall},
+        watched_run::{RunEnd, WatchedRun},
     },
     bytes::{Bytes, BytesMut},
     catkindeck::{
--- a/crates/catkindeck-gateway/src/crashing.rs
+++ b/crates/catkindeck-gateway/src/crashing.rs
@@ -10,10 +10,10 @@
         },
         notices::{NoticeCall, NoticeExchange, NoticeSource, SharedNotice},
         peer::{PeerCall, PeerResponse},
-        upstream_guard::UpstreamGuard,
+        watched_run::{RunEnd, RunState, RunningRuns},
     },
     catkindeck::{
-        ErrorKind, Moment, ServiceError, SortedMap,
+        ErrorKind, Moment, ServiceError,
         id::{BodyDigest, ObjectName},
         log::LogEvent,
         log_event,
@@ -23,12 +23,7 @@
         RunAdmission, UpstreamKey,
     },
     http::StatusCode,
-    std::{
-        cell::{Cell, RefCell},
-        net::SocketAddr,
-        rc::Rc,
-        time::Duration,
-    },
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         sync::Notify,
         time::{Instant, sleep, timeout_at},
@@ -50,118 +45,14 @@
 pub struct CrashWatch {
     register: RefCell<CrashRegister>,
     broken: RefCell<BrokenRuns>,
-    /// The runs in progress, in order of their keys.
-    running: RefCell<SortedMap<u64, Rc<RunState>>>,
-    last_run: Cell<u64>,
+    pub(crate) running: RunningRuns,
     /// The upstreams that are being asked for a connection.
     probed: RefCell<Vec<UpstreamKey>>,
     /// Notified when a run has ended, or a probe.
-    settled: Notify,
+    pub(crate) settled: Notify,
     pub exchange: NoticeExchange<CrashNotice>,
 }
 
-/// How a run ended without a complete answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RunEnd {
-    /// Its connection broke before any content of the answer.
-    Broken,
-    /// Nothing of the answer came until the request was given up.
-    Silent,
-    /// The answer was not the request's own, or only a part of it.
-    Incomplete,
-}
-
-impl RunEnd {
-    /// Returns the name for the log.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Broken => "broken",
-            Self::Silent => "silent",
-            Self::Incomplete => "incomplete",
-        }
-    }
-}
-
-/// How a request is sent to an upstream.
-#[derive(Debug, Default)]
-pub struct SendState {
-    /// Whether the request may have been written.
-    pub is_sent: Cell<bool>,
-}
-
-/// A run of a caller's request.
-struct RunState {
-    request: Rc<AdmittedRequest>,
-    upstream: UpstreamKey,
-    begun: Moment,
-    /// Whether the connection was opened for the run, which shows that the upstream lived then.
-    is_fresh: bool,
-    send: Rc<SendState>,
-    /// Whether the upstream showed by its answer that it runs the request.
-    has_content: Cell<bool>,
-}
-
-/// Watches a run until its end is known. If it is dropped before, the run has ended in silence.
-pub struct WatchedRun {
-    core: Rc<GatewayCore>,
-    key: u64,
-    state: Rc<RunState>,
-}
-
-impl WatchedRun {
-    pub fn new(
-        core: &Rc<GatewayCore>,
-        request: &Rc<AdmittedRequest>,
-        guard: &UpstreamGuard,
-        is_fresh: bool,
-    ) -> Self {
-        let state = Rc::new(RunState {
-            request: Rc::clone(request),
-            upstream: guard.key,
-            begun: guard.begun,
-            is_fresh,
-            send: Rc::clone(&guard.send),
-            has_content: Cell::new(false),
-        });
-        let watch = &core.crashes;
-        let key = watch.last_run.get() + 1;
-        watch.last_run.set(key);
-        watch.running.borrow_mut().insert(key, Rc::clone(&state));
-        Self {
-            core: Rc::clone(core),
-            key,
-            state,
-        }
-    }
-
-    /// Records that a part of the answer arrived by which the upstream shows that it runs the request.
-    pub fn record_content(&self) {
-        self.state.has_content.set(true);
-    }
-
-    /// Ends the watch of a run that says nothing about the upstream: it is answered, was refused or was not sent.
-    pub fn settle(self) {
-        self.state.send.is_sent.set(false);
-    }
-
-    /// Ends the watch of a run without a complete answer.
-    pub fn end(self, end: RunEnd) {
-        self.core.record_run_end(&self.state, end);
-        self.settle();
-    }
-}
-
-impl Drop for WatchedRun {
-    fn drop(&mut self) {
-        self.core.crashes.running.borrow_mut().remove(&self.key);
-        // A stream that its caller leaves in the middle was alive.
-        if self.state.send.is_sent.get() && !self.state.has_content.get() {
-            self.core.record_run_end(&self.state, RunEnd::Silent);
-        }
-        self.core.crashes.settled.notify_waiters();
-    }
-}
-
 impl SharedNotice for CrashNotice {
     const UNSENT: LogEvent = CRASHES_UNSENT;
 
@@ -274,11 +165,9 @@
 
     /// Returns whether a run of a request is in progress, or it is being found out whether it crashed its upstream.
     fn is_run_open(&self, digest: &BodyDigest) -> bool {
-        let running = self.crashes.running.borrow();
         let broken = self.crashes.broken.borrow();
         let probed = self.crashes.probed.borrow();
-        let mut states = running.values();
-        states.any(|state| state.request.digest() == digest)
+        self.crashes.running.has(digest)
             || broken
                 .upstreams(digest)
                 .any(|upstream| probed.contains(&upstream))
@@ -297,7 +186,7 @@
     }
 
     /// Records that a run ended without a complete answer, and finds out whether its upstream crashed.
-    fn record_run_end(self: &Rc<Self>, state: &RunState, end: RunEnd) {
+    pub(crate) fn record_run_end(self: &Rc<Self>, state: &RunState, end: RunEnd) {
         let (upstream, request) = (state.upstream, &state.request);
         let (id, address, is_expected, is_listed, is_replaced) = {
             let roster = self.roster.borrow();
@@ -435,14 +324,7 @@
 
     /// Reports the runs in progress at an instance that has ended. If it only left the list, it may still be at work.
     fn report_running(&self, key: UpstreamKey, is_replaced: bool) {
-        let running: Vec<Rc<RunState>> = {
-            let running = self.crashes.running.borrow();
-            let states = running.values().filter(|state| {
-                state.upstream == key && state.send.is_sent.get() && !state.has_content.get()
-            });
-            states.map(Rc::clone).collect()
-        };
-        for state in running {
+        for state in self.crashes.running.unanswered(key) {
             self.report_crash(BrokenRun {
                 digest: *state.request.digest(),
                 upstream: key,
--- a/crates/catkindeck-gateway/src/forward/call.rs
+++ b/crates/catkindeck-gateway/src/forward/call.rs
@@ -5,9 +5,9 @@
     crate::{
         caller_handler::AdmittedRequest,
         core::GatewayCore,
-        crashing::{RunEnd, WatchedRun},
         events::{ATTEMPT_FAILED, ATTEMPT_HEDGED, HEDGE_WITHHELD, RETRY_WITHHELD},
         upstream_guard::UpstreamGuard,
+        watched_run::{RunEnd, WatchedRun},
     },
     bytes::Bytes,
     catkindeck::{ErrorKind, ServiceError, id::ObjectName, log_event},
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -5,10 +5,10 @@
     crate::{
         caller_handler::{AdmittedRequest, ResponseSource, check_key},
         core::GatewayCore,
-        crashing::{RunEnd, WatchedRun},
         events::{ATTEMPT_FAILED, ORIGIN_UNKNOWN, STREAM_ENDED, STREAM_OPENED},
         port::{EventDecoder, UpstreamCall, UpstreamHead},
         upstream_guard::UpstreamGuard,
+        watched_run::{RunEnd, WatchedRun},
     },
     bytes::Bytes,
     catkindeck::{ErrorKind, ServiceError, id::ObjectName, log_event, token::WeightVersion},
@@ -308,7 +308,7 @@
             }
             false => client.send_if(guard.address, request, &permit).await,
         };
-        let mut exchange = match sent {
+        let exchange = match sent {
             Ok(exchange) => exchange,
             Err(fault) => {
                 match fault.maybe_received {
@@ -318,13 +318,24 @@
                 return Ok(failure_outcome(&guard, &fault));
             }
         };
+        Ok(self.accept_response(guard, run, exchange))
+    }
+
+    /// Decides by the head of a response whether the stream is open.
+    fn accept_response(
+        &self,
+        guard: UpstreamGuard,
+        run: WatchedRun,
+        exchange: HttpExchange,
+    ) -> OpenOutcome {
+        let mut exchange = exchange;
+        let codec = &self.core.ports.upstreams;
         let head = codec.decode_head(exchange.status(), exchange.headers());
-        let id = &self.request.head.id;
-        if let Some(detail) = foreign_response(&head, id) {
+        if let Some(detail) = foreign_response(&head, &self.request.head.id) {
             run.end(RunEnd::Incomplete);
             exchange.discard_connection();
             guard.record_failure();
-            return Ok(OpenOutcome::Unknown(detail));
+            return OpenOutcome::Unknown(detail);
         }
         guard.observe_head(&head);
         if head.status.is_server_error() {
@@ -338,28 +349,28 @@
                 "the upstream refused the request with status {}",
                 head.status
             );
-            return Ok(match guard.may_send() {
+            return match guard.may_send() {
                 true => OpenOutcome::NotRun(detail),
                 false => OpenOutcome::Withheld(detail),
-            });
+            };
         }
         let headers = exchange.headers().clone();
         if let Some(detail) = self.unusable_response(&head, &headers) {
             run.end(RunEnd::Incomplete);
             exchange.discard_connection();
             guard.record_failure();
-            return Ok(OpenOutcome::Unknown(detail));
+            return OpenOutcome::Unknown(detail);
         }
         if !head.status.is_success() {
             run.record_content();
         }
-        Ok(OpenOutcome::Open(Box::new(OpenStream {
+        OpenOutcome::Open(Box::new(OpenStream {
             guard,
             run,
             exchange,
             head,
             headers,
-        })))
+        }))
     }
 
     /// Returns why a response cannot be passed on to the caller. Once a stream has begun, only the rest of it can.
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod stream_origins;
 pub mod task;
 pub mod upstream_guard;
+pub mod watched_run;
 
 pub use {
     core::{GatewayCore, GatewayPorts},
--- a/crates/catkindeck-gateway/src/upstream_guard.rs
+++ b/crates/catkindeck-gateway/src/upstream_guard.rs
@@ -1,7 +1,7 @@
 //! The use of an upstream by one request.
 
 use {
-    crate::{core::GatewayCore, crashing::SendState, port::UpstreamHead},
+    crate::{core::GatewayCore, port::UpstreamHead, watched_run::SendState},
     catkindeck::{Moment, id::ObjectName},
     catkindeck_net::SendError,
     catkindeck_policy::direct::{
