--- a/crates/catkindeck-gateway/src/crashing.rs
+++ b/crates/catkindeck-gateway/src/crashing.rs
@@ -124,7 +124,7 @@
     ///
     /// # Errors
     ///
-    /// Returns `quarantined` if it crashed three upstreams, until a trial is due.
+    /// Returns `quarantined` if it crashed upstreams in sequence, until a trial is due.
     pub fn admit_run(&self, request: &AdmittedRequest) -> Result<(), ServiceError> {
         let mut register = self.crashes.register.borrow_mut();
         // The digest of a request is not needed on a day without crashes.
@@ -134,7 +134,7 @@
         match register.admit(self.now(), request.digest()) {
             RunAdmission::Refused(_) => Err(ServiceError::not_run(
                 ErrorKind::Quarantined,
-                "upstreams crashed under this request three times in sequence",
+                "upstreams crashed under this request in sequence",
             )),
             RunAdmission::Unsuspected | RunAdmission::Suspected | RunAdmission::Trial => Ok(()),
         }
