Await the list after a take-up for as long as the feed takes

Cause: an entry that is in step gets the list with the feed's next answer, up to 1.3 s later, of a read up to 750 ms before; waited for one second, and took lists older than 1.5 s for stale. Change: both bounds come from the feed's wait, 1.75 s and 2.05 s, and neither wait outlasts the request. Ruled out: load (the ages are those of an idle feed).

--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -147,9 +147,9 @@
         let matched = &self.request.matched;
         let timeout_ms = matched.route.timeout_ms;
         let core = &self.core;
-        let origin = core
-            .find_origin(self.key, &matched.service, timeout_ms)
-            .await;
+        let origin = core.find_origin(self.key, &matched.service, timeout_ms);
+        let origin = timeout_at(self.request.expires, origin).await;
+        let origin = origin.ok().flatten();
         if origin.is_none() {
             log_event!(core.logger, ORIGIN_UNKNOWN;
                 "request" => &self.request.head.id, "resumes" => &self.request.head.resumes,
@@ -166,7 +166,9 @@
     /// Checks, before a stream is resumed, that the list says which software versions the upstreams have now.
     async fn check_versions(&self) -> Result<(), ServiceError> {
         let service = &self.request.matched.service;
-        if self.core.await_versions(service).await {
+        let versions = self.core.await_versions(service);
+        let is_known = timeout_at(self.request.expires, versions).await;
+        if is_known.unwrap_or(false) {
             return Ok(());
         }
         log_event!(self.core.logger, ORIGIN_UNKNOWN;
--- a/crates/catkindeck-gateway/src/stream_origins.rs
+++ b/crates/catkindeck-gateway/src/stream_origins.rs
@@ -7,6 +7,7 @@
     crate::{
         core::GatewayCore,
         events::ORIGINS_UNSENT,
+        feed::FEED_WAIT_MS,
         keys::{MEMBER_PREFIX, MemberRecord},
         peer::{PeerCall, PeerResponse},
     },
@@ -36,14 +37,16 @@
 /// a busy CPU.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// How long a read of the list is awaited that was sent after a stream was taken up. The leader reads it every 750 ms.
-const LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a list is awaited that was read after a stream was taken up: the feed's wait, after an answer that was on
+/// its way, and as long again as a busy host takes for a response.
+const LIST_TIMEOUT: Duration = Duration::from_millis(FEED_WAIT_MS + 450);
 
 /// How often it is looked whether the list has been read.
 const LIST_POLL_PAUSE: Duration = Duration::from_millis(20);
 
-/// The age of the list up to which it is taken for the present one, in milliseconds: two reads of the leader.
-const RECENT_LIST_MS: u64 = 1_500;
+/// The age that the list has at most while the feed works, in milliseconds: the feed's wait and the time between two
+/// reads of the leader, 750 ms.
+const RECENT_LIST_MS: u64 = FEED_WAIT_MS + 750;
 
 /// How long a stream and the attempts to take it up last at most, as a multiple of the timeout of its route.
 const STREAM_SPAN_FACTOR: u64 = 2;
