--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -33,8 +33,9 @@
     next_lease: u64,
 }
 
-/// Called with the node and the keys of a transaction that was carried out, before it is answered.
-pub type CommitHook = Box<dyn Fn(&str, &[String]) + Send + Sync>;
+/// Called with the node and the keys of a transaction that was carried out, before it is answered. Returns whether the
+/// answer is lost; then nothing more arrives on the connection.
+pub type CommitHook = Box<dyn Fn(&str, &[String]) -> bool + Send + Sync>;
 
 #[derive(Default)]
 pub struct Store {
@@ -133,8 +134,9 @@
                 let (answer, keys) = self.commit(&body);
                 if answer.0 == 200 {
                     let hook = self.hook.lock().unwrap().clone();
-                    if let Some(hook) = hook {
-                        hook(node, &keys);
+                    if hook.is_some_and(|hook| hook(node, &keys)) {
+                        thread::sleep(Duration::from_secs(100));
+                        return Ok(false);
                     }
                 }
                 answer
