--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -10,6 +10,7 @@
 mod json;
 mod keys;
 mod node;
+mod kept;
 mod store;
 mod worker;
 
@@ -101,6 +102,7 @@
     let verdict = match name.as_str() {
         "drain" => drain::run(&case),
         "cancel" => cancel::run(&case),
+        "kept" => kept::run(&case),
         "keys" => keys::run(&case),
         _ => Verdict::Failed(format!("unknown case {name}")),
     };
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -52,6 +52,8 @@
     /// The second and third number of the machines' loopback addresses.
     net: (u8, u8),
     cloud: SocketAddr,
+    /// For how long after its submission a batch submission can be read at least, in seconds.
+    pub status_s: u32,
 }
 
 impl Deployment {
@@ -74,6 +76,7 @@
             folder: folder.to_owned(),
             net,
             cloud,
+            status_s: 120,
         }
     }
 
@@ -105,7 +108,7 @@
              max_stretch_ms = 5000\nrevoke_strict = true\nrevoke_ms = 5000\nfencing_enforced = true\n\
              lease_ms = 3000\nthaw_slack_ms = 300\nreport_window_s = 5\nusage_tolerance = 0.05\n\
              usage_late_s = 10\ncold_overshoot = 1.5\ncold_slack = 5\nevacuate_ms = 5000\nrecovery_s = 12\n\
-             pass_ms = 120\nretry_after_s = 0\nfinish_s = 10\nstatus_s = 120\ncancel_ms = 3000\n\
+             pass_ms = 120\nretry_after_s = 0\nfinish_s = 10\nstatus_s = {status_s}\ncancel_ms = 3000\n\
              settle_ms = 1000\nquota_overshoot = 0.1\n\
              [platform]\naddress = \"{store}\"\nform = \"kv\"\nwrites_per_s = 400\nreads_per_s = 2000\n\
              history_s = 20\nvalue_bytes = 1048576\nttl_min_ms = 1000\n\
@@ -114,6 +117,7 @@
             last = INTERNAL + 15,
             counted = !is_entry,
             cloud = self.cloud,
+            status_s = self.status_s,
         );
         let settings = self.folder.join(format!("{name}.toml"));
         fs::write(&settings, text).unwrap();
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -41,6 +41,8 @@
 pub struct Store {
     content: Mutex<Content>,
     hook: Mutex<Option<Arc<CommitHook>>>,
+    /// Since when the store is down.
+    down_since: Mutex<Option<Instant>>,
 }
 
 /// The time that the store takes for an answer, as the sheet of the site says.
@@ -96,6 +98,22 @@
         *self.hook.lock().unwrap() = hook.map(Arc::new);
     }
 
+    /// Takes the store down, so that it answers each call with 503, or brings it back. Leases pause meanwhile.
+    pub fn set_down(&self, is_down: bool) {
+        let mut down_since = self.down_since.lock().unwrap();
+        if is_down {
+            *down_since = Some(Instant::now());
+        } else if let Some(since) = down_since.take() {
+            for (_, until) in self.content.lock().unwrap().leases.values_mut() {
+                *until += since.elapsed();
+            }
+        }
+    }
+
+    fn is_down(&self) -> bool {
+        self.down_since.lock().unwrap().is_some()
+    }
+
     /// Writes a key as operators and workers do.
     pub fn put(&self, key: &str, value: &str) {
         let mut content = self.content.lock().unwrap();
@@ -104,10 +122,11 @@
         content.write(key, base64(value.as_bytes()), 0, revision);
     }
 
-    pub fn get(&self, key: &str) -> Option<String> {
-        let mut content = self.content.lock().unwrap();
-        content.expire();
-        content.entries.get(key).map(|entry| entry.value.clone())
+    /// Returns the keys with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let content = self.content.lock().unwrap();
+        let keys = content.entries.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
     }
 
     /// Serves the store to one node.
@@ -123,6 +142,9 @@
 
     fn answer(&self, node: &str, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
         thread::sleep(ANSWER_TIME);
+        if self.is_down() {
+            return http::respond(stream, 503, &[], b"");
+        }
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let body = Json::parse(&body).unwrap_or(Json::Null);
         let path = request.path.as_str();
@@ -218,6 +240,9 @@
         let after: u64 = number("after");
         let until = Instant::now() + Duration::from_millis(number("wait_ms").min(30_000));
         loop {
+            if self.is_down() {
+                return (503, String::new());
+            }
             {
                 let mut content = self.content.lock().unwrap();
                 content.expire();
