--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 //! and 2 if the case could not run. With `TROUBLE=0` in the environment the disruption is left out.
 
 mod cancel;
+mod cold;
 mod drain;
 mod http;
 mod json;
@@ -100,6 +101,7 @@
         std::process::exit(2);
     });
     let verdict = match name.as_str() {
+        "cold" => cold::run(&case),
         "drain" => drain::run(&case),
         "cancel" => cancel::run(&case),
         "kept" => kept::run(&case),
