--- a/review/standins/src/cancel.rs
+++ b/review/standins/src/cancel.rs
@@ -86,6 +86,7 @@
             model: model.map(str::to_owned),
             work: Duration::from_millis(work),
             events,
+            crash_rate: None,
         };
         Worker::start(settings, &store, record)
     };
@@ -109,9 +110,17 @@
     }
     thread::sleep(Duration::from_millis(2_000));
     let target = format!("/draft/{JOB}");
-    let response = http::call(entries[0].front, "POST", &target, &headers(JOB), submission().as_bytes());
+    let response = http::call(
+        entries[0].front,
+        "POST",
+        &target,
+        &headers(JOB),
+        submission().as_bytes(),
+    );
     match response {
-        Ok(response) if response.status == 202 => record.say("client: the batch submission is accepted (202)"),
+        Ok(response) if response.status == 202 => {
+            record.say("client: the batch submission is accepted (202)")
+        }
         other => return Verdict::Failed(format!("the submission is not accepted: {other:?}")),
     }
     // Clients of the same tenant read about twice a second at both entries.
@@ -129,13 +138,16 @@
                 let response = http::call(front, "GET", &target, &headers(&id), b"");
                 let (status, next) = match &response {
                     Ok(response) => {
-                        let next = Json::parse(&response.text()).map(|body| body.get("next").number());
+                        let next =
+                            Json::parse(&response.text()).map(|body| body.get("next").number());
                         (response.status, next)
                     }
                     Err(_) => (0, None),
                 };
                 let took = begun.elapsed().as_millis();
-                record.line(&format!("client: reader {reader} after {after}: {status} next {next:?} in {took} ms"));
+                record.line(&format!(
+                    "client: reader {reader} after {after}: {status} next {next:?} in {took} ms"
+                ));
                 if status == 200 {
                     after = next.unwrap_or(after);
                 }
@@ -147,7 +159,11 @@
     // The store carries out one write of results and its answer is lost; then the machine that wrote stands still.
     let frozen: Arc<Mutex<Option<(usize, Instant)>>> = Arc::default();
     let hook = {
-        let (frozen, standbys, record) = (Arc::clone(&frozen), Arc::clone(&standbys), Arc::clone(record));
+        let (frozen, standbys, record) = (
+            Arc::clone(&frozen),
+            Arc::clone(&standbys),
+            Arc::clone(record),
+        );
         let has_trouble = case.has_trouble;
         Box::new(move |node: &str, keys: &[String]| {
             let is_result = keys.iter().any(|key| key.contains("/results/"));
@@ -157,7 +173,9 @@
                 if has_trouble {
                     standbys[index].signal(SIGSTOP);
                 }
-                record.line(&format!("store: {node} wrote {keys:?}; frozen {has_trouble}"));
+                record.line(&format!(
+                    "store: {node} wrote {keys:?}; frozen {has_trouble}"
+                ));
                 *frozen = Some((index, Instant::now()));
                 return has_trouble;
             }
@@ -169,7 +187,10 @@
         return Verdict::Failed("no standby writes results".to_owned());
     }
     let (index, since) = frozen.lock().unwrap().expect("it was set");
-    record.say(&format!("{} stands still; the answer to its write of results is lost", standbys[index].name));
+    record.say(&format!(
+        "{} stands still; the answer to its write of results is lost",
+        standbys[index].name
+    ));
     thread::sleep(END_AFTER.saturating_sub(since.elapsed()));
     let mut confirmed = None;
     for attempt in 0..4 {
@@ -205,7 +226,9 @@
         late.extend(runs.iter().filter(|run| run.at > counted).cloned());
     }
     late.sort_by_key(|run| run.at);
-    let first = late.first().map(|run| run.at.duration_since(confirmed).as_millis());
+    let first = late
+        .first()
+        .map(|run| run.at.duration_since(confirmed).as_millis());
     store.set_hook(None);
     drop((standbys, entries));
     match first {
@@ -214,7 +237,8 @@
             "{} items of the ended batch submission reached a worker and were run, the first counted one {first} ms \
              after the confirmation (cancel_ms 3000), the last {} ms after it",
             late.len(),
-            late.last().map_or(0, |run| run.at.duration_since(confirmed).as_millis())
+            late.last()
+                .map_or(0, |run| run.at.duration_since(confirmed).as_millis())
         )),
     }
 }
--- a/review/standins/src/cold.rs
+++ b/review/standins/src/cold.rs
@@ -22,6 +22,8 @@
 const KEY: &str = "2b9wu3fexd9dnn2ctnfz";
 /// `cold_per_s` x `cold_overshoot` + `cold_slack` = 18 x 1.5 + 5.
 const BOUND: usize = 32;
+/// Twice `cold_per_s`, which is well above it.
+const CRASH_RATE: usize = 36;
 const COLD: Duration = Duration::from_secs(3);
 const CLIENTS: u64 = 24;
 /// 24 clients send 150 requests a second.
@@ -29,6 +31,8 @@
 
 const CONFIG: &str = "{\"version\":3,\"routes\":[\
     {\"name\":\"r-desk\",\"host\":\"desk.example\",\"prefix\":\"/desk/\",\"kind\":\"safe\",\"timeout_ms\":2000,\
+    \"target_latency_ms\":400,\"priority\":2,\"service\":\"desk\",\"max_attempts\":2,\"auth_exempt\":false},\
+    {\"name\":\"r-once\",\"host\":\"desk.example\",\"prefix\":\"/once/\",\"kind\":\"unsafe\",\"timeout_ms\":2000,\
     \"target_latency_ms\":400,\"priority\":2,\"service\":\"desk\",\"max_attempts\":2,\"auth_exempt\":false}],\
     \"services\":[{\"name\":\"desk\",\"health_path\":\"/health\",\"max_connections\":140,\"protocol\":\"h1\",\
     \"tls\":false,\"cold_start_s\":3.0,\"cold_per_s\":18.0}],\
@@ -51,6 +55,7 @@
                 model: None,
                 work: Duration::from_millis(20),
                 events: 0,
+                crash_rate: Some(CRASH_RATE),
             };
             Worker::start(settings, &store, record)
         })
@@ -67,11 +72,17 @@
         return Verdict::Failed("the entries are not ready".to_owned());
     }
     let is_over = Arc::new(AtomicBool::new(false));
-    let counts: Arc<[AtomicU64; 2]> = Arc::default();
+    let counts: Arc<[AtomicU64; 3]> = Arc::default();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let front = entries[client as usize % 4].front;
             let (is_over, counts) = (Arc::clone(&is_over), Arc::clone(&counts));
+            let record = Arc::clone(record);
+            // Half of the clients send requests that may run once at most.
+            let path = match client / 4 % 2 {
+                0 => "/desk/1",
+                _ => "/once/1",
+            };
             thread::spawn(move || {
                 let mut connection = None;
                 let mut number = 0;
@@ -90,9 +101,18 @@
                         None => Connection::open(front).ok(),
                     };
                     let Some(mut opened) = opened else { continue };
-                    let response = opened.call("POST", "/desk/1", &headers, id.as_bytes());
-                    let is_served = response.as_ref().is_ok_and(|response| response.status == 200);
-                    counts[usize::from(is_served)].fetch_add(1, Ordering::SeqCst);
+                    let response = opened.call("POST", path, &headers, id.as_bytes());
+                    let status = response.as_ref().map_or(0, |response| response.status);
+                    // Those that were refused as not run were not accepted.
+                    let index = match status {
+                        200 => 0,
+                        429 | 503 => 1,
+                        _ => {
+                            record.line(&format!("client: {id} {path} ended with {status}"));
+                            2
+                        }
+                    };
+                    counts[index].fetch_add(1, Ordering::SeqCst);
                     if response.is_ok() {
                         connection = Some(opened);
                     }
@@ -104,7 +124,7 @@
     thread::sleep(Duration::from_millis(4_300));
     let begun = Instant::now();
     if case.has_trouble {
-        *workers[0].cold_until.lock().unwrap() = Some(begun + COLD);
+        *workers[0].cold.lock().unwrap() = Some((begun, begun + COLD));
         record.say("i-desk-vault-a becomes cold for 3 s; its next beats say so");
     }
     thread::sleep(COLD);
@@ -120,20 +140,26 @@
         .collect();
     let most = times.iter().enumerate().map(|(index, first)| {
         let second = times[index..].iter();
-        second.take_while(|at| **at < *first + Duration::from_secs(1)).count()
+        second
+            .take_while(|at| **at < *first + Duration::from_secs(1))
+            .count()
     });
     let most = most.max().unwrap_or(0);
     let last = times.last().map_or(0.0, Duration::as_secs_f64);
     record.say(&format!(
-        "requests at i-desk-vault-a in these 3 s: {}, the last after {last:.2} s, at most {most} in a second; served \
-         {}, not served {}",
+        "requests at i-desk-vault-a in these 3 s: {}, the last after {last:.2} s, at most {most} in a second; of all \
+         requests {} were served, {} refused as not run, {} lost",
         times.len(),
+        counts[0].load(Ordering::SeqCst),
         counts[1].load(Ordering::SeqCst),
-        counts[0].load(Ordering::SeqCst)
+        counts[2].load(Ordering::SeqCst)
     ));
+    let lost = counts[2].load(Ordering::SeqCst);
     drop((standby, entries));
     match case.has_trouble && most > BOUND {
-        true => Verdict::Broken(format!("a cold worker got {most} requests in one second, {BOUND} are allowed")),
+        true => Verdict::Broken(format!(
+            "a cold worker got {most} requests in one second, {BOUND} are allowed; {lost} requests were lost with it"
+        )),
         false => Verdict::Held(format!("at most {most} requests in a second")),
     }
 }
--- a/review/standins/src/drain.rs
+++ b/review/standins/src/drain.rs
@@ -54,6 +54,7 @@
         model: None,
         work: Duration::from_millis(work),
         events,
+        crash_rate: None,
     };
     let desk = Worker::start(settings("i-desk-1", "desk", 400, 0), &store, record);
     let _feed = Worker::start(settings("i-feed-1", "feed", 100, 110), &store, record);
@@ -79,7 +80,10 @@
     let mut connections = Vec::new();
     for index in 0..CLIENTS {
         let headers = request(&format!("first{index}"));
-        let headers: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+        let headers: Vec<(&str, &str)> = headers
+            .iter()
+            .map(|(n, v)| (n.as_str(), v.as_str()))
+            .collect();
         let mut connection = match Connection::open(front) {
             Ok(connection) => connection,
             Err(error) => return Verdict::Failed(format!("cannot connect: {error}")),
@@ -117,7 +121,10 @@
     match case.has_trouble {
         true => {
             entries[0].signal(SIGTERM);
-            record.say(&format!("SIGTERM to {}, which has grace_s 8", entries[0].name));
+            record.say(&format!(
+                "SIGTERM to {}, which has grace_s 8",
+                entries[0].name
+            ));
         }
         false => record.say("no SIGTERM"),
     }
@@ -154,7 +161,11 @@
     }
     let _ = stream.join();
     thread::sleep(Duration::from_millis(300));
-    record.line(&format!("{} has ended: {}", entries[0].name, entries[0].has_ended()));
+    record.line(&format!(
+        "{} has ended: {}",
+        entries[0].name,
+        entries[0].has_ended()
+    ));
     let runs = desk.runs.lock().unwrap();
     let sent = sent.lock().unwrap();
     let mut lost = Vec::new();
@@ -173,7 +184,10 @@
     }
     drop((standby, entries));
     match lost.is_empty() {
-        true => Verdict::Held(format!("{} requests on kept connections, none lost", sent.len())),
+        true => Verdict::Held(format!(
+            "{} requests on kept connections, none lost",
+            sent.len()
+        )),
         false => Verdict::Broken(format!("{} requests lost: {}", lost.len(), lost.join("; "))),
     }
 }
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 for the stand-ins: a server with one thread a connection, and a client.
 
 use std::{
-    io::{self, BufRead, BufReader, Read, Write},
+    io::{self, BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::Arc,
     thread,
@@ -10,7 +10,6 @@
 
 #[derive(Debug, Clone)]
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: Vec<(String, String)>,
     pub headers: Vec<(String, String)>,
@@ -29,7 +28,9 @@
 }
 
 pub fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+    let found = headers
+        .iter()
+        .find(|(key, _)| key.eq_ignore_ascii_case(name));
     found.map(|(_, value)| value.as_str())
 }
 
@@ -37,8 +38,13 @@
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        let hex = bytes.get(at + 1..at + 3).and_then(|hex| std::str::from_utf8(hex).ok());
-        match (bytes[at], hex.and_then(|hex| u8::from_str_radix(hex, 16).ok())) {
+        let hex = bytes
+            .get(at + 1..at + 3)
+            .and_then(|hex| std::str::from_utf8(hex).ok());
+        match (
+            bytes[at],
+            hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()),
+        ) {
             (b'%', Some(byte)) => {
                 out.push(byte);
                 at += 3;
@@ -107,16 +113,19 @@
 }
 
 fn read_request(reader: &mut impl BufRead) -> io::Result<Option<Request>> {
-    let Some(line) = read_line(reader)? else { return Ok(None) };
+    let Some(line) = read_line(reader)? else {
+        return Ok(None);
+    };
     let mut words = line.split(' ');
-    let (method, target) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
+    let target = words.nth(1).unwrap_or("");
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let query = pairs.map(|(key, value)| (key.to_owned(), decode_percent(value))).collect();
+    let query = pairs
+        .map(|(key, value)| (key.to_owned(), decode_percent(value)))
+        .collect();
     let headers = read_headers(reader)?;
     let body = read_body(reader, &headers, false)?;
     Ok(Some(Request {
-        method: method.to_owned(),
         path: path.to_owned(),
         query,
         headers,
@@ -169,15 +178,10 @@
 #[derive(Debug)]
 pub struct Response {
     pub status: u16,
-    pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
 }
 
 impl Response {
-    pub fn header(&self, name: &str) -> Option<&str> {
-        find(&self.headers, name)
-    }
-
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
     }
@@ -224,7 +228,7 @@
         let status = status.ok_or(io::ErrorKind::InvalidData)?;
         let headers = read_headers(&mut self.reader)?;
         let body = read_body(&mut self.reader, &headers, true)?;
-        Ok(Response { status, headers, body })
+        Ok(Response { status, body })
     }
 
     pub fn call(
--- a/review/standins/src/json.rs
+++ b/review/standins/src/json.rs
@@ -14,7 +14,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = reader.value()?;
         reader.space();
         (reader.at == reader.bytes.len()).then_some(value)
@@ -114,7 +117,11 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|b| b"+-.eE0123456789".contains(b))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
@@ -144,7 +151,8 @@
                         b'b' => '\u{8}',
                         b'f' => '\u{c}',
                         b'u' => {
-                            let hex = std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
+                            let hex =
+                                std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
                             self.at += 4;
                             char::from_u32(u32::from_str_radix(hex, 16).ok()?).unwrap_or('?')
                         }
@@ -184,25 +192,12 @@
             | u32::from(*chunk.get(2).unwrap_or(&0));
         for index in 0..4 {
             match index <= chunk.len() {
-                true => out.push(char::from(ALPHABET[(word >> (18 - 6 * index) & 63) as usize])),
+                true => out.push(char::from(
+                    ALPHABET[(word >> (18 - 6 * index) & 63) as usize],
+                )),
                 false => out.push('='),
             }
         }
     }
     out
 }
-
-pub fn from_base64(text: &str) -> Vec<u8> {
-    let mut out = Vec::new();
-    let (mut word, mut bits) = (0u32, 0);
-    for byte in text.bytes() {
-        let Some(value) = ALPHABET.iter().position(|letter| *letter == byte) else { continue };
-        word = word << 6 | value as u32;
-        bits += 6;
-        if bits >= 8 {
-            bits -= 8;
-            out.push((word >> bits & 255) as u8);
-        }
-    }
-    out
-}
--- a/review/standins/src/kept.rs
+++ b/review/standins/src/kept.rs
@@ -84,6 +84,7 @@
             model: model.map(str::to_owned),
             work: Duration::from_millis(work),
             events,
+            crash_rate: None,
         };
         Worker::start(settings, &store, record)
     };
@@ -105,9 +106,17 @@
     }
     thread::sleep(Duration::from_millis(1_500));
     let target = format!("/draft/{JOB}");
-    let response = http::call(entries[0].front, "POST", &target, &headers(JOB), submission().as_bytes());
+    let response = http::call(
+        entries[0].front,
+        "POST",
+        &target,
+        &headers(JOB),
+        submission().as_bytes(),
+    );
     match response {
-        Ok(response) if response.status == 202 => record.say("client: the batch submission is accepted (202)"),
+        Ok(response) if response.status == 202 => {
+            record.say("client: the batch submission is accepted (202)")
+        }
         other => return Verdict::Failed(format!("the submission is not accepted: {other:?}")),
     }
     let accepted = Instant::now();
@@ -116,17 +125,26 @@
         thread::spawn(move || {
             thread::sleep(DOWN_AT.saturating_sub(accepted.elapsed()));
             store.set_down(true);
-            record.say(&format!("the store is down, {:.1} s after the 202", accepted.elapsed().as_secs_f64()));
+            record.say(&format!(
+                "the store is down, {:.1} s after the 202",
+                accepted.elapsed().as_secs_f64()
+            ));
             thread::sleep(DOWN_FOR);
             store.set_down(false);
-            record.say(&format!("the store is back, {:.1} s after the 202", accepted.elapsed().as_secs_f64()));
+            record.say(&format!(
+                "the store is back, {:.1} s after the 202",
+                accepted.elapsed().as_secs_f64()
+            ));
         });
     }
     let read = |entry: usize, after: u64| {
         let target = format!("/catkindeck/lots/{JOB}?after={after}");
         let response = http::call(entries[entry].front, "GET", &target, &headers("read1"), b"");
         let (status, body) = response.map_or((0, Json::Null), |response| {
-            (response.status, Json::parse(&response.text()).unwrap_or(Json::Null))
+            (
+                response.status,
+                Json::parse(&response.text()).unwrap_or(Json::Null),
+            )
         });
         let count = body.get("results").list().len();
         record.line(&format!(
@@ -149,7 +167,10 @@
         round += 1;
         thread::sleep(Duration::from_millis(450));
     }
-    record.say(&format!("client: all results were read, {:.1} s after the 202", accepted.elapsed().as_secs_f64()));
+    record.say(&format!(
+        "client: all results were read, {:.1} s after the 202",
+        accepted.elapsed().as_secs_f64()
+    ));
     thread::sleep(READ_AGAIN);
     // The batch submission was not ended, so it is open.
     let mut lost = Vec::new();
@@ -163,7 +184,9 @@
         }
     }
     let keys = store.keys(&format!("ckd/jobs/{JOB}/")).len();
-    record.say(&format!("keys of the batch submission in the store: {keys}"));
+    record.say(&format!(
+        "keys of the batch submission in the store: {keys}"
+    ));
     drop((standbys, entries));
     match lost.is_empty() {
         true => Verdict::Held("all results that had been read came again".to_owned()),
--- a/review/standins/src/keys.rs
+++ b/review/standins/src/keys.rs
@@ -42,6 +42,7 @@
             model: None,
             work: Duration::from_millis(20),
             events: 0,
+            crash_rate: None,
         },
         &store,
         record,
@@ -64,7 +65,10 @@
         ];
         let response = http::call(entries[entry].front, "POST", "/desk/1", &headers, b"x");
         let status = response.map_or(0, |response| response.status);
-        record.say(&format!("client sends {id} to {} with key {key}: {status}", entries[entry].name));
+        record.say(&format!(
+            "client sends {id} to {} with key {key}: {status}",
+            entries[entry].name
+        ));
         status
     };
     for entry in 0..2 {
@@ -92,7 +96,10 @@
             send(&id, entry, key);
             let runs = worker.runs.lock().unwrap();
             if let Some(run) = runs.iter().find(|run| run.request == id) {
-                ran.push(format!("{id} (tenant {})", run.tenant.as_deref().unwrap_or("none")));
+                ran.push(format!(
+                    "{id} (tenant {})",
+                    run.tenant.as_deref().unwrap_or("none")
+                ));
             }
         }
     }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -9,9 +9,9 @@
 mod drain;
 mod http;
 mod json;
+mod kept;
 mod keys;
 mod node;
-mod kept;
 mod store;
 mod worker;
 
@@ -61,7 +61,10 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 /// Waits until something holds, for 20 s at most.
@@ -82,7 +85,8 @@
         eprintln!("usage: review-case CASE FOLDER");
         std::process::exit(2);
     };
-    let file = File::create(Path::new(target).join("record.txt")).expect("the record can be written");
+    let file =
+        File::create(Path::new(target).join("record.txt")).expect("the record can be written");
     let record = std::sync::Arc::new(Record {
         start: Instant::now(),
         file: Mutex::new(file),
@@ -94,7 +98,8 @@
         folder: folder.clone(),
         has_trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
     };
-    // The runs of a case are bounded; this is the last resort. Otherwise the processes end with their owner's `Drop`.
+    // The runs of a case are bounded; this is the last resort. Otherwise the processes end with their
+    // owner's `Drop`, or with the case.
     thread::spawn(|| {
         thread::sleep(Duration::from_secs(112));
         node::end_all();
@@ -108,6 +113,7 @@
         "keys" => keys::run(&case),
         _ => Verdict::Failed(format!("unknown case {name}")),
     };
+    node::end_all();
     if std::env::var("KEEP_LOGS").is_err() {
         let _ = fs::remove_dir_all(&folder);
     }
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -20,10 +20,12 @@
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
-/// The ports are the same on all machines of a day; the machines differ by their loopback address.
-const FRONT: u16 = 18_405;
-const READINESS: u16 = 18_406;
-const INTERNAL: u16 = 17_660;
+/// The number of networks and of ports that are tried until free ones are found.
+const TRIES: u32 = 200;
+
+fn is_free(ip: &str, port: u16) -> bool {
+    TcpListener::bind((ip, port)).is_ok()
+}
 
 /// The processes that were started and not waited for.
 static STARTED: Mutex<Vec<i32>> = Mutex::new(Vec::new());
@@ -51,6 +53,8 @@
     pub folder: PathBuf,
     /// The second and third number of the machines' loopback addresses.
     net: (u8, u8),
+    /// The first of the ports of each machine.
+    base: u16,
     cloud: SocketAddr,
     /// For how long after its submission a batch submission can be read at least, in seconds.
     pub status_s: u32,
@@ -60,10 +64,18 @@
     pub fn new(store: &Arc<Store>, record: &Arc<Record>, folder: &Path) -> Self {
         let pid = std::process::id();
         let mut net = ((pid % 200 + 20) as u8, (pid / 200 % 250) as u8);
-        // The command of the deploy file has a fixed port for metrics, so the addresses must be free.
-        while TcpListener::bind((format!("127.{}.{}.11", net.0, net.1).as_str(), 9_464)).is_err() {
+        // The command of the deploy file has a fixed port for metrics, so the machines' addresses must be free.
+        for _ in 0..TRIES {
+            if is_free(&format!("127.{}.{}.11", net.0, net.1), 9_464) {
+                break;
+            }
             net.1 = net.1.wrapping_add(1);
         }
+        // The ports are the same on all machines; the machines differ by their loopback address.
+        let ip = format!("127.{}.{}.11", net.0, net.1);
+        let bases = (0..TRIES).map(|number| 20_000 + (pid % 200 * 40 + number * 40) as u16);
+        let is_base_free = |base: &u16| (*base..*base + 20).all(|port| is_free(&ip, port));
+        let base = bases.into_iter().find(is_base_free).unwrap_or(20_000);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let cloud = listener.local_addr().unwrap();
         crate::http::serve(
@@ -75,6 +87,7 @@
             record: Arc::clone(record),
             folder: folder.to_owned(),
             net,
+            base,
             cloud,
             status_s: 120,
         }
@@ -89,13 +102,14 @@
             true => ("entry", "edge", "edge", 0.19, 260, 4_100, 1_000),
             false => ("standby", "storage", "storage", 0.5, 280, 8_200, 600),
         };
+        let (front, readiness, internal) = (self.base, self.base + 1, self.base + 2);
         let listen = match is_entry {
-            true => format!("front = \"{ip}:{FRONT}\"\nreadiness = \"{ip}:{READINESS}\"\n"),
+            true => format!("front = \"{ip}:{front}\"\nreadiness = \"{ip}:{readiness}\"\n"),
             false => String::new(),
         };
         let text = format!(
             "node_name = \"{name}\"\nrole = \"{role}\"\nmachine_class = \"{class}\"\nserves = [\"{serves}\"]\n\
-             ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"tvm\"\ninternal_ports = [{INTERNAL},{last}]\nseeds = []\n\
+             ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"tvm\"\ninternal_ports = [{internal},{last}]\nseeds = []\n\
              first_start = true\nfault_counted = {counted}\ndiscovery = \"platform\"\nentry = \"vip\"\n\
              heartbeat_ms = 1200\n\
              contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"samples\",\"stream\",\"engine\",\
@@ -114,7 +128,7 @@
              history_s = 20\nvalue_bytes = 1048576\nttl_min_ms = 1000\n\
              [cloud_api]\naddress = \"{cloud}\"\nrate_per_s = 50.0\nduties = [\"usage_report\",\"autoscale\"]\n\
              duty_per_s = 50.0\n",
-            last = INTERNAL + 15,
+            last = internal + 15,
             counted = !is_entry,
             cloud = self.cloud,
             status_s = self.status_s,
@@ -122,10 +136,12 @@
         let settings = self.folder.join(format!("{name}.toml"));
         fs::write(&settings, text).unwrap();
         let log = File::create(self.folder.join(format!("{name}.log"))).unwrap();
-        let program = Path::new(crate::PROGRAM).canonicalize().unwrap_or_else(|_| {
-            eprintln!("{} is missing; build it first", crate::PROGRAM);
-            std::process::exit(2)
-        });
+        let program = Path::new(crate::PROGRAM)
+            .canonicalize()
+            .unwrap_or_else(|_| {
+                eprintln!("{} is missing; build it first", crate::PROGRAM);
+                std::process::exit(2)
+            });
         let child = Command::new(program)
             .args(["--metrics-port", "9464"])
             .env("CATKINDECK_SETTINGS", &settings)
@@ -136,11 +152,12 @@
             .unwrap();
         let pid = child.id() as i32;
         STARTED.lock().unwrap().push(pid);
-        self.record.line(&format!("started {name}, pid {pid}, address {ip}"));
+        self.record
+            .line(&format!("started {name}, pid {pid}, address {ip}"));
         Node {
             name: name.to_owned(),
-            front: format!("{ip}:{FRONT}").parse().unwrap(),
-            readiness: format!("{ip}:{READINESS}").parse().unwrap(),
+            front: format!("{ip}:{front}").parse().unwrap(),
+            readiness: format!("{ip}:{readiness}").parse().unwrap(),
             child: Mutex::new(child),
             pid,
         }
@@ -155,7 +172,13 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let response = crate::http::call(self.readiness, "GET", "/catkindeck/readiness", &[("Host", "x")], b"");
+        let response = crate::http::call(
+            self.readiness,
+            "GET",
+            "/catkindeck/readiness",
+            &[("Host", "x")],
+            b"",
+        );
         response.is_ok_and(|response| response.status == 200)
     }
 
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -51,14 +51,26 @@
 fn entry_json(key: &str, entry: &Entry) -> String {
     format!(
         "{{\"key\":{},\"value\":\"{}\",\"revision\":{},\"created\":{},\"lease\":{}}}",
-        quote(key), entry.value, entry.revision, entry.created, entry.lease
+        quote(key),
+        entry.value,
+        entry.revision,
+        entry.created,
+        entry.lease
     )
 }
 
 impl Content {
     fn write(&mut self, key: &str, value: String, lease: u64, revision: u64) {
-        let created = self.entries.get(key).map_or(revision, |entry| entry.created);
-        let entry = Entry { value, revision, created, lease };
+        let created = self
+            .entries
+            .get(key)
+            .map_or(revision, |entry| entry.created);
+        let entry = Entry {
+            value,
+            revision,
+            created,
+            lease,
+        };
         self.entries.insert(key.to_owned(), entry.clone());
         self.history.push((revision, key.to_owned(), Some(entry)));
     }
@@ -71,7 +83,10 @@
 
     fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
-        let bound = self.entries.iter().filter(|(_, entry)| entry.lease == lease);
+        let bound = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.lease == lease);
         let keys: Vec<String> = bound.map(|(key, _)| key.clone()).collect();
         for key in keys {
             self.revision += 1;
@@ -205,7 +220,14 @@
         match content.entries.get(key) {
             Some(entry) => {
                 let item = entry_json(key, entry);
-                (200, format!("{},\"as_of\":{}}}", &item[..item.len() - 1], content.revision))
+                (
+                    200,
+                    format!(
+                        "{},\"as_of\":{}}}",
+                        &item[..item.len() - 1],
+                        content.revision
+                    ),
+                )
             }
             None => (404, format!("{{\"as_of\":{}}}", content.revision)),
         }
@@ -231,12 +253,20 @@
         }
         let revision = content.revision;
         let items = items.join(",");
-        (200, format!("{{\"items\":[{items}],\"more_pages\":{more},\"as_of\":{revision}}}"))
+        (
+            200,
+            format!("{{\"items\":[{items}],\"more_pages\":{more},\"as_of\":{revision}}}"),
+        )
     }
 
     fn watch(&self, request: &Request) -> (u16, String) {
         let prefix = request.parameter("prefix").unwrap_or("");
-        let number = |name| request.parameter(name).and_then(|text: &str| text.parse().ok()).unwrap_or(0);
+        let number = |name| {
+            request
+                .parameter(name)
+                .and_then(|text: &str| text.parse().ok())
+                .unwrap_or(0)
+        };
         let after: u64 = number("after");
         let until = Instant::now() + Duration::from_millis(number("wait_ms").min(30_000));
         loop {
@@ -247,16 +277,23 @@
                 let mut content = self.content.lock().unwrap();
                 content.expire();
                 let changes = content.history.iter();
-                let changes = changes.filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
+                let changes = changes
+                    .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
                 let events: Vec<String> = changes
                     .map(|(revision, key, entry)| match entry {
                         Some(entry) => entry_json(key, entry),
-                        None => format!("{{\"key\":{},\"revision\":{revision},\"tombstone\":true}}", quote(key)),
+                        None => format!(
+                            "{{\"key\":{},\"revision\":{revision},\"tombstone\":true}}",
+                            quote(key)
+                        ),
                     })
                     .collect();
                 if !events.is_empty() || Instant::now() >= until {
                     let (events, revision) = (events.join(","), content.revision);
-                    return (200, format!("{{\"events\":[{events}],\"as_of\":{revision}}}"));
+                    return (
+                        200,
+                        format!("{{\"events\":[{events}],\"as_of\":{revision}}}"),
+                    );
                 }
             }
             thread::sleep(Duration::from_millis(4));
@@ -280,11 +317,17 @@
                     Some(entry_json(key, content.entries.get(key)?))
                 })
                 .collect();
-            return ((412, format!("{{\"items\":[{}]}}", items.join(","))), Vec::new());
+            return (
+                (412, format!("{{\"items\":[{}]}}", items.join(","))),
+                Vec::new(),
+            );
         }
         let puts = body.get("puts").list();
         let lease = |row: &Json| row.get("lease").number();
-        if puts.iter().any(|row| lease(row) != 0 && !content.leases.contains_key(&lease(row))) {
+        if puts
+            .iter()
+            .any(|row| lease(row) != 0 && !content.leases.contains_key(&lease(row)))
+        {
             return ((404, String::new()), Vec::new());
         }
         content.revision += 1;
@@ -292,7 +335,12 @@
         let mut keys = Vec::new();
         for row in puts {
             let key = row.get("key").text();
-            content.write(key, row.get("value").text().to_owned(), lease(row), revision);
+            content.write(
+                key,
+                row.get("value").text().to_owned(),
+                lease(row),
+                revision,
+            );
             keys.push(key.to_owned());
         }
         for key in body.get("remove").list() {
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -30,6 +30,8 @@
     pub work: Duration,
     /// The number of events of a stream.
     pub events: u64,
+    /// The number of requests in a second at which the worker crashes while it is cold.
+    pub crash_rate: Option<usize>,
 }
 
 /// One run at a worker.
@@ -45,8 +47,10 @@
     pub settings: WorkerSettings,
     pub address: SocketAddr,
     pub runs: Mutex<Vec<Run>>,
-    /// When the worker ceases to be cold.
-    pub cold_until: Mutex<Option<Instant>>,
+    /// From when until when the worker is cold.
+    pub cold: Mutex<Option<(Instant, Instant)>>,
+    /// Until when the worker is down after a crash.
+    down_until: Mutex<Option<Instant>>,
     running: AtomicUsize,
     sequence: AtomicU64,
     store: Arc<Store>,
@@ -54,6 +58,9 @@
     born: u64,
 }
 
+/// How long a worker is down after a crash; it is back "after some seconds".
+const CRASH_TIME: Duration = Duration::from_secs(3);
+
 struct SlotGuard<'a>(&'a Worker);
 
 impl Drop for SlotGuard<'_> {
@@ -69,7 +76,8 @@
             address: listener.local_addr().unwrap(),
             settings,
             runs: Mutex::default(),
-            cold_until: Mutex::default(),
+            cold: Mutex::default(),
+            down_until: Mutex::default(),
             running: AtomicUsize::new(0),
             sequence: AtomicU64::new(0),
             store: Arc::clone(store),
@@ -77,11 +85,16 @@
             born: crate::unix_ms(),
         });
         let served = Arc::clone(&worker);
-        http::serve(listener, Arc::new(move |request, stream| served.answer(request, stream)));
+        http::serve(
+            listener,
+            Arc::new(move |request, stream| served.answer(request, stream)),
+        );
         let beating = Arc::clone(&worker);
         thread::spawn(move || {
             loop {
-                beating.register();
+                if !beating.is_down() {
+                    beating.register();
+                }
                 thread::sleep(Duration::from_millis(1_200));
             }
         });
@@ -107,13 +120,45 @@
     }
 
     pub fn cold_ms(&self) -> u64 {
-        let until = *self.cold_until.lock().unwrap();
-        until.map_or(0, |until| until.saturating_duration_since(Instant::now()).as_millis() as u64)
+        let cold = *self.cold.lock().unwrap();
+        cold.map_or(0, |(_, until)| {
+            until.saturating_duration_since(Instant::now()).as_millis() as u64
+        })
+    }
+
+    /// Returns whether the worker is down, after a crash that the latest requests caused.
+    fn is_down(&self) -> bool {
+        let now = Instant::now();
+        let mut down_until = self.down_until.lock().unwrap();
+        if let Some(rate) = self
+            .settings
+            .crash_rate
+            .filter(|_| self.cold_ms() > 0 && down_until.is_none())
+        {
+            let runs = self.runs.lock().unwrap();
+            let begun = self.cold.lock().unwrap().map_or(now, |(begun, _)| begun);
+            let since = begun.max(now - Duration::from_secs(1));
+            let recent = runs.iter().rev().take_while(|run| run.at >= since).count();
+            if recent > rate {
+                *down_until = Some(now + CRASH_TIME);
+                self.record.say(&format!(
+                    "worker {} crashes: {recent} requests in a second while it is cold",
+                    self.settings.id
+                ));
+            }
+        }
+        down_until.is_some_and(|until| now < until)
     }
 
     fn answer(&self, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
         let id = &self.settings.id;
-        if request.header("Expect-Instance").is_some_and(|expected| expected != id) {
+        if self.is_down() {
+            return Ok(false);
+        }
+        if request
+            .header("Expect-Instance")
+            .is_some_and(|expected| expected != id)
+        {
             return http::respond(stream, 421, &[("Instance-Id", id)], b"");
         }
         match request.path.as_str() {
@@ -147,7 +192,8 @@
         let resumed = request.header("Last-Event-Id").unwrap_or("-").to_owned();
         self.record.line(&format!(
             "worker {id} runs {attempt} path {} tenant {} last-event-id {resumed}",
-            run.path, run.tenant.as_deref().unwrap_or("-")
+            run.path,
+            run.tenant.as_deref().unwrap_or("-")
         ));
         self.runs.lock().unwrap().push(run);
         let is_stream = self.settings.events > 0;
@@ -159,14 +205,24 @@
 
     fn answer_plain(&self, attempt: &str, stream: &mut TcpStream) -> io::Result<bool> {
         thread::sleep(self.settings.work);
+        if self.is_down() {
+            return Ok(false);
+        }
         let body = format!("answer of {} to {attempt}", self.settings.id);
         let stamp = format!("3e1b.07.5a2.{}.0.c9f2a4d1", body.len());
         let headers = [("Attempt-Id", attempt), ("Server-Stamp", stamp.as_str())];
         http::respond(stream, 200, &headers, body.as_bytes())
     }
 
-    fn stream_events(&self, request: &Request, attempt: &str, stream: &mut TcpStream) -> io::Result<bool> {
-        let last = request.header("Last-Event-Id").and_then(|text| text.parse().ok());
+    fn stream_events(
+        &self,
+        request: &Request,
+        attempt: &str,
+        stream: &mut TcpStream,
+    ) -> io::Result<bool> {
+        let last = request
+            .header("Last-Event-Id")
+            .and_then(|text| text.parse().ok());
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
              Attempt-Id: {attempt}\r\nServer-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nWeight-Versions: 1\r\n\r\n"
