Take only requests that a process can finish before it ends

Cause: shut_down closed connections only after a moment without requests, and both of its waits shared one deadline. Ruled out by the record of the script: connections used again after `Connection: close` (one request each), and a slow upstream (600 ms each).

Change: DrainSchedule says until when connections are accepted, requests are answered and the process runs. A request is taken if its deadline or the longest recent request of its service lies before the end; otherwise it is refused with 503, not run. What is in progress at the end is answered with 502. gateway_closing (8108) logs when no more connections are accepted.

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -100,12 +100,15 @@
         // not receive the response.
         let deadline_ms = decoded.as_ref().ok().and_then(|(head, _)| head.deadline_ms);
         let limit = Duration::from_millis(deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS));
-        let body = match timeout(limit, self.read_body(body)).await {
-            Ok(body) => body,
-            Err(_) => Err(ServiceError::not_run(
-                ErrorKind::BadRequest,
-                format!("the body of the request was not complete within {limit:?}"),
-            )),
+        let body = tokio::select! {
+            body = timeout(limit, self.read_body(body)) => body.unwrap_or_else(|_| {
+                let detail = format!("the body of the request was not complete within {limit:?}");
+                Err(ServiceError::not_run(ErrorKind::BadRequest, detail))
+            }),
+            () = self.core.await_drain_end() => {
+                let detail = "this process ends before the body of the request is complete";
+                Err(ServiceError::not_run(ErrorKind::ShuttingDown, detail))
+            }
         };
         let (head, operation, body) = match (decoded, body) {
             (Ok((head, operation)), Ok(body)) => (head, operation, body),
@@ -122,45 +125,55 @@
         }
         let mut served = BodyBytes::new(&self.core.hosts.served_bytes);
         served.add(body.len() as u64);
-        let outcome = match operation {
-            CallerOperation::Request => {
-                let outcome = self.answer_request(&head, body.clone(), arrived).await;
-                match outcome {
-                    Err(error) if error.kind == ErrorKind::Quarantined => {
-                        let retry_ms = self.quarantine_ms(&head, &body);
-                        return self.refuse_for(retry_ms, Some(&head), &error, arrived);
-                    }
-                    outcome => outcome,
-                }
-            }
-            CallerOperation::JobResults(read) => {
-                let customer = self.authenticate(&head, None);
-                match customer {
-                    Ok(customer) => self.jobs.results(&read, customer.as_ref()).await,
-                    Err(error) => Err(error),
-                }
-                .map(full_response)
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.perform(&head, operation, body.clone(), arrived) => outcome,
+            () = self.core.await_drain_end() => {
+                let detail = "this process ended before the response was complete";
+                Err(ServiceError::unknown(ErrorKind::ShuttingDown, detail))
             }
-            CallerOperation::JobItem { job, item } => match self.authenticate(&head, None) {
-                Ok(customer) => self.jobs.item_body(&job, &item, customer.as_ref()).await,
-                Err(error) => Err(error),
-            }
-            .map(|body| full_response(Response::new(body))),
-            CallerOperation::JobCancellation { job } => match self.authenticate(&head, None) {
-                Ok(customer) => self.jobs.cancel(&job, customer.as_ref()).await,
-                Err(error) => Err(error),
-            }
-            .map(|()| full_response(Response::new(Bytes::new()))),
         };
         match outcome {
             Ok(response) => {
                 self.log_response(&head, &response, arrived);
                 response
             }
+            Err(error) if error.kind == ErrorKind::Quarantined => {
+                let retry_ms = self.quarantine_ms(&head, &body);
+                self.refuse_for(retry_ms, Some(&head), &error, arrived)
+            }
             Err(error) => self.refuse(Some(&head), &error, arrived),
         }
     }
 
+    /// Performs an operation of a caller.
+    async fn perform(
+        &self,
+        head: &RequestHead,
+        operation: CallerOperation,
+        body: Bytes,
+        arrived: Instant,
+    ) -> Result<Response<ResponseBody>, ServiceError> {
+        match operation {
+            CallerOperation::Request => self.answer_request(head, body, arrived).await,
+            CallerOperation::JobResults(read) => {
+                let customer = self.authenticate(head, None)?;
+                let results = self.jobs.results(&read, customer.as_ref()).await;
+                results.map(full_response)
+            }
+            CallerOperation::JobItem { job, item } => {
+                let customer = self.authenticate(head, None)?;
+                let body = self.jobs.item_body(&job, &item, customer.as_ref()).await;
+                body.map(|body| full_response(Response::new(body)))
+            }
+            CallerOperation::JobCancellation { job } => {
+                let customer = self.authenticate(head, None)?;
+                self.jobs.cancel(&job, customer.as_ref()).await?;
+                Ok(full_response(Response::new(Bytes::new())))
+            }
+        }
+    }
+
     async fn answer_request(
         &self,
         head: &RequestHead,
@@ -172,6 +185,7 @@
             let accepted = self.jobs.submit(&request, &request.body).await?;
             return Ok(full_response(accepted));
         }
+        self.core.check_drain(&request)?;
         if request.matched.route.terms.streaming {
             return StreamCall::new(&self.core, request).run().await;
         }
@@ -272,6 +286,10 @@
         };
         let call = HedgedCall::new(&self.core, options, &builder).watching(request);
         let report = call.run().await;
+        if report.run.is_none() {
+            let service = &request.matched.service;
+            self.core.record_length(service, request.arrived.elapsed());
+        }
         match report.outcome {
             CallOutcome::Answered(response) => {
                 let customer = request.customer.as_ref();
@@ -313,7 +331,15 @@
                         return;
                     }
                     let reason = loop {
-                        match timeout_at(request.expires, exchange.chunk()).await {
+                        let chunk = tokio::select! {
+                            biased;
+                            chunk = timeout_at(request.expires, exchange.chunk()) => chunk,
+                            () = core.await_drain_end() => {
+                                break "this process ended before the response was complete"
+                                    .to_owned();
+                            }
+                        };
+                        match chunk {
                             Ok(Ok(Some(chunk))) => {
                                 if !sender.send(chunk).await {
                                     return;
@@ -321,6 +347,8 @@
                             }
                             Ok(Ok(None)) => {
                                 run.into_iter().for_each(WatchedRun::settle);
+                                let length = request.arrived.elapsed();
+                                core.record_length(&request.matched.service, length);
                                 return core.record_answered_run(&request, &guard.id, status);
                             }
                             Ok(Err(fault)) => break fault.detail,
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -4,6 +4,7 @@
     crate::{
         capacity::HostRegistry,
         crashing::CrashWatch,
+        drain::DrainProgress,
         events::CLOCK_JUMPED,
         fault_log::FaultLog,
         feed::StoreFeed,
@@ -110,7 +111,8 @@
     pub members: RefCell<Vec<MemberRecord>>,
     /// The current leader, as last read.
     pub leader: RefCell<Option<MemberRecord>>,
-    pub is_shutting_down: Cell<bool>,
+    /// The course of the process's shutdown.
+    pub drain: DrainProgress,
     /// The bytes of responses that are not passed on to their callers yet.
     pub buffered_bytes: Cell<u64>,
     /// The bytes of responses that callers have not taken yet.
@@ -174,7 +176,7 @@
             copies: CopyStore::default(),
             members: RefCell::new(Vec::new()),
             leader: RefCell::new(None),
-            is_shutting_down: Cell::new(false),
+            drain: DrainProgress::default(),
             buffered_bytes: Cell::new(0),
             held: HeldBytes::default(),
             load_time: Cell::default(),
@@ -263,7 +265,7 @@
     /// drained.
     pub fn accepts_work(&self) -> bool {
         let host = &self.settings().host;
-        !self.is_shutting_down.get() && !self.intent.borrow().is_draining(host)
+        !self.is_shutting_down() && !self.intent.borrow().is_draining(host)
     }
 
     /// Returns whether the configuration is recent enough to authenticate callers.
@@ -273,7 +275,7 @@
 
     /// Returns whether the load balancer may send new callers to this process.
     pub fn is_ready(&self) -> bool {
-        !self.is_shutting_down.get()
+        !self.is_shutting_down()
             && self.is_fresh()
             && self.intent.borrow().has_config()
             && !self.roster.borrow().is_empty()
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -5,8 +5,8 @@
         caller_handler::CallerHandler,
         core::{GatewayClients, GatewayCore, GatewayPorts},
         events::{
-            GATEWAY_DRAINING, GATEWAY_STARTED, GATEWAY_STOPPED, HAND_OVER_CUT, MAINTENANCE_FAILED,
-            METRICS_UNSERVED,
+            GATEWAY_CLOSING, GATEWAY_DRAINING, GATEWAY_STARTED, GATEWAY_STOPPED, HAND_OVER_CUT,
+            MAINTENANCE_FAILED, METRICS_UNSERVED,
         },
         jobs::{
             JobService,
@@ -27,12 +27,12 @@
     catkindeck_net::{
         ClientLimits, HttpClient, HttpServer, LocalFuture, ServerControl, ServerLimits,
     },
-    catkindeck_policy::direct::{CrashNotice, LeavingNotice},
+    catkindeck_policy::direct::{CrashNotice, DrainSchedule, LeavingNotice},
     futures_util::stream::{self, StreamExt},
     prometheus::Registry,
     slog::Logger,
     std::{io, rc::Rc, time::Duration},
-    tokio::time::{Instant, sleep, timeout},
+    tokio::time::{sleep, timeout},
 };
 
 /// The limits of the HTTP client for upstreams. The network delay between hosts is about a millisecond, so a
@@ -86,14 +86,6 @@
 /// How long a caller may leave a response unread without taking any byte of it; longer than callers' deadlines.
 const STALL_LIMIT: Duration = Duration::from_secs(15);
 
-/// How long the process accepts connections after the start of a shutdown. Within this time two readiness
-/// checks of the platform's load balancer fail, so that callers are directed to other processes.
-const DRAIN_PERIOD: Duration = Duration::from_millis(3_500);
-
-/// How long before the end of the grace period the process exits on its own. The platform kills it at the end
-/// of the period.
-const EXIT_BEFORE_KILL: Duration = Duration::from_millis(500);
-
 /// The longest time for handing over jobs. Other processes take over the remaining ones after the lease
 /// has ended.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -167,16 +159,35 @@
         &self.core
     }
 
-    /// Shuts the gateway down: fails readiness checks, hands over jobs, and waits for running requests
-    /// until the grace period ends.
+    /// Shuts the gateway down: fails readiness checks, hands over jobs, closes connections that are idle, and waits for
+    /// the requests on the others. Requests that may not be over before the end of the grace period are refused.
     pub async fn shut_down(&self) -> GatewayExit {
-        let started = Instant::now();
-        let grace = Duration::from_millis(self.core.settings().bounds.grace_ms);
-        let deadline = started + grace.saturating_sub(EXIT_BEFORE_KILL);
-        self.core.is_shutting_down.set(true);
+        let started = self.core.now();
+        let schedule = self.core.begin_drain();
         self.callers.request_close();
         log_event!(self.core.logger, GATEWAY_DRAINING;
             "requests" => self.callers.requests(), "jobs" => self.jobs.all().len());
+        self.hand_over(schedule).await;
+        self.core.sleep_until(schedule.accepts_until).await;
+        log_event!(self.core.logger, GATEWAY_CLOSING;
+            "requests" => self.callers.requests(), "connections" => self.callers.connections(),
+            "left_ms" => schedule.left_ms(self.core.now()));
+        self.callers.stop();
+        while self.callers.connections() > 0 && self.core.now() < schedule.exits_at {
+            sleep(DRAIN_POLL_INTERVAL).await;
+        }
+        let remaining = self.callers.connections();
+        log_event!(self.core.logger, GATEWAY_STOPPED;
+            "requests" => self.callers.requests(), "connections" => remaining,
+            "elapsed_ms" => self.core.now().since(started));
+        match remaining {
+            0 => GatewayExit::Drained,
+            _ => GatewayExit::Forced,
+        }
+    }
+
+    /// Hands over the jobs and the lease of the process.
+    async fn hand_over(&self, schedule: DrainSchedule) {
         let hand_over = async {
             // Orders under way are awaited meanwhile, so that the lease is revoked in time.
             let (handed_over, ()) =
@@ -187,31 +198,10 @@
             }
             self.session.revoke_lease().await;
         };
-        if timeout(HAND_OVER_TIMEOUT, hand_over).await.is_err() {
+        let limit = HAND_OVER_TIMEOUT.min(Duration::from_millis(schedule.left_ms(self.core.now())));
+        if timeout(limit, hand_over).await.is_err() {
             log_event!(self.core.logger, HAND_OVER_CUT; "jobs" => self.jobs.all().len());
         }
-        loop {
-            let is_idle = self.callers.requests() == 0;
-            let is_noticed = started.elapsed() >= DRAIN_PERIOD || self.callers.connections() == 0;
-            if is_idle && is_noticed && started.elapsed() >= DRAIN_PERIOD
-                || Instant::now() >= deadline
-            {
-                break;
-            }
-            sleep(DRAIN_POLL_INTERVAL).await;
-        }
-        self.callers.stop();
-        while self.callers.connections() > 0 && Instant::now() < deadline {
-            sleep(DRAIN_POLL_INTERVAL).await;
-        }
-        let remaining = self.callers.connections();
-        log_event!(self.core.logger, GATEWAY_STOPPED;
-            "connections" => remaining,
-            "elapsed_ms" => u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX));
-        match remaining {
-            0 => GatewayExit::Drained,
-            _ => GatewayExit::Forced,
-        }
     }
 
     fn serve(&self, limits: ServerLimits) -> Result<(), ServiceError> {
@@ -376,6 +366,7 @@
         callers.set_limits(limits);
         core.measure_host(&callers, limits.connections);
         let now = core.now();
+        core.drain.drop_idle(now);
         let age = |age: Option<u64>| i64::try_from(age.unwrap_or(u64::MAX)).unwrap_or(i64::MAX);
         let config = core.freshness.borrow().age(now);
         core.metrics.config_age_ms.set(age(config));
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -4,6 +4,7 @@
     GATEWAY_STARTED = 8100, "gateway_started", Info, "gateway started";
     GATEWAY_FAILED = 8101, "gateway_failed", Error, "gateway cannot start";
     GATEWAY_DRAINING = 8102, "gateway_leaving", Info, "gateway is shutting down and drains its work";
+    GATEWAY_CLOSING = 8108, "gateway_closing", Info, "gateway accepts no more connections and closes idle ones";
     GATEWAY_STOPPED = 8103, "gateway_stopped", Info, "gateway stopped";
     HAND_OVER_CUT = 8106, "hand_over_cut", Warning, "jobs could not be handed over in time";
     METRICS_UNSERVED = 8107, "metrics_unserved", Error, "metrics address cannot be opened";
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -127,9 +127,15 @@
         *response.body_mut() = body;
         tokio::task::spawn_local(async move {
             let disconnected = sender.clone();
+            let core = Rc::clone(&self.core);
             tokio::select! {
                 () = self.forward_stream(stream, &sender) => {}
-                () = disconnected.closed() => self.log_end("caller_gone", ""),
+                () = disconnected.closed() => self.record_end("caller_gone", ""),
+                () = core.await_drain_end() => {
+                    let detail = "this process ended before the stream was complete";
+                    self.record_end("cut", detail);
+                    disconnected.abort(detail).await;
+                }
             }
         });
         Ok(response)
@@ -407,9 +413,9 @@
                     run.settle();
                     self.core
                         .record_answered_run(&self.request, &guard.id, head.status);
-                    return self.log_end("complete", "");
+                    return self.record_end("complete", "");
                 }
-                ForwardOutcome::CallerGone => return self.log_end("caller_gone", ""),
+                ForwardOutcome::CallerGone => return self.record_end("caller_gone", ""),
                 ForwardOutcome::Broken(run_end, detail) => (detail, run_end),
             };
             // An upstream ends a stream that is left unread for too long.
@@ -423,7 +429,7 @@
             // Dropping the exchange closes its connection, which ends the run at that upstream.
             drop((guard, exchange));
             if !self.request.matched.route.terms.resumable || !is_stream {
-                self.log_end("broken", &detail);
+                self.record_end("broken", &detail);
                 return sender.abort(&detail).await;
             }
             self.excluded.clear();
@@ -439,7 +445,7 @@
                 }
                 Err(error) => error.detail,
             };
-            self.log_end("broken", &detail);
+            self.record_end("broken", &detail);
             return sender.abort(&detail).await;
         }
     }
@@ -531,12 +537,14 @@
             "software" => %guard.software, "resumed_after" => self.last_event);
     }
 
-    fn log_end(&self, outcome: &str, detail: &str) {
+    fn record_end(&self, outcome: &str, detail: &str) {
+        let length = self.request.arrived.elapsed();
+        let service = &self.request.matched.service;
+        self.core.record_length(service, length);
         log_event!(self.core.logger, STREAM_ENDED;
             "request" => &self.request.head.id, "outcome" => outcome, "detail" => detail,
             "last_event" => self.last_event,
-            "elapsed_ms" => u64::try_from(self.request.arrived.elapsed().as_millis())
-                .unwrap_or(u64::MAX));
+            "elapsed_ms" => u64::try_from(length.as_millis()).unwrap_or(u64::MAX));
     }
 
     fn log_failure(&self, upstream: &ObjectName, detail: &str, outcome: &str) {
--- a/crates/catkindeck-gateway/src/jobs/carried.rs
+++ b/crates/catkindeck-gateway/src/jobs/carried.rs
@@ -175,7 +175,7 @@
     /// Returns whether texts of an ended job may go on here.
     fn may_keep(&self, job: &OwnedJob) -> bool {
         !job.is_lost.get()
-            && !self.core.is_shutting_down.get()
+            && !self.core.is_shutting_down()
             && route_of(&self.core, &job.spec).is_some()
     }
 
--- a/crates/catkindeck-gateway/src/jobs/read.rs
+++ b/crates/catkindeck-gateway/src/jobs/read.rs
@@ -40,7 +40,9 @@
         customer: Option<&ObjectName>,
     ) -> Result<BufferedResponse, ServiceError> {
         keys::check_job_id(&read.job)?;
-        let wait = Duration::from_millis(read.wait_ms).min(MAX_WAIT);
+        let wait = Duration::from_millis(read.wait_ms)
+            .min(MAX_WAIT)
+            .min(self.core.drain_left());
         let page = match self.owned(&read.job) {
             Some(job) if self.has_current_results(&job) => {
                 let page = local_results(&job, customer, read.after, wait).await?;
@@ -98,6 +100,7 @@
         let Some(owned) = owned else {
             return Ok(PeerResponse::NotOwner);
         };
+        let wait = wait.min(self.core.drain_left());
         let page = local_results(&owned, customer, after, wait).await?;
         if !self.is_current_page(&owned, &page) {
             return Ok(PeerResponse::NotOwner);
--- a/crates/catkindeck-gateway/src/jobs/relocation.rs
+++ b/crates/catkindeck-gateway/src/jobs/relocation.rs
@@ -22,7 +22,7 @@
         loop {
             sleep(CHECK_INTERVAL).await;
             let serves_callers = self.core.settings().entry.is_some();
-            if !serves_callers || self.core.is_shutting_down.get() || !self.has_misplaced_job() {
+            if !serves_callers || self.core.is_shutting_down() || !self.has_misplaced_job() {
                 continue;
             }
             // The list in memory may name a former run of a standby, which cannot take a job any more.
--- a/crates/catkindeck-gateway/src/jobs/scheduler.rs
+++ b/crates/catkindeck-gateway/src/jobs/scheduler.rs
@@ -112,7 +112,7 @@
     }
 
     fn start_items(self: &Rc<Self>, job: &Rc<OwnedJob>, urgency: u8, rank: StartPriority) -> bool {
-        if self.core.is_shutting_down.get() || job.is_lost.get() {
+        if self.core.is_shutting_down() || job.is_lost.get() {
             return false;
         }
         let waiting = job.job.borrow().waiting(rank);
--- a/crates/catkindeck-gateway/src/jobs/step_order.rs
+++ b/crates/catkindeck-gateway/src/jobs/step_order.rs
@@ -36,7 +36,7 @@
     /// Starts items of urgent jobs first, then in the order of [`ItemRank`]. Returns whether items are waiting.
     pub(super) fn start_by_steps(self: &Rc<Self>, jobs: &[(u8, Rc<OwnedJob>)]) -> bool {
         self.measure_lateness(jobs);
-        if self.core.is_shutting_down.get() {
+        if self.core.is_shutting_down() {
             return false;
         }
         let mut waiting: Vec<(u8, ItemRank, usize, ItemKey)> = Vec::new();
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -75,7 +75,7 @@
         if let Some(known) = self.owned(&request.head.id) {
             return check_customer(known.spec.customer.as_ref(), customer);
         }
-        if self.core.is_shutting_down.get() {
+        if self.core.is_shutting_down() {
             let detail = "this process is shutting down";
             return Err(ServiceError::not_run(ErrorKind::ShuttingDown, detail));
         }
--- a/crates/catkindeck-gateway/src/jobs/takeover.rs
+++ b/crates/catkindeck-gateway/src/jobs/takeover.rs
@@ -277,7 +277,7 @@
         log_event!(self.core.logger, JOB_HANDED_OVER;
             "job" => &job.spec.id, "to" => %target.host, "revision" => revision,
             "answered" => is_confirmed);
-        match is_confirmed || self.core.is_shutting_down.get() {
+        match is_confirmed || self.core.is_shutting_down() {
             true => self.cache_owner(&job.spec.id, record.owner),
             false => self.take_back(job, record, revision, progress).await,
         }
--- a/crates/catkindeck-gateway/src/leader/election.rs
+++ b/crates/catkindeck-gateway/src/leader/election.rs
@@ -129,7 +129,7 @@
     pub fn proof(&self) -> Result<LeaderProof, ServiceError> {
         let held = self.session.proof().is_some();
         match *self.fence.borrow() {
-            Some(fence) if held && !self.core.is_shutting_down.get() => Ok(LeaderProof {
+            Some(fence) if held && !self.core.is_shutting_down() => Ok(LeaderProof {
                 holder: self.core.settings().host.clone(),
                 fence,
             }),
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod core;
 pub mod crashing;
 pub mod daemon;
+pub mod drain;
 pub mod events;
 pub mod fault_log;
 pub mod feed;
--- a/crates/catkindeck-gateway/src/metrics_handler.rs
+++ b/crates/catkindeck-gateway/src/metrics_handler.rs
@@ -61,7 +61,7 @@
         let age_ms = self.core.freshness.borrow().age(self.core.now());
         format!(
             "not ready; shutting down: {}, configuration read: {}, its age in ms: {}, upstreams listed: {}\n",
-            self.core.is_shutting_down.get(),
+            self.core.is_shutting_down(),
             self.core.intent.borrow().has_config(),
             age_ms.map_or_else(|| "never read".to_owned(), |age| age.to_string()),
             !self.core.roster.borrow().is_empty(),
--- a/crates/catkindeck-net/src/server.rs
+++ b/crates/catkindeck-net/src/server.rs
@@ -224,6 +224,8 @@
         // A result of the connection tells that the caller disconnected or violated the protocol, which hyper has
         // already handled.
         tokio::select! {
+            // A request that has arrived is read before its connection counts as idle.
+            biased;
             _ = connection.as_mut() => return,
             () = clock.await_stall(limits.stall) => return self.log_stall(limits.stall),
             () = stopped => connection.as_mut().graceful_shutdown(),
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -6,6 +6,7 @@
 pub mod claim;
 pub mod completion;
 pub mod crash_register;
+pub mod drain_schedule;
 pub mod duplicate_budget;
 mod engine_index;
 mod engine_search;
@@ -32,6 +33,7 @@
 pub mod plain_room;
 pub mod plan_pace;
 pub mod rate;
+pub mod request_length;
 pub mod request_rate;
 pub mod return_time;
 pub mod routes;
@@ -61,6 +63,7 @@
         CrashChange, CrashEvidence, CrashNotice, CrashRegister, CrashedRun, RunAdmission,
         SEQUENCE_LIMIT, request_digest,
     },
+    drain_schedule::DrainSchedule,
     duplicate_budget::DuplicateBudget,
     engine_speed::{EngineSpeed, SlowPhase, SpeedDeviation},
     freshness::FreshnessGate,
@@ -92,6 +95,7 @@
     plain_room::{MAX_SCORE_WAIT_MS, PlainPlaces, PlainRoom, ScoreEnd, ScoreTicket},
     plan_pace::plan_pause_ms,
     rate::RateWindow,
+    request_length::RequestLengths,
     request_rate::{RateBucket, RequestRate},
     return_time::{MIN_RETURN_MS, RefusalCause, RefusedRequest, ReturnSchedule},
     routes::{RouteMatch, RouteTable, choose_service},
