Keep the results of a job until its caller ends it

Cause: check_job removed every job that was not running and whose retention time had passed since its submission. Complete means only that all results are listed. Ruled out: keys that the store loses in an outage (the test has none), and outdated copies at entries (the store has nothing of the job any more).

Change: a complete job is removed only after its caller has ended it. An ended one is kept for ten seconds after the leader first saw the end (EndedJobs), because the repeated end of an old job got 404 too. In memory a complete job whose time is over stays while it is read; the new metric catkindeck_gateway_held_jobs tells how many jobs a process holds.

--- a/crates/catkindeck-gateway/src/jobs/owned.rs
+++ b/crates/catkindeck-gateway/src/jobs/owned.rs
@@ -6,7 +6,7 @@
         keys::{JobRecord, JobState},
         port::LeaseId,
     },
-    catkindeck::{SortedMap, config::RouteRecord, id::ObjectName},
+    catkindeck::{Moment, SortedMap, config::RouteRecord, id::ObjectName},
     catkindeck_policy::direct::{ItemKey, JobLimits, JobResult, JobSpec, RolloutJob},
     std::{
         cell::{Cell, RefCell},
@@ -33,6 +33,8 @@
     pub results: RefCell<Vec<Rc<JobResult>>>,
     /// The lease that this process held when the store last confirmed its ownership.
     pub confirmed_lease: Cell<Option<LeaseId>>,
+    /// When a caller last read the job here, or when it came here.
+    pub used_at: Cell<Moment>,
     /// Whether another process now owns the job.
     pub is_lost: Cell<bool>,
     /// Notified when results were listed.
@@ -62,6 +64,7 @@
             confirmed_lease: Cell::new(record.owner.lease),
             record: RefCell::new(record),
             results: RefCell::new(results.into_iter().map(Rc::new).collect()),
+            used_at: Cell::new(core.now()),
             is_lost: Cell::new(false),
             listed: Notify::new(),
             tasks: RefCell::new(SortedMap::new()),
--- a/crates/catkindeck-gateway/src/jobs/read.rs
+++ b/crates/catkindeck-gateway/src/jobs/read.rs
@@ -45,6 +45,7 @@
             .min(self.core.drain_left());
         let page = match self.owned(&read.job) {
             Some(job) if self.has_current_results(&job) => {
+                job.used_at.set(self.core.now());
                 let page = local_results(&job, customer, read.after, wait).await?;
                 match self.is_current_page(&job, &page) {
                     true => page,
@@ -100,6 +101,7 @@
         let Some(owned) = owned else {
             return Ok(PeerResponse::NotOwner);
         };
+        owned.used_at.set(self.core.now());
         let wait = wait.min(self.core.drain_left());
         let page = local_results(&owned, customer, after, wait).await?;
         if !self.is_current_page(&owned, &page) {
--- a/crates/catkindeck-gateway/src/jobs/service.rs
+++ b/crates/catkindeck-gateway/src/jobs/service.rs
@@ -19,6 +19,10 @@
 /// call, because a previous owner answers that it is not the owner.
 const OWNER_CACHE_TTL_MS: u64 = 60_000;
 
+/// How long a complete job whose retention time is over stays in memory after it was read, in milliseconds. Callers that
+/// read a job do so about twice a second.
+const UNREAD_RETENTION_MS: u64 = 10_000;
+
 /// The jobs of this process.
 pub struct JobService {
     pub(super) core: Rc<GatewayCore>,
@@ -135,7 +139,9 @@
 
     /// Returns a complete or cancelled job that is kept for reads.
     pub(super) fn archived(&self, job: &str) -> Option<Rc<OwnedJob>> {
-        self.archived.borrow().get(&job.to_owned()).cloned()
+        let archived = self.archived.borrow().get(&job.to_owned()).cloned()?;
+        archived.used_at.set(self.core.now());
+        Some(archived)
     }
 
     /// Keeps a complete or cancelled job for reads.
@@ -144,18 +150,29 @@
         self.archived.borrow_mut().insert(id, job);
     }
 
-    /// Drops the jobs whose retention time is over; `unix_ms` is the current time.
+    /// Drops the jobs from memory whose retention time is over; `unix_ms` is the current time.
+    ///
+    /// A complete job may be read until its caller ends it, however late. While nobody reads it, the store alone has it.
     pub fn drop_expired(&self, unix_ms: u64) {
+        let now = self.core.now();
         let retention_ms = self.core.settings().bounds.job_retention_ms;
         let is_kept = |job: &Rc<OwnedJob>| {
-            let running = job.record.borrow().state == JobState::Running;
-            running || job.spec.submitted_ms.saturating_add(retention_ms) > unix_ms
+            let is_expired = job.spec.submitted_ms.saturating_add(retention_ms) <= unix_ms;
+            match job.record.borrow().state {
+                JobState::Running => true,
+                JobState::Complete => {
+                    !is_expired || now.since(job.used_at.get()) < UNREAD_RETENTION_MS
+                }
+                JobState::Cancelled => !is_expired,
+            }
         };
         self.archived.borrow_mut().retain(|_, job| is_kept(job));
         self.owned.borrow_mut().retain(|_, job| is_kept(job));
+        let held = self.archived.borrow().iter().count() + self.owned.borrow().iter().count();
+        let held = i64::try_from(held).unwrap_or(i64::MAX);
+        self.core.metrics.load.held_jobs.set(held);
         let since_ms = unix_ms.saturating_sub(retention_ms);
         self.schedule.borrow_mut().drop_idle(since_ms);
-        let now = self.core.now();
         self.carry.borrow_mut().drop_idle(now, retention_ms);
     }
 
--- a/crates/catkindeck-gateway/src/leader/supervisor.rs
+++ b/crates/catkindeck-gateway/src/leader/supervisor.rs
@@ -10,6 +10,7 @@
         port::{StoreCondition, StoreItem, Transaction},
     },
     catkindeck::{ErrorKind, ServiceError, id::IncarnationId, log_event},
+    catkindeck_policy::direct::EndedJobs,
     futures_util::stream::{self, StreamExt},
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::{Instant, sleep, sleep_until},
@@ -64,11 +65,15 @@
 /// Monitors the jobs of all processes while this process is the leader.
 pub struct JobSupervisor {
     election: Rc<LeaderElection>,
+    ended: RefCell<EndedJobs>,
 }
 
 impl JobSupervisor {
     pub fn new(election: Rc<LeaderElection>) -> Rc<Self> {
-        Rc::new(Self { election })
+        Rc::new(Self {
+            election,
+            ended: RefCell::default(),
+        })
     }
 
     /// Scans jobs until the task is aborted.
@@ -127,6 +132,14 @@
                 revision: item.revision,
             })
             .collect();
+        if may_take_over {
+            let is_listed = |job: &str| {
+                let key = keys::job_record_key(job);
+                // The store lists keys in order.
+                jobs.binary_search_by(|item| item.key.cmp(&key)).is_ok()
+            };
+            self.ended.borrow_mut().retain_listed(is_listed);
+        }
         self.check_jobs(&jobs, &members, &registrations).await?;
         self.election.jobs.drop_expired(core.unix_ms());
         Ok(revision)
@@ -170,14 +183,19 @@
     ) -> Result<(), ServiceError> {
         let record: JobRecord = keys::decode_item(item)?;
         let core = &self.election.core;
-        let retention_ms = core.settings().bounds.job_retention_ms;
-        if record.state != JobState::Running
-            && record.submitted_ms.saturating_add(retention_ms) < core.unix_ms()
-        {
-            return self.remove(item, &record).await;
-        }
-        if record.state != JobState::Running {
-            return Ok(());
+        match record.state {
+            JobState::Running => {}
+            // Its results are kept until its caller ends it.
+            JobState::Complete => return Ok(()),
+            JobState::Cancelled => {
+                let retention_ms = core.settings().bounds.job_retention_ms;
+                let is_expired = record.submitted_ms.saturating_add(retention_ms) < core.unix_ms();
+                let is_due = self.ended.borrow_mut().observe(core.now(), &record.job);
+                return match is_expired && is_due {
+                    true => self.remove(item, &record).await,
+                    false => Ok(()),
+                };
+            }
         }
         if record.owner.incarnation == core.incarnation || contains(members, &record.owner) {
             return self.check_owner(probe, item, record).await;
--- a/crates/catkindeck-gateway/src/load_metrics.rs
+++ b/crates/catkindeck-gateway/src/load_metrics.rs
@@ -11,6 +11,8 @@
     pub limited_upstreams: IntGauge,
     /// The bytes of responses that callers have not taken yet.
     pub held_bytes: IntGauge,
+    /// The jobs in memory, owned or kept for reads.
+    pub held_jobs: IntGauge,
     /// The listed upstreams that said that they leave.
     pub leaving_upstreams: IntGauge,
     /// Requests that were assigned to an upstream and not sent, because it leaves.
@@ -52,6 +54,10 @@
                 "catkindeck_gateway_held_bytes",
                 "The bytes of responses that callers have not taken yet.",
             )?,
+            held_jobs: gauge(
+                "catkindeck_gateway_held_jobs",
+                "The jobs in memory, owned or kept for reads.",
+            )?,
             leaving_upstreams: gauge(
                 "catkindeck_gateway_leaving_upstreams",
                 "The listed upstreams that said that they leave.",
--- a/crates/catkindeck-policy/src/direct/mod.rs
+++ b/crates/catkindeck-policy/src/direct/mod.rs
@@ -8,6 +8,7 @@
 pub mod crash_register;
 pub mod drain_schedule;
 pub mod duplicate_budget;
+pub mod ended_jobs;
 mod engine_index;
 mod engine_search;
 pub mod engine_speed;
@@ -65,6 +66,7 @@
     },
     drain_schedule::DrainSchedule,
     duplicate_budget::DuplicateBudget,
+    ended_jobs::EndedJobs,
     engine_speed::{EngineSpeed, SlowPhase, SpeedDeviation},
     freshness::FreshnessGate,
     give_up::FailureEvidence,
