Stop the items of a job whose end shows in a conflict

Cause: an owner whose write of results was in doubt repeats it, and the conflict shows its own results and the record that another process has marked as cancelled. That branch took over record and revision without ending the job, and the periodic check then found the revision that it expected. Ruled out: a check that is late (the owner never logged job_ended), and another process that starts the items (the test has one owner).

Change: both places that adopt a changed record go through adopt_job_record, which ends the job and stops its runs. job_ended has the revision.

--- a/crates/catkindeck-gateway/src/jobs/commit.rs
+++ b/crates/catkindeck-gateway/src/jobs/commit.rs
@@ -175,20 +175,16 @@
         let stored = found(&result_condition.key);
         let current = found(&record_condition.key);
         let record = current.and_then(|item| keys::decode_item::<JobRecord>(item).ok());
-        let is_owner =
-            record.is_some_and(|record| record.owner.incarnation == self.core.incarnation);
+        let own = record.filter(|record| record.owner.incarnation == self.core.incarnation);
         // If exactly these results are stored, an earlier attempt succeeded and its response was lost. Results
         // of another owner may be stored instead if this process was disconnected for long.
         let is_same = stored.is_some_and(|stored| stored.value == transaction.writes[0].value);
-        match (is_owner, current) {
-            (true, Some(current)) if is_same => {
-                job.revision.set(current.revision);
-                if let Ok(record) = keys::decode_item::<JobRecord>(current) {
-                    *job.record.borrow_mut() = record;
-                }
+        match (own, current) {
+            (Some(record), Some(current)) if is_same => {
+                self.adopt_job_record(job, record, current.revision);
                 Ok(WriteOutcome::Stored)
             }
-            (true, Some(_)) if stored.is_some() => Ok(WriteOutcome::Superseded),
+            (Some(_), Some(_)) if stored.is_some() => Ok(WriteOutcome::Superseded),
             (_, current) => Ok(WriteOutcome::Changed(current.cloned())),
         }
     }
@@ -216,6 +212,21 @@
         }
     }
 
+    /// Adopts the record of an own job as another process changed it. If that process cancelled the job, its runs stop
+    /// and no more start.
+    fn adopt_job_record(&self, job: &OwnedJob, record: JobRecord, revision: u64) {
+        let was_cancelled = job.record.borrow().state == JobState::Cancelled;
+        if record.state == JobState::Cancelled && !was_cancelled {
+            log_event!(self.core.logger, JOB_CANCELLED;
+                "job" => &job.spec.id, "by" => "another process", "revision" => revision);
+            self.learn_step_end(job);
+            job.job.borrow_mut().end();
+            job.stop();
+        }
+        job.revision.set(revision);
+        *job.record.borrow_mut() = record;
+    }
+
     /// Handles a conflicting job record: the job was cancelled, or another process owns it.
     pub(super) fn apply_record_change(&self, job: &OwnedJob, item: Option<StoreItem>) {
         let record = item
@@ -224,15 +235,7 @@
         let own = self.own_record();
         match (item, record) {
             (Some(item), Some(record)) if record.owner.incarnation == own.incarnation => {
-                if record.state == JobState::Cancelled {
-                    log_event!(self.core.logger, JOB_CANCELLED;
-                        "job" => &job.spec.id, "by" => "another process");
-                    self.learn_step_end(job);
-                    job.job.borrow_mut().end();
-                    job.stop();
-                }
-                job.revision.set(item.revision);
-                *job.record.borrow_mut() = record;
+                self.adopt_job_record(job, record, item.revision);
             }
             (_, record) => {
                 let owner = record.map(|record| record.owner.host.to_string());
