Keep routes closed when no customer is left

Cause: the decoder made an empty list of customers of an absent one, and check_key took a configuration without customers for one of a deployment without keys. Ruled out: a revocation that is late and a proof of freshness that is too old (unknown keys worked too, after the bound).

Change: the decoder says whether keys are needed (KeyPolicy), with Required as the default; null is a list without customers. A process that has read no configuration answers 503 to calls of jobs, not 401. configuration_in_use has the policy.

--- a/crates/catkindeck-entry/tests/credentials.rs
+++ b/crates/catkindeck-entry/tests/credentials.rs
@@ -92,6 +92,27 @@
     assert_eq!(customer_of(&[("authorization", "Basic abc")]), refused);
 }
 
+/// Guards against an entry that is open to everybody once its last key or customer was taken away.
+#[test]
+fn no_key_is_accepted_without_customers() {
+    let empty = ConfigSnapshot::default();
+    let without_keys = ConfigSnapshot {
+        keys: Vec::new(),
+        ..snapshot()
+    };
+    let without_customers = ConfigSnapshot {
+        customers: Vec::new(),
+        ..snapshot()
+    };
+    for snapshot in [empty, without_keys, without_customers] {
+        for pairs in [&[][..], &[("x-api-key", KEY)], &[("x-api-key", "unknown")]] {
+            let identity = CallerKeys::collect(&headers(pairs)).authenticate(&snapshot);
+            let kind = identity.map_err(|error| error.kind);
+            assert_eq!(kind, Err(ErrorKind::Unauthenticated));
+        }
+    }
+}
+
 /// Guards against forwarding a key to an upstream in a duplicate header, in a header in another
 /// letter case, or inside another header's value (`docs/proofs.md`, G5).
 #[test]
--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -10,13 +10,13 @@
             stream::StreamCall,
         },
         jobs::JobService,
-        port::{BufferedResponse, CallerOperation, RequestHead, UpstreamCall},
+        port::{BufferedResponse, CallerOperation, KeyPolicy, RequestHead, UpstreamCall},
         watched_run::{RunEnd, WatchedRun},
     },
     bytes::{Bytes, BytesMut},
     catkindeck::{
         ErrorKind, ServiceError,
-        config::{ConfigSnapshot, RouteRecord},
+        config::RouteRecord,
         error::ExecutionOutcome,
         id::{BodyDigest, ObjectName},
         log_event,
@@ -59,7 +59,7 @@
     pub body: Bytes,
     /// The matching route and the service selected for the request.
     pub matched: RouteMatch,
-    /// The customer; `None` on open routes and if no keys are configured.
+    /// The customer; `None` on open routes and in deployments without customers.
     pub customer: Option<ObjectName>,
     pub arrived: Instant,
     /// When the response must be sent.
@@ -571,8 +571,11 @@
     route: Option<&RouteRecord>,
 ) -> Result<Option<ObjectName>, ServiceError> {
     let view = core.intent.borrow();
+    if !view.has_config() {
+        return Err(stale_error("this process has not read a configuration yet"));
+    }
     let is_open = route.is_some_and(|route| route.open);
-    if is_open || !needs_keys(view.config()) && view.has_config() {
+    if is_open || view.key_policy() == KeyPolicy::Open {
         return Ok(None);
     }
     if !core.is_fresh() {
@@ -595,10 +598,6 @@
     request_digest(customer, parts, body)
 }
 
-fn needs_keys(config: &ConfigSnapshot) -> bool {
-    !config.customers.is_empty()
-}
-
 fn full_response(response: BufferedResponse) -> Response<ResponseBody> {
     response.map(ResponseBody::whole)
 }
--- a/crates/catkindeck-gateway/src/intent.rs
+++ b/crates/catkindeck-gateway/src/intent.rs
@@ -1,7 +1,7 @@
 //! The desired state that operators and trainers have set, as last read by this process.
 
 use {
-    crate::port::{DecodedConfig, DecodedIntent},
+    crate::port::{DecodedConfig, DecodedIntent, KeyPolicy},
     catkindeck::{
         config::{ConfigSnapshot, KeyRecord, ServiceRecord},
         id::{KeyDigest, ObjectName},
@@ -13,6 +13,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct IntentView {
     config: ConfigSnapshot,
+    key_policy: KeyPolicy,
     routes: RouteTable,
     has_job_routes: bool,
     /// The store's revision of the configuration; `None` if none was read yet.
@@ -45,12 +46,17 @@
     /// configuration must not take effect again.
     pub fn apply(&mut self, intent: DecodedIntent) -> IntentChanges {
         let mut changes = IntentChanges::default();
-        if let DecodedConfig::New(config, revision) = intent.config
+        if let DecodedConfig::New {
+            config,
+            key_policy,
+            revision,
+        } = intent.config
             && (self.store_revision.is_none() || config.revision >= self.config.revision)
         {
             self.routes = RouteTable::new(&config.routes);
             self.has_job_routes = config.routes.iter().any(|route| route.terms.job.is_some());
             self.config = *config;
+            self.key_policy = key_policy;
             self.store_revision = Some(revision);
             changes.config = true;
         }
@@ -74,6 +80,11 @@
         &self.config
     }
 
+    /// Returns whether callers need an API key on routes that are not open.
+    pub fn key_policy(&self) -> KeyPolicy {
+        self.key_policy
+    }
+
     pub fn routes(&self) -> &RouteTable {
         &self.routes
     }
--- a/crates/catkindeck-gateway/src/port/intent.rs
+++ b/crates/catkindeck-gateway/src/port/intent.rs
@@ -2,10 +2,21 @@
 
 use {
     super::store::{StoreItem, StoreWrite},
-    catkindeck::{config::ConfigSnapshot, id::ObjectName},
+    catkindeck::{config::ConfigSnapshot, id::ObjectName, key},
     catkindeck_policy::direct::{DiscoveredUpstream, TargetVersion},
 };
 
+/// Whether callers need an API key on routes that are not open.
+#[key]
+#[derive(Default)]
+pub enum KeyPolicy {
+    /// The configuration lists customers, possibly none. Without any, no caller has a valid key.
+    #[default]
+    Required,
+    /// The configuration does not say who the customers are.
+    Open,
+}
+
 /// The result of decoding the operators' configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub enum DecodedConfig {
@@ -14,8 +25,12 @@
     Absent,
     /// The configuration has the revision that is already known.
     Unchanged,
-    /// A configuration with its revision in the store.
-    New(Box<ConfigSnapshot>, u64),
+    New {
+        config: Box<ConfigSnapshot>,
+        key_policy: KeyPolicy,
+        /// The revision in the store.
+        revision: u64,
+    },
 }
 
 /// The decoded desired state of operators and trainers.
--- a/crates/catkindeck-gateway/src/port/mod.rs
+++ b/crates/catkindeck-gateway/src/port/mod.rs
@@ -12,7 +12,7 @@
 pub use {
     caller::{BufferedResponse, CallerCodec, CallerOperation, JobRead, RequestHead},
     cloud_api::{CloudApi, LeaderProof, ScalingTarget, UsageReport},
-    intent::{DecodedConfig, DecodedIntent, IntentDecoder},
+    intent::{DecodedConfig, DecodedIntent, IntentDecoder, KeyPolicy},
     store::{
         CommitOutcome, LeaseId, MetadataStore, ReadResponse, StoreCondition, StoreItem,
         StoreListing, StoreWrite, Transaction, WatchOutcome,
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -442,6 +442,7 @@
                 "revision" => view.config().revision.0,
                 "routes" => view.config().routes.len(),
                 "customers" => view.config().customers.len(),
+                "key_policy" => format!("{:?}", view.key_policy()),
                 "read_ms" => core.now().since(sent));
         }
         if changes.zones {
