Treat a stream that ends before its first event as broken

Reported by operators of a similar system: an upstream stopped in the middle of its response's head and closed, and callers got a 200 with an empty or short body, framed as whole.

What callers saw here: a stream that was closed right after its head, with neither a length nor chunks, was passed on as a whole 200 without events, and listed an item as completed with an empty text.

Cause: after its head such a response ends with its connection. Ruled out by a stand-in that cuts one byte later each time: heads cut before their end (the HTTP library rejects them), bodies with a length or in chunks, resets, kept connections.

Change: a stream of which no event has come is broken when it ends.

Before, on: a_cut_stream_is_never_passed_on_as_complete failed (no events), a_cut_stream_is_never_listed_as_a_text failed (text ""), a_cut_response_is_never_passed_on_as_whole passed. After: all pass.

--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -481,6 +481,11 @@
                     let detail = "the stream ended in the middle of an event";
                     return ForwardOutcome::broken(event_count, RunEnd::Broken, detail.to_owned());
                 }
+                // A response without a length may have been cut right after its head.
+                Ok(Ok(None)) if is_stream && self.last_event.is_none() => {
+                    let detail = "the stream ended before its first event";
+                    return ForwardOutcome::broken(event_count, RunEnd::Broken, detail.to_owned());
+                }
                 Ok(Ok(None)) => return ForwardOutcome::Complete,
                 Ok(Ok(Some(chunk))) => chunk,
             };
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -276,6 +276,12 @@
                         "the stream ended in the middle of an event",
                     );
                 }
+                // A response without a length may have been cut right after its head.
+                Ok(Ok(None)) if !self.has_text() => {
+                    self.run.guard.record_failure();
+                    let detail = "the stream ended before its first event";
+                    return run_outcome(ItemOutcome::Interrupted, detail);
+                }
                 Ok(Ok(None)) => {
                     self.run.guard.record_success();
                     return run_outcome(ItemOutcome::Complete, "");
@@ -297,6 +303,12 @@
         }
     }
 
+    /// Returns whether the item has any event of this run or an earlier one.
+    fn has_text(&self) -> bool {
+        let state = self.job.job.borrow();
+        state.progress(self.run.key).last_event.is_some()
+    }
+
     fn append_event(&mut self, event: &StreamEvent) -> Option<ItemRunOutcome> {
         if let Some(ended) = self.check_length(event) {
             return Some(ended);
