Limit the time and the overhead that a connection takes

Reported by operators of a similar system: an upstream sent bytes without end in a head or a body; the process that had called it kept them all and ended, with the requests of its other callers.

Cause: one connection holds the event loop for up to 8 MB of bytes at a time, and informational responses, digits of a chunk's length and trailers are read and discarded without limit. Memory was ruled out by its peak.

Change: a connection lets other tasks run after 64 KiB (ReadTurn), and a response may have eight bytes for each byte of content and 256 KiB beyond (ResponseIntake).

--- a/crates/catkindeck-net/src/exchange.rs
+++ b/crates/catkindeck-net/src/exchange.rs
@@ -116,6 +116,7 @@
         }
         let is_patient = origin.has_slow_readers && bytes >= LARGE_BODY_BYTES;
         connection.patience.set(is_patient);
+        connection.intake.begin();
         let is_guarded = origin.guard.is_some();
         connection.write_guard.set(origin.guard);
         let address = connection.address;
@@ -182,6 +183,9 @@
                     if let Ok(data) = frame.into_data()
                         && !data.is_empty()
                     {
+                        if let Some(connection) = &self.connection {
+                            connection.intake.count_content(data.len());
+                        }
                         return Ok(Some(data));
                     }
                 }
--- a/crates/catkindeck-net/src/link.rs
+++ b/crates/catkindeck-net/src/link.rs
@@ -7,14 +7,17 @@
 //! is later than the request was handed to the connection.
 
 use {
-    crate::{socket, traffic},
+    crate::{
+        intake::{ReadTurn, ResponseIntake},
+        socket, traffic,
+    },
     std::{
         cell::{Cell, RefCell},
         io,
         net::SocketAddr,
         pin::Pin,
         rc::Rc,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::{
@@ -118,21 +121,31 @@
     }
 }
 
-/// A connection to a server, with the limits that its [`ReaderPatience`] and its [`WriteGuard`] demand.
+/// A connection to a server, with the limits that its [`ReaderPatience`], its [`WriteGuard`] and its [`ResponseIntake`]
+/// demand.
 pub struct PatientStream {
     stream: TcpStream,
     patience: ReaderPatience,
     is_patient: bool,
     write_guard: WriteGuard,
+    intake: ResponseIntake,
+    turn: ReadTurn,
 }
 
 impl PatientStream {
-    pub fn new(stream: TcpStream, patience: ReaderPatience, write_guard: WriteGuard) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        patience: ReaderPatience,
+        write_guard: WriteGuard,
+        intake: ResponseIntake,
+    ) -> Self {
         Self {
             stream,
             patience,
             is_patient: false,
             write_guard,
+            intake,
+            turn: ReadTurn::default(),
         }
     }
 
@@ -152,9 +165,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        ready!(self.turn.poll_next(context));
+        self.intake.check()?;
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        traffic::count_received(buffer.filled().len() - before);
+        let count = buffer.filled().len() - before;
+        self.turn.record(&read, count);
+        self.intake.count_received(count);
+        traffic::count_received(count);
         read
     }
 }
--- a/crates/catkindeck-net/src/pool.rs
+++ b/crates/catkindeck-net/src/pool.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        intake::ResponseIntake,
         link::{PatientStream, ReaderPatience, WriteGuard},
         socket,
     },
@@ -65,6 +66,7 @@
     /// Whether the server may read the present request slowly.
     pub(crate) patience: ReaderPatience,
     pub(crate) write_guard: WriteGuard,
+    pub(crate) intake: ResponseIntake,
     idle_limit: Option<Duration>,
     idle_since: Instant,
     driver: JoinHandle<()>,
@@ -83,7 +85,13 @@
         let stream = socket::connect(address, limit).await?;
         let patience = ReaderPatience::default();
         let write_guard = WriteGuard::default();
-        let stream = PatientStream::new(stream, patience.clone(), write_guard.clone());
+        let intake = ResponseIntake::default();
+        let stream = PatientStream::new(
+            stream,
+            patience.clone(),
+            write_guard.clone(),
+            intake.clone(),
+        );
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -99,6 +107,7 @@
             reused: false,
             patience,
             write_guard,
+            intake,
             idle_limit: None,
             idle_since: Instant::now(),
             driver,
--- a/crates/catkindeck-net/src/stall.rs
+++ b/crates/catkindeck-net/src/stall.rs
@@ -1,13 +1,13 @@
 //! Detection of callers that do not read.
 
 use {
-    crate::traffic,
+    crate::{intake::ReadTurn, traffic},
     std::{
         cell::Cell,
         io::{self, IoSlice},
         pin::Pin,
         rc::Rc,
-        task::{Context, Poll},
+        task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::{
@@ -57,11 +57,16 @@
 pub struct ObservedStream {
     stream: TcpStream,
     clock: StallClock,
+    turn: ReadTurn,
 }
 
 impl ObservedStream {
     pub fn new(stream: TcpStream, clock: StallClock) -> Self {
-        Self { stream, clock }
+        Self {
+            stream,
+            clock,
+            turn: ReadTurn::default(),
+        }
     }
 }
 
@@ -71,9 +76,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        ready!(self.turn.poll_next(context));
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        traffic::count_received(buffer.filled().len() - before);
+        let count = buffer.filled().len() - before;
+        self.turn.record(&read, count);
+        traffic::count_received(count);
         read
     }
 }
--- a/crates/catkindeck-net/tests/client.rs
+++ b/crates/catkindeck-net/tests/client.rs
@@ -133,6 +133,71 @@
     }
 }
 
+/// Guards against a client that reads what is neither head nor content for as long as a server sends it, and takes all
+/// time of the event loop: responses that announce another one, digits of a chunk's length, trailers.
+#[tokio::test]
+async fn a_response_without_content_is_given_up_and_its_connection_closed() {
+    let chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+    let trailers = [&chunked[..], b"0\r\n"].concat();
+    for (head, part) in [
+        (Vec::new(), b"HTTP/1.1 103 More\r\n\r\n".repeat(100)),
+        (chunked.clone(), vec![b'0'; 4_096]),
+        (trailers, b"x-more: value\r\n".repeat(100)),
+    ] {
+        let sent = Arc::new(AtomicUsize::new(0));
+        let closed = Arc::new(AtomicUsize::new(0));
+        let (count, done) = (Arc::clone(&sent), Arc::clone(&closed));
+        let address = start_server(move |mut stream| {
+            if read_request(&mut stream) && stream.write_all(&head).is_ok() {
+                send_without_end(&mut stream, &part, &count);
+            }
+            done.store(1, Ordering::Release);
+        });
+        let client = HttpClient::new(LIMITS);
+
+        let outcome = run(client.call(address, request(), CALL_TIMEOUT)).await;
+
+        let error = outcome.expect_err("the response has no end");
+        assert!(error.maybe_received, "{error}");
+        assert!(
+            !error.detail.contains("time limit"),
+            "it was read until then"
+        );
+        while closed.load(Ordering::Acquire) == 0 {
+            thread::sleep(Duration::from_millis(5));
+        }
+        assert!(!client.has_idle(address));
+    }
+}
+
+/// Guards against sound responses that are given up because much of them is not content: chunks of a single byte, and
+/// many responses on one connection.
+#[tokio::test]
+async fn responses_in_small_chunks_are_read_whole() {
+    const CHUNKS: usize = 60_000;
+    let address = start_server(|mut stream| {
+        while read_request(&mut stream) {
+            let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
+            let response = [head, b"1\r\nx\r\n".repeat(CHUNKS), b"0\r\n\r\n".to_vec()].concat();
+            if stream.write_all(&response).is_err() {
+                return;
+            }
+        }
+    });
+    let client = HttpClient::new(ClientLimits {
+        response_bytes: CHUNKS,
+        ..LIMITS
+    });
+    run(async {
+        for _ in 0..4 {
+            let response = client.call(address, request(), CALL_TIMEOUT).await;
+            assert_eq!(response.expect("it is sound").body.len(), CHUNKS);
+        }
+    })
+    .await;
+    assert_eq!(client.opened(), 1, "the connection is kept");
+}
+
 /// Guards against a late second response on a connection that is kept: after a response that may be followed by
 /// another request with the same identifier, the connection must not be used again.
 #[tokio::test]
