Keep routes closed when the list of customers is left out

Cause: a process knows only the configuration in use; one without the list is that of a deployment that never had customers.

Change: the leader marks in the store that there were customers, once. A process that reads a configuration without the list looks for the mark, answers 503 until it knows, and keeps routes closed if it is there (customers_gone, 8118). Deployments that never had customers stay open.

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -10,7 +10,7 @@
             stream::StreamCall,
         },
         jobs::JobService,
-        port::{BufferedResponse, CallerOperation, KeyPolicy, RequestHead, UpstreamCall},
+        port::{BufferedResponse, CallerOperation, RequestHead, UpstreamCall},
         watched_run::{RunEnd, WatchedRun},
     },
     bytes::{Bytes, BytesMut},
@@ -574,10 +574,18 @@
     if !view.has_config() {
         return Err(stale_error("this process has not read a configuration yet"));
     }
-    let is_open = route.is_some_and(|route| route.open);
-    if is_open || view.key_policy() == KeyPolicy::Open {
+    if route.is_some_and(|route| route.open) {
         return Ok(None);
     }
+    match view.requires_key() {
+        Some(true) => {}
+        Some(false) => return Ok(None),
+        None => {
+            return Err(stale_error(
+                "this process does not know yet whether callers need keys",
+            ));
+        }
+    }
     if !core.is_fresh() {
         return Err(stale_error(
             "cannot check the API key: the configuration is too old",
--- a/crates/catkindeck-gateway/src/core.rs
+++ b/crates/catkindeck-gateway/src/core.rs
@@ -10,6 +10,7 @@
         feed::StoreFeed,
         intent::IntentView,
         jobs::backup::CopyStore,
+        key_mark::CustomerMark,
         keys::{self, MemberRecord},
         limits::LimitExchange,
         metrics::GatewayMetrics,
@@ -83,6 +84,8 @@
     pub order_client: HttpClient,
     /// The client for calls to other gateway processes.
     pub peer_client: HttpClient,
+    /// What this process knows of whether the deployment has had customers.
+    pub customer_mark: CustomerMark,
     /// The desired state that operators and trainers have set.
     pub intent: RefCell<IntentView>,
     /// Tracks whether the configuration is recent enough to authenticate callers.
@@ -162,6 +165,7 @@
             upstream_client: clients.upstreams,
             order_client: clients.orders,
             peer_client: clients.peers,
+            customer_mark: CustomerMark::default(),
             intent: RefCell::new(IntentView::default()),
             freshness: RefCell::new(FreshnessGate::new(bound_ms)),
             roster: RefCell::new(UpstreamTable::new()),
@@ -268,6 +272,13 @@
         !self.is_shutting_down() && !self.intent.borrow().is_draining(host)
     }
 
+    /// Returns whether this process is the leader, as last read.
+    pub fn is_leader(&self) -> bool {
+        let leader = self.leader.borrow();
+        let leader = leader.as_ref();
+        leader.is_some_and(|leader| leader.incarnation == self.incarnation)
+    }
+
     /// Returns whether the configuration is recent enough to authenticate callers.
     pub fn is_fresh(&self) -> bool {
         self.freshness.borrow().is_fresh(self.now())
@@ -277,7 +288,7 @@
     pub fn is_ready(&self) -> bool {
         !self.is_shutting_down()
             && self.is_fresh()
-            && self.intent.borrow().has_config()
+            && self.intent.borrow().requires_key().is_some()
             && !self.roster.borrow().is_empty()
             && self.shed_stage() != ShedStage::Unready
     }
--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -362,6 +362,7 @@
         core.order_client.sweep();
         core.peer_client.sweep();
         jobs.drop_expired(core.unix_ms());
+        tokio::task::spawn_local(Rc::clone(&core).settle_customer_mark());
         let limits = server_limits(&core);
         callers.set_limits(limits);
         core.measure_host(&callers, limits.connections);
--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -17,6 +17,7 @@
     FEED_LOST = 8116, "feed_lost", Info, "no store data from the leader; reading the store directly";
     INTENT_FAULT = 8112, "intent_fault", Warning, "record in the store cannot be decoded and is ignored";
     CONFIG_IN_USE = 8113, "configuration_in_use", Info, "new configuration is in use";
+    CUSTOMERS_GONE = 8118, "customers_gone", Warning, "configuration names no customers any more, and callers still need keys";
     ZONES_CHANGED = 8114, "zones_changed", Info, "availability zones were taken out of service or put back";
     UPSTREAM_APPEARED = 8120, "upstream_appeared", Info, "upstream appeared or restarted";
     UPSTREAM_DRAINING = 8121, "upstream_draining", Info, "upstream is draining and gets no new requests";
--- a/crates/catkindeck-gateway/src/intent.rs
+++ b/crates/catkindeck-gateway/src/intent.rs
@@ -14,6 +14,8 @@
 pub struct IntentView {
     config: ConfigSnapshot,
     key_policy: KeyPolicy,
+    /// Whether any configuration of the deployment had customers; `None` while that is not known.
+    had_customers: Option<bool>,
     routes: RouteTable,
     has_job_routes: bool,
     /// The store's revision of the configuration; `None` if none was read yet.
@@ -57,6 +59,11 @@
             self.has_job_routes = config.routes.iter().any(|route| route.terms.job.is_some());
             self.config = *config;
             self.key_policy = key_policy;
+            self.had_customers = match key_policy {
+                KeyPolicy::Required => Some(true),
+                // There may have been customers for a while of which this process has not read.
+                KeyPolicy::Open => self.had_customers.filter(|had_customers| *had_customers),
+            };
             self.store_revision = Some(revision);
             changes.config = true;
         }
@@ -80,7 +87,22 @@
         &self.config
     }
 
-    /// Returns whether callers need an API key on routes that are not open.
+    /// Returns whether callers need an API key on routes that are not open; `None` while that is not known. Where there
+    /// were customers, callers need one also after the configuration has ceased to name any.
+    pub fn requires_key(&self) -> Option<bool> {
+        self.store_revision?;
+        match self.key_policy {
+            KeyPolicy::Required => Some(true),
+            KeyPolicy::Open => self.had_customers,
+        }
+    }
+
+    /// Records whether any configuration of the deployment had customers.
+    pub fn set_had_customers(&mut self, had_customers: bool) {
+        self.had_customers = Some(had_customers);
+    }
+
+    /// Returns what the configuration says about keys.
     pub fn key_policy(&self) -> KeyPolicy {
         self.key_policy
     }
--- a/crates/catkindeck-gateway/src/keys.rs
+++ b/crates/catkindeck-gateway/src/keys.rs
@@ -27,6 +27,8 @@
 pub const LIMITS_KEY: &str = "ckd/limits";
 /// The key of the counts of usage windows that are not sealed yet.
 pub const UNSEALED_USAGE_KEY: &str = "ckd/open-usage";
+/// Present once a configuration with customers was in use.
+pub const CUSTOMER_MARK_KEY: &str = "ckd/customers";
 /// The prefix of the paces of trainers: one key each.
 pub const PACE_PREFIX: &str = "ckd/pace/";
 
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod forward;
 pub mod intent;
 pub mod jobs;
+pub mod key_mark;
 pub mod keys;
 pub mod leader;
 pub mod leaving;
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -182,14 +182,7 @@
     /// once, because it refuses all callers until then.
     fn has_recent_feed(&self) -> bool {
         let age_ms = self.feed_read_at.get().map(|at| self.core.now().since(at));
-        !self.is_leader() && age_ms.is_some_and(|age_ms| age_ms < self.max_feed_age_ms())
-    }
-
-    fn is_leader(&self) -> bool {
-        let leader = self.core.leader.borrow();
-        leader
-            .as_ref()
-            .is_some_and(|leader| leader.incarnation == self.core.incarnation)
+        !self.core.is_leader() && age_ms.is_some_and(|age_ms| age_ms < self.max_feed_age_ms())
     }
 
     fn max_feed_age_ms(&self) -> u64 {
@@ -201,7 +194,7 @@
     }
 
     fn read_interval(&self) -> Duration {
-        match self.is_leader() {
+        match self.core.is_leader() {
             true => READ_INTERVAL,
             false => {
                 let change_ms = self.core.settings().bounds.change_ms;
@@ -377,7 +370,7 @@
         {
             let mut history = core.feed.history.borrow_mut();
             // This process may have become the leader meanwhile, and then numbers the versions itself.
-            if self.is_leader() || history.position() != position {
+            if self.core.is_leader() || history.position() != position {
                 return;
             }
             history.follow(leader, &changes);
@@ -415,7 +408,7 @@
         let list = self.upstreams.borrow();
         // A process that no longer leads still answers those that have not found the next leader.
         let is_numbering =
-            self.is_leader() || core.feed.history.borrow().is_led_by(core.incarnation);
+            self.core.is_leader() || core.feed.history.borrow().is_led_by(core.incarnation);
         core.feed.publish(
             (intents_at, &intents.items),
             (upstreams_at, &upstreams.items),
@@ -444,6 +437,7 @@
                 "customers" => view.config().customers.len(),
                 "key_policy" => format!("{:?}", view.key_policy()),
                 "read_ms" => core.now().since(sent));
+            tokio::task::spawn_local(Rc::clone(core).settle_customer_mark());
         }
         if changes.zones {
             let mut roster = core.roster.borrow_mut();
