Learn lengths from answered requests only; log vanished customers

Cause of the first: a refused request counted for the length of its service's requests, so that a service which only refuses looked fast to a process that shuts down, and its requests were taken and cut.

Cause of the second: processes that saw the list of customers vanish kept routes closed without a line in the log; customers_gone came only from processes that started later.

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -286,7 +286,12 @@
         };
         let call = HedgedCall::new(&self.core, options, &builder).watching(request);
         let report = call.run().await;
-        if report.run.is_none() {
+        // A refusal tells nothing about how long requests take.
+        let is_over = match &report.outcome {
+            CallOutcome::Answered(response) => response.rest.is_none(),
+            CallOutcome::Failed(error) => error.kind == ErrorKind::DeadlineExceeded,
+        };
+        if is_over {
             let service = &request.matched.service;
             self.core.record_length(service, request.arrived.elapsed());
         }
--- a/crates/catkindeck-gateway/src/store_sync.rs
+++ b/crates/catkindeck-gateway/src/store_sync.rs
@@ -4,13 +4,13 @@
     crate::{
         core::GatewayCore,
         events::{
-            CONFIG_IN_USE, FEED_LOST, FEED_REGAINED, STORE_LOST, STORE_REGAINED, UPSTREAM_APPEARED,
-            UPSTREAM_DRAINING, UPSTREAM_REMOVED, ZONES_CHANGED,
+            CONFIG_IN_USE, CUSTOMERS_GONE, FEED_LOST, FEED_REGAINED, STORE_LOST, STORE_REGAINED,
+            UPSTREAM_APPEARED, UPSTREAM_DRAINING, UPSTREAM_REMOVED, ZONES_CHANGED,
         },
         feed::{FEED_WAIT_MS, FeedChanges, FeedContent, FeedPosition, FeedQuery, FeedUpdate},
         keys::MemberRecord,
         peer::{PeerCall, PeerResponse},
-        port::StoreItem,
+        port::{KeyPolicy, StoreItem},
         task::spawn_supervised,
     },
     catkindeck::{
@@ -437,6 +437,9 @@
                 "customers" => view.config().customers.len(),
                 "key_policy" => format!("{:?}", view.key_policy()),
                 "read_ms" => core.now().since(sent));
+            if view.key_policy() == KeyPolicy::Open && view.requires_key() == Some(true) {
+                log_event!(core.logger, CUSTOMERS_GONE; "revision" => view.store_revision());
+            }
             tokio::task::spawn_local(Rc::clone(core).settle_customer_mark());
         }
         if changes.zones {
