--- a/crates/catkindeck-net/src/lib.rs
+++ b/crates/catkindeck-net/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod events;
 pub mod exchange;
 pub mod held;
-mod intake;
+pub mod intake;
 pub mod link;
 pub mod pool;
 pub mod server;
