--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 
 mod deployment;
 mod http;
+mod item_lifetime;
 mod json;
 mod node;
 mod record;
@@ -38,6 +39,7 @@
         process::exit(2);
     });
     let run: fn(bool, &Arc<record::Record>) -> Verdict = match case.as_str() {
+        "item-lifetime" => item_lifetime::run,
         "repeated-answer" => repeated_answer::run,
         _ => {
             eprintln!("unknown case {case}");
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -148,6 +148,11 @@
         if request.header("expect-instance") != self.id {
             return writer.write_all(&refuse(421).bytes());
         }
+        // A worker stops work at the deadline that it was given.
+        let limit = request.header("deadline-ms").parse().map_or(Duration::MAX, Duration::from_millis);
+        if limit.is_zero() {
+            return writer.write_all(&refuse(503).bytes());
+        }
         let version = self.version();
         let number = {
             let mut state = self.state.lock().unwrap();
@@ -170,7 +175,7 @@
         };
         self.record.line(&format!("{} runs {id} ({})", self.id, request.path()));
         match self.models.is_empty() {
-            false => self.stream(request, &id, number, writer),
+            false => self.stream(request, &id, (number, limit), writer),
             true => self.answer_plain(&id, number, writer, link),
         }
     }
@@ -198,7 +203,14 @@
     }
 
     /// Streams events. The path ends with the number of events and the time of each, in milliseconds.
-    fn stream(&self, request: &Request, id: &str, number: usize, writer: &mut TcpStream) -> io::Result<()> {
+    fn stream(
+        &self,
+        request: &Request,
+        id: &str,
+        (number, limit): (usize, Duration),
+        writer: &mut TcpStream,
+    ) -> io::Result<()> {
+        let started = Instant::now();
         let mut words = request.path().rsplit('/');
         let pause: u64 = words.next().and_then(|word| word.parse().ok()).unwrap_or(20);
         let count: u64 = words.next().and_then(|word| word.parse().ok()).unwrap_or(3);
@@ -215,6 +227,10 @@
         let mut last = version;
         for event in first..=count {
             sleep(Duration::from_millis(pause));
+            if started.elapsed() >= limit {
+                self.record.line(&format!("{} stops {id} at its deadline", self.id));
+                return Err(io::ErrorKind::TimedOut.into());
+            }
             let version = self.version();
             let change = match version == last {
                 true => String::new(),
