--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -132,7 +132,7 @@
 /// Returns an address with a free port below those that the system gives to outgoing connections.
 fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = std::process::id() % 1_800 * 10;
+    let start = std::process::id() % 450 * 40;
     loop {
         let offset = (start + u32::from(NEXT.fetch_add(1, Ordering::SeqCst))) % 18_000;
         let address = SocketAddr::from(([127, 0, 0, 1], 12_000 + offset as u16));
