--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# The operator raises a route's item_ttl_s while a batch is open. TROUBLE=0 leaves that out.
+# A plain worker's answer to a reward call arrives a second time, late. TROUBLE=0 leaves that out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/catkindeck-node ] && [ -x target/review-2/deck ] || exit 2
-exec target/review-2/deck item-lifetime review/8/record.txt
+exec target/review-2/deck repeated-answer review/8/record.txt
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -31,6 +31,7 @@
     pub desk: Arc<Worker>,
     pub entries: Vec<Node>,
     pub standbys: Vec<Node>,
+    duties: SocketAddr,
     folder: String,
 }
 
@@ -42,11 +43,18 @@
     /// The routes' `item_ttl_s` and `max_attempts`.
     pub item_ttl_s: u64,
     pub attempts: u64,
+    pub result_deadline_ms: u64,
 }
 
 impl Default for Desired {
     fn default() -> Self {
-        Self { version: 3, keys: vec![KEY], item_ttl_s: 40, attempts: 3 }
+        Self {
+            version: 3,
+            keys: vec![KEY],
+            item_ttl_s: 40,
+            attempts: 3,
+            result_deadline_ms: 7_500,
+        }
     }
 }
 
@@ -62,7 +70,13 @@
 impl Item {
     pub fn new(id: &str, group: &str, (events, event_ms): (u64, u64)) -> Self {
         let scorer = Some(format!("reward-{id}"));
-        Self { id: id.into(), group: group.into(), events, event_ms, scorer }
+        Self {
+            id: id.into(),
+            group: group.into(),
+            events,
+            event_ms,
+            scorer,
+        }
     }
 }
 
@@ -89,7 +103,13 @@
         let engines = (1..=engines).map(|number| {
             let zone = ["zone-a", "zone-b"][number % 2];
             let name = format!("engine-{number}");
-            Worker::start((&name, "engines", zone), Some(MODEL), (8, Duration::ZERO), &store, record)
+            Worker::start(
+                (&name, "engines", zone),
+                Some(MODEL),
+                (8, Duration::ZERO),
+                &store,
+                record,
+            )
         });
         let engines = engines.collect();
         let duties = serve_duties();
@@ -100,7 +120,16 @@
         let start = |name, zone, is_entry| Node::start((name, zone), is_entry, &store, duties, place);
         let standbys = vec![start("standby-a", "zone-a", false)];
         let entries = vec![start("entry-a", "zone-a", true), start("entry-b", "zone-b", true)];
-        let deployment = Self { store, record: Arc::clone(record), engines, desk, entries, standbys, folder };
+        let deployment = Self {
+            store,
+            record: Arc::clone(record),
+            engines,
+            desk,
+            entries,
+            standbys,
+            duties,
+            folder,
+        };
         deployment.write_desired(desired);
         deployment.wait_for("readiness", 30, || {
             let is_led = deployment.store.get("ckd/control").is_some();
@@ -111,13 +140,19 @@
     }
 
     pub fn write_desired(&self, desired: &Desired) {
-        let Desired { version, item_ttl_s, attempts, .. } = desired;
+        let Desired {
+            version,
+            item_ttl_s,
+            attempts,
+            result_deadline_ms,
+            ..
+        } = desired;
         let keys: Vec<String> = desired.keys.iter().map(|key| quote(key)).collect();
         let text = format!(
             "{{\"version\":{version},\"routes\":[\
              {{\"name\":\"drafts\",\"host\":\"{HOST}\",\"prefix\":\"/drafts/\",\"kind\":\"rollout\",\
              \"service\":\"engines\",\"timeout_ms\":0,\"target_latency_ms\":400,\"priority\":1,\
-             \"max_attempts\":{attempts},\"auth_exempt\":false,\"result_deadline_ms\":7500,\
+             \"max_attempts\":{attempts},\"auth_exempt\":false,\"result_deadline_ms\":{result_deadline_ms},\
              \"item_ttl_s\":{item_ttl_s},\"session_affinity\":true}},\
              {{\"name\":\"desk\",\"host\":\"{HOST}\",\"prefix\":\"/desk/\",\"kind\":\"safe\",\
              \"service\":\"desks\",\"timeout_ms\":800,\"target_latency_ms\":150,\"priority\":2,\
@@ -139,6 +174,22 @@
         self.record.line(&format!("desired state {version} is confirmed"));
     }
 
+    /// Adds a standby to the system and waits until it is registered.
+    pub fn add_standby(&mut self, name: &str, zone: &str) {
+        let place = (self.folder.as_str(), &self.record);
+        self.standbys
+            .push(Node::start((name, zone), false, &self.store, self.duties, place));
+        self.record.line(&format!("{name} is started"));
+        let key = format!("ckd/members/{name}");
+        self.wait_for("the registration of a standby", 20, || self.store.get(&key).is_some());
+    }
+
+    /// Ends a standby for good.
+    pub fn lose_standby(&mut self, name: &str) {
+        self.standbys.retain(|node| node.name != name);
+        self.record.line(&format!("{name} is gone for good"));
+    }
+
     /// Names a version of the weights, as a trainer does.
     pub fn name_version(&self, version: u64) {
         let value = format!("{{\"model\":\"{MODEL}\",\"version\":{version}}}");
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -10,7 +10,6 @@
 
 #[derive(Debug, Clone, Default)]
 pub struct Request {
-    pub method: String,
     pub target: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
@@ -57,10 +56,6 @@
         self
     }
 
-    pub fn header(&self, name: &str) -> &str {
-        find_header(&self.headers, name)
-    }
-
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
     }
@@ -140,11 +135,11 @@
 fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
     let line = read_line(reader)?;
     let mut words = line.split(' ');
-    let method = words.next()?.to_owned();
+    words.next()?;
     let target = words.next()?.to_owned();
     let headers = read_headers(reader)?;
     let body = read_body(reader, &headers)?;
-    Some(Request { method, target, headers, body })
+    Some(Request { target, headers, body })
 }
 
 fn read_line(reader: &mut BufReader<TcpStream>) -> Option<String> {
--- a/review/standins-2/item_lifetime.rs
+++ b/review/standins-2/item_lifetime.rs
@@ -15,9 +15,14 @@
 const LATER_TTL_S: u64 = 60;
 
 pub fn run(has_trouble: bool, record: &Arc<Record>) -> Verdict {
-    let desired = Desired { item_ttl_s: FORMER_TTL_S, ..Desired::default() };
+    let desired = Desired {
+        item_ttl_s: FORMER_TTL_S,
+        ..Desired::default()
+    };
     let deployment = Deployment::start(record, 1, &desired);
-    let [first, second] = &deployment.entries[..] else { unreachable!() };
+    let [first, second] = &deployment.entries[..] else {
+        unreachable!()
+    };
     // The engine runs 8 items at once, and each takes 8 s.
     let items = (0..20).map(|number| Item::new(&format!("i{number}"), &format!("g{}", number / 4), (400, 20)));
     let items: Vec<Item> = items.collect();
@@ -25,7 +30,11 @@
     assert_eq!(deployment.submit(first, "lot-1", (1, 1, 5), &items), 202);
     sleep(Duration::from_secs(2));
     if has_trouble {
-        deployment.write_desired(&Desired { version: 8, item_ttl_s: LATER_TTL_S, ..desired });
+        deployment.write_desired(&Desired {
+            version: 8,
+            item_ttl_s: LATER_TTL_S,
+            ..desired
+        });
     }
     let mut seen = 0;
     let mut verdict = Verdict::Held;
--- a/review/standins-2/late_registration.rs
+++ b/review/standins-2/late_registration.rs
@@ -26,19 +26,27 @@
     };
     let started = Instant::now();
     let deployment = Deployment::launch(record, 3, &Desired::default(), late_keys);
-    let [first, second] = &deployment.entries[..] else { unreachable!() };
+    let [first, second] = &deployment.entries[..] else {
+        unreachable!()
+    };
     sleep(LEAD.saturating_sub(started.elapsed()));
     let (writes, late) = deployment.store.late_writes();
-    record.line(&format!("{late} of {writes} writes were late, the last of them seconds ago"));
+    record.line(&format!(
+        "{late} of {writes} writes were late, the last of them seconds ago"
+    ));
     record.line(&format!("registered: {:?}", deployment.store.keys("ckd/members/")));
     sleep(Duration::from_secs(2));
     let mut verdict = Verdict::Held;
+    let mut longest = OVERLAP;
     for lot in ["lot-1", "lot-2"] {
-        let items = (0..8).map(|number| Item::new(&format!("{lot}-{number}"), &format!("{lot}-g{}", number / 4), (300, 20)));
+        let items =
+            (0..8).map(|number| Item::new(&format!("{lot}-{number}"), &format!("{lot}-g{}", number / 4), (300, 20)));
         let items: Vec<Item> = items.collect();
         assert_eq!(deployment.submit(first, lot, (1, 1, 2), &items), 202);
         deployment.wait_for("the results", 30, || {
-            deployment.results(second, lot).is_some_and(|results| results.len() == items.len())
+            deployment
+                .results(second, lot)
+                .is_some_and(|results| results.len() == items.len())
         });
         let runs = deployment.engines.iter().flat_map(|engine| {
             let runs = engine.runs().into_iter();
@@ -47,8 +55,11 @@
         let runs: Vec<(String, Run)> = runs.collect();
         for (worker, run) in &runs {
             for (other, next) in &runs {
-                let goes_on = next.id == run.id && worker != other && next.after.is_some() && next.arrived > run.arrived;
-                let Some(last) = run.last_event.filter(|_| goes_on) else { continue };
+                let goes_on =
+                    next.id == run.id && worker != other && next.after.is_some() && next.arrived > run.arrived;
+                let Some(last) = run.last_event.filter(|_| goes_on) else {
+                    continue;
+                };
                 let overlap = last.saturating_duration_since(next.arrived);
                 if overlap > OVERLAP {
                     let detail = format!(
@@ -57,7 +68,10 @@
                         next.after.unwrap_or(0)
                     );
                     record.line(&detail);
-                    verdict = Verdict::Broken(detail);
+                    if overlap > longest {
+                        longest = overlap;
+                        verdict = Verdict::Broken(detail);
+                    }
                 }
             }
         }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod item_lifetime;
 mod json;
 mod late_registration;
+mod no_leader;
 mod node;
 mod record;
 mod repeated_answer;
@@ -42,6 +43,7 @@
     let run: fn(bool, &Arc<record::Record>) -> Verdict = match case.as_str() {
         "item-lifetime" => item_lifetime::run,
         "late-registration" => late_registration::run,
+        "no-leader" => no_leader::run,
         "repeated-answer" => repeated_answer::run,
         _ => {
             eprintln!("unknown case {case}");
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -8,7 +8,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU16, Ordering},
+        atomic::{AtomicU16, Ordering},
     },
     time::Duration,
 };
@@ -20,23 +20,12 @@
 /// The ids of the processes that run.
 static CHILDREN: Mutex<Vec<i32>> = Mutex::new(Vec::new());
 
-#[derive(Clone, Copy)]
-pub enum Signal {
-    Hangup = 1,
-    Continue = 18,
-    Stop = 19,
-}
-
 pub struct Node {
     pub name: String,
     /// Where clients connect; unused for a process that serves none.
     pub front: SocketAddr,
     readiness: SocketAddr,
-    settings: PathBuf,
-    log: PathBuf,
     child: Child,
-    /// Whether the store answers this process nothing.
-    pub is_cut: Arc<AtomicBool>,
 }
 
 impl Node {
@@ -48,8 +37,7 @@
         duties: SocketAddr,
         (folder, record): (&str, &Arc<Record>),
     ) -> Self {
-        let is_cut = Arc::new(AtomicBool::new(false));
-        let platform = store.endpoint(Arc::clone(&is_cut), record);
+        let platform = store.endpoint(record);
         let [front, readiness, peer, metrics] = [(); 4].map(|()| free_address());
         let (class, serves, memory, share) = match is_entry {
             true => ("edge", "edge", 260, 0.19),
@@ -86,7 +74,12 @@
             .spawn()
             .expect("the program starts");
         CHILDREN.lock().unwrap().push(child.id() as i32);
-        Self { name: name.into(), front, readiness, settings, log, child, is_cut }
+        Self {
+            name: name.into(),
+            front,
+            readiness,
+            child,
+        }
     }
 
     pub fn is_ready(&self) -> bool {
@@ -94,34 +87,10 @@
         let answer = crate::http::call(self.readiness, "GET", "/catkindeck/readiness", &[], &[], limit);
         answer.is_some_and(|answer| answer.status == 200)
     }
-
-    pub fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).expect("a process id fits");
-        // The process is a child that has not been waited for, so the id is its own.
-        unsafe { kill(id, signal as i32) };
-    }
-
-    pub fn cut(&self, is_cut: bool) {
-        self.is_cut.store(is_cut, Ordering::SeqCst);
-    }
-
-    /// Replaces a part of the settings file.
-    pub fn change_settings(&self, from: &str, to: &str) {
-        let text = fs::read_to_string(&self.settings).expect("the settings are readable");
-        assert!(text.contains(from));
-        fs::write(&self.settings, text.replace(from, to)).expect("the settings are written");
-    }
-
-    /// Returns the lines of the log with a word.
-    pub fn log_lines(&self, word: &str) -> Vec<String> {
-        let text = fs::read_to_string(&self.log).unwrap_or_default();
-        text.lines().filter(|line| line.contains(word)).map(String::from).collect()
-    }
 }
 
 impl Drop for Node {
     fn drop(&mut self) {
-        self.signal(Signal::Continue);
         let _ = self.child.kill();
         let _ = self.child.wait();
         let id = self.child.id() as i32;
@@ -147,7 +116,6 @@
     for child in CHILDREN.lock().unwrap().iter() {
         // The processes are children that have not been waited for, so the ids are their own.
         unsafe {
-            kill(*child, 18);
             kill(*child, 9);
         }
     }
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -1,11 +1,6 @@
 //! What a case sends, gets and sees, with times.
 
-use std::{
-    fs::File,
-    io::Write,
-    sync::Mutex,
-    time::Instant,
-};
+use std::{fs::File, io::Write, sync::Mutex, time::Instant};
 
 pub struct Record {
     started: Instant,
@@ -15,7 +10,10 @@
 impl Record {
     pub fn create(path: &str) -> Self {
         let file = File::create(path).expect("the record can be written");
-        Self { started: Instant::now(), file: Mutex::new(file) }
+        Self {
+            started: Instant::now(),
+            file: Mutex::new(file),
+        }
     }
 
     pub fn line(&self, text: &str) {
--- a/review/standins-2/repeated_answer.rs
+++ b/review/standins-2/repeated_answer.rs
@@ -14,7 +14,9 @@
 
 pub fn run(has_trouble: bool, record: &Arc<Record>) -> Verdict {
     let deployment = Deployment::start(record, 3, &Desired::default());
-    let [first, second] = &deployment.entries[..] else { unreachable!() };
+    let [first, second] = &deployment.entries[..] else {
+        unreachable!()
+    };
     let desk = &deployment.desk;
     if has_trouble {
         desk.behaviour.lock().unwrap().repeated = Some(("reward-x".into(), 1));
@@ -58,7 +60,9 @@
     ];
     assert_eq!(deployment.submit(first, "lot-2", (2, 2, 2), &step), 202);
     deployment.wait_for("the results of lot-2", 30, || {
-        deployment.results(second, "lot-2").is_some_and(|results| results.len() == 4)
+        deployment
+            .results(second, "lot-2")
+            .is_some_and(|results| results.len() == 4)
     });
     let results = deployment.results(second, "lot-2").expect("the results were read");
     let mut verdict = Verdict::Held;
@@ -72,7 +76,12 @@
             verdict = Verdict::Broken(format!("the score {score} of {id} is no digest of an answer"));
             continue;
         };
-        let versions: Vec<u64> = result.get("versions").list().iter().map(|version| version.number()).collect();
+        let versions: Vec<u64> = result
+            .get("versions")
+            .list()
+            .iter()
+            .map(|version| version.number())
+            .collect();
         let is_early = call.arrived < made;
         record.line(&format!(
             "{id}: versions {versions:?}, score {score}, of the call {}, which arrived {} the last event of the text",
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -59,6 +59,8 @@
     content: Mutex<Content>,
     changed: Condvar,
     late_writes: Mutex<LateWrites>,
+    /// Whether the store answers all calls with 503.
+    pub is_busy: AtomicBool,
 }
 
 impl Store {
@@ -86,6 +88,13 @@
         keys.filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
+    /// Returns when the lease of a key was renewed last.
+    pub fn renewed(&self, key: &str) -> Option<Instant> {
+        let content = self.content.lock().unwrap();
+        let (ttl, until) = content.leases.get(&content.entries.get(key)?.lease)?;
+        until.checked_sub(*ttl)
+    }
+
     /// Leaves the next write of a key unanswered, and carries it out after the one that follows it, but no sooner than
     /// 1 s and no later than 6 s after it came.
     pub fn delay_write(&self, key: &str) {
@@ -126,11 +135,14 @@
         }
         let answer = self.answer(request);
         let late = came.elapsed();
-        record.line(&format!("that write of {key} is carried out {late:.1?} late: {}", answer.status));
+        record.line(&format!(
+            "that write of {key} is carried out {late:.1?} late: {}",
+            answer.status
+        ));
     }
 
-    /// Opens the store's address for one process. While `is_cut` holds, it answers nothing there.
-    pub fn endpoint(self: &Arc<Self>, is_cut: Arc<AtomicBool>, record: &Arc<Record>) -> SocketAddr {
+    /// Opens an address of the store for one process.
+    pub fn endpoint(self: &Arc<Self>, record: &Arc<Record>) -> SocketAddr {
         let (store, record) = (Arc::clone(self), Arc::clone(record));
         let handler: Handler = Arc::new(move |request, writer, _| {
             if let Some(key) = store.take_late(&request) {
@@ -138,16 +150,11 @@
                 sleep(SILENCE);
                 return Err(std::io::ErrorKind::TimedOut.into());
             }
-            if is_cut.load(Ordering::SeqCst) {
-                sleep(SILENCE);
-                return Err(std::io::ErrorKind::TimedOut.into());
+            if store.is_busy.load(Ordering::SeqCst) {
+                return writer.write_all(&Answer::new(503, "").bytes());
             }
             let answer = store.answer(&request);
             sleep(ANSWER_TIME);
-            if is_cut.load(Ordering::SeqCst) {
-                sleep(SILENCE);
-                return Err(std::io::ErrorKind::TimedOut.into());
-            }
             writer.write_all(&answer.bytes())
         });
         serve(handler)
@@ -196,11 +203,7 @@
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let body = format!(
-                    "{{\"events\":[{}],\"as_of\":{}}}",
-                    events.join(","),
-                    content.revision
-                );
+                let body = format!("{{\"events\":[{}],\"as_of\":{}}}", events.join(","), content.revision);
                 return Answer::new(200, &body);
             }
             let pause = left.min(Duration::from_millis(50));
@@ -225,7 +228,10 @@
     fn expire(&mut self) {
         let now = Instant::now();
         let leases = self.leases.iter();
-        let ended: Vec<u64> = leases.filter(|(_, (_, until))| *until <= now).map(|(id, _)| *id).collect();
+        let ended: Vec<u64> = leases
+            .filter(|(_, (_, until))| *until <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for lease in ended {
             self.end(lease);
         }
@@ -266,7 +272,10 @@
         };
         let current = |key: &str| self.entries.get(key).map_or(0, |entry| entry.revision);
         let expected = body.get("expected").list();
-        if expected.iter().any(|row| current(row.get("key").text()) != row.get("revision").number()) {
+        if expected
+            .iter()
+            .any(|row| current(row.get("key").text()) != row.get("revision").number())
+        {
             let rows = expected.iter().map(|row| row.get("key").text());
             let items: Vec<String> = rows
                 .filter_map(|key| Some(entry_json(key, self.entries.get(key)?)))
@@ -275,7 +284,10 @@
         }
         let puts = body.get("puts").list();
         let lease = |row: &Json| row.get("lease").number();
-        if puts.iter().any(|row| lease(row) != 0 && !self.leases.contains_key(&lease(row))) {
+        if puts
+            .iter()
+            .any(|row| lease(row) != 0 && !self.leases.contains_key(&lease(row)))
+        {
             return Answer::new(404, "");
         }
         self.revision += 1;
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -24,16 +24,16 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     pub id: String,
-    pub path: String,
     pub arrived: Instant,
     pub stamp: String,
-    pub status: u16,
     /// The weight version of an engine when the run began.
     pub version: u64,
     /// The event after which the run was asked to go on.
     pub after: Option<u64>,
     /// When the last event so far was made.
     pub last_event: Option<Instant>,
+    /// Whether the whole answer was written.
+    pub is_finished: bool,
 }
 
 /// What a worker does with its requests; a case changes it.
@@ -87,7 +87,14 @@
             work,
             store: Arc::clone(store),
             record: Arc::clone(record),
-            state: Mutex::new(State { version: 1, load: None, orders: 0, fence: 0, runs: Vec::new(), answers: 0 }),
+            state: Mutex::new(State {
+                version: 1,
+                load: None,
+                orders: 0,
+                fence: 0,
+                runs: Vec::new(),
+                answers: 0,
+            }),
             behaviour: Mutex::default(),
             born_ms: SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis(),
         });
@@ -129,10 +136,17 @@
                 "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"{}\",\"version\":\"v1\",\
                  \"slots\":{},\"state\":\"ready\",\"cold_remaining_ms\":0,\"stage\":\"both\",\
                  \"models\":[{}],\"born\":{}",
-                self.service, self.zone, self.slots, models.join(","), self.born_ms
+                self.service,
+                self.zone,
+                self.slots,
+                models.join(","),
+                self.born_ms
             );
             if entry != written {
-                self.store.put(&format!("servers/{}", self.id), &format!("{entry},\"sequence\":{sequence}}}"));
+                self.store.put(
+                    &format!("servers/{}", self.id),
+                    &format!("{entry},\"sequence\":{sequence}}}"),
+                );
                 written = entry;
             }
             sleep(CHECK_IN);
@@ -146,12 +160,19 @@
             _ => {}
         }
         let id = request.header("attempt-id").to_owned();
-        let refuse = |status: u16| Answer::new(status, "").with("attempt-id", &id).with("not-executed", "1");
+        let refuse = |status: u16| {
+            Answer::new(status, "")
+                .with("attempt-id", &id)
+                .with("not-executed", "1")
+        };
         if request.header("expect-instance") != self.id {
             return writer.write_all(&refuse(421).bytes());
         }
         // A worker stops work at the deadline that it was given.
-        let limit = request.header("deadline-ms").parse().map_or(Duration::MAX, Duration::from_millis);
+        let limit = request
+            .header("deadline-ms")
+            .parse()
+            .map_or(Duration::MAX, Duration::from_millis);
         if limit.is_zero() {
             return writer.write_all(&refuse(503).bytes());
         }
@@ -165,20 +186,24 @@
             let stamp = format!("{}.{:04}", self.id, state.runs.len());
             state.runs.push(Run {
                 id: id.clone(),
-                path: request.path().to_owned(),
                 arrived: Instant::now(),
                 stamp,
-                status: 200,
                 version,
                 after: request.header("last-event-id").parse().ok(),
                 last_event: None,
+                is_finished: false,
             });
             state.answers += 1;
             state.runs.len() - 1
         };
         let after = request.header("last-event-id");
-        let after = if after.is_empty() { String::new() } else { format!(" after event {after}") };
-        self.record.line(&format!("{} runs {id} ({}){after}", self.id, request.path()));
+        let after = if after.is_empty() {
+            String::new()
+        } else {
+            format!(" after event {after}")
+        };
+        self.record
+            .line(&format!("{} runs {id} ({}){after}", self.id, request.path()));
         match self.models.is_empty() {
             false => self.stream(request, &id, (number, limit), writer),
             true => self.answer_plain(&id, number, writer, link),
@@ -187,7 +212,10 @@
 
     fn answer_plain(&self, id: &str, number: usize, writer: &mut TcpStream, link: &mut Link) -> io::Result<()> {
         if !link.late_bytes.is_empty() {
-            self.record.line(&format!("{} sends its former answer once more before that to {id}", self.id));
+            self.record.line(&format!(
+                "{} sends its former answer once more before that to {id}",
+                self.id
+            ));
             writer.write_all(&std::mem::take(&mut link.late_bytes))?;
         }
         sleep(self.work);
@@ -219,7 +247,10 @@
         let mut words = request.path().rsplit('/');
         let pause: u64 = words.next().and_then(|word| word.parse().ok()).unwrap_or(20);
         let count: u64 = words.next().and_then(|word| word.parse().ok()).unwrap_or(3);
-        let first = request.header("last-event-id").parse::<u64>().map_or(1, |last| last + 1);
+        let first = request
+            .header("last-event-id")
+            .parse::<u64>()
+            .map_or(1, |last| last + 1);
         let (stamp, version) = {
             let run = &self.state.lock().unwrap().runs[number];
             (run.stamp.clone(), run.version)
@@ -246,7 +277,9 @@
             self.state.lock().unwrap().runs[number].last_event = Some(Instant::now());
             writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
         }
-        writer.write_all(b"0\r\n\r\n")
+        writer.write_all(b"0\r\n\r\n")?;
+        self.state.lock().unwrap().runs[number].is_finished = true;
+        Ok(())
     }
 
     fn report(&self) -> Answer {
