--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -44,6 +44,8 @@
     pub item_ttl_s: u64,
     pub attempts: u64,
     pub result_deadline_ms: u64,
+    /// Whether there is a second service of engines, with a route `more`.
+    pub has_more: bool,
 }
 
 impl Default for Desired {
@@ -54,6 +56,7 @@
             item_ttl_s: 40,
             attempts: 3,
             result_deadline_ms: 7_500,
+            has_more: false,
         }
     }
 }
@@ -111,7 +114,17 @@
                 record,
             )
         });
-        let engines = engines.collect();
+        let mut engines: Vec<Arc<Worker>> = engines.collect();
+        if desired.has_more {
+            let place = ("engine-x", "engines-2", "zone-a");
+            engines.push(Worker::start(
+                place,
+                Some("model-b"),
+                (8, Duration::ZERO),
+                &store,
+                record,
+            ));
+        }
         let duties = serve_duties();
         for key in late_keys {
             store.delay_write(key);
@@ -147,6 +160,19 @@
             result_deadline_ms,
             ..
         } = desired;
+        let more_route = format!(
+            ",{{\"name\":\"more\",\"host\":\"{HOST}\",\"prefix\":\"/more/\",\"kind\":\"rollout\",\
+             \"service\":\"engines-2\",\"timeout_ms\":0,\"target_latency_ms\":400,\"priority\":1,\
+             \"max_attempts\":{attempts},\"auth_exempt\":false,\"result_deadline_ms\":{result_deadline_ms},\
+             \"item_ttl_s\":{item_ttl_s},\"session_affinity\":true}}"
+        );
+        let more_service = "{\"name\":\"engines-2\",\"health_path\":\"/health\",\"max_connections\":140,\
+             \"cold_start_s\":3.0,\"cold_per_s\":18.0,\"engine\":{\"slots\":8,\"kv_cache_tokens\":90000,\
+             \"models\":[{\"name\":\"model-b\"}]}},";
+        let (more_route, more_service) = match desired.has_more {
+            true => (more_route.as_str(), more_service),
+            false => ("", ""),
+        };
         let keys: Vec<String> = desired.keys.iter().map(|key| quote(key)).collect();
         let text = format!(
             "{{\"version\":{version},\"routes\":[\
@@ -159,8 +185,8 @@
              \"max_attempts\":2,\"auth_exempt\":false}},\
              {{\"name\":\"scores\",\"host\":\"{HOST}\",\"prefix\":\"/scores/\",\"kind\":\"safe\",\
              \"service\":\"desks\",\"timeout_ms\":2000,\"target_latency_ms\":400,\"priority\":2,\
-             \"max_attempts\":4,\"auth_exempt\":true}}],\
-             \"services\":[{{\"name\":\"engines\",\"health_path\":\"/health\",\"max_connections\":140,\
+             \"max_attempts\":4,\"auth_exempt\":true}}{more_route}],\
+             \"services\":[{more_service}{{\"name\":\"engines\",\"health_path\":\"/health\",\"max_connections\":140,\
              \"cold_start_s\":3.0,\"cold_per_s\":18.0,\"engine\":{{\"slots\":8,\"kv_cache_tokens\":90000,\
              \"models\":[{{\"name\":\"{MODEL}\"}}]}}}},\
              {{\"name\":\"desks\",\"health_path\":\"/health\",\"max_connections\":100,\
@@ -210,6 +236,36 @@
         self.note(node, &format!("submission of {lot}"), answer.as_ref())
     }
 
+    /// Submits a batch of items with bodies of the given size, four in a group.
+    pub fn submit_large(
+        &self,
+        node: &Node,
+        (route, model): (&str, &str),
+        lot: &str,
+        (items, bytes): (usize, usize),
+    ) -> u16 {
+        let body = encode_base64(&vec![b'a'; bytes]);
+        let items = (0..items).map(|number| {
+            format!(
+                "{{\"id\":\"{lot}-{number}\",\"path\":\"/{route}/3/5\",\"headers\":{{\"Model\":\"{model}\",\
+                 \"Token-Count\":\"100,50\"}},\"body\":\"{body}\",\"tokens\":150,\"group\":\"{lot}-g{}\"}}",
+                number / 4
+            )
+        });
+        let items: Vec<String> = items.collect();
+        let text = format!(
+            "{{\"step\":1,\"model\":\"{model}\",\"min_version\":1,\"desired_count\":1,\"items\":[{}]}}",
+            items.join(",")
+        );
+        let headers = [("content-type", "application/json"), ("attempt-id", lot)];
+        let answer = self.send(node, "POST", &format!("/{route}/{lot}"), &headers, text.as_bytes());
+        self.note(
+            node,
+            &format!("submission of {lot} with {} bytes", text.len()),
+            answer.as_ref(),
+        )
+    }
+
     pub fn end(&self, node: &Node, lot: &str) -> u16 {
         let answer = self.send(node, "DELETE", &format!("/catkindeck/lots/{lot}"), &[], &[]);
         self.note(node, &format!("end of {lot}"), answer.as_ref())
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,13 +5,13 @@
 
 mod deployment;
 mod http;
-mod item_lifetime;
 mod json;
 mod late_registration;
 mod no_leader;
 mod node;
 mod record;
 mod repeated_answer;
+mod retained_batches;
 mod store;
 mod worker;
 
@@ -41,9 +41,9 @@
         process::exit(2);
     });
     let run: fn(bool, &Arc<record::Record>) -> Verdict = match case.as_str() {
-        "item-lifetime" => item_lifetime::run,
         "late-registration" => late_registration::run,
         "no-leader" => no_leader::run,
+        "retained-batches" => retained_batches::run,
         "repeated-answer" => repeated_answer::run,
         _ => {
             eprintln!("unknown case {case}");
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -2,9 +2,9 @@
 
 use crate::{record::Record, store::Store};
 use std::{
-    fs::{self, File},
+    fs::{self, File, OpenOptions},
     net::{SocketAddr, TcpListener},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
@@ -25,6 +25,10 @@
     /// Where clients connect; unused for a process that serves none.
     pub front: SocketAddr,
     readiness: SocketAddr,
+    settings: PathBuf,
+    metrics_port: u16,
+    /// What `memory_mb` allows.
+    pub memory_limit_kb: u64,
     child: Child,
 }
 
@@ -64,24 +68,41 @@
         let log = PathBuf::from(format!("{folder}/{name}.log"));
         fs::write(&settings, text).expect("the settings are written");
         let output = File::create(&log).expect("the log is created");
-        let program = std::env::var("NODE_PROGRAM").unwrap_or("target/release/catkindeck-node".into());
-        let child = Command::new(program)
-            .args(["--metrics-port", &metrics.port().to_string()])
-            .env("CATKINDECK_SETTINGS", &settings)
-            .stdin(Stdio::null())
-            .stdout(output.try_clone().expect("the handle is duplicated"))
-            .stderr(output)
-            .spawn()
-            .expect("the program starts");
-        CHILDREN.lock().unwrap().push(child.id() as i32);
+        let child = spawn(&settings, metrics.port(), output);
         Self {
             name: name.into(),
             front,
             readiness,
+            settings,
+            metrics_port: metrics.port(),
+            memory_limit_kb: memory * 1024,
             child,
         }
     }
 
+    /// Returns the memory that the process uses, or zero if it doesn't run.
+    pub fn memory_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
+    /// Ends the process at once.
+    pub fn end(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let id = self.child.id() as i32;
+        CHILDREN.lock().unwrap().retain(|other| *other != id);
+    }
+
+    /// Starts the process again, with the same settings.
+    pub fn restart(&mut self) {
+        let log = self.settings.with_extension("log");
+        let output = OpenOptions::new().append(true).open(log).expect("the log is there");
+        self.child = spawn(&self.settings, self.metrics_port, output);
+    }
+
     pub fn is_ready(&self) -> bool {
         let limit = Duration::from_secs(1);
         let answer = crate::http::call(self.readiness, "GET", "/catkindeck/readiness", &[], &[], limit);
@@ -91,13 +112,24 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let id = self.child.id() as i32;
-        CHILDREN.lock().unwrap().retain(|other| *other != id);
+        self.end();
     }
 }
 
+fn spawn(settings: &Path, metrics_port: u16, output: File) -> Child {
+    let program = std::env::var("NODE_PROGRAM").unwrap_or("target/release/catkindeck-node".into());
+    let child = Command::new(program)
+        .args(["--metrics-port", &metrics_port.to_string()])
+        .env("CATKINDECK_SETTINGS", settings)
+        .stdin(Stdio::null())
+        .stdout(output.try_clone().expect("the handle is duplicated"))
+        .stderr(output)
+        .spawn()
+        .expect("the program starts");
+    CHILDREN.lock().unwrap().push(child.id() as i32);
+    child
+}
+
 /// Returns an address with a free port below those that the system gives to outgoing connections.
 fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
