--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -1,4 +1,4 @@
-//! A small deployment: two entries, two standbys, engines and a plain service, and its clients.
+//! A small deployment: two entries, a standby, engines and a plain service, and its clients.
 
 use crate::{
     http::{Answer, call, encode_base64},
@@ -68,6 +68,18 @@
 
 impl Deployment {
     pub fn start(record: &Arc<Record>, engines: usize, desired: &Desired) -> Self {
+        let deployment = Self::launch(record, engines, desired, &[]);
+        deployment.wait_for("registrations", 30, || {
+            let nodes = deployment.entries.len() + deployment.standbys.len();
+            deployment.store.keys("ckd/members/").len() == nodes
+        });
+        // All machines are in touch after `contact_ms`.
+        sleep(Duration::from_secs(4));
+        deployment
+    }
+
+    /// Starts a deployment in which the store carries out the first write of some keys late.
+    pub fn launch(record: &Arc<Record>, engines: usize, desired: &Desired, late_keys: &[&str]) -> Self {
         let folder = env::temp_dir().join(format!("deck-{}", process::id()));
         fs::create_dir_all(&folder).expect("the temporary folder is created");
         let folder = folder.to_string_lossy().into_owned();
@@ -81,20 +93,20 @@
         });
         let engines = engines.collect();
         let duties = serve_duties();
-        let start = |name, zone, is_entry| Node::start((name, zone), is_entry, &store, duties, &folder);
-        let standbys = vec![start("standby-a", "zone-a", false), start("standby-b", "zone-b", false)];
+        for key in late_keys {
+            store.delay_write(key);
+        }
+        let place = (folder.as_str(), record);
+        let start = |name, zone, is_entry| Node::start((name, zone), is_entry, &store, duties, place);
+        let standbys = vec![start("standby-a", "zone-a", false)];
         let entries = vec![start("entry-a", "zone-a", true), start("entry-b", "zone-b", true)];
         let deployment = Self { store, record: Arc::clone(record), engines, desk, entries, standbys, folder };
         deployment.write_desired(desired);
         deployment.wait_for("readiness", 30, || {
-            let members = deployment.store.keys("ckd/members/").len();
-            let nodes = deployment.entries.len() + deployment.standbys.len();
             let is_led = deployment.store.get("ckd/control").is_some();
-            members == nodes && is_led && deployment.entries.iter().all(Node::is_ready)
+            is_led && deployment.entries.iter().all(Node::is_ready)
         });
-        record.line("all processes are ready");
-        // All machines are in touch after `contact_ms`.
-        sleep(Duration::from_secs(4));
+        record.line("all entries are ready");
         deployment
     }
 
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod item_lifetime;
 mod json;
+mod late_registration;
 mod node;
 mod record;
 mod repeated_answer;
@@ -40,6 +41,7 @@
     });
     let run: fn(bool, &Arc<record::Record>) -> Verdict = match case.as_str() {
         "item-lifetime" => item_lifetime::run,
+        "late-registration" => late_registration::run,
         "repeated-answer" => repeated_answer::run,
         _ => {
             eprintln!("unknown case {case}");
--- a/review/standins-2/node.rs
+++ b/review/standins-2/node.rs
@@ -1,6 +1,6 @@
 //! Processes under test, started as the deploy file says.
 
-use crate::store::Store;
+use crate::{record::Record, store::Store};
 use std::{
     fs::{self, File},
     net::{SocketAddr, TcpListener},
@@ -46,10 +46,10 @@
         is_entry: bool,
         store: &Arc<Store>,
         duties: SocketAddr,
-        folder: &str,
+        (folder, record): (&str, &Arc<Record>),
     ) -> Self {
         let is_cut = Arc::new(AtomicBool::new(false));
-        let platform = store.endpoint(Arc::clone(&is_cut));
+        let platform = store.endpoint(Arc::clone(&is_cut), record);
         let [front, readiness, peer, metrics] = [(); 4].map(|()| free_address());
         let (class, serves, memory, share) = match is_entry {
             true => ("edge", "edge", 260, 0.19),
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -30,6 +30,8 @@
     pub status: u16,
     /// The weight version of an engine when the run began.
     pub version: u64,
+    /// The event after which the run was asked to go on.
+    pub after: Option<u64>,
     /// When the last event so far was made.
     pub last_event: Option<Instant>,
 }
@@ -168,12 +170,15 @@
                 stamp,
                 status: 200,
                 version,
+                after: request.header("last-event-id").parse().ok(),
                 last_event: None,
             });
             state.answers += 1;
             state.runs.len() - 1
         };
-        self.record.line(&format!("{} runs {id} ({})", self.id, request.path()));
+        let after = request.header("last-event-id");
+        let after = if after.is_empty() { String::new() } else { format!(" after event {after}") };
+        self.record.line(&format!("{} runs {id} ({}){after}", self.id, request.path()));
         match self.models.is_empty() {
             false => self.stream(request, &id, (number, limit), writer),
             true => self.answer_plain(&id, number, writer, link),
