Log which response scored an item, and whether its connection was kept

An item that came again got the score of its former text; the log had only "item was scored" for both. Hypotheses: the owner accepts a response of a former call on a kept connection; the score is carried over with the text; a task of the former job records into the new one. The log could not tell them apart. Change: item_scored names the call, the stamp, the upstream and whether the connection had carried earlier requests.

--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -45,6 +45,8 @@
     pub rest: Option<HttpExchange>,
     /// When the request was sent, in milliseconds since the Unix epoch.
     pub sent_ms: u64,
+    /// Whether the connection had carried an earlier request.
+    pub was_reused: bool,
     /// Counts the request as in progress while the rest is read.
     pub guard: UpstreamGuard,
 }
@@ -112,6 +114,7 @@
                 .to_owned(),
         );
     }
+    let was_reused = exchange.was_reused();
     let mut body = BufferedBody::new(&core);
     let headers = exchange.headers().clone();
     loop {
@@ -132,6 +135,7 @@
                 body: body.take(),
                 rest: Some(exchange),
                 sent_ms,
+                was_reused,
                 guard,
             }));
         }
@@ -143,6 +147,7 @@
         body: body.take(),
         rest: None,
         sent_ms,
+        was_reused,
         guard,
     }))
 }
--- a/crates/catkindeck-gateway/src/jobs/score.rs
+++ b/crates/catkindeck-gateway/src/jobs/score.rs
@@ -27,6 +27,15 @@
 /// The same time as a share of the route's target latency, in percent.
 const HEDGE_PERCENT: u64 = 50;
 
+/// The response that scores an item, and where it came from.
+#[derive(Debug)]
+struct ScorerAnswer {
+    score: String,
+    upstream: ObjectName,
+    /// Whether the connection had carried an earlier request.
+    was_reused: bool,
+}
+
 /// A round of scorer calls without a result.
 struct ScorerFailure {
     /// The number of calls that the scorer answered with a failure of its own.
@@ -56,6 +65,7 @@
     async fn score(self: Rc<Self>, job: Rc<OwnedJob>, key: ItemKey) {
         let item = &job.spec.items[key.0 as usize];
         let Some(scorer) = &item.scorer else { return };
+        let mut accepted = None;
         while job.job.borrow().phase(key) == ItemPhase::Scoring {
             let Some((options, limit)) = self.scorer_options(scorer) else {
                 sleep(ROUND_PAUSE).await;
@@ -79,9 +89,11 @@
                 });
             }
             match outcome {
-                Ok(score) => {
+                Ok(answer) => {
                     let now = self.core.now();
+                    let score = answer.score.clone();
                     job.job.borrow_mut().record_score(now, key, score);
+                    accepted = Some(answer);
                 }
                 Err(failure) => {
                     log_event!(self.core.logger, SCORER_FAILED;
@@ -97,7 +109,10 @@
         }
         log_event!(self.core.logger, ITEM_SCORED;
             "job" => &job.spec.id, "item" => &item.id,
-            "scored" => job.job.borrow().progress(key).score.is_some());
+            "scored" => job.job.borrow().progress(key).score.is_some(), "scorer" => &scorer.id,
+            "score" => accepted.as_ref().map(|answer| &answer.score),
+            "upstream" => accepted.as_ref().map(|answer| answer.upstream.as_str()),
+            "reused" => accepted.as_ref().map(|answer| answer.was_reused));
         self.commit(&job);
     }
 
@@ -124,7 +139,7 @@
         &self,
         scorer: &ScorerCall,
         options: CallOptions,
-    ) -> Result<String, ScorerFailure> {
+    ) -> Result<ScorerAnswer, ScorerFailure> {
         let builder = |upstream: &ObjectName, left: Duration| {
             let call = UpstreamCall {
                 upstream,
@@ -138,7 +153,13 @@
         let report = HedgedCall::new(&self.core, options, &builder).run().await;
         let detail = match report.outcome {
             CallOutcome::Answered(response) => match response.head.stamp {
-                Some(stamp) if response.head.status.is_success() => return Ok(stamp),
+                Some(score) if response.head.status.is_success() => {
+                    return Ok(ScorerAnswer {
+                        score,
+                        upstream: response.guard.id.clone(),
+                        was_reused: response.was_reused,
+                    });
+                }
                 _ => format!("the scorer responded with status {}", response.head.status),
             },
             CallOutcome::Failed(ServiceError { detail, .. }) => detail,
--- a/crates/catkindeck-net/src/exchange.rs
+++ b/crates/catkindeck-net/src/exchange.rs
@@ -85,6 +85,7 @@
 pub struct HttpExchange {
     head: Parts,
     body: Incoming,
+    was_reused: bool,
     connection: Option<PooledConnection>,
     pool: ConnectionPool,
     capacity: usize,
@@ -148,6 +149,7 @@
         Ok(Self {
             head,
             body,
+            was_reused,
             connection: Some(connection),
             pool: origin.pool,
             capacity: origin.capacity,
@@ -162,6 +164,11 @@
         &self.head.headers
     }
 
+    /// Returns whether the connection had been used for an earlier exchange.
+    pub fn was_reused(&self) -> bool {
+        self.was_reused
+    }
+
     /// Reads the next chunk of the body, or returns `None` at its end.
     ///
     /// # Errors
