Never send an identifier twice on one connection

Cause: a response was taken for that to a request if both had the same identifier. A scorer that sends a former response once more, where that to the new call is expected, has the same identifier, as trainers repeat items and scorer calls. Class: an identity used in a scope in which it is not unique. Change: a pooled connection keeps the hashes of the identifiers that it has carried and is passed over for a request that has one of them; after 1,024 requests it is closed, so that this memory is bounded. Same cause, mended by it: items of a later step, and calls and items that are sent again after a refusal. Metrics count connections that are opened, reused and passed over.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -359,6 +359,7 @@
     loop {
         sleep(HOUSEKEEPING_INTERVAL).await;
         core.upstream_client.sweep();
+        core.metrics.load.connections.update(&core.upstream_client);
         core.order_client.sweep();
         core.peer_client.sweep();
         jobs.drop_expired(core.unix_ms());
--- a/crates/catkindeck-gateway/src/forward/attempt.rs
+++ b/crates/catkindeck-gateway/src/forward/attempt.rs
@@ -3,7 +3,7 @@
 use {
     crate::{core::GatewayCore, port::UpstreamHead, upstream_guard::UpstreamGuard},
     bytes::{Bytes, BytesMut},
-    catkindeck_net::{HttpExchange, SendError},
+    catkindeck_net::{HttpExchange, IdentifiedRequest, SendError},
     http::{HeaderMap, HeaderName, Request, header},
     std::{rc::Rc, time::Instant},
 };
@@ -73,16 +73,8 @@
 ) -> AttemptOutcome {
     let started = Instant::now();
     let sent_ms = core.unix_ms();
-    let client = &core.upstream_client;
-    let permit = || guard.permit_send();
-    let sent = match fresh {
-        true => {
-            client
-                .send_on_new_connection(guard.address, request, &permit)
-                .await
-        }
-        false => client.send_if(guard.address, request, &permit).await,
-    };
+    let identified = IdentifiedRequest::new(&id, request);
+    let sent = send(&core, &guard, identified, fresh).await;
     let mut exchange = match sent {
         Ok(exchange) => exchange,
         Err(fault) => return failure_outcome(&guard, &fault),
@@ -152,6 +144,24 @@
     }))
 }
 
+async fn send(
+    core: &GatewayCore,
+    guard: &UpstreamGuard,
+    identified: IdentifiedRequest,
+    fresh: bool,
+) -> Result<HttpExchange, SendError> {
+    let client = &core.upstream_client;
+    let permit = || guard.permit_send();
+    match fresh {
+        true => {
+            client
+                .send_on_new_connection(guard.address, identified, &permit)
+                .await
+        }
+        false => client.send_if(guard.address, identified, &permit).await,
+    }
+}
+
 /// The start of a body, counted with those of other responses until it is passed on.
 struct BufferedBody {
     core: Rc<GatewayCore>,
--- a/crates/catkindeck-gateway/src/forward/stream.rs
+++ b/crates/catkindeck-gateway/src/forward/stream.rs
@@ -12,7 +12,7 @@
     },
     bytes::Bytes,
     catkindeck::{ErrorKind, ServiceError, id::ObjectName, log_event, token::WeightVersion},
-    catkindeck_net::{BodySender, HttpExchange, ResponseBody, SendError},
+    catkindeck_net::{BodySender, HttpExchange, IdentifiedRequest, ResponseBody, SendError},
     catkindeck_policy::direct::{EngineQuery, SoftwareVersion, StreamKey, UpstreamKey},
     http::{HeaderMap, Response, StatusCode},
     std::{rc::Rc, time::Duration},
@@ -299,6 +299,7 @@
         };
         let codec = &self.core.ports.upstreams;
         let request = codec.encode_request(&self.request.head, self.request.body.clone(), &call);
+        let request = IdentifiedRequest::new(&self.request.head.id, request);
         if let Some(part) = self.request.head.part {
             let mut roster = self.core.roster.borrow_mut();
             roster.get_mut(guard.key).record_prompt_part(part);
--- a/crates/catkindeck-gateway/src/jobs/item.rs
+++ b/crates/catkindeck-gateway/src/jobs/item.rs
@@ -15,7 +15,7 @@
     },
     bytes::Bytes,
     catkindeck::{ServiceError, log_event, token::WeightVersion},
-    catkindeck_net::HttpExchange,
+    catkindeck_net::{HttpExchange, IdentifiedRequest},
     catkindeck_policy::direct::{ItemKey, ItemOutcome, LOAD_EXTENSION_MS, MIN_LOAD_MS},
     http::{HeaderMap, Request},
     std::{rc::Rc, time::Duration},
@@ -103,6 +103,8 @@
         Err(error) => return run_outcome(ItemOutcome::Impossible, &error.detail),
     };
     let sent_at = Instant::now();
+    let id = &job.spec.items[run.key.0 as usize].id;
+    let request = IdentifiedRequest::new(id, request);
     let permit = || run.guard.may_send();
     let client = &core.upstream_client;
     let sent = client.send_if(run.guard.address, request, &permit);
@@ -125,7 +127,6 @@
         .ports
         .upstreams
         .decode_head(exchange.status(), exchange.headers());
-    let id = &job.spec.items[run.key.0 as usize].id;
     if let Some(detail) = foreign_response(&head, id) {
         exchange.discard_connection();
         run.guard.record_failure();
--- a/crates/catkindeck-gateway/src/lib.rs
+++ b/crates/catkindeck-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod capacity;
 pub mod capacity_metrics;
 pub mod carried_metrics;
+pub mod connection_metrics;
 pub mod core;
 pub mod crashing;
 pub mod daemon;
--- a/crates/catkindeck-gateway/src/load_metrics.rs
+++ b/crates/catkindeck-gateway/src/load_metrics.rs
@@ -1,8 +1,12 @@
 //! The metrics of decisions under load: who is behind, who waits, and which upstreams are avoided.
 
-use prometheus::{IntCounter, IntGauge, Registry};
+use {
+    crate::connection_metrics::ConnectionMetrics,
+    prometheus::{IntCounter, IntGauge, Registry},
+};
 
 pub struct LoadMetrics {
+    pub connections: ConnectionMetrics,
     /// How late the trainer is that is furthest behind its schedule, in milliseconds.
     pub trainer_lateness_ms: IntGauge,
     /// Groups of which items waited while others that were needed more got places.
@@ -38,6 +42,7 @@
             prometheus::Result::Ok(gauge)
         };
         Ok(Self {
+            connections: ConnectionMetrics::register(registry)?,
             trainer_lateness_ms: gauge(
                 "catkindeck_gateway_trainer_lateness_ms",
                 "The lateness of the trainer that is furthest behind its schedule.",
--- a/crates/catkindeck-net/src/client.rs
+++ b/crates/catkindeck-net/src/client.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        carried::{IdentifiedRequest, RequestKey},
         exchange::{CompleteResponse, ExchangeOrigin, HttpExchange, SendError, SendPermit},
         link::SendGuard,
         pool::{ConnectionPool, OpenCount, PooledConnection},
@@ -34,6 +35,7 @@
     pool: ConnectionPool,
     open: OpenCount,
     opened: Cell<u64>,
+    reused: Cell<u64>,
     has_slow_readers: bool,
 }
 
@@ -44,6 +46,7 @@
             pool: ConnectionPool::new(limits.open_connections / 2),
             open: OpenCount::default(),
             opened: Cell::new(0),
+            reused: Cell::new(0),
             has_slow_readers: false,
         }
     }
@@ -70,11 +73,13 @@
         address: SocketAddr,
         request: Request<Bytes>,
     ) -> Result<HttpExchange, SendError> {
-        self.send_if(address, request, &|| true).await
+        let origin = self.origin(None, None);
+        self.send_pooled(address, request, &|| true, origin).await
     }
 
     /// As [`Self::send`], but asks `permit` directly before the request is written, because a
-    /// permission may end while a connection is opened.
+    /// permission may end while a connection is opened. A pooled connection that has carried the request's identifier
+    /// before is not used.
     ///
     /// # Errors
     ///
@@ -82,28 +87,30 @@
     pub async fn send_if(
         &self,
         address: SocketAddr,
-        request: Request<Bytes>,
+        identified: IdentifiedRequest,
         permit: SendPermit<'_>,
     ) -> Result<HttpExchange, SendError> {
-        self.send_guarded(address, request, permit, None).await
+        let IdentifiedRequest { key, request } = identified;
+        let origin = self.origin(Some(key), None);
+        self.send_pooled(address, request, permit, origin).await
     }
 
-    async fn send_guarded(
+    async fn send_pooled(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
         permit: SendPermit<'_>,
-        guard: Option<SendGuard>,
+        origin: ExchangeOrigin,
     ) -> Result<HttpExchange, SendError> {
         let mut request = request;
-        while let Some(connection) = self.pool.take(address, self.limits.idle) {
-            let origin = self.origin(guard.clone());
+        while let Some(connection) = self.pool.take(address, self.limits.idle, origin.key) {
+            self.reused.set(self.reused.get() + 1);
+            let origin = origin.clone();
             match HttpExchange::start(connection, request, permit, origin).await {
                 Err((send_error, Some(unsent))) if send_error.was_reused => request = unsent,
                 outcome => return outcome.map_err(|(send_error, _)| send_error),
             }
         }
-        let origin = self.origin(guard);
         self.open_and_send(address, request, permit, origin).await
     }
 
@@ -115,10 +122,11 @@
     pub async fn send_on_new_connection(
         &self,
         address: SocketAddr,
-        request: Request<Bytes>,
+        identified: IdentifiedRequest,
         permit: SendPermit<'_>,
     ) -> Result<HttpExchange, SendError> {
-        let origin = self.origin(None);
+        let IdentifiedRequest { key, request } = identified;
+        let origin = self.origin(Some(key), None);
         self.open_and_send(address, request, permit, origin).await
     }
 
@@ -206,7 +214,8 @@
         (permit, guard): (SendPermit<'_>, Option<SendGuard>),
     ) -> Result<CompleteResponse, SendError> {
         let exchange = async {
-            let exchange = self.send_guarded(address, request, permit, guard).await?;
+            let origin = self.origin(None, guard);
+            let exchange = self.send_pooled(address, request, permit, origin).await?;
             exchange.read_to_end(self.limits.response_bytes).await
         };
         match timeout(limit, exchange).await {
@@ -253,8 +262,19 @@
         self.opened.get()
     }
 
-    fn origin(&self, guard: Option<SendGuard>) -> ExchangeOrigin {
+    /// Returns how often a request was sent on a pooled connection.
+    pub fn reused(&self) -> u64 {
+        self.reused.get()
+    }
+
+    /// Returns how often a request got a new connection because all idle ones had carried its identifier.
+    pub fn passed_over(&self) -> u64 {
+        self.pool.passed_over()
+    }
+
+    fn origin(&self, key: Option<RequestKey>, guard: Option<SendGuard>) -> ExchangeOrigin {
         ExchangeOrigin {
+            key,
             pool: self.pool.clone(),
             capacity: self.limits.idle_connections,
             has_slow_readers: self.has_slow_readers,
--- a/crates/catkindeck-net/src/exchange.rs
+++ b/crates/catkindeck-net/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        carried::RequestKey,
         link::{LARGE_BODY_BYTES, SendGuard, await_dead_link},
         pool::{ConnectionPool, PooledConnection},
     },
@@ -69,7 +70,10 @@
 }
 
 /// What an exchange needs of its client.
+#[derive(Clone)]
 pub(crate) struct ExchangeOrigin {
+    /// The request's identifier, if the server returns it.
+    pub(crate) key: Option<RequestKey>,
     pub(crate) pool: ConnectionPool,
     /// The maximum number of idle connections kept per address.
     pub(crate) capacity: usize,
@@ -118,6 +122,9 @@
         let is_patient = origin.has_slow_readers && bytes >= LARGE_BODY_BYTES;
         connection.patience.set(is_patient);
         connection.intake.begin();
+        if let Some(key) = origin.key {
+            connection.carried.record(key);
+        }
         let is_guarded = origin.guard.is_some();
         connection.write_guard.set(origin.guard);
         let address = connection.address;
--- a/crates/catkindeck-net/src/lib.rs
+++ b/crates/catkindeck-net/src/lib.rs
@@ -4,6 +4,7 @@
 //! local tasks on one thread, and nothing is shared between threads (`docs/platform.md`).
 
 pub mod body;
+pub mod carried;
 pub mod client;
 pub mod events;
 pub mod exchange;
@@ -18,6 +19,7 @@
 
 pub use {
     body::{BodySender, ResponseBody},
+    carried::{IdentifiedRequest, RequestKey},
     client::{ClientLimits, HttpClient},
     exchange::{CompleteResponse, HttpExchange, SendError, SendPermit},
     held::{HeldBytes, HeldPart},
--- a/crates/catkindeck-net/src/pool.rs
+++ b/crates/catkindeck-net/src/pool.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        carried::{CarriedRequests, RequestKey},
         intake::ResponseIntake,
         link::{PatientStream, ReaderPatience, WriteGuard},
         socket,
@@ -67,6 +68,7 @@
     pub(crate) patience: ReaderPatience,
     pub(crate) write_guard: WriteGuard,
     pub(crate) intake: ResponseIntake,
+    pub(crate) carried: CarriedRequests,
     idle_limit: Option<Duration>,
     idle_since: Instant,
     driver: JoinHandle<()>,
@@ -108,6 +110,7 @@
             patience,
             write_guard,
             intake,
+            carried: CarriedRequests::default(),
             idle_limit: None,
             idle_since: Instant::now(),
             driver,
@@ -142,6 +145,7 @@
     /// The maximum number of idle connections to all addresses.
     limit: usize,
     parked: OpenCount,
+    passed_over: Rc<Cell<u64>>,
 }
 
 impl ConnectionPool {
@@ -150,24 +154,38 @@
             idle: Rc::default(),
             limit,
             parked: OpenCount::default(),
+            passed_over: Rc::default(),
         }
     }
 
-    /// Takes the most recently used idle connection to an address.
+    /// Takes the most recently used idle connection to an address that has not carried the identifier `key`.
     pub(crate) fn take(
         &self,
         address: SocketAddr,
         idle_limit: Duration,
+        key: Option<RequestKey>,
     ) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         connections.retain(|connection| connection.is_usable(now, idle_limit));
-        let mut connection = connections.pop()?;
+        let is_free =
+            |connection: &PooledConnection| key.is_none_or(|key| !connection.carried.contains(key));
+        let Some(index) = connections.iter().rposition(is_free) else {
+            self.passed_over
+                .set(self.passed_over.get() + u64::from(!connections.is_empty()));
+            return None;
+        };
+        let mut connection = connections.remove(index);
         connection.parked = None;
         Some(connection)
     }
 
+    /// Returns how often all idle connections to an address were passed over, because they had carried the identifier.
+    pub(crate) fn passed_over(&self) -> u64 {
+        self.passed_over.get()
+    }
+
     /// Returns whether there is a usable idle connection to an address.
     pub(crate) fn has_idle(&self, address: SocketAddr, idle_limit: Duration) -> bool {
         let now = Instant::now();
@@ -177,12 +195,13 @@
         usable.next().is_some()
     }
 
-    /// Returns a connection to the pool, unless `capacity` connections to its address are idle.
+    /// Returns a connection to the pool, unless it has carried as many requests as it may, or `capacity` connections to
+    /// its address are idle.
     pub(crate) fn put(&self, mut connection: PooledConnection, capacity: usize) {
         connection.reused = true;
         connection.idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        if self.parked.total() >= self.limit {
+        if self.parked.total() >= self.limit || connection.carried.is_full() {
             return;
         }
         let connections = idle.get_or_insert_with(connection.address, Vec::new);
--- a/crates/catkindeck-net/tests/client.rs
+++ b/crates/catkindeck-net/tests/client.rs
@@ -2,7 +2,9 @@
 
 use {
     bytes::Bytes,
-    catkindeck_net::{ClientLimits, HttpClient, SendGuard},
+    catkindeck_net::{
+        ClientLimits, HttpClient, IdentifiedRequest, SendGuard, carried::MAX_CARRIED_REQUESTS,
+    },
     http::Request,
     std::{
         cell::Cell,
@@ -350,3 +352,120 @@
     })
     .await;
 }
+
+/// Starts a server that answers each request with the number of its connection and counts the connections.
+fn start_numbered_server(connections: &Arc<AtomicUsize>) -> SocketAddr {
+    let connections = Arc::clone(connections);
+    start_server(move |mut stream| {
+        let number = connections.fetch_add(1, Ordering::AcqRel).to_string();
+        let length = number.len();
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{number}");
+        while read_request(&mut stream) {
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    })
+}
+
+/// Sends a request with an identifier and returns the number of the connection that carried it.
+async fn send_identified(client: &HttpClient, address: SocketAddr, id: &str) -> usize {
+    let identified = IdentifiedRequest::new(id, request());
+    let exchange = client.send_if(address, identified, &|| true).await;
+    let exchange = exchange.expect("the server answers");
+    let response = exchange.read_to_end(16).await.expect("the body is whole");
+    let number = String::from_utf8_lossy(&response.body);
+    number.parse().expect("it is a number")
+}
+
+/// Guards against a second copy of a response that is taken for the response to a later request with the same identifier:
+/// no connection may carry an identifier twice, whatever it carried in between and however often the identifier comes.
+#[tokio::test]
+async fn a_connection_never_carries_an_identifier_twice() {
+    let connections = Arc::default();
+    let address = start_numbered_server(&connections);
+    let client = HttpClient::new(LIMITS);
+    run(async {
+        let mut used = Vec::new();
+        // The client keeps at most this many idle connections.
+        for round in 0..LIMITS.idle_connections * 3 {
+            let number = send_identified(&client, address, "again").await;
+            assert!(!used.contains(&number), "connection {number}: {used:?}");
+            used.push(number);
+            for other in 0..3 {
+                let id = format!("other-{round}-{other}");
+                let number = send_identified(&client, address, &id).await;
+                assert!(used.contains(&number), "{id} got a connection of its own");
+            }
+        }
+        assert_eq!(client.opened(), used.len() as u64);
+        assert_eq!(client.passed_over(), used.len() as u64 - 1);
+    })
+    .await;
+}
+
+/// Guards against identifiers that fill the memory of a process with long-lived connections, and against a connection
+/// that forgets an identifier instead.
+#[tokio::test]
+async fn a_connection_is_closed_when_it_has_carried_many_requests() {
+    let connections = Arc::default();
+    let address = start_numbered_server(&connections);
+    let client = HttpClient::new(LIMITS);
+    run(async {
+        for index in 0..2 * MAX_CARRIED_REQUESTS {
+            let number = send_identified(&client, address, &format!("ordinary-{index}")).await;
+            assert_eq!(number, index / MAX_CARRIED_REQUESTS, "request {index}");
+        }
+        assert_eq!(client.opened(), 2);
+        assert_eq!(client.passed_over(), 0);
+    })
+    .await;
+}
+
+/// Guards against a response that nobody asked for, which a connection without a request holds when the next call takes
+/// it: calls to the store, to the platform and between processes have no identifier that could tell.
+#[tokio::test]
+async fn a_response_that_nobody_asked_for_answers_no_call() {
+    for pause in [None, Some(Duration::ZERO), Some(Duration::from_millis(1))] {
+        let requests = Arc::new(AtomicUsize::new(0));
+        let count = Arc::clone(&requests);
+        let address = start_server(move |mut stream| {
+            while read_request(&mut stream) {
+                let number = count.fetch_add(1, Ordering::AcqRel);
+                let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n{number:04}");
+                let is_open = match pause {
+                    None => stream.write_all(answer.repeat(2).as_bytes()).is_ok(),
+                    Some(pause) => {
+                        let is_open = stream.write_all(answer.as_bytes()).is_ok();
+                        thread::sleep(pause);
+                        is_open && stream.write_all(answer.as_bytes()).is_ok()
+                    }
+                };
+                if !is_open {
+                    return;
+                }
+            }
+        });
+        let client = HttpClient::new(LIMITS);
+        run(async {
+            let mut last = None;
+            for call in 0..200 {
+                if pause.is_some() {
+                    // The copy has arrived when the next call is made.
+                    tokio::time::sleep(Duration::from_millis(3)).await;
+                }
+                let outcome = client.call(address, request(), CALL_TIMEOUT).await;
+                let response = outcome.expect("the server answers");
+                let number: usize = String::from_utf8_lossy(&response.body)
+                    .parse()
+                    .expect("it is a number");
+                assert!(
+                    last.is_none_or(|last| number > last),
+                    "call {call} got response {number} after {last:?}, with a pause of {pause:?}"
+                );
+                last = Some(number);
+            }
+        })
+        .await;
+    }
+}
