Give each order to an engine a connection of its own

What callers would see: an engine that repeats its report, before it rejects an order, counts as having the ordered version. It gets no further order for that version, and items that need it are sent there in vain. Cause: reports and orders share a kept connection, and their responses have no identifier, so that a copy of one is taken for the response to the next. Change: connections for orders are not kept. Test: a_late_copy_of_a_report_does_not_confirm_an_order failed on (no order within 30 s) and passes now.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -46,10 +46,10 @@
 };
 
 /// The limits of the HTTP client for orders to upstreams and for their reports. Reports have a few hundred bytes.
-/// Each upstream gets an order every few seconds, so that with thousands of upstreams few connections are worth
-/// keeping.
+/// Responses to both have no identifier, so that a second copy of one could be taken for the response to the next order
+/// (`docs/design/repeated-responses.md`): each has a connection of its own.
 pub const ORDER_LIMITS: ClientLimits = ClientLimits {
-    idle_connections: 1,
+    idle_connections: 0,
     open_connections: 512,
     ..UPSTREAM_LIMITS
 };
