Accept only statuses from 200 to 599 as answers of an upstream

Here 000, 099, three digits with letters, two and four digits, no digits and endless interim responses were failures already: the HTTP libraries take none of them for a response, and what they read without end is limited. Cause of what the stand-in did show: the libraries return 101, which answers an upgrade that nobody asks for, and statuses above 599; the code passed them on. Change: such a response fails the attempt, which may have run; its connection is closed. The same in the older form, at plain services. Items and scorer calls took none of them before either.

--- a/crates/catkindeck-agent/src/upstream/http.rs
+++ b/crates/catkindeck-agent/src/upstream/http.rs
@@ -3,13 +3,16 @@
 use {
     super::{ProbeOutcome, UpstreamOutcome},
     catkindeck::{ErrorKind, ServiceError, id::BootId},
-    std::{io, time::Duration},
+    std::{io, ops::RangeInclusive, time::Duration},
     ureq::{Agent, Body, config::AutoHeaderValue, http::HeaderMap},
 };
 
 /// The header that carries the upstream's boot ID.
 const BOOT_HEADER: &str = "x-boot-id";
 
+/// The statuses of final responses.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Creates an HTTP client that opens a new connection for each call.
 ///
 /// With a new connection, a connect error proves that nothing was sent. On a reused connection, it
@@ -44,6 +47,18 @@
         .map_err(|error| call_error(&error))
 }
 
+/// Returns the outcome of a request whose response has a status other than those of final responses. The HTTP library
+/// returns 101, which answers an upgrade that no request asks for, and statuses that HTTP does not define.
+pub fn status_failure(status: u16) -> Option<UpstreamOutcome> {
+    (!FINAL_STATUSES.contains(&status)).then(|| UpstreamOutcome::Failed {
+        error: ServiceError::unknown(
+            ErrorKind::UpstreamFailed,
+            format!("expected a status from 200 to 599, found {status:03}"),
+        ),
+        crashed: false,
+    })
+}
+
 /// Returns the outcome of a request for which no response was received.
 pub fn request_failure(error: &ureq::Error) -> UpstreamOutcome {
     if is_not_sent(error) {
--- a/crates/catkindeck-agent/src/upstream/plain.rs
+++ b/crates/catkindeck-agent/src/upstream/plain.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         ProbeOutcome, ResponseSink, StreamControl, UpstreamClient, UpstreamOutcome,
-        http::{build_agent, read_boot, read_failure, request_failure},
+        http::{build_agent, read_boot, read_failure, request_failure, status_failure},
     },
     crate::settings::{AgentTimeouts, UpstreamSettings},
     catkindeck::{
@@ -67,6 +67,9 @@
             Err(error) => return request_failure(&error),
         };
         sink.boot(read_boot(response.headers()));
+        if let Some(failure) = status_failure(response.status().as_u16()) {
+            return failure;
+        }
         let headers = pass_headers(response.headers());
         if sink.head(response.status().as_u16(), headers) == StreamControl::Stop {
             return UpstreamOutcome::Stopped;
--- a/crates/catkindeck-net/src/exchange.rs
+++ b/crates/catkindeck-net/src/exchange.rs
@@ -10,7 +10,7 @@
     http::{HeaderMap, Request, StatusCode, header, response::Parts},
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
-    std::time::Duration,
+    std::{ops::RangeInclusive, time::Duration},
     thiserror::Error,
     tokio::time::timeout,
 };
@@ -26,6 +26,10 @@
 /// The maximum size of the rest of a response that is read to keep the connection, in bytes.
 const DRAIN_LIMIT: usize = 16 << 10;
 
+/// The statuses of final responses. The HTTP library reads past interim responses, but returns 101, which answers an
+/// upgrade that no request asks for, and statuses that HTTP does not define.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// The error of a request that got no complete response.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("{detail}")]
@@ -150,6 +154,15 @@
         };
         connection.write_guard.set(None);
         let (head, body) = response.into_parts();
+        let status = head.status.as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            let detail = format!("expected a status from 200 to 599, found {status:03}");
+            let send_error = SendError {
+                was_reused,
+                ..SendError::maybe_received(detail)
+            };
+            return Err((send_error, None));
+        }
         if let Some(limit) = parse_keep_alive(&head.headers) {
             connection.set_idle_limit(limit);
         }
