Count the identifiers of a connection in its memory

A connection may keep the hashes of 1,024 identifiers, 8 KiB, since it never carries one twice. What an open connection takes was estimated as 32 KiB without them, and this bounds how many a process opens in a quarter of its memory. Change: 40 KiB. A process of 300 MB may open 1,920 connections in place of 2,400; for entries of the users' deployments the descriptors bind first. Not measured: the sizes follow from the constants.

--- a/crates/catkindeck-gateway/src/daemon.rs
+++ b/crates/catkindeck-gateway/src/daemon.rs
@@ -70,8 +70,9 @@
 /// callers and in one that does.
 const UPSTREAM_DESCRIPTOR_DIVISORS: (u64, u64) = (2, 4);
 
-/// The memory that an open connection to an upstream takes, in bytes.
-const CONNECTION_BYTES: u64 = 32 << 10;
+/// The memory that an open connection to an upstream takes, in bytes. The identifiers of the requests that it has carried
+/// take up to 8 KiB of it.
+const CONNECTION_BYTES: u64 = 40 << 10;
 
 /// Connections to upstreams may use the process's memory divided by this.
 const UPSTREAM_MEMORY_DIVISOR: u64 = 4;
