--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        http::{Answer, call},
-        nodes::{Node, Platform, wait_until},
+        http::{Answer, Connection, call},
+        nodes::{EDGE_MEMORY_MB, Node, Platform, wait_until},
         store::{Leases, Mode, Store},
         workers::{Record, Worker, WorkerDraft, start_cloud_api},
     },
@@ -247,7 +247,7 @@
         "unstored-end" => unstored_end(setting),
         "open-rollout" => open_rollout(setting),
         "two-leaders" => two_leaders(setting),
-        "outage-memory" => outage_memory(setting),
+        "held-bodies" => held_bodies(setting),
         _ => Err(format!("unknown case {case}")),
     }
 }
@@ -308,12 +308,10 @@
     let judged = counted + Duration::from_millis(3_000);
     thread::sleep((judged + Duration::from_secs(1)).saturating_duration_since(Instant::now()));
     deck.journal.note("the end counts as acknowledged, and cancel_ms has passed");
-    // The owner is the standby that has said in its log that it runs the batch submission.
-    let owns = |node: &Node| {
-        let log = fs::read_to_string(&node.log).unwrap_or_default();
-        log.lines().any(|line| line.contains(lot) && line.contains("\"resumed_after\""))
-    };
-    let owner = deck.standbys.iter().position(owns);
+    // The owner stands in the record of the batch submission in the store; it only decides which process is stopped.
+    let stored = deck.store.get(&format!("ckd/open/{lot}")).unwrap_or_default();
+    let stored = String::from_utf8_lossy(&stored).into_owned();
+    let owner = deck.standbys.iter().position(|node| stored.contains(&node.name));
     let Some(owner) = owner else {
         return Err("no standby runs the batch submission".to_owned());
     };
@@ -390,51 +388,105 @@
     Ok(missing == 0)
 }
 
-/// Batch submissions arrive while the store is down.
-fn outage_memory(setting: &Setting) -> Result<bool, String> {
-    let megabytes: usize = env::var("MB").ok().and_then(|text| text.parse().ok()).unwrap_or(6);
+/// Large requests within the limits of the desired state arrive while the workers are slow.
+fn held_bodies(setting: &Setting) -> Result<bool, String> {
+    let mut upload = safe_route("r-upload", "/lohu930/", "desk");
+    upload["kind"] = json!("unsafe");
+    upload["timeout_ms"] = json!(12_000);
+    upload["target_latency_ms"] = json!(4_000);
     let draft = DeckDraft {
-        config: config(
-            7,
-            &[
-                rollout_route("r-draft", "/pule252/"),
-                safe_route("r-look", "/pufi791/", "desk"),
-            ],
-        ),
-        workers: &[engine("i-7f3a91c2", 10, 20), desk("i-5c5c5c01", 20)],
-        edges: 2,
+        config: config(7, &[upload, safe_route("r-look", "/pufi791/", "desk")]),
+        workers: &[desk("i-5c5c5c01", 2_000), desk("i-5c5c5c02", 2_000), desk("i-5c5c5c03", 2_000)],
+        edges: 1,
         standbys: 1,
         fencing_enforced: true,
     };
-    let deck = Deck::start(setting, &draft)?;
-    let deck = Arc::new(deck);
+    let deck = Arc::new(Mutex::new(Deck::start(setting, &draft)?));
+    let lock = || deck.lock().unwrap_or_else(PoisonError::into_inner);
+    let journal = lock().journal.clone();
+    let front = lock().edges[0].front;
     if setting.trouble {
-        deck.store.set_mode(Mode::Busy, Leases::Pause);
-        deck.journal.note("the store is down");
+        for worker in &lock().workers {
+            worker.slowness.store(4, std::sync::atomic::Ordering::SeqCst);
+        }
+        journal.note("the workers of the service work 4 times as long (srv_slow, x = 4)");
     }
+    let ended = Arc::new(std::sync::atomic::AtomicBool::new(false));
     let mut clients = Vec::new();
-    for number in 0..12 {
-        let deck = Arc::clone(&deck);
+    for number in 0..14_u64 {
+        let journal = journal.clone();
         clients.push(thread::spawn(move || {
-            thread::sleep(Duration::from_millis(400 * number));
-            let lot = format!("7c41e09b52d6a3{number:02x}");
-            let body = batch("/pule252/", &format!("e5{number:02x}"), 64, megabytes << 14);
-            deck.journal.note(format!("{} bytes", body.len()));
-            deck.client(0, "POST", "/pule252/7c41e0", &lot, &body);
+            thread::sleep(Duration::from_secs(number));
+            let body = vec![b'x'; 30 << 20];
+            let headers = [
+                ("host", HOST.to_owned()),
+                ("credential", KEY.to_owned()),
+                ("attempt-id", format!("a0{number:04x}")),
+                ("deadline-ms", "12000".to_owned()),
+            ];
+            let limit = Duration::from_secs(13);
+            // A small request first, so that the connection is a kept one.
+            let mut small = headers.clone();
+            small[2].1 = format!("b0{number:04x}");
+            let opened = Connection::open(front, limit);
+            let outcome = opened.and_then(|mut connection| {
+                let first = connection.call("POST", "/pufi791/5e07", &small, b"x")?;
+                if first.status != 200 {
+                    return Ok(first);
+                }
+                connection.call("POST", "/lohu930/2f", &headers, &body)
+            });
+            let (status, fault) = match outcome {
+                Ok(answer) => (answer.status, String::new()),
+                Err(error) => (0, error.to_string()),
+            };
+            journal.note(format!(
+                "client: POST /lohu930/2f a0{number:04x}, {} bytes, on a kept connection -> {status} {fault}",
+                body.len()
+            ));
+            status
         }));
     }
-    for _ in 0..60 {
-        thread::sleep(Duration::from_millis(150));
-        let (now, peak) = deck.edges[0].memory_mb();
-        deck.journal.note(format!("memory {now} MB, peak {peak} MB; standby {:?}", deck.standbys[0].memory_mb()));
-    }
-    deck.store.set_mode(Mode::Up, Leases::Pause);
-    for client in clients {
-        let _ = client.join();
+    // The platform kills a process that uses more than its memory.
+    let watched = Arc::clone(&deck);
+    let (seen, stop) = (journal.clone(), Arc::clone(&ended));
+    let platform = thread::spawn(move || {
+        let mut peak = 0;
+        while !stop.load(std::sync::atomic::Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(50));
+            let mut deck = watched.lock().unwrap_or_else(PoisonError::into_inner);
+            let (now, _) = deck.edges[0].memory_mb();
+            peak = peak.max(now);
+            if now > EDGE_MEMORY_MB {
+                seen.note(format!(
+                    "platform: {} uses {now} MB of memory_mb = {EDGE_MEMORY_MB}, and is killed",
+                    deck.edges[0].name
+                ));
+                deck.edges[0].kill();
+                return (peak, true);
+            }
+        }
+        (peak, false)
+    });
+    let statuses: Vec<u16> = clients.into_iter().map(|client| client.join().unwrap_or(0)).collect();
+    ended.store(true, std::sync::atomic::Ordering::SeqCst);
+    let (peak, is_killed) = platform.join().unwrap_or((0, false));
+    let deck = lock();
+    let runs = deck.record.runs();
+    for run in &runs {
+        deck.journal.note_at(run.at, format!("worker {} begins {}", run.worker, run.id));
     }
-    let (_, peak) = deck.edges[0].memory_mb();
+    // Requests that were passed on to a worker, and whose connection then ended without an answer.
+    let is_cut = |number: usize| {
+        let id = format!("a0{number:04x}");
+        statuses[number] == 0 && runs.iter().any(|run| run.id == id)
+    };
+    let cut = (0..statuses.len()).filter(|number| is_cut(*number)).count();
+    journal.note(format!(
+        "peak {peak} MB, killed: {is_killed}; {cut} requests were passed on to a worker and got no answer"
+    ));
     deck.journal.write(setting);
-    Ok(peak < crate::nodes::EDGE_MEMORY_MB)
+    Ok(cut <= 3)
 }
 
 /// The store is down for a moment, and the leases have expired when it is back.
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -199,6 +199,48 @@
     pub fault: String,
 }
 
+/// A client's connection, which may carry several calls.
+pub struct Connection(BufReader<TcpStream>);
+
+impl Connection {
+    pub fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(limit))?;
+        stream.set_write_timeout(Some(limit))?;
+        Ok(Self(BufReader::new(stream)))
+    }
+
+    pub fn call(
+        &mut self,
+        method: &str,
+        target: &str,
+        headers: &[(&str, String)],
+        body: &[u8],
+    ) -> io::Result<Answer> {
+        let mut head = format!("{method} {target} HTTP/1.1\r\n");
+        for (name, value) in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if method == "POST" {
+            head.push_str(&format!("content-length: {}\r\n", body.len()));
+        }
+        head.push_str("\r\n");
+        self.0.get_mut().write_all(head.as_bytes())?;
+        self.0.get_mut().write_all(body)?;
+        let head = read_head(&mut self.0)?;
+        let (first, headers) =
+            head.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
+        let status = first.split(' ').nth(1).and_then(|text| text.parse().ok());
+        let body = read_body(&mut self.0, &headers, true)?;
+        Ok(Answer {
+            status: status.unwrap_or(0),
+            body,
+            fault: String::new(),
+        })
+    }
+}
+
 /// Makes one call on a new connection.
 pub fn call(
     address: SocketAddr,
@@ -208,44 +250,11 @@
     body: &[u8],
     limit: Duration,
 ) -> Answer {
-    let outcome = try_call(address, method, target, headers, body, limit);
+    let opened = Connection::open(address, limit);
+    let outcome = opened.and_then(|mut connection| connection.call(method, target, headers, body));
     outcome.unwrap_or_else(|error| Answer {
         status: 0,
         body: Vec::new(),
         fault: error.to_string(),
     })
 }
-
-fn try_call(
-    address: SocketAddr,
-    method: &str,
-    target: &str,
-    headers: &[(&str, String)],
-    body: &[u8],
-    limit: Duration,
-) -> io::Result<Answer> {
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(limit))?;
-    stream.set_write_timeout(Some(limit))?;
-    let mut head = format!("{method} {target} HTTP/1.1\r\n");
-    for (name, value) in headers {
-        head.push_str(&format!("{name}: {value}\r\n"));
-    }
-    if method == "POST" {
-        head.push_str(&format!("content-length: {}\r\n", body.len()));
-    }
-    head.push_str("\r\n");
-    stream.write_all(head.as_bytes())?;
-    stream.write_all(body)?;
-    let mut reader = BufReader::new(stream);
-    let (first, headers) =
-        read_head(&mut reader)?.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
-    let status = first.split(' ').nth(1).and_then(|text| text.parse().ok());
-    let body = read_body(&mut reader, &headers, true)?;
-    Ok(Answer {
-        status: status.unwrap_or(0),
-        body,
-        fault: String::new(),
-    })
-}
--- a/review/standins-3/src/workers.rs
+++ b/review/standins-3/src/workers.rs
@@ -11,7 +11,7 @@
         net::{SocketAddr, TcpStream},
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         thread,
         time::{Duration, Instant},
@@ -68,8 +68,9 @@
     events: u64,
     gap: Duration,
     /// How long a plain request takes.
-    pub work: Duration,
-    pub is_quiet: AtomicBool,
+    work: Duration,
+    /// How many times as long it takes now.
+    pub slowness: AtomicU64,
 }
 
 pub struct WorkerDraft {
@@ -95,7 +96,7 @@
             events: draft.events,
             gap: draft.gap,
             work: draft.work,
-            is_quiet: AtomicBool::new(false),
+            slowness: AtomicU64::new(1),
         });
         let server = Arc::clone(&worker);
         let address = serve(move |request, stream| server.answer(&request, stream));
@@ -180,10 +181,6 @@
         let Some(id) = request.header("attempt-id").map(str::to_owned) else {
             return respond(stream, 400, &[("not-executed", "1".to_owned())], b"");
         };
-        if self.is_quiet.load(Ordering::SeqCst) {
-            thread::sleep(Duration::from_secs(60));
-            return false;
-        }
         let last_event = request.header("last-event-id").and_then(|text| text.parse().ok());
         let run = Run {
             worker: self.id.clone(),
@@ -199,7 +196,10 @@
         if self.model.is_some() {
             return self.stream(&id, &stamp, last_event.unwrap_or(0), stream);
         }
-        thread::sleep(self.work);
+        // A small request takes no time of its own.
+        if request.body.len() > 1_000 {
+            thread::sleep(self.work * self.slowness.load(Ordering::SeqCst) as u32);
+        }
         let headers = [("attempt-id", id), ("server-stamp", stamp)];
         respond(stream, 200, &headers, b"answer")
     }
