--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -50,11 +50,18 @@
         let seconds = at.saturating_duration_since(self.started).as_secs_f64();
         let line = format!("{seconds:8.3} s  {}", text.as_ref());
         println!("{line}");
-        self.lines.lock().unwrap_or_else(PoisonError::into_inner).push(line);
+        self.lines
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(line);
     }
 
     fn write(&self, setting: &Setting) {
-        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut lines = self
+            .lines
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
         lines.sort();
         let trouble = match setting.trouble {
             true => "with the disruption",
@@ -73,7 +80,6 @@
     pub workers: Vec<Arc<Worker>>,
     pub edges: Vec<Node>,
     pub standbys: Vec<Node>,
-    pub platform: Platform,
     _folder: TempFolder,
 }
 
@@ -107,7 +113,9 @@
         let (store, address) = Store::start();
         store.put("op/config", &draft.config);
         let workers = draft.workers.iter();
-        let workers = workers.map(|worker| Worker::start(worker, &store, &record)).collect();
+        let workers = workers
+            .map(|worker| Worker::start(worker, &store, &record))
+            .collect();
         let platform = Platform {
             store: address,
             cloud_api: start_cloud_api(&record),
@@ -143,7 +151,6 @@
             workers,
             edges,
             standbys,
-            platform,
             _folder: TempFolder(folder),
         })
     }
@@ -159,7 +166,14 @@
             headers.push(("attempt-id", id.to_owned()));
         }
         let limit = Duration::from_secs(8);
-        let answer = call(self.edges[edge].front, method, target, &headers, body, limit);
+        let answer = call(
+            self.edges[edge].front,
+            method,
+            target,
+            &headers,
+            body,
+            limit,
+        );
         let text = String::from_utf8_lossy(&answer.body);
         let text: String = text.chars().take(160).collect();
         self.journal.note(format!(
@@ -204,6 +218,7 @@
         slots: 8,
         events,
         gap: Duration::from_millis(gap_ms),
+        first: Duration::ZERO,
         work: Duration::ZERO,
     }
 }
@@ -216,6 +231,7 @@
         slots: 6,
         events: 0,
         gap: Duration::ZERO,
+        first: Duration::ZERO,
         work: Duration::from_millis(work_ms),
     }
 }
@@ -247,6 +263,7 @@
         "unstored-end" => unstored_end(setting),
         "open-rollout" => open_rollout(setting),
         "two-leaders" => two_leaders(setting),
+        "slow-streams" => slow_streams(setting),
         "held-bodies" => held_bodies(setting),
         _ => Err(format!("unknown case {case}")),
     }
@@ -263,7 +280,11 @@
             ],
         ),
         // Slow enough that the texts are not complete before the end: 100 events in 30 s.
-        workers: &[engine("i-7f3a91c2", 100, 300), engine("i-02d9e6b4", 100, 300), desk("i-5c5c5c01", 20)],
+        workers: &[
+            engine("i-7f3a91c2", 100, 300),
+            engine("i-02d9e6b4", 100, 300),
+            desk("i-5c5c5c01", 20),
+        ],
         edges: 2,
         standbys: 2,
         fencing_enforced: true,
@@ -279,10 +300,12 @@
         return Err("the items did not start".to_owned());
     }
     thread::sleep(Duration::from_secs(1));
-    deck.journal.note(format!("{} items run at workers", deck.record.runs().len()));
+    deck.journal
+        .note(format!("{} items run at workers", deck.record.runs().len()));
     if setting.trouble {
         deck.store.set_mode(Mode::Busy, Leases::Pause);
-        deck.journal.note("the platform's store is down: 503 to all calls (platform_down busy)");
+        deck.journal
+            .note("the platform's store is down: 503 to all calls (platform_down busy)");
         thread::sleep(Duration::from_millis(500));
     }
     let target = format!("/catkindeck/lots/{lot}");
@@ -296,7 +319,8 @@
         let rest = Duration::from_millis(7_500).saturating_sub(outage.elapsed());
         thread::sleep(rest);
         deck.store.set_mode(Mode::Up, Leases::Pause);
-        deck.journal.note("the store is back; leases have paused meanwhile");
+        deck.journal
+            .note("the store is back; leases have paused meanwhile");
     }
     let calm = Instant::now();
     // Without a confirmation the end counts from contact_ms + ack_ms of calm on, and items may reach workers for another
@@ -307,31 +331,49 @@
     };
     let judged = counted + Duration::from_millis(3_000);
     thread::sleep((judged + Duration::from_secs(1)).saturating_duration_since(Instant::now()));
-    deck.journal.note("the end counts as acknowledged, and cancel_ms has passed");
+    deck.journal
+        .note("the end counts as acknowledged, and cancel_ms has passed");
     // The owner stands in the record of the batch submission in the store; it only decides which process is stopped.
-    let stored = deck.store.get(&format!("ckd/open/{lot}")).unwrap_or_default();
+    let stored = deck
+        .store
+        .get(&format!("ckd/open/{lot}"))
+        .unwrap_or_default();
     let stored = String::from_utf8_lossy(&stored).into_owned();
-    let owner = deck.standbys.iter().position(|node| stored.contains(&node.name));
+    let owner = deck
+        .standbys
+        .iter()
+        .position(|node| stored.contains(&node.name));
     let Some(owner) = owner else {
         return Err("no standby runs the batch submission".to_owned());
     };
     deck.standbys[owner].signal("TERM");
     let stopped = Instant::now();
-    deck.journal.note(format!("SIGTERM for {} (roll_term)", deck.standbys[owner].name));
+    deck.journal.note(format!(
+        "SIGTERM for {} (roll_term)",
+        deck.standbys[owner].name
+    ));
     thread::sleep(Duration::from_secs(8));
     deck.standbys[owner].kill();
     deck.standbys[owner].launch();
     thread::sleep(Duration::from_secs(4));
     let runs = deck.record.runs();
     for run in &runs {
-        deck.journal.note_at(run.at, format!(
-            "worker {} begins {} after event {:?}",
-            run.worker, run.id, run.last_event
-        ));
+        deck.journal.note_at(
+            run.at,
+            format!(
+                "worker {} begins {} after event {:?}",
+                run.worker, run.id, run.last_event
+            ),
+        );
     }
-    let late = runs.iter().filter(|run| run.at > judged && run.id.starts_with("e5b2"));
+    let late = runs
+        .iter()
+        .filter(|run| run.at > judged && run.id.starts_with("e5b2"));
     let late = late.count();
-    let before = runs.iter().filter(|run| run.at > judged && run.at < stopped).count();
+    let before = runs
+        .iter()
+        .filter(|run| run.at > judged && run.at < stopped)
+        .count();
     deck.journal.note(format!(
         "{late} items of the ended batch submission began later than cancel_ms after its end, \
          {before} of them before the SIGTERM"
@@ -357,7 +399,8 @@
     let mut added = rollout_route("r-added", "/wuny31/");
     added["auth_exempt"] = json!(setting.trouble);
     let [draft_route, look_route] = routes;
-    deck.store.put("op/config", &config(9, &[draft_route, look_route, added]));
+    deck.store
+        .put("op/config", &config(9, &[draft_route, look_route, added]));
     deck.journal.note(format!(
         "desired state 9 adds the rollout route /wuny31/ with auth_exempt = {}",
         setting.trouble
@@ -373,17 +416,26 @@
     let target = format!("/catkindeck/lots/{lot}?after=0");
     let mut missing = 0;
     for edge in [0, 1, 0, 1] {
-        missing += usize::from(matches!(deck.client(edge, "GET", &target, "", b"").status, 404 | 410));
+        missing += usize::from(matches!(
+            deck.client(edge, "GET", &target, "", b"").status,
+            404 | 410
+        ));
         thread::sleep(Duration::from_millis(500));
     }
     let end = format!("/catkindeck/lots/{lot}");
     missing += usize::from(deck.client(1, "DELETE", &end, "", b"").status != 200);
     for run in &deck.record.runs() {
-        deck.journal.note_at(run.at, format!(
-            "worker {} begins {} for tenant {:?}", run.worker, run.id, run.tenant
-        ));
+        deck.journal.note_at(
+            run.at,
+            format!(
+                "worker {} begins {} for tenant {:?}",
+                run.worker, run.id, run.tenant
+            ),
+        );
     }
-    deck.journal.note(format!("{missing} calls found no batch submission that was accepted"));
+    deck.journal.note(format!(
+        "{missing} calls found no batch submission that was accepted"
+    ));
     deck.journal.write(setting);
     Ok(missing == 0)
 }
@@ -396,7 +448,11 @@
     upload["target_latency_ms"] = json!(4_000);
     let draft = DeckDraft {
         config: config(7, &[upload, safe_route("r-look", "/pufi791/", "desk")]),
-        workers: &[desk("i-5c5c5c01", 2_000), desk("i-5c5c5c02", 2_000), desk("i-5c5c5c03", 2_000)],
+        workers: &[
+            desk("i-5c5c5c01", 2_000),
+            desk("i-5c5c5c02", 2_000),
+            desk("i-5c5c5c03", 2_000),
+        ],
         edges: 1,
         standbys: 1,
         fencing_enforced: true,
@@ -407,7 +463,9 @@
     let front = lock().edges[0].front;
     if setting.trouble {
         for worker in &lock().workers {
-            worker.slowness.store(4, std::sync::atomic::Ordering::SeqCst);
+            worker
+                .slowness
+                .store(4, std::sync::atomic::Ordering::SeqCst);
         }
         journal.note("the workers of the service work 4 times as long (srv_slow, x = 4)");
     }
@@ -468,13 +526,17 @@
         }
         (peak, false)
     });
-    let statuses: Vec<u16> = clients.into_iter().map(|client| client.join().unwrap_or(0)).collect();
+    let statuses: Vec<u16> = clients
+        .into_iter()
+        .map(|client| client.join().unwrap_or(0))
+        .collect();
     ended.store(true, std::sync::atomic::Ordering::SeqCst);
     let (peak, is_killed) = platform.join().unwrap_or((0, false));
     let deck = lock();
     let runs = deck.record.runs();
     for run in &runs {
-        deck.journal.note_at(run.at, format!("worker {} begins {}", run.worker, run.id));
+        deck.journal
+            .note_at(run.at, format!("worker {} begins {}", run.worker, run.id));
     }
     // Requests that were passed on to a worker, and whose connection then ended without an answer.
     let is_cut = |number: usize| {
@@ -489,6 +551,89 @@
     Ok(cut <= 3)
 }
 
+/// Streams at engines that are slow and sound.
+fn slow_streams(setting: &Setting) -> Result<bool, String> {
+    let mut chat = safe_route("r-chat", "/lohu930/", "models");
+    chat["kind"] = json!("streaming");
+    chat["resumable"] = json!(true);
+    chat["session_affinity"] = json!(true);
+    chat["timeout_ms"] = json!(10_000);
+    chat["max_attempts"] = json!(3);
+    // The first event after 360 + 40 ms, the objective of the route, and one each 40 ms then.
+    let model = |id| WorkerDraft {
+        first: Duration::from_millis(360),
+        ..engine(id, 10, 40)
+    };
+    let draft = DeckDraft {
+        config: config(7, &[chat, safe_route("r-look", "/pufi791/", "desk")]),
+        workers: &[
+            model("i-7f3a91c2"),
+            model("i-02d9e6b4"),
+            model("i-31c0aa17"),
+            desk("i-5c5c5c01", 20),
+        ],
+        edges: 1,
+        standbys: 1,
+        fencing_enforced: true,
+    };
+    let deck = Deck::start(setting, &draft)?;
+    if setting.trouble {
+        for worker in &deck.workers {
+            worker
+                .slowness
+                .store(4, std::sync::atomic::Ordering::SeqCst);
+        }
+        deck.journal.note(
+            "the model workers work 4 times as long (srv_slow, x = 4): a first event after 1.6 s",
+        );
+    }
+    let mut cut = 0;
+    for number in 0..8 {
+        let headers = |id: String| {
+            [
+                ("host", HOST.to_owned()),
+                ("credential", KEY.to_owned()),
+                ("attempt-id", id),
+                ("deadline-ms", "10000".to_owned()),
+                ("model", "daka510000".to_owned()),
+                ("token-count", "20,40".to_owned()),
+            ]
+        };
+        let limit = Duration::from_secs(11);
+        let opened = Connection::open(deck.edges[0].front, limit);
+        let mut connection = opened.map_err(|error| error.to_string())?;
+        let small = connection.call(
+            "POST",
+            "/pufi791/5e07",
+            &headers(format!("b0{number:04x}")),
+            b"x",
+        );
+        if !small.is_ok_and(|answer| answer.status == 200) {
+            return Err("the first request on the connection was not answered".to_owned());
+        }
+        let id = format!("a0{number:04x}");
+        let begun = Instant::now();
+        let (status, body, is_whole) =
+            connection.stream("/lohu930/2f", &headers(id.clone()), b"prompt");
+        let events = body.matches("data: ").count();
+        cut += usize::from(!is_whole && events == 0);
+        deck.journal.note(format!(
+            "client: POST /lohu930/2f {id} on a kept connection -> {status}, {events} events, {} after {:.2} s",
+            if is_whole { "complete" } else { "the connection was closed before the end" },
+            begun.elapsed().as_secs_f64()
+        ));
+    }
+    for run in &deck.record.runs() {
+        deck.journal
+            .note_at(run.at, format!("worker {} begins {}", run.worker, run.id));
+    }
+    deck.journal.note(format!(
+        "{cut} of 8 streams were passed on to sound workers and closed without an event"
+    ));
+    deck.journal.write(setting);
+    Ok(cut <= 3)
+}
+
 /// The store is down for a moment, and the leases have expired when it is back.
 fn two_leaders(setting: &Setting) -> Result<bool, String> {
     let draft = DeckDraft {
@@ -499,7 +644,11 @@
                 safe_route("r-look", "/pufi791/", "desk"),
             ],
         ),
-        workers: &[engine("i-7f3a91c2", 10, 20), engine("i-02d9e6b4", 10, 20), desk("i-5c5c5c01", 20)],
+        workers: &[
+            engine("i-7f3a91c2", 10, 20),
+            engine("i-02d9e6b4", 10, 20),
+            desk("i-5c5c5c01", 20),
+        ],
         edges: 1,
         standbys: 3,
         fencing_enforced: false,
@@ -507,18 +656,27 @@
     let deck = Deck::start(setting, &draft)?;
     if setting.trouble {
         deck.store.set_mode(Mode::Busy, Leases::Pause);
-        deck.journal.note("the platform's store is down: 503 to all calls");
+        deck.journal
+            .note("the platform's store is down: 503 to all calls");
         thread::sleep(Duration::from_millis(700));
         deck.store.set_mode(Mode::Up, Leases::Expire);
-        deck.journal.note("the store is back; leases have expired meanwhile");
+        deck.journal
+            .note("the store is back; leases have expired meanwhile");
     }
     thread::sleep(Duration::from_secs(5));
     for version in 2..=6 {
         let value = json!({"model": "daka510000", "version": version});
         deck.store.put("op/version/daka510000", &value);
-        deck.journal.note(format!("the trainer names version {version}"));
+        deck.journal
+            .note(format!("the trainer names version {version}"));
         for number in 0..8 {
-            deck.client(0, "POST", "/pufi791/5e07", &format!("c0{version}{number}"), b"x");
+            deck.client(
+                0,
+                "POST",
+                "/pufi791/5e07",
+                &format!("c0{version}{number}"),
+                b"x",
+            );
             thread::sleep(Duration::from_millis(400));
         }
     }
@@ -531,13 +689,26 @@
         let is_stale = order.fence < *seen;
         broken += usize::from(is_stale);
         *seen = order.fence.max(*seen);
-        deck.journal.note_at(order.at, format!(
-            "{} gets {} from {} with epoch {} -> {}{}",
-            order.subject, order.what, order.holder, order.fence, order.status,
-            if is_stale { "  LOWER than one before" } else { "" }
-        ));
+        deck.journal.note_at(
+            order.at,
+            format!(
+                "{} gets {} from {} with epoch {} -> {}{}",
+                order.subject,
+                order.what,
+                order.holder,
+                order.fence,
+                order.status,
+                if is_stale {
+                    "  LOWER than one before"
+                } else {
+                    ""
+                }
+            ),
+        );
     }
-    deck.journal.note(format!("{broken} orders and calls with a lower epoch number after a higher one"));
+    deck.journal.note(format!(
+        "{broken} orders and calls with a lower epoch number after a higher one"
+    ));
     deck.journal.write(setting);
     Ok(broken == 0)
 }
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -229,8 +229,7 @@
         self.0.get_mut().write_all(head.as_bytes())?;
         self.0.get_mut().write_all(body)?;
         let head = read_head(&mut self.0)?;
-        let (first, headers) =
-            head.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
+        let (first, headers) = head.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
         let status = first.split(' ').nth(1).and_then(|text| text.parse().ok());
         let body = read_body(&mut self.0, &headers, true)?;
         Ok(Answer {
@@ -239,6 +238,52 @@
             fault: String::new(),
         })
     }
+
+    /// Sends a request and reads a response in chunks. Returns its status, the part that came, and whether it is whole.
+    pub fn stream(
+        &mut self,
+        target: &str,
+        headers: &[(&str, String)],
+        body: &[u8],
+    ) -> (u16, String, bool) {
+        let mut head = format!(
+            "POST {target} HTTP/1.1\r\ncontent-length: {}\r\n",
+            body.len()
+        );
+        for (name, value) in headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        let mut status = 0;
+        let mut text = String::new();
+        let mut read = || -> io::Result<()> {
+            self.0.get_mut().write_all(head.as_bytes())?;
+            self.0.get_mut().write_all(body)?;
+            let head = read_head(&mut self.0)?;
+            let (first, _) = head.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?;
+            status = first
+                .split(' ')
+                .nth(1)
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(0);
+            loop {
+                let mut line = String::new();
+                if self.0.read_line(&mut line)? == 0 {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+                let size = usize::from_str_radix(line.trim(), 16)
+                    .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+                let mut chunk = vec![0; size + 2];
+                self.0.read_exact(&mut chunk)?;
+                text.push_str(&String::from_utf8_lossy(&chunk[..size]));
+                if size == 0 {
+                    return Ok(());
+                }
+            }
+        };
+        let is_whole = read().is_ok();
+        (status, text, is_whole)
+    }
 }
 
 /// Makes one call on a new connection.
--- a/review/standins-3/src/nodes.rs
+++ b/review/standins-3/src/nodes.rs
@@ -37,7 +37,13 @@
 }
 
 impl Node {
-    pub fn start(program: &Path, folder: &Path, name: &str, is_edge: bool, platform: &Platform) -> Self {
+    pub fn start(
+        program: &Path,
+        folder: &Path,
+        name: &str,
+        is_edge: bool,
+        platform: &Platform,
+    ) -> Self {
         let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let (front, readiness) = (address(free_port()), address(free_port()));
         let (peer, metrics_port) = (free_port(), free_port());
@@ -106,7 +112,16 @@
 
     pub fn is_ready(&self) -> bool {
         let limit = Duration::from_secs(1);
-        call(self.readiness, "GET", "/catkindeck/readiness", &[], b"", limit).status == 200
+        call(
+            self.readiness,
+            "GET",
+            "/catkindeck/readiness",
+            &[],
+            b"",
+            limit,
+        )
+        .status
+            == 200
     }
 
     pub fn await_ready(&self) -> bool {
@@ -121,11 +136,6 @@
         }
     }
 
-    pub fn is_running(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
     /// Returns the memory of the process, in MB: now, and at its peak.
     pub fn memory_mb(&self) -> (u64, u64) {
         let Some(child) = &self.child else {
@@ -135,7 +145,10 @@
         let field = |name: &str| {
             let line = status.lines().find(|line| line.starts_with(name));
             let number = line.and_then(|line| line.split_whitespace().nth(1));
-            number.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) / 1024
+            number
+                .and_then(|text| text.parse::<u64>().ok())
+                .unwrap_or(0)
+                / 1024
         };
         (field("VmRSS:"), field("VmHWM:"))
     }
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -108,15 +108,6 @@
         self.lock().items.get(key).map(|item| item.value.clone())
     }
 
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let state = self.lock();
-        let keys = state
-            .items
-            .keys()
-            .filter(|key| key.starts_with(prefix));
-        keys.cloned().collect()
-    }
-
     /// Takes the store down or brings it back. Leases pause while it is down, or have expired when it is back.
     pub fn set_mode(&self, mode: Mode, leases: Leases) {
         let mut state = self.lock();
@@ -226,7 +217,11 @@
 
     fn watch(&self, request: &Request) -> (u16, Value) {
         let prefix = request.query("prefix").unwrap_or_default();
-        let number = |name: &str| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name: &str| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let after = number("after").unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
         let mut state = self.lock();
@@ -281,8 +276,14 @@
         }
         state.revision += 1;
         for put in &puts {
-            let value = BASE64_STANDARD.decode(text(&put["value"])).unwrap_or_default();
-            state.write(&text(&put["key"]), value, put["lease"].as_u64().unwrap_or(0));
+            let value = BASE64_STANDARD
+                .decode(text(&put["value"]))
+                .unwrap_or_default();
+            state.write(
+                &text(&put["key"]),
+                value,
+                put["lease"].as_u64().unwrap_or(0),
+            );
         }
         for key in &removals {
             state.remove(&text(key));
@@ -295,7 +296,10 @@
 
 impl State {
     fn write(&mut self, key: &str, value: Vec<u8>, lease: u64) {
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
         let item = Item {
             value,
             revision: self.revision,
--- a/review/standins-3/src/workers.rs
+++ b/review/standins-3/src/workers.rs
@@ -49,11 +49,17 @@
 
 impl Record {
     pub fn runs(&self) -> Vec<Run> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     pub fn orders(&self) -> Vec<Order> {
-        self.orders.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.orders
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 }
 
@@ -67,6 +73,8 @@
     /// The events of a stream and the time between two of them.
     events: u64,
     gap: Duration,
+    /// The time from the start of a run to its first event.
+    first: Duration,
     /// How long a plain request takes.
     work: Duration,
     /// How many times as long it takes now.
@@ -80,6 +88,7 @@
     pub slots: u32,
     pub events: u64,
     pub gap: Duration,
+    pub first: Duration,
     pub work: Duration,
 }
 
@@ -95,6 +104,7 @@
             sequence: AtomicU64::new(0),
             events: draft.events,
             gap: draft.gap,
+            first: draft.first,
             work: draft.work,
             slowness: AtomicU64::new(1),
         });
@@ -125,7 +135,10 @@
     }
 
     fn answer(&self, request: &Request, stream: &mut TcpStream) -> bool {
-        if request.header("expect-instance").is_some_and(|id| id != self.id) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|id| id != self.id)
+        {
             let id = [("instance-id", self.id.clone())];
             return respond(stream, 421, &id, b"");
         }
@@ -133,9 +146,10 @@
             "/health" => respond(stream, 200, &[("instance-id", self.id.clone())], b""),
             "/catkindeck/report" => {
                 let version = self.version.load(Ordering::SeqCst);
-                let models = self.model.as_ref().map(
-                    |model| json!([{"name": model, "version": version, "adapters": []}]),
-                );
+                let models = self
+                    .model
+                    .as_ref()
+                    .map(|model| json!([{"name": model, "version": version, "adapters": []}]));
                 let report = json!({
                     "stage": "both", "models": models.unwrap_or(json!([])), "busy": false,
                     "sequence": self.sequence.load(Ordering::SeqCst), "num_waiting": 0,
@@ -171,7 +185,11 @@
             what: format!("version {version}"),
             status,
         };
-        let mut orders = self.record.orders.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut orders = self
+            .record
+            .orders
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         orders.push(order);
         drop(orders);
         respond(stream, status, &[], b"")
@@ -181,7 +199,9 @@
         let Some(id) = request.header("attempt-id").map(str::to_owned) else {
             return respond(stream, 400, &[("not-executed", "1".to_owned())], b"");
         };
-        let last_event = request.header("last-event-id").and_then(|text| text.parse().ok());
+        let last_event = request
+            .header("last-event-id")
+            .and_then(|text| text.parse().ok());
         let run = Run {
             worker: self.id.clone(),
             id: id.clone(),
@@ -189,7 +209,11 @@
             last_event,
             tenant: request.header("tenant").map(str::to_owned),
         };
-        let mut runs = self.record.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut runs = self
+            .record
+            .runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         runs.push(run);
         drop(runs);
         let stamp = format!("3e1b.07.{id}");
@@ -215,8 +239,10 @@
         if stream.write_all(head.as_bytes()).is_err() {
             return false;
         }
+        let slowness = self.slowness.load(Ordering::SeqCst) as u32;
+        thread::sleep(self.first * slowness);
         for number in after + 1..=self.events {
-            thread::sleep(self.gap);
+            thread::sleep(self.gap * slowness);
             let event = format!("id: {number}\ndata: {id} piece {number}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).is_err() {
