--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -108,6 +108,7 @@
         }
         let folder = env::temp_dir().join(format!("standins-3-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
+        let temporary = TempFolder(folder.clone());
         let journal = Journal::new();
         let record = Record::default();
         let (store, address) = Store::start();
@@ -151,7 +152,7 @@
             workers,
             edges,
             standbys,
-            _folder: TempFolder(folder),
+            _folder: temporary,
         })
     }
 
