Log who calls for a job of somebody else

Three causes give that answer, and no log line told them apart: the job is not in the store, its owner is not found, or the job is taken for somebody else's.

Change: `job_denied` names the job, whose it is and who called; `job_accepted` names the customer. Nothing else changes; the checks of reads and ends moved into methods, as only these can log.

--- a/crates/catkindeck-gateway/src/events.rs
+++ b/crates/catkindeck-gateway/src/events.rs
@@ -40,6 +40,7 @@
     JOB_LOST = 8143, "job_lost", Warning, "job is owned by another process; its runs here are stopped";
     JOB_CANCELLED = 8144, "job_ended", Info, "job was cancelled by its caller";
     JOB_COMPLETED = 8145, "job_whole", Info, "all results of a job are available";
+    JOB_DENIED = 8166, "job_denied", Info, "job was called by somebody to whom it does not belong";
     ITEM_STARTED = 8146, "item_started", Info, "item was sent to an upstream";
     ITEM_RUN_ENDED = 8147, "item_run_ended", Info, "run of an item ended";
     TEXT_DISCARDED = 8158, "text_discarded", Info, "partial text was discarded, because its software version does not serve";
--- a/crates/catkindeck-gateway/src/jobs/cancel.rs
+++ b/crates/catkindeck-gateway/src/jobs/cancel.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         owned::OwnedJob,
-        service::{JobService, check_customer, not_found_error},
+        service::{JobService, not_found_error},
     },
     crate::{
         events::JOB_CANCELLED,
@@ -63,7 +63,7 @@
         job: &Rc<OwnedJob>,
         customer: Option<&ObjectName>,
     ) -> Result<(), ServiceError> {
-        check_customer(job.spec.customer.as_ref(), customer)?;
+        self.check_access(&job.spec.id, job.spec.customer.as_ref(), customer)?;
         if job.record.borrow().state == JobState::Cancelled {
             return Ok(());
         }
@@ -129,7 +129,7 @@
                 .await?;
             let item = response.item.ok_or_else(not_found_error)?;
             let record: JobRecord = keys::decode_item(&item)?;
-            check_customer(record.customer.as_ref(), customer)?;
+            self.check_access(job, record.customer.as_ref(), customer)?;
             if record.state == JobState::Cancelled {
                 return Ok(());
             }
--- a/crates/catkindeck-gateway/src/jobs/read.rs
+++ b/crates/catkindeck-gateway/src/jobs/read.rs
@@ -4,7 +4,7 @@
     super::{
         backup::IndexedProgress,
         owned::OwnedJob,
-        service::{JobService, check_customer, not_found_error},
+        service::{JobService, not_found_error},
     },
     crate::{
         events::INTENT_FAULT,
@@ -46,7 +46,7 @@
         let page = match self.owned(&read.job) {
             Some(job) if self.has_current_results(&job) => {
                 job.used_at.set(self.core.now());
-                let page = local_results(&job, customer, read.after, wait).await?;
+                let page = self.local_results(&job, customer, read.after, wait).await?;
                 match self.is_current_page(&job, &page) {
                     true => page,
                     false => self.stored_results(read, customer).await?,
@@ -73,7 +73,7 @@
     ) -> Result<Bytes, ServiceError> {
         keys::check_job_id(job)?;
         if let Some(owned) = self.owned(job) {
-            return local_item_body(&owned, item, customer);
+            return self.local_item_body(&owned, item, customer);
         }
         let call = PeerCall::ItemBody {
             job: job.to_owned(),
@@ -84,7 +84,7 @@
             return Ok(body.into());
         }
         let stored = self.load_stored(job).await?;
-        local_item_body(&stored, item, customer)
+        self.local_item_body(&stored, item, customer)
     }
 
     /// Answers a read that another process relays for its caller.
@@ -103,7 +103,7 @@
         };
         owned.used_at.set(self.core.now());
         let wait = wait.min(self.core.drain_left());
-        let page = local_results(&owned, customer, after, wait).await?;
+        let page = self.local_results(&owned, customer, after, wait).await?;
         if !self.is_current_page(&owned, &page) {
             return Ok(PeerResponse::NotOwner);
         }
@@ -133,7 +133,7 @@
     ) -> Result<PeerResponse, ServiceError> {
         match self.owned(job) {
             Some(owned) => Ok(PeerResponse::Body(
-                local_item_body(&owned, item, customer)?.to_vec(),
+                self.local_item_body(&owned, item, customer)?.to_vec(),
             )),
             None => Ok(PeerResponse::NotOwner),
         }
@@ -146,7 +146,9 @@
         wait: Duration,
     ) -> Result<ResultsPage, ServiceError> {
         if let Some(archived) = self.archived(&read.job) {
-            return local_results(&archived, customer, read.after, wait).await;
+            return self
+                .local_results(&archived, customer, read.after, wait)
+                .await;
         }
         let call = PeerCall::Results {
             job: read.job.clone(),
@@ -172,7 +174,8 @@
         customer: Option<&ObjectName>,
     ) -> Result<ResultsPage, ServiceError> {
         let stored = self.load_stored(&read.job).await?;
-        local_results(&stored, customer, read.after, Duration::ZERO).await
+        self.local_results(&stored, customer, read.after, Duration::ZERO)
+            .await
     }
 
     /// Calls the owner of a job. Returns `None` if no process that may own it answers.
@@ -296,6 +299,44 @@
         let job = OwnedJob::new(&self.core, spec, record, revision, results);
         Ok((job, texts))
     }
+
+    async fn local_results(
+        &self,
+        job: &OwnedJob,
+        customer: Option<&ObjectName>,
+        after: u32,
+        wait: Duration,
+    ) -> Result<ResultsPage, ServiceError> {
+        self.check_access(&job.spec.id, job.spec.customer.as_ref(), customer)?;
+        let until = Instant::now() + wait;
+        loop {
+            let listed = job.listed.notified();
+            let page = results_page(job, after);
+            let is_over = page.next >= job.total() || job.job.borrow().is_ended();
+            if !page.results.is_empty() || is_over {
+                return Ok(page);
+            }
+            if timeout_at(until, listed).await.is_err() {
+                return Ok(page);
+            }
+            if job.is_lost.get() {
+                let detail = "the job moved to another process";
+                return Err(ServiceError::not_run(ErrorKind::StoreUnavailable, detail));
+            }
+        }
+    }
+
+    fn local_item_body(
+        &self,
+        job: &OwnedJob,
+        item: &str,
+        customer: Option<&ObjectName>,
+    ) -> Result<Bytes, ServiceError> {
+        self.check_access(&job.spec.id, job.spec.customer.as_ref(), customer)?;
+        let found = job.spec.items.iter().find(|known| known.id == item);
+        let body = found.map(|item| Bytes::copy_from_slice(&item.body));
+        body.ok_or_else(not_found_error)
+    }
 }
 
 /// A page of listed results, with the position after the last one.
@@ -305,31 +346,6 @@
     results: Vec<Rc<JobResult>>,
 }
 
-async fn local_results(
-    job: &OwnedJob,
-    customer: Option<&ObjectName>,
-    after: u32,
-    wait: Duration,
-) -> Result<ResultsPage, ServiceError> {
-    check_customer(job.spec.customer.as_ref(), customer)?;
-    let until = Instant::now() + wait;
-    loop {
-        let listed = job.listed.notified();
-        let page = results_page(job, after);
-        let is_over = page.next >= job.total() || job.job.borrow().is_ended();
-        if !page.results.is_empty() || is_over {
-            return Ok(page);
-        }
-        if timeout_at(until, listed).await.is_err() {
-            return Ok(page);
-        }
-        if job.is_lost.get() {
-            let detail = "the job moved to another process";
-            return Err(ServiceError::not_run(ErrorKind::StoreUnavailable, detail));
-        }
-    }
-}
-
 fn results_page(job: &OwnedJob, after: u32) -> ResultsPage {
     let results = job.results.borrow();
     let mut size = 0;
@@ -347,14 +363,3 @@
         results: found,
     }
 }
-
-fn local_item_body(
-    job: &OwnedJob,
-    item: &str,
-    customer: Option<&ObjectName>,
-) -> Result<Bytes, ServiceError> {
-    check_customer(job.spec.customer.as_ref(), customer)?;
-    let found = job.spec.items.iter().find(|known| known.id == item);
-    let body = found.map(|item| Bytes::copy_from_slice(&item.body));
-    body.ok_or_else(not_found_error)
-}
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -1,10 +1,7 @@
 //! Acceptance of submitted jobs.
 
 use {
-    super::{
-        owned::OwnedJob,
-        service::{JobService, check_customer},
-    },
+    super::{owned::OwnedJob, service::JobService},
     crate::{
         caller_handler::AdmittedRequest,
         events::{JOB_ACCEPTED, JOB_LOST, JOB_REFUSED},
@@ -73,7 +70,7 @@
         let route = &request.matched.route;
         keys::check_job_id(&request.head.id)?;
         if let Some(known) = self.owned(&request.head.id) {
-            return check_customer(known.spec.customer.as_ref(), customer);
+            return self.check_access(&known.spec.id, known.spec.customer.as_ref(), customer);
         }
         if self.core.is_shutting_down() {
             let detail = "this process is shutting down";
@@ -102,7 +99,7 @@
             SubmitOutcome::Created(revision) => revision,
             SubmitOutcome::Existing(item) => {
                 let found: JobRecord = keys::decode_item(&item)?;
-                check_customer(found.customer.as_ref(), customer)?;
+                self.check_access(&found.job, found.customer.as_ref(), customer)?;
                 // An equal record means that an earlier attempt of this call succeeded and its response was
                 // lost.
                 if found != record {
@@ -135,6 +132,7 @@
         if let Ok(PeerResponse::Done) = response.await {
             log_event!(self.core.logger, JOB_ACCEPTED;
                 "job" => &spec.id, "route" => %spec.route, "items" => spec.items.len(),
+                "customer" => spec.customer.as_ref().map(ToString::to_string),
                 "least_version" => spec.least_version.0, "revision" => revision,
                 "runner" => %owner.host);
             self.cache_owner(&spec.id, record.owner);
@@ -161,6 +159,7 @@
             .inc();
         log_event!(self.core.logger, JOB_ACCEPTED;
             "job" => &spec.id, "route" => %spec.route, "items" => spec.items.len(),
+                "customer" => spec.customer.as_ref().map(ToString::to_string),
             "least_version" => spec.least_version.0, "revision" => revision);
         let job = OwnedJob::new(&self.core, spec, record, revision, Vec::new());
         self.reuse_texts(&job);
