Judge calls for a job by whose it was accepted for

Cause: whose a job is was decided anew by each call. A submission on an open route does not look at the key, so the job is nobody's; later calls have no route, so they asked for a key, and its customer is not nobody. The customer of the call and that of the job were compared for equality.

Ruled out by `job_denied` and `job_accepted`: the job is not stored (its owner refused the call), and its owner is not found (as before). Each 404 has a `job_denied` with `customer` null.

Change: the record of the job decides (`jobs/access`). A job of nobody is reached by everybody who knows its ID; a job of a customer only with a key that this customer has now. A call whose key is missing, unknown or cannot be checked is refused once it is known that the job is a customer's, with the same 401 or 503 as before. Repeated submissions are judged likewise, also where the route has been closed or removed since: they got 404 or 401 for a job that had been accepted. Records and calls between processes keep their form.

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -9,7 +9,7 @@
             CallOptions, CallOutcome, HedgedCall, UpstreamResponse, copy_headers,
             stream::StreamCall,
         },
-        jobs::JobService,
+        jobs::{JobService, access::JobCaller},
         port::{BufferedResponse, CallerOperation, RequestHead, UpstreamCall},
         watched_run::{RunEnd, WatchedRun},
     },
@@ -157,18 +157,21 @@
         match operation {
             CallerOperation::Request => self.answer_request(head, body, arrived).await,
             CallerOperation::JobResults(read) => {
-                let customer = self.authenticate(head, None)?;
-                let results = self.jobs.results(&read, customer.as_ref()).await;
-                results.map(full_response)
+                let caller = self.identify(head);
+                let results = self.jobs.results(&read, caller.customer()).await;
+                let results = results.map_err(|error| caller.explain(error))?;
+                Ok(full_response(results))
             }
             CallerOperation::JobItem { job, item } => {
-                let customer = self.authenticate(head, None)?;
-                let body = self.jobs.item_body(&job, &item, customer.as_ref()).await;
-                body.map(|body| full_response(Response::new(body)))
+                let caller = self.identify(head);
+                let body = self.jobs.item_body(&job, &item, caller.customer()).await;
+                let body = body.map_err(|error| caller.explain(error))?;
+                Ok(full_response(Response::new(body)))
             }
             CallerOperation::JobCancellation { job } => {
-                let customer = self.authenticate(head, None)?;
-                self.jobs.cancel(&job, customer.as_ref()).await?;
+                let caller = self.identify(head);
+                let outcome = self.jobs.cancel(&job, caller.customer()).await;
+                outcome.map_err(|error| caller.explain(error))?;
                 Ok(full_response(Response::new(Bytes::new())))
             }
         }
@@ -180,9 +183,14 @@
         body: Bytes,
         arrived: Instant,
     ) -> Result<Response<ResponseBody>, ServiceError> {
-        let request = Rc::new(self.admit(head, body, arrived)?);
+        let request = match self.admit(head, body.clone(), arrived) {
+            Ok(request) => Rc::new(request),
+            Err(error) => return self.answer_unadmitted(head, &body, error).await,
+        };
         if request.matched.route.terms.job.is_some() {
-            let accepted = self.jobs.submit(&request, &request.body).await?;
+            let caller = self.identify(head);
+            let accepted = self.jobs.submit(&request, caller.customer()).await;
+            let accepted = accepted.map_err(|error| caller.explain(error))?;
             return Ok(full_response(accepted));
         }
         self.core.check_drain(&request)?;
@@ -199,6 +207,30 @@
         Ok(response)
     }
 
+    /// Answers a request that no route admits. It may repeat the submission of a job that was accepted before its route
+    /// was closed or removed, and is then answered as the first one was.
+    async fn answer_unadmitted(
+        &self,
+        head: &RequestHead,
+        body: &[u8],
+        error: ServiceError,
+    ) -> Result<Response<ResponseBody>, ServiceError> {
+        let is_refused = matches!(error.kind, ErrorKind::NotFound | ErrorKind::Unauthenticated);
+        if !is_refused || !self.core.ports.callers.is_job(head, body) {
+            return Err(error);
+        }
+        let caller = self.identify(head);
+        let repeated = self.jobs.repeat_submission(&head.id, caller.customer());
+        match repeated.await {
+            Ok(Some(accepted)) => Ok(full_response(accepted)),
+            Ok(None) => Err(error),
+            Err(unsure) => Err(match unsure.kind {
+                ErrorKind::NotFound | ErrorKind::Unauthenticated | ErrorKind::BadRequest => error,
+                _ => unsure,
+            }),
+        }
+    }
+
     /// Resolves the route, the service and the customer of a request.
     fn admit(
         &self,
@@ -255,6 +287,15 @@
         check_key(&self.core, head, route)
     }
 
+    /// Determines who calls for a job. Whether that suffices depends on the job.
+    fn identify(&self, head: &RequestHead) -> JobCaller {
+        match self.authenticate(head, None) {
+            Ok(Some(customer)) => JobCaller::Customer(customer),
+            Ok(None) => JobCaller::Anyone,
+            Err(refusal) => JobCaller::Unidentified(refusal),
+        }
+    }
+
     /// Forwards a request to upstreams. Returns the run with a response of which the rest is still to come.
     async fn forward(
         &self,
--- a/crates/catkindeck-gateway/src/jobs/mod.rs
+++ b/crates/catkindeck-gateway/src/jobs/mod.rs
@@ -4,6 +4,7 @@
 //! positions, and a record that names the owner. Every write of results is conditional on that record, so
 //! writes of a previous owner have no effect (`docs/platform.md`).
 
+pub mod access;
 pub mod backup;
 pub mod cancel;
 pub mod carried;
--- a/crates/catkindeck-gateway/src/jobs/service.rs
+++ b/crates/catkindeck-gateway/src/jobs/service.rs
@@ -4,11 +4,10 @@
     super::{owned::OwnedJob, places::PlaceExchange},
     crate::{
         core::GatewayCore,
-        events::JOB_DENIED,
         keys::{JobState, MemberRecord},
         session::MemberSession,
     },
-    catkindeck::{ErrorKind, Moment, ServiceError, SortedMap, id::ObjectName, log_event},
+    catkindeck::{ErrorKind, Moment, ServiceError, SortedMap},
     catkindeck_policy::direct::{CarryTrends, StepSchedule},
     std::{
         cell::{Cell, RefCell},
@@ -177,24 +176,6 @@
         self.carry.borrow_mut().drop_idle(now, retention_ms);
     }
 
-    /// Checks that a job belongs to the customer who calls, and returns `not_found` otherwise.
-    ///
-    /// The response is the same as for a job that does not exist, so that only the log tells them apart.
-    pub(super) fn check_access(
-        &self,
-        job: &str,
-        owner: Option<&ObjectName>,
-        caller: Option<&ObjectName>,
-    ) -> Result<(), ServiceError> {
-        if owner == caller {
-            return Ok(());
-        }
-        log_event!(self.core.logger, JOB_DENIED;
-            "job" => job, "customer" => owner.map(ToString::to_string),
-            "caller" => caller.map(ToString::to_string));
-        Err(not_found_error())
-    }
-
     /// Returns the registration of this process, which names it as the owner in job records.
     pub fn own_record(&self) -> MemberRecord {
         self.session.record()
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -12,7 +12,7 @@
         },
     },
     bytes::Bytes,
-    catkindeck::{ErrorKind, ServiceError, error::ExecutionOutcome, log_event},
+    catkindeck::{ErrorKind, ServiceError, error::ExecutionOutcome, id::ObjectName, log_event},
     catkindeck_policy::direct::JobSpec,
     http::{Response, StatusCode},
     std::{rc::Rc, time::Duration},
@@ -42,15 +42,11 @@
     pub async fn submit(
         self: &Rc<Self>,
         request: &AdmittedRequest,
-        body: &[u8],
+        caller: Option<&ObjectName>,
     ) -> Result<BufferedResponse, ServiceError> {
-        let outcome = self.accept(request, body).await;
+        let outcome = self.accept(request, caller).await;
         match outcome {
-            Ok(()) => {
-                let mut response = Response::new(Bytes::new());
-                *response.status_mut() = StatusCode::ACCEPTED;
-                Ok(response)
-            }
+            Ok(()) => Ok(accepted_response()),
             Err(error) => {
                 self.core.metrics.jobs.with_label_values(&["refused"]).inc();
                 log_event!(self.core.logger, JOB_REFUSED;
@@ -61,23 +57,52 @@
         }
     }
 
+    /// Answers a submission that is not admitted: its route was closed or removed, perhaps since the job was accepted.
+    /// Returns `None` if there is no such job.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller may not use the job, and `store_unavailable` if it is not known whether there is one.
+    pub async fn repeat_submission(
+        &self,
+        job: &str,
+        caller: Option<&ObjectName>,
+    ) -> Result<Option<BufferedResponse>, ServiceError> {
+        keys::check_job_id(job)?;
+        let known = self.owned(job).map(|known| known.record.borrow().clone());
+        let record = match known {
+            Some(record) => record,
+            None => {
+                let key = keys::job_record_key(job);
+                match self.core.ports.store.read(&key).await?.item {
+                    Some(item) => keys::decode_item(&item)?,
+                    None => return Ok(None),
+                }
+            }
+        };
+        self.check_access(job, record.customer.as_ref(), caller)?;
+        Ok(Some(accepted_response()))
+    }
+
+    /// Accepts a job for the customer of an admitted request. Whether the caller may repeat the submission of a job that
+    /// exists already depends on that job, not on what its route asks for now.
     async fn accept(
         self: &Rc<Self>,
         request: &AdmittedRequest,
-        body: &[u8],
+        caller: Option<&ObjectName>,
     ) -> Result<(), ServiceError> {
         let customer = request.customer.as_ref();
         let route = &request.matched.route;
         keys::check_job_id(&request.head.id)?;
         if let Some(known) = self.owned(&request.head.id) {
-            return self.check_access(&known.spec.id, known.spec.customer.as_ref(), customer);
+            return self.check_access(&known.spec.id, known.spec.customer.as_ref(), caller);
         }
         if self.core.is_shutting_down() {
             let detail = "this process is shutting down";
             return Err(ServiceError::not_run(ErrorKind::ShuttingDown, detail));
         }
         let callers = &self.core.ports.callers;
-        let spec = callers.decode_job(&request.head, &route.name, customer, body)?;
+        let spec = callers.decode_job(&request.head, &route.name, customer, &request.body)?;
         let spec = JobSpec {
             submitted_ms: self.core.unix_ms(),
             ..spec
@@ -99,7 +124,7 @@
             SubmitOutcome::Created(revision) => revision,
             SubmitOutcome::Existing(item) => {
                 let found: JobRecord = keys::decode_item(&item)?;
-                self.check_access(&found.job, found.customer.as_ref(), customer)?;
+                self.check_access(&found.job, found.customer.as_ref(), caller)?;
                 // An equal record means that an earlier attempt of this call succeeded and its response was
                 // lost.
                 if found != record {
@@ -270,6 +295,12 @@
     Existing(StoreItem),
 }
 
+fn accepted_response() -> BufferedResponse {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = StatusCode::ACCEPTED;
+    response
+}
+
 fn unexpected_response_error(detail: &str) -> ServiceError {
     ServiceError::unknown(ErrorKind::StoreUnavailable, detail)
 }
--- a/crates/catkindeck-gateway/src/port/caller.rs
+++ b/crates/catkindeck-gateway/src/port/caller.rs
@@ -100,6 +100,9 @@
         body: &[u8],
     ) -> Result<JobSpec, ServiceError>;
 
+    /// Returns whether a request is a job submission, whatever its route.
+    fn is_job(&self, head: &RequestHead, body: &[u8]) -> bool;
+
     /// Encodes a page of results; `next` is the position after the last one.
     fn encode_results(&self, total: u32, next: u32, results: &[Rc<JobResult>]) -> BufferedResponse;
 
