Bound the searches for jobs of callers without a key

Change: a process searches 20 times a second at most for jobs that it does not know on behalf of callers without a valid key; further calls get 429 at once. Jobs that the process owns, holds or whose owner it knows, and calls with a valid key, are not counted, so that readers of open jobs and customers are served during such a flood.

--- a/crates/catkindeck-gateway/src/jobs/access.rs
+++ b/crates/catkindeck-gateway/src/jobs/access.rs
@@ -9,6 +9,10 @@
     catkindeck::{ErrorKind, ServiceError, id::ObjectName, log_event},
 };
 
+/// How many calls a second a process searches for on behalf of callers without a valid key, if it does not know their job.
+/// A call to a peer and a read of the store are spent on each, and such callers may send without end.
+const UNIDENTIFIED_SEARCHES_PER_S: usize = 20;
+
 /// The sender of a call for a job, as far as its API key tells.
 pub enum JobCaller {
     Customer(ObjectName),
@@ -45,6 +49,25 @@
 }
 
 impl JobService {
+    /// Checks that this process may search for the job of a call at other processes and in the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns `overloaded` if callers without a valid key name too many jobs that this process does not know.
+    pub fn check_search(&self, job: &str, caller: &JobCaller) -> Result<(), ServiceError> {
+        if !matches!(caller, JobCaller::Unidentified(_)) || self.is_known(job) {
+            return Ok(());
+        }
+        let now = self.core.now();
+        let mut searches = self.searches.borrow_mut();
+        if !searches.allows(now, UNIDENTIFIED_SEARCHES_PER_S) {
+            let detail = "callers without a valid key ask for too many unknown jobs";
+            return Err(ServiceError::not_run(ErrorKind::Overloaded, detail));
+        }
+        searches.count(now);
+        Ok(())
+    }
+
     /// Checks that a caller may use a job, given the job's customer.
     ///
     /// # Errors
--- a/crates/catkindeck-gateway/src/jobs/service.rs
+++ b/crates/catkindeck-gateway/src/jobs/service.rs
@@ -8,7 +8,7 @@
         session::MemberSession,
     },
     catkindeck::{ErrorKind, Moment, ServiceError, SortedMap},
-    catkindeck_policy::direct::{CarryTrends, StepSchedule},
+    catkindeck_policy::direct::{CarryTrends, RateWindow, StepSchedule},
     std::{
         cell::{Cell, RefCell},
         rc::Rc,
@@ -37,6 +37,8 @@
     /// The paces of the trainers whose jobs this process owns.
     pub(super) schedule: RefCell<StepSchedule>,
     pub(super) places: PlaceExchange,
+    /// The recent searches for jobs of callers without a valid key.
+    pub(super) searches: RefCell<RateWindow>,
     /// What the steps of these trainers told about groups that come again.
     pub(super) carry: RefCell<CarryTrends>,
 }
@@ -53,6 +55,7 @@
             cached_owners: RefCell::new(SortedMap::new()),
             schedule: RefCell::new(StepSchedule::default()),
             places: PlaceExchange::default(),
+            searches: RefCell::new(RateWindow::default()),
             carry: RefCell::new(CarryTrends::default()),
         })
     }
@@ -64,6 +67,13 @@
         (!found.is_lost.get()).then(|| Rc::clone(found))
     }
 
+    /// Returns whether this process has a job or knows which one owns it.
+    pub(super) fn is_known(&self, job: &str) -> bool {
+        self.owned(job).is_some()
+            || self.archived.borrow().contains_key(&job.to_owned())
+            || self.cached_owner(job).is_some()
+    }
+
     /// Returns whether this process runs a job or is about to.
     pub fn is_responsible(&self, job: &str) -> bool {
         let is_taking_over = self.taking_over.borrow().get(&job.to_owned()).is_some();
