Count refusals on open routes for nobody, as answers there are

Change: who a request counts for follows from its route at both places.

No run with processes shows the order itself."

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -508,9 +508,9 @@
     fn return_time(&self, head: &RequestHead, error: &ServiceError) -> Option<(u64, RefusalCause)> {
         let (matched, customer) = {
             let view = self.core.intent.borrow();
-            let key = head.key.as_deref().and_then(|key| view.key(key));
-            let customer = key.map(|key| key.customer.clone());
             let matched = view.routes().resolve(&head.host, &head.path, &head.id)?;
+            let customer = view.customer_of(&matched.route, head.key.as_deref());
+            let customer = customer.cloned();
             (matched, customer)
         };
         let request = (customer.as_ref(), head.id.as_str());
--- a/crates/catkindeck-gateway/src/intent.rs
+++ b/crates/catkindeck-gateway/src/intent.rs
@@ -3,7 +3,7 @@
 use {
     crate::port::{DecodedConfig, DecodedIntent, KeyPolicy},
     catkindeck::{
-        config::{ConfigSnapshot, KeyRecord, ServiceRecord},
+        config::{ConfigSnapshot, KeyRecord, RouteRecord, ServiceRecord},
         id::{KeyDigest, ObjectName},
     },
     catkindeck_policy::direct::{RouteTable, TargetVersion},
@@ -121,6 +121,12 @@
         self.config.key(&KeyDigest::of(key))
     }
 
+    /// Returns the customer for whom a request to a route counts. On an open route the key is not looked at.
+    pub fn customer_of(&self, route: &RouteRecord, key: Option<&str>) -> Option<&ObjectName> {
+        let key = key.filter(|_| !route.open)?;
+        self.key(key).map(|key| &key.customer)
+    }
+
     pub fn service(&self, name: &ObjectName) -> Option<&ServiceRecord> {
         self.config.service(name)
     }
