Check who may read a job before it is loaded from the store

Seen by reading the diff: a call without a valid key for a job whose owner does not answer loaded the whole job from the store before it was refused. And while keys cannot be checked, callers with good keys would have been told 429 for too many calls without one.

Change: the record decides before the rest is read; where keys cannot be checked, too many searches end with the 503 that says so. Names and comments follow.

Test: keys_that_cannot_be_checked_concern_keyed_jobs_only (a job of an open route is served with any key and without one while the store is away, a keyed job gets 503, never 401 or 404).

--- a/crates/catkindeck-gateway/src/caller_handler.rs
+++ b/crates/catkindeck-gateway/src/caller_handler.rs
@@ -157,19 +157,19 @@
         match operation {
             CallerOperation::Request => self.answer_request(head, body, arrived).await,
             CallerOperation::JobResults(read) => {
-                let caller = self.identify(head, &read.job)?;
+                let caller = self.identify_for_job(head, &read.job)?;
                 let results = self.jobs.results(&read, caller.customer()).await;
                 let results = results.map_err(|error| caller.explain(error))?;
                 Ok(full_response(results))
             }
             CallerOperation::JobItem { job, item } => {
-                let caller = self.identify(head, &job)?;
+                let caller = self.identify_for_job(head, &job)?;
                 let body = self.jobs.item_body(&job, &item, caller.customer()).await;
                 let body = body.map_err(|error| caller.explain(error))?;
                 Ok(full_response(Response::new(body)))
             }
             CallerOperation::JobCancellation { job } => {
-                let caller = self.identify(head, &job)?;
+                let caller = self.identify_for_job(head, &job)?;
                 let outcome = self.jobs.cancel(&job, caller.customer()).await;
                 outcome.map_err(|error| caller.explain(error))?;
                 Ok(full_response(Response::new(Bytes::new())))
@@ -188,7 +188,7 @@
             Err(error) => return self.answer_unadmitted(head, &body, error).await,
         };
         if request.matched.route.terms.job.is_some() {
-            let caller = self.caller_of(head);
+            let caller = self.identify(head);
             let accepted = self.jobs.submit(&request, caller.customer()).await;
             let accepted = accepted.map_err(|error| caller.explain(error))?;
             return Ok(full_response(accepted));
@@ -219,7 +219,7 @@
         if !is_refused || !self.core.ports.callers.is_job(head, body) {
             return Err(error);
         }
-        let caller = self.identify(head, &head.id)?;
+        let caller = self.identify_for_job(head, &head.id)?;
         let repeated = self.jobs.repeat_submission(&head.id, caller.customer());
         match repeated.await {
             Ok(Some(accepted)) => Ok(full_response(accepted)),
@@ -288,14 +288,14 @@
     }
 
     /// Determines who calls for a job that was accepted, and whether it may be searched for.
-    fn identify(&self, head: &RequestHead, job: &str) -> Result<JobCaller, ServiceError> {
-        let caller = self.caller_of(head);
+    fn identify_for_job(&self, head: &RequestHead, job: &str) -> Result<JobCaller, ServiceError> {
+        let caller = self.identify(head);
         self.jobs.check_search(job, &caller)?;
         Ok(caller)
     }
 
     /// Determines who calls for a job. Whether that suffices depends on the job.
-    fn caller_of(&self, head: &RequestHead) -> JobCaller {
+    fn identify(&self, head: &RequestHead) -> JobCaller {
         match self.authenticate(head, None) {
             Ok(Some(customer)) => JobCaller::Customer(customer),
             Ok(None) => JobCaller::Anyone,
--- a/crates/catkindeck-gateway/src/jobs/access.rs
+++ b/crates/catkindeck-gateway/src/jobs/access.rs
@@ -23,6 +23,7 @@
 }
 
 impl JobCaller {
+    /// Returns the customer whose jobs the caller may use.
     pub fn customer(&self) -> Option<&ObjectName> {
         match self {
             Self::Customer(customer) => Some(customer),
@@ -53,16 +54,23 @@
     ///
     /// # Errors
     ///
-    /// Returns `overloaded` if callers without a valid key name too many jobs that this process does not know.
+    /// Returns `overloaded` if callers without a valid key name too many jobs that this process does not know, and
+    /// `stale_configuration` if it is too many while no key can be checked.
     pub fn check_search(&self, job: &str, caller: &JobCaller) -> Result<(), ServiceError> {
-        if !matches!(caller, JobCaller::Unidentified(_)) || self.is_known(job) {
+        let JobCaller::Unidentified(refusal) = caller else {
+            return Ok(());
+        };
+        if self.is_known(job) {
             return Ok(());
         }
         let now = self.core.now();
         let mut searches = self.searches.borrow_mut();
         if !searches.allows(now, UNIDENTIFIED_SEARCHES_PER_S) {
             let detail = "callers without a valid key ask for too many unknown jobs";
-            return Err(ServiceError::not_run(ErrorKind::Overloaded, detail));
+            return Err(match refusal.kind {
+                ErrorKind::Unauthenticated => ServiceError::not_run(ErrorKind::Overloaded, detail),
+                _ => refusal.clone(),
+            });
         }
         searches.count(now);
         Ok(())
--- a/crates/catkindeck-gateway/src/jobs/read.rs
+++ b/crates/catkindeck-gateway/src/jobs/read.rs
@@ -83,7 +83,7 @@
         if let Some(PeerResponse::Body(body)) = self.call_owner(job, &call, Duration::ZERO).await? {
             return Ok(body.into());
         }
-        let stored = self.load_stored(job).await?;
+        let stored = self.load_stored(job, customer).await?;
         self.local_item_body(&stored, item, customer)
     }
 
@@ -173,7 +173,7 @@
         read: &JobRead,
         customer: Option<&ObjectName>,
     ) -> Result<ResultsPage, ServiceError> {
-        let stored = self.load_stored(&read.job).await?;
+        let stored = self.load_stored(&read.job, customer).await?;
         self.local_results(&stored, customer, read.after, Duration::ZERO)
             .await
     }
@@ -249,8 +249,12 @@
         }
     }
 
-    /// Loads a job from the store for reading. A job that is complete or cancelled is kept in the archive.
-    async fn load_stored(&self, job: &str) -> Result<Rc<OwnedJob>, ServiceError> {
+    /// Loads a job from the store for a caller who may read it. A job that is complete or cancelled is kept in the archive.
+    async fn load_stored(
+        &self,
+        job: &str,
+        customer: Option<&ObjectName>,
+    ) -> Result<Rc<OwnedJob>, ServiceError> {
         let response = self
             .core
             .ports
@@ -259,6 +263,7 @@
             .await?;
         let item = response.item.ok_or_else(not_found_error)?;
         let record: JobRecord = keys::decode_item(&item)?;
+        self.check_access(job, record.customer.as_ref(), customer)?;
         let is_final = record.state != JobState::Running;
         let (stored, _) = self.load(record, item.revision).await?;
         if is_final {
--- a/crates/catkindeck-gateway/src/jobs/submit.rs
+++ b/crates/catkindeck-gateway/src/jobs/submit.rs
@@ -36,6 +36,9 @@
     /// The call succeeds only after the store has confirmed the complete job. It is refused only if no write has
     /// an unknown outcome, because such a write may take effect seconds later.
     ///
+    /// The job belongs to the customer of the request, which has none on an open route; `caller` is the customer of the
+    /// key in any case and decides whether the submission may repeat that of a job that exists.
+    ///
     /// # Errors
     ///
     /// Returns the reason, with the execution outcome that is known for the job.
--- a/crates/catkindeck-gateway/src/keys.rs
+++ b/crates/catkindeck-gateway/src/keys.rs
@@ -82,7 +82,7 @@
     pub job: String,
     pub owner: MemberRecord,
     pub state: JobState,
-    /// The customer who submitted the job; `None` on open routes.
+    /// The customer to whom the job belongs; `None` if no key was needed when it was accepted.
     pub customer: Option<ObjectName>,
     /// When the job was first submitted, in milliseconds since the Unix epoch.
     pub submitted_ms: u64,
